--- /dev/null
+++ b/src/board/entry.rs
@@ -0,0 +1,105 @@
+//! What an entry knows of endpoints and other entries.
+
+use crate::frame::Report;
+use crate::id::{DataCentre, Incarnation, InstanceId};
+use crate::platform::{ListedState, Role};
+use slotmap::{SlotMap, new_key_type};
+use std::net::SocketAddr;
+use std::time::Instant;
+
+new_key_type! {
+    /// Names an endpoint on the board of an entry.
+    pub struct EndpointKey;
+}
+
+/// Failures of an endpoint.
+#[derive(Debug, Default)]
+pub struct Health {
+    /// Failures since the last success.
+    pub failures: u32,
+    /// Ejections since the endpoint last served well.
+    pub ejections: u32,
+    /// End of the present ejection, if there is one.
+    pub until: Option<Instant>,
+    /// Tells that the endpoint is being tried after an ejection.
+    pub trial: bool,
+}
+
+/// What an endpoint last said of itself.
+#[derive(Debug)]
+pub struct Known {
+    /// The report.
+    pub report: Report,
+    /// Run of the sidecar.
+    pub incarnation: Incarnation,
+    /// When it came.
+    pub at: Instant,
+}
+
+/// One endpoint.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// Instance.
+    pub instance: InstanceId,
+    /// Data centre.
+    pub centre: DataCentre,
+    /// Address of the sidecar.
+    pub peer: SocketAddr,
+    /// What the instance list says; `None` once it lists the instance no more.
+    pub listed: Option<ListedState>,
+    /// What the endpoint said of itself.
+    pub known: Option<Known>,
+    /// Tells that the link answers.
+    pub linked: bool,
+    /// Failures.
+    pub health: Health,
+    /// Requests of this entry that run or wait there.
+    pub open: u32,
+    /// Requests sent since the last report.
+    pub sent: u32,
+    /// Prompt tokens sent since the last report.
+    pub load: u32,
+}
+
+impl Endpoint {
+    /// Tells whether the endpoint may get new work.
+    pub fn is_serving(&self) -> bool {
+        let is_leaving = |k: &Known| k.report.leaving || !k.report.alive;
+        self.linked
+            && self.listed == Some(ListedState::Live)
+            && self.known.as_ref().is_some_and(|k| !is_leaving(k))
+    }
+}
+
+/// Another entry.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Peer {
+    /// Instance.
+    pub instance: InstanceId,
+    /// Data centre.
+    pub centre: DataCentre,
+    /// Address.
+    pub peer: SocketAddr,
+    /// Role.
+    pub role: Role,
+}
+
+/// The state of an entry that its controllers share.
+#[derive(Debug, Default)]
+pub struct EntryBoard {
+    /// Endpoints.
+    pub endpoints: SlotMap<EndpointKey, Endpoint>,
+    /// Other entries.
+    pub entries: Vec<Peer>,
+    /// When the instance list was last read.
+    pub list_read: Option<Instant>,
+    /// Tells that this entry takes no new work.
+    pub draining: bool,
+}
+
+impl EntryBoard {
+    /// Finds an endpoint by its instance.
+    pub fn find(&self, instance: &InstanceId) -> Option<EndpointKey> {
+        self.endpoints.iter().find(|(_, e)| e.instance == *instance).map(|(k, _)| k)
+    }
+}
--- /dev/null
+++ b/src/board/mod.rs
@@ -0,0 +1,7 @@
+//! The state of a process, which controllers read and write.
+
+mod entry;
+mod sidecar;
+
+pub use entry::{Endpoint, EndpointKey, EntryBoard, Health, Known, Peer};
+pub use sidecar::{Engine, Job, JobKey, Phase, SidecarBoard};
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,244 @@
+//! The command line: two daemons and the operators' client.
+
+mod client;
+
+use crate::http::Metrics;
+use crate::process::Process;
+use crate::settings::{self, Settings};
+use crate::text::Text;
+use crate::{entry, sidecar};
+use gumdrop::Options;
+use std::net::{AddrParseError, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::str::FromStr;
+
+/// Serves language-model generations of unknown length on busy engines.
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "run an entry instance")]
+    Entry(Daemon),
+    #[options(help = "run the process beside an endpoint")]
+    Sidecar(Daemon),
+    #[options(help = "check a text without submitting it")]
+    Check(Check),
+    #[options(help = "submit a text")]
+    Submit(Submit),
+    #[options(help = "print the text in force, or an older version")]
+    Show(Show),
+    #[options(help = "print processes, their versions and endpoints")]
+    Status(Access),
+    #[options(help = "print the events of all processes in causal order")]
+    Timeline(Timeline),
+    #[options(help = "print an annotated example of a daemon's settings")]
+    Settings(Nothing),
+}
+
+#[derive(Debug, Options)]
+struct Nothing {
+    #[options(help = "print this help")]
+    help: bool,
+}
+
+#[derive(Debug, Options)]
+struct Daemon {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "file of settings, JSON with comments", required)]
+    settings: PathBuf,
+}
+
+#[derive(Debug, Options)]
+struct Check {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "the text")]
+    file: PathBuf,
+}
+
+/// Address of an entry on the command line.
+#[derive(Debug, Clone, Copy)]
+struct Address(SocketAddr);
+
+impl Default for Address {
+    fn default() -> Self {
+        Address(SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+}
+
+impl FromStr for Address {
+    type Err = AddrParseError;
+
+    fn from_str(s: &str) -> Result<Self, AddrParseError> {
+        s.parse().map(Address)
+    }
+}
+
+/// How to reach an entry.
+#[derive(Debug, Options)]
+struct Access {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "address of an entry", meta = "IP:PORT", required)]
+    entry: Address,
+    #[options(help = "file that holds the operator's key", required)]
+    key: PathBuf,
+}
+
+#[derive(Debug, Options)]
+struct Submit {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "address of an entry", meta = "IP:PORT", required)]
+    entry: Address,
+    #[options(help = "file that holds the operator's key", required)]
+    key: PathBuf,
+    #[options(help = "version the text was edited from; 0 for the first", required)]
+    from: u64,
+    #[options(free, required, help = "the text")]
+    file: PathBuf,
+}
+
+#[derive(Debug, Options)]
+struct Show {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "address of an entry", meta = "IP:PORT", required)]
+    entry: Address,
+    #[options(help = "file that holds the operator's key", required)]
+    key: PathBuf,
+    #[options(help = "version of the history")]
+    version: Option<u64>,
+}
+
+#[derive(Debug, Options)]
+struct Timeline {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "address of an entry", meta = "IP:PORT", required)]
+    entry: Address,
+    #[options(help = "file that holds the operator's key", required)]
+    key: PathBuf,
+    #[options(help = "request, endpoint or version to follow")]
+    subject: Option<String>,
+    #[options(help = "number or name of a kind of event")]
+    kind: Option<String>,
+}
+
+/// Exit code where the input has faults or the submission lost a race.
+const REFUSED: u8 = 1;
+/// Exit code where something could not be reached or read.
+const FAILED: u8 = 2;
+/// Exit code where the outcome of a submission is not known.
+const UNKNOWN: u8 = 3;
+
+/// Runs the command that the arguments name.
+pub fn run() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    match args.command {
+        Some(Command::Entry(d)) => daemon(&d.settings, Role::Entry),
+        Some(Command::Sidecar(d)) => daemon(&d.settings, Role::Sidecar),
+        Some(Command::Check(c)) => check(&c.file),
+        Some(Command::Submit(s)) => client::submit(&s),
+        Some(Command::Show(s)) => client::show(&s),
+        Some(Command::Status(a)) => client::status(&a),
+        Some(Command::Timeline(t)) => client::timeline(&t),
+        Some(Command::Settings(_)) => {
+            print!("{}", settings::EXAMPLE);
+            ExitCode::SUCCESS
+        }
+        None => {
+            eprintln!("{}", Args::usage());
+            eprintln!("{}", Args::command_list().unwrap_or(""));
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn read(file: &Path) -> Result<String, ExitCode> {
+    std::fs::read_to_string(file).map_err(|e| {
+        eprintln!("{}: {e}", file.display());
+        ExitCode::from(FAILED)
+    })
+}
+
+fn check(file: &Path) -> ExitCode {
+    let text = match read(file) {
+        Ok(text) => text,
+        Err(code) => return code,
+    };
+    match Text::parse(&text) {
+        Ok(t) => {
+            println!("{} services, {} workspaces", t.services.len(), t.workspaces.len());
+            ExitCode::SUCCESS
+        }
+        Err(faults) => {
+            faults.iter().for_each(|f| eprintln!("{}:{f}", file.display()));
+            ExitCode::from(REFUSED)
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Role {
+    Entry,
+    Sidecar,
+}
+
+fn daemon(file: &Path, role: Role) -> ExitCode {
+    let text = match read(file) {
+        Ok(text) => text,
+        Err(code) => return code,
+    };
+    let settings = match Settings::parse(&text) {
+        Ok(s) => s,
+        Err(faults) => {
+            faults.iter().for_each(|f| eprintln!("{}:{f}", file.display()));
+            return ExitCode::from(REFUSED);
+        }
+    };
+    start_log(&settings);
+    let Some(metrics) = Metrics::install() else { return ExitCode::from(FAILED) };
+    let process = Process::new(settings);
+    let done = actix_rt::System::new().block_on(async move {
+        match role {
+            Role::Entry => entry::run(process, metrics).await.map_err(|e| format!("{e:?}")),
+            Role::Sidecar => sidecar::run(process, metrics).await.map_err(|e| format!("{e:?}")),
+        }
+    });
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("{}: {why}", file.display());
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+/// Sends log lines to standard error, each with time, level and instance.
+fn start_log(settings: &Settings) {
+    let instance = settings.instance.clone();
+    let dispatch = fern::Dispatch::new()
+        .format(move |out, message, record| {
+            let t = crate::clock::wall();
+            out.finish(format_args!(
+                "time={}.{:06} level={} instance={instance} {message}",
+                t.as_secs(),
+                t.subsec_micros(),
+                record.level(),
+            ))
+        })
+        .level(log::LevelFilter::Warn)
+        .level_for("skylarkthread", log::LevelFilter::Info)
+        .chain(std::io::stderr());
+    // A second logger in one process would be a mistake of the caller; the first one stays.
+    let _ = dispatch.apply();
+}
--- /dev/null
+++ b/src/eject/mod.rs
@@ -0,0 +1,111 @@
+//! Ejects endpoints that keep failing, and lets them back with care.
+
+use crate::board::{Endpoint, EndpointKey, EntryBoard};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Consecutive failures after which an endpoint is ejected.
+const FAILURE_LIMIT: u32 = 3;
+/// Time an endpoint stays out after its first ejection.
+const EJECT_BASE: Duration = Duration::from_secs(2);
+/// Longest time an endpoint stays out.
+const EJECT_MAX: Duration = Duration::from_secs(60);
+/// Share of a pool that stays in service however many fail, in percent.
+const FLOOR: usize = 50;
+/// Factor by which a batch step may exceed the median of its pool.
+const SLOW_FACTOR: u32 = 4;
+/// Requests that an endpoint gets at one time while it is tried.
+const TRIAL_OPEN: u32 = 1;
+
+/// A change that the controller made.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Change {
+    /// An endpoint was ejected until then.
+    Ejected(EndpointKey, Instant),
+    /// An endpoint is tried again.
+    Readmitted(EndpointKey),
+}
+
+/// Notes a failure of an endpoint to serve.
+pub fn note_failure(e: &mut Endpoint) {
+    e.health.failures += 1;
+    // One failure on trial is enough to end the trial.
+    if e.health.trial {
+        e.health.failures = e.health.failures.max(FAILURE_LIMIT);
+    }
+}
+
+/// Notes that an endpoint served well.
+pub fn note_success(e: &mut Endpoint) {
+    e.health.failures = 0;
+    if e.health.trial {
+        e.health.trial = false;
+        e.health.ejections = 0;
+    }
+}
+
+/// Tells whether health allows the endpoint one more request.
+pub fn allows(e: &Endpoint) -> bool {
+    e.health.until.is_none() && (!e.health.trial || e.open < TRIAL_OPEN)
+}
+
+/// Ejects endpoints that fail or are far slower than their pool, and readmits those whose time
+/// is up.
+pub fn step(now: Instant, board: &mut EntryBoard) -> Vec<Change> {
+    let mut changes = readmit(now, board);
+    let failing: Vec<EndpointKey> =
+        board.endpoints.iter().filter(|(_, e)| is_failing(board, e)).map(|(k, _)| k).collect();
+    for key in failing {
+        let pool = pool(&board.endpoints[key]);
+        let mates = || board.endpoints.values().filter(|e| pool == self::pool(e));
+        let serving = mates().filter(|e| e.is_serving() && e.health.until.is_none()).count();
+        // Past the floor a failing endpoint beats an overloaded one.
+        if serving <= (mates().count() * FLOOR).div_ceil(100) {
+            continue;
+        }
+        let health = &mut board.endpoints[key].health;
+        let until = now + ejection_time(health.ejections);
+        health.until = Some(until);
+        health.ejections += 1;
+        changes.push(Change::Ejected(key, until));
+    }
+    changes
+}
+
+fn readmit(now: Instant, board: &mut EntryBoard) -> Vec<Change> {
+    let mut changes = Vec::new();
+    for (key, e) in &mut board.endpoints {
+        if e.health.until.is_some_and(|t| t <= now) {
+            e.health.until = None;
+            e.health.failures = 0;
+            e.health.trial = true;
+            changes.push(Change::Readmitted(key));
+        }
+    }
+    changes
+}
+
+fn pool(e: &Endpoint) -> Option<Arc<str>> {
+    e.known.as_ref().map(|k| k.report.pool.clone())
+}
+
+fn is_failing(board: &EntryBoard, e: &Endpoint) -> bool {
+    e.health.until.is_none() && (e.health.failures >= FAILURE_LIMIT || is_slow(board, e))
+}
+
+/// Tells whether an endpoint is far slower than the median of its pool.
+fn is_slow(board: &EntryBoard, e: &Endpoint) -> bool {
+    let gap = |e: &Endpoint| e.known.as_ref().map_or(0, |k| k.report.gap);
+    let own = pool(e);
+    let mates = board.endpoints.values().filter(|m| m.is_serving() && pool(m) == own);
+    let mut gaps: Vec<u32> = mates.map(gap).filter(|g| *g > 0).collect();
+    if gaps.len() < 3 {
+        return false;
+    }
+    gaps.sort_unstable();
+    gap(e) > gaps[gaps.len() / 2].saturating_mul(SLOW_FACTOR)
+}
+
+fn ejection_time(ejections: u32) -> Duration {
+    EJECT_BASE.saturating_mul(1 << ejections.min(5)).min(EJECT_MAX)
+}
--- /dev/null
+++ b/src/entry/admin.rs
@@ -0,0 +1,188 @@
+//! What operators may ask: submit, show, status and the time line.
+
+use super::{Entry, links, sync};
+use crate::event::{Event, Filter, Kind};
+use crate::frame::{Reply, Request};
+use crate::http::{self, Body, Incoming};
+use crate::id::IntentVersion;
+use crate::intent::{Submission, Submitted, read_version, submit};
+use crate::peer::Link;
+use crate::problem::{Problem, ProblemKind};
+use crate::text::Text;
+use actix_http::{Method, Response};
+use serde_json::json;
+use sha2::{Digest, Sha256};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for a process to send its events.
+const EVENTS_TIME: Duration = Duration::from_millis(1500);
+/// Most events of all processes in one answer.
+const EVENTS_LIMIT: usize = 20_000;
+
+/// Answers an operator.
+///
+/// # Errors
+///
+/// Returns a problem where the operator is not known or the request is malformed.
+pub async fn answer(e: &Rc<Entry>, req: &Incoming, rest: &str) -> Result<Response<Body>, Problem> {
+    let who = operator(e, req)?;
+    match (&req.method, rest) {
+        (&Method::POST, "intent") => accept(e, req, who).await,
+        (&Method::GET, "intent") => show(e, req).await,
+        (&Method::GET, "status") => Ok(status(e)),
+        (&Method::GET, "timeline") => timeline(e, req).await,
+        _ => Err(Problem::new(ProblemKind::NotFound, "no such path")),
+    }
+}
+
+fn operator(e: &Entry, req: &Incoming) -> Result<Arc<str>, Problem> {
+    let hash: Option<[u8; 32]> = req.bearer().map(|k| Sha256::digest(k.as_bytes()).into());
+    let operators = &e.process.settings.operators;
+    let found = operators.iter().find(|o| Some(o.hash) == hash);
+    let unknown = || Problem::new(ProblemKind::Unauthorized, "the operator's key is not known");
+    found.map(|o| o.name.clone()).ok_or_else(unknown)
+}
+
+async fn accept(e: &Rc<Entry>, req: &Incoming, who: Arc<str>) -> Result<Response<Body>, Problem> {
+    let malformed = |what: &str| Problem::new(ProblemKind::Malformed, what);
+    let from = req.field("from").and_then(|n| n.parse::<IntentVersion>().ok());
+    let from = from.ok_or_else(|| malformed("from=VERSION is missing"))?;
+    let text = std::str::from_utf8(&req.body).map_err(|_| malformed("the text is not UTF-8"))?;
+    if let Err(faults) = Text::parse(text) {
+        let lines: Vec<String> = faults.iter().map(|f| f.to_string()).collect();
+        return Err(Problem::new(ProblemKind::Invalid, lines.join("\n")));
+    }
+    let submission = Submission { text: Arc::from(text), from, who, when: sync::seconds() };
+    let outcome = submit(&e.store, &submission).await;
+    let (status, body) = match &outcome {
+        Submitted::Accepted(v) => {
+            e.process.event(Kind::Accepted, v, format_args!("who={}", submission.who));
+            (200, json!({ "result": "accepted", "version": v.0 }))
+        }
+        Submitted::Conflict(head) => {
+            e.process.event(Kind::Rejected, from, format_args!("newest={}", head.version));
+            let newest = json!({ "version": head.version.0, "who": &*head.who, "when": head.when });
+            (409, json!({ "result": "conflict", "newest": newest }))
+        }
+        Submitted::NotWritten(error) => {
+            let why = format!("{error:?}");
+            (503, json!({ "result": "not-written", "why": why }))
+        }
+        Submitted::Unknown => (502, json!({ "result": "unknown" })),
+    };
+    Ok(http::json(status, &body))
+}
+
+async fn show(e: &Rc<Entry>, req: &Incoming) -> Result<Response<Body>, Problem> {
+    let unreadable = |_| Problem::new(ProblemKind::Draining, "the store gives no answer");
+    let Some(version) = req.field("version") else {
+        let (version, text) = {
+            let intent = e.process.intent.borrow();
+            (intent.version(), intent.source())
+        };
+        return Ok(http::json(200, &json!({ "version": version.0, "text": text })));
+    };
+    let version = version.parse().map_err(|_| Problem::new(ProblemKind::Malformed, "version"))?;
+    let found = read_version(&e.store, version).await.map_err(unreadable)?;
+    let missing = || Problem::new(ProblemKind::NotFound, "no such version");
+    let (head, text) = found.ok_or_else(missing)?;
+    Ok(http::json(
+        200,
+        &json!({
+            "version": head.version.0, "who": &*head.who, "when": head.when, "text": text
+        }),
+    ))
+}
+
+fn status(e: &Entry) -> Response<Body> {
+    let board = e.board.borrow();
+    let endpoints: Vec<_> = board
+        .endpoints
+        .values()
+        .map(|x| {
+            let k = x.known.as_ref();
+            json!({
+                "instance": x.instance.as_str(),
+                "data_centre": x.centre.as_str(),
+                "serving": x.is_serving(),
+                "listed": x.listed,
+                "linked": x.linked,
+                "ejected": x.health.until.is_some(),
+                "version": e.links.borrow().get(&x.instance).map(|l| l.version().0),
+                "pool": k.map(|k| k.report.pool.clone()),
+                "loaded": k.map(|k| k.report.loaded.clone()),
+                "running": k.map(|k| k.report.running),
+                "waiting": k.map(|k| k.report.waiting),
+                "capacity": k.map(|k| k.report.capacity),
+                "forecast": k.map(|k| k.report.forecast),
+            })
+        })
+        .collect();
+    let peers = e.peers.borrow();
+    let entries: Vec<_> = board
+        .entries
+        .iter()
+        .map(|p| {
+            json!({
+                "instance": p.instance.as_str(),
+                "version": peers.get(&p.instance).map(|v| v.0),
+            })
+        })
+        .collect();
+    http::json(
+        200,
+        &json!({
+            "instance": e.process.settings.instance.as_str(),
+            "version": e.process.version().0,
+            "open": e.active.get(),
+            "entries": entries,
+            "endpoints": endpoints,
+        }),
+    )
+}
+
+/// Gathers the events of all processes and merges them by their stamps.
+async fn timeline(e: &Rc<Entry>, req: &Incoming) -> Result<Response<Body>, Problem> {
+    let kind = match req.field("kind") {
+        Some(k) => {
+            let unknown = || Problem::new(ProblemKind::Malformed, "no such kind of event");
+            Some(Kind::find(k).ok_or_else(unknown)?)
+        }
+        None => None,
+    };
+    let filter = Filter { subject: req.field("subject").map(Arc::from), kind };
+    let mut events = e.process.ring.borrow().select(&filter, EVENTS_LIMIT);
+    let endpoints: Vec<_> = e.board.borrow().endpoints.keys().collect();
+    let entries: Vec<_> = e.board.borrow().entries.iter().map(|p| p.peer).collect();
+    let from_endpoints = endpoints.into_iter().map(|key| {
+        let filter = filter.clone();
+        async move {
+            let link = links::get(e, key)?.raw()?;
+            gather(e, &link, filter).await
+        }
+    });
+    let from_entries = entries.into_iter().map(|address| {
+        let filter = filter.clone();
+        async move { gather(e, &Link::dial(address).ok()?, filter).await }
+    });
+    let (a, b) = futures_util::join!(
+        futures_util::future::join_all(from_endpoints),
+        futures_util::future::join_all(from_entries)
+    );
+    let missing = a.iter().chain(&b).filter(|x| x.is_none()).count();
+    events.extend(a.into_iter().chain(b).flatten().flatten());
+    events.sort_by_key(|x| x.at);
+    let skip = events.len().saturating_sub(EVENTS_LIMIT);
+    let lines: Vec<String> = events[skip..].iter().map(Event::to_string).collect();
+    Ok(http::json(200, &json!({ "missing": missing, "events": lines })))
+}
+
+async fn gather(e: &Entry, link: &Link, filter: Filter) -> Option<Vec<Event>> {
+    let reply = e.process.ask(link, Request::Events(filter), EVENTS_TIME).await.ok()?;
+    match reply.body {
+        Reply::Events(events) => Some(events),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/entry/links.rs
@@ -0,0 +1,310 @@
+//! Links to sidecars: one held poll each carries tokens, the report and the heartbeat.
+
+use super::{Entry, sync};
+use crate::board::{EndpointKey, EntryBoard, Known};
+use crate::clock;
+use crate::event::Kind;
+use crate::frame::{Batch, Crash, Cursor, Envelope, Finish, Poll, Reply, Report, Request};
+use crate::id::{Fingerprint, Incarnation, InstanceId, IntentVersion, Nonce};
+use crate::peer::{Link, PeerError};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
+use tokio::sync::{Notify, mpsc};
+
+/// Time in which a held poll has to be answered.
+const POLL_TIME: Duration = Duration::from_millis(800);
+/// Silence after which the generations on a link count as lost.
+const LOST_TIME: Duration = Duration::from_secs(4);
+/// Pause between polls of a link that fails at once.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Tokens that may wait for one caller; past them the cursor rests.
+const WINDOW: usize = 1024;
+/// Number of a crash that the loss of a whole link stands for.
+const LINK_CRASH: u32 = u32::MAX;
+
+/// One generation that is read over a link.
+#[derive(Debug)]
+pub struct Reader {
+    next: Cell<u32>,
+    pending: Rc<Cell<usize>>,
+    content: Option<Fingerprint>,
+    tx: mpsc::UnboundedSender<Batch>,
+}
+
+/// The receiving end of a [`Reader`]; dropped, it takes the cursor off the link.
+#[derive(Debug)]
+pub struct Tokens {
+    nonce: Nonce,
+    link: Weak<LinkState>,
+    pending: Rc<Cell<usize>>,
+    rx: mpsc::UnboundedReceiver<Batch>,
+}
+
+impl Tokens {
+    /// Waits for the next tokens.
+    pub async fn next(&mut self) -> Option<Batch> {
+        let batch = self.rx.recv().await?;
+        let was = self.pending.get();
+        let left = was - batch.tokens.len().min(was);
+        self.pending.set(left);
+        if was > WINDOW && left <= WINDOW {
+            // The cursor rested; it goes on.
+            if let Some(link) = self.link.upgrade() {
+                link.changed.notify_one();
+            }
+        }
+        Some(batch)
+    }
+}
+
+impl Drop for Tokens {
+    fn drop(&mut self) {
+        if let Some(link) = self.link.upgrade() {
+            link.readers.borrow_mut().remove(&self.nonce);
+        }
+    }
+}
+
+/// A link to one sidecar.
+#[derive(Debug)]
+pub struct LinkState {
+    instance: InstanceId,
+    address: SocketAddr,
+    nonce: Nonce,
+    link: RefCell<Option<Link>>,
+    readers: RefCell<HashMap<Nonce, Reader>>,
+    changed: Notify,
+    heard: Cell<Instant>,
+    version: Cell<IntentVersion>,
+    /// Tells that the endpoint was removed and the link should end.
+    closed: Cell<bool>,
+}
+
+impl LinkState {
+    /// Starts to read a generation from a token on.
+    pub fn read(self: &Rc<Self>, nonce: Nonce, next: u32, content: Option<Fingerprint>) -> Tokens {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let pending = Rc::new(Cell::new(0));
+        let reader = Reader { next: Cell::new(next), pending: pending.clone(), content, tx };
+        self.readers.borrow_mut().insert(nonce, reader);
+        Tokens { nonce, link: Rc::downgrade(self), pending, rx }
+    }
+
+    /// Returns the connection as it stands.
+    pub fn raw(&self) -> Option<Link> {
+        self.link.borrow().clone()
+    }
+
+    /// Returns the version that the sidecar last named.
+    pub fn version(&self) -> IntentVersion {
+        self.version.get()
+    }
+
+    /// Sends a poll that has the newest cursors.
+    pub fn poke(&self) {
+        self.changed.notify_one();
+    }
+
+    /// Sends a request over the link.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] where no answer comes within `wait`.
+    pub async fn ask(
+        &self,
+        e: &Entry,
+        request: Request,
+        wait: Duration,
+    ) -> Result<Envelope<Reply>, PeerError> {
+        let link = self.raw().ok_or(PeerError::Silent)?;
+        e.process.ask(&link, request, wait).await
+    }
+
+    fn cursors(&self) -> Vec<Cursor> {
+        let readers = self.readers.borrow();
+        let awake = readers.iter().filter(|(_, r)| r.pending.get() <= WINDOW);
+        awake.map(|(nonce, r)| Cursor { nonce: *nonce, next: r.next.get() }).collect()
+    }
+
+    fn dispatch(&self, batch: Batch) {
+        let mut readers = self.readers.borrow_mut();
+        let Some(reader) = readers.get(&batch.nonce) else { return };
+        // An answer to an older poll may hold what was read before.
+        let skip = reader.next.get().saturating_sub(batch.first) as usize;
+        if batch.first > reader.next.get() || skip > batch.tokens.len() {
+            return;
+        }
+        let tokens = batch.tokens[skip..].to_vec();
+        let first = reader.next.get();
+        reader.next.set(first + tokens.len() as u32);
+        reader.pending.set(reader.pending.get() + tokens.len());
+        let is_end = batch.finish.is_some();
+        if !tokens.is_empty() || is_end {
+            let rest = Batch { nonce: batch.nonce, first, tokens, finish: batch.finish };
+            let _ = reader.tx.send(rest);
+        }
+        if is_end {
+            readers.remove(&batch.nonce);
+        }
+    }
+
+    /// Ends all generations on the link; returns their contents.
+    fn lose(&self) -> Vec<Fingerprint> {
+        let readers: Vec<_> = self.readers.borrow_mut().drain().collect();
+        let mut contents = Vec::new();
+        for (nonce, r) in readers {
+            let finish = Some(Finish::Lost);
+            let _ = r.tx.send(Batch { nonce, first: r.next.get(), tokens: Vec::new(), finish });
+            contents.extend(r.content);
+        }
+        contents
+    }
+}
+
+/// Returns the link to an endpoint, opening it if needed.
+pub fn get(e: &Rc<Entry>, key: EndpointKey) -> Option<Rc<LinkState>> {
+    let (instance, address) = {
+        let board = e.board.borrow();
+        let endpoint = board.endpoints.get(key)?;
+        (endpoint.instance.clone(), endpoint.peer)
+    };
+    let mut links = e.links.borrow_mut();
+    if let Some(link) = links.get(&instance) {
+        if link.address == address {
+            return Some(link.clone());
+        }
+        link.closed.set(true);
+    }
+    let link = Rc::new(LinkState {
+        instance: instance.clone(),
+        address,
+        nonce: Nonce::random(),
+        link: RefCell::new(Link::dial(address).ok()),
+        readers: RefCell::new(HashMap::new()),
+        changed: Notify::new(),
+        heard: Cell::new(clock::now()),
+        version: Cell::new(IntentVersion(0)),
+        closed: Cell::new(false),
+    });
+    links.insert(instance, link.clone());
+    actix_rt::spawn(poll(e.clone(), link.clone()));
+    Some(link)
+}
+
+/// Ends the link to an endpoint that was forgotten.
+pub fn close(e: &Entry, instance: &InstanceId) {
+    if let Some(link) = e.links.borrow_mut().remove(instance) {
+        link.closed.set(true);
+        link.lose();
+    }
+}
+
+async fn poll(e: Rc<Entry>, link: Rc<LinkState>) {
+    while !link.closed.get() {
+        let request = Request::Poll(Poll { link: link.nonce, cursors: link.cursors() });
+        let answer = tokio::select! {
+            answer = link.ask(&e, request, POLL_TIME) => answer,
+            // A newer poll replaces this one; its answer, if any, is read again.
+            () = link.changed.notified() => continue,
+        };
+        match answer {
+            Ok(envelope) => heard(&e, &link, envelope),
+            Err(error) => {
+                silent(&e, &link);
+                if error != PeerError::Silent {
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+    link.lose();
+}
+
+fn heard(e: &Rc<Entry>, link: &Rc<LinkState>, envelope: Envelope<Reply>) {
+    let now = clock::now();
+    link.heard.set(now);
+    let incarnation = envelope.incarnation;
+    link.version.set(envelope.version);
+    sync::compare(e, link, envelope.version);
+    let Reply::Batches(batches, report) = envelope.body else { return };
+    note_crashes(e, incarnation, &report.crashes);
+    note_report(e, link, now, incarnation, *report);
+    for batch in batches {
+        link.dispatch(batch);
+    }
+}
+
+fn note_report(
+    e: &Entry,
+    link: &LinkState,
+    now: Instant,
+    incarnation: Incarnation,
+    report: Report,
+) {
+    let mut board = e.board.borrow_mut();
+    let Some(key) = board.find(&link.instance) else { return };
+    let endpoint = &mut board.endpoints[key];
+    if !endpoint.linked {
+        endpoint.linked = true;
+        e.process.event(Kind::LinkUp, &link.instance, incarnation);
+    }
+    let was_leaving = endpoint.known.as_ref().is_some_and(|k| k.report.leaving);
+    if report.leaving && !was_leaving {
+        e.process.event(Kind::Leaving, &link.instance, "from=report");
+    }
+    endpoint.sent = 0;
+    endpoint.load = 0;
+    endpoint.known = Some(Known { report, incarnation, at: now });
+}
+
+fn note_crashes(e: &Entry, incarnation: Incarnation, crashes: &[Crash]) {
+    for crash in crashes {
+        let worse = e.blame.borrow_mut().note(incarnation, crash);
+        for (content, standing) in worse {
+            let kind = match standing {
+                crate::blame::Standing::Refused => Kind::Convicted,
+                _ => Kind::Suspected,
+            };
+            e.process.event(kind, content, format_args!("{standing:?}"));
+        }
+    }
+}
+
+fn silent(e: &Rc<Entry>, link: &Rc<LinkState>) {
+    let silence = super::since(link.heard.get());
+    // The peer may be well and only this connection dead, so a new one takes its place.
+    *link.link.borrow_mut() = Link::dial(link.address).ok();
+    if silence < POLL_TIME {
+        return;
+    }
+    let key = e.board.borrow().find(&link.instance);
+    let unlinked = key.and_then(|k| unlink(&mut e.board.borrow_mut(), k));
+    if let Some(endpoint) = unlinked {
+        e.process.event(Kind::LinkSilent, endpoint, format_args!("{}ms", silence.as_millis()));
+    }
+    if silence >= LOST_TIME {
+        let contents = link.lose();
+        if contents.is_empty() {
+            return;
+        }
+        let mut board = e.board.borrow_mut();
+        let Some(endpoint) = key.and_then(|k| board.endpoints.get_mut(k)) else { return };
+        crate::eject::note_failure(endpoint);
+        let incarnation = endpoint.known.as_ref().map(|k| k.incarnation);
+        drop(board);
+        if let Some(incarnation) = incarnation {
+            let crash = Crash { number: LINK_CRASH, running: contents };
+            note_crashes(e, incarnation, &[crash]);
+        }
+    }
+}
+
+/// Marks an endpoint as not linked; returns its instance where it was.
+fn unlink(board: &mut EntryBoard, key: EndpointKey) -> Option<InstanceId> {
+    let endpoint = board.endpoints.get_mut(key).filter(|e| e.linked)?;
+    endpoint.linked = false;
+    Some(endpoint.instance.clone())
+}
--- /dev/null
+++ b/src/fair/mod.rs
@@ -0,0 +1,63 @@
+//! Shares a busy engine among workspaces by tokens served.
+//!
+//! Each workspace has a counter of tokens divided by its weight, and the lowest goes first (the
+//! virtual token counter of Sheng et al., OSDI 2024).
+
+use crate::id::Workspace;
+use std::collections::HashMap;
+
+/// Workspaces with a counter; beyond them the lowest counters are dropped.
+const LIMIT: usize = 4096;
+
+/// Counters of the workspaces that had work here.
+#[derive(Debug, Default)]
+pub struct Fair {
+    served: HashMap<Workspace, f64>,
+    floor: f64,
+}
+
+impl Fair {
+    /// Returns the counter of a workspace.
+    pub fn served(&self, w: &Workspace) -> f64 {
+        self.served.get(w).copied().unwrap_or(self.floor).max(self.floor)
+    }
+
+    /// Counts tokens served to a workspace.
+    pub fn charge(&mut self, w: &Workspace, weight: u32, tokens: u32) {
+        let next = self.served(w) + f64::from(tokens) / f64::from(weight.max(1));
+        self.served.insert(w.clone(), next);
+        if self.served.len() > LIMIT {
+            let floor = self.floor;
+            self.served.retain(|_, n| *n > floor);
+        }
+    }
+
+    /// Raises the floor to the lowest counter among those that wait, so that a workspace that was
+    /// away has no credit from that time.
+    pub fn lift<'a>(&mut self, waiting: impl Iterator<Item = &'a Workspace>) {
+        let lowest = waiting.map(|w| self.served(w)).fold(f64::INFINITY, f64::min);
+        if lowest.is_finite() {
+            self.floor = self.floor.max(lowest);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_large_workspace_cannot_starve_a_small_one() {
+        let (large, small): (Workspace, Workspace) =
+            ("large".parse().unwrap(), "small".parse().unwrap());
+        let mut fair = Fair::default();
+        let mut turns = Vec::new();
+        for _ in 0..6 {
+            fair.lift([&large, &small].into_iter());
+            let next = if fair.served(&large) <= fair.served(&small) { &large } else { &small };
+            fair.charge(next, 1, if next == &large { 300 } else { 100 });
+            turns.push(next.as_str());
+        }
+        assert_eq!(turns, ["large", "small", "small", "small", "large", "small"]);
+    }
+}
--- /dev/null
+++ b/src/gate/forecast.rs
@@ -0,0 +1,53 @@
+//! Forecasts the memory that generations on an engine will need.
+
+use crate::board::{Job, Phase, SidecarBoard};
+use crate::id::Tokens;
+use crate::length::Curve;
+
+/// Points ahead, in tokens per generation, at which memory is forecast.
+const AHEAD: [u32; 8] = [0, 16, 64, 160, 400, 1000, 2500, 6000];
+/// Standard deviations kept in reserve.
+const RESERVE: f64 = 2.0;
+
+/// One generation as the forecast sees it.
+#[derive(Debug, Clone)]
+pub struct Load {
+    /// Memory at present.
+    pub size: Tokens,
+    /// Tokens generated so far.
+    pub done: Tokens,
+    /// Lengths of its kind.
+    pub curve: Curve,
+}
+
+/// Returns the loads of all generations on the engine.
+pub fn loads(board: &SidecarBoard) -> Vec<Load> {
+    board.in_phase(Phase::Running).map(|(_, j)| load(board, j)).collect()
+}
+
+/// Returns the load of one generation.
+pub fn load(board: &SidecarBoard, job: &Job) -> Load {
+    Load {
+        size: Tokens(job.size()),
+        done: Tokens(job.tokens.len() as u32),
+        curve: board.lengths.curve(&job.start.service, &job.start.workspace),
+    }
+}
+
+/// Returns the most memory needed at any point ahead, with the reserve, in tokens.
+pub fn peak(loads: &[Load]) -> f64 {
+    AHEAD.iter().map(|n| need(loads, *n)).fold(0.0, f64::max)
+}
+
+/// Returns the memory needed `n` tokens ahead: the mean and a reserve of standard deviations,
+/// where each generation has by then ended or grown by `n`.
+fn need(loads: &[Load], n: u32) -> f64 {
+    let (mut mean, mut variance) = (0.0, 0.0);
+    for l in loads {
+        let p = f64::from(l.curve.survives(l.done, Tokens(n)));
+        let size = f64::from(l.size.0 + n);
+        mean += p * size;
+        variance += p * (1.0 - p) * size * size;
+    }
+    mean + RESERVE * variance.sqrt()
+}
--- /dev/null
+++ b/src/gate/mod.rs
@@ -0,0 +1,263 @@
+//! Decides what a sidecar gives to its engine, so that memory rarely fills during a decode.
+//!
+//! Engines drop running generations when their memory is full and compute them again later. The
+//! gate forecasts the memory that running generations will need at several points ahead, with
+//! the survival curve of each, and begins a new one only where all of those points fit.
+
+mod forecast;
+
+pub use forecast::{Load, peak};
+
+use crate::board::{Job, JobKey, Phase, SidecarBoard};
+use crate::frame::{Refusal, Start};
+use crate::id::Tokens;
+use std::time::{Duration, Instant};
+
+/// Share of the engine's memory that the forecast may fill.
+const FILL: f64 = 0.97;
+/// Share of memory above which a running generation is held.
+const BRIM: f64 = 0.985;
+/// Steps ahead that a shortage is acted on.
+const NEAR: u32 = 8;
+/// Prompt tokens that may be computed at one time beside running generations.
+const PREFILL_WINDOW: u32 = 512;
+/// Wait that raises a generation by one rank.
+const AGE_STEP: Duration = Duration::from_secs(2);
+/// Wait after which a generation that does not fit blocks those behind it.
+const BLOCK_AFTER: Duration = Duration::from_millis(500);
+/// Longest queue, in generations.
+const QUEUE_LIMIT: usize = 256;
+/// Shortest time that a refused caller is told to stay away.
+const RETRY_MIN: Duration = Duration::from_millis(500);
+/// Time that an ended generation is kept for readers.
+const KEEP: Duration = Duration::from_secs(60);
+/// Length past which the mean of what is left is cut off.
+const MEAN_LIMIT: Tokens = Tokens(32_768);
+/// Time after which a generation that nobody reads is ended.
+const ABANDONED: Duration = Duration::from_secs(6);
+
+/// What the driver has to do.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Action {
+    /// Give a queued generation to the engine.
+    Begin(JobKey),
+    /// Give a held generation back to the engine.
+    Continue(JobKey),
+    /// Take a running generation off the engine.
+    Hold(JobKey),
+    /// Tell readers that a queued generation will not run.
+    Refuse(JobKey, Refusal),
+    /// End a generation that nobody reads.
+    Abandon(JobKey),
+}
+
+/// Admits generations to the engine.
+#[derive(Debug, Default)]
+pub struct Gate {
+    /// Tells that generations are given to the engine at once.
+    pub open: bool,
+}
+
+impl Gate {
+    /// Decides whether a new generation may join the queue.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason and the time to come back where it may not.
+    pub fn admit(&self, board: &SidecarBoard, start: &Start) -> Result<(), (Refusal, Duration)> {
+        if board.leaving {
+            return Err((Refusal::Leaving, RETRY_MIN));
+        }
+        if !board.engine.alive {
+            return Err((Refusal::Down, RETRY_MIN));
+        }
+        if !board.engine.loaded.contains(&start.spec) {
+            return Err((Refusal::NotLoaded, RETRY_MIN));
+        }
+        if self.open {
+            return Ok(());
+        }
+        let usable = (f64::from(board.engine.capacity) * FILL) as u32;
+        if start.input.0 + start.limit.0.min(1) > usable {
+            return Err((Refusal::TooLarge, Duration::ZERO));
+        }
+        let wait = expected_wait(board, start);
+        let left = Duration::from_millis(start.left);
+        if wait > left || board.count(Phase::Queued) as usize >= QUEUE_LIMIT {
+            return Err((Refusal::Busy, (wait - left.min(wait)).max(RETRY_MIN)));
+        }
+        Ok(())
+    }
+
+    /// Decides what to begin, hold, continue and end at `now`.
+    pub fn step(&mut self, now: Instant, board: &mut SidecarBoard) -> Vec<Action> {
+        let mut actions = expire(now, board);
+        if !board.engine.alive {
+            return actions;
+        }
+        if self.open {
+            actions.extend(board.in_phase(Phase::Queued).map(|(k, _)| Action::Begin(k)));
+            return actions;
+        }
+        if let Some(key) = overflow(board) {
+            actions.push(Action::Hold(key));
+            return actions;
+        }
+        let waiting: Vec<_> = board.in_phase(Phase::Queued).map(|(k, _)| k).collect();
+        let mut names = Vec::new();
+        names.extend(waiting.iter().map(|k| board.jobs[*k].start.workspace.clone()));
+        board.fair.lift(names.iter());
+        if let Some(action) = next(now, board) {
+            actions.push(action);
+        }
+        actions
+    }
+}
+
+/// Drops queued work whose time is up and work that nobody reads, and forgets old results.
+fn expire(now: Instant, board: &mut SidecarBoard) -> Vec<Action> {
+    let mut actions = Vec::new();
+    for (key, job) in &board.jobs {
+        match job.phase {
+            Phase::Queued if job.due <= now => {
+                actions.push(Action::Refuse(key, Refusal::Expired));
+            }
+            Phase::Ended(_) => {}
+            _ if job.wanted + ABANDONED <= now => actions.push(Action::Abandon(key)),
+            _ => {}
+        }
+    }
+    let nonces = &mut board.nonces;
+    board.jobs.retain(|_, j| {
+        let is_old = matches!(j.phase, Phase::Ended(_)) && j.wanted.max(j.active) + KEEP <= now;
+        if is_old {
+            nonces.remove(&j.start.generation.nonce);
+        }
+        !is_old
+    });
+    actions
+}
+
+/// Finds the generation to hold where memory runs out within a few steps: the lowest rank first,
+/// and within it the one with the least work lost.
+fn overflow(board: &SidecarBoard) -> Option<JobKey> {
+    let running = || board.in_phase(Phase::Running);
+    let near: u32 = running().map(|(_, j)| j.size() + NEAR).sum();
+    if f64::from(near) <= f64::from(board.engine.capacity) * BRIM || running().count() < 2 {
+        return None;
+    }
+    running().min_by_key(|(_, j)| (j.start.rank, j.size())).map(|(k, _)| k)
+}
+
+/// Chooses the next generation to give to the engine, if one fits.
+fn next(now: Instant, board: &SidecarBoard) -> Option<Action> {
+    let running = board.count(Phase::Running);
+    let is_alone = board.in_phase(Phase::Running).any(|(_, j)| j.start.alone);
+    if running >= board.engine.batch || is_alone {
+        return None;
+    }
+    let loads: Vec<Load> = forecast::loads(board);
+    for key in ordered(now, board) {
+        let job = &board.jobs[key];
+        if fits(board, &loads, job, running) {
+            return Some(match job.phase {
+                Phase::Held => Action::Continue(key),
+                _ => Action::Begin(key),
+            });
+        }
+        // Others may pass one that does not fit, but not for ever.
+        if job.phase == Phase::Held || job.arrived + BLOCK_AFTER <= now {
+            return None;
+        }
+    }
+    None
+}
+
+/// Lists waiting generations, held ones first, then by aged rank and by share.
+fn ordered(now: Instant, board: &SidecarBoard) -> Vec<JobKey> {
+    let is_waiting = |p: Phase| matches!(p, Phase::Queued | Phase::Held);
+    let mut keys: Vec<_> = board
+        .jobs
+        .iter()
+        .filter(|(_, j)| is_waiting(j.phase))
+        .map(|(k, j)| (k, j, aged(now, j), board.fair.served(&j.start.workspace)))
+        .collect();
+    keys.sort_by(|(_, a, a_rank, a_served), (_, b, b_rank, b_served)| {
+        let held = (b.phase == Phase::Held).cmp(&(a.phase == Phase::Held));
+        let rank = b_rank.total_cmp(a_rank);
+        held.then(rank).then(a_served.total_cmp(b_served)).then(a.arrived.cmp(&b.arrived))
+    });
+    keys.into_iter().map(|(k, ..)| k).collect()
+}
+
+fn aged(now: Instant, job: &Job) -> f64 {
+    let waited = now.saturating_duration_since(job.arrived);
+    f64::from(job.start.rank) + (waited.as_secs_f64() / AGE_STEP.as_secs_f64()).floor()
+}
+
+fn fits(board: &SidecarBoard, loads: &[Load], job: &Job, running: u32) -> bool {
+    if running == 0 {
+        return true;
+    }
+    if job.start.alone {
+        return false;
+    }
+    let cold: u32 =
+        board.in_phase(Phase::Running).filter(|(_, j)| !j.warm).map(|(_, j)| j.size()).sum();
+    if cold > 0 && cold + job.size() > PREFILL_WINDOW {
+        return false;
+    }
+    let mut all = loads.to_vec();
+    all.push(forecast::load(board, job));
+    peak(&all) <= f64::from(board.engine.capacity) * FILL
+}
+
+/// Estimates the time until a new generation would have its first token.
+pub fn expected_wait(board: &SidecarBoard, start: &Start) -> Duration {
+    let running = board.count(Phase::Running);
+    let ahead = board.count(Phase::Queued) + board.count(Phase::Held);
+    let prefill = board.engine.prefill.saturating_mul(start.input.0 + backlog(board));
+    let curve = board.lengths.curve(&start.service, &start.workspace);
+    let load = Load { size: start.input, done: Tokens(0), curve };
+    let mut loads = forecast::loads(board);
+    loads.push(load);
+    let has_room = ahead == 0
+        && running < board.engine.batch
+        && peak(&loads) <= f64::from(board.engine.capacity) * FILL;
+    if has_room {
+        return prefill;
+    }
+    // Each end of a running generation makes room for about one that waits.
+    let left: u64 = loads.iter().map(|l| u64::from(l.curve.remaining(l.done, start.limit).0)).sum();
+    let mean = left / loads.len() as u64;
+    let turn = board.engine.gap.saturating_mul(mean.min(u64::from(u32::MAX)) as u32);
+    turn.saturating_mul(ahead + 1) / running.max(1) + prefill
+}
+
+/// Returns the most memory that running and queued work is forecast to need, in tokens.
+pub fn forecast(board: &SidecarBoard) -> f64 {
+    let queued = board.in_phase(Phase::Queued).map(|(_, j)| forecast::load(board, j));
+    let mut loads = forecast::loads(board);
+    loads.extend(queued);
+    peak(&loads)
+}
+
+/// Returns the mean number of tokens that a running generation has to come.
+pub fn mean_left(board: &SidecarBoard) -> Tokens {
+    let loads = forecast::loads(board);
+    let left: u32 = loads.iter().map(|l| l.curve.remaining(l.done, MEAN_LIMIT).0).sum();
+    Tokens(left / (loads.len() as u32).max(1))
+}
+
+/// Counts the prompt tokens that wait to be computed.
+pub fn backlog(board: &SidecarBoard) -> u32 {
+    let is_cold = |j: &Job| match j.phase {
+        Phase::Queued => true,
+        Phase::Running => !j.warm,
+        Phase::Held | Phase::Ended(_) => false,
+    };
+    board.jobs.values().filter(|j| is_cold(j)).map(|j| j.size()).sum()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gate/tests.rs
@@ -0,0 +1,1 @@
+use super::*;
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,226 @@
+//! HTTP for callers and operators: connections, bodies, limits and server-sent events.
+
+use crate::problem::{Problem, ProblemKind};
+use actix_http::body::{BodySize, MessageBody};
+use actix_http::header::HeaderMap;
+use actix_http::{HttpMessage, HttpService, Method, Request, Response, StatusCode};
+use actix_rt::net::TcpListener;
+use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Largest body of a caller in bytes.
+pub const BODY_LIMIT: usize = 2 << 20;
+/// Most open connections of one process.
+const CONNECTION_LIMIT: usize = 10_000;
+/// Time for a caller to send the head of a request.
+const HEAD_TIME: Duration = Duration::from_secs(10);
+/// Time for a caller to send a body.
+const BODY_TIME: Duration = Duration::from_secs(20);
+/// Time that an idle connection stays open.
+const IDLE_TIME: Duration = Duration::from_secs(75);
+
+/// A request with its whole body.
+#[derive(Debug)]
+pub struct Incoming {
+    /// Method.
+    pub method: Method,
+    /// Path without the query.
+    pub path: Box<str>,
+    /// Query without the `?`.
+    pub query: Box<str>,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Incoming {
+    /// Returns a header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|v| v.to_str().ok())
+    }
+
+    /// Returns the bearer token.
+    pub fn bearer(&self) -> Option<&str> {
+        self.header("authorization").and_then(|v| v.strip_prefix("Bearer "))
+    }
+
+    /// Returns a field of the query.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let mut pairs = self.query.split('&').filter_map(|p| p.split_once('='));
+        pairs.find(|(k, _)| *k == name).map(|(_, v)| v)
+    }
+}
+
+/// Reads the body of a request.
+///
+/// # Errors
+///
+/// Returns a problem where the body is too long, too slow or broken off.
+pub async fn read(mut req: Request, limit: usize) -> Result<Incoming, Problem> {
+    let mut payload = req.take_payload();
+    let mut body = BytesMut::new();
+    let all = async {
+        while let Some(chunk) = payload.next().await {
+            let chunk =
+                chunk.map_err(|_| Problem::new(ProblemKind::Malformed, "body broke off"))?;
+            if body.len() + chunk.len() > limit {
+                let detail = format!("the body is over {limit} bytes");
+                return Err(Problem::new(ProblemKind::TooLarge, detail));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(())
+    };
+    match tokio::time::timeout(BODY_TIME, all).await {
+        Ok(done) => done?,
+        Err(_) => return Err(Problem::new(ProblemKind::Malformed, "the body came too slowly")),
+    }
+    Ok(Incoming {
+        method: req.method().clone(),
+        path: req.path().into(),
+        query: req.uri().query().unwrap_or("").into(),
+        headers: req.headers().clone(),
+        body: body.freeze(),
+    })
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum Body {
+    /// Known as a whole.
+    Full(Bytes),
+    /// Sent as it comes.
+    Stream(mpsc::Receiver<Bytes>),
+}
+
+impl MessageBody for Body {
+    type Error = Infallible;
+
+    fn size(&self) -> BodySize {
+        match self {
+            Body::Full(b) => BodySize::Sized(b.len() as u64),
+            Body::Stream(_) => BodySize::Stream,
+        }
+    }
+
+    fn poll_next(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Infallible>>> {
+        match self.get_mut() {
+            Body::Full(b) if b.is_empty() => Poll::Ready(None),
+            Body::Full(b) => Poll::Ready(Some(Ok(std::mem::take(b)))),
+            Body::Stream(rx) => rx.poll_recv(cx).map(|b| b.map(Ok)),
+        }
+    }
+}
+
+/// Makes an answer that is known as a whole.
+pub fn full(status: u16, content: &str, body: impl Into<Bytes>) -> Response<Body> {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut res = Response::build(status);
+    res.insert_header(("content-type", content));
+    set_body(res.finish().drop_body(), Body::Full(body.into()))
+}
+
+fn set_body(res: Response<()>, body: Body) -> Response<Body> {
+    res.set_body(body)
+}
+
+/// Makes an answer of JSON.
+pub fn json<T: serde::Serialize>(status: u16, value: &T) -> Response<Body> {
+    full(status, "application/json", serde_json::to_vec(value).unwrap_or_default())
+}
+
+/// Makes an answer from a refusal.
+pub fn refuse(problem: &Problem) -> Response<Body> {
+    let mut res = full(problem.kind.status(), "application/problem+json", problem.to_json());
+    if let Some(after) = problem.retry {
+        // Whole seconds, rounded up, are all that the header can say.
+        let secs = after.as_millis().div_ceil(1000).max(1) as u64;
+        res.headers_mut().insert(actix_http::header::RETRY_AFTER, secs.into());
+    }
+    res
+}
+
+/// Makes an answer of server-sent events.
+pub fn events(rx: mpsc::Receiver<Bytes>) -> Response<Body> {
+    let mut res = Response::build(StatusCode::OK);
+    res.insert_header(("content-type", "text/event-stream"));
+    res.insert_header(("cache-control", "no-store"));
+    set_body(res.finish().drop_body(), Body::Stream(rx))
+}
+
+/// Renders the metrics of this process.
+#[derive(Debug, Clone)]
+pub struct Metrics(metrics_exporter_prometheus::PrometheusHandle);
+
+impl Metrics {
+    /// Installs the recorder of this process; `None` where there is one already.
+    pub fn install() -> Option<Metrics> {
+        let builder = metrics_exporter_prometheus::PrometheusBuilder::new();
+        builder.install_recorder().ok().map(Metrics)
+    }
+
+    /// Returns the metrics in Prometheus' text form.
+    pub fn render(&self) -> String {
+        self.0.render()
+    }
+}
+
+/// Binds an address for [`serve`].
+///
+/// # Errors
+///
+/// Returns an error where the address cannot be bound.
+pub async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Accepts connections for as long as the process runs.
+pub async fn serve<F, Fut>(listener: TcpListener, handler: F)
+where
+    F: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Response<Body>> + 'static,
+{
+    let answer = move |req: Request| {
+        let answer = handler.clone()(req);
+        async move { Ok::<_, Infallible>(answer.await) }
+    };
+    let factory = HttpService::build()
+        .keep_alive(IDLE_TIME)
+        .client_request_timeout(HEAD_TIME)
+        .tcp_nodelay(true)
+        .finish(fn_service(answer).into_factory())
+        .tcp();
+    let Ok(service) = factory.new_service(()).await else { return };
+    let service = Rc::new(service);
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors: those in use come back as connections end.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        if open.get() >= CONNECTION_LIMIT {
+            continue;
+        }
+        let (service, open) = (service.clone(), open.clone());
+        actix_rt::spawn(async move {
+            open.set(open.get() + 1);
+            let _ = service.call(stream).await;
+            open.set(open.get() - 1);
+        });
+    }
+}
--- /dev/null
+++ b/src/lead/elect.rs
@@ -0,0 +1,100 @@
+//! Elects one leader among the entries by a lease in the store.
+
+use super::guard::TICKET_TIME;
+use crate::id::{Fence, InstanceId};
+use crate::platform::{Compare, LeaseId, Op, Store, StoreError};
+use std::time::{Duration, Instant};
+
+/// Time that a lease lasts without renewal.
+pub const LEASE_TIME: Duration = Duration::from_secs(10);
+/// Key that the leader holds with its lease.
+const LEADER_KEY: &str = "skylark/leader";
+/// Key whose revision is the number of the newest leader.
+pub const FENCE_KEY: &str = "skylark/fence";
+
+/// A term as leader.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tenure {
+    /// Number that goes with every order.
+    pub fence: Fence,
+    /// Time until which the lease certainly lasts.
+    pub until: Instant,
+}
+
+impl Tenure {
+    /// Tells whether the lease outlasts a ticket drawn before `now`.
+    pub fn may_order(&self, now: Instant) -> bool {
+        now + TICKET_TIME < self.until
+    }
+}
+
+/// The part of one entry in the election.
+#[derive(Debug, Default)]
+pub struct Election {
+    lease: Option<LeaseId>,
+    /// Present term, if this entry leads.
+    pub tenure: Option<Tenure>,
+}
+
+impl Election {
+    /// Renews the lease, or tries to become leader.
+    ///
+    /// `asked` is the time before the call, from which the lease is counted.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] where the store gives no answer; a term then lasts until its time.
+    pub async fn step<S: Store>(
+        &mut self,
+        asked: Instant,
+        store: &S,
+        own: &InstanceId,
+    ) -> Result<(), StoreError> {
+        if self.tenure.is_some_and(|t| t.until <= asked) {
+            self.tenure = None;
+            self.lease = None;
+        }
+        let Some(lease) = self.lease else {
+            self.lease = Some(store.grant(LEASE_TIME).await?);
+            return self.campaign(asked, store, own).await;
+        };
+        if !store.renew(lease).await? {
+            self.tenure = None;
+            self.lease = None;
+            return Ok(());
+        }
+        match &mut self.tenure {
+            Some(t) => t.until = asked + LEASE_TIME,
+            None => self.campaign(asked, store, own).await?,
+        }
+        Ok(())
+    }
+
+    async fn campaign<S: Store>(
+        &mut self,
+        asked: Instant,
+        store: &S,
+        own: &InstanceId,
+    ) -> Result<(), StoreError> {
+        let name = own.as_str().as_bytes().to_vec();
+        let absent = Compare::Absent(LEADER_KEY.into());
+        let then = [
+            Op::Put(LEADER_KEY.into(), name.clone(), self.lease),
+            Op::Put(FENCE_KEY.into(), name, None),
+        ];
+        let outcome = store.txn(&[absent], &then, &[]).await;
+        match outcome {
+            Ok(o) if o.held => {
+                let fence = Fence(o.revision);
+                self.tenure = Some(Tenure { fence, until: asked + LEASE_TIME });
+                Ok(())
+            }
+            Ok(_) => Ok(()),
+            // The key may be held by a lease that nobody renews; it lapses by itself.
+            Err(e) => {
+                self.lease = None;
+                Err(e)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,189 @@
+//! Requests and replies between the system's own processes over nng.
+//!
+//! Each request is idempotent, so nng may send one again after a reconnect. A held reply costs a
+//! context, not a connection.
+
+use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize};
+use nng::{Aio, AioResult, Context, Message, Protocol, Socket};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// Shortest pause before a lost connection is dialled again.
+const RECONNECT_MIN: Duration = Duration::from_millis(20);
+/// Longest pause before a lost connection is dialled again.
+const RECONNECT_MAX: Duration = Duration::from_millis(500);
+/// Contexts that a listener opens at a time.
+const SLOT_STEP: usize = 16;
+/// Most requests that a listener holds at once.
+const SLOT_LIMIT: usize = 4096;
+
+/// Tells why a peer gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum PeerError {
+    /// nng could not open or use a socket.
+    Socket(nng::Error),
+    /// No answer came in time; the request may have been carried out.
+    Silent,
+}
+
+impl From<nng::Error> for PeerError {
+    fn from(e: nng::Error) -> Self {
+        PeerError::Socket(e)
+    }
+}
+
+/// A connection to one peer, dialled again by itself when lost.
+#[derive(Debug, Clone)]
+pub struct Link {
+    socket: Socket,
+}
+
+impl Link {
+    /// Starts to dial a peer and returns at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError::Socket`] where no socket can be had.
+    pub fn dial(address: SocketAddr) -> Result<Link, PeerError> {
+        let socket = Socket::new(Protocol::Req0)?;
+        socket.set_opt::<ReconnectMinTime>(Some(RECONNECT_MIN))?;
+        socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT_MAX))?;
+        socket.set_opt::<RecvMaxSize>(crate::frame::FRAME_LIMIT)?;
+        socket.dial_async(&format!("tcp://{address}"))?;
+        Ok(Link { socket })
+    }
+
+    /// Sends a request and waits for its reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError::Silent`] where no reply comes within `wait`.
+    pub async fn ask(&self, frame: &[u8], wait: Duration) -> Result<Message, PeerError> {
+        let ctx = Context::new(&self.socket)?;
+        let (tx, rx) = oneshot::channel();
+        let tx = Mutex::new(Some(tx));
+        let inner = ctx.clone();
+        let aio = Aio::new(move |aio, result| {
+            let outcome = match result {
+                AioResult::Send(Ok(())) => match inner.recv(&aio) {
+                    Ok(()) => return,
+                    Err(e) => Err(e),
+                },
+                AioResult::Send(Err((_, e))) | AioResult::Recv(Err(e)) => Err(e),
+                AioResult::Recv(Ok(m)) => Ok(m),
+                AioResult::Sleep(_) => return,
+            };
+            if let Some(tx) = tx.lock().ok().and_then(|mut t| t.take()) {
+                let _ = tx.send(outcome);
+            }
+        })?;
+        ctx.send(&aio, frame).map_err(|(_, e)| e)?;
+        let outcome = tokio::time::timeout(wait, rx).await;
+        // Closing the context ends an operation that is still under way.
+        ctx.close();
+        match outcome {
+            Ok(Ok(Ok(m))) => Ok(m),
+            Ok(Ok(Err(e))) => Err(PeerError::Socket(e)),
+            Ok(Err(_)) | Err(_) => Err(PeerError::Silent),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Slot {
+    ctx: Context,
+    aio: Aio,
+}
+
+/// Takes requests from peers.
+#[derive(Debug)]
+pub struct Listener {
+    socket: Socket,
+    tx: mpsc::UnboundedSender<(usize, Message)>,
+    rx: mpsc::UnboundedReceiver<(usize, Message)>,
+    slots: Vec<Arc<Slot>>,
+    busy: Rc<Cell<usize>>,
+}
+
+impl Listener {
+    /// Listens on an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError::Socket`] where the address cannot be bound.
+    pub fn bind(address: SocketAddr) -> Result<Listener, PeerError> {
+        let socket = Socket::new(Protocol::Rep0)?;
+        socket.set_opt::<RecvMaxSize>(crate::frame::FRAME_LIMIT)?;
+        socket.listen(&format!("tcp://{address}"))?;
+        let (tx, rx) = mpsc::unbounded_channel();
+        let busy = Rc::new(Cell::new(0));
+        let mut listener = Listener { socket, tx, rx, slots: Vec::new(), busy };
+        listener.grow()?;
+        Ok(listener)
+    }
+
+    fn grow(&mut self) -> Result<(), PeerError> {
+        for _ in 0..SLOT_STEP {
+            let ctx = Context::new(&self.socket)?;
+            let ix = self.slots.len();
+            let tx = self.tx.clone();
+            let inner = ctx.clone();
+            let aio = Aio::new(move |aio, result| match result {
+                AioResult::Recv(Ok(m)) => {
+                    let _ = tx.send((ix, m));
+                }
+                AioResult::Recv(Err(nng::Error::Closed)) => {}
+                _ => {
+                    let _ = inner.recv(&aio);
+                }
+            })?;
+            ctx.recv(&aio)?;
+            self.slots.push(Arc::new(Slot { ctx, aio }));
+        }
+        Ok(())
+    }
+
+    /// Waits for the next request.
+    pub async fn next(&mut self) -> Option<(Message, Responder)> {
+        let (ix, message) = self.rx.recv().await?;
+        self.busy.set(self.busy.get() + 1);
+        // A request is read only by a free context, so some are always kept free.
+        if self.busy.get() + SLOT_STEP / 2 > self.slots.len() && self.slots.len() < SLOT_LIMIT {
+            let _ = self.grow();
+        }
+        let slot = self.slots.get(ix)?.clone();
+        Some((message, Responder { slot: Some(slot), busy: self.busy.clone() }))
+    }
+}
+
+/// Answers one request; dropped unused, it leaves the request without an answer.
+#[derive(Debug)]
+pub struct Responder {
+    slot: Option<Arc<Slot>>,
+    busy: Rc<Cell<usize>>,
+}
+
+impl Responder {
+    /// Sends the reply.
+    pub fn reply(mut self, frame: &[u8]) {
+        if let Some(slot) = self.slot.take() {
+            self.busy.set(self.busy.get() - 1);
+            if slot.ctx.send(&slot.aio, frame).is_err() {
+                let _ = slot.ctx.recv(&slot.aio);
+            }
+        }
+    }
+}
+
+impl Drop for Responder {
+    fn drop(&mut self) {
+        if let Some(slot) = self.slot.take() {
+            self.busy.set(self.busy.get() - 1);
+            let _ = slot.ctx.recv(&slot.aio);
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,118 @@
+//! The platform's key-value service and instance list.
+//!
+//! The key-value service is met by the JSON gateway of etcd v3: it has compare-and-swap over
+//! several keys in one call, leases, and watches that name the revision they start from.
+
+mod etcd;
+mod list;
+
+pub use etcd::Etcd;
+pub use list::{InstanceList, Listed, ListedState, Role};
+
+use std::future::Future;
+use std::time::Duration;
+
+/// Tells why the store gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreError {
+    /// The call never reached the store.
+    Unreached,
+    /// The call may have taken effect.
+    Lost,
+    /// The store answered in a way that is not understood.
+    Malformed,
+    /// The revision to watch from is no longer kept.
+    Compacted,
+}
+
+/// A value as the store holds it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Stored {
+    /// Value.
+    pub value: Vec<u8>,
+    /// Revision of the store at its last change.
+    pub revision: u64,
+}
+
+/// A condition of a transaction.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Compare {
+    /// The key does not exist.
+    Absent(String),
+    /// The key was last changed at this revision.
+    Revision(String, u64),
+}
+
+/// A change or a read of a transaction.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Op {
+    /// Writes a key, with the lease that it ends with.
+    Put(String, Vec<u8>, Option<LeaseId>),
+    /// Reads a key.
+    Get(String),
+    /// Writes a key that does not exist, or reads the one that does.
+    Claim(String, Vec<u8>, Option<LeaseId>),
+}
+
+/// What a transaction did.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Outcome {
+    /// Tells whether the conditions held.
+    pub held: bool,
+    /// Revision of the store after it.
+    pub revision: u64,
+    /// Values read, in the order of the reads and claims; `None` for a claim that was won.
+    pub found: Vec<Option<Stored>>,
+}
+
+/// Names a lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseId(pub u64);
+
+/// A small store with compare-and-swap, leases and watches. Each call counts once.
+pub trait Store {
+    /// Reads one key.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] where the store gives no answer.
+    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Stored>, StoreError>>;
+
+    /// Runs `then` if all of `compares` hold, else `otherwise`, as one step.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Lost`] where the transaction may have taken effect.
+    fn txn(
+        &self,
+        compares: &[Compare],
+        then: &[Op],
+        otherwise: &[Op],
+    ) -> impl Future<Output = Result<Outcome, StoreError>>;
+
+    /// Opens a lease.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] where the store gives no answer.
+    fn grant(&self, ttl: Duration) -> impl Future<Output = Result<LeaseId, StoreError>>;
+
+    /// Renews a lease; `false` where it has lapsed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] where the store gives no answer.
+    fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<bool, StoreError>>;
+
+    /// Waits until a key changes after `revision`, at most `wait`; returns its value then.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] where the store gives no answer.
+    fn changed(
+        &self,
+        key: &str,
+        revision: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Option<Stored>, StoreError>>;
+}
--- /dev/null
+++ b/src/sidecar/calls.rs
@@ -0,0 +1,127 @@
+//! Calls on a plain service.
+
+use super::Sidecar;
+use crate::clock;
+use crate::event::Kind;
+use crate::frame::{Answer, Call, CallKey, CallReply, Refusal};
+use crate::once::Verdict;
+use awc::error::SendRequestError;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time to connect to the service.
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+/// Largest answer in bytes.
+const ANSWER_LIMIT: usize = 4 << 20;
+
+/// A client of the plain service.
+#[derive(Clone)]
+pub struct Client {
+    /// Opens a connection per call: an idle one may have gone silent unnoticed, and a call that
+    /// may not be repeated would be lost in it.
+    fresh: awc::Client,
+    address: SocketAddr,
+}
+
+impl std::fmt::Debug for Client {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Client({})", self.address)
+    }
+}
+
+impl Client {
+    /// Makes a client; it connects when it is used.
+    pub fn new(address: SocketAddr) -> Self {
+        let connector = awc::Connector::new().timeout(CONNECT_TIME).conn_keep_alive(Duration::ZERO);
+        let fresh = awc::Client::builder().connector(connector).disable_timeout().finish();
+        Client { fresh, address }
+    }
+}
+
+/// Answers a call from the record, or runs it.
+pub async fn call(s: &Sidecar, call: Call) -> CallReply {
+    let Some(key) = call.key.clone() else { return run(s, &call).await };
+    let verdict = {
+        let may_run = !s.board.borrow().leaving && s.board.borrow().engine.alive;
+        let mut ledger = s.ledger.borrow_mut();
+        match may_run {
+            true => ledger.begin(clock::now(), &key),
+            false => Verdict::Answer(ledger.seal(clock::now(), &key)),
+        }
+    };
+    match verdict {
+        Verdict::Answer(reply) => {
+            s.process.event(Kind::CallReplayed, key.hash, name(&reply));
+            reply
+        }
+        Verdict::Run => {
+            s.process.event(Kind::CallStarted, key.hash, "");
+            let reply = run(s, &call).await;
+            s.ledger.borrow_mut().finish(&key, reply.clone());
+            s.process.event(Kind::CallDone, key.hash, name(&reply));
+            reply
+        }
+    }
+}
+
+/// Seals a key that has not run.
+pub fn seal(s: &Sidecar, key: &CallKey) -> CallReply {
+    let reply = s.ledger.borrow_mut().seal(clock::now(), key);
+    if matches!(reply, CallReply::NotRun(_)) {
+        s.process.event(Kind::CallSealed, key.hash, "");
+    }
+    reply
+}
+
+fn name(reply: &CallReply) -> &'static str {
+    match reply {
+        CallReply::Done(_) => "done",
+        CallReply::Ran => "ran",
+        CallReply::Running => "running",
+        CallReply::NotRun(_) => "not-run",
+        CallReply::Unknown => "unknown",
+        CallReply::Mismatch => "mismatch",
+    }
+}
+
+async fn run(s: &Sidecar, call: &Call) -> CallReply {
+    s.board.borrow_mut().calls += 1;
+    let reply = send(s, call).await;
+    s.board.borrow_mut().calls -= 1;
+    reply
+}
+
+async fn send(s: &Sidecar, call: &Call) -> CallReply {
+    let Ok(method) = call.method.parse::<awc::http::Method>() else {
+        return CallReply::NotRun(Refusal::NoEndpoint);
+    };
+    let url = format!("http://{}{}", s.calls.address, call.path);
+    let mut req = s.calls.fresh.request(method, url).force_close();
+    if !call.content.is_empty() {
+        req = req.insert_header(("content-type", &*call.content));
+    }
+    let exchange = async {
+        let mut res = req.send_body(call.body.clone()).await.map_err(|e| scan_error(&e))?;
+        let body = res.body().limit(ANSWER_LIMIT).await.map_err(|_| CallReply::Unknown)?;
+        let content = res.headers().get("content-type").and_then(|v| v.to_str().ok());
+        Ok(Answer {
+            status: res.status().as_u16(),
+            content: Arc::from(content.unwrap_or("application/octet-stream")),
+            body: body.to_vec(),
+        })
+    };
+    match tokio::time::timeout(Duration::from_millis(call.left), exchange).await {
+        Ok(Ok(answer)) => CallReply::Done(answer),
+        Ok(Err(reply)) => reply,
+        Err(_) => CallReply::Unknown,
+    }
+}
+
+/// A call whose connection was never made did not run.
+fn scan_error(e: &SendRequestError) -> CallReply {
+    match e {
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => CallReply::NotRun(Refusal::Down),
+        _ => CallReply::Unknown,
+    }
+}
--- /dev/null
+++ b/src/sidecar/peers.rs
@@ -0,0 +1,137 @@
+//! Requests from entries.
+
+use super::{Sidecar, WRONG_RUN, calls, cancel, engine, finish, polls, retry_millis};
+use crate::board::{Job, Phase};
+use crate::clock;
+use crate::event::Kind;
+use crate::frame::{Envelope, Finish, Order, Refusal, Reply, Request, Start};
+use crate::id::{Fence, Nonce};
+use crate::intent::AdoptError;
+use crate::peer::{Listener, Responder};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Most events in one answer.
+const EVENT_LIMIT: usize = 2000;
+
+/// Takes requests for as long as the process runs.
+pub async fn serve(s: Rc<Sidecar>, mut listener: Listener) {
+    while let Some((message, responder)) = listener.next().await {
+        if let Some(envelope) = s.process.open::<Request>(&message) {
+            handle(&s, envelope, responder);
+        }
+    }
+}
+
+fn handle(s: &Rc<Sidecar>, envelope: Envelope<Request>, responder: Responder) {
+    match envelope.body {
+        Request::Poll(poll) => polls::hold(s, poll, responder),
+        Request::Call(call) => {
+            let s = s.clone();
+            actix_rt::spawn(async move {
+                let reply = Reply::Call(Box::new(calls::call(&s, *call).await));
+                responder.reply(&s.process.seal(reply));
+            });
+        }
+        Request::Order(order) => {
+            let s = s.clone();
+            actix_rt::spawn(async move {
+                let reply = Reply::Ordered(obey(&s, &order).await);
+                responder.reply(&s.process.seal(reply));
+            });
+        }
+        other => responder.reply(&s.process.seal(answer(s, other))),
+    }
+}
+
+fn answer(s: &Rc<Sidecar>, request: Request) -> Reply {
+    match request {
+        Request::Start(start) => begin(s, *start),
+        Request::Cancel(nonce) => Reply::Cancelled(stop(s, nonce)),
+        Request::Seal(key) => Reply::Call(Box::new(calls::seal(s, &key))),
+        Request::Ticket(fence) => draw(s, fence),
+        Request::GetIntent(have) => Reply::Intent(Box::new(s.process.intent.borrow().copy(&have))),
+        Request::PutIntent(copy) => {
+            let result = s.process.intent.borrow_mut().adopt(&copy);
+            match result {
+                Ok(()) => s.process.event(Kind::Adopted, copy.version, "from=peer"),
+                Err(AdoptError::Lacking(parts)) => return Reply::Lacking(parts),
+                Err(AdoptError::Old | AdoptError::Invalid) => {}
+            }
+            Reply::Ok
+        }
+        Request::Events(filter) => {
+            Reply::Events(s.process.ring.borrow().select(&filter, EVENT_LIMIT))
+        }
+        _ => Reply::Unsupported,
+    }
+}
+
+/// Queues a generation; a repeat of one that is known changes nothing.
+fn begin(s: &Rc<Sidecar>, start: Start) -> Reply {
+    let generation = start.generation.clone();
+    if generation.incarnation != s.process.incarnation {
+        return Reply::Refused(WRONG_RUN, 0);
+    }
+    if s.board.borrow().nonces.contains_key(&generation.nonce) {
+        return Reply::Accepted;
+    }
+    let admitted = s.gate.borrow().admit(&s.board.borrow(), &start);
+    if let Err((refusal, wait)) = admitted {
+        metrics::counter!("generations_refused_total").increment(1);
+        return Reply::Refused(refusal, retry_millis(wait));
+    }
+    let now = clock::now();
+    let job = Job {
+        phase: Phase::Queued,
+        arrived: now,
+        due: now + Duration::from_millis(start.left),
+        tokens: Vec::new(),
+        active: now,
+        wanted: now,
+        warm: false,
+        delivered: false,
+        start,
+    };
+    let mut board = s.board.borrow_mut();
+    let key = board.jobs.insert(job);
+    board.nonces.insert(generation.nonce, key);
+    s.process.event(Kind::Queued, &generation, "");
+    s.wake.notify_one();
+    Reply::Accepted
+}
+
+/// Ends a generation; tells whether it had begun.
+fn stop(s: &Rc<Sidecar>, nonce: Nonce) -> bool {
+    let board = s.board.borrow();
+    let Some(key) = board.nonces.get(&nonce).copied() else { return false };
+    let phase = board.jobs[key].phase;
+    drop(board);
+    match phase {
+        Phase::Queued => finish(s, key, Finish::NotRun(Refusal::Expired)),
+        Phase::Running | Phase::Held => cancel(s, key),
+        Phase::Ended(_) => {}
+    }
+    !matches!(phase, Phase::Queued | Phase::Ended(Finish::NotRun(_)))
+}
+
+fn draw(s: &Sidecar, fence: Fence) -> Reply {
+    let drawn = s.guard.borrow_mut().ticket(clock::now(), fence, Nonce::random());
+    match drawn {
+        Ok(nonce) => Reply::Ticket(nonce),
+        Err(e) => {
+            s.process.event(Kind::OrderRefused, fence, format_args!("{e:?}"));
+            Reply::Ordered(false)
+        }
+    }
+}
+
+async fn obey(s: &Sidecar, order: &Order) -> bool {
+    let admitted = s.guard.borrow_mut().admit(clock::now(), order.fence, order.ticket);
+    if let Err(e) = admitted {
+        s.process.event(Kind::OrderRefused, order.fence, format_args!("{e:?}"));
+        return false;
+    }
+    s.process.event(Kind::Ordered, order.fence, format_args!("{:?}", order.action));
+    engine::order(s, order).await
+}
--- /dev/null
+++ b/src/text/mod.rs
@@ -0,0 +1,340 @@
+//! The operators' text: services, what each depends on, and workspaces.
+
+use crate::id::{ModelName, ServiceName, Tokens, Workspace};
+use crate::jsonc::{Fault, FaultKind, Reader};
+use jsonc_parser::ast::{Object, ObjectProp, Value};
+use jsonc_parser::common::Ranged;
+use sha2::{Digest, Sha256};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Largest text in bytes.
+pub const TEXT_LIMIT: usize = 16 << 20;
+/// Most services in one text.
+const SERVICE_LIMIT: usize = 1000;
+/// Most workspaces in one text.
+const WORKSPACE_LIMIT: usize = 100_000;
+/// Most keys of one workspace, and most dependencies or operations of one service.
+const LIST_LIMIT: usize = 64;
+
+/// What an endpoint of a model service has to have loaded.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ModelSpec {
+    /// Base model.
+    pub model: ModelName,
+    /// Adapter on top of the model, if any.
+    pub adapter: Option<ModelName>,
+    /// Version of model and adapter together.
+    pub version: ModelName,
+}
+
+impl std::fmt::Display for ModelSpec {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let adapter = self.adapter.as_ref().map_or("", |a| a.as_str());
+        write!(f, "{}+{adapter}@{}", self.model, self.version)
+    }
+}
+
+/// An operation of a plain service that may not be repeated.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Operation {
+    /// HTTP method.
+    pub method: Arc<str>,
+    /// Path; a final `*` matches any rest.
+    pub path: Arc<str>,
+}
+
+impl Operation {
+    fn covers(&self, method: &str, path: &str) -> bool {
+        let fits = match self.path.strip_suffix('*') {
+            Some(start) => path.starts_with(start),
+            None => path == &*self.path,
+        };
+        fits && method == &*self.method
+    }
+}
+
+/// The two kinds of service.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ServiceKind {
+    /// Generates text on model engines.
+    Model(ModelSpec),
+    /// Answers ordinary calls; the listed operations may not be repeated.
+    Plain(Vec<Operation>),
+}
+
+/// One service of the text.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Model or plain.
+    pub kind: ServiceKind,
+    /// Rank under shortage, 0 to 9, higher first.
+    pub priority: u8,
+    /// Longest wait for the first token or the answer.
+    pub first: Duration,
+    /// Longest gap between tokens that users accept.
+    pub gap: Duration,
+    /// Longest output.
+    pub limit: Tokens,
+    /// Services that must be available for this one.
+    pub depends: Vec<ServiceName>,
+}
+
+impl Service {
+    /// Tells whether an operation may not be repeated.
+    pub fn is_once(&self, method: &str, path: &str) -> bool {
+        match &self.kind {
+            ServiceKind::Model(_) => false,
+            ServiceKind::Plain(ops) => ops.iter().any(|o| o.covers(method, path)),
+        }
+    }
+}
+
+/// Terms under which a workspace is served.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Terms {
+    /// Share of a busy engine relative to other workspaces.
+    pub weight: u32,
+}
+
+/// A checked text.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Text {
+    /// Services by name.
+    pub services: BTreeMap<ServiceName, Service>,
+    /// Workspaces by name.
+    pub workspaces: BTreeMap<Workspace, Terms>,
+    keys: HashMap<[u8; 32], Workspace>,
+}
+
+impl Text {
+    /// Reads and checks a text.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault with its line and column.
+    pub fn parse(text: &str) -> Result<Text, Vec<Fault>> {
+        if text.len() > TEXT_LIMIT {
+            return Err(vec![Fault { line: 1, column: 1, kind: FaultKind::TooMany(TEXT_LIMIT) }]);
+        }
+        Reader::read(text, read_text)
+    }
+
+    /// Finds the workspace of an API key.
+    pub fn workspace(&self, key: &str) -> Option<&Workspace> {
+        let hash: [u8; 32] = Sha256::digest(key.as_bytes()).into();
+        self.keys.get(&hash)
+    }
+
+    /// Returns the highest priority among a service and all that depend on it.
+    pub fn rank(&self, name: &ServiceName) -> u8 {
+        let own = self.services.get(name).map_or(0, |s| s.priority);
+        let waiting = self.services.iter().filter(|(_, s)| s.depends.contains(name));
+        waiting.map(|(n, _)| self.rank(n)).fold(own, u8::max)
+    }
+
+    /// Returns the services in an order in which each follows what it depends on.
+    pub fn ordered(&self) -> Vec<&ServiceName> {
+        let mut done: Vec<&ServiceName> = Vec::new();
+        while done.len() < self.services.len() {
+            let n = done.len();
+            for (name, s) in &self.services {
+                let is_ready = s.depends.iter().all(|d| done.contains(&d));
+                if is_ready && !done.contains(&name) {
+                    done.push(name);
+                }
+            }
+            // A checked text has no cycle, so each round adds a service.
+            if done.len() == n {
+                break;
+            }
+        }
+        done
+    }
+}
+
+fn read_text<'t>(r: &mut Reader<'t>, v: &Value<'t>) -> Option<Text> {
+    let o = r.object(v, &["services", "workspaces"])?;
+    let mut text = Text::default();
+    let services = r.need(o, "services")?;
+    let services = r.map(services)?;
+    if services.properties.len() > SERVICE_LIMIT {
+        r.note(services.start(), FaultKind::TooMany(SERVICE_LIMIT));
+    }
+    for p in &services.properties {
+        let name = r.key(p);
+        let service = read_service(r, &p.value);
+        if let (Some(name), Some(service)) = (name, service) {
+            text.services.insert(name, service);
+        }
+    }
+    check_dependencies(r, &text, services);
+    if let Some(p) = o.get("workspaces") {
+        read_workspaces(r, &mut text, &p.value);
+    }
+    Some(text)
+}
+
+const SERVICE_FIELDS: &[&str] = &[
+    "kind",
+    "model",
+    "adapter",
+    "version",
+    "priority",
+    "first_ms",
+    "gap_ms",
+    "max_tokens",
+    "depends_on",
+    "once",
+];
+
+fn read_service<'t>(r: &mut Reader<'t>, v: &Value<'t>) -> Option<Service> {
+    let o = r.object(v, SERVICE_FIELDS)?;
+    let kind = r.need(o, "kind")?;
+    let kind = match r.text(kind)? {
+        "model" => read_model(r, o),
+        "plain" => read_plain(r, o),
+        _ => {
+            r.note(kind.start(), FaultKind::Word("\"model\", \"plain\""));
+            None
+        }
+    };
+    let service = Service {
+        priority: r.number_or(o, "priority", 5, 0..=9) as u8,
+        first: Duration::from_millis(r.number_or(o, "first_ms", 1800, 1..=600_000)),
+        gap: Duration::from_millis(r.number_or(o, "gap_ms", 71, 1..=60_000)),
+        limit: Tokens(r.number_or(o, "max_tokens", 65_536, 1..=1_000_000) as u32),
+        depends: r.list(o, "depends_on", LIST_LIMIT).iter().filter_map(|v| r.name(v)).collect(),
+        kind: kind?,
+    };
+    Some(service)
+}
+
+fn read_model<'t>(r: &mut Reader<'t>, o: &Object<'t>) -> Option<ServiceKind> {
+    if let Some(p) = o.get("once") {
+        r.note(p.start(), FaultKind::Misplaced("once"));
+    }
+    let model = r.need(o, "model").and_then(|v| r.name(v));
+    let version = r.need(o, "version").and_then(|v| r.name(v));
+    let adapter = r.name_if(o, "adapter");
+    Some(ServiceKind::Model(ModelSpec { model: model?, adapter, version: version? }))
+}
+
+fn read_plain<'t>(r: &mut Reader<'t>, o: &Object<'t>) -> Option<ServiceKind> {
+    for name in ["model", "adapter", "version", "max_tokens", "gap_ms"] {
+        if let Some(p) = o.get(name) {
+            r.note(p.start(), FaultKind::Misplaced(name));
+        }
+    }
+    let ops = r.list(o, "once", LIST_LIMIT).iter();
+    Some(ServiceKind::Plain(ops.filter_map(|v| read_operation(r, v)).collect()))
+}
+
+fn read_operation<'t>(r: &mut Reader<'t>, v: &Value<'t>) -> Option<Operation> {
+    let s = r.text(v)?;
+    let found = scan_operation(s);
+    if found.is_none() {
+        r.note(v.start(), FaultKind::Operation);
+    }
+    found
+}
+
+fn scan_operation(s: &str) -> Option<Operation> {
+    let (method, path) = s.split_once(' ')?;
+    let is_method = matches!(method, "POST" | "PUT" | "PATCH" | "DELETE");
+    let stars = path.matches('*').count();
+    let is_path = path.starts_with('/') && (stars == 0 || stars == 1 && path.ends_with('*'));
+    (is_method && is_path).then(|| Operation { method: Arc::from(method), path: Arc::from(path) })
+}
+
+fn check_dependencies<'t>(r: &mut Reader<'t>, text: &Text, services: &Object<'t>) {
+    for p in &services.properties {
+        let Some(list) = p.value.as_object().and_then(|o| o.get_array("depends_on")) else {
+            continue;
+        };
+        for v in list.elements.iter() {
+            let Some(s) = v.as_string_lit() else { continue };
+            // A dependency on a service with faults of its own is not reported again.
+            if services.get(&s.value).is_none() {
+                r.note(v.start(), FaultKind::UnknownService(s.value.as_ref().into()));
+            }
+        }
+        check_cycle(r, text, p);
+    }
+}
+
+fn check_cycle<'t>(r: &mut Reader<'t>, text: &Text, p: &ObjectProp<'t>) {
+    let Ok(start) = p.name.as_str().parse::<ServiceName>() else { return };
+    let mut path = vec![&start];
+    if find_path(text, &start, &start, &mut path) {
+        let names: Vec<&str> = path.iter().map(|n| n.as_str()).collect();
+        r.note(p.start(), FaultKind::Cycle(names.join(" -> ").into()));
+    }
+}
+
+/// Extends `path` from `at` back to `goal`; each service is entered once.
+fn find_path<'a>(
+    text: &'a Text,
+    goal: &ServiceName,
+    at: &ServiceName,
+    path: &mut Vec<&'a ServiceName>,
+) -> bool {
+    let mut stack: Vec<(&ServiceName, usize)> = vec![];
+    let mut seen = std::collections::HashSet::new();
+    let push = |stack: &mut Vec<(&'a ServiceName, usize)>, from: &ServiceName, depth: usize| {
+        let depends = text.services.get(from).map_or(&[][..], |s| &s.depends);
+        stack.extend(depends.iter().map(|d| (d, depth)));
+    };
+    push(&mut stack, at, 1);
+    while let Some((next, depth)) = stack.pop() {
+        path.truncate(depth);
+        path.push(next);
+        if next == goal {
+            return true;
+        }
+        if seen.insert(next) {
+            push(&mut stack, next, depth + 1);
+        }
+    }
+    false
+}
+
+fn read_workspaces<'t>(r: &mut Reader<'t>, text: &mut Text, v: &Value<'t>) {
+    let Some(all) = r.map(v) else { return };
+    if all.properties.len() > WORKSPACE_LIMIT {
+        r.note(all.start(), FaultKind::TooMany(WORKSPACE_LIMIT));
+    }
+    for p in &all.properties {
+        let Some(name) = r.key::<Workspace>(p) else { continue };
+        let Some(o) = r.object(&p.value, &["keys", "weight"]) else { continue };
+        for v in r.list(o, "keys", LIST_LIMIT) {
+            read_key(r, text, &name, v);
+        }
+        let weight = r.number_or(o, "weight", 1, 1..=1000) as u32;
+        text.workspaces.insert(name, Terms { weight });
+    }
+}
+
+fn read_key<'t>(r: &mut Reader<'t>, text: &mut Text, name: &Workspace, v: &Value<'t>) {
+    let Some(s) = r.text(v) else { return };
+    let is_new = scan_hash(s).is_some_and(|h| text.keys.insert(h, name.clone()).is_none());
+    if !is_new {
+        r.note(v.start(), FaultKind::KeyHash);
+    }
+}
+
+/// Reads a SHA-256 in hexadecimal digits.
+pub fn scan_hash(s: &str) -> Option<[u8; 32]> {
+    if s.len() != 64 || !s.is_ascii() {
+        return None;
+    }
+    let mut hash = [0; 32];
+    for (ix, byte) in hash.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&s[ix * 2..ix * 2 + 2], 16).ok()?;
+    }
+    Some(hash)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/text/tests.rs
@@ -0,0 +1,48 @@
+use super::*;
+use proptest::prelude::*;
+
+fn faults(text: &str) -> String {
+    let all = Text::parse(text).unwrap_err();
+    all.iter().map(|f| format!("{f}\n")).collect()
+}
+
+#[test]
+fn a_text_with_many_faults_reports_each_with_its_place() {
+    insta::assert_snapshot!(faults(include_str!("../../tests/data/faulty.jsonc")));
+}
+
+#[test]
+fn syntax_faults_have_a_place() {
+    insta::assert_snapshot!(faults("{\n  \"services\": {\n    \"a\" 1\n  }\n}"));
+}
+
+#[test]
+fn the_examples_are_accepted_and_rank_dependencies() {
+    for text in [
+        include_str!("../../examples/vigilwell.jsonc"),
+        include_str!("../../examples/offer-ffilm.jsonc"),
+    ] {
+        let text = Text::parse(text).unwrap();
+        let order = text.ordered();
+        assert_eq!(order.len(), text.services.len());
+        for (name, s) in &text.services {
+            for d in &s.depends {
+                assert!(text.rank(d) >= s.priority, "{d} ranks below {name}");
+            }
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_read_or_refused_without_a_panic(s in ".{0,200}") {
+        let _ = Text::parse(&s);
+    }
+
+    #[test]
+    fn any_cut_of_a_text_is_read_or_refused_without_a_panic(n in 0usize..4000) {
+        let whole = include_str!("../../examples/vigilwell.jsonc");
+        let n = (0..=n.min(whole.len())).rev().find(|n| whole.is_char_boundary(*n)).unwrap();
+        let _ = Text::parse(&whole[..n]);
+    }
+}
--- /dev/null
+++ b/standin/src/fleet/mod.rs
@@ -0,0 +1,378 @@
+//! A small deployment on loopback: the real daemons as processes, with stand-ins around them.
+
+mod daemon;
+
+pub use daemon::Daemon;
+
+use crate::engine::{Engine, Params};
+use crate::host::free_address;
+use crate::list::List;
+use crate::plain::{Journal, Plain};
+use crate::store::Store;
+use crate::wire::Wire;
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use skylarkthread::platform::{Listed, ListedState, Role};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// The operator's key in every fleet.
+pub const OPERATOR_KEY: &str = "operator-key";
+/// The key between processes in every fleet.
+const PEER_KEY: &str = "a-key-for-loopback-only";
+
+/// Engines or replicas that serve the same.
+#[derive(Debug, Clone)]
+pub enum Pool {
+    /// Engines of a base model.
+    Engines(&'static str, usize, Params),
+    /// Replicas of a plain service.
+    Plain(&'static str, usize),
+}
+
+/// What a fleet consists of.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Entries.
+    pub entries: usize,
+    /// Data centres, over which everything is spread.
+    pub centres: usize,
+    /// Endpoints.
+    pub pools: Vec<Pool>,
+    /// Policy of placement.
+    pub placement: &'static str,
+    /// Policy of admission.
+    pub admission: &'static str,
+    /// Lag of the instance list.
+    pub lag: Duration,
+    /// Puts a relay on each hop.
+    pub wires: bool,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan {
+            entries: 2,
+            centres: 3,
+            pools: Vec::new(),
+            placement: "forecast",
+            admission: "forecast",
+            lag: Duration::ZERO,
+            wires: false,
+        }
+    }
+}
+
+/// What stands behind a sidecar.
+#[derive(Debug)]
+pub enum Behind {
+    /// A model engine.
+    Engine(Engine),
+    /// A plain service.
+    Plain(Plain),
+}
+
+/// One endpoint with its sidecar.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// Engine or plain service.
+    pub behind: Behind,
+    /// The sidecar.
+    pub sidecar: Daemon,
+    /// Relay between sidecar and engine, where the plan has relays.
+    pub inner: Option<Wire>,
+    /// Relay between entries and sidecar, where the plan has relays.
+    pub outer: Option<Wire>,
+    row: Listed,
+    address: SocketAddr,
+    params: Option<Params>,
+}
+
+/// An entry.
+#[derive(Debug)]
+pub struct EntryNode {
+    /// The process.
+    pub daemon: Daemon,
+    /// Relay between callers and the entry, where the plan has relays.
+    pub wire: Option<Wire>,
+    row: Listed,
+}
+
+impl EntryNode {
+    /// Returns the address that callers use.
+    pub fn address(&self) -> SocketAddr {
+        self.wire.as_ref().map_or(self.daemon.http, |w| w.address)
+    }
+}
+
+/// A running deployment; dropped, it is stopped.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Key-value service.
+    pub store: Store,
+    /// Instance list.
+    pub list: List,
+    /// What plain services ran.
+    pub journal: Journal,
+    /// Endpoints in the order of the plan.
+    pub endpoints: Vec<Endpoint>,
+    /// Entries.
+    pub entries: Vec<EntryNode>,
+    binary: PathBuf,
+    dir: PathBuf,
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+impl Fleet {
+    /// Starts a deployment of the daemons in `binary`.
+    pub fn start(binary: &Path, plan: &Plan) -> Fleet {
+        let dir = std::env::temp_dir().join(format!("skylark-{:016x}", rand::random::<u64>()));
+        std::fs::create_dir_all(&dir).expect("the folder for temporary files takes a new one");
+        let mut fleet = Fleet {
+            store: Store::start(),
+            list: List::start(plan.lag),
+            journal: Journal::default(),
+            endpoints: Vec::new(),
+            entries: Vec::new(),
+            binary: binary.to_path_buf(),
+            dir,
+        };
+        for pool in &plan.pools {
+            let n = match pool {
+                Pool::Engines(_, n, _) | Pool::Plain(_, n) => *n,
+            };
+            for ix in 0..n {
+                fleet.add_endpoint(plan, pool, ix);
+            }
+        }
+        for ix in 0..plan.entries {
+            fleet.add_entry(plan, ix);
+        }
+        fleet
+    }
+
+    fn settings(&self, name: &str, centre: usize, extra: Value) -> Value {
+        let mut settings = json!({
+            "instance": name,
+            "data_centre": format!("dc-{centre}"),
+            "http": free_address(),
+            "peer": free_address(),
+            "store": self.store.address,
+            "instance_list": self.list.address,
+            "peer_keys": [PEER_KEY],
+        });
+        if let (Some(to), Some(from)) = (settings.as_object_mut(), extra.as_object()) {
+            to.extend(from.clone());
+        }
+        settings
+    }
+
+    fn row(settings: &Value, role: Role, peer: SocketAddr) -> Listed {
+        let name = |field: &str| settings[field].as_str().unwrap_or("").to_string();
+        Listed {
+            instance: name("instance").parse().expect("a fleet's names are valid"),
+            centre: name("data_centre").parse().expect("a fleet's names are valid"),
+            role,
+            peer,
+            state: ListedState::Live,
+        }
+    }
+
+    /// Adds an endpoint of a pool.
+    pub fn add_endpoint(&mut self, plan: &Plan, pool: &Pool, ix: usize) {
+        let (name, field, behind, params) = match pool {
+            Pool::Engines(model, _, params) => {
+                let engine = Engine::start(params.clone());
+                (*model, "model", Behind::Engine(engine), Some(params.clone()))
+            }
+            Pool::Plain(service, _) => {
+                let plain = Plain::start(self.journal.clone());
+                (*service, "service", Behind::Plain(plain), None)
+            }
+        };
+        let address = match &behind {
+            Behind::Engine(e) => e.address,
+            Behind::Plain(p) => p.address,
+        };
+        let inner = plan.wires.then(|| Wire::start(address));
+        let seen = inner.as_ref().map_or(address, |w| w.address);
+        let endpoint = json!({ field: name, "address": seen, "admission": plan.admission });
+        let extra = json!({ "endpoint": endpoint });
+        let settings = self.settings(&format!("{name}-{ix}"), ix % plan.centres, extra);
+        let sidecar = Daemon::start(&self.binary, &self.dir, "sidecar", &settings);
+        let outer = plan.wires.then(|| Wire::start(sidecar.peer));
+        let row = Fleet::row(
+            &settings,
+            Role::Endpoint,
+            outer.as_ref().map_or(sidecar.peer, |w| w.address),
+        );
+        self.list.put(row.clone());
+        self.endpoints.push(Endpoint { behind, sidecar, inner, outer, row, address, params });
+    }
+
+    /// Adds an entry.
+    pub fn add_entry(&mut self, plan: &Plan, ix: usize) {
+        let hash = hex(&Sha256::digest(OPERATOR_KEY.as_bytes()));
+        let extra = json!({
+            "placement": plan.placement,
+            "operators": [{ "name": "ops", "key_sha256": hash }],
+            "loads_per_minute": 600,
+        });
+        let settings = self.settings(&format!("entry-{ix}"), ix % plan.centres, extra);
+        let daemon = Daemon::start(&self.binary, &self.dir, "entry", &settings);
+        let wire = plan.wires.then(|| Wire::start(daemon.http));
+        let row = Fleet::row(&settings, Role::Entry, daemon.peer);
+        self.list.put(row.clone());
+        self.entries.push(EntryNode { daemon, wire, row });
+    }
+
+    /// Returns the address of an entry for callers.
+    pub fn entry(&self, ix: usize) -> SocketAddr {
+        self.entries[ix % self.entries.len()].address()
+    }
+
+    /// Marks an endpoint as leaving in the instance list.
+    pub fn leave(&self, ix: usize) {
+        self.list.leave(&self.endpoints[ix].row.instance);
+    }
+
+    /// Takes an endpoint off the instance list.
+    pub fn unlist(&self, ix: usize) {
+        self.list.remove(&self.endpoints[ix].row.instance);
+    }
+
+    /// Starts a new run of a sidecar, as its instance would after a crash.
+    pub fn restart_sidecar(&mut self, ix: usize) {
+        self.endpoints[ix].sidecar.restart(&self.binary);
+    }
+
+    /// Starts a new run of an entry.
+    pub fn restart_entry(&mut self, ix: usize) {
+        self.entries[ix].daemon.restart(&self.binary);
+    }
+
+    /// Returns the name of an entry's instance.
+    pub fn entry_name(&self, ix: usize) -> String {
+        self.entries[ix].row.instance.to_string()
+    }
+
+    /// Stops what stands behind an endpoint, as a crash would.
+    pub fn crash(&mut self, ix: usize) {
+        match &mut self.endpoints[ix].behind {
+            Behind::Engine(e) => e.stop(),
+            Behind::Plain(p) => p.stop(),
+        }
+    }
+
+    /// Starts again what stands behind an endpoint.
+    pub fn revive(&mut self, ix: usize) {
+        self.crash(ix);
+        let e = &mut self.endpoints[ix];
+        e.behind = match &e.params {
+            Some(params) => Behind::Engine(Engine::start_at(e.address, params.clone())),
+            None => Behind::Plain(Plain::start_at(e.address, self.journal.clone())),
+        };
+    }
+
+    /// Returns the engine of an endpoint.
+    pub fn engine(&self, ix: usize) -> Option<&Engine> {
+        match &self.endpoints[ix].behind {
+            Behind::Engine(e) => Some(e),
+            Behind::Plain(_) => None,
+        }
+    }
+
+    /// Runs the client with an operator's command; returns its exit code and output.
+    pub fn client(&self, args: &[&str]) -> (i32, String) {
+        self.client_at(0, args)
+    }
+
+    /// Runs the client against one entry.
+    pub fn client_at(&self, ix: usize, args: &[&str]) -> (i32, String) {
+        let key = self.dir.join("operator.key");
+        std::fs::write(&key, OPERATOR_KEY).expect("the fleet's folder takes files");
+        let entry = self.entries[ix].daemon.http.to_string();
+        let out = std::process::Command::new(&self.binary)
+            .arg(args[0])
+            .args(["--entry", &entry, "--key"])
+            .arg(&key)
+            .args(&args[1..])
+            .output()
+            .expect("the binary runs");
+        let text = [out.stdout, out.stderr].concat();
+        (out.status.code().unwrap_or(-1), String::from_utf8_lossy(&text).into_owned())
+    }
+
+    /// Submits a text edited from a version; returns exit code and output.
+    pub fn submit(&self, text: &str, from: u64) -> (i32, String) {
+        self.submit_at(0, text, from)
+    }
+
+    /// Submits a text through one entry.
+    pub fn submit_at(&self, ix: usize, text: &str, from: u64) -> (i32, String) {
+        let name = format!("text-{:08x}.jsonc", rand::random::<u32>());
+        let file = self.dir.join(name);
+        std::fs::write(&file, text).expect("the fleet's folder takes files");
+        let from = from.to_string();
+        let file = file.to_string_lossy().into_owned();
+        self.client_at(ix, &["submit", "--from", &from, &file])
+    }
+
+    /// Returns the status that an entry gives.
+    pub async fn status(&self, ix: usize) -> Option<Value> {
+        let url = format!("http://{}/admin/status", self.entries[ix].daemon.http);
+        let auth = ("authorization", format!("Bearer {OPERATOR_KEY}"));
+        let client = awc::Client::builder().timeout(Duration::from_secs(2)).finish();
+        client.get(url).insert_header(auth).send().await.ok()?.json().limit(1 << 20).await.ok()
+    }
+
+    /// Waits until an entry has version `version` in force and `serving` endpoints that have all
+    /// they should have loaded; `false` where that takes longer than `wait`.
+    pub async fn ready(&self, ix: usize, version: u64, serving: usize, wait: Duration) -> bool {
+        let end = Instant::now() + wait;
+        while Instant::now() < end {
+            if let Some(s) = self.status(ix).await {
+                let is_ready = |x: &&Value| {
+                    let loaded = x["loaded"].as_array().is_some_and(|l| !l.is_empty());
+                    x["serving"] == true && (loaded || x["capacity"] == 0)
+                };
+                let n = s["endpoints"].as_array().map_or(0, |a| a.iter().filter(is_ready).count());
+                if s["version"].as_u64() >= Some(version) && n >= serving {
+                    return true;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        false
+    }
+
+    /// Waits until all entries are ready for all endpoints.
+    pub async fn all_ready(&self, version: u64) -> bool {
+        for ix in 0..self.entries.len() {
+            if !self.ready(ix, version, self.endpoints.len(), Duration::from_secs(30)).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Returns where daemons write their logs.
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.entries.clear();
+        self.endpoints.clear();
+        // Logs of a failed test stay for its reader.
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/plain/mod.rs
@@ -0,0 +1,87 @@
+//! A stand-in for a plain service that counts how often each call ran.
+
+use crate::host::{Host, free_address};
+use skylarkthread::http;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// What the replicas of one service have run: count by method, path and body.
+#[derive(Debug, Clone, Default)]
+pub struct Journal(Arc<Mutex<BTreeMap<String, u32>>>);
+
+impl Journal {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, u32>> {
+        self.0.lock().expect("no holder of the lock panics")
+    }
+
+    fn note(&self, call: &str) -> u32 {
+        let mut all = self.lock();
+        let n = all.entry(call.to_string()).or_default();
+        *n += 1;
+        *n
+    }
+
+    /// Returns how often a call ran.
+    pub fn count(&self, call: &str) -> u32 {
+        self.lock().get(call).copied().unwrap_or(0)
+    }
+
+    /// Returns all calls that ran, with their counts.
+    pub fn all(&self) -> BTreeMap<String, u32> {
+        self.lock().clone()
+    }
+}
+
+/// A running replica.
+#[derive(Debug)]
+pub struct Plain {
+    /// Address it listens on.
+    pub address: SocketAddr,
+    host: Host,
+}
+
+impl Plain {
+    /// Starts a replica that writes into `journal`.
+    ///
+    /// A body with `delay=MS;` has the answer wait after the call has run.
+    pub fn start(journal: Journal) -> Plain {
+        Plain::start_at(free_address(), journal)
+    }
+
+    /// Starts a replica at an address.
+    pub fn start_at(address: SocketAddr, journal: Journal) -> Plain {
+        let host = Host::run(move || async move {
+            let listener = http::bind(address).await.expect("the service's address is free");
+            http::serve(listener, move |req| answer(journal.clone(), req)).await;
+        });
+        Plain { address, host }
+    }
+
+    /// Stops the replica as a crash would.
+    pub fn stop(&mut self) {
+        self.host.stop();
+    }
+}
+
+async fn answer(journal: Journal, req: actix_http::Request) -> actix_http::Response<http::Body> {
+    let Ok(incoming) = http::read(req, http::BODY_LIMIT).await else {
+        return http::full(400, "text/plain", "");
+    };
+    if &*incoming.path == "/healthz" {
+        return http::full(200, "text/plain", "ok");
+    }
+    let body = String::from_utf8_lossy(&incoming.body).into_owned();
+    let call = format!("{} {} {body}", incoming.method, incoming.path);
+    let n = journal.note(&call);
+    if let Some(ms) = scan_delay(&body) {
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+    }
+    http::json(200, &serde_json::json!({ "ran": call, "count": n }))
+}
+
+fn scan_delay(body: &str) -> Option<u64> {
+    let (_, rest) = body.split_once("delay=")?;
+    rest.split(';').next()?.parse().ok()
+}
