Test streams and calls through whole deployments under failure

Cause: runs of 24 deployment tests showed two faults: (1) a stopping sidecar answered every held poll at once, so entry and sidecar spun and streams stalled past 4 s; (2) a caller that resumed through the same entry lost its new reader when the old one was dropped. Change: a stop is announced once; readers have keys of their own. The test caller counts heartbeats as life.

--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -7,6 +7,7 @@
 use crate::frame::{Batch, Crash, Cursor, Envelope, Finish, Poll, Reply, Report, Request};
 use crate::id::{Fingerprint, Incarnation, InstanceId, IntentVersion, Nonce};
 use crate::peer::{Link, PeerError};
+use slotmap::{SlotMap, new_key_type};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -25,19 +26,45 @@
 /// Number of a crash that the loss of a whole link stands for.
 const LINK_CRASH: u32 = u32::MAX;
 
+new_key_type! {
+    /// Names a reader of a link.
+    pub struct ReaderKey;
+}
+
 /// One generation that is read over a link.
 #[derive(Debug)]
 pub struct Reader {
+    nonce: Nonce,
     next: Cell<u32>,
     pending: Rc<Cell<usize>>,
     content: Option<Fingerprint>,
     tx: mpsc::UnboundedSender<Batch>,
 }
 
+impl Reader {
+    /// Passes on what is past the cursor; `false` once the generation has ended for this reader.
+    fn take(&self, batch: &Batch) -> bool {
+        // An answer to an older poll may hold what was read before.
+        let first = self.next.get();
+        let skip = first.saturating_sub(batch.first) as usize;
+        if batch.first > first || skip > batch.tokens.len() {
+            return true;
+        }
+        let tokens = batch.tokens[skip..].to_vec();
+        self.next.set(first + tokens.len() as u32);
+        self.pending.set(self.pending.get() + tokens.len());
+        if !tokens.is_empty() || batch.finish.is_some() {
+            let rest = Batch { nonce: batch.nonce, first, tokens, finish: batch.finish };
+            let _ = self.tx.send(rest);
+        }
+        batch.finish.is_none()
+    }
+}
+
 /// The receiving end of a [`Reader`]; dropped, it takes the cursor off the link.
 #[derive(Debug)]
 pub struct Tokens {
-    nonce: Nonce,
+    key: ReaderKey,
     link: Weak<LinkState>,
     pending: Rc<Cell<usize>>,
     rx: mpsc::UnboundedReceiver<Batch>,
@@ -63,7 +90,7 @@
 impl Drop for Tokens {
     fn drop(&mut self) {
         if let Some(link) = self.link.upgrade() {
-            link.readers.borrow_mut().remove(&self.nonce);
+            link.readers.borrow_mut().remove(self.key);
         }
     }
 }
@@ -75,7 +102,7 @@
     address: SocketAddr,
     nonce: Nonce,
     link: RefCell<Option<Link>>,
-    readers: RefCell<HashMap<Nonce, Reader>>,
+    readers: RefCell<SlotMap<ReaderKey, Reader>>,
     changed: Notify,
     heard: Cell<Instant>,
     version: Cell<IntentVersion>,
@@ -88,9 +115,10 @@
     pub fn read(self: &Rc<Self>, nonce: Nonce, next: u32, content: Option<Fingerprint>) -> Tokens {
         let (tx, rx) = mpsc::unbounded_channel();
         let pending = Rc::new(Cell::new(0));
-        let reader = Reader { next: Cell::new(next), pending: pending.clone(), content, tx };
-        self.readers.borrow_mut().insert(nonce, reader);
-        Tokens { nonce, link: Rc::downgrade(self), pending, rx }
+        let next = Cell::new(next);
+        let reader = Reader { nonce, next, pending: pending.clone(), content, tx };
+        let key = self.readers.borrow_mut().insert(reader);
+        Tokens { key, link: Rc::downgrade(self), pending, rx }
     }
 
     /// Returns the connection as it stands.
@@ -123,41 +151,28 @@
         e.process.ask(&link, request, wait).await
     }
 
+    /// Returns one cursor per generation: that of the reader that is furthest behind.
     fn cursors(&self) -> Vec<Cursor> {
-        let readers = self.readers.borrow();
-        let awake = readers.iter().filter(|(_, r)| r.pending.get() <= WINDOW);
-        awake.map(|(nonce, r)| Cursor { nonce: *nonce, next: r.next.get() }).collect()
+        let mut next: HashMap<Nonce, u32> = HashMap::new();
+        for r in self.readers.borrow().values().filter(|r| r.pending.get() <= WINDOW) {
+            let at = next.entry(r.nonce).or_insert(u32::MAX);
+            *at = r.next.get().min(*at);
+        }
+        next.into_iter().map(|(nonce, next)| Cursor { nonce, next }).collect()
     }
 
-    fn dispatch(&self, batch: Batch) {
+    /// Hands a batch to the readers of its generation; a caller that resumed has two for a while.
+    fn dispatch(&self, batch: &Batch) {
         let mut readers = self.readers.borrow_mut();
-        let Some(reader) = readers.get(&batch.nonce) else { return };
-        // An answer to an older poll may hold what was read before.
-        let skip = reader.next.get().saturating_sub(batch.first) as usize;
-        if batch.first > reader.next.get() || skip > batch.tokens.len() {
-            return;
-        }
-        let tokens = batch.tokens[skip..].to_vec();
-        let first = reader.next.get();
-        reader.next.set(first + tokens.len() as u32);
-        reader.pending.set(reader.pending.get() + tokens.len());
-        let is_end = batch.finish.is_some();
-        if !tokens.is_empty() || is_end {
-            let rest = Batch { nonce: batch.nonce, first, tokens, finish: batch.finish };
-            let _ = reader.tx.send(rest);
-        }
-        if is_end {
-            readers.remove(&batch.nonce);
-        }
+        readers.retain(|_, r| r.nonce != batch.nonce || r.take(batch));
     }
 
     /// Ends all generations on the link; returns their contents.
     fn lose(&self) -> Vec<Fingerprint> {
-        let readers: Vec<_> = self.readers.borrow_mut().drain().collect();
         let mut contents = Vec::new();
-        for (nonce, r) in readers {
-            let finish = Some(Finish::Lost);
-            let _ = r.tx.send(Batch { nonce, first: r.next.get(), tokens: Vec::new(), finish });
+        for (_, r) in self.readers.borrow_mut().drain() {
+            let (nonce, first, finish) = (r.nonce, r.next.get(), Some(Finish::Lost));
+            let _ = r.tx.send(Batch { nonce, first, tokens: Vec::new(), finish });
             contents.extend(r.content);
         }
         contents
@@ -183,7 +198,7 @@
         address,
         nonce: Nonce::random(),
         link: RefCell::new(Link::dial(address).ok()),
-        readers: RefCell::new(HashMap::new()),
+        readers: RefCell::new(SlotMap::with_key()),
         changed: Notify::new(),
         heard: Cell::new(clock::now()),
         version: Cell::new(IntentVersion(0)),
@@ -233,7 +248,7 @@
     note_crashes(e, incarnation, &report.crashes);
     note_report(e, link, now, incarnation, *report);
     for batch in batches {
-        link.dispatch(batch);
+        link.dispatch(&batch);
     }
 }
 
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -22,6 +22,8 @@
 pub const BODY_LIMIT: usize = 2 << 20;
 /// Most open connections of one process.
 const CONNECTION_LIMIT: usize = 10_000;
+/// Bytes that the kernel keeps for a caller that does not read.
+const SEND_BUFFER: usize = 128 << 10;
 /// Time for a caller to send the head of a request.
 const HEAD_TIME: Duration = Duration::from_secs(10);
 /// Time for a caller to send a body.
@@ -216,6 +218,8 @@
         if open.get() >= CONNECTION_LIMIT {
             continue;
         }
+        // A caller that does not read holds this much of the kernel's memory, not megabytes.
+        let _ = socket2::SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER);
         let (service, open) = (service.clone(), open.clone());
         actix_rt::spawn(async move {
             open.set(open.get() + 1);
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -393,5 +393,5 @@
     for key in queued {
         finish(s, key, Finish::NotRun(Refusal::Down));
     }
-    s.polls.touch();
+    s.polls.announce();
 }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -109,7 +109,8 @@
 async fn stop(s: &Sidecar) {
     s.board.borrow_mut().leaving = true;
     s.process.event(Kind::Draining, &s.process.settings.instance, "");
-    s.polls.touch();
+    // A leaving endpoint says so at once.
+    s.polls.announce();
     let is_done = || {
         let now = clock::now();
         let board = s.board.borrow();
--- a/src/sidecar/polls.rs
+++ b/src/sidecar/polls.rs
@@ -30,9 +30,16 @@
     held: RefCell<Vec<Held>>,
     news: Notify,
     dirty: Cell<bool>,
+    all: Cell<bool>,
 }
 
 impl Polls {
+    /// Answers every poll that is held now, for the sake of the report.
+    pub fn announce(&self) {
+        self.all.set(true);
+        self.touch();
+    }
+
     /// Wakes the readers.
     pub fn touch(&self) {
         self.dirty.set(true);
@@ -64,7 +71,8 @@
         tokio::task::yield_now().await;
         tokio::task::yield_now().await;
         let has_news = s.polls.dirty.replace(false);
-        let ready = collect(&s, clock::now(), has_news);
+        let is_all = s.polls.all.replace(false);
+        let ready = collect(&s, clock::now(), has_news, is_all);
         if ready.is_empty() {
             continue;
         }
@@ -76,15 +84,19 @@
     }
 }
 
-fn collect(s: &Sidecar, now: Instant, has_news: bool) -> Vec<(Responder, Vec<Batch>)> {
+fn collect(
+    s: &Sidecar,
+    now: Instant,
+    has_news: bool,
+    is_all: bool,
+) -> Vec<(Responder, Vec<Batch>)> {
     let mut held = s.polls.held.borrow_mut();
     let mut board = s.board.borrow_mut();
     let mut ready = Vec::new();
     let mut ix = 0;
     while ix < held.len() {
         let batches = if has_news { read(now, &mut board, &held[ix].poll) } else { Vec::new() };
-        // A leaving endpoint says so at once.
-        if batches.is_empty() && now < held[ix].until && !board.leaving {
+        if batches.is_empty() && now < held[ix].until && !is_all {
             ix += 1;
             continue;
         }
--- a/standin/src/caller/mod.rs
+++ b/standin/src/caller/mod.rs
@@ -6,7 +6,9 @@
 use futures_util::stream::{LocalBoxStream, StreamExt};
 use serde_json::{Value, json};
 use skylarkthread::clock;
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -15,6 +17,9 @@
 /// Silence after which a caller takes its connection for dead; entries send comments more often.
 const SILENCE: Duration = Duration::from_secs(4);
 
+/// Time between two looks at a silent connection.
+const LOOK: Duration = Duration::from_millis(250);
+
 /// One token as it came.
 #[derive(Debug, Clone)]
 pub struct Token {
@@ -155,12 +160,17 @@
             let body = res.body().await.map_err(|_| Failed::Unreached)?;
             return Err(Failed::Refused(scan_refusal(status, retry, &body)));
         }
-        let events = res.eventsource().boxed_local();
+        let heard = Rc::new(Cell::new(clock::now()));
+        let seen = heard.clone();
+        // Comments keep a connection known to be alive, but are no events.
+        let bytes = res.inspect(move |_| seen.set(clock::now()));
+        let events = bytes.eventsource().boxed_local();
         Ok(Reading {
             generation: Arc::from(""),
             tokens: Vec::new(),
             end: None,
             skip: skip as u32,
+            heard,
             events,
         })
     }
@@ -223,6 +233,7 @@
     /// How it ended, once it did.
     pub end: Option<End>,
     skip: u32,
+    heard: Rc<Cell<Instant>>,
     events: Events,
 }
 
@@ -230,8 +241,9 @@
     /// Waits for the next token; `false` once the answer has ended.
     pub async fn next(&mut self) -> bool {
         while self.end.is_none() {
-            let event = match tokio::time::timeout(SILENCE, self.events.next()).await {
+            let event = match tokio::time::timeout(LOOK, self.events.next()).await {
                 Ok(Some(Ok(event))) => event,
+                Err(_) if self.heard.get().elapsed() < SILENCE => continue,
                 Ok(_) | Err(_) => {
                     self.end = Some(End::Dropped);
                     return false;
--- /dev/null
+++ b/tests/deployment/calls.rs
@@ -0,0 +1,197 @@
+//! Calls that may not be repeated, through a whole deployment under failure.
+
+use crate::common::*;
+use standin::caller::{Caller, Failed};
+use standin::fleet::{Fleet, Plan};
+use std::time::Duration;
+
+async fn fleet() -> Fleet {
+    start(Plan { entries: 3, pools: vec![booking(3)], ..Plan::default() }).await
+}
+
+fn count(fleet: &Fleet, body: &str) -> u32 {
+    fleet.journal.count(&format!("POST /bookings {body}"))
+}
+
+#[actix_rt::test]
+async fn resends_through_all_entries_at_once_run_once() {
+    let fleet = fleet().await;
+    let caller = Caller::new("key-1");
+    let minted = caller.mint(fleet.entry(0), "booking").await.unwrap();
+    for (key, body) in [(minted.as_str(), "delay=200;m"), ("chosen", "delay=200;c")] {
+        let sends = (0..9).map(|n| caller.call(fleet.entry(n), "POST", CALL, Some(key), body));
+        let all = futures_util::future::join_all(sends).await;
+        assert!(all.iter().any(Result::is_ok), "{all:?}");
+        // Those that came while it ran are told so; later ones get the answer.
+        let late = caller.call(fleet.entry(1), "POST", CALL, Some(key), body).await.unwrap();
+        assert_eq!((late["count"].as_u64(), count(&fleet, body)), (Some(1), 1));
+    }
+}
+
+#[actix_rt::test]
+async fn a_key_does_not_serve_two_contents_and_is_required() {
+    let fleet = fleet().await;
+    let caller = Caller::new("key-1");
+    caller.call(fleet.entry(0), "POST", CALL, Some("k"), "one").await.unwrap();
+    let other = caller.call(fleet.entry(1), "POST", CALL, Some("k"), "two").await;
+    assert!(matches!(other, Err(Failed::Refused(r)) if r.status == 422));
+    let none = caller.call(fleet.entry(1), "POST", CALL, None, "three").await;
+    assert!(matches!(none, Err(Failed::Refused(r)) if r.status == 400));
+    // Another workspace may use the same key.
+    let mine = Caller::new("key-2").call(fleet.entry(1), "POST", CALL, Some("k"), "two").await;
+    assert!(mine.is_ok());
+    assert_eq!((count(&fleet, "two"), count(&fleet, "three")), (1, 0));
+}
+
+#[actix_rt::test]
+async fn a_sidecar_lost_while_a_call_runs_makes_it_unknown_and_never_repeats_it() {
+    let mut fleet = fleet().await;
+    let caller = Caller::new("key-1");
+    let key = caller.mint(fleet.entry(0), "booking").await.unwrap();
+    let ix: usize = key.split('~').nth(1).unwrap().rsplit('-').next().unwrap().parse().unwrap();
+    let (entry, key2) = (fleet.entry(0), key.clone());
+    let first = actix_rt::spawn(async move {
+        Caller::new("key-1").call(entry, "POST", CALL, Some(&key2), "delay=3000;x").await
+    });
+    assert!(ran(&fleet, "delay=3000;x").await);
+    fleet.restart_sidecar(ix);
+    let first = first.await.unwrap();
+    assert_eq!(first.as_ref().err().map(Failed::outcome), Some("unknown"), "{first:?}");
+    assert!(fleet.all_ready(1).await);
+    for n in 0..3 {
+        let again = caller.call(fleet.entry(n), "POST", CALL, Some(&key), "delay=3000;x").await;
+        assert_eq!(again.err().as_ref().map(Failed::outcome), Some("unknown"));
+    }
+    assert_eq!(count(&fleet, "delay=3000;x"), 1);
+}
+
+#[actix_rt::test]
+async fn an_entry_lost_while_a_call_runs_does_not_repeat_it() {
+    let mut fleet = fleet().await;
+    let caller = Caller::new("key-1");
+    let entry = fleet.entry(0);
+    let first = actix_rt::spawn(async move {
+        Caller::new("key-1").call(entry, "POST", CALL, Some("own"), "delay=1000;x").await
+    });
+    assert!(ran(&fleet, "delay=1000;x").await);
+    fleet.entries[0].daemon.kill();
+    assert_eq!(first.await.unwrap(), Err(Failed::Unreached));
+    let answered = wait(5, async || {
+        caller.call(fleet.entry(1), "POST", CALL, Some("own"), "delay=1000;x").await.is_ok()
+    });
+    assert!(answered.await, "the answer comes from the record");
+    assert_eq!(count(&fleet, "delay=1000;x"), 1);
+}
+
+#[actix_rt::test]
+async fn a_call_refused_as_not_run_stays_not_run() {
+    let mut fleet = fleet().await;
+    for ix in 0..3 {
+        fleet.crash(ix);
+    }
+    let caller = Caller::new("key-1");
+    // Before the sidecars notice, and after.
+    let mut told = Vec::new();
+    for n in 0..6 {
+        let key = format!("k{n}");
+        let body = format!("b{n}");
+        let r = caller.call(fleet.entry(n), "POST", CALL, Some(&key), &body).await;
+        if r.as_ref().err().is_some_and(|e| e.outcome() == "not-run") {
+            told.push((key, body));
+        }
+        pause(200).await;
+    }
+    assert!(!told.is_empty());
+    for ix in 0..3 {
+        fleet.revive(ix);
+    }
+    assert!(fleet.all_ready(1).await);
+    pause(500).await;
+    for (_, body) in &told {
+        assert_eq!(count(&fleet, body), 0);
+    }
+}
+
+#[actix_rt::test]
+async fn a_paused_sidecar_gives_no_false_not_run() {
+    let fleet = fleet().await;
+    let caller = Caller::new("key-1");
+    let key = caller.mint(fleet.entry(0), "booking").await.unwrap();
+    let ix: usize = key.split('~').nth(1).unwrap().rsplit('-').next().unwrap().parse().unwrap();
+    fleet.endpoints[ix].sidecar.pause();
+    let first = caller.call(fleet.entry(0), "POST", CALL, Some(&key), "x").await;
+    assert_eq!(first.err().as_ref().map(Failed::outcome), Some("unknown"));
+    fleet.endpoints[ix].sidecar.proceed();
+    // What was sent before the pause arrives now, and runs once at most.
+    pause(1500).await;
+    assert!(fleet.all_ready(1).await);
+    let again = caller.call(fleet.entry(1), "POST", CALL, Some(&key), "x").await;
+    let outcome = again.as_ref().err().map(Failed::outcome);
+    assert!(outcome.is_none() || outcome == Some("not-run"), "{again:?}");
+    assert_eq!(count(&fleet, "x"), u32::from(outcome.is_none()));
+}
+
+#[actix_rt::test]
+async fn through_a_store_outage_minted_keys_work_and_chosen_ones_are_refused() {
+    let fleet = fleet().await;
+    let caller = Caller::new("key-1");
+    caller.call(fleet.entry(0), "POST", CALL, Some("before"), "b").await.unwrap();
+    fleet.store.faults(|f| f.down = true);
+    let key = caller.mint(fleet.entry(0), "booking").await.unwrap();
+    for n in 0..3 {
+        caller.call(fleet.entry(n), "POST", CALL, Some(&key), "minted").await.unwrap();
+    }
+    assert_eq!(count(&fleet, "minted"), 1);
+    // A chosen key may have been used before, as this one was, so `not-run` would be a guess.
+    for key in ["before", "fresh"] {
+        let r = caller.call(fleet.entry(1), "POST", CALL, Some(key), "b").await;
+        let Err(Failed::Refused(r)) = r else { panic!("{r:?}") };
+        assert_eq!((&*r.outcome, r.status, r.retry.is_some()), ("unknown", 503, true));
+    }
+    fleet.store.faults(|f| f.down = false);
+    caller.call(fleet.entry(1), "POST", CALL, Some("before"), "b").await.unwrap();
+    caller.call(fleet.entry(2), "POST", CALL, Some("fresh"), "f").await.unwrap();
+    assert_eq!((count(&fleet, "b"), count(&fleet, "f")), (1, 1));
+}
+
+#[actix_rt::test]
+async fn a_claim_whose_answer_was_lost_is_found_by_the_resend() {
+    let fleet = fleet().await;
+    let caller = Caller::new("key-1");
+    caller.call(fleet.entry(0), "POST", CALL, Some("warm"), "w").await.unwrap();
+    fleet.store.faults(|f| f.lose = 1);
+    let first = caller.call(fleet.entry(0), "POST", CALL, Some("k"), "x").await;
+    assert_eq!(first.err().as_ref().map(Failed::outcome), Some("unknown"));
+    for n in 0..3 {
+        caller.call(fleet.entry(n), "POST", CALL, Some("k"), "x").await.unwrap();
+    }
+    assert_eq!(count(&fleet, "x"), 1);
+}
+
+#[actix_rt::test]
+async fn calls_that_may_be_repeated_go_to_another_endpoint() {
+    let mut fleet = fleet().await;
+    fleet.crash(0);
+    fleet.crash(1);
+    let caller = Caller::new("key-1");
+    for n in 0..6 {
+        let r = caller.call(fleet.entry(n), "GET", "/s/booking/slots", None, "").await;
+        assert!(r.is_ok(), "{r:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_sidecar_that_stops_finishes_its_calls() {
+    let mut fleet = fleet().await;
+    let caller = Caller::new("key-1");
+    let key = caller.mint(fleet.entry(0), "booking").await.unwrap();
+    let ix: usize = key.split('~').nth(1).unwrap().rsplit('-').next().unwrap().parse().unwrap();
+    let entry = fleet.entry(0);
+    let call = actix_rt::spawn(async move {
+        Caller::new("key-1").call(entry, "POST", CALL, Some(&key), "delay=1500;x").await
+    });
+    assert!(ran(&fleet, "delay=1500;x").await);
+    fleet.endpoints[ix].sidecar.terminate();
+    assert!(call.await.unwrap().is_ok());
+    assert_eq!(fleet.endpoints[ix].sidecar.exit(Duration::from_secs(10)), Some(0));
+}
--- /dev/null
+++ b/tests/deployment/common.rs
@@ -0,0 +1,84 @@
+//! What the tests share.
+
+use standin::caller::{Caller, End, Failed, Reading};
+use standin::engine::Params;
+use standin::fleet::{Fleet, Plan, Pool};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+pub const TEXT: &str = include_str!("../../examples/vigilwell.jsonc");
+pub const SPEC: &str = "caption-large+memorial@v1";
+pub const CALL: &str = "/s/booking/bookings";
+
+/// Returns engines with the model loaded.
+pub fn params() -> Params {
+    Params { loaded: vec![SPEC.into()], ..Params::default() }
+}
+
+pub fn engines(n: usize, params: Params) -> Pool {
+    Pool::Engines("caption-large", n, params)
+}
+
+pub fn booking(n: usize) -> Pool {
+    Pool::Plain("booking", n)
+}
+
+pub fn binary() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_skylarkthread"))
+}
+
+/// Starts a deployment, submits the text and waits until all is in service.
+pub async fn start(plan: Plan) -> Fleet {
+    let fleet = Fleet::start(binary(), &plan);
+    assert!(wait(10, async || fleet.status(0).await.is_some()).await, "the entry answers");
+    let (code, out) = fleet.submit(TEXT, 0);
+    assert_eq!(code, 0, "{out}");
+    assert!(fleet.all_ready(1).await, "all endpoints serve; logs in {}", fleet.dir().display());
+    fleet
+}
+
+/// Waits until `is_true`, for at most `secs`.
+pub async fn wait(secs: u64, is_true: impl AsyncFn() -> bool) -> bool {
+    let end = Instant::now() + Duration::from_secs(secs);
+    while Instant::now() < end {
+        if is_true().await {
+            return true;
+        }
+        pause(50).await;
+    }
+    false
+}
+
+pub async fn pause(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// Opens a stream of `n` tokens and reads the first.
+pub async fn open(entry: SocketAddr, n: u32, name: &str) -> Result<Reading, Failed> {
+    let caller = Caller::new("key-1");
+    let prompt = format!("output={n}; {name}");
+    let mut reading = caller.open(entry, "captions", &prompt, 30_000).await?;
+    reading.next().await;
+    Ok(reading)
+}
+
+/// Reads to the end and checks that the answer is whole.
+pub async fn whole(reading: &mut Reading, n: usize) {
+    let end = reading.finish().await;
+    assert_eq!((end, reading.tokens.len()), (End::Done("stop".into()), n));
+    assert_eq!(reading.faults(), []);
+}
+
+/// Finds the endpoint that runs a generation.
+pub fn home(fleet: &Fleet, reading: &Reading) -> usize {
+    let instance = reading.generation.split('~').next().unwrap().to_string();
+    let ix = instance.rsplit('-').next().and_then(|n| n.parse().ok()).unwrap();
+    assert!(ix < fleet.endpoints.len());
+    ix
+}
+
+/// Waits for a call that may not be repeated to have run.
+pub async fn ran(fleet: &Fleet, body: &str) -> bool {
+    wait(5, async || fleet.journal.count(&format!("POST /bookings {body}")) > 0).await
+}
--- /dev/null
+++ b/tests/deployment/hostile.rs
@@ -0,0 +1,88 @@
+//! Bytes from outside that no peer or caller should send.
+
+use crate::common::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use standin::caller::{Caller, Failed};
+use standin::fleet::{Fleet, Plan};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// Seed of the random bytes.
+const SEED: u64 = 7;
+
+fn send(address: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut s = TcpStream::connect(address).unwrap();
+    s.set_read_timeout(Some(Duration::from_millis(150))).unwrap();
+    let _ = s.write_all(bytes);
+    let mut answer = vec![0; 4096];
+    let n = s.read(&mut answer).unwrap_or(0);
+    answer.truncate(n);
+    answer
+}
+
+async fn still_serves(fleet: &Fleet) {
+    let mut r = open(fleet.entry(0), 10, "after").await.unwrap();
+    whole(&mut r, 10).await;
+}
+
+#[actix_rt::test]
+async fn malformed_http_frames_and_documents_are_refused_and_serving_goes_on() {
+    let plan = Plan { entries: 1, pools: vec![engines(1, params())], ..Plan::default() };
+    let fleet = start(plan).await;
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let good = b"POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\n{}".to_vec();
+    for _ in 0..60 {
+        let mut bytes = good.clone();
+        for _ in 0..rng.random_range(1..6) {
+            let at = rng.random_range(0..bytes.len());
+            bytes[at] = rng.random();
+        }
+        send(fleet.entry(0), &bytes);
+        let noise: Vec<u8> = (0..rng.random_range(1..300)).map(|_| rng.random()).collect();
+        send(fleet.entries[0].daemon.peer, &noise);
+        send(fleet.endpoints[0].sidecar.peer, &noise);
+    }
+    still_serves(&fleet).await;
+    let caller = Caller::new("key-1");
+    let long = "x".repeat(3 << 20);
+    let cases: [(&str, &str, u16); 6] = [
+        ("/v1/completions", "{", 400),
+        ("/v1/completions", "{\"model\":\"captions\"}", 400),
+        ("/v1/completions", "{\"model\":\"nothing\",\"prompt\":\"x\"}", 404),
+        ("/v1/completions", &long, 413),
+        ("/nowhere", "", 404),
+        ("/s/nowhere/x", "", 404),
+    ];
+    for (path, body, status) in cases {
+        let r = caller.call(fleet.entry(0), "POST", path, None, body).await;
+        let Err(Failed::Refused(r)) = r else { panic!("{path}: {r:?}") };
+        assert_eq!((r.status, &*r.outcome), (status, "not-run"), "{path}");
+    }
+    let stranger = Caller::new("no-key").call(fleet.entry(0), "POST", "/v1/keys", None, "").await;
+    assert!(matches!(stranger, Err(Failed::Refused(r)) if r.status == 401));
+    still_serves(&fleet).await;
+}
+
+#[actix_rt::test]
+async fn a_frame_signed_with_another_key_is_dropped_counted_and_noted() {
+    use skylarkthread::frame::{Envelope, Keyring, Request};
+    use skylarkthread::hlc::Stamp;
+    use skylarkthread::id::{Incarnation, IntentVersion, Nonce};
+    let plan = Plan { entries: 1, pools: vec![engines(1, params())], ..Plan::default() };
+    let fleet = start(plan).await;
+    let frame = Keyring::new(&[b"not-the-key-of-this-fleet".as_slice().into()]).seal(&Envelope {
+        from: "x".parse().unwrap(),
+        incarnation: Incarnation(1),
+        at: Stamp::default(),
+        version: IntentVersion(9),
+        body: Request::Cancel(Nonce(1)),
+    });
+    let link = skylarkthread::peer::Link::dial(fleet.endpoints[0].sidecar.peer).unwrap();
+    let answer = link.ask(&frame, Duration::from_millis(500)).await;
+    assert!(answer.is_err(), "no answer to a stranger");
+    let (_, line) = fleet.client(&["timeline", "--kind", "FrameDropped"]);
+    assert!(line.contains("FrameDropped"), "{line}");
+    still_serves(&fleet).await;
+}
--- /dev/null
+++ b/tests/deployment/intent.rs
@@ -0,0 +1,199 @@
+//! The operators' intent and orders to engines, through a whole deployment under failure.
+
+use crate::common::*;
+use standin::caller::Caller;
+use standin::engine::Params;
+use standin::fleet::{Fleet, Plan};
+use std::time::{Duration, Instant};
+
+fn plan(entries: usize, n: usize) -> Plan {
+    Plan { entries, pools: vec![engines(n, params()), booking(1)], ..Plan::default() }
+}
+
+/// Returns the versions that an entry sees in all processes.
+async fn versions(fleet: &Fleet, ix: usize) -> Vec<u64> {
+    let Some(s) = fleet.status(ix).await else { return Vec::new() };
+    let of = |list: &str| s[list].as_array().cloned().unwrap_or_default();
+    let peers = of("entries").into_iter().chain(of("endpoints"));
+    let mut all: Vec<u64> = peers.map(|x| x["version"].as_u64().unwrap_or(0)).collect();
+    all.push(s["version"].as_u64().unwrap_or(0));
+    all
+}
+
+async fn everywhere(fleet: &Fleet, version: u64, secs: u64) -> bool {
+    let want = fleet.entries.len() + fleet.endpoints.len();
+    wait(secs, async || {
+        let all = versions(fleet, 0).await;
+        all.len() == want && all.iter().all(|v| *v >= version)
+    })
+    .await
+}
+
+fn changed(n: u32) -> String {
+    TEXT.replace("\"max_tokens\": 8192", &format!("\"max_tokens\": {n}"))
+}
+
+#[actix_rt::test]
+async fn a_change_is_in_force_in_every_process_within_seconds() {
+    let fleet = start(plan(3, 3)).await;
+    let (code, out) = fleet.submit(&changed(4000), 1);
+    assert_eq!(code, 0, "{out}");
+    assert!(everywhere(&fleet, 2, 20).await, "{:?}", versions(&fleet, 0).await);
+    let (code, out) = fleet.client(&["show", "--version", "1"]);
+    assert!(code == 0 && out.contains("submitted by ops"), "{out}");
+    let (_, out) = fleet.client(&["status"]);
+    assert!(out.contains("serving"), "{out}");
+}
+
+#[actix_rt::test]
+async fn of_two_racing_operators_one_is_accepted_and_one_is_told() {
+    let fleet = start(plan(2, 1)).await;
+    let (a, b) = std::thread::scope(|s| {
+        let a = s.spawn(|| fleet.submit_at(0, &changed(4001), 1));
+        let b = s.spawn(|| fleet.submit_at(1, &changed(4002), 1));
+        (a.join().unwrap(), b.join().unwrap())
+    });
+    let codes = [a.0, b.0];
+    assert!(codes == [0, 1] || codes == [1, 0], "{a:?} {b:?}");
+    let loser = if a.0 == 1 { &a.1 } else { &b.1 };
+    assert!(loser.contains("conflict: version 2"), "{loser}");
+    // The loser's repeat is told the same, the winner's that it was accepted.
+    let texts = [changed(4001), changed(4002)];
+    for ix in 0..2 {
+        assert_eq!(fleet.submit(&texts[ix], 1).0, codes[ix]);
+    }
+}
+
+#[actix_rt::test]
+async fn a_submission_whose_answer_was_lost_is_reported_as_accepted() {
+    let fleet = start(plan(2, 1)).await;
+    // The first write is that of a part, the second that of the head.
+    fleet.store.faults(|f| f.lose = 1);
+    let (code, out) = fleet.submit(&changed(4003), 1);
+    assert_ne!(code, 1, "never reported as refused: {out}");
+    let (code, out) = fleet.submit(&changed(4003), 1);
+    assert!(code == 0 && out.contains("version 2"), "{out}");
+}
+
+#[actix_rt::test]
+async fn a_faulty_text_is_refused_with_its_places() {
+    let fleet = start(plan(1, 1)).await;
+    let (code, out) = fleet.submit("{ \"services\": { \"a\": { \"kind\": \"plan\" } } }", 1);
+    assert!(code == 1 && out.contains("1:31: E008"), "{out}");
+    assert_eq!(versions(&fleet, 0).await.iter().max(), Some(&1));
+}
+
+#[actix_rt::test]
+async fn serving_goes_on_through_an_outage_and_new_processes_learn_from_peers() {
+    let plan = plan(2, 2);
+    let mut fleet = start(plan.clone()).await;
+    fleet.store.faults(|f| f.down = true);
+    let (code, out) = fleet.submit(&changed(4004), 1);
+    assert!(code == 2 && out.contains("wrote nothing"), "{out}");
+    fleet.add_entry(&plan, 2);
+    assert!(fleet.ready(2, 1, 3, Duration::from_secs(20)).await, "learns the text from peers");
+    let mut r = open(fleet.entry(2), 30, "a").await.unwrap();
+    whole(&mut r, 30).await;
+    // Every entry is replaced: the sidecars still have the text.
+    for ix in 0..3 {
+        fleet.restart_entry(ix);
+    }
+    assert!(fleet.ready(0, 1, 3, Duration::from_secs(20)).await, "learns the text from sidecars");
+    let mut r = open(fleet.entry(0), 30, "b").await.unwrap();
+    whole(&mut r, 30).await;
+    fleet.store.faults(|f| f.down = false);
+    let accepted = wait(30, async || fleet.submit(&changed(4004), 1).0 == 0).await;
+    assert!(accepted && everywhere(&fleet, 2, 30).await);
+}
+
+#[actix_rt::test]
+async fn the_store_sees_few_calls_and_watches() {
+    let fleet = start(plan(3, 3)).await;
+    pause(1000).await;
+    let before: u64 = fleet.store.calls().values().sum();
+    pause(10_000).await;
+    let calls = fleet.store.calls().values().sum::<u64>() - before;
+    // Leases of up to three candidates every two seconds, watches renewed each half minute.
+    assert!(calls <= 40, "{calls} calls in 10 s: {:?}", fleet.store.calls());
+    assert!(fleet.store.waiting() <= 6, "{} watches", fleet.store.waiting());
+}
+
+#[actix_rt::test]
+async fn a_new_version_is_loaded_while_the_old_one_serves() {
+    let fleet = start(plan(2, 3)).await;
+    let mut running = open(fleet.entry(0), 600, "old").await.unwrap();
+    let (code, out) = fleet.submit(&TEXT.replace("\"v1\"", "\"v2\""), 1);
+    assert_eq!(code, 0, "{out}");
+    let asked = Instant::now();
+    // The change of version leaves no time without service for more than the loads take.
+    let served = wait(20, async || open(fleet.entry(0), 5, "new").await.is_ok()).await;
+    assert!(served, "served after {:?}", asked.elapsed());
+    whole(&mut running, 600).await;
+    let unloaded = wait(30, async || {
+        let Some(s) = fleet.status(0).await else { return false };
+        let all = s["endpoints"].as_array().cloned().unwrap_or_default();
+        let engines = all.iter().filter(|x| x["pool"] == "caption-large");
+        engines.clone().count() == 3
+            && engines.clone().all(|x| x["loaded"].to_string().contains("v2"))
+            && engines.clone().all(|x| !x["loaded"].to_string().contains("v1"))
+    });
+    assert!(unloaded.await, "the old version goes in the end");
+}
+
+#[actix_rt::test]
+async fn a_leader_paused_past_its_lease_gives_no_order_that_takes_effect() {
+    // The engines ignore fencing numbers, so the sidecars alone guard them.
+    let open_params = Params { fenced: false, ..params() };
+    let plan = Plan { entries: 3, pools: vec![engines(2, open_params)], ..Plan::default() };
+    let fleet = start(plan).await;
+    let leader = wait_leader(&fleet, None).await.expect("one entry leads");
+    fleet.entries[leader].daemon.pause();
+    fleet.store.lapse();
+    let next = wait_leader(&fleet, Some(leader)).await.expect("another entry leads");
+    assert_ne!(next, leader);
+    let other = next;
+    let (code, out) = fleet.submit_at(other, &TEXT.replace("\"v1\"", "\"v2\""), 1);
+    assert_eq!(code, 0, "{out}");
+    fleet.entries[leader].daemon.proceed();
+    pause(6000).await;
+    let (_, line) = fleet.client_at(other, &["timeline", "--kind", "Ordered"]);
+    let fences: Vec<u64> = line
+        .lines()
+        .filter(|l| l.contains(" caption-large-"))
+        .filter_map(|l| l.split_whitespace().nth(4)?.parse().ok())
+        .collect();
+    assert!(!fences.is_empty(), "{line}");
+    assert!(fences.windows(2).all(|w| w[0] <= w[1]), "fencing numbers never fall: {fences:?}");
+}
+
+/// Finds the entry that was elected last, other than `not`.
+async fn wait_leader(fleet: &Fleet, not: Option<usize>) -> Option<usize> {
+    for _ in 0..100 {
+        for ask in (0..fleet.entries.len()).filter(|ix| Some(*ix) != not) {
+            let (_, line) = fleet.client_at(ask, &["timeline", "--kind", "Elected"]);
+            let last = line.lines().rfind(|l| l.contains("Elected"));
+            let name = last.and_then(|l| l.split_whitespace().nth(1)).map(str::to_string);
+            let ix = (0..fleet.entries.len()).find(|ix| Some(fleet.entry_name(*ix)) == name);
+            if ix.is_some() && ix != not {
+                return ix;
+            }
+        }
+        pause(200).await;
+    }
+    None
+}
+
+#[actix_rt::test]
+async fn a_service_whose_dependency_is_unavailable_refuses_early() {
+    let mut fleet = start(plan(1, 1)).await;
+    fleet.crash(1);
+    let caller = Caller::new("key-1");
+    let refused = wait(10, async || {
+        let r = caller.open(fleet.entry(0), "summaries", "output=5;", 10).await;
+        matches!(r, Err(standin::caller::Failed::Refused(r)) if &*r.kind == "refused dependency")
+    });
+    assert!(refused.await);
+    // What does not depend on it serves on.
+    let mut r = open(fleet.entry(0), 5, "a").await.unwrap();
+    whole(&mut r, 5).await;
+}
--- /dev/null
+++ b/tests/deployment/main.rs
@@ -0,0 +1,7 @@
+//! Whole deployments on loopback under failure: the real daemons as processes among stand-ins.
+
+mod calls;
+mod common;
+mod hostile;
+mod intent;
+mod streams;
