--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for what surrounds the system, and the tools that drive it in tests and
 //! measurements. None of this ships.
 
+pub mod bench;
 pub mod caller;
 pub mod demo;
 pub mod engine;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,8 +1,10 @@
 //! Command line of the stand-ins: the demonstration and the measurements.
 
 use gumdrop::Options;
+use standin::bench::{self, Policy, Workload};
 use standin::demo;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// Stand-ins and measurements for skylarkthread.
 #[derive(Debug, Options)]
@@ -17,6 +19,52 @@
 enum Command {
     #[options(help = "run both deployments at a small scale and check what happens")]
     Demo(Demo),
+    #[options(help = "measure the decisions against baselines")]
+    Bench(Bench),
+}
+
+#[derive(Debug, Options)]
+struct Bench {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "vigilwell or cymdeithas; may be repeated; both where left out")]
+    workload: Vec<String>,
+    #[options(help = "a policy; may be repeated; all where left out")]
+    policy: Vec<String>,
+    #[options(help = "share of capacity; may be repeated", meta = "SHARE")]
+    load: Vec<f64>,
+    #[options(help = "measured seconds of each cell", default = "30")]
+    seconds: u64,
+    #[options(help = "seed; may be repeated")]
+    seed: Vec<u64>,
+    #[options(help = "kill, restart and pause processes during the window")]
+    faults: bool,
+    #[options(help = "folder for the JSON and the plot", default = "target/bench")]
+    out: std::path::PathBuf,
+}
+
+/// Uses `all` where nothing was named.
+fn or_all<T: Clone>(named: Vec<T>, all: &[T]) -> Vec<T> {
+    if named.is_empty() { all.to_vec() } else { named }
+}
+
+fn bench(args: Bench) -> ExitCode {
+    let workloads: Option<Vec<Workload>> =
+        args.workload.iter().map(|w| Workload::find(w)).collect();
+    let policies: Option<Vec<Policy>> = args.policy.iter().map(|p| Policy::find(p)).collect();
+    let (Some(workloads), Some(policies)) = (workloads, policies) else {
+        eprintln!("no such workload or policy");
+        return ExitCode::from(2);
+    };
+    bench::run(&bench::Options {
+        workloads: or_all(workloads, &[Workload::Vigilwell, Workload::Cymdeithas]),
+        policies: or_all(policies, &Policy::ALL),
+        loads: or_all(args.load, &[0.9, 1.0]),
+        window: Duration::from_secs(args.seconds),
+        seeds: or_all(args.seed, &[1]),
+        faults: args.faults,
+        out: args.out,
+    })
 }
 
 #[derive(Debug, Options)]
@@ -29,6 +77,7 @@
     let args = Args::parse_args_default_or_exit();
     match args.command {
         Some(Command::Demo(_)) => demo::run(),
+        Some(Command::Bench(b)) => bench(b),
         None => {
             eprintln!("{}\n{}", Args::usage(), Args::command_list().unwrap_or(""));
             ExitCode::from(2)
--- a/tests/deployment/intent.rs
+++ b/tests/deployment/intent.rs
@@ -79,7 +79,7 @@
 async fn a_faulty_text_is_refused_with_its_places() {
     let fleet = start(plan(1, 1)).await;
     let (code, out) = fleet.submit("{ \"services\": { \"a\": { \"kind\": \"plan\" } } }", 1);
-    assert!(code == 1 && out.contains("1:31: E008"), "{out}");
+    assert!(code == 1 && out.contains("1:32: E008"), "{out}");
     assert_eq!(versions(&fleet, 0).await.iter().max(), Some(&1));
 }
 
