Reuse nng operations instead of freeing them

Cause: with tens of calls a second every entry stopped answering: freeing an operation waits in nni_task_wait for ever when its context closes at the same moment (seen in the stacks of three hung entries). Ruled out: descriptors, the test caller, the HTTP library (requests were admitted and completed). Change: a link keeps its contexts and operations for reuse, bounds each by nng's own timeout, and frees them with the socket on a thread of their own.

--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -8,6 +8,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -16,6 +17,8 @@
 const RECONNECT_MIN: Duration = Duration::from_millis(20);
 /// Longest pause before a lost connection is dialled again.
 const RECONNECT_MAX: Duration = Duration::from_millis(500);
+/// Most requests under way over one link.
+const CALL_LIMIT: usize = 1024;
 /// Contexts that a listener opens at a time.
 const SLOT_STEP: usize = 16;
 /// Most requests that a listener holds at once.
@@ -36,24 +39,98 @@
     }
 }
 
-/// A socket that is closed away from the thread that drops it: nng waits for operations of its
-/// own threads then.
+/// A context with its operation; it is used for one request after another and freed only with its
+/// socket, as freeing an operation that is under way can block.
 #[derive(Debug)]
-struct Closing(Option<Socket>);
+struct Call {
+    ctx: Context,
+    aio: Aio,
+    shared: Arc<CallState>,
+}
+
+type Reply = Result<Message, nng::Error>;
+
+/// What a call shares with nng's threads.
+#[derive(Debug, Default)]
+struct CallState {
+    tx: Mutex<Option<oneshot::Sender<Reply>>>,
+    busy: AtomicBool,
+}
+
+impl CallState {
+    fn end(&self, reply: Reply) {
+        let tx = self.tx.lock().ok().and_then(|mut t| t.take());
+        self.busy.store(false, Ordering::Release);
+        if let Some(tx) = tx {
+            let _ = tx.send(reply);
+        }
+    }
+}
+
+impl Call {
+    fn new(socket: &Socket) -> Result<Call, PeerError> {
+        let ctx = Context::new(socket)?;
+        let shared = Arc::new(CallState::default());
+        let (inner, state) = (ctx.clone(), shared.clone());
+        let aio = Aio::new(move |aio, result| match result {
+            AioResult::Send(Ok(())) => {
+                if let Err(e) = inner.recv(&aio) {
+                    state.end(Err(e));
+                }
+            }
+            AioResult::Send(Err((_, e))) | AioResult::Recv(Err(e)) => state.end(Err(e)),
+            AioResult::Recv(Ok(m)) => state.end(Ok(m)),
+            AioResult::Sleep(_) => {}
+        })?;
+        Ok(Call { ctx, aio, shared })
+    }
 
-impl Drop for Closing {
+    fn is_free(&self) -> bool {
+        !self.shared.busy.load(Ordering::Acquire)
+    }
+}
+
+/// A socket with its calls; dropped, it is closed away from this thread, as nng waits for its own
+/// threads then.
+#[derive(Debug)]
+struct Dialled {
+    socket: Option<Socket>,
+    calls: Mutex<Vec<Arc<Call>>>,
+}
+
+impl Dialled {
+    /// Returns a call that is not under way.
+    fn call(&self) -> Result<Arc<Call>, PeerError> {
+        let socket = self.socket.as_ref().ok_or(PeerError::Silent)?;
+        let mut calls = self.calls.lock().map_err(|_| PeerError::Silent)?;
+        if let Some(call) = calls.iter().find(|c| Arc::strong_count(c) == 1 && c.is_free()) {
+            return Ok(call.clone());
+        }
+        if calls.len() >= CALL_LIMIT {
+            return Err(PeerError::Silent);
+        }
+        let call = Arc::new(Call::new(socket)?);
+        calls.push(call.clone());
+        Ok(call)
+    }
+}
+
+impl Drop for Dialled {
     fn drop(&mut self) {
-        let socket = self.0.take();
-        std::thread::spawn(move || drop(socket));
+        let socket = self.socket.take();
+        let calls = self.calls.lock().map(|mut c| std::mem::take(&mut *c)).unwrap_or_default();
+        std::thread::spawn(move || {
+            calls.iter().for_each(|c| c.ctx.close());
+            drop(socket);
+            drop(calls);
+        });
     }
 }
 
 /// A connection to one peer, dialled again by itself when lost.
 #[derive(Debug, Clone)]
 pub struct Link {
-    socket: Socket,
-    /// Dropped after the handle above; the last clone closes the socket.
-    _closing: Arc<Closing>,
+    dialled: Arc<Dialled>,
 }
 
 impl Link {
@@ -68,8 +145,8 @@
         socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT_MAX))?;
         socket.set_opt::<RecvMaxSize>(crate::frame::FRAME_LIMIT)?;
         socket.dial_async(&format!("tcp://{address}"))?;
-        let closing = Arc::new(Closing(Some(socket.clone())));
-        Ok(Link { socket, _closing: closing })
+        let dialled = Dialled { socket: Some(socket), calls: Mutex::new(Vec::new()) };
+        Ok(Link { dialled: Arc::new(dialled) })
     }
 
     /// Sends a request and waits for its reply.
@@ -78,32 +155,21 @@
     ///
     /// Returns [`PeerError::Silent`] where no reply comes within `wait`.
     pub async fn ask(&self, frame: &[u8], wait: Duration) -> Result<Message, PeerError> {
-        let ctx = Context::new(&self.socket)?;
+        let call = self.dialled.call()?;
         let (tx, rx) = oneshot::channel();
-        let tx = Mutex::new(Some(tx));
-        let inner = ctx.clone();
-        let aio = Aio::new(move |aio, result| {
-            let outcome = match result {
-                AioResult::Send(Ok(())) => match inner.recv(&aio) {
-                    Ok(()) => return,
-                    Err(e) => Err(e),
-                },
-                AioResult::Send(Err((_, e))) | AioResult::Recv(Err(e)) => Err(e),
-                AioResult::Recv(Ok(m)) => Ok(m),
-                AioResult::Sleep(_) => return,
-            };
-            if let Some(tx) = tx.lock().ok().and_then(|mut t| t.take()) {
-                let _ = tx.send(outcome);
-            }
-        })?;
-        ctx.send(&aio, frame).map_err(|(_, e)| e)?;
-        let outcome = tokio::time::timeout(wait, rx).await;
-        // Closing the context ends an operation that is still under way.
-        ctx.close();
-        match outcome {
+        if let Ok(mut slot) = call.shared.tx.lock() {
+            *slot = Some(tx);
+        }
+        // nng ends the operation by itself then, also where nobody waits for it any more.
+        call.aio.set_timeout(Some(wait))?;
+        call.shared.busy.store(true, Ordering::Release);
+        if let Err((_, e)) = call.ctx.send(&call.aio, frame) {
+            call.shared.end(Err(e));
+        }
+        match tokio::time::timeout(wait, rx).await {
             Ok(Ok(Ok(m))) => Ok(m),
+            Ok(Ok(Err(nng::Error::TimedOut))) | Ok(Err(_)) | Err(_) => Err(PeerError::Silent),
             Ok(Ok(Err(e))) => Err(PeerError::Socket(e)),
-            Ok(Err(_)) | Err(_) => Err(PeerError::Silent),
         }
     }
 }
