Give each turn on the engine its own reader; move queued generations to free endpoints

Cause: the measurement found one answer mixed of wrong tokens: after a hold, the reader of the earlier turn was still alive and kept its own count, so both readers kept tokens.

--- a/src/board/sidecar.rs
+++ b/src/board/sidecar.rs
@@ -46,6 +46,8 @@
     pub wanted: Instant,
     /// Tells that the prompt has been computed since the engine last got it.
     pub warm: bool,
+    /// Counts how often it was given to the engine; a reader of an earlier time gives up.
+    pub turn: u32,
     /// Tells that a reader was sent the end.
     pub delivered: bool,
 }
@@ -64,6 +66,8 @@
     pub alive: bool,
     /// Memory in tokens, as the engine reports it.
     pub capacity: u32,
+    /// Tokens in one block of memory.
+    pub block: u32,
     /// Most generations in one batch.
     pub batch: u32,
     /// Mean time between tokens.
@@ -81,6 +85,7 @@
         Engine {
             alive: false,
             capacity: 0,
+            block: 16,
             batch: 1,
             gap: Duration::from_millis(30),
             prefill: Duration::from_micros(100),
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -11,6 +11,7 @@
 use crate::frame::{Batch, Finish, Refusal, Reply, Request, Start};
 use crate::http::{Body, Incoming};
 use crate::id::{GenerationId, InstanceId, Nonce, TokenId, Workspace};
+use crate::place;
 use crate::problem::{Problem, ProblemKind};
 use actix_http::{Method, Response};
 use std::rc::Rc;
@@ -18,6 +19,8 @@
 
 /// Time for a sidecar to take a generation.
 const START_TIME: Duration = Duration::from_millis(700);
+/// Time between two looks for a better place of a queued generation.
+const LOOK_TIME: Duration = Duration::from_millis(250);
 /// Endpoints that a request may be refused by before its caller is.
 const OFFERS: usize = 3;
 /// Times that a generation lost before its first token is begun anew.
@@ -109,6 +112,8 @@
     Refused(Refusal, Duration),
     /// The generation was lost before its first token.
     Lost,
+    /// It was taken back from a queue; another endpoint has room.
+    Moved,
     /// The time was up.
     Late,
 }
@@ -148,6 +153,8 @@
                 }
                 e.process.event(Kind::Replaced, ask.content, format_args!("losses={losses}"));
             }
+            // Only the endpoint whose queue it left is passed over.
+            Attempt::Moved => drop(tried.drain(..tried.len() - 1)),
             Attempt::Late => return Err(refused((Refusal::Expired, Duration::from_secs(1)))),
         }
     }
@@ -240,17 +247,38 @@
         }
     }
     e.process.event(Kind::Placed, &generation, format_args!("content={}", ask.content));
-    let wait = ask.first.saturating_sub(since(arrived));
-    match tokio::time::timeout(wait, tokens.next()).await {
-        Err(_) => {
-            give_up(e, &link, generation.nonce);
-            Err(Attempt::Late)
+    loop {
+        let wait = ask.first.saturating_sub(since(arrived));
+        match tokio::time::timeout(wait.min(LOOK_TIME), tokens.next()).await {
+            Ok(Some(batch)) => return opened(e, key, generation, batch, tokens),
+            Ok(None) => return Err(Attempt::Lost),
+            Err(_) if wait <= LOOK_TIME => {
+                give_up(e, &link, generation.nonce);
+                return Err(Attempt::Late);
+            }
+            Err(_) => {
+                if may_move(e, ask, key) && withdraw(e, &link, generation.nonce).await {
+                    e.process.event(Kind::Replaced, &generation, "queued elsewhere");
+                    return Err(Attempt::Moved);
+                }
+            }
         }
-        Ok(Some(batch)) => opened(e, key, generation, batch, tokens),
-        Ok(None) => Err(Attempt::Lost),
     }
 }
 
+/// Tells whether a queued generation would begin at once on another endpoint.
+fn may_move(e: &Entry, ask: &Ask, key: EndpointKey) -> bool {
+    let board = e.board.borrow();
+    let is_queued = board.endpoints.get(key).and_then(|x| x.known.as_ref());
+    is_queued.is_some_and(|k| k.report.waiting > 0) && place::has_room(&board, &ask.need)
+}
+
+/// Takes a generation back that has not begun; `false` where it has, or where nobody knows.
+async fn withdraw(e: &Rc<Entry>, link: &Rc<LinkState>, nonce: Nonce) -> bool {
+    let reply = link.ask(e, Request::Withdraw(nonce), CANCEL_TIME).await;
+    matches!(reply.map(|r| r.body), Ok(Reply::Withdrawn(true)))
+}
+
 fn opened(
     e: &Entry,
     key: EndpointKey,
--- a/src/frame/mod.rs
+++ b/src/frame/mod.rs
@@ -390,6 +390,8 @@
     PutIntent(Box<IntentCopy>),
     /// Reads events.
     Events(Filter),
+    /// Takes a generation back if it has not begun.
+    Withdraw(Nonce),
 }
 
 /// Answers to [`Request`].
@@ -417,6 +419,8 @@
     Lacking(Vec<Arc<str>>),
     /// Events, oldest first.
     Events(Vec<Event>),
+    /// Tells whether the generation was taken back before it began.
+    Withdrawn(bool),
     /// Done.
     Ok,
     /// The request is not known to this release or this role.
--- a/src/gate/forecast.rs
+++ b/src/gate/forecast.rs
@@ -10,7 +10,7 @@
     1700, 2200, 2900, 4000, 6000, 9000, 16_000, 32_000,
 ];
 /// Standard deviations kept in reserve.
-const RESERVE: f64 = 2.0;
+const RESERVE: f64 = 1.5;
 
 /// One generation as the forecast sees it.
 #[derive(Debug, Clone)]
@@ -33,7 +33,8 @@
 /// Returns the load of one generation.
 pub fn load(board: &SidecarBoard, job: &Job) -> Load {
     Load {
-        size: Tokens(job.size()),
+        // On average half a block is in use at the end of each generation.
+        size: Tokens(job.size() + board.engine.block / 2),
         done: Tokens(job.tokens.len() as u32),
         limit: job.start.limit,
         curve: board.lengths.curve(&job.start.service, &job.start.workspace),
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -15,10 +15,8 @@
 
 /// Share of the engine's memory that the forecast may fill.
 const FILL: f64 = 0.97;
-/// Share of memory above which a running generation is held.
-const BRIM: f64 = 0.985;
-/// Steps ahead that a shortage is acted on.
-const NEAR: u32 = 8;
+/// Tokens ahead that a shortage is acted on.
+const NEAR: u32 = 2;
 /// Tokens that each generation has to have room for before a held one goes on.
 const SOON: u32 = 64;
 /// Prompt tokens that may be computed at one time beside running generations.
@@ -148,8 +146,9 @@
 /// and within it the one with the least work lost.
 fn overflow(board: &SidecarBoard) -> Option<JobKey> {
     let running = || board.in_phase(Phase::Running);
-    let near: u32 = running().map(|(_, j)| j.size() + NEAR).sum();
-    if f64::from(near) <= f64::from(board.engine.capacity) * BRIM || running().count() < 2 {
+    let block = board.engine.block;
+    let near: u32 = running().map(|(_, j)| (j.size() + NEAR).next_multiple_of(block)).sum();
+    if near <= board.engine.capacity || running().count() < 2 {
         return None;
     }
     running().min_by_key(|(_, j)| (j.start.rank, j.size())).map(|(k, _)| k)
--- a/src/place/mod.rs
+++ b/src/place/mod.rs
@@ -166,6 +166,17 @@
     }
 }
 
+/// Tells whether an endpoint would begin the request at once.
+pub fn has_room(board: &EntryBoard, need: &Need) -> bool {
+    board.endpoints.values().any(|e| {
+        let Some(r) = e.known.as_ref().map(|k| &k.report) else { return false };
+        let size = need.input.0 + r.mean + e.load + e.sent * r.mean;
+        let fits = f64::from(r.forecast + size) <= f64::from(r.capacity) * FULL;
+        let is_ready = in_pool(e, need) && has_loaded(e, need) && e.is_serving();
+        is_ready && eject::allows(e) && r.waiting + e.sent == 0 && fits
+    })
+}
+
 fn in_pool(e: &Endpoint, need: &Need) -> bool {
     e.known.as_ref().is_some_and(|k| k.report.pool == need.pool)
 }
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -1,6 +1,6 @@
 //! The model engine: streams, load reports, cache events and orders over HTTP.
 
-use super::{Sidecar, finish};
+use super::{Sidecar, Turn, finish};
 use crate::board::{Engine, JobKey, Phase};
 use crate::clock;
 use crate::event::Kind;
@@ -8,7 +8,7 @@
 use crate::id::Nonce;
 use crate::settings::EndpointKind;
 use awc::error::SendRequestError;
-use eventsource_stream::Eventsource;
+use eventsource_stream::{Event, Eventsource};
 use futures_util::StreamExt;
 use serde::Deserialize;
 use serde_json::json;
@@ -72,11 +72,18 @@
     boot: Arc<str>,
     capacity: u32,
     batch: u32,
+    #[serde(default = "default_block")]
+    block: u32,
     #[serde(default)]
     prefill_us: u64,
     loaded: Vec<Arc<str>>,
 }
 
+/// Tokens in a block where the engine does not say.
+fn default_block() -> u32 {
+    16
+}
+
 #[derive(Debug, Deserialize)]
 struct CacheEvent {
     seq: u64,
@@ -111,28 +118,33 @@
 }
 
 /// Runs a generation on the engine until it ends, is held or is cancelled.
-pub async fn run(s: Rc<Sidecar>, key: JobKey) {
-    let mut is_known = s.board.borrow().jobs.get(key).is_some_and(|j| !j.tokens.is_empty());
+pub async fn run(s: Rc<Sidecar>, turn: Turn) {
+    let mut is_known = turn.job(&s.board.borrow()).is_some_and(|j| !j.tokens.is_empty());
     loop {
-        let outcome = read_stream(&s, key, &mut is_known).await;
+        let outcome = read_stream(&s, turn, &mut is_known).await;
+        if turn.job(&s.board.borrow()).is_none() {
+            return;
+        }
         match outcome {
-            Outcome::Done(end) => return finish(&s, key, end),
+            Outcome::Done(end) => return finish(&s, turn.key, end),
             Outcome::Dropped => return,
-            Outcome::Broken => {
-                let board = s.board.borrow();
-                let Some(job) = board.jobs.get(key) else { return };
-                s.process.event(Kind::EngineSilent, &job.start.generation, "");
-            }
+            Outcome::Broken => note_silent(&s, turn),
             // The monitor decides whether the engine is lost, and ends the generation then.
             Outcome::Unreachable => {}
-            Outcome::Unknown => return finish(&s, key, Finish::Lost),
+            Outcome::Unknown => return finish(&s, turn.key, Finish::Lost),
         }
         tokio::time::sleep(PAUSE).await;
     }
 }
 
-async fn read_stream(s: &Rc<Sidecar>, key: JobKey, is_known: &mut bool) -> Outcome {
-    let Some((request, next)) = request(s, key, *is_known) else { return Outcome::Dropped };
+fn note_silent(s: &Sidecar, turn: Turn) {
+    if let Some(job) = turn.job(&s.board.borrow()) {
+        s.process.event(Kind::EngineSilent, &job.start.generation, "");
+    }
+}
+
+async fn read_stream(s: &Rc<Sidecar>, turn: Turn, is_known: &mut bool) -> Outcome {
+    let Some(request) = request(s, turn, *is_known) else { return Outcome::Dropped };
     let sent = tokio::time::timeout(CALL_TIME, request).await;
     // Whether or not an answer came, the engine may have the generation from now on.
     let res = match sent {
@@ -149,49 +161,49 @@
         _ => return Outcome::Done(Finish::NotRun(Refusal::Down)),
     }
     *is_known = true;
-    let mut next = next;
     let mut events = res.eventsource();
     loop {
-        let wait = silence(s);
-        let event = match tokio::time::timeout(wait, events.next()).await {
+        let event = match tokio::time::timeout(silence(s), events.next()).await {
             Ok(Some(Ok(event))) => event,
             Ok(_) | Err(_) => return Outcome::Broken,
         };
-        if event.data == "[DONE]" {
-            return Outcome::Done(Finish::Stop);
-        }
-        let Ok(chunk) = serde_json::from_str::<Chunk>(&event.data) else {
-            return Outcome::Broken;
-        };
-        let Ok(ix) = event.id.parse::<u32>() else { return Outcome::Broken };
-        let Some(choice) = chunk.choices.into_iter().next() else { return Outcome::Broken };
-        if !choice.text.is_empty() {
-            // A repeat of what is held is skipped; a gap means this is not our stream.
-            if ix > next {
-                return Outcome::Broken;
-            }
-            if ix == next && !push(s, key, choice.text) {
-                return Outcome::Dropped;
-            }
-            next = next.max(ix + 1);
-        }
-        match choice.finish_reason.as_deref() {
-            Some("stop") => return Outcome::Done(Finish::Stop),
-            Some("length") => return Outcome::Done(Finish::Length),
-            _ => {}
+        if let Some(outcome) = take_event(s, turn, &event) {
+            return outcome;
         }
     }
 }
 
-/// Makes the request that opens or resumes a stream; `None` once it is not running any more.
-fn request(s: &Sidecar, key: JobKey, is_known: bool) -> Option<(awc::SendClientRequest, u32)> {
+/// Takes over one event of the engine; returns the outcome where it ends the stream.
+fn take_event(s: &Sidecar, turn: Turn, event: &Event) -> Option<Outcome> {
+    if event.data == "[DONE]" {
+        return Some(Outcome::Done(Finish::Stop));
+    }
+    let chunk = serde_json::from_str::<Chunk>(&event.data).ok();
+    let choice = chunk.and_then(|c| c.choices.into_iter().next());
+    let (Some(choice), Ok(ix)) = (choice, event.id.parse::<u32>()) else {
+        return Some(Outcome::Broken);
+    };
+    if !choice.text.is_empty()
+        && let Some(outcome) = push(s, turn, ix, choice.text)
+    {
+        return Some(outcome);
+    }
+    match choice.finish_reason.as_deref() {
+        Some("stop") => Some(Outcome::Done(Finish::Stop)),
+        Some("length") => Some(Outcome::Done(Finish::Length)),
+        _ => None,
+    }
+}
+
+/// Makes the request that opens or resumes a stream; `None` once its turn is over.
+fn request(s: &Sidecar, turn: Turn, is_known: bool) -> Option<awc::SendClientRequest> {
     let board = s.board.borrow();
-    let job = board.jobs.get(key).filter(|j| j.phase == Phase::Running)?;
-    let next = job.tokens.len() as u32;
+    let job = turn.job(&board)?;
     let id = job.start.generation.nonce;
     if is_known {
+        let next = job.tokens.len();
         let url = s.engine.url(&format!("/v1/streams/{id}?from={next}"));
-        return Some((s.engine.client.get(url).send(), next));
+        return Some(s.engine.client.get(url).send());
     }
     let body = json!({
         "request_id": id.to_string(),
@@ -202,20 +214,26 @@
         "stream": true,
     });
     let url = s.engine.url("/v1/completions");
-    Some((s.engine.client.post(url).send_json(&body), next))
+    Some(s.engine.client.post(url).send_json(&body))
 }
 
 fn silence(s: &Sidecar) -> Duration {
     SILENCE.max(s.board.borrow().engine.gap * SILENT_STEPS)
 }
 
-/// Keeps a token; `false` where the generation is no longer running.
-fn push(s: &Sidecar, key: JobKey, text: Arc<str>) -> bool {
+/// Keeps the token with index `ix`; returns the outcome where it cannot be the next one.
+fn push(s: &Sidecar, turn: Turn, ix: u32, text: Arc<str>) -> Option<Outcome> {
     let mut board = s.board.borrow_mut();
     let board = &mut *board;
-    let Some(job) = board.jobs.get_mut(key).filter(|j| j.phase == Phase::Running) else {
-        return false;
-    };
+    if turn.job(board).is_none() {
+        return Some(Outcome::Dropped);
+    }
+    let job = board.jobs.get_mut(turn.key)?;
+    let next = job.tokens.len() as u32;
+    // A repeat of what is held is skipped; a gap means that this is not our stream.
+    if ix != next {
+        return (ix > next).then_some(Outcome::Broken);
+    }
     let now = clock::now();
     if job.warm {
         let gap = now.saturating_duration_since(job.active).as_secs_f64();
@@ -231,7 +249,7 @@
     job.tokens.push(text);
     board.fair.charge(&job.start.workspace, job.start.weight, 1);
     s.polls.touch();
-    true
+    None
 }
 
 /// Takes a generation off the engine; the engine keeps what it takes to resume it.
@@ -321,6 +339,7 @@
             alive: true,
             capacity: report.capacity,
             batch: report.batch,
+            block: report.block.max(1),
             gap,
             prefill: Duration::from_micros(report.prefill_us),
             loaded: report.loaded,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -5,7 +5,7 @@
 mod peers;
 mod polls;
 
-use crate::board::{JobKey, Phase, SidecarBoard};
+use crate::board::{Job, JobKey, Phase, SidecarBoard};
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::{Finish, Refusal, Report};
@@ -114,7 +114,7 @@
     let is_done = || {
         let now = clock::now();
         let board = s.board.borrow();
-        let is_read = |j: &crate::board::Job| j.delivered || j.active + LINGER <= now;
+        let is_read = |j: &Job| j.delivered || j.active + LINGER <= now;
         board.is_idle() && board.jobs.values().all(is_read)
     };
     while !is_done() {
@@ -167,14 +167,30 @@
     }
 }
 
+/// One time that a generation is on the engine.
+#[derive(Debug, Clone, Copy)]
+struct Turn {
+    key: JobKey,
+    n: u32,
+}
+
+impl Turn {
+    /// Returns the generation while this turn lasts.
+    fn job(self, board: &SidecarBoard) -> Option<&Job> {
+        board.jobs.get(self.key).filter(|j| j.phase == Phase::Running && j.turn == self.n)
+    }
+}
+
 fn begin(s: &Rc<Sidecar>, key: JobKey, kind: Kind) {
     let mut board = s.board.borrow_mut();
     let Some(job) = board.jobs.get_mut(key) else { return };
     job.phase = Phase::Running;
     job.warm = false;
+    job.turn += 1;
     job.active = clock::now();
     s.process.event(kind, &job.start.generation, format_args!("at={}", job.tokens.len()));
-    actix_rt::spawn(engine::run(s.clone(), key));
+    let turn = Turn { key, n: job.turn };
+    actix_rt::spawn(engine::run(s.clone(), turn));
 }
 
 fn hold(s: &Rc<Sidecar>, key: JobKey) {
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -47,6 +47,7 @@
 fn answer(s: &Rc<Sidecar>, request: Request) -> Reply {
     match request {
         Request::Start(start) => begin(s, *start),
+        Request::Withdraw(nonce) => Reply::Withdrawn(withdraw(s, nonce)),
         Request::Cancel(nonce) => Reply::Cancelled(stop(s, nonce)),
         Request::Seal(key) => Reply::Call(Box::new(calls::seal(s, &key))),
         Request::Ticket(fence) => draw(s, fence),
@@ -90,6 +91,7 @@
         active: now,
         wanted: now,
         warm: false,
+        turn: 0,
         delivered: false,
         start,
     };
@@ -101,6 +103,17 @@
     Reply::Accepted
 }
 
+/// Ends a generation if it has not begun, and seals it so that it never does.
+fn withdraw(s: &Rc<Sidecar>, nonce: Nonce) -> bool {
+    let key = s.board.borrow().nonces.get(&nonce).copied();
+    let Some(key) = key else { return false };
+    let is_queued = s.board.borrow().jobs[key].phase == Phase::Queued;
+    if is_queued {
+        finish(s, key, Finish::NotRun(Refusal::Busy));
+    }
+    is_queued
+}
+
 /// Ends a generation; tells whether it had begun.
 fn stop(s: &Rc<Sidecar>, nonce: Nonce) -> bool {
     let board = s.board.borrow();
--- a/standin/src/engine/model.rs
+++ b/standin/src/engine/model.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// Tokens in one block of memory.
-const BLOCK: u32 = 16;
+pub const BLOCK: u32 = 16;
 /// Share of blocks kept free when a generation is admitted, in percent.
 const WATERMARK: u32 = 1;
 
--- a/standin/src/engine/serve.rs
+++ b/standin/src/engine/serve.rs
@@ -278,6 +278,7 @@
         "boot": e.boot,
         "capacity": e.params.capacity,
         "batch": e.params.batch,
+        "block": super::model::BLOCK,
         "prefill_us": e.params.prefill.as_micros() as u64,
         "used": e.model.borrow().used(),
         "running": running,
--- a/tests/scenario/gate.rs
+++ b/tests/scenario/gate.rs
@@ -101,6 +101,7 @@
             active: now,
             wanted: now,
             warm: false,
+            turn: 0,
             delivered: false,
             start,
         };
