Balance endpoints by what runs on them, and let the reserve shrink with the wait

Cause: the cost of placement used the mean rest of each endpoint's generations, so endpoints with long ones were avoided and the others overloaded; among costs within 10% the choice was random, which is several requests apart. Prompts paced one at a time queued behind each other in bursts. Change: cost from prompts, running generations, memory to the fourth power and queue, random only within 1%; the reserve falls from 2 to 0.8 deviations over 2.5 s of waiting; prompts of 1024 tokens may be computed at one time.

--- a/src/gate/forecast.rs
+++ b/src/gate/forecast.rs
@@ -3,14 +3,26 @@
 use crate::board::{Job, Phase, SidecarBoard};
 use crate::id::Tokens;
 use crate::length::Curve;
+use std::time::Duration;
 
 /// Points ahead, in tokens per generation, at which memory is forecast.
 const AHEAD: [u32; 28] = [
     0, 8, 16, 24, 32, 48, 64, 80, 100, 128, 160, 200, 256, 320, 400, 512, 640, 800, 1000, 1300,
     1700, 2200, 2900, 4000, 6000, 9000, 16_000, 32_000,
 ];
-/// Standard deviations kept in reserve.
-const RESERVE: f64 = 1.5;
+/// Standard deviations kept in reserve for a generation that has just come.
+const RESERVE_MOST: f64 = 2.0;
+/// Standard deviations kept in reserve for one that has waited long.
+const RESERVE_LEAST: f64 = 0.8;
+/// Wait over which the reserve shrinks from the most to the least.
+const SHRINK_TIME: Duration = Duration::from_millis(2500);
+
+/// Returns the standard deviations to keep in reserve after a wait: a generation that waits long
+/// takes more risk of being held later.
+pub fn reserve(waited: Duration) -> f64 {
+    let part = (waited.as_secs_f64() / SHRINK_TIME.as_secs_f64()).min(1.0);
+    RESERVE_MOST + (RESERVE_LEAST - RESERVE_MOST) * part
+}
 
 /// One generation as the forecast sees it.
 #[derive(Debug, Clone)]
@@ -42,13 +54,13 @@
 }
 
 /// Returns the most memory needed at any point ahead, with the reserve, in tokens.
-pub fn peak(loads: &[Load]) -> f64 {
-    AHEAD.iter().map(|n| need(loads, *n)).fold(0.0, f64::max)
+pub fn peak(loads: &[Load], reserve: f64) -> f64 {
+    AHEAD.iter().map(|n| need(loads, *n, reserve)).fold(0.0, f64::max)
 }
 
 /// Returns the memory needed `n` tokens ahead: the mean and a reserve of standard deviations,
 /// where each generation has by then ended or grown by `n`.
-fn need(loads: &[Load], n: u32) -> f64 {
+fn need(loads: &[Load], n: u32, reserve: f64) -> f64 {
     let (mut mean, mut variance) = (0.0, 0.0);
     for l in loads {
         if l.done.0 + n > l.limit.0 {
@@ -59,5 +71,5 @@
         mean += p * size;
         variance += p * (1.0 - p) * size * size;
     }
-    mean + RESERVE * variance.sqrt()
+    mean + reserve * variance.sqrt()
 }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -6,7 +6,7 @@
 
 mod forecast;
 
-pub use forecast::{Load, peak};
+pub use forecast::{Load, peak, reserve};
 
 use crate::board::{Job, JobKey, Phase, SidecarBoard};
 use crate::frame::{Refusal, Start};
@@ -14,13 +14,13 @@
 use std::time::{Duration, Instant};
 
 /// Share of the engine's memory that the forecast may fill.
-const FILL: f64 = 0.97;
+const FILL: f64 = 0.98;
 /// Tokens ahead that a shortage is acted on.
 const NEAR: u32 = 2;
 /// Tokens that each generation has to have room for before a held one goes on.
 const SOON: u32 = 64;
 /// Prompt tokens that may be computed at one time beside running generations.
-const PREFILL_WINDOW: u32 = 512;
+const PREFILL_WINDOW: u32 = 1024;
 /// Wait that raises a generation by one rank.
 const AGE_STEP: Duration = Duration::from_secs(2);
 /// Wait after which a generation that does not fit blocks those behind it.
@@ -164,7 +164,7 @@
     let loads: Vec<Load> = forecast::loads(board);
     for key in ordered(now, board).into_iter().take(LOOK) {
         let job = &board.jobs[key];
-        if fits(board, &loads, job, running) {
+        if fits(now, board, &loads, job, running) {
             return Some(match job.phase {
                 Phase::Held => Action::Continue(key),
                 _ => Action::Begin(key),
@@ -200,7 +200,7 @@
     f64::from(job.start.rank) + (waited.as_secs_f64() / AGE_STEP.as_secs_f64()).floor()
 }
 
-fn fits(board: &SidecarBoard, loads: &[Load], job: &Job, running: u32) -> bool {
+fn fits(now: Instant, board: &SidecarBoard, loads: &[Load], job: &Job, running: u32) -> bool {
     if running == 0 {
         return true;
     }
@@ -219,7 +219,8 @@
         // Its reader is waiting in the middle of an answer, so some room is enough.
         return all.iter().map(|l| f64::from(l.size.0 + SOON)).sum::<f64>() <= usable;
     }
-    peak(&all) <= usable
+    let waited = now.saturating_duration_since(job.arrived);
+    peak(&all, reserve(waited)) <= usable
 }
 
 /// Estimates the time until a new generation would have its first token.
@@ -230,12 +231,13 @@
     loads.push(Load { size: start.input, done: Tokens(0), limit: start.limit, curve });
     let n = loads.len() as u32;
     let usable = f64::from(board.engine.capacity) * FILL;
-    let excess = (peak(&loads) - usable).max(0.0);
+    let peak = peak(&loads, reserve(Duration::ZERO));
+    let excess = (peak - usable).max(0.0);
     if excess == 0.0 && n <= board.engine.batch {
         return prefill;
     }
     // Generations have to end until the rest fits; running ones end at an even pace.
-    let share = peak(&loads) / f64::from(n);
+    let share = peak / f64::from(n);
     let must_end = (excess / share).max(f64::from(n.saturating_sub(board.engine.batch)));
     let left: u64 = loads.iter().map(|l| u64::from(l.curve.remaining(l.done, l.limit).0)).sum();
     let turn = board.engine.gap.as_secs_f64() * left as f64 / f64::from(n);
@@ -251,7 +253,7 @@
 
 /// Returns the most memory that running and queued work is forecast to need, in tokens.
 pub fn forecast(board: &SidecarBoard) -> f64 {
-    peak(&all_loads(board))
+    peak(&all_loads(board), reserve(Duration::ZERO))
 }
 
 /// Returns the mean number of tokens that a running generation has to come.
--- a/src/place/mod.rs
+++ b/src/place/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::board::{Endpoint, EndpointKey, EntryBoard};
 use crate::eject;
-use crate::frame::Refusal;
+use crate::frame::{Refusal, Report};
 use crate::id::{DataCentre, Fingerprint, InstanceId, Tokens};
 use crate::settings::Placement;
 use rand::Rng;
@@ -13,13 +13,21 @@
 pub const SUBSET: usize = 16;
 /// Time that a request to another data centre loses, in microseconds.
 const FAR: f64 = 2_000.0;
-/// Weight of the pace of an endpoint against the wait for its first token.
-const PACE: f64 = 0.3;
-/// Share of memory past which an endpoint counts as nearly full.
-const FULL: f64 = 0.85;
+/// Time that each running generation adds to a batch step, in microseconds.
+const SLOWDOWN: f64 = 200.0;
+/// Output that the pace of an endpoint is weighed by, in tokens.
+const OUTPUT: f64 = 150.0;
+/// Cost of a memory that is just full, in microseconds.
+const MEMORY: f64 = 1_000_000.0;
+/// Cost of each generation that waits for the endpoint already, in microseconds.
+const QUEUED: f64 = 100_000.0;
+/// Share of memory past which an endpoint would not begin another generation at once.
+const FULL: f64 = 0.92;
 /// Costs within this factor of the lowest count as equal.
-const NEAR: f64 = 1.1;
-/// Time to compute one prompt token, in microseconds, for comparison only.
+const NEAR: f64 = 1.01;
+/// Tokens of a prompt that a cached prefix saves.
+const PREFIX_TOKENS: u32 = 64;
+/// Time to compute one prompt token, in microseconds.
 const PREFILL: f64 = 100.0;
 
 /// What a request needs.
@@ -144,34 +152,33 @@
     /// Estimates what a request costs its caller at an endpoint, in microseconds.
     fn cost(&self, e: &Endpoint, need: &Need) -> f64 {
         let Some(r) = e.known.as_ref().map(|k| &k.report) else { return f64::INFINITY };
-        let is_cached = r.prefixes.contains(&need.prefix);
-        let input = if is_cached { 0.0 } else { f64::from(need.input.0) };
-        let ahead = f64::from(r.backlog + e.load);
+        let cached = if r.prefixes.contains(&need.prefix) { PREFIX_TOKENS } else { 0 };
+        let prompts = need.input.0.saturating_sub(cached) + r.backlog + e.load;
         let distance = if e.centre == self.centre { 0.0 } else { FAR };
-        let running = f64::from(r.running + r.waiting + e.sent);
-        let mean = f64::from(r.mean.max(16));
-        let gap = f64::from(r.gap.max(1_000));
-        let size = f64::from(need.input.0) + mean;
-        let fill = if r.capacity == 0 {
-            running / 64.0
-        } else {
-            let sent = f64::from(e.load) + f64::from(e.sent) * mean;
-            (f64::from(r.forecast) + sent + size) / f64::from(r.capacity)
-        };
-        // A full endpoint starts the request only as running ones end.
-        let queue = (fill - FULL).max(0.0) * mean * gap + f64::from(r.waiting) * mean * gap / 8.0;
-        let pace = PACE * mean * gap * (0.5 + fill.min(1.5));
-        let alone = if need.alone { running * mean * gap } else { 0.0 };
-        (input + ahead) * PREFILL + distance + queue + pace + alone + 1.0
+        let others = f64::from(r.running + r.waiting + e.sent);
+        let pace = others * SLOWDOWN * OUTPUT;
+        let memory = MEMORY * fill(r, e, need).powi(4);
+        let queue = f64::from(r.waiting) * QUEUED;
+        let alone = if need.alone { others * QUEUED } else { 0.0 };
+        f64::from(prompts) * PREFILL + distance + pace + memory + queue + alone + 1.0
     }
 }
 
+/// Returns the share of memory that an endpoint is forecast to need with the request.
+fn fill(r: &Report, e: &Endpoint, need: &Need) -> f64 {
+    if r.capacity == 0 {
+        return 0.0;
+    }
+    let sent = f64::from(e.load) + f64::from(e.sent) * OUTPUT;
+    let size = f64::from(need.input.0) + OUTPUT;
+    (f64::from(r.forecast) + sent + size) / f64::from(r.capacity)
+}
+
 /// Tells whether an endpoint would begin the request at once.
 pub fn has_room(board: &EntryBoard, need: &Need) -> bool {
     board.endpoints.values().any(|e| {
         let Some(r) = e.known.as_ref().map(|k| &k.report) else { return false };
-        let size = need.input.0 + r.mean + e.load + e.sent * r.mean;
-        let fits = f64::from(r.forecast + size) <= f64::from(r.capacity) * FULL;
+        let fits = fill(r, e, need) <= FULL;
         let is_ready = in_pool(e, need) && has_loaded(e, need) && e.is_serving();
         is_ready && eject::allows(e) && r.waiting + e.sent == 0 && fits
     })
--- a/standin/src/bench/workload.rs
+++ b/standin/src/bench/workload.rs
@@ -120,7 +120,7 @@
             }
             Workload::Cymdeithas => {
                 let params = Params {
-                    capacity: 16_384,
+                    capacity: 8192,
                     base: Duration::from_millis(10),
                     loaded: vec!["hire-draft+@v1".into()],
                     ..Params::default()
