--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -143,10 +143,13 @@
     if matches!(terms.kind, crate::text::ServiceKind::Model(_)) {
         return Err(Problem::new(ProblemKind::NotFound, "this is a model service"));
     }
-    let _open = e.enter(workspace)?;
-    request::check_dependencies(e, &text, &service)?;
+    let is_once = terms.is_once(req.method.as_str(), path);
+    // Nobody has looked yet whether the call ran before, through another entry.
+    let doubt = |p: Problem| if is_once { p.unsure() } else { p };
+    let _open = e.enter(workspace).map_err(doubt)?;
+    request::check_dependencies(e, &text, &service).map_err(doubt)?;
     let call = call(req, if path.is_empty() { "/" } else { path }, terms.first);
-    if terms.is_once(req.method.as_str(), path) {
+    if is_once {
         once(e, req, workspace, &service, call).await
     } else {
         repeatable(e, &service, call).await
@@ -240,7 +243,8 @@
 
 /// Claims a key of the caller's for one sidecar run, or reads who has it.
 async fn claim(e: &Rc<Entry>, service: &ServiceName, hash: Fingerprint) -> Result<Home, Problem> {
-    let home = choose_home(e, service).map_err(|r| Problem::from(r).retry(RETRY));
+    // A copy that is still under way may claim the key later, so nothing is said for ever.
+    let home = choose_home(e, service).map_err(|r| Problem::from(r).retry(RETRY).unsure());
     // With no endpoint to offer, the key may still be claimed for one from before.
     let found = claims::claim(e, service, hash, home.clone().ok()).await;
     match found {
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -99,6 +99,8 @@
         Ok(()) => {
             e.process.event(Kind::Adopted, copy.version, format_args!("from={from}"));
             metrics::gauge!("intent_version").set(copy.version.0 as f64);
+            // Each poll names the version in force here, and a sidecar behind it answers at once.
+            e.links.borrow().values().for_each(|link| link.poke());
             true
         }
         Err(AdoptError::Invalid) => {
--- a/src/problem/mod.rs
+++ b/src/problem/mod.rs
@@ -118,6 +118,8 @@
     pub retry: Option<Duration>,
     /// What a reader needs besides.
     pub detail: Box<str>,
+    /// Tells that an earlier copy of the request may have run.
+    pub unsure: bool,
 }
 
 #[derive(Serialize)]
@@ -133,7 +135,7 @@
 impl Problem {
     /// Makes a refusal without a time to come back.
     pub fn new(kind: ProblemKind, detail: impl Into<Box<str>>) -> Self {
-        Problem { kind, retry: None, detail: detail.into() }
+        Problem { kind, retry: None, detail: detail.into(), unsure: false }
     }
 
     /// Adds the time to come back.
@@ -142,6 +144,20 @@
         self
     }
 
+    /// Takes back what the kind says of the work, as an earlier copy of it may have run.
+    pub fn unsure(mut self) -> Self {
+        self.unsure = true;
+        self
+    }
+
+    /// Returns what the refusal says of the work.
+    pub fn outcome(&self) -> Outcome {
+        match self.kind.outcome() {
+            Outcome::NotRun if self.unsure => Outcome::Unknown,
+            outcome => outcome,
+        }
+    }
+
     /// Returns the problem document.
     pub fn to_json(&self) -> String {
         let kind = self.kind.to_string();
@@ -150,7 +166,7 @@
             kind: format!("urn:skylarkthread:problem:{kind}"),
             status: self.kind.status(),
             detail: &self.detail,
-            outcome: self.kind.outcome(),
+            outcome: self.outcome(),
         };
         // A document of plain text and numbers always serializes.
         serde_json::to_string(&document).unwrap_or_default()
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -21,6 +21,8 @@
 const CALL_TIME: Duration = Duration::from_secs(1);
 /// Time between two load reports.
 const LOAD_TIME: Duration = Duration::from_millis(200);
+/// Load reports for each look at the cache events.
+const CACHE_LOOKS: u32 = 5;
 /// Load reports that may be missed before the engine counts as lost.
 const MISSES: u32 = 5;
 /// Shortest silence of a stream after which it is opened anew.
@@ -255,6 +257,7 @@
 struct Monitor {
     boot: Option<Arc<str>>,
     misses: u32,
+    looks: u32,
     seq: u64,
     prefixes: HashMap<u32, u64>,
 }
@@ -265,7 +268,10 @@
             Ok(report) => {
                 self.misses = 0;
                 self.note(s, report);
-                self.read_cache(s).await;
+                self.looks += 1;
+                if self.looks.is_multiple_of(CACHE_LOOKS) {
+                    self.read_cache(s).await;
+                }
             }
             Err(is_refused) => self.miss(s, is_refused),
         }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -29,8 +29,10 @@
 
 /// Time to connect to the endpoint.
 const CONNECT_TIME: Duration = Duration::from_millis(500);
-/// Time between two looks at the queue where nothing else prompts one.
+/// Time between two looks at the queue while generations wait.
 const STEP_TIME: Duration = Duration::from_millis(5);
+/// Time between two looks where nothing waits.
+const IDLE_TIME: Duration = Duration::from_millis(50);
 /// Crashes named in each report.
 const CRASHES_TOLD: usize = 16;
 /// Time that an ended generation is offered to readers during a stop.
@@ -144,7 +146,13 @@
 /// Runs the controllers whenever something happened, and at short intervals.
 async fn drive(s: Rc<Sidecar>) {
     loop {
-        let _ = tokio::time::timeout(STEP_TIME, s.wake.notified()).await;
+        let is_waiting = {
+            let board = s.board.borrow();
+            board.jobs.values().any(|j| matches!(j.phase, Phase::Queued | Phase::Held))
+                || board.count(Phase::Running) > 0
+        };
+        let wait = if is_waiting { STEP_TIME } else { IDLE_TIME };
+        let _ = tokio::time::timeout(wait, s.wake.notified()).await;
         let now = clock::now();
         s.ledger.borrow_mut().step(now);
         // Each action changes what the next one may be.
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -25,7 +25,13 @@
 
 fn handle(s: &Rc<Sidecar>, envelope: Envelope<Request>, responder: Responder) {
     match envelope.body {
-        Request::Poll(poll) => polls::hold(s, poll, responder),
+        Request::Poll(mut poll) => {
+            // An entry with a newer text is answered at once, so that it hands the text over.
+            if envelope.version > s.process.version() {
+                poll.hold = 0;
+            }
+            polls::hold(s, poll, responder);
+        }
         Request::Call(call) => {
             let s = s.clone();
             actix_rt::spawn(async move {
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod common;
+mod day;
 mod hostile;
 mod intent;
 mod memory;
