Do not say not-run where an entry cannot know

Change: an entry without a text refuses with 503 and a time to come back; every refusal of a call before its home was asked says unknown.

--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -139,7 +139,9 @@
     let service = scan_service(name)?;
     let text = e.text();
     let terms = text.services.get(&service);
-    let terms = terms.ok_or_else(|| Problem::new(ProblemKind::NotFound, "no such service"))?;
+    // Another entry may have a newer text that names it, and may have run the call.
+    let missing = || Problem::new(ProblemKind::NotFound, "no such service").unsure();
+    let terms = terms.ok_or_else(missing)?;
     if matches!(terms.kind, crate::text::ServiceKind::Model(_)) {
         return Err(Problem::new(ProblemKind::NotFound, "this is a model service"));
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -124,8 +124,10 @@
         "/healthz" => return health(&e),
         _ => {}
     }
+    let is_call = req.path().starts_with("/s/");
     let answered = match http::read(req, http::BODY_LIMIT.max(crate::text::TEXT_LIMIT)).await {
         Ok(incoming) => route(&e, incoming).await,
+        Err(p) if is_call => Err(p.unsure()),
         Err(p) => Err(p),
     };
     answered.unwrap_or_else(|p| {
@@ -149,7 +151,14 @@
         let detail = format!("the body is over {} bytes", http::BODY_LIMIT);
         return Err(Problem::new(ProblemKind::TooLarge, detail));
     }
-    let workspace = authenticate(e, &req)?;
+    // An entry that has no text yet, or an old one, cannot tell whether a call ran elsewhere.
+    let is_call = path.starts_with("/s/");
+    let doubt = |p: Problem| if is_call { p.unsure() } else { p };
+    if e.process.version().0 == 0 {
+        let problem = Problem::new(ProblemKind::NotReady, "no text is in force here yet");
+        return Err(doubt(problem.retry(DRAIN_RETRY)));
+    }
+    let workspace = authenticate(e, &req).map_err(doubt)?;
     match (&req.method, &*path) {
         (&Method::POST, "/v1/completions") => generate::answer(e, &req, workspace, false).await,
         (&Method::POST, "/v1/chat/completions") => generate::answer(e, &req, workspace, true).await,
--- a/src/problem/mod.rs
+++ b/src/problem/mod.rs
@@ -54,6 +54,8 @@
     Gone,
     /// This process takes no new work.
     Draining,
+    /// This process has no text in force yet.
+    NotReady,
     /// A submission lost a race.
     Conflict,
     /// A submitted text has faults.
@@ -75,7 +77,10 @@
             ProblemKind::TooMany => 429,
             ProblemKind::Unknown | ProblemKind::Incomplete => 502,
             ProblemKind::Refused(Refusal::Expired) => 504,
-            ProblemKind::NoClaim | ProblemKind::Refused(_) | ProblemKind::Draining => 503,
+            ProblemKind::NoClaim
+            | ProblemKind::Refused(_)
+            | ProblemKind::Draining
+            | ProblemKind::NotReady => 503,
         }
     }
 
--- a/tests/deployment/calls.rs
+++ b/tests/deployment/calls.rs
@@ -195,3 +195,21 @@
     assert!(call.await.unwrap().is_ok());
     assert_eq!(fleet.endpoints[ix].sidecar.exit(Duration::from_secs(10)), Some(0));
 }
+
+#[actix_rt::test]
+async fn an_entry_without_a_text_does_not_say_that_a_call_did_not_run() {
+    let mut fleet = fleet().await;
+    let caller = Caller::new("key-1");
+    caller.call(fleet.entry(0), "POST", CALL, Some("k"), "x").await.unwrap();
+    // Nobody is left to learn the text from.
+    fleet.store.faults(|f| f.down = true);
+    (0..3).for_each(|ix| fleet.unlist(ix));
+    for ix in 0..3 {
+        fleet.restart_entry(ix);
+    }
+    let answered = async || {
+        let r = caller.call(fleet.entry(0), "POST", CALL, Some("k"), "x").await;
+        matches!(r, Err(Failed::Refused(r)) if &*r.outcome == "unknown" && r.retry.is_some())
+    };
+    assert!(wait(5, answered).await);
+}
