Remove what nothing reads any more

Cause: a second reading of the change found code left dead by it: the report's mean output, worked out for every poll answer though placement stopped using it; scan_model; the role of a peer; the test caller's skip count. No behaviour, bound or assertion changes.

--- a/src/board/entry.rs
+++ b/src/board/entry.rs
@@ -2,7 +2,7 @@
 
 use crate::frame::Report;
 use crate::id::{DataCentre, Incarnation, InstanceId};
-use crate::platform::{ListedState, Role};
+use crate::platform::ListedState;
 use slotmap::{SlotMap, new_key_type};
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -80,8 +80,6 @@
     pub centre: DataCentre,
     /// Address.
     pub peer: SocketAddr,
-    /// Role.
-    pub role: Role,
 }
 
 /// The state of an entry that its controllers share.
--- a/src/frame/mod.rs
+++ b/src/frame/mod.rs
@@ -8,8 +8,8 @@
 use crate::event::{Event, Filter};
 use crate::hlc::Stamp;
 use crate::id::{
-    Epoch, Fence, Fingerprint, GenerationId, Incarnation, InstanceId, IntentVersion, ModelName,
-    Nonce, ServiceName, Tokens, Workspace,
+    Epoch, Fence, Fingerprint, GenerationId, Incarnation, InstanceId, IntentVersion, Nonce,
+    ServiceName, Tokens, Workspace,
 };
 use hmac::{Hmac, Mac};
 use serde::de::DeserializeOwned;
@@ -245,8 +245,6 @@
     pub forecast: u32,
     /// Time between tokens at present, in microseconds.
     pub gap: u32,
-    /// Mean output of recent generations in tokens.
-    pub mean: u32,
     /// Epoch in which new calls are recorded.
     pub epoch: Epoch,
     /// Hashes of prompt prefixes that the engine holds, as far as known.
@@ -435,10 +433,5 @@
     Unsupported,
 }
 
-/// Names the base model that a spec in text form is for.
-pub fn scan_model(spec: &str) -> Option<ModelName> {
-    spec.split_once('+')?.0.parse().ok()
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -35,8 +35,6 @@
 const KEEP: Duration = Duration::from_secs(60);
 /// Longest wait that is worth telling apart.
 const MAX_WAIT: Duration = Duration::from_secs(600);
-/// Length past which the mean of what is left is cut off.
-const MEAN_LIMIT: Tokens = Tokens(32_768);
 /// Time after which a generation that nobody reads is ended.
 const ABANDONED: Duration = Duration::from_secs(6);
 
@@ -256,13 +254,6 @@
     peak(&all_loads(board), reserve(Duration::ZERO))
 }
 
-/// Returns the mean number of tokens that a running generation has to come.
-pub fn mean_left(board: &SidecarBoard) -> Tokens {
-    let loads = forecast::loads(board);
-    let left: u32 = loads.iter().map(|l| l.curve.remaining(l.done, MEAN_LIMIT).0).sum();
-    Tokens(left / (loads.len() as u32).max(1))
-}
-
 /// Counts the prompt tokens that wait to be computed.
 pub fn backlog(board: &SidecarBoard) -> u32 {
     let is_cold = |j: &Job| match j.phase {
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -31,12 +31,7 @@
     board.entries = rows
         .iter()
         .filter(|r| r.role == Role::Entry && r.instance != *own && r.state == ListedState::Live)
-        .map(|r| Peer {
-            instance: r.instance.clone(),
-            centre: r.centre.clone(),
-            peer: r.peer,
-            role: r.role,
-        })
+        .map(|r| Peer { instance: r.instance.clone(), centre: r.centre.clone(), peer: r.peer })
         .collect();
     let mut changes = Vec::new();
     for row in rows.iter().filter(|r| r.role == Role::Endpoint) {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -264,7 +264,6 @@
         capacity: engine.capacity,
         forecast: gate::forecast(&board) as u32,
         gap: engine.gap.as_micros() as u32,
-        mean: gate::mean_left(&board).0,
         epoch: s.ledger.borrow().epoch(),
         prefixes: engine.prefixes.clone(),
         crashes: board.crashes[skip..].to_vec(),
--- a/standin/src/caller/mod.rs
+++ b/standin/src/caller/mod.rs
@@ -123,7 +123,7 @@
             "model": service, "prompt": prompt, "max_tokens": limit, "stream": true
         });
         let sent = self.request("POST", &format!("http://{entry}/v1/completions"));
-        self.begin(sent.send_json(&body).await, 0).await
+        self.begin(sent.send_json(&body).await).await
     }
 
     /// Resumes a generation after the last token of `reading`, through any entry.
@@ -138,7 +138,7 @@
             let id = format!("{}:{}", reading.generation, last.ix);
             req = req.insert_header(("last-event-id", id));
         }
-        let mut next = self.begin(req.send().await, reading.tokens.len()).await?;
+        let mut next = self.begin(req.send().await).await?;
         next.tokens = reading.tokens.clone();
         next.generation = reading.generation.clone();
         Ok(next)
@@ -147,7 +147,6 @@
     async fn begin<S>(
         &self,
         sent: Result<awc::ClientResponse<S>, awc::error::SendRequestError>,
-        skip: usize,
     ) -> Result<Reading, Failed>
     where
         S: futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + 'static,
@@ -165,14 +164,7 @@
         // Comments keep a connection known to be alive, but are no events.
         let bytes = res.inspect(move |_| seen.set(clock::now()));
         let events = bytes.eventsource().boxed_local();
-        Ok(Reading {
-            generation: Arc::from(""),
-            tokens: Vec::new(),
-            end: None,
-            skip: skip as u32,
-            heard,
-            events,
-        })
+        Ok(Reading { generation: Arc::from(""), tokens: Vec::new(), end: None, heard, events })
     }
 
     /// Calls a plain service.
@@ -232,7 +224,6 @@
     pub tokens: Vec<Token>,
     /// How it ended, once it did.
     pub end: Option<End>,
-    skip: u32,
     heard: Rc<Cell<Instant>>,
     events: Events,
 }
@@ -286,11 +277,6 @@
         self.end.clone().unwrap_or(End::Dropped)
     }
 
-    /// Tells from which token on this connection was asked to read.
-    pub fn skipped(&self) -> u32 {
-        self.skip
-    }
-
     /// Checks that each token is here once, in order and of one generation.
     pub fn faults(&self) -> Vec<Fault> {
         let mut faults = Vec::new();
