Name the store and the instance list by what they are

Cause: src/platform/ is to hold the adapter to the users' platform and nothing else. The etcd driver, the instance list and the store's trait move to src/store/ unchanged.

--- a/src/board/entry.rs
+++ b/src/board/entry.rs
@@ -2,7 +2,7 @@
 
 use crate::frame::Report;
 use crate::id::{DataCentre, Incarnation, InstanceId};
-use crate::platform::ListedState;
+use crate::store::ListedState;
 use slotmap::{SlotMap, new_key_type};
 use std::net::SocketAddr;
 use std::time::Instant;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -20,7 +20,7 @@
 use crate::id::{InstanceId, IntentVersion, Workspace};
 use crate::peer::{Listener, PeerError};
 use crate::place::Placer;
-use crate::platform::{Etcd, InstanceList};
+use crate::store::{Etcd, InstanceList};
 use crate::problem::{Problem, ProblemKind};
 use crate::process::Process;
 use crate::shutdown;
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -9,7 +9,7 @@
 use crate::intent::{AdoptError, HEAD_KEY, Head, read_store};
 use crate::peer::Link;
 use crate::place;
-use crate::platform::{Store, StoreError};
+use crate::store::{Store, StoreError};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
--- a/src/intent/submit.rs
+++ b/src/intent/submit.rs
@@ -7,7 +7,7 @@
 use super::{chunks, hash};
 use crate::frame::IntentCopy;
 use crate::id::IntentVersion;
-use crate::platform::{Compare, Op, Store, StoreError};
+use crate::store::{Compare, Op, Store, StoreError};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::sync::Arc;
--- a/src/intent/tests.rs
+++ b/src/intent/tests.rs
@@ -2,7 +2,7 @@
 
 use super::submit::part_key;
 use super::*;
-use crate::platform::{Compare, LeaseId, Op, Outcome, Store, StoreError, Stored};
+use crate::store::{Compare, LeaseId, Op, Outcome, Store, StoreError, Stored};
 use proptest::prelude::*;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/src/lead/elect.rs
+++ b/src/lead/elect.rs
@@ -2,7 +2,7 @@
 
 use super::guard::TICKET_TIME;
 use crate::id::{Fence, InstanceId};
-use crate::platform::{Compare, LeaseId, Op, Store, StoreError};
+use crate::store::{Compare, LeaseId, Op, Store, StoreError};
 use std::time::{Duration, Instant};
 
 /// Time that a lease lasts without renewal.
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -6,7 +6,7 @@
 
 use crate::board::{Endpoint, EndpointKey, EntryBoard, Health, Peer};
 use crate::id::InstanceId;
-use crate::platform::{Listed, ListedState, Role};
+use crate::store::{Listed, ListedState, Role};
 use std::time::Instant;
 
 /// A change of the view.
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -16,7 +16,7 @@
 use crate::lead::{FENCE_KEY, Guard};
 use crate::once::{Ledger, Limits};
 use crate::peer::{Listener, PeerError};
-use crate::platform::{Etcd, Store};
+use crate::store::{Etcd, Store};
 use crate::process::Process;
 use crate::settings::{Admission, EndpointKind, EndpointSettings};
 use crate::shutdown;
--- a/standin/src/fleet/mod.rs
+++ b/standin/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 use crate::wire::Wire;
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
-use skylarkthread::platform::{Listed, ListedState, Role};
+use skylarkthread::store::{Listed, ListedState, Role};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
--- a/standin/src/list/mod.rs
+++ b/standin/src/list/mod.rs
@@ -4,7 +4,7 @@
 use skylarkthread::clock;
 use skylarkthread::http;
 use skylarkthread::id::InstanceId;
-use skylarkthread::platform::{Listed, ListedState};
+use skylarkthread::store::{Listed, ListedState};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
--- a/standin/src/slopes/peers.rs
+++ b/standin/src/slopes/peers.rs
@@ -7,7 +7,7 @@
 use skylarkthread::hlc::Hlc;
 use skylarkthread::id::{Incarnation, IntentVersion};
 use skylarkthread::peer::{Listener, Responder};
-use skylarkthread::platform::{Listed, ListedState, Role};
+use skylarkthread::store::{Listed, ListedState, Role};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/tests/scenario/member.rs
+++ b/tests/scenario/member.rs
@@ -7,7 +7,7 @@
 use skylarkthread::frame::Report;
 use skylarkthread::id::Incarnation;
 use skylarkthread::member::{self, Change};
-use skylarkthread::platform::{Listed, ListedState, Role};
+use skylarkthread::store::{Listed, ListedState, Role};
 use std::net::SocketAddr;
 use std::time::Instant;
 
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -11,7 +11,7 @@
 use skylarkthread::board::{Endpoint, Health, Known};
 use skylarkthread::frame::Report;
 use skylarkthread::id::Incarnation;
-use skylarkthread::platform::ListedState;
+use skylarkthread::store::ListedState;
 use std::net::SocketAddr;
 use std::str::FromStr;
 use std::time::{Duration, Instant};
