--- a/src/board/entry.rs
+++ b/src/board/entry.rs
@@ -5,13 +5,18 @@
 use crate::store::ListedState;
 use slotmap::{SlotMap, new_key_type};
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 new_key_type! {
     /// Names an endpoint on the board of an entry.
     pub struct EndpointKey;
 }
 
+/// Time an endpoint stays out after its first ejection.
+const EJECT_BASE: Duration = Duration::from_secs(2);
+/// Longest time an endpoint stays out.
+const EJECT_MAX: Duration = Duration::from_secs(60);
+
 /// Failures of an endpoint.
 #[derive(Debug, Default)]
 pub struct Health {
@@ -25,6 +30,48 @@
     pub trial: bool,
 }
 
+/// Failures in a row after which an endpoint is ejected.
+pub const FAILURE_LIMIT: u32 = 3;
+
+impl Health {
+    /// Counts a failure to serve.
+    pub fn fail(&mut self) {
+        self.failures += 1;
+        // One failure on trial is enough to end the trial.
+        if self.trial {
+            self.failures = self.failures.max(FAILURE_LIMIT);
+        }
+    }
+
+    /// Counts a request that was served well.
+    pub fn succeed(&mut self) {
+        self.failures = 0;
+        if self.trial {
+            self.trial = false;
+            self.ejections = 0;
+        }
+    }
+
+    /// Takes the endpoint out of service for a time that doubles with each ejection.
+    pub fn eject(&mut self, now: Instant) -> Instant {
+        let until = now + EJECT_BASE.saturating_mul(1 << self.ejections.min(5)).min(EJECT_MAX);
+        self.until = Some(until);
+        self.ejections += 1;
+        until
+    }
+
+    /// Lets an endpoint whose time is up back on trial; `true` where that changed something.
+    pub fn readmit(&mut self, now: Instant) -> bool {
+        let is_due = self.until.is_some_and(|t| t <= now);
+        if is_due {
+            self.until = None;
+            self.failures = 0;
+            self.trial = true;
+        }
+        is_due
+    }
+}
+
 /// What an endpoint last said of itself.
 #[derive(Debug)]
 pub struct Known {
--- a/src/budget/mod.rs
+++ b/src/budget/mod.rs
@@ -1,31 +1,53 @@
-//! Limits retries, in tokens, so that a fault never multiplies load.
+//! Limits retries, so that a fault never multiplies load.
 
 use crate::id::{ServiceName, Tokens};
 use std::collections::HashMap;
 
-/// Retried tokens allowed per token of first attempts, in percent.
-const SHARE: u64 = 10;
-/// Tokens that may be retried before any first attempt has earned more.
-const START: u64 = 20_000;
-/// Most tokens that can be saved up.
-const MOST: u64 = 200_000;
+/// How much may be retried; the unit is whatever the costs are counted in.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Allowance {
+    /// Retries allowed per first attempt, in percent.
+    pub share: u64,
+    /// Retries allowed before any first attempt has earned more.
+    pub start: u64,
+    /// Most retries that can be saved up.
+    pub most: u64,
+}
+
+impl Allowance {
+    /// Allows a tenth in tokens, for generations and calls of the project's own interface.
+    pub const TOKENS: Allowance = Allowance { share: 10, start: 20_000, most: 200_000 };
+}
 
-/// Tokens that may still be spent on retries, per service; counted in hundredths.
-#[derive(Debug, Default)]
+/// Retries that may still be made, per service; counted in hundredths.
+#[derive(Debug)]
 pub struct Budget {
+    allowance: Allowance,
     left: HashMap<ServiceName, u64>,
 }
 
+impl Default for Budget {
+    fn default() -> Self {
+        Budget::new(Allowance::TOKENS)
+    }
+}
+
 impl Budget {
+    /// Makes a budget in which nothing is spent.
+    pub fn new(allowance: Allowance) -> Self {
+        Budget { allowance, left: HashMap::new() }
+    }
+
     /// Earns a share of the cost of a first attempt.
     pub fn earn(&mut self, service: &ServiceName, cost: Tokens) {
-        let left = self.left.entry(service.clone()).or_insert(START * 100);
-        *left = (*left + u64::from(cost.0) * SHARE).min(MOST * 100);
+        let a = self.allowance;
+        let left = self.left.entry(service.clone()).or_insert(a.start * 100);
+        *left = (*left + u64::from(cost.0) * a.share).min(a.most * 100);
     }
 
     /// Spends the cost of a retry; `false` where too little is left.
     pub fn spend(&mut self, service: &ServiceName, cost: Tokens) -> bool {
-        let left = self.left.entry(service.clone()).or_insert(START * 100);
+        let left = self.left.entry(service.clone()).or_insert(self.allowance.start * 100);
         let cost = u64::from(cost.0) * 100;
         let is_enough = *left >= cost;
         if is_enough {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,7 +2,12 @@
 
 mod client;
 
+use crate::clock;
+use crate::gateway;
 use crate::http::Metrics;
+use crate::id::InstanceId;
+use crate::logs::Lines;
+use crate::platform;
 use crate::process::Process;
 use crate::settings::{self, Settings};
 use crate::text::Text;
@@ -26,6 +31,8 @@
 enum Command {
     #[options(help = "run an entry instance")]
     Entry(Daemon),
+    #[options(help = "run an entry instance on the users' platform")]
+    Gateway(Gateway),
     #[options(help = "run the process beside an endpoint")]
     Sidecar(Daemon),
     #[options(help = "check a text without submitting it")]
@@ -56,6 +63,16 @@
     settings: PathBuf,
 }
 
+#[derive(Debug, Options)]
+struct Gateway {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "file of settings; the platform names it in the environment", meta = "FILE")]
+    settings: Option<PathBuf>,
+    #[options(help = "port that serves metrics", meta = "PORT")]
+    metrics: Option<u16>,
+}
+
 #[derive(Debug, Options)]
 struct Check {
     #[options(help = "print this help")]
@@ -145,6 +162,7 @@
     let args = Args::parse_args_default_or_exit();
     match args.command {
         Some(Command::Entry(d)) => daemon(&d.settings, Role::Entry),
+        Some(Command::Gateway(g)) => gateway(g),
         Some(Command::Sidecar(d)) => daemon(&d.settings, Role::Sidecar),
         Some(Command::Check(c)) => check(&c.file),
         Some(Command::Submit(s)) => client::submit(&s),
@@ -218,6 +236,56 @@
     ExitCode::from(FAILED)
 }
 
+fn gateway(args: Gateway) -> ExitCode {
+    let Some(file) = args.settings.or_else(platform::settings_path) else {
+        eprintln!("no settings: give --settings, or start where the platform names them");
+        return ExitCode::from(FAILED);
+    };
+    let boot = match gateway::read_settings(&file) {
+        Ok(boot) => boot,
+        Err(e) => {
+            eprintln!("{}: {e}", file.display());
+            return ExitCode::from(REFUSED);
+        }
+    };
+    if let Err(e) = start_lines(boot.instance.clone()) {
+        eprintln!("the log cannot be started: {e}");
+        return ExitCode::from(FAILED);
+    }
+    let Some(metrics) = Metrics::install() else { return ExitCode::from(FAILED) };
+    let run = gateway::run(file.clone(), boot, metrics, args.metrics);
+    match actix_rt::System::new().block_on(run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{}: {e}", file.display());
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+/// Sends log lines to standard output without ever waiting for its reader.
+fn start_lines(instance: InstanceId) -> std::io::Result<()> {
+    let lines = Lines::start(clock::now(), std::io::stdout())?;
+    let output = fern::Output::call(move |record| {
+        let t = clock::wall();
+        let line = format!(
+            "time={}.{:06} level={} instance={instance} {}\n",
+            t.as_secs(),
+            t.subsec_micros(),
+            record.level(),
+            record.args(),
+        );
+        lines.push(clock::now(), line.as_bytes());
+    });
+    let dispatch = fern::Dispatch::new()
+        .level(log::LevelFilter::Warn)
+        .level_for("skylarkthread", log::LevelFilter::Info)
+        .chain(output);
+    // A second logger in one process would be a mistake of the caller; the first one stays.
+    let _ = dispatch.apply();
+    Ok(())
+}
+
 /// Ends the process where the work is done; returns why it could not be done.
 ///
 /// Nothing is kept, so nothing has to be taken down, and nng would wait for its peers.
--- a/src/eject/mod.rs
+++ b/src/eject/mod.rs
@@ -1,15 +1,9 @@
 //! Ejects endpoints that keep failing, and lets them back with care.
 
-use crate::board::{Endpoint, EndpointKey, EntryBoard};
+use crate::board::{Endpoint, EndpointKey, EntryBoard, FAILURE_LIMIT};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-/// Consecutive failures after which an endpoint is ejected.
-const FAILURE_LIMIT: u32 = 3;
-/// Time an endpoint stays out after its first ejection.
-const EJECT_BASE: Duration = Duration::from_secs(2);
-/// Longest time an endpoint stays out.
-const EJECT_MAX: Duration = Duration::from_secs(60);
 /// Share of a pool that stays in service however many fail, in percent.
 const FLOOR: usize = 50;
 /// Factor by which a batch step may exceed the median of its pool.
@@ -28,20 +22,12 @@
 
 /// Notes a failure of an endpoint to serve.
 pub fn note_failure(e: &mut Endpoint) {
-    e.health.failures += 1;
-    // One failure on trial is enough to end the trial.
-    if e.health.trial {
-        e.health.failures = e.health.failures.max(FAILURE_LIMIT);
-    }
+    e.health.fail();
 }
 
 /// Notes that an endpoint served well.
 pub fn note_success(e: &mut Endpoint) {
-    e.health.failures = 0;
-    if e.health.trial {
-        e.health.trial = false;
-        e.health.ejections = 0;
-    }
+    e.health.succeed();
 }
 
 /// Tells whether health allows the endpoint one more request.
@@ -63,10 +49,7 @@
         if serving <= (mates().count() * FLOOR).div_ceil(100) {
             continue;
         }
-        let health = &mut board.endpoints[key].health;
-        let until = now + ejection_time(health.ejections);
-        health.until = Some(until);
-        health.ejections += 1;
+        let until = board.endpoints[key].health.eject(now);
         changes.push(Change::Ejected(key, until));
     }
     changes
@@ -75,10 +58,7 @@
 fn readmit(now: Instant, board: &mut EntryBoard) -> Vec<Change> {
     let mut changes = Vec::new();
     for (key, e) in &mut board.endpoints {
-        if e.health.until.is_some_and(|t| t <= now) {
-            e.health.until = None;
-            e.health.failures = 0;
-            e.health.trial = true;
+        if e.health.readmit(now) {
             changes.push(Change::Readmitted(key));
         }
     }
@@ -105,7 +85,3 @@
     gaps.sort_unstable();
     gap(e) > gaps[gaps.len() / 2].saturating_mul(SLOW_FACTOR)
 }
-
-fn ejection_time(ejections: u32) -> Duration {
-    EJECT_BASE.saturating_mul(1 << ejections.min(5)).min(EJECT_MAX)
-}
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -34,6 +34,10 @@
     Draining = 101,
     /// A process has finished its work and exits.
     Stopped = 102,
+    /// Log lines were dropped, since they came too fast or were not read.
+    LinesDropped = 104,
+    /// A process took over changed settings.
+    Reloaded = 103,
     /// A frame failed its check and was dropped.
     FrameDropped = 110,
     /// A link to a peer answered after silence, or for the first time.
@@ -120,6 +124,26 @@
     Leaving = 601,
     /// An endpoint left the view of an entry.
     Left = 602,
+    /// A configuration in the store cannot be read.
+    TableRefused = 504,
+    /// The entry of an endpoint lapsed and may come back.
+    Lapsed = 603,
+    /// A generation could not be moved.
+    MoveFailed = 712,
+    /// A generation goes on at another engine.
+    MoveDone = 711,
+    /// A running generation begins to move, as its engine leaves.
+    MoveBegun = 710,
+    /// A request goes to another endpoint after one did not serve it.
+    Reoffered = 704,
+    /// A caller left before its answer was complete.
+    Abandoned = 703,
+    /// A request ended without an answer after it may have run.
+    Failed = 702,
+    /// A request was refused and has not run.
+    TurnedAway = 701,
+    /// A request has the whole answer of an endpoint.
+    Answered = 700,
 }
 
 impl Kind {
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,123 @@
+//! Follows the store: the operators' configuration and the list of endpoints.
+
+use super::{Gateway, jitter};
+use crate::clock;
+use crate::event::Kind;
+use crate::platform;
+use crate::store::{Fact, Feed, News, StoreError};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Longest wait of a watch; a silent connection is noticed soon after it.
+const WATCH_TIME: Duration = Duration::from_millis(4000);
+/// Time between two calls while the store does not answer.
+const RETRY_TIME: Duration = Duration::from_millis(300);
+/// Time after the store's return within which entries that lapsed come back.
+const RETURN_TIME: Duration = Duration::from_millis(2000);
+/// Time after a change within which others that belong to it are awaited.
+const GATHER_TIME: Duration = Duration::from_millis(40);
+/// The configuration and the endpoints are followed by one watch over all keys.
+const ALL_KEYS: &str = "";
+
+/// Where the follower stands.
+#[derive(Debug, Default)]
+struct Position {
+    /// Revision to watch from; `None` before the first list.
+    revision: Option<u64>,
+    /// Tells that the last call failed.
+    lost: bool,
+    /// When the store came back last.
+    back: Option<Instant>,
+}
+
+/// Follows the store for as long as the process runs.
+pub async fn follow(gw: Rc<Gateway>) {
+    let mut position = Position::default();
+    loop {
+        match advance(&gw, &mut position).await {
+            Ok(()) => tokio::time::sleep(GATHER_TIME).await,
+            Err(StoreError::Compacted) => position.revision = None,
+            Err(e) => {
+                if !position.lost {
+                    position.lost = true;
+                    let at = position.revision.unwrap_or_default();
+                    gw.event(Kind::StoreLost, "store", format_args!("why={e:?} revision={at}"));
+                }
+                tokio::time::sleep(jitter(RETRY_TIME)).await;
+            }
+        }
+    }
+}
+
+async fn advance(gw: &Gateway, position: &mut Position) -> Result<(), StoreError> {
+    let Some(revision) = position.revision else {
+        let endpoints = gw.store.list(platform::SERVERS_PREFIX).await?;
+        let config = gw.store.list(platform::CONFIG_KEY).await?;
+        note_back(gw, position);
+        position.revision = Some(endpoints.revision.min(config.revision));
+        take_config(gw, &config);
+        relist(gw, &endpoints);
+        return Ok(());
+    };
+    let news = gw.store.watch(ALL_KEYS, revision, WATCH_TIME).await?;
+    note_back(gw, position);
+    position.revision = Some(news.revision.max(revision));
+    take_config(gw, &news);
+    let is_back = position.back.is_some_and(|t| clock::now() < t + RETURN_TIME);
+    news.facts.iter().for_each(|f| take_endpoint(gw, f, is_back));
+    Ok(())
+}
+
+fn note_back(gw: &Gateway, position: &mut Position) {
+    if std::mem::take(&mut position.lost) {
+        position.back = Some(clock::now());
+        gw.event(Kind::StoreBack, "store", "");
+    }
+}
+
+fn take_config(gw: &Gateway, news: &News) {
+    let newest = news.facts.iter().rev().find(|f| &*f.key == platform::CONFIG_KEY);
+    let Some(value) = newest.and_then(|f| f.value.as_ref()) else { return };
+    let table = match platform::scan_table(value) {
+        Ok(table) => table,
+        Err(e) => return gw.event(Kind::TableRefused, "table", e),
+    };
+    let known = gw.table.borrow().as_ref().map(|t| t.version);
+    if known.is_some_and(|v| v >= table.version) {
+        return;
+    }
+    let detail = format!("routes={} keys={}", table.hosts.len(), table.keys.len());
+    gw.event(Kind::Adopted, table.version, detail);
+    metrics::gauge!("table_version").set(table.version.0 as f64);
+    *gw.table.borrow_mut() = Some(Rc::new(table));
+}
+
+fn relist(gw: &Gateway, news: &News) {
+    let listed = |f: &Fact| platform::scan_listing(&f.key, f.value.as_ref()?);
+    let all = news.facts.iter().filter_map(listed).collect();
+    let changes = gw.pool.borrow_mut().relist(clock::now(), all);
+    changes.into_iter().for_each(|c| gw.note_change(c));
+}
+
+fn take_endpoint(gw: &Gateway, fact: &Fact, is_back: bool) {
+    let Some(id) = fact.key.strip_prefix(platform::SERVERS_PREFIX) else { return };
+    let now = clock::now();
+    let mut pool = gw.pool.borrow_mut();
+    let change = match &fact.value {
+        Some(value) => platform::scan_listing(&fact.key, value).and_then(|l| pool.list(now, l)),
+        None => {
+            let Ok(id) = id.parse() else { return };
+            // Leases run out while the store is away, of endpoints that are well too.
+            if is_back {
+                pool.lapse(now, &id);
+                drop(pool);
+                return gw.event(Kind::Lapsed, id, "");
+            }
+            pool.remove(now, &id)
+        }
+    };
+    drop(pool);
+    if let Some(change) = change {
+        gw.note_change(change);
+    }
+}
--- /dev/null
+++ b/src/gateway/job.rs
@@ -0,0 +1,153 @@
+//! One request with the terms that it is served on.
+
+use super::Gateway;
+use crate::event::Kind;
+use crate::h1::Inbound;
+use crate::id::{DataCentre, RequestId, ServiceName, Tokens};
+use crate::platform::{self, Ask, Onward};
+use crate::pool::PoolKey;
+use crate::problem::{Problem, ProblemKind};
+use crate::route::{Denied, Engine, Kind as RouteKind, Member, Route, Service};
+use crate::spread::{self, Need};
+use actix_http::{Request, RequestHead};
+use bytes::Bytes;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Time after which a refused caller should ask again, where nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Share of the time that a caller has within which it comes back at all.
+const PATIENCE_SHARE: u32 = 4;
+/// Tokens of output that a generation is expected to write, where nobody knows.
+const OUTPUT_GUESS: u32 = 200;
+
+/// One request.
+#[derive(Debug)]
+pub struct Job {
+    /// The request as the caller sent it.
+    pub req: Request,
+    /// Its body.
+    pub body: Bytes,
+    /// What its head says.
+    pub ask: Ask,
+    /// When it was read.
+    pub since: Instant,
+    /// Its route.
+    pub route: Rc<Route>,
+    /// Workspace of its key.
+    pub member: Option<Rc<Member>>,
+    /// Service that it was drawn for.
+    pub service: ServiceName,
+    /// What the operators say of the service.
+    pub terms: Option<Rc<Service>>,
+    /// When the caller's or the operators' patience ends.
+    pub deadline: Instant,
+}
+
+impl Job {
+    /// Finds the terms of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a problem where the request is not allowed, or nothing is known yet.
+    pub fn new(gw: &Gateway, now: Instant, req: Request, body: Bytes) -> Result<Job, Problem> {
+        let ask = platform::scan_ask(&req);
+        let Some(table) = gw.table.borrow().clone() else {
+            let detail = "no configuration is in force here yet";
+            return Err(Problem::new(ProblemKind::NotReady, detail).retry(RETRY_AFTER));
+        };
+        let path = req.uri().path();
+        let admitted = table.admit(platform::host(&req), path, ask.key.as_deref());
+        let (route, member) = admitted.map_err(|denied| match denied {
+            Denied::Route => Problem::new(ProblemKind::NotFound, "no route takes this path"),
+            Denied::Key => Problem::new(ProblemKind::Unauthorized, "the API key is not known"),
+        })?;
+        let drawn = route.draw(&mut rand::rng()).cloned();
+        let service = drawn.ok_or_else(|| {
+            Problem::new(ProblemKind::NotReady, "the route has no service").retry(RETRY_AFTER)
+        })?;
+        let terms = table.services.get(&service).cloned();
+        let patience = ask.patience.map_or(route.timeout, |p| p.min(route.timeout));
+        let deadline = now + patience;
+        Ok(Job { req, body, ask, since: now, route, member, service, terms, deadline })
+    }
+
+    /// Returns the time that is left.
+    pub fn left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+
+    /// Returns the engines of the service, unless it is a plain one.
+    pub fn engine(&self) -> Option<&Engine> {
+        self.terms.as_ref()?.engine.as_ref()
+    }
+
+    /// Returns the memory that a generation is expected to need.
+    pub fn tokens(&self) -> Tokens {
+        let Some(p) = self.ask.prompt else { return Tokens(0) };
+        let output = p.hint.map_or(OUTPUT_GUESS, |h| h.0).min(p.most.0);
+        Tokens(p.input.0 + output)
+    }
+
+    /// Tells whether the request may run more than once.
+    pub fn is_idempotent(&self) -> bool {
+        self.route.kind == RouteKind::Safe
+    }
+
+    /// Chooses an endpoint for it.
+    pub fn choose(&self, gw: &Gateway, now: Instant, tried: &[PoolKey]) -> Option<PoolKey> {
+        let centre: DataCentre = gw.boot.borrow().centre.clone();
+        let need = Need {
+            service: &self.service,
+            engine: self.engine(),
+            tokens: self.tokens(),
+            centre: &centre,
+        };
+        spread::choose(now, &gw.pool.borrow(), &need, tried, &mut rand::rng())
+    }
+
+    /// Makes the head of the request for an endpoint.
+    pub fn head(&self, onward: &Onward<'_>) -> RequestHead {
+        platform::forward_head(&self.req, onward)
+    }
+
+    /// Returns when a refused caller should come back, within the time that it has.
+    pub fn come_back(&self, now: Instant) -> Duration {
+        let most = self.left(now) / PATIENCE_SHARE;
+        super::jitter(RETRY_AFTER).min(most)
+    }
+
+    /// Makes a refusal of a request that has not run.
+    pub fn refusal(&self, now: Instant, kind: ProblemKind, detail: &str) -> Problem {
+        Problem::new(kind, detail).retry(self.come_back(now))
+    }
+}
+
+/// Names a request in the log.
+pub fn label(id: Option<&RequestId>) -> &str {
+    id.map_or("-", RequestId::as_str)
+}
+
+/// Sends a refusal, with one log line.
+pub async fn refuse(
+    gw: &Gateway,
+    conn: &mut Inbound,
+    id: Option<&RequestId>,
+    problem: &Problem,
+    close: bool,
+) -> std::io::Result<()> {
+    let status = problem.kind.status();
+    let kind = match problem.outcome() {
+        crate::problem::Outcome::NotRun => Kind::TurnedAway,
+        _ => Kind::Failed,
+    };
+    let retry = problem.retry.map_or(0, |r| r.as_millis());
+    let detail = format!(
+        "status={status} why={} retry_ms={retry} detail={:?}",
+        problem.kind, problem.detail
+    );
+    gw.event(kind, label(id), detail);
+    metrics::counter!("refusals_total", "kind" => problem.kind.to_string()).increment(1);
+    let head = platform::refusal_head(status, id, problem.retry);
+    conn.answer(head, problem.to_json().into(), close).await
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,261 @@
+//! An entry instance on the users' platform: takes callers' requests and sends each straight to
+//! an endpoint.
+//!
+//! The modules here do I/O only. Who may send what is decided by [`crate::route`], where a
+//! request goes by [`crate::spread`], what may be sent again by [`crate::budget`], and where
+//! running generations move by [`crate::evacuate`].
+
+mod call;
+mod follow;
+mod job;
+mod moving;
+mod serve;
+mod stream;
+
+use crate::budget::{Allowance, Budget};
+use crate::clock;
+use crate::event::{Kind, Ring};
+use crate::http::{self, Metrics};
+use crate::id::Tokens;
+use crate::platform::{Boot, BootError, Kv};
+use crate::pool::{Change, Pool};
+use crate::route::Table;
+use actix_http::{KeepAlive, ServiceConfig};
+use std::cell::{Cell, RefCell};
+use std::fmt::{self, Display};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Time between two looks at endpoints that fail or lapsed.
+const STEP_TIME: Duration = Duration::from_millis(100);
+/// Time between two looks at the settings file, which may change without a signal.
+const RELOAD_TIME: Duration = Duration::from_secs(2);
+/// Time for which a stopping instance still takes connections: the platform notices within two
+/// looks, a second apart.
+const LINGER_TIME: Duration = Duration::from_millis(2600);
+/// Part of the time to SIGKILL that is left unused.
+const GRACE_RESERVE: Duration = Duration::from_millis(600);
+/// Retries that a service may save up, per instance.
+const RETRY_MOST: u64 = 10;
+/// Retries that a service may have at the start, per instance.
+const RETRY_START: u64 = 3;
+/// Share of the retries allowed overall that an instance uses, in percent: others may see more
+/// failures than requests.
+const RETRY_SHARE: f64 = 70.0;
+
+/// Tells why an instance cannot run.
+#[derive(Debug)]
+pub enum GatewayError {
+    /// The settings cannot be read.
+    File(std::io::Error),
+    /// The settings are wrong.
+    Boot(BootError),
+    /// The settings name no address for callers.
+    NoFront,
+    /// An address cannot be used.
+    Bind(SocketAddr, std::io::Error),
+    /// A signal cannot be watched.
+    Signal(std::io::Error),
+}
+
+impl fmt::Display for GatewayError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            GatewayError::File(e) => write!(f, "the settings cannot be read: {e}"),
+            GatewayError::Boot(e) => write!(f, "{e}"),
+            GatewayError::NoFront => f.write_str("listen.front is missing"),
+            GatewayError::Bind(a, e) => write!(f, "{a} cannot be used: {e}"),
+            GatewayError::Signal(e) => write!(f, "signals cannot be watched: {e}"),
+        }
+    }
+}
+
+/// The state of an instance.
+#[derive(Debug)]
+struct Gateway {
+    boot: RefCell<Boot>,
+    ring: RefCell<Ring>,
+    table: RefCell<Option<Rc<Table>>>,
+    pool: RefCell<Pool>,
+    budget: RefCell<Budget>,
+    /// Bytes of request bodies that are held.
+    bodies: Cell<usize>,
+    /// Connections of callers.
+    callers: Cell<u32>,
+    /// Requests that are being answered.
+    active: Cell<u32>,
+    /// When this instance was told to stop.
+    stopping: Cell<Option<Instant>>,
+    /// Configuration of the HTTP codecs.
+    codec: ServiceConfig,
+    store: Kv,
+    metrics: Metrics,
+}
+
+/// Reads settings from a file.
+///
+/// # Errors
+///
+/// Returns [`GatewayError`] where the file cannot be read or is wrong.
+pub fn read_settings(file: &Path) -> Result<Boot, GatewayError> {
+    let text = std::fs::read_to_string(file).map_err(GatewayError::File)?;
+    Boot::parse(&text).map_err(GatewayError::Boot)
+}
+
+/// Runs an instance until it is told to stop and has finished its work.
+///
+/// # Errors
+///
+/// Returns [`GatewayError`] where it cannot start.
+pub async fn run(
+    file: PathBuf,
+    boot: Boot,
+    metrics: Metrics,
+    port: Option<u16>,
+) -> Result<(), GatewayError> {
+    let front = boot.front.ok_or(GatewayError::NoFront)?;
+    let gw = Rc::new(Gateway {
+        ring: RefCell::new(Ring::new(boot.instance.clone())),
+        table: RefCell::new(None),
+        pool: RefCell::new(Pool::default()),
+        budget: RefCell::new(Budget::new(allowance(&boot))),
+        bodies: Cell::new(0),
+        callers: Cell::new(0),
+        active: Cell::new(0),
+        stopping: Cell::new(None),
+        codec: codec(),
+        store: Kv::new(boot.store),
+        metrics,
+        boot: RefCell::new(boot.clone()),
+    });
+    gw.event(Kind::Started, &boot.instance, format_args!("data_centre={}", boot.centre));
+    for address in [boot.ready, port.map(|p| SocketAddr::new(front.ip(), p))].into_iter().flatten()
+    {
+        let listener = bind(address).await?;
+        actix_rt::spawn(serve::accept_probes(gw.clone(), listener));
+    }
+    actix_rt::spawn(serve::accept_callers(gw.clone(), bind(front).await?));
+    actix_rt::spawn(follow::follow(gw.clone()));
+    actix_rt::spawn(step(gw.clone()));
+    let hangups = signal(SignalKind::hangup()).map_err(GatewayError::Signal)?;
+    actix_rt::spawn(reload(gw.clone(), file, hangups));
+    crate::shutdown::requested().await;
+    stop(&gw).await;
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> Result<actix_rt::net::TcpListener, GatewayError> {
+    http::bind(address).await.map_err(|e| GatewayError::Bind(address, e))
+}
+
+fn codec() -> ServiceConfig {
+    // The times of the codec are not used: each connection here runs its own.
+    let idle = KeepAlive::Timeout(Duration::from_secs(5));
+    ServiceConfig::new(idle, Duration::ZERO, Duration::ZERO, false, None)
+}
+
+fn allowance(boot: &Boot) -> Allowance {
+    let share = (boot.retries * RETRY_SHARE) as u64;
+    Allowance { share, start: RETRY_START, most: RETRY_MOST }
+}
+
+impl Gateway {
+    fn event(&self, kind: Kind, subject: impl Display, detail: impl Display) {
+        let (subject, detail) = (subject.to_string(), detail.to_string());
+        self.ring.borrow_mut().push(clock::wall(), kind, &subject, &detail);
+    }
+
+    fn note_change(&self, change: Change) {
+        match change {
+            Change::Joined(id) => self.event(Kind::Joined, id, ""),
+            Change::Leaving(id) => self.event(Kind::Leaving, id, "from=list"),
+            Change::Left(id) => self.event(Kind::Left, id, ""),
+            Change::Ejected(id) => self.event(Kind::Ejected, id, ""),
+            Change::Readmitted(id) => self.event(Kind::Readmitted, id, ""),
+        }
+    }
+
+    /// Tells whether new connections are welcome.
+    fn is_ready(&self) -> bool {
+        self.stopping.get().is_none() && self.table.borrow().is_some()
+    }
+}
+
+/// Counts a request at an endpoint for as long as it lives.
+#[derive(Debug)]
+struct Place {
+    gw: Rc<Gateway>,
+    key: crate::pool::PoolKey,
+    tokens: Tokens,
+}
+
+impl Place {
+    fn take(gw: &Rc<Gateway>, key: crate::pool::PoolKey, tokens: Tokens) -> Self {
+        gw.pool.borrow_mut().enter(key, tokens);
+        Place { gw: gw.clone(), key, tokens }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.gw.pool.borrow_mut().leave(self.key, self.tokens);
+    }
+}
+
+async fn step(gw: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(STEP_TIME).await;
+        let changes = gw.pool.borrow_mut().step(clock::now());
+        changes.into_iter().for_each(|c| gw.note_change(c));
+    }
+}
+
+/// Takes over changed settings, on SIGHUP and when the file has changed.
+async fn reload(gw: Rc<Gateway>, file: PathBuf, mut hangups: tokio::signal::unix::Signal) {
+    loop {
+        let is_asked = tokio::select! {
+            got = hangups.recv() => got.is_some(),
+            () = tokio::time::sleep(RELOAD_TIME) => false,
+        };
+        match read_settings(&file) {
+            Ok(boot) if boot == *gw.boot.borrow() => {
+                if is_asked {
+                    gw.event(Kind::Reloaded, &boot.instance, "changed=false");
+                }
+            }
+            Ok(boot) => {
+                gw.event(Kind::Reloaded, &boot.instance, "changed=true");
+                *gw.boot.borrow_mut() = boot;
+            }
+            Err(e) => log::warn!("settings stay as they were: {e}"),
+        }
+    }
+}
+
+/// Takes nothing new after a while, and returns when every answer is finished or time is up.
+async fn stop(gw: &Gateway) {
+    let begun = clock::now();
+    gw.stopping.set(Some(begun));
+    let boot = gw.boot.borrow().clone();
+    gw.event(Kind::Draining, &boot.instance, format_args!("active={}", gw.active.get()));
+    let last = begun + boot.grace.saturating_sub(GRACE_RESERVE);
+    loop {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let now = clock::now();
+        let is_done = now >= begun + LINGER_TIME && gw.active.get() == 0;
+        if is_done || now >= last {
+            break;
+        }
+    }
+    gw.event(Kind::Stopped, &boot.instance, format_args!("active={}", gw.active.get()));
+    // The log thread gets a moment to write the last lines.
+    tokio::time::sleep(Duration::from_millis(20)).await;
+}
+
+/// Spreads a time by a quarter either way, so that instances do not act together.
+fn jitter(time: Duration) -> Duration {
+    time.mul_f64(0.75 + rand::random::<f64>() / 2.0)
+}
--- /dev/null
+++ b/src/gateway/stream.rs
@@ -0,0 +1,373 @@
+//! Generations, answered as streams of events that may move between engines.
+
+use super::call::{self, Taken, Tried};
+use super::job::{self, Job, label};
+use super::moving::{self, Moved, Running};
+use super::serve::{Next, after};
+use super::{Gateway, Place};
+use crate::clock;
+use crate::event::Kind;
+use crate::frame::Refusal;
+use crate::h1::{Broken, Inbound};
+use crate::id::Tokens;
+use crate::platform::{self, Handoff, Onward};
+use crate::pool::PoolKey;
+use crate::problem::{Problem, ProblemKind};
+use crate::sse::{self, EventId, Verdict};
+use actix_http::body::BodySize;
+use bytes::BytesMut;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// Engines that turn a generation away unrun before it is refused.
+const OFFERS: usize = 3;
+/// Largest event in bytes.
+const EVENT_LIMIT: usize = 1 << 20;
+/// Time for the last events of an engine that has stopped a generation.
+const DRAIN_TIME: Duration = Duration::from_millis(25);
+/// Longest time between the end of a stream and the outcome of the move that ended it.
+const OUTCOME_TIME: Duration = Duration::from_secs(4);
+/// Largest answer that is no stream, in bytes.
+const WHOLE_LIMIT: usize = 4 << 20;
+/// Cost of a retry in the budget of this platform, which counts requests.
+const ONE: Tokens = Tokens(1);
+
+/// The part of a generation that one engine makes.
+struct Leg {
+    taken: Taken,
+    place: Place,
+    leave: Rc<Notify>,
+}
+
+/// A generation whose answer has begun.
+struct Stream<'a> {
+    gw: &'a Rc<Gateway>,
+    job: &'a Job,
+    leg: Leg,
+    buf: BytesMut,
+    last: Option<EventId>,
+    events: u32,
+    over: Rc<Cell<bool>>,
+    mover: Option<JoinHandle<Moved>>,
+}
+
+/// Why the events of a leg ended.
+#[derive(Debug)]
+enum End {
+    /// The answer is complete.
+    Whole,
+    /// The engine stopped, or broke off.
+    Cut(Broken),
+    /// The caller is gone.
+    Gone,
+    /// The caller takes no bytes.
+    Unread,
+    /// Time is up.
+    Late,
+    /// Events are missing.
+    Gap,
+}
+
+/// Answers a generation.
+pub async fn answer(gw: &Rc<Gateway>, conn: &mut Inbound, job: &Job) -> Next {
+    let begun = tokio::select! {
+        begun = begin(gw, job) => begun,
+        () = conn.gone() => {
+            gw.event(Kind::Abandoned, label(job.ask.id.as_ref()), "events=0");
+            return Next::Abort;
+        }
+    };
+    let close = gw.stopping.get().is_some();
+    match begun {
+        Ok(leg) if leg.taken.answer.status.is_success() => {
+            let over = Rc::new(Cell::new(false));
+            let mut stream = Stream {
+                gw,
+                job,
+                leg,
+                buf: BytesMut::new(),
+                last: None,
+                events: 0,
+                over: over.clone(),
+                mover: None,
+            };
+            let next = stream.relay(conn, close).await;
+            over.set(true);
+            next
+        }
+        Ok(leg) => pass(gw, conn, job, leg, close).await,
+        Err(problem) => {
+            let sent = job::refuse(gw, conn, job.ask.id.as_ref(), &problem, close).await;
+            after(conn, sent, close)
+        }
+    }
+}
+
+/// Passes on an answer that is no stream.
+async fn pass(gw: &Rc<Gateway>, conn: &mut Inbound, job: &Job, leg: Leg, close: bool) -> Next {
+    let mut taken = leg.taken;
+    let read = tokio::time::timeout_at(job.deadline.into(), taken.out.body(WHOLE_LIMIT)).await;
+    let sent = match read {
+        Ok(Ok(body)) => {
+            let detail = format!("endpoint={} status={}", taken.endpoint, taken.answer.status);
+            gw.event(Kind::Answered, label(job.ask.id.as_ref()), detail);
+            conn.answer(platform::answer_head(&taken.head), body, close).await
+        }
+        _ => {
+            let problem = call::lost(job, "broken");
+            job::refuse(gw, conn, job.ask.id.as_ref(), &problem, close).await
+        }
+    };
+    after(conn, sent, close)
+}
+
+/// Finds an engine that begins the generation.
+async fn begin(gw: &Rc<Gateway>, job: &Job) -> Result<Leg, Problem> {
+    gw.budget.borrow_mut().earn(&job.service, ONE);
+    let mut tried: Vec<PoolKey> = Vec::new();
+    loop {
+        let now = clock::now();
+        let may_try = tried.is_empty()
+            || tried.len() < OFFERS && gw.budget.borrow_mut().spend(&job.service, ONE);
+        let key = if may_try { job.choose(gw, now, &tried) } else { None };
+        let Some(key) = key else {
+            let why = if tried.is_empty() { Refusal::NoEndpoint } else { Refusal::Busy };
+            let detail = "no engine takes another generation";
+            return Err(job.refusal(now, ProblemKind::Refused(why), detail));
+        };
+        tried.push(key);
+        let why = match open(gw, job, Place::take(gw, key, job.tokens()), None, None).await {
+            Ok(leg) => return Ok(leg),
+            Err(Tried::Unrun(why)) => {
+                if why != "full" {
+                    call::note_health(gw, key, false);
+                }
+                why
+            }
+            Err(Tried::Lost(why)) => {
+                call::note_health(gw, key, false);
+                return Err(call::lost(job, why));
+            }
+            Err(Tried::Answered(_)) => "answered",
+        };
+        let detail = format!("why={why} tried={}", tried.len());
+        gw.event(Kind::Reoffered, label(job.ask.id.as_ref()), detail);
+    }
+}
+
+/// Sends a generation to one engine and waits for the head of its answer.
+async fn open(
+    gw: &Rc<Gateway>,
+    job: &Job,
+    place: Place,
+    handoff: Option<&Handoff>,
+    last: Option<EventId>,
+) -> Result<Leg, Tried> {
+    let found =
+        gw.pool.borrow().endpoints.get(place.key).map(|e| (e.listing.id.clone(), e.leave.clone()));
+    let Some((endpoint, leave)) = found else { return Err(Tried::Unrun("gone")) };
+    let onward = Onward {
+        endpoint: &endpoint,
+        member: job.member.as_deref(),
+        left: job.left(clock::now()),
+        urgency: None,
+        handoff,
+        last,
+        resumable: job.route.resumable,
+    };
+    match call::offer(gw, job, place.key, &onward).await {
+        Tried::Answered(taken) => Ok(Leg { taken, place, leave }),
+        other => Err(other),
+    }
+}
+
+impl Stream<'_> {
+    async fn relay(&mut self, conn: &mut Inbound, close: bool) -> Next {
+        let head = platform::answer_head(&self.leg.taken.head);
+        if conn.start(head, BodySize::Stream, close).await.is_err() {
+            return Next::Abort;
+        }
+        loop {
+            let end = self.relay_leg(conn).await;
+            let why = match end {
+                End::Whole => {
+                    self.note_whole();
+                    let sent = conn.finish().await;
+                    return after(conn, sent, close);
+                }
+                End::Cut(_) if self.mover.is_some() => match self.go_on(conn).await {
+                    Ok(()) => continue,
+                    Err(why) => why,
+                },
+                End::Cut(ref why) => {
+                    call::note_health(self.gw, self.leg.place.key, false);
+                    match why {
+                        Broken::Io(_) => "reset",
+                        Broken::Early => "ended early",
+                        Broken::Malformed => "malformed",
+                    }
+                }
+                End::Gone => {
+                    let detail = format!("events={}", self.events);
+                    self.gw.event(Kind::Abandoned, self.label(), detail);
+                    return Next::Abort;
+                }
+                End::Unread => "unread",
+                End::Late => "late",
+                End::Gap => "gap",
+            };
+            self.note_failed(why);
+            return Next::Abort;
+        }
+    }
+
+    fn label(&self) -> &str {
+        label(self.job.ask.id.as_ref())
+    }
+
+    fn note_whole(&self) {
+        call::note_health(self.gw, self.leg.place.key, true);
+        let ms = clock::now().saturating_duration_since(self.job.since).as_millis();
+        metrics::counter!("streams_total", "end" => "whole").increment(1);
+        metrics::histogram!("stream_seconds").record(ms as f64 / 1e3);
+        let detail = format!("endpoint={} events={} ms={ms}", self.leg.taken.endpoint, self.events);
+        self.gw.event(Kind::Answered, self.label(), detail);
+    }
+
+    fn note_failed(&self, why: &'static str) {
+        metrics::counter!("streams_total", "end" => why).increment(1);
+        let ms = clock::now().saturating_duration_since(self.job.since).as_millis();
+        let endpoint = &self.leg.taken.endpoint;
+        let detail = format!("endpoint={endpoint} why={why:?} events={} ms={ms}", self.events);
+        self.gw.event(Kind::Failed, self.label(), detail);
+    }
+
+    /// Relays the events of one leg to their end.
+    async fn relay_leg(&mut self, conn: &mut Inbound) -> End {
+        let leave = self.leg.leave.clone();
+        loop {
+            let notified = leave.notified();
+            if self.mover.is_none() {
+                self.begin_move();
+            }
+            let is_still = self.mover.is_none();
+            let part = tokio::select! {
+                part = self.leg.taken.out.chunk() => part,
+                () = notified, if is_still => continue,
+                () = conn.gone() => return End::Gone,
+                () = tokio::time::sleep_until(self.job.deadline.into()) => return End::Late,
+            };
+            match part {
+                Ok(Some(part)) => {
+                    self.buf.extend_from_slice(&part);
+                    if let Err(end) = self.emit(conn).await {
+                        return end;
+                    }
+                }
+                Ok(None) if self.leg.taken.out.is_framed() || self.mover.is_none() => {
+                    let rest = self.buf.split().freeze();
+                    if !rest.is_empty() && conn.chunk(rest).await.is_err() {
+                        return End::Unread;
+                    }
+                    return End::Whole;
+                }
+                // Without a frame, a stop and an end look the same.
+                Ok(None) => return End::Cut(Broken::Early),
+                Err(e) => return End::Cut(e),
+            }
+        }
+    }
+
+    /// Sends on the whole events that are here.
+    async fn emit(&mut self, conn: &mut Inbound) -> Result<(), End> {
+        let mut out = BytesMut::new();
+        while let Some(event) = sse::scan_event(&self.buf) {
+            let bytes = self.buf.split_to(event.len);
+            match sse::judge(self.last, event.id) {
+                Verdict::Next => {
+                    self.last = event.id.or(self.last);
+                    self.events += 1;
+                    out.unsplit(bytes);
+                }
+                Verdict::Repeated => {}
+                Verdict::Gap => return Err(End::Gap),
+            }
+        }
+        if self.buf.len() > EVENT_LIMIT {
+            return Err(End::Cut(Broken::Malformed));
+        }
+        if out.is_empty() {
+            return Ok(());
+        }
+        self.note_pace();
+        conn.chunk(out.freeze()).await.map_err(|_| End::Unread)
+    }
+
+    fn note_pace(&self) {
+        if self.events == 1 {
+            let first = clock::now().saturating_duration_since(self.job.since);
+            metrics::histogram!("first_event_seconds").record(first.as_secs_f64());
+        }
+    }
+
+    /// Begins to move the generation if its engine is leaving.
+    fn begin_move(&mut self) {
+        let (Some(id), Some(terms)) = (&self.job.ask.id, &self.job.terms) else { return };
+        if !terms.engine.as_ref().is_some_and(|e| e.moves) {
+            return;
+        }
+        let source = self.leg.place.key;
+        let pool = self.gw.pool.borrow();
+        let Some(e) = pool.endpoints.get(source).filter(|e| e.is_leaving()) else { return };
+        let running = Running {
+            id: id.clone(),
+            service: self.job.service.clone(),
+            terms: terms.clone(),
+            tokens: self.job.tokens(),
+            source,
+            address: e.listing.address,
+            centre: e.listing.centre.clone(),
+            over: self.over.clone(),
+        };
+        self.mover = Some(actix_rt::spawn(moving::evacuate(self.gw.clone(), running)));
+    }
+
+    /// Goes on at the engine that the generation has moved to.
+    async fn go_on(&mut self, conn: &mut Inbound) -> Result<(), &'static str> {
+        let Some(mover) = self.mover.take() else { return Err("reset") };
+        let moved = tokio::select! {
+            moved = timeout(OUTCOME_TIME, mover) => moved,
+            () = conn.gone() => return Err("caller gone"),
+        };
+        let (place, handoff) = match moved {
+            Ok(Ok(Moved::To(place, handoff))) => (place, handoff),
+            Ok(Ok(Moved::Stay(why))) => return Err(why),
+            Ok(Err(_)) => return Err("the move ended without an outcome"),
+            Err(_) => return Err("the move has no outcome in time"),
+        };
+        self.drain(conn).await?;
+        self.buf.clear();
+        let opened = open(self.gw, self.job, place, Some(&handoff), self.last).await;
+        self.leg = match opened {
+            Ok(leg) if leg.taken.answer.status.is_success() => leg,
+            Ok(_) => return Err("refused where it moved to"),
+            Err(Tried::Unrun(why) | Tried::Lost(why)) => return Err(why),
+            Err(Tried::Answered(_)) => return Err("answered"),
+        };
+        metrics::counter!("moves_total").increment(1);
+        Ok(())
+    }
+
+    /// Passes on the last events of the engine that has stopped the generation.
+    async fn drain(&mut self, conn: &mut Inbound) -> Result<(), &'static str> {
+        while let Ok(Ok(Some(part))) = timeout(DRAIN_TIME, self.leg.taken.out.chunk()).await {
+            self.buf.extend_from_slice(&part);
+            self.emit(conn).await.map_err(|_| "unread")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/h1/inbound.rs
@@ -0,0 +1,256 @@
+//! The connection of a caller.
+
+use super::{fill, tune};
+use actix_http::body::BodySize;
+use actix_http::error::ParseError;
+use actix_http::h1::{Codec, Message};
+use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use actix_http::{ConnectionType, HttpMessage, Request, Response, ServiceConfig};
+use actix_rt::net::TcpStream;
+use bytes::{Bytes, BytesMut};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::time::timeout;
+use tokio_util::codec::{Decoder, Encoder};
+
+/// Time for a caller to take the bytes of one write before it counts as gone.
+const WRITE_TIME: Duration = Duration::from_secs(10);
+/// Bytes of further requests that a caller may send ahead of an answer.
+const AHEAD_BYTES: usize = 64 << 10;
+
+/// Limits on what a caller may send.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limits {
+    /// Largest head in bytes.
+    pub head: usize,
+    /// Largest body in bytes.
+    pub body: usize,
+    /// Time for the head, and again for the body, to arrive.
+    pub arrival: Duration,
+    /// Time that a connection may stay idle.
+    pub idle: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            head: 16 << 10,
+            body: 4 << 20,
+            arrival: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        }
+    }
+}
+
+/// Tells why no request was read.
+#[derive(Debug)]
+pub enum ReadError {
+    /// The caller closed the connection, or left it idle.
+    Closed,
+    /// The request did not arrive in time.
+    Slow,
+    /// The bytes are no request that can be forwarded safely.
+    Malformed(&'static str),
+    /// The head is over its limit.
+    HeadTooLarge,
+    /// The body is over its limit.
+    BodyTooLarge,
+}
+
+/// The connection of a caller: one request at a time.
+#[derive(Debug)]
+pub struct Inbound {
+    io: TcpStream,
+    codec: Codec,
+    buf: BytesMut,
+    out: BytesMut,
+}
+
+impl Inbound {
+    /// Takes over an accepted connection.
+    pub fn new(io: TcpStream, config: &ServiceConfig) -> Self {
+        tune(&io);
+        let codec = Codec::new(config.clone());
+        Inbound { io, codec, buf: BytesMut::new(), out: BytesMut::new() }
+    }
+
+    /// Waits until the first bytes of a request are here.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError::Closed`] where none come within `idle`.
+    pub async fn begin(&mut self, idle: Duration) -> Result<(), ReadError> {
+        if !self.buf.is_empty() {
+            return Ok(());
+        }
+        match timeout(idle, fill(&mut self.io, &mut self.buf)).await {
+            Ok(Ok(n)) if n > 0 => Ok(()),
+            _ => Err(ReadError::Closed),
+        }
+    }
+
+    /// Reads a request with its whole body.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError`] where no acceptable request arrives in time.
+    pub async fn next(&mut self, limits: &Limits) -> Result<(Request, Bytes), ReadError> {
+        let req = match timeout(limits.arrival, self.head(limits.head)).await {
+            Ok(done) => done?,
+            Err(_) => return Err(ReadError::Slow),
+        };
+        // Two framings in one head are read differently by different servers.
+        let headers = req.headers();
+        if headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING) {
+            return Err(ReadError::Malformed("the head has two framings"));
+        }
+        if self.codec.message_type() == actix_http::h1::MessageType::None {
+            return Ok((req, Bytes::new()));
+        }
+        if req.head().expect() {
+            self.out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+            self.flush().await.map_err(|_| ReadError::Closed)?;
+        }
+        match timeout(limits.arrival, self.body(limits.body)).await {
+            Ok(done) => Ok((req, done?)),
+            Err(_) => Err(ReadError::Slow),
+        }
+    }
+
+    async fn head(&mut self, most: usize) -> Result<Request, ReadError> {
+        loop {
+            match self.codec.decode(&mut self.buf) {
+                Ok(Some(Message::Item(req))) => return Ok(req),
+                Ok(Some(Message::Chunk(_))) => {
+                    return Err(ReadError::Malformed("a body without a head"));
+                }
+                Ok(None) if self.buf.len() > most => return Err(ReadError::HeadTooLarge),
+                Ok(None) => self.more().await?,
+                Err(ParseError::TooLarge) => return Err(ReadError::HeadTooLarge),
+                Err(_) => return Err(ReadError::Malformed("the head is malformed")),
+            }
+        }
+    }
+
+    async fn body(&mut self, most: usize) -> Result<Bytes, ReadError> {
+        let mut body = BytesMut::new();
+        loop {
+            match self.codec.decode(&mut self.buf) {
+                Ok(Some(Message::Chunk(Some(chunk)))) => {
+                    if body.len() + chunk.len() > most {
+                        return Err(ReadError::BodyTooLarge);
+                    }
+                    body.extend_from_slice(&chunk);
+                }
+                Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
+                Ok(Some(Message::Item(_))) => {
+                    return Err(ReadError::Malformed("a head within a body"));
+                }
+                Ok(None) => self.more().await?,
+                Err(_) => return Err(ReadError::Malformed("the body is malformed")),
+            }
+        }
+    }
+
+    async fn more(&mut self) -> Result<(), ReadError> {
+        match fill(&mut self.io, &mut self.buf).await {
+            Ok(n) if n > 0 => Ok(()),
+            _ => Err(ReadError::Closed),
+        }
+    }
+
+    /// Waits until the caller has closed the connection; may be dropped at any time.
+    pub async fn gone(&mut self) {
+        while self.buf.len() < AHEAD_BYTES {
+            match fill(&mut self.io, &mut self.buf).await {
+                Ok(n) if n > 0 => {}
+                _ => return,
+            }
+        }
+        std::future::pending().await
+    }
+
+    /// Tells whether the connection stays open after the answer that was sent last.
+    pub fn is_kept(&self) -> bool {
+        self.codec.keep_alive()
+    }
+
+    /// Sends the head of an answer; a chunk follows for each part of the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the caller is gone or takes no bytes.
+    pub async fn start(
+        &mut self,
+        mut head: Response<()>,
+        size: BodySize,
+        close: bool,
+    ) -> std::io::Result<()> {
+        if close {
+            head.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        self.codec.encode(Message::Item((head, size)), &mut self.out)?;
+        self.flush().await
+    }
+
+    /// Sends a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the caller is gone or takes no bytes.
+    pub async fn answer(
+        &mut self,
+        mut head: Response<()>,
+        body: Bytes,
+        close: bool,
+    ) -> std::io::Result<()> {
+        if close {
+            head.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        let size = BodySize::Sized(body.len() as u64);
+        self.codec.encode(Message::Item((head, size)), &mut self.out)?;
+        if !body.is_empty() {
+            self.codec.encode(Message::Chunk(Some(body)), &mut self.out)?;
+        }
+        self.flush().await
+    }
+
+    /// Sends a part of the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the caller is gone or takes no bytes.
+    pub async fn chunk(&mut self, chunk: Bytes) -> std::io::Result<()> {
+        self.codec.encode(Message::Chunk(Some(chunk)), &mut self.out)?;
+        self.flush().await
+    }
+
+    /// Ends a body that was sent in chunks.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the caller is gone or takes no bytes.
+    pub async fn finish(&mut self) -> std::io::Result<()> {
+        self.codec.encode(Message::Chunk(None), &mut self.out)?;
+        self.flush().await
+    }
+
+    async fn flush(&mut self) -> std::io::Result<()> {
+        match timeout(WRITE_TIME, self.io.write_all_buf(&mut self.out)).await {
+            Ok(done) => done,
+            Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
+        }
+    }
+
+    /// Closes the connection after what was sent has left.
+    pub async fn close(mut self) {
+        if let Err(e) = self.io.shutdown().await {
+            log::debug!("connection not closed in order: {e}");
+        }
+        // Bytes that arrive unread would reset the connection and take the answer with them.
+        let _ = timeout(LINGER_TIME, self.gone()).await;
+    }
+}
+
+/// Time to wait for a caller to close after an answer that ends the connection.
+const LINGER_TIME: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/src/h1/outbound.rs
@@ -0,0 +1,221 @@
+//! One request to an endpoint, on a connection of its own.
+
+use super::{fill, tune};
+use actix_http::body::BodySize;
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
+use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
+use actix_rt::net::TcpStream;
+use bytes::{Bytes, BytesMut};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::time::timeout;
+use tokio_util::codec::{Decoder, Encoder};
+
+/// Tells why a request was not sent.
+#[derive(Debug)]
+pub enum SendError {
+    /// No connection was made, so nothing was sent.
+    Unreached(std::io::Error),
+    /// The head cannot be encoded.
+    Head(std::io::Error),
+}
+
+/// Tells how an answer broke off.
+#[derive(Debug)]
+pub enum Broken {
+    /// The connection failed.
+    Io(std::io::Error),
+    /// The connection ended before the answer did.
+    Early,
+    /// The bytes are no answer.
+    Malformed,
+}
+
+enum Phase {
+    Head(ClientCodec),
+    Body(ClientPayloadCodec),
+    /// The end of the connection ends the body.
+    Rest,
+    Done,
+}
+
+impl std::fmt::Debug for Phase {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Phase::Head(_) => "Head",
+            Phase::Body(_) => "Body",
+            Phase::Rest => "Rest",
+            Phase::Done => "Done",
+        })
+    }
+}
+
+/// One request and its answer. Dropping it closes the connection, which cancels the request.
+#[derive(Debug)]
+pub struct Outbound {
+    io: TcpStream,
+    buf: BytesMut,
+    out: BytesMut,
+    phase: Phase,
+    method: Method,
+    framed: bool,
+}
+
+impl Outbound {
+    /// Connects and prepares a request; it leaves while the answer is awaited.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError`] where nothing was sent.
+    pub async fn open(
+        to: SocketAddr,
+        wait: Duration,
+        config: &ServiceConfig,
+        head: RequestHead,
+        body: Bytes,
+    ) -> Result<Outbound, SendError> {
+        let mut codec = ClientCodec::new(config.clone());
+        let mut out = BytesMut::new();
+        let method = head.method.clone();
+        let has_body = !body.is_empty();
+        let size = if has_body || method == Method::POST {
+            BodySize::Sized(body.len() as u64)
+        } else {
+            BodySize::None
+        };
+        let head = RequestHeadType::Owned(head);
+        codec.encode(Message::Item((head, size)), &mut out).map_err(SendError::Head)?;
+        if has_body {
+            codec.encode(Message::Chunk(Some(body)), &mut out).map_err(SendError::Head)?;
+        }
+        let io = match timeout(wait, TcpStream::connect(to)).await {
+            Ok(io) => io.map_err(SendError::Unreached)?,
+            Err(_) => return Err(SendError::Unreached(std::io::ErrorKind::TimedOut.into())),
+        };
+        tune(&io);
+        Ok(Outbound {
+            io,
+            buf: BytesMut::new(),
+            out,
+            phase: Phase::Head(codec),
+            method,
+            framed: true,
+        })
+    }
+
+    /// Sends what is left of the request and waits for the head of the answer, which may come
+    /// before the whole body has left.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Broken`] where no head arrives.
+    pub async fn head(&mut self) -> Result<ResponseHead, Broken> {
+        loop {
+            let Phase::Head(codec) = &mut self.phase else { return Err(Broken::Malformed) };
+            match codec.decode(&mut self.buf).map_err(|_| Broken::Malformed)? {
+                Some(head) if head.status.is_informational() => continue,
+                Some(head) => {
+                    self.begin_body(&head);
+                    return Ok(head);
+                }
+                None => {}
+            }
+            if self.more().await? == 0 {
+                return Err(Broken::Early);
+            }
+        }
+    }
+
+    fn begin_body(&mut self, head: &ResponseHead) {
+        let phase = std::mem::replace(&mut self.phase, Phase::Done);
+        let Phase::Head(codec) = phase else { return };
+        if codec.message_type() != MessageType::None {
+            self.phase = Phase::Body(codec.into_payload_codec());
+        } else if !self.is_bodiless(head) {
+            // The codec takes an answer without a length for one without a body.
+            self.phase = Phase::Rest;
+            self.framed = false;
+        }
+    }
+
+    fn is_bodiless(&self, head: &ResponseHead) -> bool {
+        let headers = head.headers();
+        self.method == Method::HEAD
+            || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+            || headers.contains_key(CONTENT_LENGTH)
+            || headers.contains_key(TRANSFER_ENCODING)
+    }
+
+    /// Reads and writes whatever is possible first; returns the bytes read, 0 at the end.
+    async fn more(&mut self) -> Result<usize, Broken> {
+        let (mut reader, mut writer) = self.io.split();
+        loop {
+            if self.out.is_empty() {
+                return fill(&mut reader, &mut self.buf).await.map_err(Broken::Io);
+            }
+            tokio::select! {
+                read = fill(&mut reader, &mut self.buf) => return read.map_err(Broken::Io),
+                sent = writer.write_buf(&mut self.out) => {
+                    // An endpoint may answer early and read no further; its answer still counts.
+                    if sent.is_err() {
+                        self.out.clear();
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns the next part of the body; `None` at its proper end. May be dropped at any time.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Broken`] where the body ends before its proper end.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, Broken> {
+        loop {
+            match &mut self.phase {
+                Phase::Body(codec) => match codec.decode(&mut self.buf) {
+                    Ok(Some(Some(chunk))) => return Ok(Some(chunk)),
+                    Ok(Some(None)) => {
+                        self.phase = Phase::Done;
+                        return Ok(None);
+                    }
+                    Ok(None) => {}
+                    Err(_) => return Err(Broken::Malformed),
+                },
+                Phase::Rest if !self.buf.is_empty() => return Ok(Some(self.buf.split().freeze())),
+                Phase::Rest => {}
+                Phase::Head(_) | Phase::Done => return Ok(None),
+            }
+            if self.more().await? == 0 {
+                if matches!(self.phase, Phase::Rest) {
+                    self.phase = Phase::Done;
+                    return Ok(None);
+                }
+                return Err(Broken::Early);
+            }
+        }
+    }
+
+    /// Tells whether the end of the body can be told from a connection that was closed.
+    pub fn is_framed(&self) -> bool {
+        self.framed
+    }
+
+    /// Reads a whole body of at most `most` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Broken`] where the body breaks off or is longer.
+    pub async fn body(&mut self, most: usize) -> Result<Bytes, Broken> {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = self.chunk().await? {
+            if body.len() + chunk.len() > most {
+                return Err(Broken::Malformed);
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    }
+}
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -10,6 +10,8 @@
 
 /// Longest name in bytes.
 const NAME_LIMIT: usize = 64;
+/// Longest label chosen by another system, in bytes.
+const LABEL_LIMIT: usize = 200;
 
 /// Tells why a text is no valid name, number or key.
 #[derive(Debug, Clone, PartialEq)]
@@ -27,7 +29,7 @@
 impl fmt::Display for IdError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            IdError::Length(n) => write!(f, "a name has 1 to {NAME_LIMIT} bytes, this has {n}"),
+            IdError::Length(n) => write!(f, "{n} bytes is not a length allowed here"),
             IdError::Character(c) => write!(f, "{c:?} may not stand in a name"),
             IdError::Number(e) => write!(f, "{e}"),
             IdError::Shape => write!(f, "the parts do not fit this kind of identifier"),
@@ -46,6 +48,16 @@
     }
 }
 
+fn scan_label(s: &str) -> Result<Arc<str>, IdError> {
+    if s.is_empty() || s.len() > LABEL_LIMIT {
+        return Err(IdError::Length(s.len()));
+    }
+    match s.chars().find(|c| !c.is_ascii_graphic()) {
+        Some(c) => Err(IdError::Character(c)),
+        None => Ok(Arc::from(s)),
+    }
+}
+
 macro_rules! name {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
@@ -101,6 +113,49 @@
     ModelName
 }
 
+macro_rules! label {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the label as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            /// Reads a label of 1 to 200 visible ASCII characters.
+            ///
+            /// # Errors
+            ///
+            /// Returns [`IdError`] where the length or a character is not allowed.
+            fn from_str(s: &str) -> Result<Self, IdError> {
+                scan_label(s).map($name)
+            }
+        }
+    };
+}
+
+label! {
+    /// Names one start of an endpoint, as the endpoint chose it.
+    EndpointId
+}
+label! {
+    /// Names one attempt of a caller, as the caller chose it.
+    RequestId
+}
+
 macro_rules! number {
     ($(#[$doc:meta])* $name:ident, $inner:ty) => {
         $(#[$doc])*
--- a/src/problem/mod.rs
+++ b/src/problem/mod.rs
@@ -48,6 +48,8 @@
     Refused(Refusal),
     /// The outcome cannot be known.
     Unknown,
+    /// No answer came in time.
+    Late,
     /// The generation broke off.
     Incomplete,
     /// The generation is not held any more.
@@ -76,7 +78,7 @@
             ProblemKind::Refused(Refusal::TooLarge | Refusal::Convicted) => 422,
             ProblemKind::TooMany => 429,
             ProblemKind::Unknown | ProblemKind::Incomplete => 502,
-            ProblemKind::Refused(Refusal::Expired) => 504,
+            ProblemKind::Refused(Refusal::Expired) | ProblemKind::Late => 504,
             ProblemKind::NoClaim
             | ProblemKind::Refused(_)
             | ProblemKind::Draining
@@ -89,7 +91,7 @@
         match self {
             ProblemKind::KeyRunning => Outcome::Running,
             ProblemKind::KeyDone => Outcome::Ran,
-            ProblemKind::Unknown | ProblemKind::NoClaim => Outcome::Unknown,
+            ProblemKind::Unknown | ProblemKind::NoClaim | ProblemKind::Late => Outcome::Unknown,
             ProblemKind::Incomplete | ProblemKind::Gone => Outcome::Incomplete,
             _ => Outcome::NotRun,
         }
--- /dev/null
+++ b/src/spread/mod.rs
@@ -0,0 +1,71 @@
+//! Chooses the endpoint of a request among those of its service.
+//!
+//! Plain services are chosen by the requests at each endpoint, engines by the memory that the
+//! generations there are expected to need: a generation that meets a full memory preempts another
+//! in the middle of its stream. Both prefer the caller's data centre where little speaks against
+//! it.
+
+use crate::id::{DataCentre, ServiceName, Tokens};
+use crate::pool::{Endpoint, Pool, PoolKey};
+use crate::route::Engine;
+use rand::Rng;
+use std::time::Instant;
+
+/// Cost of another data centre, as a share of an endpoint's places or memory.
+const FAR: f64 = 0.06;
+/// Cost of an endpoint that has just started and is slow.
+const COLD: f64 = 0.5;
+/// Cost of an endpoint whose last request failed.
+const DOUBT: f64 = 0.3;
+/// Cost per request of one endpoint's places, beside the memory that an engine's cost is made of.
+const CROWD: f64 = 0.5;
+/// Costs closer than this are chosen between at random, so that instances do not act in step.
+const NEAR: f64 = 0.03;
+
+/// What a request needs.
+#[derive(Debug)]
+pub struct Need<'a> {
+    /// Service.
+    pub service: &'a ServiceName,
+    /// Engines of the service; absent for a plain one.
+    pub engine: Option<&'a Engine>,
+    /// Memory that it is expected to need.
+    pub tokens: Tokens,
+    /// Data centre that is nearest.
+    pub centre: &'a DataCentre,
+}
+
+/// Chooses an endpoint that is not among `tried`.
+pub fn choose<R: Rng>(
+    now: Instant,
+    pool: &Pool,
+    need: &Need<'_>,
+    tried: &[PoolKey],
+    rng: &mut R,
+) -> Option<PoolKey> {
+    let fits = |k: &PoolKey, e: &Endpoint| {
+        e.listing.service == *need.service && e.is_usable() && !tried.contains(k)
+    };
+    pool.endpoints
+        .iter()
+        .filter(|(k, e)| fits(k, e))
+        .map(|(k, e)| (k, cost(now, e, need) + rng.random_range(0.0..NEAR)))
+        .min_by(|a, b| a.1.total_cmp(&b.1))
+        .map(|(k, _)| k)
+}
+
+/// Returns the cost of sending a request to an endpoint, where 1 is all that it can carry.
+fn cost(now: Instant, e: &Endpoint, need: &Need<'_>) -> f64 {
+    let places = f64::from(e.busy(now)) / f64::from(e.listing.slots.max(1));
+    let load = match need.engine {
+        Some(engine) => {
+            let held = e.held as f64 + f64::from(need.tokens.0);
+            held / f64::from(engine.memory.0.max(1)) + places * CROWD
+        }
+        None => places,
+    };
+    let far = if e.listing.centre == *need.centre { 0.0 } else { FAR };
+    let cold = if e.warm > now { COLD } else { 0.0 };
+    let doubt = if e.health.failures > 0 { DOUBT } else { 0.0 };
+    load + far + cold + doubt
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -23,6 +23,8 @@
     Malformed,
     /// The revision to watch from is no longer kept.
     Compacted,
+    /// The store turned the call away; nothing was done.
+    Refused,
 }
 
 /// A value as the store holds it.
@@ -116,3 +118,45 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Option<Stored>, StoreError>>;
 }
+
+/// One key as the store holds it, or the fact that it was removed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Fact {
+    /// Key.
+    pub key: Box<str>,
+    /// Value; `None` where the key was removed.
+    pub value: Option<Vec<u8>>,
+    /// Revision of the store at this change.
+    pub revision: u64,
+}
+
+/// Facts, and the revision that they bring a reader to.
+#[derive(Debug, Clone, PartialEq)]
+pub struct News {
+    /// Facts in the order of their revisions.
+    pub facts: Vec<Fact>,
+    /// Revision to watch from.
+    pub revision: u64,
+}
+
+/// A store that can be followed: read as a whole once, then change by change.
+pub trait Feed {
+    /// Reads all keys that begin with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] where the store gives no answer.
+    fn list(&self, prefix: &str) -> impl Future<Output = Result<News, StoreError>>;
+
+    /// Waits at most `wait` for changes of keys that begin with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Compacted`] where changes since `after` are no longer kept.
+    fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<News, StoreError>>;
+}
