Say in the log how the events of a stream came

Cause: late streams could not be told apart. The line of an answered stream now has the time to its first event, its longest pause and its moves. No behaviour changes.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -17,8 +17,9 @@
 use actix_http::body::BodySize;
 use bytes::BytesMut;
 use std::cell::Cell;
+use std::fmt;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -50,11 +51,45 @@
     leg: Leg,
     buf: BytesMut,
     last: Option<EventId>,
-    events: u32,
+    pace: Pace,
     over: Rc<Cell<bool>>,
     mover: Option<JoinHandle<Moved>>,
 }
 
+/// How the events of a stream have come.
+#[derive(Debug, Default)]
+struct Pace {
+    /// Events that the caller got.
+    events: u32,
+    /// When the latest came.
+    latest: Option<Instant>,
+    /// Time to the first event.
+    first: Duration,
+    /// Longest pause between two events.
+    pause: Duration,
+    /// Engines that the generation has moved to.
+    moves: u32,
+}
+
+impl Pace {
+    fn note(&mut self, since: Instant, now: Instant, events: u32) {
+        match self.latest {
+            None => self.first = now.saturating_duration_since(since),
+            Some(t) => self.pause = self.pause.max(now.saturating_duration_since(t)),
+        }
+        self.latest = Some(now);
+        self.events += events;
+    }
+}
+
+impl fmt::Display for Pace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (first, pause) = (self.first.as_millis(), self.pause.as_millis());
+        let (events, moves) = (self.events, self.moves);
+        write!(f, "events={events} first_ms={first} pause_ms={pause} moves={moves}")
+    }
+}
+
 /// Why the events of a leg ended.
 #[derive(Debug)]
 enum End {
@@ -91,7 +126,7 @@
                 leg,
                 buf: BytesMut::new(),
                 last: None,
-                events: 0,
+                pace: Pace::default(),
                 over: over.clone(),
                 mover: None,
             };
@@ -212,8 +247,7 @@
                     }
                 }
                 End::Gone => {
-                    let detail = format!("events={}", self.events);
-                    self.gw.event(Kind::Abandoned, self.label(), detail);
+                    self.gw.event(Kind::Abandoned, self.label(), &self.pace);
                     return Next::Abort;
                 }
                 End::Unread => "unread",
@@ -234,7 +268,8 @@
         let ms = clock::now().saturating_duration_since(self.job.since).as_millis();
         metrics::counter!("streams_total", "end" => "whole").increment(1);
         metrics::histogram!("stream_seconds").record(ms as f64 / 1e3);
-        let detail = format!("endpoint={} events={} ms={ms}", self.leg.taken.endpoint, self.events);
+        metrics::histogram!("pause_seconds").record(self.pace.pause.as_secs_f64());
+        let detail = format!("endpoint={} {} ms={ms}", self.leg.taken.endpoint, self.pace);
         self.gw.event(Kind::Answered, self.label(), detail);
     }
 
@@ -242,7 +277,7 @@
         metrics::counter!("streams_total", "end" => why).increment(1);
         let ms = clock::now().saturating_duration_since(self.job.since).as_millis();
         let endpoint = &self.leg.taken.endpoint;
-        let detail = format!("endpoint={endpoint} why={why:?} events={} ms={ms}", self.events);
+        let detail = format!("endpoint={endpoint} why={why:?} {} ms={ms}", self.pace);
         self.gw.event(Kind::Failed, self.label(), detail);
     }
 
@@ -285,12 +320,13 @@
     /// Sends on the whole events that are here.
     async fn emit(&mut self, conn: &mut Inbound) -> Result<(), End> {
         let mut out = BytesMut::new();
+        let mut events = 0;
         while let Some(event) = sse::scan_event(&self.buf) {
             let bytes = self.buf.split_to(event.len);
             match sse::judge(self.last, event.id) {
                 Verdict::Next => {
                     self.last = event.id.or(self.last);
-                    self.events += 1;
+                    events += 1;
                     out.unsplit(bytes);
                 }
                 Verdict::Repeated => {}
@@ -303,15 +339,13 @@
         if out.is_empty() {
             return Ok(());
         }
-        self.note_pace();
-        conn.chunk(out.freeze()).await.map_err(|_| End::Unread)
-    }
-
-    fn note_pace(&self) {
-        if self.events == 1 {
-            let first = clock::now().saturating_duration_since(self.job.since);
+        let now = clock::now();
+        if self.pace.events == 0 {
+            let first = now.saturating_duration_since(self.job.since);
             metrics::histogram!("first_event_seconds").record(first.as_secs_f64());
         }
+        self.pace.note(self.job.since, now, events);
+        conn.chunk(out.freeze()).await.map_err(|_| End::Unread)
     }
 
     /// Begins to move the generation if its engine is leaving.
@@ -358,6 +392,7 @@
             Err(Tried::Unrun(why) | Tried::Lost(why)) => return Err(why),
             Err(Tried::Answered(_)) => return Err("answered"),
         };
+        self.pace.moves += 1;
         metrics::counter!("moves_total").increment(1);
         Ok(())
     }
