Place and move by what all instances have under way

Cause: instances saw only their own requests.

Change: instances tell each other by signed datagrams what they have where (requests, memory, unread prompt tokens, copies). Placing counts unread prompts and memory of all; first copies spread over links, and last ones wait until both links are free or the notice runs out.

--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -5,7 +5,7 @@
 use crate::clock;
 use crate::event::Kind;
 use crate::id::{Epoch, Fingerprint, Incarnation, InstanceId, ServiceName};
-use crate::store::{LeaseId, Op, Store, Stored};
+use crate::store::{LeaseId, Leases, Op, Store, Stored};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- a/src/evacuate/mod.rs
+++ b/src/evacuate/mod.rs
@@ -1,57 +1,42 @@
 //! Decides where and when running generations go as their engine leaves.
 //!
 //! Load it answers: engines are taken away at short notice with many generations on each. Copies
-//! of their memory queue on the link of the engine, first come first served. A generation stops
-//! only for its last copy, which is short, unless it queues behind the first copies of others; so
-//! the last copies wait until all first ones should be through.
+//! of their memory queue on the links of both engines, first come first served. A generation
+//! stands still only for its last copy, which is short, unless that queues behind the first copies
+//! of others. So first copies are spread over the engines, and last ones wait until the links are
+//! free, as far as the notice allows.
 
-use crate::id::{DataCentre, ServiceName, Tokens};
+use crate::id::{DataCentre, ServiceName};
 use crate::pool::{Endpoint, Pool, PoolKey};
 use crate::route::Engine;
 use std::time::{Duration, Instant};
 
-/// Factor by which a copy between data centres takes longer.
-const FAR_FACTOR: f64 = 2.0;
-/// Time that each copy takes beside its transfer.
-const COPY_TIME: Duration = Duration::from_millis(3);
 /// Notice assumed where the engine does not know how long it has.
 const NOTICE: Duration = Duration::from_millis(1400);
 /// Time kept for the last copy, and for going on elsewhere.
 const RESERVE: Duration = Duration::from_millis(300);
 /// Share of the memory past which an engine takes no generation that moves.
 const FULL: f64 = 0.97;
-/// Cost of another data centre, as a share of an engine's memory.
-const FAR: f64 = 0.35;
+/// Cost of another data centre, as a share of an engine's memory: copies take twice as long.
+const FAR: f64 = 0.6;
+/// Cost of each copy that the link of an engine carries already.
+const COPY: f64 = 0.25;
 
-/// What has to move away from one engine.
+/// What is known of an engine that leaves.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Exodus {
-    /// When the engine began to leave, as seen here.
+    /// When it began to leave, as seen here.
     pub since: Instant,
     /// Time that it had left at `seen`, where it told.
     pub leaves: Option<Duration>,
     /// When it told.
     pub seen: Instant,
-    /// Memory of all generations that ran there.
-    pub held: Tokens,
-    /// Generations that ran there.
-    pub running: u32,
 }
 
-/// Returns how long a copy of so many tokens takes on an idle link.
-pub fn transfer_time(tokens: Tokens, engine: &Engine, far: bool) -> Duration {
-    let bits = f64::from(tokens.0) * engine.token_bytes as f64 * 8.0;
-    let factor = if far { FAR_FACTOR } else { 1.0 };
-    Duration::try_from_secs_f64(bits / engine.link_bits.max(1.0) * factor).unwrap_or(NOTICE)
-}
-
-/// Returns when a generation should stop for its last copy.
-pub fn last_copy_at(now: Instant, exodus: &Exodus, engine: &Engine) -> Instant {
+/// Returns when a generation should stop for its last copy, whatever the links carry.
+pub fn last_copy_by(exodus: &Exodus) -> Instant {
     let gone = exodus.leaves.map_or(exodus.since + NOTICE, |left| exodus.seen + left);
-    let copies = transfer_time(exodus.held, engine, false) + COPY_TIME * exodus.running;
-    let through = exodus.since + copies;
-    let latest = gone.checked_sub(RESERVE).unwrap_or(now);
-    through.min(latest).max(now)
+    gone.checked_sub(RESERVE).unwrap_or(exodus.since)
 }
 
 /// A generation that has to move.
@@ -63,8 +48,8 @@
     pub service: &'a ServiceName,
     /// Data centre of the engine that it leaves.
     pub centre: &'a DataCentre,
-    /// Memory that it is expected to need to its end.
-    pub tokens: Tokens,
+    /// Memory that it is expected to need to its end, in tokens.
+    pub held: u64,
 }
 
 /// Chooses the engine that a generation moves to, not one of `tried`.
@@ -85,7 +70,7 @@
     };
     let cost = |e: &Endpoint| {
         let far = if e.listing.centre == *mover.centre { 0.0 } else { FAR };
-        share(e, mover, engine) + far
+        share(e, mover, engine) + far + f64::from(e.work().copies) * COPY
     };
     pool.endpoints
         .iter()
@@ -96,5 +81,5 @@
 
 /// Returns the share of an engine's memory that is in use once the generation is there.
 fn share(e: &Endpoint, mover: &Mover<'_>, engine: &Engine) -> f64 {
-    (e.held as f64 + f64::from(mover.tokens.0)) / f64::from(engine.memory.0.max(1))
+    (e.work().held + mover.held) as f64 / f64::from(engine.memory.0.max(1))
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -274,7 +274,7 @@
 
 /// Sends a request to one endpoint and reads the answer up to what is held back.
 async fn attempt(gw: &Rc<Gateway>, job: &Job, key: PoolKey) -> Result<Reply, Tried> {
-    let _place = Place::take(gw, key, Tokens(0));
+    let _place = Place::take(gw, key, job.work());
     let Some(endpoint) = gw.pool.borrow().endpoints.get(key).map(|e| e.listing.id.clone()) else {
         return Err(Tried::Unrun("gone"));
     };
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the store: the operators' configuration and the list of endpoints.
 
-use super::{Gateway, jitter};
+use super::{Gateway, jitter, peers};
 use crate::clock;
 use crate::event::Kind;
 use crate::platform;
@@ -53,10 +53,12 @@
     let Some(revision) = position.revision else {
         let endpoints = gw.store.list(platform::SERVERS_PREFIX).await?;
         let config = gw.store.list(platform::CONFIG_KEY).await?;
+        let peers = gw.store.list(peers::PREFIX).await?;
         note_back(gw, position);
         position.revision = Some(endpoints.revision.min(config.revision));
         take_config(gw, &config);
         relist(gw, &endpoints);
+        peers.facts.iter().for_each(|f| peers::take_peer(gw, f));
         return Ok(());
     };
     let news = gw.store.watch(ALL_KEYS, revision, WATCH_TIME).await?;
@@ -64,7 +66,10 @@
     position.revision = Some(news.revision.max(revision));
     take_config(gw, &news);
     let is_back = position.back.is_some_and(|t| clock::now() < t + RETURN_TIME);
-    news.facts.iter().for_each(|f| take_endpoint(gw, f, is_back));
+    for fact in &news.facts {
+        take_endpoint(gw, fact, is_back);
+        peers::take_peer(gw, fact);
+    }
     Ok(())
 }
 
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -8,6 +8,7 @@
 use crate::pool::PoolKey;
 use crate::problem::{Problem, ProblemKind};
 use crate::route::{Denied, Engine, Kind as RouteKind, Member, Route, Service};
+use crate::share::Work;
 use crate::spread::{self, Need};
 use actix_http::{Request, RequestHead};
 use bytes::Bytes;
@@ -89,6 +90,12 @@
         Tokens(p.input.0 + output)
     }
 
+    /// Returns what it will need of an endpoint.
+    pub fn work(&self) -> Work {
+        let unread = self.ask.prompt.map_or(0, |p| u64::from(p.input.0));
+        Work { open: 1, held: u64::from(self.tokens().0), unread, copies: 0 }
+    }
+
     /// Tells whether the request may run more than once.
     pub fn is_idempotent(&self) -> bool {
         self.route.kind == RouteKind::Safe
@@ -100,7 +107,7 @@
         let need = Need {
             service: &self.service,
             engine: self.engine(),
-            tokens: self.tokens(),
+            work: self.work(),
             centre: &centre,
         };
         spread::choose(now, &gw.pool.borrow(), &need, tried, &mut rand::rng())
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod job;
 mod moving;
+mod peers;
 mod serve;
 mod stream;
 
@@ -16,18 +17,21 @@
 use crate::clock;
 use crate::event::{Kind, Ring};
 use crate::http::{self, Metrics};
-use crate::id::Tokens;
+use crate::id::InstanceId;
 use crate::platform::{Boot, BootError, Kv};
-use crate::pool::{Change, Pool};
+use crate::pool::{Change, Pool, PoolKey};
 use crate::route::Table;
+use crate::share::{Ledger, Work};
 use actix_http::{KeepAlive, ServiceConfig};
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::fmt::{self, Display};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
 
 /// Time between two looks at endpoints that fail or lapsed.
 const STEP_TIME: Duration = Duration::from_millis(100);
@@ -93,6 +97,12 @@
     codec: ServiceConfig,
     store: Kv,
     metrics: Metrics,
+    /// What other instances have under way.
+    ledger: RefCell<Ledger>,
+    /// Other instances.
+    peers: RefCell<HashMap<InstanceId, peers::Peer>>,
+    /// Tells that what this instance has under way has changed.
+    changed: Notify,
 }
 
 /// Reads settings from a file.
@@ -129,6 +139,9 @@
         codec: codec(),
         store: Kv::new(boot.store),
         metrics,
+        ledger: RefCell::new(Ledger::default()),
+        peers: RefCell::new(HashMap::new()),
+        changed: Notify::new(),
         boot: RefCell::new(boot.clone()),
     });
     gw.event(Kind::Started, &boot.instance, format_args!("data_centre={}", boot.centre));
@@ -140,6 +153,9 @@
     actix_rt::spawn(serve::accept_callers(gw.clone(), bind(front).await?));
     actix_rt::spawn(follow::follow(gw.clone()));
     actix_rt::spawn(step(gw.clone()));
+    if let Some(address) = boot.inner {
+        peers::start(&gw, address).await.map_err(|e| GatewayError::Bind(address, e))?;
+    }
     let hangups = signal(SignalKind::hangup()).map_err(GatewayError::Signal)?;
     actix_rt::spawn(reload(gw.clone(), file, hangups));
     crate::shutdown::requested().await;
@@ -188,27 +204,41 @@
 #[derive(Debug)]
 struct Place {
     gw: Rc<Gateway>,
-    key: crate::pool::PoolKey,
-    tokens: Tokens,
+    key: PoolKey,
+    work: Work,
 }
 
 impl Place {
-    fn take(gw: &Rc<Gateway>, key: crate::pool::PoolKey, tokens: Tokens) -> Self {
-        gw.pool.borrow_mut().enter(key, tokens);
-        Place { gw: gw.clone(), key, tokens }
+    fn take(gw: &Rc<Gateway>, key: PoolKey, work: Work) -> Self {
+        gw.pool.borrow_mut().enter(key, work);
+        gw.changed.notify_one();
+        Place { gw: gw.clone(), key, work }
+    }
+
+    /// Counts the prompt as read.
+    fn read(&mut self) {
+        let unread = std::mem::take(&mut self.work.unread);
+        if unread > 0 {
+            self.gw.pool.borrow_mut().read(self.key, unread);
+            self.gw.changed.notify_one();
+        }
     }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.gw.pool.borrow_mut().leave(self.key, self.tokens);
+        self.gw.pool.borrow_mut().leave(self.key, self.work);
+        self.gw.changed.notify_one();
     }
 }
 
 async fn step(gw: Rc<Gateway>) {
     loop {
         tokio::time::sleep(STEP_TIME).await;
-        let changes = gw.pool.borrow_mut().step(clock::now());
+        let now = clock::now();
+        gw.ledger.borrow_mut().step(now);
+        gw.pool.borrow_mut().refresh(&gw.ledger.borrow());
+        let changes = gw.pool.borrow_mut().step(now);
         changes.into_iter().for_each(|c| gw.note_change(c));
     }
 }
--- a/src/gateway/moving.rs
+++ b/src/gateway/moving.rs
@@ -8,6 +8,7 @@
 use crate::platform::{self, Copied, Handoff};
 use crate::pool::PoolKey;
 use crate::route::Service;
+use crate::share::Work;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,6 +18,10 @@
 const COPY_WAIT: Duration = Duration::from_millis(4000);
 /// Time between two tries of a copy that could not begin.
 const AGAIN_TIME: Duration = Duration::from_millis(60);
+/// Time within which other instances have told of copies that they began.
+const TOLD_TIME: Duration = Duration::from_millis(60);
+/// Time between two looks at whether the links are free.
+const LOOK_TIME: Duration = Duration::from_millis(10);
 /// Time for an engine to tell how it stands.
 const REPORT_WAIT: Duration = Duration::from_millis(200);
 /// Time for an engine to free a copy.
@@ -47,6 +52,31 @@
     pub over: Rc<Cell<bool>>,
 }
 
+impl Running {
+    /// Returns what it will need of the engine that it moves to, which reads nothing again.
+    fn work(&self) -> Work {
+        Work { open: 1, held: u64::from(self.tokens.0), unread: 0, copies: 0 }
+    }
+}
+
+/// How long the parts of a move took.
+#[derive(Debug, Default, Clone, Copy)]
+struct Times {
+    /// Copy while the generation ran.
+    first: Duration,
+    /// Time until the last copy began.
+    hold: Duration,
+    /// Copy of the rest, while the generation stood still.
+    last: Duration,
+}
+
+impl std::fmt::Display for Times {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let [first, hold, last] = [self.first, self.hold, self.last].map(|d| d.as_millis());
+        write!(f, "first_ms={first} hold_ms={hold} last_ms={last}")
+    }
+}
+
 /// What became of a move.
 #[derive(Debug)]
 pub enum Moved {
@@ -56,111 +86,163 @@
     Stay(&'static str),
 }
 
+/// One move under way.
+struct Evacuation {
+    gw: Rc<Gateway>,
+    run: Running,
+    begun: Instant,
+    times: Times,
+}
+
 /// Copies a generation to another engine, then stops it there.
 pub async fn evacuate(gw: Rc<Gateway>, run: Running) -> Moved {
     let begun = clock::now();
     gw.event(Kind::MoveBegun, &run.id, format_args!("source={}", run.address));
-    let moved = evacuate_once(&gw, &run, begun).await;
-    let ms = clock::now().saturating_duration_since(begun).as_millis();
-    match &moved {
-        Moved::To(place, handoff) => {
-            let to = gw.pool.borrow().endpoints.get(place.key).map(|e| e.listing.address);
-            let detail =
-                format!("source={} to={to:?} handle={} ms={ms}", run.address, handoff.handle);
-            gw.event(Kind::MoveDone, &run.id, detail);
-        }
-        Moved::Stay(why) => {
-            let detail =
-                format!("source={} why={why} over={} ms={ms}", run.address, run.over.get());
-            gw.event(Kind::MoveFailed, &run.id, detail);
-        }
-    }
+    let mut evacuation = Evacuation { gw, run, begun, times: Times::default() };
+    let moved = evacuation.run().await;
+    evacuation.note(&moved);
     moved
 }
 
-async fn evacuate_once(gw: &Rc<Gateway>, run: &Running, begun: Instant) -> Moved {
-    let mut tried = Vec::new();
-    let exodus = look(gw, run, begun).await;
-    while clock::now() < begun + WORTHWHILE && tried.len() < TRIES {
-        if run.over.get() {
-            return Moved::Stay("ended");
-        }
-        let Some(place) = choose(gw, run, &tried) else {
-            tokio::time::sleep(AGAIN_TIME).await;
-            tried.clear();
-            continue;
-        };
-        let Some(to) = gw.pool.borrow().endpoints.get(place.key).map(|e| e.listing.address) else {
-            continue;
+impl Evacuation {
+    fn note(&self, moved: &Moved) {
+        let (run, times) = (&self.run, self.times);
+        let (kind, what) = match moved {
+            Moved::To(place, handoff) => {
+                let pool = self.gw.pool.borrow();
+                let to = pool.endpoints.get(place.key).map(|e| e.listing.address);
+                (Kind::MoveDone, format!("to={to:?} handle={}", handoff.handle))
+            }
+            Moved::Stay(why) => (Kind::MoveFailed, format!("why={why:?} over={}", run.over.get())),
         };
-        match platform::copy(run.address, to, &run.id, false, &gw.codec, COPY_WAIT).await {
-            Ok(Copied::Done(first)) => return finish(gw, run, place, to, &exodus, first).await,
-            Ok(Copied::Absent | Copied::Busy) => tokio::time::sleep(AGAIN_TIME).await,
-            Ok(Copied::NoRoom(_)) => tried.push(place.key),
-            Err(e) => {
-                log::debug!("copy of {} to {to}: {e}", run.id);
-                tried.push(place.key);
+        self.gw.event(kind, &run.id, format_args!("source={} {what} {times}", run.address));
+    }
+
+    async fn run(&mut self) -> Moved {
+        let mut tried = Vec::new();
+        let exodus = self.look().await;
+        while clock::now() < self.begun + WORTHWHILE && tried.len() < TRIES {
+            if self.run.over.get() {
+                return Moved::Stay("ended");
+            }
+            let Some((place, to)) = self.choose(&tried) else {
+                tokio::time::sleep(AGAIN_TIME).await;
+                tried.clear();
+                continue;
+            };
+            let since = clock::now();
+            let links = self.occupy(place.key);
+            let copied = self.copy(to, false).await;
+            drop(links);
+            match copied {
+                Ok(Copied::Done(first)) => {
+                    self.times.first = clock::now().saturating_duration_since(since);
+                    return self.finish(place, to, &exodus, first).await;
+                }
+                Ok(Copied::Absent | Copied::Busy) => tokio::time::sleep(AGAIN_TIME).await,
+                Ok(Copied::NoRoom(_)) => tried.push(place.key),
+                Err(e) => {
+                    log::debug!("copy of {} to {to}: {e}", self.run.id);
+                    tried.push(place.key);
+                }
             }
         }
+        Moved::Stay("no engine took it")
     }
-    Moved::Stay("no engine took it")
-}
 
-/// Learns how long the engine has and how much runs there.
-async fn look(gw: &Gateway, run: &Running, begun: Instant) -> Exodus {
-    let report = platform::report(run.address, &gw.codec, REPORT_WAIT).await;
-    let seen = clock::now();
-    match report {
-        Ok(r) => Exodus { since: begun, leaves: r.leaves, seen, held: r.held, running: r.running },
-        Err(e) => {
-            log::debug!("report of {}: {e}", run.address);
-            Exodus { since: begun, leaves: None, seen, held: run.tokens, running: 1 }
+    async fn copy(&self, to: SocketAddr, last: bool) -> Result<Copied, platform::CallError> {
+        let run = &self.run;
+        platform::copy(run.address, to, &run.id, last, &self.gw.codec, COPY_WAIT).await
+    }
+
+    /// Learns how long the engine has and how much runs there.
+    async fn look(&self) -> Exodus {
+        let report = platform::report(self.run.address, &self.gw.codec, REPORT_WAIT).await;
+        let (since, seen) = (self.begun, clock::now());
+        match report {
+            Ok(r) => Exodus { since, leaves: r.leaves, seen },
+            Err(e) => {
+                log::debug!("report of {}: {e}", self.run.address);
+                Exodus { since, leaves: None, seen }
+            }
         }
     }
-}
 
-fn choose(gw: &Rc<Gateway>, run: &Running, tried: &[PoolKey]) -> Option<Place> {
-    let engine = run.terms.engine.as_ref()?;
-    let mover = Mover {
-        source: run.source,
-        service: &run.service,
-        centre: &run.centre,
-        tokens: run.tokens,
-    };
-    let key = evacuate::choose(clock::now(), &gw.pool.borrow(), &mover, engine, tried)?;
-    Some(Place::take(gw, key, run.tokens))
-}
+    fn choose(&self, tried: &[PoolKey]) -> Option<(Place, SocketAddr)> {
+        let run = &self.run;
+        let engine = run.terms.engine.as_ref()?;
+        let mover = Mover {
+            source: run.source,
+            service: &run.service,
+            centre: &run.centre,
+            held: u64::from(run.tokens.0),
+        };
+        let (key, to) = {
+            let pool = self.gw.pool.borrow();
+            let key = evacuate::choose(clock::now(), &pool, &mover, engine, tried)?;
+            (key, pool.endpoints.get(key)?.listing.address)
+        };
+        Some((Place::take(&self.gw, key, run.work()), to))
+    }
 
-/// Stops the generation once the first copies of its neighbours should be through.
-async fn finish(
-    gw: &Rc<Gateway>,
-    run: &Running,
-    place: Place,
-    to: SocketAddr,
-    exodus: &Exodus,
-    first: Handoff,
-) -> Moved {
-    if let Some(engine) = &run.terms.engine {
-        let at = evacuate::last_copy_at(clock::now(), exodus, engine);
-        tokio::time::sleep_until(at.into()).await;
+    /// Counts a copy on the links of both engines.
+    fn occupy(&self, to: PoolKey) -> [Place; 2] {
+        let copy = Work { copies: 1, ..Work::default() };
+        [self.run.source, to].map(|key| Place::take(&self.gw, key, copy))
     }
-    loop {
-        if run.over.get() {
-            if let Err(e) = platform::forget(&first, &gw.codec, FORGET_WAIT).await {
-                log::debug!("copy of {} not freed: {e}", run.id);
-            }
-            return Moved::Stay("ended");
+
+    /// Tells whether the links of both engines are free of first copies.
+    fn is_free(&self, to: PoolKey) -> bool {
+        let pool = self.gw.pool.borrow();
+        let copies = |key| pool.endpoints.get(key).map_or(0, |e| e.work().copies);
+        copies(self.run.source) + copies(to) == 0
+    }
+
+    /// Stops the generation once the first copies of its neighbours should be through.
+    async fn finish(
+        &mut self,
+        place: Place,
+        to: SocketAddr,
+        exodus: &Exodus,
+        first: Handoff,
+    ) -> Moved {
+        let now = clock::now();
+        // Others that were told of the notice at the same time have had time to say so.
+        tokio::time::sleep(TOLD_TIME).await;
+        let latest = evacuate::last_copy_by(exodus);
+        while !self.is_free(place.key) && clock::now() < latest && !self.run.over.get() {
+            tokio::time::sleep(LOOK_TIME).await;
         }
-        match platform::copy(run.address, to, &run.id, true, &gw.codec, COPY_WAIT).await {
-            Ok(Copied::Done(handoff)) => return Moved::To(place, handoff),
-            Ok(Copied::Busy) => tokio::time::sleep(AGAIN_TIME).await,
-            Ok(Copied::Absent) => return Moved::Stay("ended"),
-            // It has stopped and its memory lies at its source, which still serves.
-            Ok(Copied::NoRoom(Some(handoff))) => {
-                return Moved::To(Place::take(gw, run.source, run.tokens), handoff);
+        self.times.hold = clock::now().saturating_duration_since(now);
+        let since = clock::now();
+        let moved = self.stop(place, to, first).await;
+        self.times.last = clock::now().saturating_duration_since(since);
+        moved
+    }
+
+    async fn stop(&self, place: Place, to: SocketAddr, first: Handoff) -> Moved {
+        loop {
+            if self.run.over.get() {
+                if let Err(e) = platform::forget(&first, &self.gw.codec, FORGET_WAIT).await {
+                    log::debug!("copy of {} not freed: {e}", self.run.id);
+                }
+                return Moved::Stay("ended");
+            }
+            match self.copy(to, true).await {
+                Ok(Copied::Done(handoff)) => return Moved::To(place, handoff),
+                Ok(Copied::Busy) => tokio::time::sleep(AGAIN_TIME).await,
+                Ok(Copied::Absent) => return Moved::Stay("ended"),
+                // It has stopped and its memory lies at its source, which still serves.
+                Ok(Copied::NoRoom(Some(handoff))) => {
+                    let place = Place::take(&self.gw, self.run.source, self.run.work());
+                    return Moved::To(place, handoff);
+                }
+                Ok(Copied::NoRoom(None)) => return Moved::Stay("no room for the last copy"),
+                Err(e) => {
+                    log::debug!("last copy of {}: {e}", self.run.id);
+                    return Moved::Stay("last copy lost");
+                }
             }
-            Ok(Copied::NoRoom(None)) => return Moved::Stay("no room for the last copy"),
-            Err(_) => return Moved::Stay("last copy lost"),
         }
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -175,7 +175,7 @@
             return Err(job.refusal(now, ProblemKind::Refused(why), detail));
         };
         tried.push(key);
-        let why = match open(gw, job, Place::take(gw, key, job.tokens()), None, None).await {
+        let why = match open(gw, job, Place::take(gw, key, job.work()), None, None).await {
             Ok(leg) => return Ok(leg),
             Err(Tried::Unrun(why)) => {
                 if why != "full" {
@@ -340,6 +340,7 @@
             return Ok(());
         }
         let now = clock::now();
+        self.leg.place.read();
         if self.pace.events == 0 {
             let first = now.saturating_duration_since(self.job.since);
             metrics::histogram!("first_event_seconds").record(first.as_secs_f64());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod process;
 pub mod route;
 pub mod settings;
+pub mod share;
 pub mod shutdown;
 pub mod sidecar;
 pub mod spread;
--- a/src/platform/boot.rs
+++ b/src/platform/boot.rs
@@ -3,7 +3,7 @@
 use crate::id::{DataCentre, InstanceId};
 use std::collections::HashMap;
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::str::FromStr;
 use std::time::Duration;
@@ -48,6 +48,8 @@
     pub front: Option<SocketAddr>,
     /// Address that is asked whether this instance takes connections.
     pub ready: Option<SocketAddr>,
+    /// Address for the system's own messages.
+    pub inner: Option<SocketAddr>,
     /// Address of the metadata store.
     pub store: SocketAddr,
     /// Memory that the process may use, in MB.
@@ -79,6 +81,7 @@
             centre: need(&fields, "zone")?,
             front: find(&fields, "listen.front")?,
             ready: find(&fields, "listen.ready")?,
+            inner: find_inner(&fields)?,
             store: need(&fields, "platform.address")?,
             memory: need::<f64>(&fields, "limits.memory_mb")? as u32,
             sockets: sockets.saturating_sub(FILE_DESCRIPTORS),
@@ -97,6 +100,16 @@
         .collect()
 }
 
+/// Returns the first of the ports that instances may use among themselves.
+fn find_inner(fields: &HashMap<&str, &str>) -> Result<Option<SocketAddr>, BootError> {
+    let Some(ip) = find::<IpAddr>(fields, "ip")? else { return Ok(None) };
+    let Some(range) = fields.get("internal_port_range") else { return Ok(None) };
+    let first = range.split(',').next().unwrap_or_default().trim();
+    let port =
+        first.parse().map_err(|_| BootError::Value("internal_port_range", (*range).into()))?;
+    Ok(Some(SocketAddr::new(ip, port)))
+}
+
 fn find<T: FromStr>(
     fields: &HashMap<&str, &str>,
     name: &'static str,
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -1,11 +1,13 @@
 //! The platform's metadata store over HTTP, as a feed of changes.
 
-use crate::store::{Fact, Feed, News, StoreError};
-use awc::error::SendRequestError;
+use crate::store::{Fact, Feed, LeaseId, Leases, News, StoreError};
+use awc::error::{PayloadError, SendRequestError};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use serde::Deserialize;
-use serde::de::DeserializeOwned;
+use bytes::Bytes;
+use futures_util::Stream;
+use serde::de::{DeserializeOwned, IgnoredAny};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -41,6 +43,28 @@
     tombstone: bool,
 }
 
+#[derive(Debug, Serialize)]
+struct Grant {
+    ttl_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Granted {
+    lease: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct Change<'a> {
+    set_keys: Vec<Assignment<'a>>,
+}
+
+#[derive(Debug, Serialize)]
+struct Assignment<'a> {
+    key: &'a str,
+    value: String,
+    lease: u64,
+}
+
 #[derive(Debug, Deserialize)]
 struct Page {
     items: Vec<Item>,
@@ -65,24 +89,49 @@
     }
 
     async fn get<T: DeserializeOwned>(&self, path: &str, wait: Duration) -> Result<T, StoreError> {
-        metrics::counter!("store_calls_total").increment(1);
-        let url = format!("http://{}/{path}", self.address);
-        let request = self.client.get(url).timeout(wait);
-        let mut res = request.send().await.map_err(|e| scan_error(&e))?;
+        let request = self.client.get(self.url(path)).timeout(wait);
+        let res = request.send().await.map_err(|e| scan_error(&e))?;
+        match res.status().as_u16() {
+            200 => read(res, wait).await,
+            410 => Err(StoreError::Compacted),
+            _ => Err(StoreError::Refused),
+        }
+    }
+
+    /// Sends a change; `None` where what it refers to does not exist.
+    async fn post<B: Serialize, T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &B,
+    ) -> Result<Option<T>, StoreError> {
+        let request = self.client.post(self.url(path)).timeout(CALL_TIME);
+        let res = request.send_json(body).await.map_err(|e| scan_error(&e))?;
         match res.status().as_u16() {
-            200 => {}
-            410 => return Err(StoreError::Compacted),
-            _ => return Err(StoreError::Refused),
+            200 => read(res, CALL_TIME).await.map(Some),
+            404 => Ok(None),
+            _ => Err(StoreError::Refused),
         }
-        let read = res.body().limit(ANSWER_LIMIT);
-        let body = match tokio::time::timeout(wait, read).await {
-            Ok(body) => body.map_err(|_| StoreError::Lost)?,
-            Err(_) => return Err(StoreError::Lost),
-        };
-        serde_json::from_slice(&body).map_err(|_| StoreError::Malformed)
+    }
+
+    fn url(&self, path: &str) -> String {
+        metrics::counter!("store_calls_total").increment(1);
+        format!("http://{}/{path}", self.address)
     }
 }
 
+async fn read<S, T>(mut res: awc::ClientResponse<S>, wait: Duration) -> Result<T, StoreError>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>>,
+    T: DeserializeOwned,
+{
+    let read = res.body().limit(ANSWER_LIMIT);
+    let body = match tokio::time::timeout(wait, read).await {
+        Ok(body) => body.map_err(|_| StoreError::Lost)?,
+        Err(_) => return Err(StoreError::Lost),
+    };
+    serde_json::from_slice(&body).map_err(|_| StoreError::Malformed)
+}
+
 fn scan_error(e: &SendRequestError) -> StoreError {
     match e {
         SendRequestError::Connect(_) => StoreError::Unreached,
@@ -125,3 +174,24 @@
         Ok(News { facts, revision: changes.current_rev })
     }
 }
+
+impl Leases for Kv {
+    async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        let ask = Grant { ttl_ms: ttl.as_millis() as u64 };
+        let granted: Option<Granted> = self.post("kv-lease", &ask).await?;
+        granted.map(|g| LeaseId(g.lease)).ok_or(StoreError::Malformed)
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<bool, StoreError> {
+        let path = format!("kv-keep/{}", lease.0);
+        let kept: Option<IgnoredAny> = self.post(&path, &()).await?;
+        Ok(kept.is_some())
+    }
+
+    async fn put(&self, key: &str, value: &[u8], lease: LeaseId) -> Result<bool, StoreError> {
+        let value = STANDARD.encode(value);
+        let change = Change { set_keys: vec![Assignment { key, value, lease: lease.0 }] };
+        let done: Option<IgnoredAny> = self.post("kv-txn", &change).await?;
+        Ok(done.is_some())
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -14,7 +14,7 @@
 
 pub use boot::{Boot, BootError, settings_path};
 pub use config::scan_table;
-pub use engine::{Copied, Handoff, Report, copy, forget, report};
+pub use engine::{CallError, Copied, Handoff, Report, copy, forget, report};
 pub use head::{
     Answer, Ask, Onward, Prompt, answer_head, forward_head, host, refusal_head, scan_answer,
     scan_ask,
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -5,7 +5,8 @@
 //! goes before what the list says.
 
 use crate::board::{FAILURE_LIMIT, Health};
-use crate::id::{DataCentre, EndpointId, ServiceName, Tokens};
+use crate::id::{DataCentre, EndpointId, ServiceName};
+use crate::share::{Ledger, Tag, Work};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -77,10 +78,12 @@
     pub standing: Standing,
     /// Failures that this instance met.
     pub health: Health,
-    /// Requests of this instance that run or wait there.
-    pub open: u32,
-    /// Memory that the generations of this instance are expected to need there.
-    pub held: u64,
+    /// What this instance has there.
+    pub own: Work,
+    /// What the other instances have there.
+    pub others: Work,
+    /// Its name in messages between instances.
+    pub tag: Tag,
     /// Load that it told of last, and when.
     pub load: Option<(Load, Instant)>,
     /// When it has warmed up.
@@ -92,12 +95,14 @@
 impl Endpoint {
     fn new(now: Instant, listing: Listing) -> Self {
         let warm = now + listing.warming;
+        let tag = Tag::of(&listing.id);
         let mut e = Endpoint {
             listing,
             standing: Standing::Serving,
             health: Health::default(),
-            open: 0,
-            held: 0,
+            own: Work::default(),
+            others: Work::default(),
+            tag,
             load: None,
             warm,
             leave: Rc::new(Notify::new()),
@@ -126,7 +131,7 @@
     /// Tells whether it may get a new request now.
     pub fn is_usable(&self) -> bool {
         let is_out = self.health.until.is_some();
-        let is_tried = self.health.trial && self.open >= TRIAL_OPEN;
+        let is_tried = self.health.trial && self.own.open >= TRIAL_OPEN;
         self.standing == Standing::Serving && !is_out && !is_tried
     }
 
@@ -135,11 +140,18 @@
         matches!(self.standing, Standing::Leaving(_))
     }
 
-    /// Returns the requests thought to be there: its own word while that is fresh, and at least
-    /// what this instance has open.
+    /// Returns what all instances have there.
+    pub fn work(&self) -> Work {
+        let mut sum = self.own;
+        sum += self.others;
+        sum
+    }
+
+    /// Returns the requests thought to be there: what instances have open, and at least its own
+    /// word while that is fresh.
     pub fn busy(&self, now: Instant) -> u32 {
         let told = self.load.filter(|(_, at)| now.saturating_duration_since(*at) < LOAD_AGE);
-        told.map_or(0, |(l, _)| l.running + l.waiting).max(self.open)
+        told.map_or(0, |(l, _)| l.running + l.waiting).max(self.work().open)
     }
 }
 
@@ -232,25 +244,35 @@
     }
 
     /// Counts a request as sent to an endpoint.
-    pub fn enter(&mut self, key: PoolKey, tokens: Tokens) {
+    pub fn enter(&mut self, key: PoolKey, work: Work) {
+        if let Some(e) = self.endpoints.get_mut(key) {
+            e.own += work;
+        }
+    }
+
+    /// Counts the prompt of a request as read.
+    pub fn read(&mut self, key: PoolKey, unread: u64) {
         if let Some(e) = self.endpoints.get_mut(key) {
-            e.open += 1;
-            e.held += u64::from(tokens.0);
+            e.own.unread -= unread;
         }
     }
 
     /// Counts a request as ended.
-    pub fn leave(&mut self, key: PoolKey, tokens: Tokens) {
+    pub fn leave(&mut self, key: PoolKey, work: Work) {
         if let Some(e) = self.endpoints.get_mut(key) {
-            e.open -= 1;
-            e.held -= u64::from(tokens.0);
+            e.own -= work;
             self.drop_unused(key);
         }
     }
 
+    /// Takes over what other instances have at the endpoints.
+    pub fn refresh(&mut self, ledger: &Ledger) {
+        self.endpoints.values_mut().for_each(|e| e.others = ledger.at(e.tag));
+    }
+
     fn drop_unused(&mut self, key: PoolKey) {
         let e = &self.endpoints[key];
-        if e.open == 0 && self.ids.get(&e.listing.id) != Some(&key) {
+        if e.own == Work::default() && self.ids.get(&e.listing.id) != Some(&key) {
             self.endpoints.remove(key);
         }
     }
--- /dev/null
+++ b/src/share/mod.rs
@@ -0,0 +1,189 @@
+//! What each instance has under way at endpoints, told to all others.
+//!
+//! Load it answers: several instances send to the same engines, and each engine's own word is
+//! half a second old. Two prompts that two instances send to one engine at the same moment wait
+//! for each other while others are idle. So each instance tells the others what it has where,
+//! as soon as that changes. A message carries the rows that changed, and now and then all of them;
+//! one that is lost is made good by the next full one.
+
+use crate::id::{EndpointId, Fingerprint, InstanceId};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::ops::{AddAssign, SubAssign};
+use std::time::{Duration, Instant};
+
+/// Age past which the word of an instance no longer counts: it sends a full message far more
+/// often.
+const WORD_AGE: Duration = Duration::from_millis(2000);
+/// Time between two full messages of an instance.
+pub const FULL_TIME: Duration = Duration::from_millis(500);
+/// Least time between two messages of an instance.
+const FLUSH_LEAST: Duration = Duration::from_millis(15);
+/// Time added between two messages for each other instance, so that what an instance receives in
+/// a second does not grow with their number.
+const FLUSH_PEER: Duration = Duration::from_millis(3);
+
+/// Requests at an endpoint and what they need.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Work {
+    /// Requests.
+    pub open: u32,
+    /// Memory that its generations are expected to need to their end, in tokens.
+    pub held: u64,
+    /// Prompt tokens that it has not read yet.
+    pub unread: u64,
+    /// Copies of running generations from or to it, which its link carries one by one.
+    pub copies: u32,
+}
+
+impl SubAssign for Work {
+    fn sub_assign(&mut self, other: Work) {
+        self.open -= other.open;
+        self.held -= other.held;
+        self.unread -= other.unread;
+        self.copies -= other.copies;
+    }
+}
+
+impl AddAssign for Work {
+    fn add_assign(&mut self, other: Work) {
+        self.open += other.open;
+        self.held += other.held;
+        self.unread += other.unread;
+        self.copies += other.copies;
+    }
+}
+
+/// Names an endpoint in a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Tag(u32);
+
+impl Tag {
+    /// Returns the tag of an endpoint; two of a fleet share one with a chance of one in millions.
+    pub fn of(id: &EndpointId) -> Tag {
+        Tag(Fingerprint::of(&[id.as_str().as_bytes()]).0 as u32)
+    }
+}
+
+/// One row of a message: endpoint, requests, memory, unread tokens and copies.
+pub type Row = (Tag, u32, u32, u32, u32);
+
+/// A message from one instance to all others.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Tells that endpoints without a row have nothing.
+    #[serde(rename = "f")]
+    pub full: bool,
+    /// Rows.
+    #[serde(rename = "r")]
+    pub rows: Vec<Row>,
+}
+
+/// What the others have under way.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    words: HashMap<InstanceId, Word>,
+}
+
+#[derive(Debug)]
+struct Word {
+    at: Instant,
+    rows: HashMap<Tag, Work>,
+}
+
+impl Ledger {
+    /// Takes over a message.
+    pub fn note(&mut self, now: Instant, from: InstanceId, digest: &Digest) {
+        let word = self.words.entry(from).or_insert_with(|| Word { at: now, rows: HashMap::new() });
+        word.at = now;
+        if digest.full {
+            word.rows.clear();
+        }
+        for (tag, open, held, unread, copies) in &digest.rows {
+            let (held, unread) = (u64::from(*held), u64::from(*unread));
+            let work = Work { open: *open, held, unread, copies: *copies };
+            if work == Work::default() {
+                word.rows.remove(tag);
+            } else {
+                word.rows.insert(*tag, work);
+            }
+        }
+    }
+
+    /// Forgets instances that have gone silent.
+    pub fn step(&mut self, now: Instant) {
+        self.words.retain(|_, w| now.saturating_duration_since(w.at) < WORD_AGE);
+    }
+
+    /// Returns what the others have at an endpoint.
+    pub fn at(&self, tag: Tag) -> Work {
+        let mut sum = Work::default();
+        self.words.values().filter_map(|w| w.rows.get(&tag)).for_each(|w| sum += *w);
+        sum
+    }
+
+    /// Counts the instances whose word counts.
+    pub fn len(&self) -> usize {
+        self.words.len()
+    }
+
+    /// Tells that no other instance is heard.
+    pub fn is_empty(&self) -> bool {
+        self.words.is_empty()
+    }
+}
+
+/// Decides what to tell and when.
+#[derive(Debug, Default)]
+pub struct Teller {
+    told: HashMap<Tag, Work>,
+    full: Option<Instant>,
+    latest: Option<Instant>,
+}
+
+impl Teller {
+    /// Returns the message that is due, if there is one.
+    pub fn step(
+        &mut self,
+        now: Instant,
+        peers: usize,
+        work: impl Iterator<Item = (Tag, Work)>,
+    ) -> Option<Digest> {
+        if self.latest.is_some_and(|t| now < t + self.pause(peers)) {
+            return None;
+        }
+        let now_open: HashMap<Tag, Work> = work.filter(|(_, w)| *w != Work::default()).collect();
+        let full = self.full.is_none_or(|t| now >= t + FULL_TIME);
+        let rows: Vec<Row> = if full {
+            now_open.iter().map(|(t, w)| row(*t, *w)).collect()
+        } else {
+            self.changes(&now_open)
+        };
+        if !full && rows.is_empty() {
+            return None;
+        }
+        self.latest = Some(now);
+        if full {
+            self.full = Some(now);
+        }
+        self.told = now_open;
+        Some(Digest { full, rows })
+    }
+
+    /// Returns the least time between two messages to so many others.
+    pub fn pause(&self, peers: usize) -> Duration {
+        FLUSH_LEAST + FLUSH_PEER * peers as u32
+    }
+
+    fn changes(&self, now_open: &HashMap<Tag, Work>) -> Vec<Row> {
+        let changed = now_open.iter().filter(|(t, w)| self.told.get(t) != Some(w));
+        let ended = self.told.keys().filter(|t| !now_open.contains_key(t));
+        let changed = changed.map(|(t, w)| row(*t, *w));
+        changed.chain(ended.map(|t| row(*t, Work::default()))).collect()
+    }
+}
+
+fn row(tag: Tag, work: Work) -> Row {
+    let cap = |n: u64| u32::try_from(n).unwrap_or(u32::MAX);
+    (tag, work.open, cap(work.held), cap(work.unread), work.copies)
+}
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -1,24 +1,29 @@
 //! Chooses the endpoint of a request among those of its service.
 //!
-//! Plain services are chosen by the requests at each endpoint, engines by the memory that the
-//! generations there are expected to need: a generation that meets a full memory preempts another
-//! in the middle of its stream. Both prefer the caller's data centre where little speaks against
-//! it.
+//! Plain services are chosen by the requests at each endpoint. Engines are chosen by the prompts
+//! that wait to be read there, which delay the first event, and by the memory that the
+//! generations there are expected to need: one that meets a full memory preempts another in the
+//! middle of its stream. Both prefer the caller's data centre where little speaks against it.
 
-use crate::id::{DataCentre, ServiceName, Tokens};
+use crate::id::{DataCentre, ServiceName};
 use crate::pool::{Endpoint, Pool, PoolKey};
 use crate::route::Engine;
+use crate::share::Work;
 use rand::Rng;
 use std::time::Instant;
 
 /// Cost of another data centre, as a share of an endpoint's places or memory.
-const FAR: f64 = 0.06;
+const FAR: f64 = 0.05;
 /// Cost of an endpoint that has just started and is slow.
 const COLD: f64 = 0.5;
 /// Cost of an endpoint whose last request failed.
 const DOUBT: f64 = 0.3;
-/// Cost per request of one endpoint's places, beside the memory that an engine's cost is made of.
-const CROWD: f64 = 0.5;
+/// Prompt tokens whose reading costs as much as a full memory.
+const READ_AHEAD: f64 = 8_000.0;
+/// Share of the memory past which each further share costs more.
+const CROWDED: f64 = 0.85;
+/// Cost of each share of the memory past [`CROWDED`].
+const CROWD: f64 = 4.0;
 /// Costs closer than this are chosen between at random, so that instances do not act in step.
 const NEAR: f64 = 0.03;
 
@@ -29,8 +34,8 @@
     pub service: &'a ServiceName,
     /// Engines of the service; absent for a plain one.
     pub engine: Option<&'a Engine>,
-    /// Memory that it is expected to need.
-    pub tokens: Tokens,
+    /// What it will need of an endpoint.
+    pub work: Work,
     /// Data centre that is nearest.
     pub centre: &'a DataCentre,
 }
@@ -56,16 +61,19 @@
 
 /// Returns the cost of sending a request to an endpoint, where 1 is all that it can carry.
 fn cost(now: Instant, e: &Endpoint, need: &Need<'_>) -> f64 {
-    let places = f64::from(e.busy(now)) / f64::from(e.listing.slots.max(1));
     let load = match need.engine {
-        Some(engine) => {
-            let held = e.held as f64 + f64::from(need.tokens.0);
-            held / f64::from(engine.memory.0.max(1)) + places * CROWD
-        }
-        None => places,
+        Some(engine) => engine_load(e, need, engine),
+        None => f64::from(e.busy(now)) / f64::from(e.listing.slots.max(1)),
     };
     let far = if e.listing.centre == *need.centre { 0.0 } else { FAR };
     let cold = if e.warm > now { COLD } else { 0.0 };
     let doubt = if e.health.failures > 0 { DOUBT } else { 0.0 };
     load + far + cold + doubt
 }
+
+fn engine_load(e: &Endpoint, need: &Need<'_>, engine: &Engine) -> f64 {
+    let work = e.work();
+    let memory = (work.held + need.work.held) as f64 / f64::from(engine.memory.0.max(1));
+    let crowd = (memory - CROWDED).max(0.0) * CROWD;
+    work.unread as f64 / READ_AHEAD + memory + crowd
+}
--- a/src/store/etcd.rs
+++ b/src/store/etcd.rs
@@ -1,6 +1,6 @@
 //! The JSON gateway of etcd v3 over HTTP.
 
-use super::{Compare, LeaseId, Op, Outcome, Store, StoreError, Stored};
+use super::{Compare, LeaseId, Leases, Op, Outcome, Store, StoreError, Stored};
 use awc::error::SendRequestError;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -116,6 +116,23 @@
     Some(Outcome { held, revision: scan_number(&v["header"]["revision"])?, found })
 }
 
+impl Leases for Etcd {
+    async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        let v = self.call("lease/grant", &json!({ "TTL": ttl.as_secs().to_string() })).await?;
+        scan_number(&v["ID"]).map(LeaseId).ok_or(StoreError::Malformed)
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<bool, StoreError> {
+        let v = self.call("lease/keepalive", &json!({ "ID": lease.0.to_string() })).await?;
+        Ok(scan_number(&v["result"]["TTL"]).is_some_and(|ttl| ttl > 0))
+    }
+
+    async fn put(&self, key: &str, value: &[u8], lease: LeaseId) -> Result<bool, StoreError> {
+        let op = Op::Put(key.to_owned(), value.to_vec(), Some(lease));
+        self.txn(&[], &[op], &[]).await.map(|o| o.held)
+    }
+}
+
 impl Store for Etcd {
     async fn get(&self, key: &str) -> Result<Option<Stored>, StoreError> {
         let v = self.call("kv/range", &json!({ "key": encode(key.as_bytes()) })).await?;
@@ -138,16 +155,6 @@
         scan_outcome(&v).ok_or(StoreError::Malformed)
     }
 
-    async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
-        let v = self.call("lease/grant", &json!({ "TTL": ttl.as_secs().to_string() })).await?;
-        scan_number(&v["ID"]).map(LeaseId).ok_or(StoreError::Malformed)
-    }
-
-    async fn renew(&self, lease: LeaseId) -> Result<bool, StoreError> {
-        let v = self.call("lease/keepalive", &json!({ "ID": lease.0.to_string() })).await?;
-        Ok(scan_number(&v["result"]["TTL"]).is_some_and(|ttl| ttl > 0))
-    }
-
     async fn changed(
         &self,
         key: &str,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -71,8 +71,37 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaseId(pub u64);
 
+/// A store with leases: keys end with the lease that they were written under.
+pub trait Leases {
+    /// Opens a lease.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] where the store gives no answer.
+    fn grant(&self, ttl: Duration) -> impl Future<Output = Result<LeaseId, StoreError>>;
+
+    /// Renews a lease; `false` where it has lapsed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] where the store gives no answer.
+    fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<bool, StoreError>>;
+
+    /// Writes a key under a lease, whatever it held before; `false` where the lease has lapsed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Lost`] where the write may have taken effect.
+    fn put(
+        &self,
+        key: &str,
+        value: &[u8],
+        lease: LeaseId,
+    ) -> impl Future<Output = Result<bool, StoreError>>;
+}
+
 /// A small store with compare-and-swap, leases and watches. Each call counts once.
-pub trait Store {
+pub trait Store: Leases {
     /// Reads one key.
     ///
     /// # Errors
@@ -92,20 +121,6 @@
         otherwise: &[Op],
     ) -> impl Future<Output = Result<Outcome, StoreError>>;
 
-    /// Opens a lease.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`StoreError`] where the store gives no answer.
-    fn grant(&self, ttl: Duration) -> impl Future<Output = Result<LeaseId, StoreError>>;
-
-    /// Renews a lease; `false` where it has lapsed.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`StoreError`] where the store gives no answer.
-    fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<bool, StoreError>>;
-
     /// Waits until a key changes after `revision`, at most `wait`; returns its value then.
     ///
     /// # Errors
