Hold generations until an engine has room; one instance decides per engine

Ruled out: slow start of new engines (their list entries name none).

Change: admit/ lets a generation wait until an engine has memory and reading time, urgent ones first, and refuses it once it could not begin in time. The instance that rendezvous hashing names for an engine answers whether there is room, counting what it has granted. A full destination no longer rules out a move before the engine was asked.

--- /dev/null
+++ b/src/admit/mod.rs
@@ -0,0 +1,191 @@
+//! Decides whether a generation begins now, waits, or is refused.
+//!
+//! Load it answers: more generations than the engines can hold. An engine that is sent more than
+//! fits its memory preempts running generations and reads their prompts again, and one that is
+//! sent more prompts than it can read in time begins all of them late. So a generation waits here
+//! while no engine has room for it, the more urgent ones first, and is refused as soon as it could
+//! not begin in time even on an engine that has nothing else to read.
+
+use crate::id::ServiceName;
+use crate::pool::{Endpoint, Pool, PoolKey};
+use crate::route::{Engine, Urgency};
+use crate::share::Work;
+use crate::spread::{self, Need};
+use rand::Rng;
+use std::collections::{BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+/// Prompt tokens that an engine reads in a millisecond, until the first one was observed.
+const READ_GUESS: f64 = 6.0;
+/// Weight of a new observation.
+const READ_WEIGHT: f64 = 0.05;
+/// Slowest and fastest reading that is believed, in tokens a millisecond.
+const READ_RANGE: (f64, f64) = (1.0, 100.0);
+/// Share of the time to the first event that reading may be expected to take.
+const READ_SHARE: f64 = 0.8;
+/// Share of an engine's memory that expected needs may fill, for the least urgent.
+const FILL: f64 = 1.0;
+/// Share added for the most urgent, which wait for none but their like.
+const URGENT_FILL: f64 = 0.06;
+/// Times of a target after which a refused generation should come back.
+const COME_BACK: f64 = 1.5;
+
+/// How fast the engines of a service read prompts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Reading {
+    rate: f64,
+}
+
+impl Default for Reading {
+    fn default() -> Self {
+        Reading { rate: READ_GUESS }
+    }
+}
+
+impl Reading {
+    /// Notes that a first event came `took` after so many tokens waited to be read.
+    pub fn note(&mut self, unread: u64, took: Duration) {
+        let ms = took.as_secs_f64() * 1e3;
+        if unread == 0 || ms <= 0.0 {
+            return;
+        }
+        let seen = (unread as f64 / ms).clamp(READ_RANGE.0, READ_RANGE.1);
+        self.rate += (seen - self.rate) * READ_WEIGHT;
+    }
+
+    /// Returns the time to read so many tokens.
+    pub fn time(&self, unread: u64) -> Duration {
+        Duration::from_secs_f64(unread as f64 / self.rate / 1e3)
+    }
+}
+
+/// What a generation asks for and how long it may wait.
+#[derive(Debug)]
+pub struct Bid<'a> {
+    /// What it needs.
+    pub need: Need<'a>,
+    /// When it came.
+    pub since: Instant,
+    /// Time within which its first event is of full use.
+    pub target: Duration,
+    /// When its caller gives up.
+    pub deadline: Instant,
+    /// Rank, from 0 for the most urgent.
+    pub urgency: Urgency,
+}
+
+/// What becomes of a generation now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Verdict {
+    /// It goes to this engine.
+    Send(PoolKey),
+    /// It waits.
+    Wait,
+    /// It is refused, and should come back after this time.
+    Refuse(Duration),
+}
+
+/// Decides for the generation that is first in line.
+pub fn decide<R: Rng>(
+    now: Instant,
+    pool: &Pool,
+    bid: &Bid<'_>,
+    reading: &Reading,
+    tried: &[PoolKey],
+    rng: &mut R,
+) -> Verdict {
+    let has_room = |e: &Endpoint| has_room(now, e, bid, reading);
+    if let Some(key) = spread::choose_where(now, pool, &bid.need, tried, rng, has_room) {
+        return Verdict::Send(key);
+    }
+    let alone = reading.time(bid.need.work.unread);
+    if now + alone > bid.since + bid.target {
+        return Verdict::Refuse(come_back(now, bid));
+    }
+    Verdict::Wait
+}
+
+fn has_room(now: Instant, e: &Endpoint, bid: &Bid<'_>, reading: &Reading) -> bool {
+    let Some(engine) = bid.need.engine else { return true };
+    let left = (bid.since + bid.target).saturating_duration_since(now);
+    let entrant = Entrant { work: bid.need.work, left, urgency: bid.urgency };
+    fits(now, e, engine, &entrant, reading)
+}
+
+/// A generation as an engine would meet it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Entrant {
+    /// What it needs.
+    pub work: Work,
+    /// Time within which its first event is of full use.
+    pub left: Duration,
+    /// Rank.
+    pub urgency: Urgency,
+}
+
+/// Tells whether an engine has the memory for a generation, and reads it in time.
+pub fn fits(
+    now: Instant,
+    e: &Endpoint,
+    engine: &Engine,
+    entrant: &Entrant,
+    reading: &Reading,
+) -> bool {
+    let (work, own) = (e.work(), entrant.work);
+    let fill = if entrant.urgency.0 == 0 { FILL + URGENT_FILL } else { FILL };
+    let memory = fill * f64::from(engine.memory.0);
+    // One that is larger than that begins where nothing else runs.
+    let has_memory = (work.held + own.held) as f64 <= memory || work.held == 0;
+    let begins = reading.time(work.unread + own.unread) <= entrant.left.mul_f64(READ_SHARE);
+    has_memory && begins && e.busy(now) < e.listing.slots
+}
+
+/// Returns when a refused generation should come back: after the present crowd, and within the
+/// time for which its caller comes back at all.
+fn come_back(now: Instant, bid: &Bid<'_>) -> Duration {
+    /// Share of the time left within which callers come back.
+    const PATIENCE: f64 = 0.3;
+    let left = bid.deadline.saturating_duration_since(now);
+    bid.target.mul_f64(COME_BACK).min(left.mul_f64(PATIENCE))
+}
+
+/// Names a generation in line; the order is that of urgency, then of arrival.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket {
+    urgency: Urgency,
+    number: u64,
+}
+
+/// Generations that wait, by service.
+#[derive(Debug, Default)]
+pub struct Line {
+    waiting: HashMap<ServiceName, BTreeSet<Ticket>>,
+    next: u64,
+}
+
+impl Line {
+    /// Puts a generation in line.
+    pub fn join(&mut self, service: &ServiceName, urgency: Urgency) -> Ticket {
+        self.next += 1;
+        let ticket = Ticket { urgency, number: self.next };
+        self.waiting.entry(service.clone()).or_default().insert(ticket);
+        ticket
+    }
+
+    /// Takes a generation out.
+    pub fn leave(&mut self, service: &ServiceName, ticket: Ticket) {
+        if let Some(line) = self.waiting.get_mut(service) {
+            line.remove(&ticket);
+        }
+    }
+
+    /// Tells whether a generation is first in line.
+    pub fn is_first(&self, service: &ServiceName, ticket: Ticket) -> bool {
+        self.waiting.get(service).and_then(BTreeSet::first) == Some(&ticket)
+    }
+
+    /// Counts the generations that wait for a service.
+    pub fn len(&self, service: &ServiceName) -> usize {
+        self.waiting.get(service).map_or(0, BTreeSet::len)
+    }
+}
--- a/src/evacuate/mod.rs
+++ b/src/evacuate/mod.rs
@@ -15,8 +15,9 @@
 const NOTICE: Duration = Duration::from_millis(1400);
 /// Time kept for the last copy, and for going on elsewhere.
 const RESERVE: Duration = Duration::from_millis(300);
-/// Share of the memory past which an engine takes no generation that moves.
-const FULL: f64 = 0.97;
+/// Share of the memory past which an engine is not even asked: expected needs are more than what
+/// is in use, and the engine knows.
+const FULL: f64 = 1.3;
 /// Cost of another data centre, as a share of an engine's memory: copies take twice as long.
 const FAR: f64 = 0.6;
 /// Cost of each copy that the link of an engine carries already.
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -1,13 +1,14 @@
 //! One request with the terms that it is served on.
 
 use super::Gateway;
+use crate::admit::{self, Bid, Verdict};
 use crate::event::Kind;
 use crate::h1::Inbound;
 use crate::id::{DataCentre, RequestId, ServiceName, Tokens};
 use crate::platform::{self, Ask, Onward};
 use crate::pool::PoolKey;
 use crate::problem::{Problem, ProblemKind};
-use crate::route::{Denied, Engine, Kind as RouteKind, Member, Route, Service};
+use crate::route::{Denied, Engine, Kind as RouteKind, Member, Route, Service, Urgency};
 use crate::share::Work;
 use crate::spread::{self, Need};
 use actix_http::{Request, RequestHead};
@@ -103,16 +104,35 @@
 
     /// Chooses an endpoint for it.
     pub fn choose(&self, gw: &Gateway, now: Instant, tried: &[PoolKey]) -> Option<PoolKey> {
-        let centre: DataCentre = gw.boot.borrow().centre.clone();
-        let need = Need {
-            service: &self.service,
-            engine: self.engine(),
-            work: self.work(),
-            centre: &centre,
-        };
+        let centre = gw.boot.borrow().centre.clone();
+        let need = self.need(&centre);
         spread::choose(now, &gw.pool.borrow(), &need, tried, &mut rand::rng())
     }
 
+    fn need<'a>(&'a self, centre: &'a DataCentre) -> Need<'a> {
+        Need { service: &self.service, engine: self.engine(), work: self.work(), centre }
+    }
+
+    /// Returns its rank: that of the workspace goes before that of the route.
+    pub fn urgency(&self) -> Urgency {
+        let own = self.member.as_ref().and_then(|m| m.urgency);
+        own.unwrap_or(self.route.urgency)
+    }
+
+    /// Decides whether it begins now.
+    pub fn decide(&self, gw: &Gateway, now: Instant, tried: &[PoolKey]) -> Verdict {
+        let centre = gw.boot.borrow().centre.clone();
+        let bid = Bid {
+            need: self.need(&centre),
+            since: self.since,
+            target: self.route.target,
+            deadline: self.deadline,
+            urgency: self.urgency(),
+        };
+        let reading = gw.reading.borrow().get(&self.service).copied().unwrap_or_default();
+        admit::decide(now, &gw.pool.borrow(), &bid, &reading, tried, &mut rand::rng())
+    }
+
     /// Makes the head of the request for an endpoint.
     pub fn head(&self, onward: &Onward<'_>) -> RequestHead {
         platform::forward_head(&self.req, onward)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,11 +13,12 @@
 mod serve;
 mod stream;
 
+use crate::admit::{Line, Reading};
 use crate::budget::{Allowance, Budget};
 use crate::clock;
 use crate::event::{Kind, Ring};
 use crate::http::{self, Metrics};
-use crate::id::InstanceId;
+use crate::id::{InstanceId, ServiceName};
 use crate::platform::{Boot, BootError, Kv};
 use crate::pool::{Change, Pool, PoolKey};
 use crate::route::Table;
@@ -99,8 +100,14 @@
     metrics: Metrics,
     /// What other instances have under way.
     ledger: RefCell<Ledger>,
+    /// Generations that wait for room.
+    line: RefCell<Line>,
+    /// How fast engines read, by service.
+    reading: RefCell<HashMap<ServiceName, Reading>>,
     /// Other instances.
     peers: RefCell<HashMap<InstanceId, peers::Peer>>,
+    /// Messages to other instances, and answers that are awaited.
+    talk: peers::Talk,
     /// Tells that what this instance has under way has changed.
     changed: Notify,
 }
@@ -141,6 +148,9 @@
         metrics,
         ledger: RefCell::new(Ledger::default()),
         peers: RefCell::new(HashMap::new()),
+        line: RefCell::new(Line::default()),
+        talk: peers::Talk::default(),
+        reading: RefCell::new(HashMap::new()),
         changed: Notify::new(),
         boot: RefCell::new(boot.clone()),
     });
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -4,19 +4,24 @@
 //! check its messages with that key, so that only who may write to the store is believed.
 
 use super::{Gateway, jitter};
+use crate::admit::{self, Entrant};
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::{Envelope, Keyring};
 use crate::id::{Incarnation, InstanceId, IntentVersion};
-use crate::share::{Digest, FULL_TIME, Teller};
+use crate::route::Urgency;
+use crate::share::{self, Ask, FULL_TIME, Note, Tag, Teller, Work};
 use crate::store::{Fact, LeaseId, Leases, StoreError};
 use actix_rt::net::UdpSocket;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::oneshot;
 
 /// Start of the keys of instances in the store.
 pub const PREFIX: &str = "gateways/";
@@ -26,6 +31,8 @@
 const RENEW_TIME: Duration = Duration::from_secs(5);
 /// Time between two tries while the store does not answer.
 const RETRY_TIME: Duration = Duration::from_millis(1000);
+/// Time for a warden to answer; a lost question costs no more than this.
+const ASK_TIME: Duration = Duration::from_millis(15);
 /// Largest datagram in bytes.
 const DATAGRAM_LIMIT: usize = 16 << 10;
 /// Bytes of the key of an instance.
@@ -47,6 +54,22 @@
     keys: Keyring,
 }
 
+/// Messages to other instances, and answers that are awaited.
+#[derive(Debug, Default)]
+pub struct Talk {
+    voice: RefCell<Option<Voice>>,
+    awaited: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
+    next: Cell<u64>,
+}
+
+/// What it takes to send.
+#[derive(Debug)]
+struct Voice {
+    socket: Rc<UdpSocket>,
+    keys: Keyring,
+    incarnation: Incarnation,
+}
+
 /// Begins to talk with other instances.
 ///
 /// # Errors
@@ -57,12 +80,74 @@
     let key: [u8; KEY_BYTES] = rand::rng().random();
     let entry = Entry { address, key };
     let keys = Keyring::new(&[Arc::from(&key[..])]);
+    let voice = Voice { socket: socket.clone(), keys, incarnation: Incarnation::random() };
+    *gw.talk.voice.borrow_mut() = Some(voice);
     actix_rt::spawn(enroll(gw.clone(), entry));
-    actix_rt::spawn(tell(gw.clone(), socket.clone(), keys));
+    actix_rt::spawn(tell(gw.clone()));
     actix_rt::spawn(hear(gw.clone(), socket));
     Ok(())
 }
 
+/// Sends a message to other instances.
+fn send(gw: &Gateway, to: &[SocketAddr], body: Note) {
+    let voice = gw.talk.voice.borrow();
+    let Some(v) = voice.as_ref() else { return };
+    let at = gw.ring.borrow_mut().clock.tick(clock::wall());
+    let from = gw.boot.borrow().instance.clone();
+    let version = IntentVersion(gw.table.borrow().as_ref().map_or(0, |t| t.version.0));
+    let frame = v.keys.seal(&Envelope { from, incarnation: v.incarnation, at, version, body });
+    for peer in to {
+        // A datagram that finds no room is made good by the next full one.
+        if let Err(e) = v.socket.try_send_to(&frame, *peer) {
+            log::debug!("message to {peer} not sent: {e}");
+        }
+    }
+}
+
+/// Asks the warden of an engine for room there; it counts as granted where nobody answers.
+pub async fn ask(gw: &Gateway, tag: Tag, work: Work, left: Duration, urgency: Urgency) -> bool {
+    let own = gw.boot.borrow().instance.clone();
+    let warden = {
+        let peers = gw.peers.borrow();
+        let instances = peers.keys().chain(std::iter::once(&own));
+        share::warden(tag, instances).and_then(|i| peers.get(i)).map(|p| p.address)
+    };
+    let Some(warden) = warden else { return true };
+    let number = gw.talk.next.get();
+    gw.talk.next.set(number + 1);
+    let (answer, answered) = oneshot::channel();
+    gw.talk.awaited.borrow_mut().insert(number, answer);
+    let left = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+    let ask = Ask { number, row: share::row(tag, work), left, urgency: urgency.0 };
+    send(gw, &[warden], Note::Ask(ask));
+    let granted = tokio::time::timeout(ASK_TIME, answered).await;
+    gw.talk.awaited.borrow_mut().remove(&number);
+    metrics::counter!("asks_total", "answered" => granted.is_ok().to_string()).increment(1);
+    !matches!(granted, Ok(Ok(false)))
+}
+
+/// Decides as the warden of an engine.
+fn decide(gw: &Gateway, ask: &Ask) -> bool {
+    let now = clock::now();
+    let (tag, work) = share::work(ask.row);
+    let left = Duration::from_millis(u64::from(ask.left));
+    let entrant = Entrant { work, left, urgency: Urgency(ask.urgency) };
+    gw.ledger.borrow_mut().step(now);
+    gw.pool.borrow_mut().refresh(&gw.ledger.borrow());
+    let pool = gw.pool.borrow();
+    let Some(e) = pool.find_tag(tag) else { return true };
+    let service = &e.listing.service;
+    let table = gw.table.borrow();
+    let terms = table.as_ref().and_then(|t| t.services.get(service));
+    let Some(engine) = terms.and_then(|s| s.engine.as_ref()) else { return true };
+    let reading = gw.reading.borrow().get(service).copied().unwrap_or_default();
+    let granted = admit::fits(now, e, engine, &entrant, &reading);
+    if granted {
+        gw.ledger.borrow_mut().grant(now, tag, work);
+    }
+    granted
+}
+
 /// Keeps this instance listed in the store.
 async fn enroll(gw: Rc<Gateway>, entry: Entry) {
     let instance = gw.boot.borrow().instance.clone();
@@ -123,8 +208,7 @@
 }
 
 /// Tells the others what has changed here, as soon as it does.
-async fn tell(gw: Rc<Gateway>, socket: Rc<UdpSocket>, keys: Keyring) {
-    let incarnation = Incarnation::random();
+async fn tell(gw: Rc<Gateway>) {
     let mut teller = Teller::default();
     loop {
         // A change that is not told at once is told with the next one, or with a full message.
@@ -136,28 +220,16 @@
             let work = pool.endpoints.values().map(|e| (e.tag, e.own));
             teller.step(now, peers.len(), work)
         };
-        let Some(digest) = digest else {
-            tokio::time::sleep(teller.pause(peers.len())).await;
-            gw.changed.notify_one();
-            continue;
-        };
-        let frame = seal(&gw, &keys, incarnation, digest);
-        for peer in peers {
-            // A datagram that finds no room is made good by the next full one.
-            if let Err(e) = socket.try_send_to(&frame, peer) {
-                log::debug!("message to {peer} not sent: {e}");
+        match digest {
+            Some(digest) => send(&gw, &peers, Note::Digest(digest)),
+            None => {
+                tokio::time::sleep(teller.pause(peers.len())).await;
+                gw.changed.notify_one();
             }
         }
     }
 }
 
-fn seal(gw: &Gateway, keys: &Keyring, incarnation: Incarnation, body: Digest) -> Vec<u8> {
-    let at = gw.ring.borrow_mut().clock.tick(clock::wall());
-    let from = gw.boot.borrow().instance.clone();
-    let version = IntentVersion(gw.table.borrow().as_ref().map_or(0, |t| t.version.0));
-    keys.seal(&Envelope { from, incarnation, at, version, body })
-}
-
 /// Hears what others have under way.
 async fn hear(gw: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; DATAGRAM_LIMIT];
@@ -173,13 +245,31 @@
             metrics::counter!("frames_dropped_total").increment(1);
             continue;
         };
-        let mut ledger = gw.ledger.borrow_mut();
-        ledger.note(clock::now(), envelope.from, &envelope.body);
-        gw.pool.borrow_mut().refresh(&ledger);
+        take_note(&gw, envelope, from);
+    }
+}
+
+fn take_note(gw: &Gateway, envelope: Envelope<Note>, from: SocketAddr) {
+    match envelope.body {
+        Note::Digest(digest) => {
+            let mut ledger = gw.ledger.borrow_mut();
+            ledger.note(clock::now(), envelope.from, &digest);
+            gw.pool.borrow_mut().refresh(&ledger);
+        }
+        Note::Ask(ask) => {
+            let granted = decide(gw, &ask);
+            send(gw, &[from], Note::Grant(ask.number, granted));
+        }
+        Note::Grant(number, granted) => {
+            if let Some(answer) = gw.talk.awaited.borrow_mut().remove(&number) {
+                // Who asked may have given up meanwhile.
+                let _ = answer.send(granted);
+            }
+        }
     }
 }
 
-fn open(gw: &Gateway, frame: &[u8], from: SocketAddr) -> Option<Envelope<Digest>> {
+fn open(gw: &Gateway, frame: &[u8], from: SocketAddr) -> Option<Envelope<Note>> {
     let peers = gw.peers.borrow();
     let peer = peers.values().find(|p| p.address == from)?;
     peer.keys.open(frame).ok()
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -4,16 +4,18 @@
 use super::job::{self, Job, label};
 use super::moving::{self, Moved, Running};
 use super::serve::{Next, after};
-use super::{Gateway, Place};
+use super::{Gateway, Place, peers};
+use crate::admit::{Ticket, Verdict};
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::Refusal;
 use crate::h1::{Broken, Inbound};
-use crate::id::Tokens;
+use crate::id::{ServiceName, Tokens};
 use crate::platform::{self, Handoff, Onward};
 use crate::pool::PoolKey;
 use crate::problem::{Problem, ProblemKind};
-use crate::sse::{self, EventId, Verdict};
+use crate::share::Work;
+use crate::sse::{self, EventId, Succession};
 use actix_http::body::BodySize;
 use bytes::BytesMut;
 use std::cell::Cell;
@@ -26,6 +28,8 @@
 
 /// Engines that turn a generation away unrun before it is refused.
 const OFFERS: usize = 3;
+/// Time between two looks for room, about that between two messages of another instance.
+const ROOM_TIME: Duration = Duration::from_millis(20);
 /// Largest event in bytes.
 const EVENT_LIMIT: usize = 1 << 20;
 /// Time for the last events of an engine that has stopped a generation.
@@ -42,6 +46,10 @@
     taken: Taken,
     place: Place,
     leave: Rc<Notify>,
+    /// What was at the engine when it was sent, its own included.
+    load: Work,
+    /// When it was sent.
+    sent: Instant,
 }
 
 /// A generation whose answer has begun.
@@ -69,6 +77,12 @@
     pause: Duration,
     /// Engines that the generation has moved to.
     moves: u32,
+    /// Time until it was sent to an engine.
+    sent: Duration,
+    /// Prompt tokens that waited to be read there.
+    unread: u64,
+    /// Memory that was expected to be needed there, its own included.
+    held: u64,
 }
 
 impl Pace {
@@ -86,7 +100,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (first, pause) = (self.first.as_millis(), self.pause.as_millis());
         let (events, moves) = (self.events, self.moves);
-        write!(f, "events={events} first_ms={first} pause_ms={pause} moves={moves}")
+        let (sent, unread, held) = (self.sent.as_millis(), self.unread, self.held);
+        write!(f, "events={events} first_ms={first} pause_ms={pause} moves={moves} ")?;
+        write!(f, "sent_ms={sent} unread={unread} held={held}")
     }
 }
 
@@ -120,13 +136,19 @@
     match begun {
         Ok(leg) if leg.taken.answer.status.is_success() => {
             let over = Rc::new(Cell::new(false));
+            let pace = Pace {
+                sent: leg.sent.saturating_duration_since(job.since),
+                unread: leg.load.unread,
+                held: leg.load.held,
+                ..Pace::default()
+            };
             let mut stream = Stream {
                 gw,
                 job,
                 leg,
                 buf: BytesMut::new(),
                 last: None,
-                pace: Pace::default(),
+                pace,
                 over: over.clone(),
                 mover: None,
             };
@@ -160,20 +182,78 @@
     after(conn, sent, close)
 }
 
+/// A generation in line, until it begins or is given up.
+struct Waiting<'a> {
+    gw: &'a Gateway,
+    service: &'a ServiceName,
+    ticket: Ticket,
+}
+
+impl<'a> Waiting<'a> {
+    fn join(gw: &'a Gateway, job: &'a Job) -> Self {
+        let ticket = gw.line.borrow_mut().join(&job.service, job.urgency());
+        Waiting { gw, service: &job.service, ticket }
+    }
+
+    fn is_first(&self) -> bool {
+        self.gw.line.borrow().is_first(self.service, self.ticket)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.gw.line.borrow_mut().leave(self.service, self.ticket);
+    }
+}
+
+/// Waits until an engine has room.
+async fn room(gw: &Rc<Gateway>, job: &Job, tried: &[PoolKey]) -> Result<PoolKey, Problem> {
+    let waiting = Waiting::join(gw, job);
+    let mut denied = tried.to_vec();
+    loop {
+        let now = clock::now();
+        let is_first = waiting.is_first();
+        match job.decide(gw, now, &denied) {
+            Verdict::Send(key) if is_first => {
+                if is_granted(gw, job, key).await {
+                    return Ok(key);
+                }
+                denied.push(key);
+            }
+            Verdict::Refuse(after) => {
+                let line = gw.line.borrow().len(&job.service);
+                let waited = now.saturating_duration_since(job.since).as_millis();
+                let detail = format!("no engine has room in time: waited_ms={waited} line={line}");
+                let kind = ProblemKind::Refused(Refusal::Busy);
+                return Err(Problem::new(kind, detail).retry(super::jitter(after)));
+            }
+            Verdict::Send(_) | Verdict::Wait => {
+                denied.truncate(tried.len());
+                tokio::time::sleep(super::jitter(ROOM_TIME)).await;
+            }
+        }
+    }
+}
+
+/// Asks whoever decides for an engine.
+async fn is_granted(gw: &Gateway, job: &Job, key: PoolKey) -> bool {
+    let Some(tag) = gw.pool.borrow().endpoints.get(key).map(|e| e.tag) else { return false };
+    let left = (job.since + job.route.target).saturating_duration_since(clock::now());
+    peers::ask(gw, tag, job.work(), left, job.urgency()).await
+}
+
 /// Finds an engine that begins the generation.
 async fn begin(gw: &Rc<Gateway>, job: &Job) -> Result<Leg, Problem> {
     gw.budget.borrow_mut().earn(&job.service, ONE);
     let mut tried: Vec<PoolKey> = Vec::new();
     loop {
-        let now = clock::now();
         let may_try = tried.is_empty()
             || tried.len() < OFFERS && gw.budget.borrow_mut().spend(&job.service, ONE);
-        let key = if may_try { job.choose(gw, now, &tried) } else { None };
-        let Some(key) = key else {
-            let why = if tried.is_empty() { Refusal::NoEndpoint } else { Refusal::Busy };
-            let detail = "no engine takes another generation";
-            return Err(job.refusal(now, ProblemKind::Refused(why), detail));
-        };
+        if !may_try {
+            let kind = ProblemKind::Refused(Refusal::Busy);
+            return Err(job.refusal(clock::now(), kind, "the engines tried took nothing more"));
+        }
+        let key = room(gw, job, &tried).await?;
         tried.push(key);
         let why = match open(gw, job, Place::take(gw, key, job.work()), None, None).await {
             Ok(leg) => return Ok(leg),
@@ -202,9 +282,14 @@
     handoff: Option<&Handoff>,
     last: Option<EventId>,
 ) -> Result<Leg, Tried> {
-    let found =
-        gw.pool.borrow().endpoints.get(place.key).map(|e| (e.listing.id.clone(), e.leave.clone()));
-    let Some((endpoint, leave)) = found else { return Err(Tried::Unrun("gone")) };
+    let found = gw
+        .pool
+        .borrow()
+        .endpoints
+        .get(place.key)
+        .map(|e| (e.listing.id.clone(), e.leave.clone(), e.work()));
+    let sent = clock::now();
+    let Some((endpoint, leave, load)) = found else { return Err(Tried::Unrun("gone")) };
     let onward = Onward {
         endpoint: &endpoint,
         member: job.member.as_deref(),
@@ -215,7 +300,7 @@
         resumable: job.route.resumable,
     };
     match call::offer(gw, job, place.key, &onward).await {
-        Tried::Answered(taken) => Ok(Leg { taken, place, leave }),
+        Tried::Answered(taken) => Ok(Leg { taken, place, leave, load, sent }),
         other => Err(other),
     }
 }
@@ -324,13 +409,13 @@
         while let Some(event) = sse::scan_event(&self.buf) {
             let bytes = self.buf.split_to(event.len);
             match sse::judge(self.last, event.id) {
-                Verdict::Next => {
+                Succession::Next => {
                     self.last = event.id.or(self.last);
                     events += 1;
                     out.unsplit(bytes);
                 }
-                Verdict::Repeated => {}
-                Verdict::Gap => return Err(End::Gap),
+                Succession::Repeated => {}
+                Succession::Gap => return Err(End::Gap),
             }
         }
         if self.buf.len() > EVENT_LIMIT {
@@ -344,6 +429,9 @@
         if self.pace.events == 0 {
             let first = now.saturating_duration_since(self.job.since);
             metrics::histogram!("first_event_seconds").record(first.as_secs_f64());
+            let took = now.saturating_duration_since(self.leg.sent);
+            let mut reading = self.gw.reading.borrow_mut();
+            reading.entry(self.job.service.clone()).or_default().note(self.leg.load.unread, took);
         }
         self.pace.note(self.job.since, now, events);
         conn.chunk(out.freeze()).await.map_err(|_| End::Unread)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 //! assert_eq!(faults[0].to_string(), "1:32: E008 expected one of \"model\", \"plain\"");
 //! ```
 
+pub mod admit;
 pub mod blame;
 pub mod board;
 pub mod budget;
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -184,6 +184,11 @@
         self.ids.get(id).copied()
     }
 
+    /// Finds an endpoint by its name in messages.
+    pub fn find_tag(&self, tag: Tag) -> Option<&Endpoint> {
+        self.endpoints.values().find(|e| e.tag == tag)
+    }
+
     /// Takes over one entry of the list.
     pub fn list(&mut self, now: Instant, listing: Listing) -> Option<Change> {
         let id = listing.id.clone();
--- a/src/share/mod.rs
+++ b/src/share/mod.rs
@@ -9,19 +9,22 @@
 use crate::id::{EndpointId, Fingerprint, InstanceId};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::ops::{AddAssign, SubAssign};
 use std::time::{Duration, Instant};
 
 /// Age past which the word of an instance no longer counts: it sends a full message far more
 /// often.
 const WORD_AGE: Duration = Duration::from_millis(2000);
+/// Time for room that was granted to show in a digest.
+const GRANT_TIME: Duration = Duration::from_millis(150);
 /// Time between two full messages of an instance.
 pub const FULL_TIME: Duration = Duration::from_millis(500);
 /// Least time between two messages of an instance.
 const FLUSH_LEAST: Duration = Duration::from_millis(15);
 /// Time added between two messages for each other instance, so that what an instance receives in
 /// a second does not grow with their number.
-const FLUSH_PEER: Duration = Duration::from_millis(3);
+const FLUSH_PEER: Duration = Duration::from_micros(1500);
 
 /// Requests at an endpoint and what they need.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -79,10 +82,64 @@
     pub rows: Vec<Row>,
 }
 
+/// Asks the warden of an engine whether a generation may begin there.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Tells the answer apart from others.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// Engine and what the generation needs there.
+    #[serde(rename = "w")]
+    pub row: Row,
+    /// Milliseconds within which its first event is of full use.
+    #[serde(rename = "l")]
+    pub left: u32,
+    /// Rank, from 0 for the most urgent.
+    #[serde(rename = "u")]
+    pub urgency: u8,
+}
+
+/// A message from one instance to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Note {
+    /// What the sender has under way.
+    #[serde(rename = "d")]
+    Digest(Digest),
+    /// Asks for room at an engine.
+    #[serde(rename = "a")]
+    Ask(Ask),
+    /// Answers such a question, by its number.
+    #[serde(rename = "g")]
+    Grant(u64, bool),
+}
+
+/// Chooses the instance that decides for an engine, by rendezvous hashing: all that know the same
+/// instances choose the same one, and one that leaves moves only the engines that it decided for.
+pub fn warden<'i>(
+    tag: Tag,
+    instances: impl Iterator<Item = &'i InstanceId>,
+) -> Option<&'i InstanceId> {
+    let weight = |i: &InstanceId| {
+        let mut hasher = DefaultHasher::new();
+        (tag, i).hash(&mut hasher);
+        hasher.finish()
+    };
+    instances.max_by_key(|i| weight(i))
+}
+
 /// What the others have under way.
 #[derive(Debug, Default)]
 pub struct Ledger {
     words: HashMap<InstanceId, Word>,
+    granted: Vec<Granted>,
+}
+
+/// Room that was granted and does not show in a digest yet.
+#[derive(Debug)]
+struct Granted {
+    tag: Tag,
+    work: Work,
+    until: Instant,
 }
 
 #[derive(Debug)]
@@ -99,19 +156,24 @@
         if digest.full {
             word.rows.clear();
         }
-        for (tag, open, held, unread, copies) in &digest.rows {
-            let (held, unread) = (u64::from(*held), u64::from(*unread));
-            let work = Work { open: *open, held, unread, copies: *copies };
+        for r in &digest.rows {
+            let (tag, work) = work(*r);
             if work == Work::default() {
-                word.rows.remove(tag);
+                word.rows.remove(&tag);
             } else {
-                word.rows.insert(*tag, work);
+                word.rows.insert(tag, work);
             }
         }
     }
 
-    /// Forgets instances that have gone silent.
+    /// Counts room as taken until it shows in the digest of who asked for it.
+    pub fn grant(&mut self, now: Instant, tag: Tag, work: Work) {
+        self.granted.push(Granted { tag, work, until: now + GRANT_TIME });
+    }
+
+    /// Forgets instances that have gone silent, and grants that show by now.
     pub fn step(&mut self, now: Instant) {
+        self.granted.retain(|g| g.until > now);
         self.words.retain(|_, w| now.saturating_duration_since(w.at) < WORD_AGE);
     }
 
@@ -119,6 +181,7 @@
     pub fn at(&self, tag: Tag) -> Work {
         let mut sum = Work::default();
         self.words.values().filter_map(|w| w.rows.get(&tag)).for_each(|w| sum += *w);
+        self.granted.iter().filter(|g| g.tag == tag).for_each(|g| sum += g.work);
         sum
     }
 
@@ -183,7 +246,13 @@
     }
 }
 
-fn row(tag: Tag, work: Work) -> Row {
+/// Reads a row.
+pub fn work((tag, open, held, unread, copies): Row) -> (Tag, Work) {
+    (tag, Work { open, held: u64::from(held), unread: u64::from(unread), copies })
+}
+
+/// Makes a row.
+pub fn row(tag: Tag, work: Work) -> Row {
     let cap = |n: u64| u32::try_from(n).unwrap_or(u32::MAX);
     (tag, work.open, cap(work.held), cap(work.unread), work.copies)
 }
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -47,9 +47,22 @@
     need: &Need<'_>,
     tried: &[PoolKey],
     rng: &mut R,
+) -> Option<PoolKey> {
+    choose_where(now, pool, need, tried, rng, |_| true)
+}
+
+/// Chooses an endpoint among those that `accept` names, not one of `tried`.
+pub fn choose_where<R: Rng>(
+    now: Instant,
+    pool: &Pool,
+    need: &Need<'_>,
+    tried: &[PoolKey],
+    rng: &mut R,
+    accept: impl Fn(&Endpoint) -> bool,
 ) -> Option<PoolKey> {
     let fits = |k: &PoolKey, e: &Endpoint| {
-        e.listing.service == *need.service && e.is_usable() && !tried.contains(k)
+        let is_usable = e.listing.service == *need.service && e.is_usable();
+        is_usable && !tried.contains(k) && accept(e)
     };
     pool.endpoints
         .iter()
