Let long prompts begin late, and spread the returns of refused generations

Their prompt alone takes most of the target to read, so each was refused as hopeless though it would only have been late.

Change: a long prompt may wait for 2.2 times its own reading; refused generations come back after five targets.

--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -23,12 +23,16 @@
 const READ_RANGE: (f64, f64) = (1.0, 100.0);
 /// Share of the time to the first event that reading may be expected to take.
 const READ_SHARE: f64 = 0.8;
+/// Times of its own reading within which a long prompt should have been read.
+const READ_SLACK: f64 = 2.2;
+/// Share of its caller's time that a generation may wait for its first event.
+const WAIT_SHARE: f64 = 0.6;
 /// Share of an engine's memory that expected needs may fill, for the least urgent.
-const FILL: f64 = 1.0;
+const FILL: f64 = 1.02;
 /// Share added for the most urgent, which wait for none but their like.
 const URGENT_FILL: f64 = 0.06;
 /// Times of a target after which a refused generation should come back.
-const COME_BACK: f64 = 1.5;
+const COME_BACK: f64 = 5.0;
 
 /// How fast the engines of a service read prompts.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -99,15 +103,29 @@
         return Verdict::Send(key);
     }
     let alone = reading.time(bid.need.work.unread);
-    if now + alone > bid.since + bid.target {
+    if now + alone > bid.since + patience(bid, alone) {
         return Verdict::Refuse(come_back(now, bid));
     }
     Verdict::Wait
 }
 
+/// Returns the time within which the first event should come. A prompt that takes most of the
+/// target to read gets longer: late is better for its caller than never.
+fn patience(bid: &Bid<'_>, alone: Duration) -> Duration {
+    let most = bid.deadline.saturating_duration_since(bid.since).mul_f64(WAIT_SHARE);
+    bid.target.max(alone.mul_f64(READ_SLACK)).min(most.max(bid.target))
+}
+
+/// Returns the time within which the first event should come.
+pub fn left(now: Instant, bid: &Bid<'_>, reading: &Reading) -> Duration {
+    let alone = reading.time(bid.need.work.unread);
+    (bid.since + patience(bid, alone)).saturating_duration_since(now)
+}
+
+/// Tells whether an engine has room for a generation.
 fn has_room(now: Instant, e: &Endpoint, bid: &Bid<'_>, reading: &Reading) -> bool {
     let Some(engine) = bid.need.engine else { return true };
-    let left = (bid.since + bid.target).saturating_duration_since(now);
+    let left = left(now, bid, reading);
     let entrant = Entrant { work: bid.need.work, left, urgency: bid.urgency };
     fits(now, e, engine, &entrant, reading)
 }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -1,7 +1,7 @@
 //! One request with the terms that it is served on.
 
 use super::Gateway;
-use crate::admit::{self, Bid, Verdict};
+use crate::admit::{self, Bid, Reading, Verdict};
 use crate::event::Kind;
 use crate::h1::Inbound;
 use crate::id::{DataCentre, RequestId, ServiceName, Tokens};
@@ -122,15 +122,28 @@
     /// Decides whether it begins now.
     pub fn decide(&self, gw: &Gateway, now: Instant, tried: &[PoolKey]) -> Verdict {
         let centre = gw.boot.borrow().centre.clone();
-        let bid = Bid {
-            need: self.need(&centre),
+        let bid = self.bid(&centre);
+        admit::decide(now, &gw.pool.borrow(), &bid, &self.reading(gw), tried, &mut rand::rng())
+    }
+
+    /// Returns the time within which its first event should come.
+    pub fn wait_left(&self, gw: &Gateway, now: Instant) -> Duration {
+        let centre = gw.boot.borrow().centre.clone();
+        admit::left(now, &self.bid(&centre), &self.reading(gw))
+    }
+
+    fn bid<'a>(&'a self, centre: &'a DataCentre) -> Bid<'a> {
+        Bid {
+            need: self.need(centre),
             since: self.since,
             target: self.route.target,
             deadline: self.deadline,
             urgency: self.urgency(),
-        };
-        let reading = gw.reading.borrow().get(&self.service).copied().unwrap_or_default();
-        admit::decide(now, &gw.pool.borrow(), &bid, &reading, tried, &mut rand::rng())
+        }
+    }
+
+    fn reading(&self, gw: &Gateway) -> Reading {
+        gw.reading.borrow().get(&self.service).copied().unwrap_or_default()
     }
 
     /// Makes the head of the request for an endpoint.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -238,7 +238,7 @@
 /// Asks whoever decides for an engine.
 async fn is_granted(gw: &Gateway, job: &Job, key: PoolKey) -> bool {
     let Some(tag) = gw.pool.borrow().endpoints.get(key).map(|e| e.tag) else { return false };
-    let left = (job.since + job.route.target).saturating_duration_since(clock::now());
+    let left = job.wait_left(gw, clock::now());
     peers::ask(gw, tag, job.work(), left, job.urgency()).await
 }
 
