Pass store news on, ask engines while the store is silent, copy within the notice

(3) Moves that could not all finish within the notice held up each other's last copies, and all were lost (last copy lost, nine at one engine); an engine's leaves_ms was taken as fresh, but is half a second old.

Change: three instances follow the store closely and pass changes on, the others ask it once a second; a stale ping every 300 ms tells an outage, during which engines with own generations are asked; copies are counted in tokens and begun only if they end before the last ones; refused generations come back the later the longer the line.

Ruled out: new engines during an outage cannot be known, their addresses stand only in the store.

--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -32,7 +32,11 @@
 /// Share added for the most urgent, which wait for none but their like.
 const URGENT_FILL: f64 = 0.06;
 /// Times of a target after which a refused generation should come back.
-const COME_BACK: f64 = 5.0;
+const COME_BACK: f64 = 1.0;
+/// Times of a target added for each other that waits here: a longer line takes longer to clear.
+const COME_BACK_EACH: f64 = 0.6;
+/// Most times of a target after which one should come back.
+const COME_BACK_MOST: f64 = 6.0;
 
 /// How fast the engines of a service read prompts.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -76,6 +80,8 @@
     pub deadline: Instant,
     /// Rank, from 0 for the most urgent.
     pub urgency: Urgency,
+    /// Generations that wait for the same service here.
+    pub line: usize,
 }
 
 /// What becomes of a generation now.
@@ -164,7 +170,8 @@
     /// Share of the time left within which callers come back.
     const PATIENCE: f64 = 0.3;
     let left = bid.deadline.saturating_duration_since(now);
-    bid.target.mul_f64(COME_BACK).min(left.mul_f64(PATIENCE))
+    let times = (COME_BACK + COME_BACK_EACH * bid.line as f64).min(COME_BACK_MOST);
+    bid.target.mul_f64(times).min(left.mul_f64(PATIENCE))
 }
 
 /// Names a generation in line; the order is that of urgency, then of arrival.
--- a/src/evacuate/mod.rs
+++ b/src/evacuate/mod.rs
@@ -13,6 +13,8 @@
 
 /// Notice assumed where the engine does not know how long it has.
 const NOTICE: Duration = Duration::from_millis(1400);
+/// Age of what an engine says of itself.
+const REPORT_LAG: Duration = Duration::from_millis(600);
 /// Time kept for the last copy, and for going on elsewhere.
 const RESERVE: Duration = Duration::from_millis(300);
 /// Share of the memory past which an engine is not even asked: expected needs are more than what
@@ -20,8 +22,15 @@
 const FULL: f64 = 1.3;
 /// Cost of another data centre, as a share of an engine's memory: copies take twice as long.
 const FAR: f64 = 0.6;
-/// Cost of each copy that the link of an engine carries already.
-const COPY: f64 = 0.25;
+/// Tokens on the link of an engine that cost as much as a full memory.
+const LINK_TOKENS: f64 = 14_000.0;
+/// Factor by which a copy between data centres takes longer.
+const FAR_FACTOR: u32 = 2;
+/// Time over which instances spread the beginning of their copies, so that each sees those of the
+/// others; the smallest generations go first, and more are saved.
+const SPREAD_TIME: Duration = Duration::from_millis(80);
+/// Tokens of a generation that goes last.
+const LARGE: f64 = 8_000.0;
 
 /// What is known of an engine that leaves.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -36,10 +45,29 @@
 
 /// Returns when a generation should stop for its last copy, whatever the links carry.
 pub fn last_copy_by(exodus: &Exodus) -> Instant {
-    let gone = exodus.leaves.map_or(exodus.since + NOTICE, |left| exodus.seen + left);
+    let told = exodus.leaves.map(|left| exodus.seen + left.saturating_sub(REPORT_LAG));
+    let gone = told.unwrap_or(exodus.since + NOTICE);
     gone.checked_sub(RESERVE).unwrap_or(exodus.since)
 }
 
+/// Returns the tokens that a copy counts for on a link.
+pub fn link_tokens(tokens: u32, is_far: bool) -> u32 {
+    if is_far { tokens.saturating_mul(FAR_FACTOR) } else { tokens }
+}
+
+/// Returns the time after which a generation of so many tokens should begin to be copied.
+pub fn begin_after(tokens: u32) -> Duration {
+    SPREAD_TIME.mul_f64((f64::from(tokens) / LARGE).min(1.0))
+}
+
+/// Tells whether a copy ends before the last one has to begin. One that does not would only hold
+/// up those of other generations, and all of them would be lost.
+pub fn is_in_time(now: Instant, by: Instant, engine: &Engine, queued: u32, own: u32) -> bool {
+    let bits = f64::from(queued + own) * engine.token_bytes as f64 * 8.0;
+    let time = Duration::try_from_secs_f64(bits / engine.link_bits.max(1.0));
+    time.is_ok_and(|t| now + t <= by)
+}
+
 /// A generation that has to move.
 #[derive(Debug)]
 pub struct Mover<'a> {
@@ -71,7 +99,7 @@
     };
     let cost = |e: &Endpoint| {
         let far = if e.listing.centre == *mover.centre { 0.0 } else { FAR };
-        share(e, mover, engine) + far + f64::from(e.work().copies) * COPY
+        share(e, mover, engine) + far + f64::from(e.work().copies) / LINK_TOKENS
     };
     pool.endpoints
         .iter()
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -4,18 +4,23 @@
 use crate::clock;
 use crate::event::Kind;
 use crate::platform;
+use crate::share::Bulletin;
 use crate::store::{Fact, Feed, News, StoreError};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Longest wait of a watch; a silent connection is noticed soon after it.
-const WATCH_TIME: Duration = Duration::from_millis(4000);
+const WATCH_TIME: Duration = Duration::from_millis(1500);
 /// Time between two calls while the store does not answer.
 const RETRY_TIME: Duration = Duration::from_millis(300);
 /// Time after the store's return within which entries that lapsed come back.
 const RETURN_TIME: Duration = Duration::from_millis(2000);
 /// Time after a change within which others that belong to it are awaited.
 const GATHER_TIME: Duration = Duration::from_millis(40);
+/// Time between two looks of an instance that hears of changes from readers.
+const HEARSAY_TIME: Duration = Duration::from_millis(1000);
+/// Keys whose revisions are remembered.
+const SEEN_LIMIT: usize = 4096;
 /// The configuration and the endpoints are followed by one watch over all keys.
 const ALL_KEYS: &str = "";
 
@@ -35,7 +40,7 @@
     let mut position = Position::default();
     loop {
         match advance(&gw, &mut position).await {
-            Ok(()) => tokio::time::sleep(GATHER_TIME).await,
+            Ok(()) => pause(&gw).await,
             Err(StoreError::Compacted) => position.revision = None,
             Err(e) => {
                 if !position.lost {
@@ -49,6 +54,39 @@
     }
 }
 
+/// Waits before the next look: others follow the store closely for those who are no readers.
+async fn pause(gw: &Gateway) {
+    tokio::time::sleep(GATHER_TIME).await;
+    if !peers::is_reader(gw) {
+        // Either way the store is asked next.
+        let _ = tokio::time::timeout(HEARSAY_TIME, gw.hint.notified()).await;
+    }
+}
+
+/// Takes over what a reader passes on.
+pub fn take_bulletin(gw: &Gateway, bulletin: &Bulletin) {
+    bulletin.facts.iter().for_each(|f| take_fact(gw, f, false));
+    if bulletin.more {
+        gw.hint.notify_one();
+    }
+}
+
+/// Takes over a change, unless a newer one of the same key is known.
+fn take_fact(gw: &Gateway, fact: &Fact, is_back: bool) {
+    {
+        let mut seen = gw.seen.borrow_mut();
+        if seen.get(&fact.key).is_some_and(|r| *r >= fact.revision) {
+            return;
+        }
+        if seen.len() >= SEEN_LIMIT {
+            seen.clear();
+        }
+        seen.insert(fact.key.clone(), fact.revision);
+    }
+    take_endpoint(gw, fact, is_back);
+    peers::take_peer(gw, fact);
+}
+
 async fn advance(gw: &Gateway, position: &mut Position) -> Result<(), StoreError> {
     let Some(revision) = position.revision else {
         let endpoints = gw.store.list(platform::SERVERS_PREFIX).await?;
@@ -66,10 +104,14 @@
     position.revision = Some(news.revision.max(revision));
     take_config(gw, &news);
     let is_back = position.back.is_some_and(|t| clock::now() < t + RETURN_TIME);
-    for fact in &news.facts {
-        take_endpoint(gw, fact, is_back);
-        peers::take_peer(gw, fact);
+    let (large, small): (Vec<_>, Vec<_>) =
+        news.facts.iter().partition(|f| &*f.key == platform::CONFIG_KEY);
+    let mut bulletin = Bulletin::of(small.into_iter());
+    bulletin.more |= !large.is_empty();
+    if !news.facts.is_empty() {
+        peers::publish(gw, bulletin);
     }
+    news.facts.iter().for_each(|f| take_fact(gw, f, is_back));
     Ok(())
 }
 
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -56,7 +56,9 @@
         let ask = platform::scan_ask(&req);
         let Some(table) = gw.table.borrow().clone() else {
             let detail = "no configuration is in force here yet";
-            return Err(Problem::new(ProblemKind::NotReady, detail).retry(RETRY_AFTER));
+            // Nobody knows for how long, so a caller comes back as late as it can.
+            let after = ask.patience.map_or(RETRY_AFTER, |p| p / PATIENCE_SHARE);
+            return Err(Problem::new(ProblemKind::NotReady, detail).retry(super::jitter(after)));
         };
         let path = req.uri().path();
         let admitted = table.admit(platform::host(&req), path, ask.key.as_deref());
@@ -122,23 +124,24 @@
     /// Decides whether it begins now.
     pub fn decide(&self, gw: &Gateway, now: Instant, tried: &[PoolKey]) -> Verdict {
         let centre = gw.boot.borrow().centre.clone();
-        let bid = self.bid(&centre);
+        let bid = self.bid(gw, &centre);
         admit::decide(now, &gw.pool.borrow(), &bid, &self.reading(gw), tried, &mut rand::rng())
     }
 
     /// Returns the time within which its first event should come.
     pub fn wait_left(&self, gw: &Gateway, now: Instant) -> Duration {
         let centre = gw.boot.borrow().centre.clone();
-        admit::left(now, &self.bid(&centre), &self.reading(gw))
+        admit::left(now, &self.bid(gw, &centre), &self.reading(gw))
     }
 
-    fn bid<'a>(&'a self, centre: &'a DataCentre) -> Bid<'a> {
+    fn bid<'a>(&'a self, gw: &Gateway, centre: &'a DataCentre) -> Bid<'a> {
         Bid {
             need: self.need(centre),
             since: self.since,
             target: self.route.target,
             deadline: self.deadline,
             urgency: self.urgency(),
+            line: gw.line.borrow().len(&self.service),
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod serve;
 mod stream;
+mod vigil;
 
 use crate::admit::{Line, Reading};
 use crate::budget::{Allowance, Budget};
@@ -108,6 +109,10 @@
     peers: RefCell<HashMap<InstanceId, peers::Peer>>,
     /// Messages to other instances, and answers that are awaited.
     talk: peers::Talk,
+    /// Revisions of the keys that were taken over.
+    seen: RefCell<HashMap<Box<str>, u64>>,
+    /// Tells that the store has news that nobody passes on.
+    hint: Notify,
     /// Tells that what this instance has under way has changed.
     changed: Notify,
 }
@@ -150,6 +155,8 @@
         peers: RefCell::new(HashMap::new()),
         line: RefCell::new(Line::default()),
         talk: peers::Talk::default(),
+        seen: RefCell::new(HashMap::new()),
+        hint: Notify::new(),
         reading: RefCell::new(HashMap::new()),
         changed: Notify::new(),
         boot: RefCell::new(boot.clone()),
@@ -163,6 +170,7 @@
     actix_rt::spawn(serve::accept_callers(gw.clone(), bind(front).await?));
     actix_rt::spawn(follow::follow(gw.clone()));
     actix_rt::spawn(step(gw.clone()));
+    actix_rt::spawn(vigil::watch(gw.clone()));
     if let Some(address) = boot.inner {
         peers::start(&gw, address).await.map_err(|e| GatewayError::Bind(address, e))?;
     }
--- a/src/gateway/moving.rs
+++ b/src/gateway/moving.rs
@@ -42,6 +42,8 @@
     pub terms: Rc<Service>,
     /// Memory that it is expected to need to its end.
     pub tokens: Tokens,
+    /// Memory that it takes now.
+    pub size: Rc<Cell<u32>>,
     /// Engine that it runs on.
     pub source: PoolKey,
     /// Address of that engine.
@@ -121,6 +123,8 @@
     async fn run(&mut self) -> Moved {
         let mut tried = Vec::new();
         let exodus = self.look().await;
+        let by = evacuate::last_copy_by(&exodus);
+        tokio::time::sleep(evacuate::begin_after(self.run.size.get())).await;
         while clock::now() < self.begun + WORTHWHILE && tried.len() < TRIES {
             if self.run.over.get() {
                 return Moved::Stay("ended");
@@ -131,7 +135,14 @@
                 continue;
             };
             let since = clock::now();
-            let links = self.occupy(place.key);
+            let Some(links) = self.occupy(place.key, by) else {
+                if since > by {
+                    return Moved::Stay("no time left");
+                }
+                drop(place);
+                tokio::time::sleep(LOOK_TIME).await;
+                continue;
+            };
             let copied = self.copy(to, false).await;
             drop(links);
             match copied {
@@ -185,10 +196,21 @@
         Some((Place::take(&self.gw, key, run.work()), to))
     }
 
-    /// Counts a copy on the links of both engines.
-    fn occupy(&self, to: PoolKey) -> [Place; 2] {
-        let copy = Work { copies: 1, ..Work::default() };
-        [self.run.source, to].map(|key| Place::take(&self.gw, key, copy))
+    /// Counts a copy on the links of both engines, if it ends in time there.
+    fn occupy(&self, to: PoolKey, by: Instant) -> Option<[Place; 2]> {
+        let keys = [self.run.source, to];
+        let engine = self.run.terms.engine.as_ref()?;
+        let copies = {
+            let pool = self.gw.pool.borrow();
+            let is_far = pool.endpoints.get(to)?.listing.centre != self.run.centre;
+            let own = evacuate::link_tokens(self.run.size.get(), is_far);
+            let now = clock::now();
+            let queued = |key| pool.endpoints.get(key).map_or(0, |e| e.work().copies);
+            let fits = |key| evacuate::is_in_time(now, by, engine, queued(key), own);
+            keys.into_iter().all(fits).then_some(own)?
+        };
+        let copy = Work { copies, ..Work::default() };
+        Some(keys.map(|key| Place::take(&self.gw, key, copy)))
     }
 
     /// Tells whether the links of both engines are free of first copies.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -3,14 +3,14 @@
 //! Each instance writes its address and a key of its own into the store, under a lease. Others
 //! check its messages with that key, so that only who may write to the store is believed.
 
-use super::{Gateway, jitter};
+use super::{Gateway, follow, jitter};
 use crate::admit::{self, Entrant};
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::{Envelope, Keyring};
 use crate::id::{Incarnation, InstanceId, IntentVersion};
 use crate::route::Urgency;
-use crate::share::{self, Ask, FULL_TIME, Note, Tag, Teller, Work};
+use crate::share::{self, Ask, Bulletin, FULL_TIME, Note, Tag, Teller, Work};
 use crate::store::{Fact, LeaseId, Leases, StoreError};
 use actix_rt::net::UdpSocket;
 use rand::Rng;
@@ -104,6 +104,19 @@
     }
 }
 
+/// Passes on what the store said, if this instance is a reader.
+pub fn publish(gw: &Gateway, bulletin: Bulletin) {
+    let to: Vec<SocketAddr> = gw.peers.borrow().values().map(|p| p.address).collect();
+    if !to.is_empty() && is_reader(gw) {
+        send(gw, &to, Note::News(bulletin));
+    }
+}
+
+/// Tells whether this instance follows the store closely.
+pub fn is_reader(gw: &Gateway) -> bool {
+    share::is_reader(&gw.boot.borrow().instance, gw.peers.borrow().keys())
+}
+
 /// Asks the warden of an engine for room there; it counts as granted where nobody answers.
 pub async fn ask(gw: &Gateway, tag: Tag, work: Work, left: Duration, urgency: Urgency) -> bool {
     let own = gw.boot.borrow().instance.clone();
@@ -260,6 +273,7 @@
             let granted = decide(gw, &ask);
             send(gw, &[from], Note::Grant(ask.number, granted));
         }
+        Note::News(bulletin) => follow::take_bulletin(gw, &bulletin),
         Note::Grant(number, granted) => {
             if let Some(answer) = gw.talk.awaited.borrow_mut().remove(&number) {
                 // Who asked may have given up meanwhile.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -61,6 +61,8 @@
     last: Option<EventId>,
     pace: Pace,
     over: Rc<Cell<bool>>,
+    /// Tokens in the memory of its engine.
+    size: Rc<Cell<u32>>,
     mover: Option<JoinHandle<Moved>>,
 }
 
@@ -150,6 +152,7 @@
                 last: None,
                 pace,
                 over: over.clone(),
+                size: Rc::new(Cell::new(job.ask.prompt.map_or(0, |p| p.input.0))),
                 mover: None,
             };
             let next = stream.relay(conn, close).await;
@@ -434,6 +437,8 @@
             reading.entry(self.job.service.clone()).or_default().note(self.leg.load.unread, took);
         }
         self.pace.note(self.job.since, now, events);
+        let stride = self.job.engine().map_or(1, |e| e.stride);
+        self.size.set(self.size.get().saturating_add(events * stride));
         conn.chunk(out.freeze()).await.map_err(|_| End::Unread)
     }
 
@@ -454,6 +459,7 @@
             source,
             address: e.listing.address,
             centre: e.listing.centre.clone(),
+            size: self.size.clone(),
             over: self.over.clone(),
         };
         self.mover = Some(actix_rt::spawn(moving::evacuate(self.gw.clone(), running)));
--- /dev/null
+++ b/src/gateway/vigil.rs
@@ -0,0 +1,58 @@
+//! Asks engines themselves whether they are leaving while the store tells nothing.
+
+use super::{Gateway, peers};
+use crate::clock;
+use crate::event::Kind;
+use crate::platform;
+use crate::pool::PoolKey;
+use crate::store::Feed;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time between two rounds: a notice may be as short as a few of them.
+const ROUND_TIME: Duration = Duration::from_millis(300);
+/// Time for the store to answer a stale read, many times what it takes when it is well.
+const PING_WAIT: Duration = Duration::from_millis(250);
+/// Time for an engine to answer.
+const REPORT_WAIT: Duration = Duration::from_millis(200);
+
+/// Watches the engines that generations of this instance run on, for as long as the process runs.
+pub async fn watch(gw: Rc<Gateway>) {
+    let own = format!("{}{}", peers::PREFIX, gw.boot.borrow().instance);
+    loop {
+        tokio::time::sleep(ROUND_TIME).await;
+        if gw.store.ping(&own, PING_WAIT).await.is_ok() {
+            continue;
+        }
+        for (key, address) in engines(&gw) {
+            actix_rt::spawn(ask(gw.clone(), key, address));
+        }
+    }
+}
+
+/// Returns the engines on which this instance has something running.
+fn engines(gw: &Gateway) -> Vec<(PoolKey, SocketAddr)> {
+    let table = gw.table.borrow();
+    let Some(table) = table.as_ref() else { return Vec::new() };
+    let is_engine = |s| table.services.get(s).is_some_and(|s| s.engine.is_some());
+    let pool = gw.pool.borrow();
+    let used = pool.endpoints.iter().filter(|(_, e)| e.own.held > 0 && !e.is_leaving());
+    let used = used.filter(|(_, e)| is_engine(&e.listing.service));
+    used.map(|(k, e)| (k, e.listing.address)).collect()
+}
+
+async fn ask(gw: Rc<Gateway>, key: PoolKey, address: SocketAddr) {
+    match platform::report(address, &gw.codec, REPORT_WAIT).await {
+        Ok(report) if report.leaving => {
+            let id = gw.pool.borrow().endpoints.get(key).map(|e| e.listing.id.clone());
+            gw.pool.borrow_mut().note_leaving(clock::now(), key);
+            if let Some(id) = id {
+                let left = report.leaves.map(|d| d.as_millis());
+                gw.event(Kind::Leaving, id, format_args!("from=report leaves_ms={left:?}"));
+            }
+        }
+        Ok(_) => {}
+        Err(e) => log::debug!("report of {address}: {e}"),
+    }
+}
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -86,6 +86,8 @@
 /// What an engine says of itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Report {
+    /// Tells that it is leaving.
+    pub leaving: bool,
     /// Time until it is gone, where it is leaving and knows.
     pub leaves: Option<Duration>,
     /// Memory of the generations that run there.
@@ -98,6 +100,8 @@
 
 #[derive(Debug, Deserialize)]
 struct ReportText {
+    #[serde(default)]
+    state: Option<Box<str>>,
     #[serde(default)]
     leaves_ms: Option<f64>,
     #[serde(default)]
@@ -199,6 +203,7 @@
     let (_, body) = call(to, config, Method::GET, "/report", Bytes::new(), wait).await?;
     let text: ReportText = serde_json::from_slice(&body).map_err(|_| CallError::Malformed)?;
     Ok(Report {
+        leaving: text.leaves_ms.is_some() || text.state.as_deref() == Some("draining"),
         leaves: text.leaves_ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok()),
         held: Tokens(text.kv_used as u32),
         running: text.running,
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -16,7 +16,7 @@
 /// Time that a read may take; the store answers in milliseconds when it is well.
 const CALL_TIME: Duration = Duration::from_millis(2000);
 /// Time that the answer to a watch may take beyond the wait that it asks for.
-const WATCH_MARGIN: Duration = Duration::from_millis(1000);
+const WATCH_MARGIN: Duration = Duration::from_millis(600);
 /// Largest answer in bytes: a page of items and its encoding.
 const ANSWER_LIMIT: usize = 4 << 20;
 
@@ -166,6 +166,16 @@
         }
     }
 
+    async fn ping(&self, key: &str, wait: Duration) -> Result<(), StoreError> {
+        let url = self.url(&format!("kv-key?key={key}&allow_stale=1"));
+        let res = self.client.get(url).timeout(wait).send().await.map_err(|e| scan_error(&e))?;
+        match res.status().as_u16() {
+            // A missing key is an answer too.
+            200 | 404 => Ok(()),
+            _ => Err(StoreError::Refused),
+        }
+    }
+
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<News, StoreError> {
         let ms = wait.as_millis();
         let path = format!("kv-watch?prefix={prefix}&after={after}&wait_ms={ms}");
--- a/src/share/mod.rs
+++ b/src/share/mod.rs
@@ -7,6 +7,7 @@
 //! one that is lost is made good by the next full one.
 
 use crate::id::{EndpointId, Fingerprint, InstanceId};
+use crate::store::Fact;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -16,6 +17,8 @@
 /// Age past which the word of an instance no longer counts: it sends a full message far more
 /// often.
 const WORD_AGE: Duration = Duration::from_millis(2000);
+/// Bytes of keys and values that a bulletin carries.
+const BULLETIN_BYTES: usize = 8 << 10;
 /// Time for room that was granted to show in a digest.
 const GRANT_TIME: Duration = Duration::from_millis(150);
 /// Time between two full messages of an instance.
@@ -35,7 +38,8 @@
     pub held: u64,
     /// Prompt tokens that it has not read yet.
     pub unread: u64,
-    /// Copies of running generations from or to it, which its link carries one by one.
+    /// Tokens of running generations that are being copied from or to it, one after the other;
+    /// those between data centres count twice.
     pub copies: u32,
 }
 
@@ -111,6 +115,54 @@
     /// Answers such a question, by its number.
     #[serde(rename = "g")]
     Grant(u64, bool),
+    /// What the store told a reader.
+    #[serde(rename = "n")]
+    News(Bulletin),
+}
+
+/// Changes that a reader passes on.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Bulletin {
+    /// Changes of small keys.
+    #[serde(rename = "f")]
+    pub facts: Vec<Fact>,
+    /// Tells that larger ones changed too: the store should be asked.
+    #[serde(rename = "m")]
+    pub more: bool,
+}
+
+impl Bulletin {
+    /// Makes a bulletin of what fits a datagram.
+    pub fn of<'f>(facts: impl Iterator<Item = &'f Fact>) -> Bulletin {
+        let mut bulletin = Bulletin::default();
+        let mut bytes = 0;
+        for fact in facts {
+            bytes += fact.key.len() + fact.value.as_ref().map_or(0, Vec::len);
+            if bytes > BULLETIN_BYTES {
+                bulletin.more = true;
+                break;
+            }
+            bulletin.facts.push(fact.clone());
+        }
+        bulletin
+    }
+}
+
+/// Instances that follow the store closely and pass on what it says.
+const READERS: usize = 3;
+
+/// Tells whether an instance is one of those that follow the store closely. The others ask it now
+/// and then, so that its load does not grow with their number.
+pub fn is_reader<'i>(own: &InstanceId, others: impl Iterator<Item = &'i InstanceId>) -> bool {
+    let rank = |i: &InstanceId| (weigh("reader", i), i.clone());
+    let mine = rank(own);
+    others.filter(|i| rank(i) > mine).count() < READERS
+}
+
+fn weigh<T: Hash>(what: T, instance: &InstanceId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (what, instance).hash(&mut hasher);
+    hasher.finish()
 }
 
 /// Chooses the instance that decides for an engine, by rendezvous hashing: all that know the same
@@ -119,12 +171,7 @@
     tag: Tag,
     instances: impl Iterator<Item = &'i InstanceId>,
 ) -> Option<&'i InstanceId> {
-    let weight = |i: &InstanceId| {
-        let mut hasher = DefaultHasher::new();
-        (tag, i).hash(&mut hasher);
-        hasher.finish()
-    };
-    instances.max_by_key(|i| weight(i))
+    instances.max_by_key(|i| weigh(tag, i))
 }
 
 /// What the others have under way.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -9,6 +9,7 @@
 pub use etcd::Etcd;
 pub use list::{InstanceList, Listed, ListedState, Role};
 
+use serde::{Deserialize, Serialize};
 use std::future::Future;
 use std::time::Duration;
 
@@ -135,13 +136,16 @@
 }
 
 /// One key as the store holds it, or the fact that it was removed.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Fact {
     /// Key.
+    #[serde(rename = "k")]
     pub key: Box<str>,
     /// Value; `None` where the key was removed.
+    #[serde(rename = "v", with = "serde_bytes")]
     pub value: Option<Vec<u8>>,
     /// Revision of the store at this change.
+    #[serde(rename = "r")]
     pub revision: u64,
 }
 
@@ -163,6 +167,13 @@
     /// Returns [`StoreError`] where the store gives no answer.
     fn list(&self, prefix: &str) -> impl Future<Output = Result<News, StoreError>>;
 
+    /// Asks whether the store answers, by a read of `key` that may be old.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] where it gives no answer within `wait`.
+    fn ping(&self, key: &str, wait: Duration) -> impl Future<Output = Result<(), StoreError>>;
+
     /// Waits at most `wait` for changes of keys that begin with `prefix`.
     ///
     /// # Errors
