Test the gateway against stand-ins of the platform, and its decisions in virtual time

Faults that these tests found, seen failing first: a head over the limit passed when it came in one piece (431 expected, 200 seen); a prompt that takes longer to read than the caller's share of waiting was refused by engines that had nothing to do.

--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -25,6 +25,8 @@
 const READ_SHARE: f64 = 0.8;
 /// Times of its own reading within which a long prompt should have been read.
 const READ_SLACK: f64 = 2.2;
+/// Times of its own reading that a prompt gets whatever its caller's time.
+const READ_LEAST: f64 = 1.25;
 /// Share of its caller's time that a generation may wait for its first event.
 const WAIT_SHARE: f64 = 0.6;
 /// Share of an engine's memory that expected needs may fill, for the least urgent.
@@ -118,8 +120,9 @@
 /// Returns the time within which the first event should come. A prompt that takes most of the
 /// target to read gets longer: late is better for its caller than never.
 fn patience(bid: &Bid<'_>, alone: Duration) -> Duration {
-    let most = bid.deadline.saturating_duration_since(bid.since).mul_f64(WAIT_SHARE);
-    bid.target.max(alone.mul_f64(READ_SLACK)).min(most.max(bid.target))
+    let all = bid.deadline.saturating_duration_since(bid.since);
+    let most = all.mul_f64(WAIT_SHARE).max(bid.target).max(alone.mul_f64(READ_LEAST).min(all));
+    bid.target.max(alone.mul_f64(READ_SLACK)).min(most)
 }
 
 /// Returns the time within which the first event should come.
@@ -160,7 +163,9 @@
     let memory = fill * f64::from(engine.memory.0);
     // One that is larger than that begins where nothing else runs.
     let has_memory = (work.held + own.held) as f64 <= memory || work.held == 0;
-    let begins = reading.time(work.unread + own.unread) <= entrant.left.mul_f64(READ_SHARE);
+    let time = reading.time(work.unread + own.unread);
+    // Nowhere would it begin sooner than where nothing else is read.
+    let begins = time <= entrant.left.mul_f64(READ_SHARE) || work.unread == 0;
     has_memory && begins && e.busy(now) < e.listing.slots
 }
 
--- a/src/h1/inbound.rs
+++ b/src/h1/inbound.rs
@@ -119,7 +119,12 @@
 
     async fn head(&mut self, most: usize) -> Result<Request, ReadError> {
         loop {
+            let before = self.buf.len();
             match self.codec.decode(&mut self.buf) {
+                // A head that came in one piece was never looked at unfinished.
+                Ok(Some(Message::Item(_))) if before - self.buf.len() > most => {
+                    return Err(ReadError::HeadTooLarge);
+                }
                 Ok(Some(Message::Item(req))) => return Ok(req),
                 Ok(Some(Message::Chunk(_))) => {
                     return Err(ReadError::Malformed("a body without a head"));
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod host;
 pub mod list;
 pub mod plain;
+pub mod platform;
 pub mod slopes;
 pub mod store;
 pub mod wire;
--- /dev/null
+++ b/standin/src/platform/endpoint.rs
@@ -0,0 +1,246 @@
+//! An endpoint of the platform that behaves as a test tells it, badly too.
+
+use super::{Request, read_request};
+use crate::host::free_address;
+use std::collections::VecDeque;
+use std::io::{BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// What it does with a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Act {
+    /// Answers with this status and body.
+    Answer(u16, String),
+    /// Says that it has not run the request.
+    Shed,
+    /// Says that it is another endpoint.
+    Misdirected,
+    /// Runs the request and closes the connection without an answer.
+    Reset,
+    /// Breaks off in the middle of the body.
+    Cut,
+    /// Answers without a length; the end of the connection ends the body.
+    Unframed(String),
+    /// Sends a second answer after the first.
+    Extra(String),
+    /// Answers with the id of another request.
+    Foreign,
+    /// Answers without its seal.
+    Unsealed,
+    /// Answers before it has read the body, which it reads later.
+    Early,
+    /// Never answers.
+    Hang,
+    /// Streams so many events with a pause between them.
+    Stream(u64, Duration),
+    /// Streams so many events and then breaks off in the middle of the next.
+    Torn(u64),
+}
+
+/// A request that reached it.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    /// The request.
+    pub req: Request,
+    /// Tells that it worked on the request.
+    pub ran: bool,
+    /// Set once the caller has closed the connection of a request that hangs or streams.
+    pub closed: Arc<AtomicBool>,
+}
+
+#[derive(Debug)]
+struct State {
+    acts: Mutex<VecDeque<Act>>,
+    usual: Act,
+    seen: Mutex<Vec<Seen>>,
+    /// Set by a last copy: the stream stops without its end.
+    stopped: AtomicBool,
+    /// Tells that a copy has arrived here or left from here, in calls.
+    moves: Mutex<Vec<String>>,
+}
+
+/// A running endpoint.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// Name in the store.
+    pub id: String,
+    /// Address it listens on.
+    pub address: SocketAddr,
+    state: Arc<State>,
+}
+
+impl Endpoint {
+    /// Starts an endpoint that does the same with each request unless told otherwise.
+    pub fn start(id: &str, usual: Act) -> Endpoint {
+        let address = free_address();
+        let listener = TcpListener::bind(address).expect("the address was free");
+        let state = Arc::new(State {
+            acts: Mutex::default(),
+            usual,
+            seen: Mutex::default(),
+            stopped: AtomicBool::new(false),
+            moves: Mutex::default(),
+        });
+        let serving = state.clone();
+        std::thread::spawn(move || {
+            for io in listener.incoming().flatten() {
+                let state = serving.clone();
+                std::thread::spawn(move || serve(&state, io));
+            }
+        });
+        Endpoint { id: id.to_owned(), address, state }
+    }
+
+    /// Tells what to do with the next request.
+    pub fn next(&self, act: Act) {
+        self.state.acts.lock().expect("no holder panics").push_back(act);
+    }
+
+    /// Returns the requests that reached it.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.state.seen.lock().expect("no holder panics").clone()
+    }
+
+    /// Counts the requests that it worked on.
+    pub fn ran(&self) -> usize {
+        self.seen().iter().filter(|s| s.ran).count()
+    }
+
+    /// Returns the bodies of the calls that moved memory.
+    pub fn moves(&self) -> Vec<String> {
+        self.state.moves.lock().expect("no holder panics").clone()
+    }
+
+    /// Returns its entry in the store.
+    pub fn entry(&self, service: &str, state: &str) -> String {
+        format!(
+            r#"{{"service":"{service}","address":"{}","zone":"z-a","version":"v1","slots":8,
+            "state":"{state}","cold_remaining_ms":0,"sequence":4,"born":7}}"#,
+            self.address
+        )
+    }
+}
+
+fn serve(state: &State, io: TcpStream) {
+    let Ok(mut writer) = io.try_clone() else { return };
+    let mut reader = BufReader::new(io);
+    while let Some(req) = read_request(&mut reader) {
+        let done = match req.target.as_str() {
+            "/kv-move" => move_memory(state, &req, &mut writer),
+            "/report" => answer(&mut writer, "", 200, r#"{"leaves_ms":2000,"running":1}"#),
+            t if t.starts_with("/kv-handle/") => answer(&mut writer, "", 200, "{}"),
+            _ => act(state, req, &mut writer),
+        };
+        if done.is_none() {
+            let _ = writer.shutdown(Shutdown::Both);
+            return;
+        }
+    }
+}
+
+fn move_memory(state: &State, req: &Request, writer: &mut TcpStream) -> Option<()> {
+    let body = String::from_utf8_lossy(&req.body).into_owned();
+    let is_last = body.contains("\"last\":true");
+    state.moves.lock().ok()?.push(body);
+    if is_last {
+        state.stopped.store(true, Ordering::SeqCst);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    answer(writer, "", 200, r#"{"handle":"h1","created":1}"#)
+}
+
+fn answer(writer: &mut TcpStream, extra: &str, status: u16, body: &str) -> Option<()> {
+    let length = body.len();
+    let text = format!("HTTP/1.1 {status} X\r\n{extra}Content-Length: {length}\r\n\r\n{body}");
+    writer.write_all(text.as_bytes()).ok()
+}
+
+fn act(state: &State, req: Request, writer: &mut TcpStream) -> Option<()> {
+    let act = state.acts.lock().ok()?.pop_front().unwrap_or_else(|| state.usual.clone());
+    let id = req.header("x-attempt-id").unwrap_or("").to_owned();
+    let ran = !matches!(act, Act::Shed | Act::Misdirected);
+    let closed = Arc::new(AtomicBool::new(false));
+    let last = req.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
+    state.seen.lock().ok()?.push(Seen { req, ran, closed: closed.clone() });
+    let echo = format!("X-Attempt-Id: {id}\r\n");
+    let seal = format!("{echo}X-Replica-Seal: s.{id}\r\nX-Replica-Load: 1,0,8\r\n");
+    match act {
+        Act::Answer(status, body) => answer(writer, &seal, status, &body),
+        Act::Shed => answer(writer, &format!("{echo}X-Not-Executed: 1\r\n"), 503, ""),
+        Act::Misdirected => answer(writer, &echo, 421, ""),
+        Act::Reset => None,
+        Act::Cut => {
+            let text = format!("HTTP/1.1 200 X\r\n{seal}Content-Length: 100\r\n\r\nhalf of it");
+            writer.write_all(text.as_bytes()).ok()?;
+            None
+        }
+        Act::Unframed(body) => {
+            let text = format!("HTTP/1.1 200 X\r\n{seal}Connection: close\r\n\r\n{body}");
+            writer.write_all(text.as_bytes()).ok()?;
+            None
+        }
+        Act::Extra(body) => {
+            answer(writer, &seal, 200, &body)?;
+            answer(writer, "X-Attempt-Id: other\r\nX-Replica-Seal: s.other\r\n", 200, "stray")
+        }
+        Act::Foreign => {
+            answer(writer, "X-Attempt-Id: other\r\nX-Replica-Seal: s.other\r\n", 200, "stray")
+        }
+        Act::Unsealed => answer(writer, &echo, 200, "forged"),
+        Act::Early => answer(writer, &seal, 413, "too long"),
+        Act::Hang => wait_for_close(writer, &closed),
+        Act::Stream(n, pause) => stream(state, writer, &seal, last, n, pause, &closed),
+        Act::Torn(n) => {
+            stream_head(writer, &seal)?;
+            (1..=n).try_for_each(|ix| chunk(writer, &event(ix)))?;
+            chunk(writer, "id: 99\ndata: to")?;
+            None
+        }
+    }
+}
+
+fn wait_for_close(writer: &mut TcpStream, closed: &AtomicBool) -> Option<()> {
+    let mut byte = [0];
+    let _ = writer.read(&mut byte);
+    closed.store(true, Ordering::SeqCst);
+    None
+}
+
+fn stream_head(writer: &mut TcpStream, seal: &str) -> Option<()> {
+    let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+    writer.write_all(format!("HTTP/1.1 200 X\r\n{seal}{kind}\r\n").as_bytes()).ok()
+}
+
+fn event(ix: u64) -> String {
+    format!("id: {ix}\ndata: token-{ix}\n\n")
+}
+
+fn chunk(writer: &mut TcpStream, text: &str) -> Option<()> {
+    writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).ok()
+}
+
+fn stream(
+    state: &State,
+    writer: &mut TcpStream,
+    seal: &str,
+    last: u64,
+    n: u64,
+    pause: Duration,
+    closed: &AtomicBool,
+) -> Option<()> {
+    stream_head(writer, seal)?;
+    for ix in last + 1..=n {
+        if state.stopped.load(Ordering::SeqCst) {
+            return None;
+        }
+        if chunk(writer, &event(ix)).is_none() {
+            closed.store(true, Ordering::SeqCst);
+            return None;
+        }
+        std::thread::sleep(pause);
+    }
+    writer.write_all(b"0\r\n\r\n").ok()
+}
--- /dev/null
+++ b/standin/src/platform/mod.rs
@@ -0,0 +1,68 @@
+//! Stand-ins for the users' platform: its metadata store, its endpoints and its callers.
+//!
+//! They speak plain sockets, since what they test is the bytes.
+
+mod caller;
+mod endpoint;
+mod store;
+
+pub use caller::{Reply, Sent, send};
+pub use endpoint::{Act, Endpoint, Seen};
+pub use store::{Outage, Store};
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::TcpStream;
+
+/// A request as it came.
+#[derive(Debug, Clone, Default)]
+pub struct Request {
+    /// Method.
+    pub method: String,
+    /// Path with the query.
+    pub target: String,
+    /// Headers, names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    /// Returns a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+}
+
+/// Reads lines up to an empty one.
+fn read_head(reader: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim_end().to_owned();
+        if line.is_empty() {
+            return Some(lines);
+        }
+        lines.push(line);
+    }
+}
+
+fn read_headers(lines: &[String]) -> Vec<(String, String)> {
+    let pairs = lines.iter().filter_map(|l| l.split_once(':'));
+    pairs.map(|(n, v)| (n.to_ascii_lowercase(), v.trim().to_owned())).collect()
+}
+
+/// Reads a request with a length or without a body; `None` at the end of the connection.
+fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
+    let lines = read_head(reader)?;
+    let mut words = lines.first()?.split(' ');
+    let (method, target) = (words.next()?.to_owned(), words.next()?.to_owned());
+    let headers = read_headers(&lines[1..]);
+    let mut req = Request { method, target, headers, body: Vec::new() };
+    let length = req.header("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+    req.body = vec![0; length];
+    reader.read_exact(&mut req.body).ok()?;
+    Some(req)
+}
--- /dev/null
+++ b/tests/decisions/fixture.rs
@@ -0,0 +1,57 @@
+//! Endpoints and engines as tests need them.
+
+use skylarkthread::id::{DataCentre, EndpointId, ServiceName, Tokens};
+use skylarkthread::pool::{Listing, Pool, PoolKey};
+use skylarkthread::route::Engine;
+use skylarkthread::share::Work;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+pub fn service() -> ServiceName {
+    "model".parse().expect("the name is valid")
+}
+
+pub fn centre(name: &str) -> DataCentre {
+    name.parse().expect("the name is valid")
+}
+
+pub fn id(n: usize) -> EndpointId {
+    format!("i-{n}").parse().expect("the label is valid")
+}
+
+pub fn listing(n: usize, at: &str) -> Listing {
+    Listing {
+        id: id(n),
+        service: service(),
+        address: SocketAddr::from(([10, 0, 0, 1], n as u16 + 1)),
+        centre: centre(at),
+        slots: 24,
+        leaving: false,
+        warming: Duration::ZERO,
+        born: Some(1),
+    }
+}
+
+/// Makes a pool of `n` endpoints in the data centre `a`.
+pub fn pool(now: Instant, n: usize) -> (Pool, Vec<PoolKey>) {
+    let mut pool = Pool::default();
+    (0..n).for_each(|ix| drop(pool.list(now, listing(ix, "a"))));
+    let keys = (0..n).map(|ix| pool.find(&id(ix)).expect("it is listed")).collect();
+    (pool, keys)
+}
+
+pub fn engine(memory: u32) -> Engine {
+    Engine {
+        slots: 24,
+        memory: Tokens(memory),
+        token_bytes: 163_840,
+        link_bits: 24e9,
+        moves: true,
+        backups: true,
+        stride: 4,
+    }
+}
+
+pub fn work(held: u64, unread: u64) -> Work {
+    Work { open: 1, held, unread, copies: 0 }
+}
--- /dev/null
+++ b/tests/decisions/pool.rs
@@ -0,0 +1,107 @@
+//! The list of endpoints: leaving, lapsing, starting anew, failing.
+
+use crate::fixture::{self, engine, id, listing, pool, service, work};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use skylarkthread::pool::{Change, Listing, Standing};
+use skylarkthread::share::Work;
+use skylarkthread::spread::{self, Need};
+use std::time::{Duration, Instant};
+
+#[test]
+fn an_endpoint_that_leaves_is_not_used_and_does_not_come_back_under_its_id() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool(now, 1);
+    let leaving = Listing { leaving: true, ..listing(0, "a") };
+    assert_eq!(pool.list(now, leaving), Some(Change::Leaving(id(0))));
+    assert!(!pool.endpoints[keys[0]].is_usable());
+    assert_eq!(pool.list(now, listing(0, "a")), None);
+    assert!(!pool.endpoints[keys[0]].is_usable());
+}
+
+#[test]
+fn one_that_is_removed_stays_until_its_generations_have_gone() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool(now, 1);
+    pool.enter(keys[0], work(10, 0));
+    assert_eq!(pool.remove(now, &id(0)), Some(Change::Left(id(0))));
+    assert!(pool.endpoints[keys[0]].is_leaving());
+    pool.leave(keys[0], work(10, 0));
+    assert!(pool.endpoints.is_empty());
+}
+
+#[test]
+fn an_entry_that_lapsed_counts_as_gone_after_two_seconds() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool(now, 2);
+    let changes = pool.relist(now, vec![listing(1, "a")]);
+    assert_eq!(changes, []);
+    assert!(matches!(pool.endpoints[keys[0]].standing, Standing::Lapsed(_)));
+    pool.step(now + Duration::from_millis(1500));
+    assert!(pool.endpoints.contains_key(keys[0]));
+    let changes = pool.step(now + Duration::from_millis(2000));
+    assert_eq!(changes, [Change::Left(id(0))]);
+}
+
+#[test]
+fn the_same_id_with_another_start_is_another_endpoint() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool(now, 1);
+    pool.enter(keys[0], work(10, 0));
+    let reborn = Listing { born: Some(2), ..listing(0, "a") };
+    assert_eq!(pool.list(now, reborn), Some(Change::Joined(id(0))));
+    let key = pool.find(&id(0)).expect("it is listed");
+    assert_ne!(key, keys[0]);
+    assert_eq!(pool.endpoints[key].own, Work::default());
+    assert!(pool.endpoints[keys[0]].is_leaving());
+}
+
+#[test]
+fn endpoints_that_keep_failing_are_ejected_down_to_half_and_tried_again() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool(now, 4);
+    for key in &keys[..3] {
+        (0..3).for_each(|_| pool.endpoints[*key].health.fail());
+    }
+    assert_eq!(pool.step(now).len(), 2);
+    assert_eq!(pool.endpoints.values().filter(|e| e.is_usable()).count(), 2);
+    let changes = pool.step(now + Duration::from_secs(3));
+    assert!(changes.iter().filter(|c| matches!(c, Change::Readmitted(_))).count() == 2);
+    let tried =
+        pool.endpoints.iter().find(|(_, e)| e.health.trial).map(|(k, _)| k).expect("one is");
+    pool.enter(tried, work(0, 0));
+    assert!(!pool.endpoints[tried].is_usable());
+}
+
+/// Load it plays: many instances that send at once to engines of which one has just joined.
+#[test]
+fn prompts_are_spread_by_what_waits_to_be_read_not_only_by_what_runs() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool(now, 4);
+    // The first runs nothing, but three prompts are on their way to it.
+    pool.enter(keys[0], Work { open: 3, held: 9000, unread: 9000, copies: 0 });
+    keys[1..]
+        .iter()
+        .for_each(|k| pool.enter(*k, Work { open: 3, held: 11_000, unread: 0, copies: 0 }));
+    let (service, centre, kind) = (service(), fixture::centre("a"), engine(34_000));
+    let need =
+        Need { service: &service, engine: Some(&kind), work: work(4000, 3000), centre: &centre };
+    let mut rng = SmallRng::seed_from_u64(3);
+    for _ in 0..50 {
+        assert_ne!(spread::choose(now, &pool, &need, &[], &mut rng), Some(keys[0]));
+    }
+}
+
+#[test]
+fn of_equals_the_near_one_is_chosen_and_a_far_one_where_that_is_busy() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool(now, 1);
+    pool.list(now, listing(5, "b"));
+    let far = pool.find(&id(5)).expect("it is listed");
+    let (service, centre) = (service(), fixture::centre("a"));
+    let need = || Need { service: &service, engine: None, work: work(0, 0), centre: &centre };
+    let mut rng = SmallRng::seed_from_u64(3);
+    assert_eq!(spread::choose(now, &pool, &need(), &[], &mut rng), Some(keys[0]));
+    (0..4).for_each(|_| pool.enter(keys[0], work(0, 0)));
+    assert_eq!(spread::choose(now, &pool, &need(), &[], &mut rng), Some(far));
+}
--- /dev/null
+++ b/tests/decisions/share.rs
@@ -0,0 +1,104 @@
+//! What instances tell each other, and who decides for an engine.
+
+use crate::fixture::{id, work};
+use proptest::prelude::*;
+use skylarkthread::id::InstanceId;
+use skylarkthread::share::{self, Bulletin, Digest, Ledger, Tag, Teller, Work};
+use skylarkthread::store::Fact;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+fn instance(n: usize) -> InstanceId {
+    format!("g-{n}").parse().expect("the name is valid")
+}
+
+#[test]
+fn a_ledger_sums_what_others_have_and_forgets_the_silent() {
+    let start = Instant::now();
+    let tag = Tag::of(&id(1));
+    let mut ledger = Ledger::default();
+    let digest = |held| Digest { full: true, rows: vec![share::row(tag, work(held, 5))] };
+    ledger.note(start, instance(1), &digest(100));
+    ledger.note(start, instance(2), &digest(30));
+    assert_eq!(ledger.at(tag), Work { open: 2, held: 130, unread: 10, copies: 0 });
+    ledger.note(start + Duration::from_secs(1), instance(2), &Digest { full: true, rows: vec![] });
+    ledger.step(start + Duration::from_millis(2500));
+    assert_eq!((ledger.at(tag), ledger.len()), (Work::default(), 1));
+}
+
+#[test]
+fn what_was_granted_counts_until_its_digest_has_come() {
+    let start = Instant::now();
+    let tag = Tag::of(&id(1));
+    let mut ledger = Ledger::default();
+    ledger.grant(start, tag, work(4000, 3000));
+    assert_eq!(ledger.at(tag).held, 4000);
+    ledger.step(start + Duration::from_secs(1));
+    assert_eq!(ledger.at(tag), Work::default());
+}
+
+#[test]
+fn one_that_leaves_moves_only_the_engines_that_it_decided_for() {
+    let all: Vec<InstanceId> = (0..28).map(instance).collect();
+    let tags: Vec<Tag> = (0..400).map(|n| Tag::of(&id(n))).collect();
+    let before: Vec<_> = tags.iter().map(|t| share::warden(*t, all.iter())).collect();
+    let mut per: HashMap<_, u32> = HashMap::new();
+    before.iter().for_each(|w| *per.entry(w).or_default() += 1);
+    assert!(per.values().all(|n| *n < 45), "decisions are spread: {per:?}");
+    for (tag, was) in tags.iter().zip(&before) {
+        let now = share::warden(*tag, all.iter().filter(|i| **i != all[3]));
+        assert!(now == *was || *was == Some(&all[3]));
+    }
+}
+
+#[test]
+fn few_follow_the_store_whatever_the_number_of_instances() {
+    for n in [1, 3, 28, 410] {
+        let all: Vec<InstanceId> = (0..n).map(instance).collect();
+        let is_reader = |own: &InstanceId| share::is_reader(own, all.iter().filter(|i| *i != own));
+        assert_eq!(all.iter().filter(|i| is_reader(i)).count(), n.min(3));
+    }
+}
+
+#[test]
+fn a_bulletin_fits_a_datagram_and_says_what_it_leaves_out() {
+    let fact = |n: usize, len| Fact {
+        key: format!("servers/{n}").into(),
+        value: Some(vec![0; len]),
+        revision: 1,
+    };
+    let small: Vec<Fact> = (0..10).map(|n| fact(n, 300)).collect();
+    assert!(!Bulletin::of(small.iter()).more);
+    let large: Vec<Fact> = (0..60).map(|n| fact(n, 300)).collect();
+    let bulletin = Bulletin::of(large.iter());
+    assert!(bulletin.more && bulletin.facts.len() < 60);
+}
+
+proptest! {
+    /// Whatever is lost, the next full message makes the view right.
+    #[test]
+    fn a_view_is_right_after_a_full_message(
+        steps in prop::collection::vec((0usize..5, 0u64..9000, 0u64..4000, any::<bool>()), 1..60)
+    ) {
+        let start = Instant::now();
+        let mut own: HashMap<Tag, Work> = HashMap::new();
+        let (mut teller, mut ledger) = (Teller::default(), Ledger::default());
+        let mut now = start;
+        for (n, held, unread, is_lost) in steps {
+            now += Duration::from_millis(100);
+            own.insert(Tag::of(&id(n)), if held < 2000 { Work::default() } else { work(held, unread) });
+            if let Some(d) = teller.step(now, 4, own.iter().map(|(t, w)| (*t, *w)))
+                && !is_lost
+            {
+                ledger.note(now, instance(1), &d);
+            }
+        }
+        now += Duration::from_millis(600);
+        let full = teller.step(now, 4, own.iter().map(|(t, w)| (*t, *w))).expect("one is due");
+        prop_assert!(full.full);
+        ledger.note(now, instance(1), &full);
+        for (tag, work) in &own {
+            prop_assert_eq!(ledger.at(*tag), *work);
+        }
+    }
+}
--- /dev/null
+++ b/tests/decisions/sse.rs
@@ -0,0 +1,53 @@
+//! Events in a stream of bytes.
+
+use proptest::prelude::*;
+use rstest::rstest;
+use skylarkthread::sse::{EventId, Succession, judge, scan_event};
+
+#[rstest]
+#[case::whole(b"id: 4\ndata: x\n\nid: 5", Some((15, Some(4))))]
+#[case::carriage_returns(b"id:4\r\ndata: x\r\n\r\n", Some((17, Some(4))))]
+#[case::no_number(b"data: x\n\n", Some((9, None)))]
+#[case::unfinished(b"id: 4\ndata: x\n", None)]
+#[case::half_a_blank_line(b"id: 4\r\n\r", None)]
+#[case::nothing(b"", None)]
+fn an_event_ends_with_its_blank_line(
+    #[case] bytes: &[u8],
+    #[case] want: Option<(usize, Option<u64>)>,
+) {
+    let got = scan_event(bytes).map(|e| (e.len, e.id.map(|i| i.0)));
+    assert_eq!(got, want);
+}
+
+#[rstest]
+#[case(None, Some(7), Succession::Next)]
+#[case(Some(7), Some(8), Succession::Next)]
+#[case(Some(7), Some(7), Succession::Repeated)]
+#[case(Some(7), Some(9), Succession::Gap)]
+#[case(Some(7), None, Succession::Next)]
+fn events_follow_one_another(
+    #[case] last: Option<u64>,
+    #[case] id: Option<u64>,
+    #[case] want: Succession,
+) {
+    assert_eq!(judge(last.map(EventId), id.map(EventId)), want);
+}
+
+proptest! {
+    #[test]
+    fn the_parts_of_a_stream_do_not_matter(n in 1u64..20, cuts in prop::collection::vec(1usize..30, 0..40)) {
+        let all: Vec<u8> = (1..=n).flat_map(|i| format!("id: {i}\ndata: t{i}\n\n").into_bytes()).collect();
+        let (mut buf, mut ids, mut at) = (Vec::new(), Vec::new(), 0);
+        for cut in cuts.into_iter().chain([all.len()]) {
+            let end = (at + cut).min(all.len());
+            buf.extend_from_slice(&all[at..end]);
+            at = end;
+            while let Some(e) = scan_event(&buf) {
+                ids.push(e.id.expect("each has one").0);
+                buf.drain(..e.len);
+            }
+        }
+        prop_assert!(buf.is_empty());
+        prop_assert_eq!(ids, (1..=n).collect::<Vec<_>>());
+    }
+}
--- /dev/null
+++ b/tests/gateway/intent.rs
@@ -0,0 +1,176 @@
+//! The operators' configuration and the list of endpoints.
+
+use crate::common::{CONFIG, Gateway, call, list, request, start, wait};
+use standin::platform::{Act, Endpoint, Outage, Store, send};
+use std::time::Duration;
+
+fn named(name: &str) -> Endpoint {
+    Endpoint::start(name, Act::Answer(200, name.to_owned()))
+}
+
+#[test]
+fn before_a_configuration_is_known_nothing_is_denied() {
+    let store = Store::start();
+    let gateway = Gateway::start(&store);
+    assert_eq!(gateway.readiness(), 503);
+    let reply = call(&gateway, "GET", "/safe/x", "id-1");
+    assert_eq!(reply.status, 503);
+    assert!(reply.header("retry-after").is_some());
+    store.set("op/config", Some(CONFIG.as_bytes()));
+    assert!(wait(3, || gateway.readiness() == 200));
+}
+
+#[test]
+fn routes_and_keys_decide_who_is_let_in() {
+    let e = named("i-1");
+    let (_store, gateway) = start(&[(&e, "plain")]);
+    let status = |path: &str, auth: &str| {
+        let bytes =
+            format!("GET {path} HTTP/1.1\r\nHost: app.example\r\nX-Attempt-Id: a\r\n{auth}\r\n");
+        send(gateway.front, bytes.as_bytes()).reply().status
+    };
+    let key = "Authorization: Bearer key-1\r\n";
+    assert_eq!(status("/safe/x", key), 200);
+    assert_eq!(status("/safe/x", ""), 401);
+    assert_eq!(status("/safe/x", "Authorization: Bearer nobody\r\n"), 401);
+    assert_eq!(status("/nowhere/x", key), 404);
+    assert_eq!(status("/safe", key), 404);
+    assert_eq!(status("/open/x", ""), 200);
+}
+
+#[test]
+fn a_version_comes_into_force_and_never_goes_back() {
+    let (e, f) = (named("i-1"), named("i-2"));
+    let (store, gateway) = start(&[(&e, "plain"), (&f, "second")]);
+    let body = || call(&gateway, "GET", "/safe/x", "id-1").body;
+    assert_eq!(body(), "i-1");
+    let moved = CONFIG.replace("\"version\":7", "\"version\":12").replacen(
+        "\"plain\",\"max",
+        "\"second\",\"max",
+        1,
+    );
+    store.set("op/config", Some(moved.as_bytes()));
+    assert!(wait(2, || body() == "i-2"), "the new version is in force within two seconds");
+    store.set("op/config", Some(CONFIG.as_bytes()));
+    std::thread::sleep(Duration::from_millis(400));
+    assert_eq!(body(), "i-2");
+    store.set("op/config", Some(b"not a configuration"));
+    std::thread::sleep(Duration::from_millis(400));
+    assert_eq!(body(), "i-2");
+}
+
+#[test]
+fn a_key_that_is_taken_away_is_refused_within_two_seconds() {
+    let e = named("i-1");
+    let (store, gateway) = start(&[(&e, "plain")]);
+    assert_eq!(call(&gateway, "GET", "/safe/x", "id-1").status, 200);
+    let fewer = CONFIG.replace("\"version\":7", "\"version\":8").replace("\"key-1\"", "\"key-9\"");
+    store.set("op/config", Some(fewer.as_bytes()));
+    assert!(wait(2, || call(&gateway, "GET", "/safe/x", "id-2").status == 401));
+}
+
+#[test]
+fn an_endpoint_that_is_leaving_gets_nothing_new() {
+    let (e, f) = (named("i-1"), named("i-2"));
+    let (store, gateway) = start(&[(&e, "plain"), (&f, "plain")]);
+    list(&store, &e, "plain", "draining");
+    std::thread::sleep(Duration::from_millis(500));
+    let before = e.seen().len();
+    for n in 0..20 {
+        assert_eq!(call(&gateway, "GET", "/safe/x", &format!("id-{n}")).status, 200);
+    }
+    assert_eq!(e.seen().len(), before);
+}
+
+#[test]
+fn entries_of_other_writers_name_no_endpoint() {
+    let e = named("i-1");
+    let (store, gateway) = start(&[(&e, "plain")]);
+    for (key, value) in [
+        ("servers/x1", "not json"),
+        ("servers/x2", r#"{"service":"plain"}"#),
+        (
+            "servers/x3",
+            r#"{"service":5,"address":"1.2.3.4:1","zone":"z","slots":1,"state":"ready"}"#,
+        ),
+        (
+            "servers/x4",
+            r#"{"service":"plain","address":"127.0.0.1:1","zone":"z-a","slots":1,"state":"odd"}"#,
+        ),
+        (
+            "servers/x5",
+            r#"{"service":"plain","address":"nowhere","zone":"z-a","slots":1,"state":"ready"}"#,
+        ),
+    ] {
+        store.set(key, Some(value.as_bytes()));
+    }
+    std::thread::sleep(Duration::from_millis(400));
+    for n in 0..10 {
+        assert_eq!(call(&gateway, "GET", "/safe/x", &format!("id-{n}")).body, "i-1");
+    }
+}
+
+#[test]
+fn while_the_store_is_away_what_is_known_serves_on() {
+    let e = named("i-1");
+    let (store, gateway) = start(&[(&e, "plain")]);
+    for outage in [Outage::Busy, Outage::Silent] {
+        store.fail(Some(outage));
+        std::thread::sleep(Duration::from_millis(2500));
+        assert_eq!(call(&gateway, "GET", "/safe/x", "id-1").status, 200);
+        assert_eq!(gateway.readiness(), 200);
+        store.fail(None);
+        let f = named("i-2");
+        list(&store, &f, "plain", "ready");
+        assert!(wait(6, || call(&gateway, "GET", "/safe/x", "id-2").body == "i-2"), "{outage:?}");
+        store.set("servers/i-2", None);
+    }
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_stays_in_use_until_it_is_back() {
+    let e = named("i-1");
+    let (store, gateway) = start(&[(&e, "plain")]);
+    store.fail(Some(Outage::Busy));
+    std::thread::sleep(Duration::from_millis(1800));
+    store.set("servers/i-1", None);
+    store.fail(None);
+    std::thread::sleep(Duration::from_millis(900));
+    list(&store, &e, "plain", "ready");
+    assert!(wait(2, || call(&gateway, "GET", "/safe/x", "id-1").status == 200));
+    std::thread::sleep(Duration::from_millis(2200));
+    assert_eq!(call(&gateway, "GET", "/safe/x", "id-2").status, 200);
+}
+
+#[test]
+fn a_history_that_is_gone_is_made_good_by_a_list() {
+    let (e, f) = (named("i-1"), named("i-2"));
+    let (store, gateway) = start(&[(&e, "plain")]);
+    store.compact();
+    list(&store, &f, "plain", "ready");
+    store.compact();
+    assert!(wait(4, || call(&gateway, "GET", "/safe/x", "id-1").body == "i-2"));
+}
+
+#[test]
+fn idle_instances_ask_the_store_seldom() {
+    let e = named("i-1");
+    let (store, gateway) = start(&[(&e, "plain")]);
+    std::thread::sleep(Duration::from_millis(500));
+    let before = store.calls();
+    std::thread::sleep(Duration::from_secs(3));
+    let calls = store.calls() - before;
+    // Two watches, ten stale pings and a renewal.
+    assert!(calls <= 20, "{calls} calls in three seconds");
+    drop(gateway);
+}
+
+#[test]
+fn a_request_in_chunks_goes_on_with_the_same_body() {
+    let e = named("i-1");
+    let (_store, gateway) = start(&[(&e, "plain")]);
+    let mut bytes = request("POST", "/safe/x", "id-1", "Transfer-Encoding: chunked\r\n", "");
+    bytes.extend_from_slice(b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    assert_eq!(send(gateway.front, &bytes).reply().status, 200);
+    assert_eq!(e.seen()[0].req.body, b"abcde");
+}
--- /dev/null
+++ b/tests/gateway/lifecycle.rs
@@ -0,0 +1,82 @@
+//! Starts, stops, reloads, instances among themselves, and the log.
+
+use crate::common::{Gateway, call, events, start, stream, wait};
+use standin::platform::{Act, Endpoint, send};
+use std::time::Duration;
+
+#[test]
+fn a_stop_finishes_what_runs_and_refuses_what_could_not_end() {
+    let e = Endpoint::start("i-1", Act::Stream(40, Duration::from_millis(40)));
+    let (_store, mut gateway) = start(&[(&e, "model")]);
+    let mut sent = stream(&gateway, "id-1");
+    assert!(wait(2, || e.ran() == 1));
+    gateway.signal(libc::SIGTERM);
+    assert!(wait(1, || gateway.readiness() == 503));
+    // The platform still sends some; they are served, and told to go elsewhere next time.
+    let late = stream(&gateway, "id-2").reply();
+    assert_eq!((late.status, late.header("connection")), (200, Some("close")));
+    let reply = sent.reply();
+    assert_eq!((reply.whole, reply.body), (true, events(40)));
+    assert_eq!(gateway.exit(5), Some(0));
+}
+
+#[test]
+fn a_reload_loses_nothing() {
+    let e = Endpoint::start("i-1", Act::Stream(30, Duration::from_millis(20)));
+    let (_store, gateway) = start(&[(&e, "model")]);
+    let mut sent = stream(&gateway, "id-1");
+    for _ in 0..5 {
+        gateway.signal(libc::SIGHUP);
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let text = std::fs::read_to_string(&gateway.file).expect("the settings are there");
+    std::fs::write(&gateway.file, text + "broken line\n").expect("they can be written");
+    gateway.signal(libc::SIGHUP);
+    let reply = sent.reply();
+    assert_eq!((reply.whole, reply.body), (true, events(30)));
+    assert!(gateway.log().contains("kind=Reloaded"));
+}
+
+#[test]
+fn instances_find_each_other_through_the_store() {
+    let e = Endpoint::start("i-1", Act::Answer(200, "fine".into()));
+    let (store, gateway) = start(&[(&e, "plain")]);
+    let other = Gateway::start(&store);
+    assert!(wait(4, || store.keys("gateways/").len() == 2));
+    std::thread::sleep(Duration::from_millis(1500));
+    drop(other);
+    assert!(gateway.log().contains("kind=LinkUp"));
+}
+
+#[test]
+fn a_log_that_nobody_reads_holds_nothing_up() {
+    let e = Endpoint::start("i-1", Act::Answer(200, "fine".into()));
+    let (_store, gateway) = start(&[(&e, "plain")]);
+    // Far more lines than the pipe and the queue take; nobody reads them meanwhile.
+    let mut conn = send(gateway.front, b"");
+    for n in 0..4000 {
+        let bytes = crate::common::request("GET", "/safe/x", &format!("id-{n}"), "", "");
+        conn.more(&bytes).expect("the connection is kept");
+        assert_eq!(conn.reply().status, 200);
+    }
+    assert_eq!(call(&gateway, "GET", "/safe/x", "last").status, 200);
+}
+
+#[test]
+fn a_request_can_be_followed_by_its_id() {
+    let e = Endpoint::start("i-1", Act::Answer(200, "fine".into()));
+    let (_store, gateway) = start(&[(&e, "plain")]);
+    call(&gateway, "GET", "/safe/x", "id-good");
+    call(&gateway, "GET", "/nowhere/x", "id-denied");
+    e.next(Act::Reset);
+    send(gateway.front, &crate::common::request("POST", "/unsafe/x", "id-lost", "", "b")).reply();
+    std::thread::sleep(Duration::from_millis(100));
+    let log = gateway.log();
+    let line = |id: &str| log.lines().find(|l| l.contains(&format!("subject={id} "))).unwrap_or("");
+    assert!(line("id-good").contains("kind=Answered") && line("id-good").contains("endpoint=i-1"));
+    assert!(
+        line("id-denied").contains("kind=TurnedAway status=404")
+            || line("id-denied").contains("status=404")
+    );
+    assert!(line("id-lost").contains("kind=Failed"), "{}", line("id-lost"));
+}
--- /dev/null
+++ b/tests/gateway/streams.rs
@@ -0,0 +1,107 @@
+//! Generations: events, breaks and moves.
+
+use crate::common::{events, list, start, stream, wait};
+use standin::platform::{Act, Endpoint, Outage};
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+const PACE: Duration = Duration::from_millis(30);
+
+#[test]
+fn a_stream_passes_event_by_event_to_its_end() {
+    let e = Endpoint::start("i-1", Act::Stream(20, PACE));
+    let (_store, gateway) = start(&[(&e, "model")]);
+    let reply = stream(&gateway, "id-1").reply();
+    assert_eq!((reply.status, reply.whole), (200, true));
+    assert_eq!(reply.body, events(20));
+}
+
+#[test]
+fn a_stream_that_breaks_off_in_an_event_ends_visibly_and_without_half_an_event() {
+    let e = Endpoint::start("i-1", Act::Torn(3));
+    let (_store, gateway) = start(&[(&e, "model")]);
+    let reply = stream(&gateway, "id-1").reply();
+    assert!(!reply.whole);
+    assert_eq!(reply.body, events(3));
+    assert_eq!(e.ran(), 1);
+}
+
+#[test]
+fn a_stream_whose_engine_leaves_goes_on_at_another_as_one() {
+    let e = Endpoint::start("i-1", Act::Stream(80, PACE));
+    let (store, gateway) = start(&[(&e, "model")]);
+    let mut sent = stream(&gateway, "id-1");
+    assert!(wait(2, || e.ran() == 1));
+    let f = Endpoint::start("i-2", Act::Stream(80, PACE));
+    list(&store, &f, "model", "ready");
+    std::thread::sleep(Duration::from_millis(300));
+    list(&store, &e, "model", "draining");
+    let reply = sent.reply();
+    assert!(reply.whole);
+    assert_eq!(reply.body, events(80));
+    assert_eq!((e.ran(), f.ran()), (1, 1));
+    let resumed = f.seen().remove(0).req;
+    assert_eq!(resumed.header("kv-from"), Some(format!("{}/h1", e.address).as_str()));
+    assert_eq!(resumed.header("x-attempt-id"), Some("id-1"));
+    assert_eq!(resumed.body, b"prompt");
+    // Copied once while it ran, then stopped for the rest.
+    let lasts: Vec<bool> = e.moves().iter().map(|m| m.contains("\"last\":true")).collect();
+    assert_eq!(lasts, [false, true]);
+}
+
+#[test]
+fn while_the_store_is_away_engines_are_asked_whether_they_leave() {
+    // The stand-in engine says in its report that it leaves in two seconds.
+    let e = Endpoint::start("i-1", Act::Stream(80, PACE));
+    let (store, gateway) = start(&[(&e, "model")]);
+    let mut sent = stream(&gateway, "id-1");
+    assert!(wait(2, || e.ran() == 1));
+    let f = Endpoint::start("i-2", Act::Stream(80, PACE));
+    list(&store, &f, "model", "ready");
+    std::thread::sleep(Duration::from_millis(200));
+    store.fail(Some(Outage::Busy));
+    let reply = sent.reply();
+    assert_eq!((reply.whole, reply.body), (true, events(80)));
+    assert_eq!(f.ran(), 1);
+}
+
+#[test]
+fn a_generation_whose_caller_has_left_is_cancelled() {
+    let e = Endpoint::start("i-1", Act::Stream(200, PACE));
+    let (_store, gateway) = start(&[(&e, "model")]);
+    let sent = stream(&gateway, "id-1");
+    assert!(wait(2, || e.ran() == 1));
+    std::thread::sleep(Duration::from_millis(200));
+    drop(sent);
+    let left = Instant::now();
+    assert!(wait(2, || e.seen()[0].closed.load(Ordering::SeqCst)));
+    assert!(left.elapsed() < Duration::from_millis(450), "{:?}", left.elapsed());
+}
+
+#[test]
+fn a_generation_that_was_sent_is_not_sent_again() {
+    let e = Endpoint::start("i-1", Act::Reset);
+    let f = Endpoint::start("i-2", Act::Reset);
+    let (_store, gateway) = start(&[(&e, "model"), (&f, "model")]);
+    let reply = stream(&gateway, "id-1").reply();
+    assert_eq!(reply.status, 502);
+    assert_eq!(e.ran() + f.ran(), 1);
+}
+
+#[test]
+fn a_generation_that_no_engine_can_hold_now_is_refused_with_a_time_to_come_back() {
+    let e = Endpoint::start("i-1", Act::Stream(300, PACE));
+    let (_store, gateway) = start(&[(&e, "model")]);
+    let large = "X-Model: m\r\nX-Token-Counts: 20000,5000\r\n";
+    let bytes = |id| crate::common::request("POST", "/stream/x", id, large, "p");
+    let first = standin::platform::send(gateway.front, &bytes("id-1"));
+    assert!(wait(2, || e.ran() == 1));
+    std::thread::sleep(Duration::from_millis(200));
+    let begun = Instant::now();
+    let reply = standin::platform::send(gateway.front, &bytes("id-2")).reply();
+    assert_eq!(reply.status, 503);
+    assert!(begun.elapsed() < Duration::from_secs(8), "{:?}", begun.elapsed());
+    assert!(reply.header("retry-after").is_some());
+    assert_eq!(e.ran(), 1);
+    drop(first);
+}
