--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -18,7 +18,7 @@
 /// Time after a change within which others that belong to it are awaited.
 const GATHER_TIME: Duration = Duration::from_millis(40);
 /// Time between two looks of an instance that hears of changes from readers.
-const HEARSAY_TIME: Duration = Duration::from_millis(1000);
+const HEARSAY_TIME: Duration = Duration::from_millis(1300);
 /// Keys whose revisions are remembered.
 const SEEN_LIMIT: usize = 4096;
 /// The configuration and the endpoints are followed by one watch over all keys.
