--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -30,7 +30,7 @@
 /// Share of its caller's time that a generation may wait for its first event.
 const WAIT_SHARE: f64 = 0.6;
 /// Share of an engine's memory that expected needs may fill, for the least urgent.
-const FILL: f64 = 1.02;
+const FILL: f64 = 1.06;
 /// Share added for the most urgent, which wait for none but their like.
 const URGENT_FILL: f64 = 0.06;
 /// Times of a target after which a refused generation should come back.
