--- a/src/evacuate/mod.rs
+++ b/src/evacuate/mod.rs
@@ -16,7 +16,7 @@
 /// Age of what an engine says of itself.
 const REPORT_LAG: Duration = Duration::from_millis(600);
 /// Time kept for the last copy, and for going on elsewhere.
-const RESERVE: Duration = Duration::from_millis(300);
+const RESERVE: Duration = Duration::from_millis(240);
 /// Share of the memory past which an engine is not even asked: expected needs are more than what
 /// is in use, and the engine knows.
 const FULL: f64 = 1.3;
--- a/src/gateway/vigil.rs
+++ b/src/gateway/vigil.rs
@@ -5,13 +5,16 @@
 use crate::event::Kind;
 use crate::platform;
 use crate::pool::PoolKey;
-use crate::store::Feed;
+use crate::store::{Feed, StoreError};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Time between two rounds: a notice may be as short as a few of them.
 const ROUND_TIME: Duration = Duration::from_millis(300);
+/// Time between two rounds while the store does not answer: a notice is over in a second or two.
+const OUTAGE_TIME: Duration = Duration::from_millis(150);
 /// Time for the store to answer a stale read, many times what it takes when it is well.
 const PING_WAIT: Duration = Duration::from_millis(250);
 /// Time for an engine to answer.
@@ -20,9 +23,14 @@
 /// Watches the engines that generations of this instance run on, for as long as the process runs.
 pub async fn watch(gw: Rc<Gateway>) {
     let own = format!("{}{}", peers::PREFIX, gw.boot.borrow().instance);
+    let mut pause = ROUND_TIME;
     loop {
-        tokio::time::sleep(ROUND_TIME).await;
-        if gw.store.ping(&own, PING_WAIT).await.is_ok() {
+        tokio::time::sleep(pause).await;
+        let ping = gw.store.ping(&own, PING_WAIT);
+        // A store that is silent holds up the ping, not the questions.
+        let answers = if pause == ROUND_TIME { ping.await.is_ok() } else { is_back(ping).await };
+        pause = if answers { ROUND_TIME } else { OUTAGE_TIME };
+        if answers {
             continue;
         }
         for (key, address) in engines(&gw) {
@@ -31,6 +39,13 @@
     }
 }
 
+/// Tells whether the store answers again, without waiting long for one that does not.
+async fn is_back(ping: impl Future<Output = Result<(), StoreError>>) -> bool {
+    /// Time for the store to answer during an outage.
+    const BACK_WAIT: Duration = Duration::from_millis(60);
+    tokio::time::timeout(BACK_WAIT, ping).await.is_ok_and(|done| done.is_ok())
+}
+
 /// Returns the engines on which this instance has something running.
 fn engines(gw: &Gateway) -> Vec<(PoolKey, SocketAddr)> {
     let table = gw.table.borrow();
