Share the gateway process and a harmful proxy among the stand-ins

Runs of generations are named in their events and moved by name, so that a caller can tell pieces of two runs apart; engines say that they leave only when told to. No behaviour of the product changes.

--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -2,7 +2,7 @@
 
 use super::{Request, read_request};
 use crate::host::free_address;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -36,6 +36,10 @@
     Hang,
     /// Streams so many events with a pause between them.
     Stream(u64, Duration),
+    /// Answers with the id of the request as its body.
+    Echo,
+    /// Streams so many events that name the request and the run they are from.
+    Tagged(u64, Duration),
     /// Streams so many events and then breaks off in the middle of the next.
     Torn(u64),
 }
@@ -56,10 +60,21 @@
     acts: Mutex<VecDeque<Act>>,
     usual: Act,
     seen: Mutex<Vec<Seen>>,
+    /// Generations that run here, by the id of their request.
+    runs: Mutex<HashMap<String, Arc<Run>>>,
+    /// Bodies of the calls that moved memory.
+    moves: Mutex<Vec<String>>,
+    /// Tells that it is leaving.
+    leaving: AtomicBool,
+}
+
+/// One run of a generation, wherever it goes on.
+#[derive(Debug)]
+struct Run {
+    /// Names the run; the handle of its memory.
+    tag: String,
     /// Set by a last copy: the stream stops without its end.
     stopped: AtomicBool,
-    /// Tells that a copy has arrived here or left from here, in calls.
-    moves: Mutex<Vec<String>>,
 }
 
 /// A running endpoint.
@@ -81,8 +96,9 @@
             acts: Mutex::default(),
             usual,
             seen: Mutex::default(),
-            stopped: AtomicBool::new(false),
+            runs: Mutex::default(),
             moves: Mutex::default(),
+            leaving: AtomicBool::new(false),
         });
         let serving = state.clone();
         std::thread::spawn(move || {
@@ -94,6 +110,11 @@
         Endpoint { id: id.to_owned(), address, state }
     }
 
+    /// Lets its report say that it is leaving.
+    pub fn leave(&self) {
+        self.state.leaving.store(true, Ordering::SeqCst);
+    }
+
     /// Tells what to do with the next request.
     pub fn next(&self, act: Act) {
         self.state.acts.lock().expect("no holder panics").push_back(act);
@@ -130,7 +151,7 @@
     while let Some(req) = read_request(&mut reader) {
         let done = match req.target.as_str() {
             "/kv-move" => move_memory(state, &req, &mut writer),
-            "/report" => answer(&mut writer, "", 200, r#"{"leaves_ms":2000,"running":1}"#),
+            "/report" => report(state, &mut writer),
             t if t.starts_with("/kv-handle/") => answer(&mut writer, "", 200, "{}"),
             _ => act(state, req, &mut writer),
         };
@@ -141,15 +162,25 @@
     }
 }
 
+fn report(state: &State, writer: &mut TcpStream) -> Option<()> {
+    let leaving = state.leaving.load(Ordering::SeqCst);
+    let body =
+        if leaving { r#"{"leaves_ms":2000,"state":"draining"}"# } else { r#"{"state":"ready"}"# };
+    answer(writer, "", 200, body)
+}
+
 fn move_memory(state: &State, req: &Request, writer: &mut TcpStream) -> Option<()> {
-    let body = String::from_utf8_lossy(&req.body).into_owned();
-    let is_last = body.contains("\"last\":true");
-    state.moves.lock().ok()?.push(body);
-    if is_last {
-        state.stopped.store(true, Ordering::SeqCst);
+    let text: serde_json::Value = serde_json::from_slice(&req.body).ok()?;
+    let id = text["id"].as_str().unwrap_or("");
+    let Some(run) = state.runs.lock().ok()?.get(id).cloned() else {
+        return answer(writer, "", 404, "{}");
+    };
+    state.moves.lock().ok()?.push(text.to_string());
+    if text["last"] == true {
+        run.stopped.store(true, Ordering::SeqCst);
         std::thread::sleep(Duration::from_millis(20));
     }
-    answer(writer, "", 200, r#"{"handle":"h1","created":1}"#)
+    answer(writer, "", 200, &format!(r#"{{"handle":"{}","created":1}}"#, run.tag))
 }
 
 fn answer(writer: &mut TcpStream, extra: &str, status: u16, body: &str) -> Option<()> {
@@ -163,6 +194,8 @@
     let id = req.header("x-attempt-id").unwrap_or("").to_owned();
     let ran = !matches!(act, Act::Shed | Act::Misdirected);
     let closed = Arc::new(AtomicBool::new(false));
+    let from =
+        req.header("kv-from").and_then(|v| v.rsplit_once('/')).map(|(_, tag)| tag.to_owned());
     let last = req.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
     state.seen.lock().ok()?.push(Seen { req, ran, closed: closed.clone() });
     let echo = format!("X-Attempt-Id: {id}\r\n");
@@ -192,10 +225,21 @@
         Act::Unsealed => answer(writer, &echo, 200, "forged"),
         Act::Early => answer(writer, &seal, 413, "too long"),
         Act::Hang => wait_for_close(writer, &closed),
-        Act::Stream(n, pause) => stream(state, writer, &seal, last, n, pause, &closed),
+        Act::Echo => answer(writer, &seal, 200, &id),
+        Act::Stream(n, pause) => {
+            let run = begin(state, &id, from.unwrap_or("token".into()))?;
+            let done = stream(&run, writer, &seal, last, n, pause, &closed);
+            end(state, &id, done)
+        }
+        Act::Tagged(n, pause) => {
+            let tag = from.unwrap_or_else(|| format!("{id}.{:08x}", rand::random::<u32>()));
+            let run = begin(state, &id, tag)?;
+            let done = stream(&run, writer, &seal, last, n, pause, &closed);
+            end(state, &id, done)
+        }
         Act::Torn(n) => {
             stream_head(writer, &seal)?;
-            (1..=n).try_for_each(|ix| chunk(writer, &event(ix)))?;
+            (1..=n).try_for_each(|ix| chunk(writer, &event("token", ix)))?;
             chunk(writer, "id: 99\ndata: to")?;
             None
         }
@@ -214,8 +258,19 @@
     writer.write_all(format!("HTTP/1.1 200 X\r\n{seal}{kind}\r\n").as_bytes()).ok()
 }
 
-fn event(ix: u64) -> String {
-    format!("id: {ix}\ndata: token-{ix}\n\n")
+fn event(tag: &str, ix: u64) -> String {
+    format!("id: {ix}\ndata: {tag}-{ix}\n\n")
+}
+
+fn begin(state: &State, id: &str, tag: String) -> Option<Arc<Run>> {
+    let run = Arc::new(Run { tag, stopped: AtomicBool::new(false) });
+    state.runs.lock().ok()?.insert(id.to_owned(), run.clone());
+    Some(run)
+}
+
+fn end(state: &State, id: &str, done: Option<()>) -> Option<()> {
+    state.runs.lock().ok()?.remove(id);
+    done
 }
 
 fn chunk(writer: &mut TcpStream, text: &str) -> Option<()> {
@@ -223,7 +278,7 @@
 }
 
 fn stream(
-    state: &State,
+    run: &Run,
     writer: &mut TcpStream,
     seal: &str,
     last: u64,
@@ -233,10 +288,10 @@
 ) -> Option<()> {
     stream_head(writer, seal)?;
     for ix in last + 1..=n {
-        if state.stopped.load(Ordering::SeqCst) {
+        if run.stopped.load(Ordering::SeqCst) {
             return None;
         }
-        if chunk(writer, &event(ix)).is_none() {
+        if chunk(writer, &event(&run.tag, ix)).is_none() {
             closed.store(true, Ordering::SeqCst);
             return None;
         }
--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -4,10 +4,14 @@
 
 mod caller;
 mod endpoint;
+mod gateway;
+mod proxy;
 mod store;
 
 pub use caller::{Reply, Sent, send};
 pub use endpoint::{Act, Endpoint, Seen};
+pub use gateway::{Gateway, wait_until};
+pub use proxy::{Mode, Proxy};
 pub use store::{Outage, Store};
 
 use std::io::{BufRead, BufReader, Read};
--- /dev/null
+++ b/standin/src/platform/proxy.rs
@@ -0,0 +1,78 @@
+//! A proxy that harms the connections that pass through it.
+
+use crate::host::free_address;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// What it does with bytes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Mode {
+    /// Passes them on.
+    Pass,
+    /// Passes them on after a while.
+    Delay(Duration),
+    /// Closes each connection as soon as bytes come.
+    Reset,
+    /// Swallows them both ways.
+    Silent,
+    /// Swallows what comes back.
+    OneWay,
+}
+
+/// A running proxy.
+#[derive(Debug)]
+pub struct Proxy {
+    /// Address it listens on.
+    pub address: SocketAddr,
+    mode: Arc<Mutex<Mode>>,
+}
+
+impl Proxy {
+    /// Starts a proxy in front of `to`.
+    pub fn start(to: SocketAddr) -> Proxy {
+        let address = free_address();
+        let listener = TcpListener::bind(address).expect("the address was free");
+        let mode = Arc::new(Mutex::new(Mode::Pass));
+        let shared = mode.clone();
+        std::thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                let Ok(far) = TcpStream::connect(to) else { continue };
+                let (Ok(near2), Ok(far2)) = (near.try_clone(), far.try_clone()) else { continue };
+                let (there, back) = (shared.clone(), shared.clone());
+                std::thread::spawn(move || pass(near, far, &there, false));
+                std::thread::spawn(move || pass(far2, near2, &back, true));
+            }
+        });
+        Proxy { address, mode }
+    }
+
+    /// Changes what it does, also with open connections.
+    pub fn set(&self, mode: Mode) {
+        *self.mode.lock().expect("no holder panics") = mode;
+    }
+}
+
+fn pass(mut from: TcpStream, mut to: TcpStream, mode: &Mutex<Mode>, is_back: bool) {
+    let mut buf = [0; 16 << 10];
+    while let Ok(n) = from.read(&mut buf) {
+        if n == 0 {
+            break;
+        }
+        let mode = *mode.lock().expect("no holder panics");
+        match mode {
+            Mode::Pass => {}
+            Mode::Delay(time) => std::thread::sleep(time),
+            Mode::Reset => break,
+            Mode::Silent => continue,
+            Mode::OneWay if is_back => continue,
+            Mode::OneWay => {}
+        }
+        if to.write_all(&buf[..n]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Both);
+    let _ = from.shutdown(Shutdown::Both);
+}
--- a/tests/gateway/intent.rs
+++ b/tests/gateway/intent.rs
@@ -1,6 +1,6 @@
 //! The operators' configuration and the list of endpoints.
 
-use crate::common::{CONFIG, Gateway, call, list, request, start, wait};
+use crate::common::{CONFIG, call, list, request, start, wait};
 use standin::platform::{Act, Endpoint, Outage, Store, send};
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 #[test]
 fn before_a_configuration_is_known_nothing_is_denied() {
     let store = Store::start();
-    let gateway = Gateway::start(&store);
+    let gateway = crate::common::gateway(&store);
     assert_eq!(gateway.readiness(), 503);
     let reply = call(&gateway, "GET", "/safe/x", "id-1");
     assert_eq!(reply.status, 503);
--- a/tests/gateway/lifecycle.rs
+++ b/tests/gateway/lifecycle.rs
@@ -1,6 +1,6 @@
 //! Starts, stops, reloads, instances among themselves, and the log.
 
-use crate::common::{Gateway, call, events, start, stream, wait};
+use crate::common::{call, events, start, stream, wait};
 use standin::platform::{Act, Endpoint, send};
 use std::time::Duration;
 
@@ -41,7 +41,7 @@
 fn instances_find_each_other_through_the_store() {
     let e = Endpoint::start("i-1", Act::Answer(200, "fine".into()));
     let (store, gateway) = start(&[(&e, "plain")]);
-    let other = Gateway::start(&store);
+    let other = crate::common::gateway(&store);
     assert!(wait(4, || store.keys("gateways/").len() == 2));
     std::thread::sleep(Duration::from_millis(1500));
     drop(other);
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -41,7 +41,7 @@
     assert_eq!(reply.body, events(80));
     assert_eq!((e.ran(), f.ran()), (1, 1));
     let resumed = f.seen().remove(0).req;
-    assert_eq!(resumed.header("kv-from"), Some(format!("{}/h1", e.address).as_str()));
+    assert_eq!(resumed.header("kv-from"), Some(format!("{}/token", e.address).as_str()));
     assert_eq!(resumed.header("x-attempt-id"), Some("id-1"));
     assert_eq!(resumed.body, b"prompt");
     // Copied once while it ran, then stopped for the rest.
@@ -51,7 +51,6 @@
 
 #[test]
 fn while_the_store_is_away_engines_are_asked_whether_they_leave() {
-    // The stand-in engine says in its report that it leaves in two seconds.
     let e = Endpoint::start("i-1", Act::Stream(80, PACE));
     let (store, gateway) = start(&[(&e, "model")]);
     let mut sent = stream(&gateway, "id-1");
@@ -60,6 +59,7 @@
     list(&store, &f, "model", "ready");
     std::thread::sleep(Duration::from_millis(200));
     store.fail(Some(Outage::Busy));
+    e.leave();
     let reply = sent.reply();
     assert_eq!((reply.whole, reply.body), (true, events(80)));
     assert_eq!(f.ran(), 1);
