Soak the gateway: random faults from a seed, judged by callers and endpoints

Real gateways as processes between stand-ins; kills, pauses, stops, reloads, store outages and lost history, harmed links, misbehaving and leaving endpoints, new configurations, in series and together. Checked: once, not-run, own answer, order and completeness of streams, keys in force, planned work, leaving endpoints, retries, nothing that nobody asked for.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod plain;
 pub mod platform;
 pub mod slopes;
+pub mod soak;
 pub mod store;
 pub mod wire;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -23,10 +23,40 @@
     Bench(Bench),
     #[options(help = "measure what one daemon costs as its surroundings grow")]
     Slopes(Slopes),
+    #[options(help = "harm real processes at random and check the promises")]
+    Soak(Soak),
     #[options(help = "record the arrivals of one engine's share of a workload")]
     Trace(Trace),
 }
 
+#[derive(Debug, Options)]
+struct Soak {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "first seed; a fresh one where left out")]
+    seed: Option<u64>,
+    #[options(help = "seeds to run", default = "1")]
+    runs: u64,
+    #[options(help = "length of each run in seconds", default = "10")]
+    seconds: u64,
+}
+
+fn soak(args: &Soak) -> ExitCode {
+    let Some(binary) = demo::binary() else {
+        eprintln!("the daemons' binary is not built; run `cargo build --release --workspace`");
+        return ExitCode::from(2);
+    };
+    let first = args.seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
+    let mut failed = 0;
+    for seed in first..first + args.runs {
+        let verdict = standin::soak::run(&binary, seed, Duration::from_secs(args.seconds));
+        println!("{}", verdict.to_json());
+        failed += u32::from(!verdict.violations.is_empty());
+    }
+    println!("{} passed, {failed} failed", args.runs - u64::from(failed));
+    ExitCode::from(u8::from(failed > 0))
+}
+
 #[derive(Debug, Options)]
 struct Trace {
     #[options(help = "print this help")]
@@ -121,6 +151,7 @@
         Some(Command::Demo(_)) => demo::run(),
         Some(Command::Bench(b)) => bench(b),
         Some(Command::Slopes(s)) => slopes::run(s.only.as_deref()),
+        Some(Command::Soak(s)) => soak(&s),
         Some(Command::Trace(t)) => trace(&t),
         None => {
             eprintln!("{}\n{}", Args::usage(), Args::command_list().unwrap_or(""));
--- a/standin/src/platform/caller.rs
+++ b/standin/src/platform/caller.rs
@@ -34,12 +34,21 @@
     }
 }
 
-/// Sends the bytes of a request.
+/// Sends the bytes of a request to an instance that listens.
 pub fn send(to: SocketAddr, bytes: &[u8]) -> Sent {
-    let mut io = TcpStream::connect(to).expect("the instance listens");
-    io.set_read_timeout(Some(READ_TIME)).expect("a time-out can be set");
-    io.write_all(bytes).expect("the instance reads");
-    Sent { reader: BufReader::new(io) }
+    try_send(to, bytes).expect("the instance listens and reads")
+}
+
+/// Sends the bytes of a request.
+///
+/// # Errors
+///
+/// Returns an error where the instance does not take them.
+pub fn try_send(to: SocketAddr, bytes: &[u8]) -> std::io::Result<Sent> {
+    let mut io = TcpStream::connect(to)?;
+    io.set_read_timeout(Some(READ_TIME))?;
+    io.write_all(bytes)?;
+    Ok(Sent { reader: BufReader::new(io) })
 }
 
 impl Sent {
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -7,7 +7,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What it does with a request.
 #[derive(Debug, Clone, PartialEq)]
@@ -49,6 +49,8 @@
 pub struct Seen {
     /// The request.
     pub req: Request,
+    /// When it came.
+    pub at: Instant,
     /// Tells that it worked on the request.
     pub ran: bool,
     /// Set once the caller has closed the connection of a request that hangs or streams.
@@ -137,10 +139,15 @@
 
     /// Returns its entry in the store.
     pub fn entry(&self, service: &str, state: &str) -> String {
+        Endpoint::entry_at(self.address, service, state)
+    }
+
+    /// Returns an entry that names another address, as that of a proxy.
+    pub fn entry_at(address: SocketAddr, service: &str, state: &str) -> String {
         format!(
             r#"{{"service":"{service}","address":"{}","zone":"z-a","version":"v1","slots":8,
             "state":"{state}","cold_remaining_ms":0,"sequence":4,"born":7}}"#,
-            self.address
+            address
         )
     }
 }
@@ -197,7 +204,7 @@
     let from =
         req.header("kv-from").and_then(|v| v.rsplit_once('/')).map(|(_, tag)| tag.to_owned());
     let last = req.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
-    state.seen.lock().ok()?.push(Seen { req, ran, closed: closed.clone() });
+    state.seen.lock().ok()?.push(Seen { req, at: Instant::now(), ran, closed: closed.clone() });
     let echo = format!("X-Attempt-Id: {id}\r\n");
     let seal = format!("{echo}X-Replica-Seal: s.{id}\r\nX-Replica-Load: 1,0,8\r\n");
     match act {
--- a/standin/src/platform/gateway.rs
+++ b/standin/src/platform/gateway.rs
@@ -2,7 +2,7 @@
 
 use super::send;
 use crate::host::free_address;
-use std::io::Read;
+use std::fs::File;
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -22,6 +22,8 @@
     pub file: PathBuf,
     binary: PathBuf,
     child: Child,
+    /// Tells that its log goes into a pipe that nobody reads, not into a file.
+    piped: bool,
 }
 
 /// Polls until `is_true`, for at most `time`.
@@ -37,16 +39,25 @@
 }
 
 impl Gateway {
-    /// Starts a gateway on the store.
+    /// Starts a gateway on the store; its log goes beside its settings.
     pub fn start(binary: &Path, store: SocketAddr) -> Gateway {
+        Gateway::launch(binary, store, false)
+    }
+
+    /// Starts a gateway whose log goes into a pipe that nobody reads.
+    pub fn start_piped(binary: &Path, store: SocketAddr) -> Gateway {
+        Gateway::launch(binary, store, true)
+    }
+
+    fn launch(binary: &Path, store: SocketAddr, piped: bool) -> Gateway {
         let (front, ready) = (free_address(), free_address());
         let name = format!("g-{}", NEXT.fetch_add(1, Ordering::Relaxed));
         let dir = std::env::temp_dir().join(format!("gateway-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("the folder can be made");
         let file = dir.join(format!("{name}.conf"));
         std::fs::write(&file, settings(&name, front, ready, store)).expect("it can be written");
-        let child = spawn(binary, &file);
-        let gateway = Gateway { front, ready, file, binary: binary.to_owned(), child };
+        let child = spawn(binary, &file, piped);
+        let gateway = Gateway { front, ready, file, binary: binary.to_owned(), child, piped };
         assert!(gateway.listens(), "the gateway listens");
         gateway
     }
@@ -55,7 +66,7 @@
     pub fn restart(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        self.child = spawn(&self.binary, &self.file);
+        self.child = spawn(&self.binary, &self.file, self.piped);
         assert!(self.listens(), "the gateway listens again");
     }
 
@@ -92,11 +103,8 @@
     /// Returns what it has logged; it is killed for that.
     pub fn log(mut self) -> String {
         let _ = self.child.kill();
-        let mut text = String::new();
-        if let Some(mut out) = self.child.stdout.take() {
-            out.read_to_string(&mut text).expect("the log is text");
-        }
-        text
+        let _ = self.child.wait();
+        std::fs::read_to_string(self.file.with_extension("log")).expect("the log is text")
     }
 }
 
@@ -107,12 +115,14 @@
     }
 }
 
-fn spawn(binary: &Path, file: &Path) -> Child {
+fn spawn(binary: &Path, file: &Path, piped: bool) -> Child {
+    let log = File::options().create(true).append(true).open(file.with_extension("log"));
+    let log = log.expect("the folder takes files");
     Command::new(binary)
         .arg("gateway")
         .env("SKYLARKTHREAD_BOOT", file)
         .stdin(Stdio::null())
-        .stdout(Stdio::piped())
+        .stdout(if piped { Stdio::piped() } else { Stdio::from(log) })
         .stderr(Stdio::inherit())
         .spawn()
         .expect("the binary runs")
--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -8,7 +8,7 @@
 mod proxy;
 mod store;
 
-pub use caller::{Reply, Sent, send};
+pub use caller::{Reply, Sent, send, try_send};
 pub use endpoint::{Act, Endpoint, Seen};
 pub use gateway::{Gateway, wait_until};
 pub use proxy::{Mode, Proxy};
--- a/standin/src/platform/proxy.rs
+++ b/standin/src/platform/proxy.rs
@@ -48,6 +48,11 @@
         Proxy { address, mode }
     }
 
+    /// Returns what changes it from another thread.
+    pub fn handle(&self) -> Arc<Mutex<Mode>> {
+        self.mode.clone()
+    }
+
     /// Changes what it does, also with open connections.
     pub fn set(&self, mode: Mode) {
         *self.mode.lock().expect("no holder panics") = mode;
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -81,6 +81,15 @@
         self.shared.1.notify_all();
     }
 
+    /// Returns what ends an outage from another thread.
+    pub fn mender(&self) -> impl FnOnce() + Send + 'static {
+        let shared = self.shared.clone();
+        move || {
+            lock(&shared).outage = None;
+            shared.1.notify_all();
+        }
+    }
+
     /// Forgets all history.
     pub fn compact(&self) {
         let mut state = lock(&self.shared);
--- a/tests/gateway/lifecycle.rs
+++ b/tests/gateway/lifecycle.rs
@@ -1,7 +1,7 @@
 //! Starts, stops, reloads, instances among themselves, and the log.
 
 use crate::common::{call, events, start, stream, wait};
-use standin::platform::{Act, Endpoint, send};
+use standin::platform::{Act, Endpoint, Gateway, send};
 use std::time::Duration;
 
 #[test]
@@ -51,7 +51,10 @@
 #[test]
 fn a_log_that_nobody_reads_holds_nothing_up() {
     let e = Endpoint::start("i-1", Act::Answer(200, "fine".into()));
-    let (_store, gateway) = start(&[(&e, "plain")]);
+    let (store, _other) = start(&[(&e, "plain")]);
+    let binary = std::path::Path::new(env!("CARGO_BIN_EXE_skylarkthread"));
+    let gateway = Gateway::start_piped(binary, store.address);
+    assert!(wait(5, || gateway.readiness() == 200));
     // Far more lines than the pipe and the queue take; nobody reads them meanwhile.
     let mut conn = send(gateway.front, b"");
     for n in 0..4000 {
