Refuse requests that crash endpoints; name why an endpoint gave no answer

Cause: the platform may hold requests that crash every endpoint that runs them, and nothing refused them; and the code told causes apart by text. Change: a request that broke off makes the instance look whether the endpoint still takes connections; if not, its content becomes a suspect (the project's own blame rules), told to all, and is refused at the third. Causes are an enum; finding an engine, offering and streaming are modules of their own.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,119 +1,30 @@
 //! Requests with one answer.
 
 use super::job::{self, Job, label};
+use super::offer::{self, Miss, Taken};
 use super::serve::{Next, after};
-use super::{Gateway, Place};
+use super::{Gateway, Place, convict};
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::Refusal;
-use crate::h1::{Inbound, Outbound, SendError};
-use crate::id::{EndpointId, Tokens};
-use crate::platform::{self, Answer, Onward};
+use crate::h1::Inbound;
+use crate::id::Tokens;
+use crate::platform::{self, Onward};
 use crate::pool::PoolKey;
 use crate::problem::{Problem, ProblemKind};
-use actix_http::ResponseHead;
 use actix_http::body::BodySize;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
-/// Time to connect to an endpoint.
-const CONNECT_TIME: Duration = Duration::from_millis(400);
 /// Bytes of an answer that are held back until its end is here, so that one that breaks off can
 /// still be asked for elsewhere.
 const HOLD_BYTES: usize = 256 << 10;
-/// Endpoints that turn a request away unrun before it is refused.
+/// Endpoints that a request is sent to, those that turn it away unrun included.
 const OFFERS: usize = 3;
 /// Cost of a retry in the budget of this platform, which counts requests.
 const ONE: Tokens = Tokens(1);
 
-/// What an endpoint made of a request.
-#[derive(Debug)]
-pub enum Tried {
-    /// It has answered.
-    Answered(Taken),
-    /// It has not run the request, and never will.
-    Unrun(&'static str),
-    /// It may have run the request, and no answer can be had.
-    Lost(&'static str),
-}
-
-/// An answer that has begun.
-#[derive(Debug)]
-pub struct Taken {
-    /// Head as the endpoint sent it.
-    pub head: ResponseHead,
-    /// What it says.
-    pub answer: Answer,
-    /// Connection that the rest comes on.
-    pub out: Outbound,
-    /// Endpoint.
-    pub endpoint: EndpointId,
-}
-
-/// Sends a request to an endpoint and waits for the head of the answer to it.
-pub async fn offer(gw: &Rc<Gateway>, job: &Job, key: PoolKey, onward: &Onward<'_>) -> Tried {
-    let Some((address, leave)) =
-        gw.pool.borrow().endpoints.get(key).map(|e| (e.listing.address, e.is_leaving()))
-    else {
-        return Tried::Unrun("gone");
-    };
-    if leave && onward.handoff.is_none() {
-        return Tried::Unrun("leaving");
-    }
-    let head = job.head(onward);
-    let opened = Outbound::open(address, CONNECT_TIME, &gw.codec, head, job.body.clone()).await;
-    let mut out = match opened {
-        Ok(out) => out,
-        Err(SendError::Unreached(_)) => return Tried::Unrun("unreached"),
-        Err(SendError::Head(_)) => return Tried::Unrun("head"),
-    };
-    let deadline = TokioInstant::from_std(job.deadline);
-    loop {
-        let head = match timeout_at(deadline, out.head()).await {
-            Ok(Ok(head)) => head,
-            Ok(Err(_)) => return Tried::Lost("broken"),
-            Err(_) => return Tried::Lost("late"),
-        };
-        let answer = platform::scan_answer(&head);
-        note_answer(gw, key, &answer);
-        if answer.unrun {
-            return Tried::Unrun(if answer.misdirected { "misdirected" } else { "full" });
-        }
-        // The answer to another request belongs to nobody here.
-        if job.ask.id.is_some() && answer.id.is_some() && answer.id != job.ask.id {
-            return Tried::Lost("foreign");
-        }
-        if !answer.sealed {
-            return Tried::Lost("unsealed");
-        }
-        return Tried::Answered(Taken { head, answer, out, endpoint: onward.endpoint.clone() });
-    }
-}
-
-fn note_answer(gw: &Gateway, key: PoolKey, answer: &Answer) {
-    let now = clock::now();
-    let mut pool = gw.pool.borrow_mut();
-    if answer.misdirected {
-        pool.note_leaving(now, key);
-    }
-    if let (Some(load), Some(e)) = (answer.load, pool.endpoints.get_mut(key)) {
-        e.load = Some((load, now));
-    }
-}
-
-/// Counts what became of a request at an endpoint for or against it.
-pub fn note_health(gw: &Gateway, key: PoolKey, is_good: bool) {
-    if let Some(e) = gw.pool.borrow_mut().endpoints.get_mut(key) {
-        if is_good {
-            e.health.succeed();
-        } else {
-            e.health.fail();
-        }
-    }
-}
-
 /// How an answer is passed on.
 enum Reply {
     /// It is here as a whole.
@@ -194,90 +105,83 @@
     after(conn, sent, close)
 }
 
+/// What has been tried for a request.
+#[derive(Debug, Default)]
+struct Trials {
+    /// Endpoints that it was sent to.
+    tried: Vec<PoolKey>,
+    /// Endpoints that may have run it.
+    runs: u32,
+    /// A failure that an endpoint answered with, for want of anything better.
+    failed: Option<(Taken, Bytes)>,
+}
+
 /// Sends a request to endpoints until one has answered, or nothing more may be tried.
 async fn exchange(gw: &Rc<Gateway>, job: &Job) -> Result<Reply, Problem> {
     gw.budget.borrow_mut().earn(&job.service, ONE);
-    let mut tried: Vec<PoolKey> = Vec::new();
-    let mut runs = 0;
-    let mut failed: Option<(Taken, Bytes)> = None;
-    loop {
-        let now = clock::now();
-        let may_try = tried.is_empty()
-            || tried.len() < OFFERS
-                && !job.left(now).is_zero()
-                && gw.budget.borrow_mut().spend(&job.service, ONE);
-        let key = if may_try { job.choose(gw, now, &tried) } else { None };
-        let Some(key) = key else {
-            return match failed {
-                Some((taken, body)) => Ok(Reply::Whole(taken, body)),
-                None => Err(give_up(job, runs, tried.is_empty())),
-            };
-        };
-        tried.push(key);
-        let why = match attempt(gw, job, key).await {
-            Ok(Reply::Whole(taken, body)) => {
-                let is_failure = taken.answer.status.is_server_error();
-                note_health(gw, key, !is_failure);
-                runs += 1;
-                if !is_failure || !job.is_idempotent() || runs >= job.route.attempts {
-                    return Ok(Reply::Whole(taken, body));
-                }
-                failed = Some((taken, body));
-                "failed"
+    let mut trials = Trials::default();
+    while let Some(key) = next(gw, job, &trials) {
+        trials.tried.push(key);
+        let miss = match attempt(gw, job, key).await {
+            Ok(Reply::Whole(taken, body)) if taken.answer.status.is_server_error() => {
+                trials.failed = Some((taken, body));
+                Miss::Failed
             }
-            Ok(long) => return Ok(long),
-            Err(Tried::Unrun(why)) => {
-                if why != "full" {
-                    note_health(gw, key, false);
-                }
-                why
-            }
-            Err(Tried::Lost(why)) => {
-                note_health(gw, key, false);
-                runs += 1;
-                if !job.is_idempotent() || runs >= job.route.attempts {
-                    return match failed {
-                        Some((taken, body)) => Ok(Reply::Whole(taken, body)),
-                        None => Err(lost(job, why)),
-                    };
-                }
-                why
+            Ok(reply) => {
+                offer::note_health(gw, key, true);
+                convict::clear(gw, job);
+                return Ok(reply);
             }
-            Err(Tried::Answered(_)) => "answered",
+            Err(miss) => miss,
         };
-        let detail = format!("why={why} tried={} runs={runs}", tried.len());
+        if miss.is_failure() {
+            offer::note_health(gw, key, false);
+        }
+        if miss == Miss::Broken {
+            convict::suspect(gw, job, key);
+        }
+        trials.runs += u32::from(!miss.is_unrun());
+        if trials.runs > 0 && (!job.is_idempotent() || trials.runs >= job.route.attempts) {
+            return conclude(job, trials, miss);
+        }
+        let detail = format!("why={miss} tried={} runs={}", trials.tried.len(), trials.runs);
         gw.event(Kind::Reoffered, label(job.ask.id.as_ref()), detail);
     }
-}
-
-/// Makes the refusal of a request that no endpoint has answered.
-fn give_up(job: &Job, runs: u32, is_untried: bool) -> Problem {
-    if runs > 0 {
-        return lost(job, "failed");
+    if trials.runs > 0 {
+        return conclude(job, trials, Miss::Failed);
     }
-    let (why, detail) = if is_untried {
+    let (why, detail) = if trials.tried.is_empty() {
         (Refusal::NoEndpoint, "no endpoint of the service can be used")
     } else {
         (Refusal::Busy, "the endpoints tried took nothing more")
     };
-    job.refusal(clock::now(), ProblemKind::Refused(why), detail)
+    Err(job.refusal(clock::now(), ProblemKind::Refused(why), detail))
 }
 
-/// Makes the answer to a request whose outcome is not known.
-pub fn lost(job: &Job, why: &str) -> Problem {
-    if job.left(clock::now()).is_zero() {
-        Problem::new(ProblemKind::Late, "no answer came in time")
-    } else {
-        Problem::new(ProblemKind::Unknown, why)
+/// Returns the endpoint to try next, if one may be tried.
+fn next(gw: &Gateway, job: &Job, trials: &Trials) -> Option<PoolKey> {
+    let now = clock::now();
+    let is_first = trials.tried.is_empty();
+    let is_over = trials.tried.len() >= OFFERS || job.left(now).is_zero();
+    if !is_first && (is_over || !gw.budget.borrow_mut().spend(&job.service, ONE)) {
+        return None;
+    }
+    job.choose(gw, now, &trials.tried)
+}
+
+/// Makes the answer to a request that may have run and may not be sent again.
+fn conclude(job: &Job, trials: Trials, miss: Miss) -> Result<Reply, Problem> {
+    match trials.failed {
+        Some((taken, body)) => Ok(Reply::Whole(taken, body)),
+        None => Err(offer::lost(job, miss)),
     }
 }
 
 /// Sends a request to one endpoint and reads the answer up to what is held back.
-async fn attempt(gw: &Rc<Gateway>, job: &Job, key: PoolKey) -> Result<Reply, Tried> {
+async fn attempt(gw: &Rc<Gateway>, job: &Job, key: PoolKey) -> Result<Reply, Miss> {
     let _place = Place::take(gw, key, job.work());
-    let Some(endpoint) = gw.pool.borrow().endpoints.get(key).map(|e| e.listing.id.clone()) else {
-        return Err(Tried::Unrun("gone"));
-    };
+    let endpoint = gw.pool.borrow().endpoints.get(key).map(|e| e.listing.id.clone());
+    let endpoint = endpoint.ok_or(Miss::Gone)?;
     let onward = Onward {
         endpoint: &endpoint,
         member: job.member.as_deref(),
@@ -287,21 +191,16 @@
         last: None,
         resumable: false,
     };
-    let mut taken = match offer(gw, job, key, &onward).await {
-        Tried::Answered(taken) => taken,
-        other => return Err(other),
-    };
+    let mut taken = offer::offer(gw, job, key, &onward).await?;
     let deadline = TokioInstant::from_std(job.deadline);
-    let mut body = bytes::BytesMut::new();
-    loop {
+    let mut body = BytesMut::new();
+    while body.len() <= HOLD_BYTES {
         match timeout_at(deadline, taken.out.chunk()).await {
             Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
             Ok(Ok(None)) => return Ok(Reply::Whole(taken, body.freeze())),
-            Ok(Err(_)) => return Err(Tried::Lost("broken")),
-            Err(_) => return Err(Tried::Lost("late")),
-        }
-        if body.len() > HOLD_BYTES {
-            return Ok(Reply::Long(taken, body.freeze()));
+            Ok(Err(_)) => return Err(Miss::Broken),
+            Err(_) => return Err(Miss::Late),
         }
     }
+    Ok(Reply::Long(taken, body.freeze()))
 }
--- /dev/null
+++ b/src/gateway/convict.rs
@@ -0,0 +1,86 @@
+//! Finds requests that crash the endpoints that run them, and refuses them.
+
+use super::job::{Job, label};
+use super::{Gateway, peers};
+use crate::blame::Standing;
+use crate::event::Kind;
+use crate::frame::{Crash, Gossip};
+use crate::id::{Fingerprint, Incarnation};
+use crate::pool::PoolKey;
+use crate::problem::{Problem, ProblemKind};
+use actix_rt::net::TcpStream;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::time::timeout;
+
+/// Time to connect to an endpoint that may have crashed.
+const CONNECT_TIME: Duration = Duration::from_millis(300);
+/// Time within which one that cannot serve closes a connection.
+const CLOSE_TIME: Duration = Duration::from_millis(40);
+
+/// Names the content of a request: such a one comes again with the same path, caller and body.
+fn content(job: &Job) -> Fingerprint {
+    let path = job.req.uri().path().as_bytes();
+    let key = job.ask.key.as_deref().unwrap_or("").as_bytes();
+    Fingerprint::of(&[path, key, &job.body])
+}
+
+/// Refuses a request whose content has crashed too many endpoints.
+///
+/// # Errors
+///
+/// Returns a problem for such a request, which has not run.
+pub fn check(gw: &Gateway, job: Job) -> Result<Job, Problem> {
+    if gw.blame.borrow().standing(&content(&job)) != Standing::Refused {
+        return Ok(job);
+    }
+    gw.event(Kind::Convicted, label(job.ask.id.as_ref()), "");
+    Err(Problem::new(ProblemKind::Draining, "requests like this one have crashed endpoints"))
+}
+
+/// Looks whether the endpoint that broke off a request has crashed.
+pub fn suspect(gw: &Rc<Gateway>, job: &Job, key: PoolKey) {
+    let found = gw.pool.borrow().endpoints.get(key).map(|e| {
+        let incarnation = Fingerprint::of(&[e.listing.id.as_str().as_bytes()]).0;
+        (e.listing.address, Incarnation(incarnation), e.is_leaving())
+    });
+    // One that is leaving ends its requests without having crashed.
+    let Some((address, incarnation, false)) = found else { return };
+    actix_rt::spawn(look(gw.clone(), content(job), address, incarnation));
+}
+
+async fn look(gw: Rc<Gateway>, content: Fingerprint, address: SocketAddr, crashed: Incarnation) {
+    if !is_down(address).await {
+        return;
+    }
+    let crash = Crash { number: 0, running: vec![content] };
+    let worse = gw.blame.borrow_mut().note(crashed, &crash);
+    for (content, standing) in worse {
+        gw.event(
+            Kind::Suspected,
+            content,
+            format_args!("endpoint={address} standing={standing:?}"),
+        );
+    }
+    peers::accuse(&gw, gw.blame.borrow().gossip());
+}
+
+/// Tells whether an endpoint takes no connection, or closes it at once.
+async fn is_down(address: SocketAddr) -> bool {
+    let Ok(Ok(mut io)) = timeout(CONNECT_TIME, TcpStream::connect(address)).await else {
+        return true;
+    };
+    timeout(CLOSE_TIME, io.read(&mut [0])).await.is_ok()
+}
+
+/// Takes over what another instance found.
+pub fn merge(gw: &Gateway, gossip: &Gossip) {
+    gw.blame.borrow_mut().merge(gossip);
+}
+
+/// Clears a content that ran to its end.
+pub fn clear(gw: &Gateway, job: &Job) {
+    gw.blame.borrow_mut().clear(&content(job));
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,16 +5,20 @@
 //! request goes by [`crate::spread`], what may be sent again by [`crate::budget`], and where
 //! running generations move by [`crate::evacuate`].
 
+mod begin;
 mod call;
+mod convict;
 mod follow;
 mod job;
 mod moving;
+mod offer;
 mod peers;
 mod serve;
 mod stream;
 mod vigil;
 
 use crate::admit::{Line, Reading};
+use crate::blame::Blame;
 use crate::budget::{Allowance, Budget};
 use crate::clock;
 use crate::event::{Kind, Ring};
@@ -105,6 +109,8 @@
     line: RefCell<Line>,
     /// How fast engines read, by service.
     reading: RefCell<HashMap<ServiceName, Reading>>,
+    /// Contents that crashed endpoints.
+    blame: RefCell<Blame>,
     /// Other instances.
     peers: RefCell<HashMap<InstanceId, peers::Peer>>,
     /// Messages to other instances, and answers that are awaited.
@@ -154,6 +160,7 @@
         ledger: RefCell::new(Ledger::default()),
         peers: RefCell::new(HashMap::new()),
         line: RefCell::new(Line::default()),
+        blame: RefCell::new(Blame::default()),
         talk: peers::Talk::default(),
         seen: RefCell::new(HashMap::new()),
         hint: Notify::new(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -3,11 +3,11 @@
 //! Each instance writes its address and a key of its own into the store, under a lease. Others
 //! check its messages with that key, so that only who may write to the store is believed.
 
-use super::{Gateway, follow, jitter};
+use super::{Gateway, convict, follow, jitter};
 use crate::admit::{self, Entrant};
 use crate::clock;
 use crate::event::Kind;
-use crate::frame::{Envelope, Keyring};
+use crate::frame::{Envelope, Gossip, Keyring};
 use crate::id::{Incarnation, InstanceId, IntentVersion};
 use crate::route::Urgency;
 use crate::share::{self, Ask, Bulletin, FULL_TIME, Note, Tag, Teller, Work};
@@ -112,6 +112,12 @@
     }
 }
 
+/// Tells the others of contents that crashed endpoints.
+pub fn accuse(gw: &Gateway, gossip: Gossip) {
+    let to: Vec<SocketAddr> = gw.peers.borrow().values().map(|p| p.address).collect();
+    send(gw, &to, Note::Blame(gossip));
+}
+
 /// Tells whether this instance follows the store closely.
 pub fn is_reader(gw: &Gateway) -> bool {
     share::is_reader(&gw.boot.borrow().instance, gw.peers.borrow().keys())
@@ -273,6 +279,7 @@
             let granted = decide(gw, &ask);
             send(gw, &[from], Note::Grant(ask.number, granted));
         }
+        Note::Blame(gossip) => convict::merge(gw, &gossip),
         Note::News(bulletin) => follow::take_bulletin(gw, &bulletin),
         Note::Grant(number, granted) => {
             if let Some(answer) = gw.talk.awaited.borrow_mut().remove(&number) {
--- a/src/intent/tests.rs
+++ b/src/intent/tests.rs
@@ -2,7 +2,7 @@
 
 use super::submit::part_key;
 use super::*;
-use crate::store::{Compare, LeaseId, Op, Outcome, Store, StoreError, Stored};
+use crate::store::{Compare, LeaseId, Leases, Op, Outcome, Store, StoreError, Stored};
 use proptest::prelude::*;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -54,6 +54,20 @@
     }
 }
 
+impl Leases for Fake {
+    async fn grant(&self, _: Duration) -> Result<LeaseId, StoreError> {
+        Ok(LeaseId(1))
+    }
+
+    async fn renew(&self, _: LeaseId) -> Result<bool, StoreError> {
+        Ok(true)
+    }
+
+    async fn put(&self, _: &str, _: &[u8], _: LeaseId) -> Result<bool, StoreError> {
+        unreachable!("a submission writes in transactions only")
+    }
+}
+
 impl Store for Fake {
     async fn get(&self, key: &str) -> Result<Option<Stored>, StoreError> {
         self.count()?;
@@ -93,14 +107,6 @@
         Ok(Outcome { held, revision: self.revision.get(), found })
     }
 
-    async fn grant(&self, _: Duration) -> Result<LeaseId, StoreError> {
-        Ok(LeaseId(1))
-    }
-
-    async fn renew(&self, _: LeaseId) -> Result<bool, StoreError> {
-        Ok(true)
-    }
-
     async fn changed(&self, _: &str, _: u64, _: Duration) -> Result<Option<Stored>, StoreError> {
         Ok(None)
     }
--- a/src/jsonc/mod.rs
+++ b/src/jsonc/mod.rs
@@ -41,6 +41,8 @@
     Operation,
     /// An address is malformed.
     Address,
+    /// Values are nested deeper than allowed.
+    Depth(usize),
 }
 
 impl FaultKind {
@@ -62,6 +64,7 @@
             FaultKind::KeyHash => 13,
             FaultKind::Operation => 14,
             FaultKind::Address => 15,
+            FaultKind::Depth(_) => 16,
         }
     }
 }
@@ -86,6 +89,7 @@
                 write!(f, "expected a method and a path such as \"POST /holds\"")
             }
             FaultKind::Address => write!(f, "expected an IP number and a port"),
+            FaultKind::Depth(n) => write!(f, "values are nested deeper than {n} levels"),
         }
     }
 }
@@ -107,6 +111,54 @@
     }
 }
 
+/// Deepest nesting of a document.
+pub const DEPTH_LIMIT: usize = 64;
+
+/// Returns the place at which values are nested too deep, if there is one.
+///
+/// Brackets in strings and comments do not count; a document with an open string or comment is
+/// left to the parser, which names that fault.
+fn scan_depth(text: &str) -> Option<usize> {
+    let bytes = text.as_bytes();
+    let (mut at, mut depth) = (0, 0);
+    while at < bytes.len() {
+        match bytes[at] {
+            quote @ (b'"' | b'\'') => at = scan_string(bytes, at, quote),
+            b'/' if bytes.get(at + 1) == Some(&b'/') => at = scan_to(bytes, at, b"\n"),
+            b'/' if bytes.get(at + 1) == Some(&b'*') => at = scan_to(bytes, at + 2, b"*/"),
+            b'[' | b'{' => {
+                depth += 1;
+                if depth > DEPTH_LIMIT {
+                    return Some(at);
+                }
+                at += 1;
+            }
+            b']' | b'}' => {
+                depth = depth.saturating_sub(1);
+                at += 1;
+            }
+            _ => at += 1,
+        }
+    }
+    None
+}
+
+/// Returns the place after a string that begins at `at`.
+fn scan_string(bytes: &[u8], at: usize, quote: u8) -> usize {
+    let mut at = at + 1;
+    while at < bytes.len() && bytes[at] != quote {
+        at += if bytes[at] == b'\\' { 2 } else { 1 };
+    }
+    at + 1
+}
+
+/// Returns the place after the next `end`, or the end of the document.
+fn scan_to(bytes: &[u8], at: usize, end: &[u8]) -> usize {
+    let rest = bytes.get(at..).unwrap_or_default();
+    let found = rest.windows(end.len()).position(|w| w == end);
+    found.map_or(bytes.len(), |n| at + n + end.len())
+}
+
 /// Walks one document and collects its faults.
 #[derive(Debug)]
 pub struct Reader<'t> {
@@ -125,6 +177,11 @@
         read: impl FnOnce(&mut Self, &Value<'t>) -> Option<T>,
     ) -> Result<T, Vec<Fault>> {
         let mut reader = Reader { text, faults: Vec::new() };
+        // The parser calls itself for each level, and a deep document would end the stack.
+        if let Some(at) = scan_depth(text) {
+            reader.note(at, FaultKind::Depth(DEPTH_LIMIT));
+            return Err(reader.faults);
+        }
         let value = match parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default()) {
             Ok(parsed) => parsed.value.and_then(|v| read(&mut reader, &v)),
             Err(e) => {
--- a/src/share/mod.rs
+++ b/src/share/mod.rs
@@ -6,6 +6,7 @@
 //! as soon as that changes. A message carries the rows that changed, and now and then all of them;
 //! one that is lost is made good by the next full one.
 
+use crate::frame::Gossip;
 use crate::id::{EndpointId, Fingerprint, InstanceId};
 use crate::store::Fact;
 use serde::{Deserialize, Serialize};
@@ -115,6 +116,9 @@
     /// Answers such a question, by its number.
     #[serde(rename = "g")]
     Grant(u64, bool),
+    /// Contents that crashed endpoints.
+    #[serde(rename = "b")]
+    Blame(Gossip),
     /// What the store told a reader.
     #[serde(rename = "n")]
     News(Bulletin),
--- a/src/text/tests.rs
+++ b/src/text/tests.rs
@@ -48,3 +48,21 @@
         let _ = Text::parse(&whole[..n]);
     }
 }
+
+#[test]
+fn a_deep_text_is_refused_at_its_place_and_brackets_in_strings_do_not_count() {
+    let depth = crate::jsonc::DEPTH_LIMIT;
+    for open in ["[", "{\"a\":"] {
+        let faults = Text::parse(&open.repeat(200_000)).unwrap_err();
+        assert_eq!((faults.len(), faults[0].kind.code()), (1, 16));
+        assert_eq!(faults[0].column, depth * open.len() + 1);
+    }
+    let quoted = format!(
+        "{{ // {}\n /* {} */ \"services\": {{}}, \"{}\": 1 }}",
+        "[".repeat(99),
+        "{".repeat(99),
+        "[".repeat(99)
+    );
+    let faults = Text::parse(&quoted).unwrap_err();
+    assert!(faults.iter().all(|f| f.kind.code() != 16), "{faults:?}");
+}
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -38,6 +38,8 @@
     Stream(u64, Duration),
     /// Answers with the id of the request as its body.
     Echo,
+    /// Runs the request, breaks off and takes no connection for a while.
+    Crash(Duration),
     /// Streams so many events that name the request and the run they are from.
     Tagged(u64, Duration),
     /// Streams so many events and then breaks off in the middle of the next.
@@ -68,6 +70,8 @@
     moves: Mutex<Vec<String>>,
     /// Tells that it is leaving.
     leaving: AtomicBool,
+    /// Time until which it takes no connection.
+    down: Mutex<Option<Instant>>,
 }
 
 /// One run of a generation, wherever it goes on.
@@ -101,12 +105,16 @@
             runs: Mutex::default(),
             moves: Mutex::default(),
             leaving: AtomicBool::new(false),
+            down: Mutex::default(),
         });
         let serving = state.clone();
         std::thread::spawn(move || {
             for io in listener.incoming().flatten() {
                 let state = serving.clone();
-                std::thread::spawn(move || serve(&state, io));
+                let down = *state.down.lock().expect("no holder panics");
+                if down.is_none_or(|t| t < Instant::now()) {
+                    std::thread::spawn(move || serve(&state, io));
+                }
             }
         });
         Endpoint { id: id.to_owned(), address, state }
@@ -232,6 +240,10 @@
         Act::Unsealed => answer(writer, &echo, 200, "forged"),
         Act::Early => answer(writer, &seal, 413, "too long"),
         Act::Hang => wait_for_close(writer, &closed),
+        Act::Crash(time) => {
+            *state.down.lock().ok()? = Some(Instant::now() + time);
+            None
+        }
         Act::Echo => answer(writer, &seal, 200, &id),
         Act::Stream(n, pause) => {
             let run = begin(state, &id, from.unwrap_or("token".into()))?;
--- a/tests/gateway/calls.rs
+++ b/tests/gateway/calls.rs
@@ -190,3 +190,30 @@
     // A fifth of the requests and what may be saved up at the start.
     assert!(again <= n / 5 + 4, "{again} of {n} were sent again");
 }
+
+#[test]
+fn a_request_that_crashes_endpoints_is_refused_after_the_third_everywhere() {
+    let down = Duration::from_secs(8);
+    let all: Vec<Endpoint> =
+        (0..5).map(|n| Endpoint::start(&format!("i-{n}"), Act::Crash(down))).collect();
+    let listed: Vec<(&Endpoint, &str)> = all.iter().map(|e| (e, "plain")).collect();
+    let (store, gateway) = start(&listed);
+    let other = crate::common::gateway(&store);
+    assert!(wait(3, || other.readiness() == 200 && store.keys("gateways/").len() == 2));
+    std::thread::sleep(Duration::from_millis(500));
+    let ask = |front, id: &str, body: &str| {
+        send(front, &request("POST", "/unsafe/x", id, "", body)).reply().status
+    };
+    let ran = || all.iter().map(Endpoint::ran).sum::<usize>();
+    for n in 0..3 {
+        assert_eq!(ask(gateway.front, &format!("id-{n}"), "boom"), 502);
+        assert!(wait(2, || ran() == n + 1));
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    assert_eq!(ask(gateway.front, "id-8", "boom"), 503);
+    assert_eq!(ask(other.front, "id-9", "boom"), 503);
+    assert_eq!(ran(), 3);
+    // Another content is not to blame.
+    assert_eq!(ask(gateway.front, "id-10", "else"), 502);
+    assert_eq!(ran(), 4);
+}
