Carry few copies at a time, and ask a leaving engine again once its word is fresh

With the true end known, last copies still queued behind first ones that several instances had begun at the same moment ("last copy lost", eight at one engine).

Change: an engine that named no end is asked once more after 620 ms; a copy joins a link only while that carries less than 4,000 tokens.

--- a/src/evacuate/mod.rs
+++ b/src/evacuate/mod.rs
@@ -16,7 +16,7 @@
 /// Age of what an engine says of itself.
 const REPORT_LAG: Duration = Duration::from_millis(600);
 /// Time kept for the last copy, and for going on elsewhere.
-const RESERVE: Duration = Duration::from_millis(240);
+const RESERVE: Duration = Duration::from_millis(300);
 /// Share of the memory past which an engine is not even asked: expected needs are more than what
 /// is in use, and the engine knows.
 const FULL: f64 = 1.3;
@@ -29,6 +29,11 @@
 /// Time over which instances spread the beginning of their copies, so that each sees those of the
 /// others; the smallest generations go first, and more are saved.
 const SPREAD_TIME: Duration = Duration::from_millis(80);
+/// Times of the bare transfer that copies take on a link that others use too.
+const LINK_SLACK: f64 = 1.15;
+/// Tokens that a link carries while another copy joins; enough to keep it busy until the next one
+/// has been told of.
+const PIPELINE_TOKENS: u32 = 4_000;
 /// Tokens of a generation that goes last.
 const LARGE: f64 = 8_000.0;
 
@@ -60,12 +65,16 @@
     SPREAD_TIME.mul_f64((f64::from(tokens) / LARGE).min(1.0))
 }
 
-/// Tells whether a copy ends before the last one has to begin. One that does not would only hold
-/// up those of other generations, and all of them would be lost.
-pub fn is_in_time(now: Instant, by: Instant, engine: &Engine, queued: u32, own: u32) -> bool {
+/// Tells whether a copy may begin on a link that carries so many tokens: it follows soon, so that
+/// what it waits for is known, and ends before the last copies have to begin. One that does not
+/// would only hold up those of other generations, and all of them would be lost.
+pub fn may_begin(now: Instant, by: Instant, engine: &Engine, queued: u32, own: u32) -> bool {
+    if queued > PIPELINE_TOKENS {
+        return false;
+    }
     let bits = f64::from(queued + own) * engine.token_bytes as f64 * 8.0;
     let time = Duration::try_from_secs_f64(bits / engine.link_bits.max(1.0));
-    time.is_ok_and(|t| now + t <= by)
+    time.is_ok_and(|t| now + t.mul_f64(LINK_SLACK) <= by)
 }
 
 /// A generation that has to move.
--- a/src/gateway/moving.rs
+++ b/src/gateway/moving.rs
@@ -26,6 +26,8 @@
 const REPORT_WAIT: Duration = Duration::from_millis(200);
 /// Time for an engine to free a copy.
 const FORGET_WAIT: Duration = Duration::from_millis(500);
+/// Time after which an engine's word speaks of its end.
+const SECOND_LOOK: Duration = Duration::from_millis(620);
 /// Engines that a generation is offered to.
 const TRIES: usize = 6;
 /// Time after the notice in which a move may still succeed.
@@ -94,13 +96,16 @@
     run: Running,
     begun: Instant,
     times: Times,
+    /// What is known of the engine that leaves.
+    exodus: Exodus,
 }
 
 /// Copies a generation to another engine, then stops it there.
 pub async fn evacuate(gw: Rc<Gateway>, run: Running) -> Moved {
     let begun = clock::now();
     gw.event(Kind::MoveBegun, &run.id, format_args!("source={}", run.address));
-    let mut evacuation = Evacuation { gw, run, begun, times: Times::default() };
+    let exodus = Exodus { since: begun, leaves: None, seen: begun };
+    let mut evacuation = Evacuation { gw, run, begun, times: Times::default(), exodus };
     let moved = evacuation.run().await;
     evacuation.note(&moved);
     moved
@@ -122,8 +127,7 @@
 
     async fn run(&mut self) -> Moved {
         let mut tried = Vec::new();
-        let exodus = self.look().await;
-        let by = evacuate::last_copy_by(&exodus);
+        self.look().await;
         tokio::time::sleep(evacuate::begin_after(self.run.size.get())).await;
         while clock::now() < self.begun + WORTHWHILE && tried.len() < TRIES {
             if self.run.over.get() {
@@ -134,13 +138,14 @@
                 tried.clear();
                 continue;
             };
+            let by = self.last_copy_by().await;
             let since = clock::now();
             let Some(links) = self.occupy(place.key, by) else {
                 if since > by {
                     return Moved::Stay("no time left");
                 }
                 drop(place);
-                tokio::time::sleep(LOOK_TIME).await;
+                tokio::time::sleep(super::jitter(LOOK_TIME * 2)).await;
                 continue;
             };
             let copied = self.copy(to, false).await;
@@ -148,7 +153,7 @@
             match copied {
                 Ok(Copied::Done(first)) => {
                     self.times.first = clock::now().saturating_duration_since(since);
-                    return self.finish(place, to, &exodus, first).await;
+                    return self.finish(place, to, first).await;
                 }
                 Ok(Copied::Absent | Copied::Busy) => tokio::time::sleep(AGAIN_TIME).await,
                 Ok(Copied::NoRoom(_)) => tried.push(place.key),
@@ -166,19 +171,26 @@
         platform::copy(run.address, to, &run.id, last, &self.gw.codec, COPY_WAIT).await
     }
 
-    /// Learns how long the engine has and how much runs there.
-    async fn look(&self) -> Exodus {
+    /// Learns how long the engine has.
+    async fn look(&mut self) {
         let report = platform::report(self.run.address, &self.gw.codec, REPORT_WAIT).await;
-        let (since, seen) = (self.begun, clock::now());
+        self.exodus.seen = clock::now();
         match report {
-            Ok(r) => Exodus { since, leaves: r.leaves, seen },
-            Err(e) => {
-                log::debug!("report of {}: {e}", self.run.address);
-                Exodus { since, leaves: None, seen }
-            }
+            Ok(r) => self.exodus.leaves = r.leaves,
+            Err(e) => log::debug!("report of {}: {e}", self.run.address),
         }
     }
 
+    /// Returns when the last copy has to begin. What an engine says of itself is old, so one that
+    /// did not know of its end at first is asked once more.
+    async fn last_copy_by(&mut self) -> Instant {
+        let is_due = clock::now() >= self.begun + SECOND_LOOK;
+        if self.exodus.leaves.is_none() && self.exodus.seen < self.begun + SECOND_LOOK && is_due {
+            self.look().await;
+        }
+        evacuate::last_copy_by(&self.exodus)
+    }
+
     fn choose(&self, tried: &[PoolKey]) -> Option<(Place, SocketAddr)> {
         let run = &self.run;
         let engine = run.terms.engine.as_ref()?;
@@ -206,7 +218,7 @@
             let own = evacuate::link_tokens(self.run.size.get(), is_far);
             let now = clock::now();
             let queued = |key| pool.endpoints.get(key).map_or(0, |e| e.work().copies);
-            let fits = |key| evacuate::is_in_time(now, by, engine, queued(key), own);
+            let fits = |key| evacuate::may_begin(now, by, engine, queued(key), own);
             keys.into_iter().all(fits).then_some(own)?
         };
         let copy = Work { copies, ..Work::default() };
@@ -221,18 +233,14 @@
     }
 
     /// Stops the generation once the first copies of its neighbours should be through.
-    async fn finish(
-        &mut self,
-        place: Place,
-        to: SocketAddr,
-        exodus: &Exodus,
-        first: Handoff,
-    ) -> Moved {
+    async fn finish(&mut self, place: Place, to: SocketAddr, first: Handoff) -> Moved {
         let now = clock::now();
         // Others that were told of the notice at the same time have had time to say so.
         tokio::time::sleep(TOLD_TIME).await;
-        let latest = evacuate::last_copy_by(exodus);
-        while !self.is_free(place.key) && clock::now() < latest && !self.run.over.get() {
+        while !self.is_free(place.key) && !self.run.over.get() {
+            if clock::now() >= self.last_copy_by().await {
+                break;
+            }
             tokio::time::sleep(LOOK_TIME).await;
         }
         self.times.hold = clock::now().saturating_duration_since(now);
--- a/tests/decisions/evacuate.rs
+++ b/tests/decisions/evacuate.rs
@@ -53,19 +53,23 @@
     let kind = engine(34_000);
     let by = start + Duration::from_millis(1300);
     let time = |t: u32| Duration::from_secs_f64(f64::from(t) * 163_840.0 * 8.0 / 24e9);
-    let mut order: Vec<u32> = tokens.to_vec();
-    order.sort_by_key(|t| evacuate::begin_after(*t));
-    let (mut queued, mut saved) = (0, 0);
-    for t in order {
-        if is_checked && !evacuate::is_in_time(start, by, &kind, queued, t) {
-            continue;
-        }
-        queued += t;
-        if start + time(queued) <= by {
-            saved += 1;
+    let mut waiting: Vec<u32> = tokens.to_vec();
+    waiting.sort_by_key(|t| evacuate::begin_after(*t));
+    // Ends of the copies on the link, with their tokens.
+    let mut link: Vec<(Instant, u32)> = Vec::new();
+    for n in 0..200 {
+        let now = start + Duration::from_millis(10) * n;
+        let queued = link.iter().filter(|(end, _)| *end > now).map(|(_, t)| t).sum();
+        let may = |t: &u32| !is_checked || evacuate::may_begin(now, by, &kind, queued, *t);
+        if let Some(ix) = waiting.iter().position(may) {
+            let t = waiting.remove(ix);
+            let free = link.last().map_or(now, |(end, _)| *end).max(now);
+            link.push((free + time(t), t));
         }
     }
-    (saved, time(queued).saturating_sub(by - start))
+    let saved = link.iter().filter(|(end, _)| *end <= by).count();
+    let busy = link.last().map_or(Duration::ZERO, |(end, _)| end.saturating_duration_since(by));
+    (saved, busy)
 }
 
 #[rstest]
@@ -87,6 +91,14 @@
     assert!(wait > Duration::from_millis(300), "{wait:?}");
 }
 
+#[test]
+fn few_copies_are_on_a_link_at_a_time() {
+    let start = Instant::now();
+    let by = start + Duration::from_secs(5);
+    assert!(evacuate::may_begin(start, by, &engine(34_000), 3000, 3000));
+    assert!(!evacuate::may_begin(start, by, &engine(34_000), 9000, 3000));
+}
+
 #[test]
 fn the_word_of_an_engine_on_its_end_is_half_a_second_old() {
     let since = Instant::now();
