Remove what nothing reads, and respect the connections that an endpoint takes

Two macros for names are one; fields of settings, engines and reports that no decision uses are gone. An endpoint is not sent more requests than the operators' bound on connections, as far as instances know of each other.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -112,7 +112,9 @@
     }
 
     fn need<'a>(&'a self, centre: &'a DataCentre) -> Need<'a> {
-        Need { service: &self.service, engine: self.engine(), work: self.work(), centre }
+        let connections = self.terms.as_ref().map_or(u32::MAX, |t| t.connections);
+        let (service, engine, work) = (&self.service, self.engine(), self.work());
+        Need { service, engine, work, centre, connections }
     }
 
     /// Returns its rank: that of the workspace goes before that of the route.
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -37,6 +37,7 @@
     }
 }
 
+/// Reads 1 to 64 bytes of `a-z`, `0-9`, `.`, `_` and `-`.
 fn scan_name(s: &str) -> Result<Arc<str>, IdError> {
     if s.is_empty() || s.len() > NAME_LIMIT {
         return Err(IdError::Length(s.len()));
@@ -48,6 +49,7 @@
     }
 }
 
+/// Reads 1 to 200 visible ASCII characters.
 fn scan_label(s: &str) -> Result<Arc<str>, IdError> {
     if s.is_empty() || s.len() > LABEL_LIMIT {
         return Err(IdError::Length(s.len()));
@@ -58,8 +60,8 @@
     }
 }
 
-macro_rules! name {
-    ($(#[$doc:meta])* $name:ident) => {
+macro_rules! text_id {
+    ($(#[$doc:meta])* $name:ident, $scan:ident) => {
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
         pub struct $name(Arc<str>);
@@ -80,80 +82,46 @@
         impl FromStr for $name {
             type Err = IdError;
 
-            /// Reads a name of 1 to 64 bytes of `a-z`, `0-9`, `.`, `_` and `-`.
+            /// Reads a name of this kind.
             ///
             /// # Errors
             ///
             /// Returns [`IdError`] where the length or a character is not allowed.
             fn from_str(s: &str) -> Result<Self, IdError> {
-                scan_name(s).map($name)
+                $scan(s).map($name)
             }
         }
     };
 }
 
-name! {
+text_id! {
     /// Names a service of the operators' text.
-    ServiceName
+    ServiceName, scan_name
 }
-name! {
+text_id! {
     /// Names a workspace, the unit of fairness and of keys.
-    Workspace
+    Workspace, scan_name
 }
-name! {
+text_id! {
     /// Names a data centre.
-    DataCentre
+    DataCentre, scan_name
 }
-name! {
+text_id! {
     /// Names an instance, and with it the one process of the system on it.
-    InstanceId
+    InstanceId, scan_name
 }
-name! {
+text_id! {
     /// Names a model, an adapter or a version of either.
-    ModelName
-}
-
-macro_rules! label {
-    ($(#[$doc:meta])* $name:ident) => {
-        $(#[$doc])*
-        #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-        pub struct $name(Arc<str>);
-
-        impl $name {
-            /// Returns the label as text.
-            pub fn as_str(&self) -> &str {
-                &self.0
-            }
-        }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = IdError;
-
-            /// Reads a label of 1 to 200 visible ASCII characters.
-            ///
-            /// # Errors
-            ///
-            /// Returns [`IdError`] where the length or a character is not allowed.
-            fn from_str(s: &str) -> Result<Self, IdError> {
-                scan_label(s).map($name)
-            }
-        }
-    };
+    ModelName, scan_name
 }
 
-label! {
+text_id! {
     /// Names one start of an endpoint, as the endpoint chose it.
-    EndpointId
+    EndpointId, scan_label
 }
-label! {
+text_id! {
     /// Names one attempt of a caller, as the caller chose it.
-    RequestId
+    RequestId, scan_label
 }
 
 macro_rules! number {
--- a/src/platform/boot.rs
+++ b/src/platform/boot.rs
@@ -60,8 +60,6 @@
     pub grace: Duration,
     /// Retries allowed per request, summed over all instances.
     pub retries: f64,
-    /// Longest time by which an event may be late on its way through.
-    pub pass: Duration,
 }
 
 /// Descriptors that the platform reserves for files.
@@ -87,7 +85,6 @@
             sockets: sockets.saturating_sub(FILE_DESCRIPTORS),
             grace: Duration::from_secs_f64(need(&fields, "bounds.grace_s")?),
             retries: need(&fields, "bounds.retry_budget_ratio")?,
-            pass: Duration::from_secs_f64(need::<f64>(&fields, "bounds.pass_ms")? / 1e3),
         })
     }
 }
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -73,8 +73,6 @@
     link_mbps: f64,
     #[serde(default)]
     moves: bool,
-    #[serde(default)]
-    backups: bool,
     /// Tokens of one event.
     #[serde(default)]
     stride: Option<u32>,
@@ -179,7 +177,6 @@
         token_bytes: e.kv_token_bytes as u64,
         link_bits: e.link_mbps * 1e6,
         moves: e.moves,
-        backups: e.backups,
         stride: e.stride.unwrap_or(1),
     });
     Service { connections: s.max_connections, engine }
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -1,7 +1,7 @@
 //! Calls on engines beside requests: their report, and moving a generation's memory.
 
 use crate::h1::{Broken, Outbound, SendError};
-use crate::id::{RequestId, Tokens};
+use crate::id::RequestId;
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, ServiceConfig};
 use bytes::Bytes;
@@ -90,12 +90,6 @@
     pub leaving: bool,
     /// Time until it is gone, where it is leaving and knows.
     pub leaves: Option<Duration>,
-    /// Memory of the generations that run there.
-    pub held: Tokens,
-    /// Generations that run there.
-    pub running: u32,
-    /// Requests that wait there.
-    pub waiting: u32,
 }
 
 #[derive(Debug, Deserialize)]
@@ -104,13 +98,6 @@
     state: Option<Box<str>>,
     #[serde(default)]
     leaves_ms: Option<f64>,
-    #[serde(default)]
-    running: u32,
-    #[serde(default)]
-    waiting: u32,
-    /// Memory that cannot be given to others, cached parts left out.
-    #[serde(default)]
-    kv_used: f64,
 }
 
 async fn call(
@@ -205,8 +192,5 @@
     Ok(Report {
         leaving: text.leaves_ms.is_some() || text.state.as_deref() == Some("draining"),
         leaves: text.leaves_ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok()),
-        held: Tokens(text.kv_used as u32),
-        running: text.running,
-        waiting: text.waiting,
     })
 }
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -106,8 +106,6 @@
     pub link_bits: f64,
     /// Tells that a running generation may move to another engine.
     pub moves: bool,
-    /// Tells that the memory of a generation may be copied while it runs.
-    pub backups: bool,
     /// Tokens of one event.
     pub stride: u32,
 }
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -21,9 +21,9 @@
 /// Prompt tokens whose reading costs as much as a full memory.
 const READ_AHEAD: f64 = 8_000.0;
 /// Share of the memory past which each further share costs more.
-const CROWDED: f64 = 0.85;
-/// Cost of each share of the memory past [`CROWDED`].
-const CROWD: f64 = 4.0;
+const PACKED: f64 = 0.85;
+/// Cost of each share of the memory past [`PACKED`].
+const PACK: f64 = 4.0;
 /// Costs closer than this are chosen between at random, so that instances do not act in step.
 const NEAR: f64 = 0.03;
 
@@ -38,6 +38,8 @@
     pub work: Work,
     /// Data centre that is nearest.
     pub centre: &'a DataCentre,
+    /// Connections that an endpoint takes from all instances.
+    pub connections: u32,
 }
 
 /// Chooses an endpoint that is not among `tried`.
@@ -62,7 +64,8 @@
 ) -> Option<PoolKey> {
     let fits = |k: &PoolKey, e: &Endpoint| {
         let is_usable = e.listing.service == *need.service && e.is_usable();
-        is_usable && !tried.contains(k) && accept(e)
+        let is_open = e.work().open < need.connections;
+        is_usable && is_open && !tried.contains(k) && accept(e)
     };
     pool.endpoints
         .iter()
@@ -87,6 +90,6 @@
 fn engine_load(e: &Endpoint, need: &Need<'_>, engine: &Engine) -> f64 {
     let work = e.work();
     let memory = (work.held + need.work.held) as f64 / f64::from(engine.memory.0.max(1));
-    let crowd = (memory - CROWDED).max(0.0) * CROWD;
-    work.unread as f64 / READ_AHEAD + memory + crowd
+    let pack = (memory - PACKED).max(0.0) * PACK;
+    work.unread as f64 / READ_AHEAD + memory + pack
 }
--- a/tests/decisions/admit.rs
+++ b/tests/decisions/admit.rs
@@ -41,6 +41,7 @@
                 engine: Some(&kind),
                 work: needs(job),
                 centre: &centre,
+                connections: 100,
             };
             let verdict = if is_held {
                 let bid = bid(need(), job.came, Duration::from_secs(39), waiting.len());
@@ -104,7 +105,13 @@
     let (mut pool, keys) = pool(start, 1);
     pool.enter(keys[0], work(held, unread));
     let (service, centre, kind) = (service(), fixture::centre("a"), engine(MEMORY));
-    let need = Need { service: &service, engine: Some(&kind), work: own, centre: &centre };
+    let need = Need {
+        service: &service,
+        engine: Some(&kind),
+        work: own,
+        centre: &centre,
+        connections: 100,
+    };
     let bid = bid(need, start, patience, 0);
     let mut rng = SmallRng::seed_from_u64(1);
     admit::decide(start + waited, &pool, &bid, &Reading::default(), &[], &mut rng)
@@ -142,7 +149,13 @@
     let (pool, _) = pool(start, 1);
     let (service, centre, kind) = (service(), fixture::centre("a"), engine(MEMORY));
     let own = work(30_000, 6000);
-    let need = Need { service: &service, engine: Some(&kind), work: own, centre: &centre };
+    let need = Need {
+        service: &service,
+        engine: Some(&kind),
+        work: own,
+        centre: &centre,
+        connections: 100,
+    };
     let verdict = admit::decide(
         start,
         &pool,
@@ -166,6 +179,7 @@
             engine: Some(&kind),
             work: work(4000, 3000),
             centre: &centre,
+            connections: 100,
         };
         let bid = bid(need, start, LONG, line);
         let now = start + Duration::from_millis(1700);
--- a/tests/decisions/fixture.rs
+++ b/tests/decisions/fixture.rs
@@ -47,7 +47,6 @@
         token_bytes: 163_840,
         link_bits: 24e9,
         moves: true,
-        backups: true,
         stride: 4,
     }
 }
--- a/tests/decisions/pool.rs
+++ b/tests/decisions/pool.rs
@@ -84,8 +84,13 @@
         .iter()
         .for_each(|k| pool.enter(*k, Work { open: 3, held: 11_000, unread: 0, copies: 0 }));
     let (service, centre, kind) = (service(), fixture::centre("a"), engine(34_000));
-    let need =
-        Need { service: &service, engine: Some(&kind), work: work(4000, 3000), centre: &centre };
+    let need = Need {
+        service: &service,
+        engine: Some(&kind),
+        work: work(4000, 3000),
+        centre: &centre,
+        connections: 100,
+    };
     let mut rng = SmallRng::seed_from_u64(3);
     for _ in 0..50 {
         assert_ne!(spread::choose(now, &pool, &need, &[], &mut rng), Some(keys[0]));
@@ -99,9 +104,29 @@
     pool.list(now, listing(5, "b"));
     let far = pool.find(&id(5)).expect("it is listed");
     let (service, centre) = (service(), fixture::centre("a"));
-    let need = || Need { service: &service, engine: None, work: work(0, 0), centre: &centre };
+    let need = || Need {
+        service: &service,
+        engine: None,
+        work: work(0, 0),
+        centre: &centre,
+        connections: 100,
+    };
     let mut rng = SmallRng::seed_from_u64(3);
     assert_eq!(spread::choose(now, &pool, &need(), &[], &mut rng), Some(keys[0]));
     (0..4).for_each(|_| pool.enter(keys[0], work(0, 0)));
     assert_eq!(spread::choose(now, &pool, &need(), &[], &mut rng), Some(far));
 }
+
+#[test]
+fn an_endpoint_is_not_sent_more_than_the_connections_that_it_takes() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool(now, 1);
+    let (service, centre) = (service(), fixture::centre("a"));
+    let need =
+        Need { service: &service, engine: None, work: work(0, 0), centre: &centre, connections: 2 };
+    let mut rng = SmallRng::seed_from_u64(3);
+    pool.enter(keys[0], work(0, 0));
+    assert_eq!(spread::choose(now, &pool, &need, &[], &mut rng), Some(keys[0]));
+    pool.enter(keys[0], work(0, 0));
+    assert_eq!(spread::choose(now, &pool, &need, &[], &mut rng), None);
+}
