Probe for free addresses without listening on them

A process that another thread starts holds a copy of the probing socket between fork and exec; while it listens, the address cannot be bound again.

--- a/standin/src/host/mod.rs
+++ b/standin/src/host/mod.rs
@@ -1,8 +1,9 @@
 //! Runs a stand-in on a thread of its own, so that stopping it closes its sockets at once.
 
 use actix_rt::System;
+use socket2::{Domain, Socket, Type};
 use std::future::Future;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{OnceLock, mpsc};
 use std::thread::JoinHandle;
@@ -63,8 +64,16 @@
     loop {
         let port = FIRST_PORT + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
         let address = SocketAddr::from(([127, a, b, 1], port));
-        if TcpListener::bind(address).is_ok() {
+        if is_free(address) {
             return address;
         }
     }
 }
+
+/// Tells whether an address can be bound, without listening on it: a child that another thread
+/// starts at this moment holds a copy of the socket for a while, and only one that listens would
+/// keep the address from who asked for it.
+fn is_free(address: SocketAddr) -> bool {
+    let Ok(socket) = Socket::new(Domain::IPV4, Type::STREAM, None) else { return false };
+    socket.set_reuse_address(true).and_then(|()| socket.bind(&address.into())).is_ok()
+}
