Scan, hash and decide once where it was done twice

Found on reading the whole change: the head of a request was read twice; its content was hashed twice though no content was a suspect; the time left was worked out anew for each engine looked at, and the same three values were passed beside each other where Entrant names them; two constants stood in two modules; a question to a warden whose caller left stayed in the table of awaited answers. Behaviour is otherwise unchanged.

--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -106,7 +106,9 @@
     tried: &[PoolKey],
     rng: &mut R,
 ) -> Verdict {
-    let has_room = |e: &Endpoint| has_room(now, e, bid, reading);
+    let entrant = entrant(now, bid, reading);
+    let has_room =
+        |e: &Endpoint| bid.need.engine.is_none_or(|engine| fits(now, e, engine, &entrant, reading));
     if let Some(key) = spread::choose_where(now, pool, &bid.need, tried, rng, has_room) {
         return Verdict::Send(key);
     }
@@ -125,18 +127,11 @@
     bid.target.max(alone.mul_f64(READ_SLACK)).min(most)
 }
 
-/// Returns the time within which the first event should come.
-pub fn left(now: Instant, bid: &Bid<'_>, reading: &Reading) -> Duration {
+/// Returns a generation as an engine would meet it now.
+pub fn entrant(now: Instant, bid: &Bid<'_>, reading: &Reading) -> Entrant {
     let alone = reading.time(bid.need.work.unread);
-    (bid.since + patience(bid, alone)).saturating_duration_since(now)
-}
-
-/// Tells whether an engine has room for a generation.
-fn has_room(now: Instant, e: &Endpoint, bid: &Bid<'_>, reading: &Reading) -> bool {
-    let Some(engine) = bid.need.engine else { return true };
-    let left = left(now, bid, reading);
-    let entrant = Entrant { work: bid.need.work, left, urgency: bid.urgency };
-    fits(now, e, engine, &entrant, reading)
+    let left = (bid.since + patience(bid, alone)).saturating_duration_since(now);
+    Entrant { work: bid.need.work, left, urgency: bid.urgency }
 }
 
 /// A generation as an engine would meet it.
--- a/src/blame/mod.rs
+++ b/src/blame/mod.rs
@@ -80,6 +80,11 @@
         true
     }
 
+    /// Tells whether any content is a suspect, before one is hashed to look it up.
+    pub fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty()
+    }
+
     /// Returns how a content may be run.
     pub fn standing(&self, f: &Fingerprint) -> Standing {
         match self.suspects.get(f).map_or(0, HashSet::len) {
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -7,7 +7,7 @@
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::Refusal;
-use crate::id::{ServiceName, Tokens};
+use crate::id::ServiceName;
 use crate::platform::{Handoff, Onward};
 use crate::pool::PoolKey;
 use crate::problem::{Problem, ProblemKind};
@@ -17,12 +17,8 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-/// Engines that turn a generation away unrun before it is refused.
-const OFFERS: usize = 3;
 /// Time between two looks for room, about that between two messages of another instance.
 const ROOM_TIME: Duration = Duration::from_millis(20);
-/// Cost of a retry in the budget of this platform, which counts requests.
-const ONE: Tokens = Tokens(1);
 
 /// The part of a generation that one engine makes.
 pub struct Leg {
@@ -94,17 +90,17 @@
 /// Asks whoever decides for an engine.
 async fn is_granted(gw: &Gateway, job: &Job, key: PoolKey) -> bool {
     let Some(tag) = gw.pool.borrow().endpoints.get(key).map(|e| e.tag) else { return false };
-    let left = job.wait_left(gw, clock::now());
-    peers::ask(gw, tag, job.work(), left, job.urgency()).await
+    peers::ask(gw, tag, &job.entrant(gw, clock::now())).await
 }
 
 /// Finds an engine that begins the generation.
 pub async fn begin(gw: &Rc<Gateway>, job: &Job) -> Result<Leg, Problem> {
-    gw.budget.borrow_mut().earn(&job.service, ONE);
+    gw.budget.borrow_mut().earn(&job.service, offer::COST);
     let mut tried: Vec<PoolKey> = Vec::new();
     loop {
         let may_try = tried.is_empty()
-            || tried.len() < OFFERS && gw.budget.borrow_mut().spend(&job.service, ONE);
+            || tried.len() < offer::OFFERS
+                && gw.budget.borrow_mut().spend(&job.service, offer::COST);
         if !may_try {
             let kind = ProblemKind::Refused(Refusal::Busy);
             return Err(job.refusal(clock::now(), kind, "the engines tried took nothing more"));
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -8,7 +8,6 @@
 use crate::event::Kind;
 use crate::frame::Refusal;
 use crate::h1::Inbound;
-use crate::id::Tokens;
 use crate::platform::{self, Onward};
 use crate::pool::PoolKey;
 use crate::problem::{Problem, ProblemKind};
@@ -20,10 +19,6 @@
 /// Bytes of an answer that are held back until its end is here, so that one that breaks off can
 /// still be asked for elsewhere.
 const HOLD_BYTES: usize = 256 << 10;
-/// Endpoints that a request is sent to, those that turn it away unrun included.
-const OFFERS: usize = 3;
-/// Cost of a retry in the budget of this platform, which counts requests.
-const ONE: Tokens = Tokens(1);
 
 /// How an answer is passed on.
 enum Reply {
@@ -118,7 +113,7 @@
 
 /// Sends a request to endpoints until one has answered, or nothing more may be tried.
 async fn exchange(gw: &Rc<Gateway>, job: &Job) -> Result<Reply, Problem> {
-    gw.budget.borrow_mut().earn(&job.service, ONE);
+    gw.budget.borrow_mut().earn(&job.service, offer::COST);
     let mut trials = Trials::default();
     while let Some(key) = next(gw, job, &trials) {
         trials.tried.push(key);
@@ -162,8 +157,8 @@
 fn next(gw: &Gateway, job: &Job, trials: &Trials) -> Option<PoolKey> {
     let now = clock::now();
     let is_first = trials.tried.is_empty();
-    let is_over = trials.tried.len() >= OFFERS || job.left(now).is_zero();
-    if !is_first && (is_over || !gw.budget.borrow_mut().spend(&job.service, ONE)) {
+    let is_over = trials.tried.len() >= offer::OFFERS || job.left(now).is_zero();
+    if !is_first && (is_over || !gw.budget.borrow_mut().spend(&job.service, offer::COST)) {
         return None;
     }
     job.choose(gw, now, &trials.tried)
--- a/src/gateway/convict.rs
+++ b/src/gateway/convict.rs
@@ -33,7 +33,11 @@
 ///
 /// Returns a problem for such a request, which has not run.
 pub fn check(gw: &Gateway, job: Job) -> Result<Job, Problem> {
-    if gw.blame.borrow().standing(&content(&job)) != Standing::Refused {
+    let is_refused = {
+        let blame = gw.blame.borrow();
+        blame.has_suspects() && blame.standing(&content(&job)) == Standing::Refused
+    };
+    if !is_refused {
         return Ok(job);
     }
     gw.event(Kind::Convicted, label(job.ask.id.as_ref()), "");
@@ -82,5 +86,8 @@
 
 /// Clears a content that ran to its end.
 pub fn clear(gw: &Gateway, job: &Job) {
-    gw.blame.borrow_mut().clear(&content(job));
+    let mut blame = gw.blame.borrow_mut();
+    if blame.has_suspects() {
+        blame.clear(&content(job));
+    }
 }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -1,7 +1,7 @@
 //! One request with the terms that it is served on.
 
 use super::Gateway;
-use crate::admit::{self, Bid, Reading, Verdict};
+use crate::admit::{self, Bid, Entrant, Reading, Verdict};
 use crate::event::Kind;
 use crate::h1::Inbound;
 use crate::id::{DataCentre, RequestId, ServiceName, Tokens};
@@ -52,8 +52,13 @@
     /// # Errors
     ///
     /// Returns a problem where the request is not allowed, or nothing is known yet.
-    pub fn new(gw: &Gateway, now: Instant, req: Request, body: Bytes) -> Result<Job, Problem> {
-        let ask = platform::scan_ask(&req);
+    pub fn new(
+        gw: &Gateway,
+        now: Instant,
+        req: Request,
+        body: Bytes,
+        ask: Ask,
+    ) -> Result<Job, Problem> {
         let Some(table) = gw.table.borrow().clone() else {
             let detail = "no configuration is in force here yet";
             // Nobody knows for how long, so a caller comes back as late as it can.
@@ -130,10 +135,10 @@
         admit::decide(now, &gw.pool.borrow(), &bid, &self.reading(gw), tried, &mut rand::rng())
     }
 
-    /// Returns the time within which its first event should come.
-    pub fn wait_left(&self, gw: &Gateway, now: Instant) -> Duration {
+    /// Returns it as an engine would meet it now.
+    pub fn entrant(&self, gw: &Gateway, now: Instant) -> Entrant {
         let centre = gw.boot.borrow().centre.clone();
-        admit::left(now, &self.bid(gw, &centre), &self.reading(gw))
+        admit::entrant(now, &self.bid(gw, &centre), &self.reading(gw))
     }
 
     fn bid<'a>(&'a self, gw: &Gateway, centre: &'a DataCentre) -> Bid<'a> {
--- a/src/gateway/offer.rs
+++ b/src/gateway/offer.rs
@@ -4,7 +4,7 @@
 use super::job::Job;
 use crate::clock;
 use crate::h1::{Outbound, SendError};
-use crate::id::EndpointId;
+use crate::id::{EndpointId, Tokens};
 use crate::platform::{self, Answer, Onward};
 use crate::pool::PoolKey;
 use crate::problem::{Problem, ProblemKind};
@@ -14,6 +14,10 @@
 use std::time::Duration;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
+/// Endpoints that a request is sent to, those that turn it away unrun included.
+pub const OFFERS: usize = 3;
+/// Cost of a retry in the budget of this platform, which counts requests.
+pub const COST: Tokens = Tokens(1);
 /// Time to connect to an endpoint.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -10,7 +10,7 @@
 use crate::frame::{Envelope, Gossip, Keyring};
 use crate::id::{Incarnation, InstanceId, IntentVersion};
 use crate::route::Urgency;
-use crate::share::{self, Ask, Bulletin, FULL_TIME, Note, Tag, Teller, Work};
+use crate::share::{self, Ask, Bulletin, FULL_TIME, Note, Tag, Teller};
 use crate::store::{Fact, LeaseId, Leases, StoreError};
 use actix_rt::net::UdpSocket;
 use rand::Rng;
@@ -62,6 +62,18 @@
     next: Cell<u64>,
 }
 
+/// A question that is forgotten with who asked it.
+struct Awaited<'a> {
+    talk: &'a Talk,
+    number: u64,
+}
+
+impl Drop for Awaited<'_> {
+    fn drop(&mut self) {
+        self.talk.awaited.borrow_mut().remove(&self.number);
+    }
+}
+
 /// What it takes to send.
 #[derive(Debug)]
 struct Voice {
@@ -124,7 +136,7 @@
 }
 
 /// Asks the warden of an engine for room there; it counts as granted where nobody answers.
-pub async fn ask(gw: &Gateway, tag: Tag, work: Work, left: Duration, urgency: Urgency) -> bool {
+pub async fn ask(gw: &Gateway, tag: Tag, entrant: &Entrant) -> bool {
     let own = gw.boot.borrow().instance.clone();
     let warden = {
         let peers = gw.peers.borrow();
@@ -136,11 +148,12 @@
     gw.talk.next.set(number + 1);
     let (answer, answered) = oneshot::channel();
     gw.talk.awaited.borrow_mut().insert(number, answer);
-    let left = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
-    let ask = Ask { number, row: share::row(tag, work), left, urgency: urgency.0 };
+    let _awaited = Awaited { talk: &gw.talk, number };
+    let left = u32::try_from(entrant.left.as_millis()).unwrap_or(u32::MAX);
+    let row = share::row(tag, entrant.work);
+    let ask = Ask { number, row, left, urgency: entrant.urgency.0 };
     send(gw, &[warden], Note::Ask(ask));
     let granted = tokio::time::timeout(ASK_TIME, answered).await;
-    gw.talk.awaited.borrow_mut().remove(&number);
     metrics::counter!("asks_total", "answered" => granted.is_ok().to_string()).increment(1);
     !matches!(granted, Ok(Ok(false)))
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -101,9 +101,10 @@
     let now = clock::now();
     let close = gw.stopping.get().is_some();
     let held = Held::take(gw, body.len());
-    let id = platform::scan_ask(&req).id;
+    let ask = platform::scan_ask(&req);
+    let id = ask.id.clone();
     let job = match held {
-        Some(_) => Job::new(gw, now, req, body),
+        Some(_) => Job::new(gw, now, req, body, ask),
         None => Err(Problem::new(ProblemKind::TooMany, "request bodies fill the memory")
             .retry(Duration::from_millis(500))),
     };
