Copy the configuration between instances when the store turns one away

Cause: an instance that the store turns away heard from the readers only that there is a new configuration, not what it says.

Change: each message between instances already carries the version that its sender has in force. An instance that lags behind one for 400 ms (share::Newer, no network) asks the latest sender over a connection of its own and adopts what it gets, only upward. Frames are signed with the keys in the store, so that nobody else is handed a configuration.

Ruled out: chunks in datagrams (a lost one needs its own retry); a read through `allow_stale` (the store turns that away as well).

Tests: an instance behind a cut link follows (silent and reset; failed before), the decision in virtual time, a stranger on the address gets nothing.

--- /dev/null
+++ b/src/gateway/copy.rs
@@ -0,0 +1,139 @@
+//! Hands the operators' configuration to instances that cannot read it from the store.
+//!
+//! A configuration is larger than a datagram, so it goes over a connection of its own: one sealed
+//! frame asks, one answers. `nng` would keep threads and a socket per pair for a message that is
+//! sent only while the store is away for some.
+
+use super::{Gateway, GatewayError, bind, follow, peers, serve};
+use crate::clock;
+use crate::id::InstanceId;
+use crate::share::Note;
+use actix_rt::net::{TcpListener, TcpStream};
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use std::fmt::{self, Display};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// Time for a whole exchange: a mebibyte over a link of 10 Mbit/s takes most of a second.
+const EXCHANGE_TIME: Duration = Duration::from_millis(3000);
+/// Largest frame in bytes, as for answers of the store.
+const FRAME_MOST: usize = 4 << 20;
+/// Exchanges that an instance serves at a time, so that a small link is left to its callers.
+const SERVED_MOST: usize = 2;
+
+type Wire = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Tells why an exchange failed.
+#[derive(Debug)]
+enum CopyError {
+    /// Connecting, sending or receiving failed.
+    Io(std::io::Error),
+    /// The other closed the connection instead of answering.
+    Closed,
+    /// The frame is not one that is expected here.
+    Frame,
+    /// It took too long.
+    Timeout,
+}
+
+impl Display for CopyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CopyError::Io(e) => write!(f, "{e}"),
+            CopyError::Closed => f.write_str("connection closed without an answer"),
+            CopyError::Frame => f.write_str("frame of an unknown sender or of another kind"),
+            CopyError::Timeout => f.write_str("no answer in time"),
+        }
+    }
+}
+
+impl From<std::io::Error> for CopyError {
+    fn from(e: std::io::Error) -> Self {
+        CopyError::Io(e)
+    }
+}
+
+/// Serves copies on an address.
+///
+/// # Errors
+///
+/// Returns [`GatewayError::Bind`] where the address cannot be used.
+pub async fn start(gw: &Rc<Gateway>, address: SocketAddr) -> Result<(), GatewayError> {
+    let listener = bind(address).await?;
+    actix_rt::spawn(accept(gw.clone(), listener));
+    Ok(())
+}
+
+/// Asks another instance for its configuration, if one is known to have a newer one.
+pub fn step(gw: &Rc<Gateway>) {
+    let Some(from) = gw.newer.borrow_mut().step(clock::now(), gw.own_version()) else { return };
+    let address = gw.peers.borrow().get(&from).map(|p| p.address);
+    if let Some(address) = address {
+        actix_rt::spawn(pull(gw.clone(), from, address));
+    }
+}
+
+async fn pull(gw: Rc<Gateway>, from: InstanceId, address: SocketAddr) {
+    let fetched = timeout(EXCHANGE_TIME, fetch(&gw, address)).await;
+    match fetched.unwrap_or(Err(CopyError::Timeout)) {
+        Ok(text) => follow::adopt(&gw, &text, &from),
+        Err(e) => log::debug!("configuration of {from} not copied: {e}"),
+    }
+}
+
+async fn fetch(gw: &Gateway, address: SocketAddr) -> Result<Vec<u8>, CopyError> {
+    let mut wire = Framed::new(TcpStream::connect(address).await?, codec());
+    send(gw, &mut wire, Note::Pull).await?;
+    let frame = wire.next().await.ok_or(CopyError::Closed)??;
+    match peers::open(gw, &frame, |a| *a == address) {
+        Some(envelope) => match envelope.body {
+            Note::Table(text) => Ok(text),
+            _ => Err(CopyError::Frame),
+        },
+        None => Err(CopyError::Frame),
+    }
+}
+
+async fn accept(gw: Rc<Gateway>, listener: TcpListener) {
+    let places = Arc::new(Semaphore::new(SERVED_MOST));
+    loop {
+        let stream = serve::accept(&listener).await;
+        // Who is turned away asks another instance next.
+        let Ok(place) = places.clone().try_acquire_owned() else { continue };
+        let gw = gw.clone();
+        actix_rt::spawn(async move {
+            let handed = timeout(EXCHANGE_TIME, hand(&gw, stream)).await;
+            if let Err(e) = handed.unwrap_or(Err(CopyError::Timeout)) {
+                log::debug!("configuration not handed on: {e}");
+            }
+            drop(place);
+        });
+    }
+}
+
+async fn hand(gw: &Gateway, stream: TcpStream) -> Result<(), CopyError> {
+    let mut wire = Framed::new(stream, codec());
+    let frame = wire.next().await.ok_or(CopyError::Closed)??;
+    // The key tells who asks: a connection comes from a port of its own.
+    let asked = peers::open(gw, &frame, |_| true).ok_or(CopyError::Frame)?;
+    if asked.body != Note::Pull {
+        return Err(CopyError::Frame);
+    }
+    let text = gw.text.borrow().to_vec();
+    send(gw, &mut wire, Note::Table(text)).await
+}
+
+async fn send(gw: &Gateway, wire: &mut Wire, note: Note) -> Result<(), CopyError> {
+    let frame = peers::seal(gw, note).ok_or(CopyError::Frame)?;
+    Ok(wire.send(Bytes::from(frame)).await?)
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(FRAME_MOST).new_codec()
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -6,6 +6,7 @@
 use crate::platform;
 use crate::share::Bulletin;
 use crate::store::{Fact, Feed, News, StoreError};
+use std::fmt::Display;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -124,18 +125,24 @@
 
 fn take_config(gw: &Gateway, news: &News) {
     let newest = news.facts.iter().rev().find(|f| &*f.key == platform::CONFIG_KEY);
-    let Some(value) = newest.and_then(|f| f.value.as_ref()) else { return };
-    let table = match platform::scan_table(value) {
+    if let Some(value) = newest.and_then(|f| f.value.as_ref()) {
+        adopt(gw, value, "store");
+    }
+}
+
+/// Takes over a configuration, unless it is no newer than the one in force.
+pub fn adopt(gw: &Gateway, text: &[u8], from: impl Display) {
+    let table = match platform::scan_table(text) {
         Ok(table) => table,
-        Err(e) => return gw.event(Kind::TableRefused, "table", e),
+        Err(e) => return gw.event(Kind::TableRefused, "table", format_args!("from={from} {e}")),
     };
-    let known = gw.table.borrow().as_ref().map(|t| t.version);
-    if known.is_some_and(|v| v >= table.version) {
+    if gw.own_version() >= table.version.0 {
         return;
     }
-    let detail = format!("routes={} keys={}", table.hosts.len(), table.keys.len());
-    gw.event(Kind::Adopted, table.version, detail);
+    let (routes, keys) = (table.hosts.len(), table.keys.len());
+    gw.event(Kind::Adopted, table.version, format_args!("from={from} routes={routes} keys={keys}"));
     metrics::gauge!("table_version").set(table.version.0 as f64);
+    *gw.text.borrow_mut() = text.into();
     *gw.table.borrow_mut() = Some(Rc::new(table));
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod begin;
 mod call;
 mod convict;
+mod copy;
 mod follow;
 mod job;
 mod moving;
@@ -27,7 +28,7 @@
 use crate::platform::{Boot, BootError, Kv};
 use crate::pool::{Change, Pool, PoolKey};
 use crate::route::Table;
-use crate::share::{Ledger, Work};
+use crate::share::{Ledger, Newer, Work};
 use actix_http::{KeepAlive, ServiceConfig};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -89,6 +90,10 @@
     boot: RefCell<Boot>,
     ring: RefCell<Ring>,
     table: RefCell<Option<Rc<Table>>>,
+    /// Text that the table was read from, for instances that are cut off from the store.
+    text: RefCell<Box<[u8]>>,
+    /// Versions that others have in force.
+    newer: RefCell<Newer>,
     pool: RefCell<Pool>,
     budget: RefCell<Budget>,
     /// Bytes of request bodies that are held.
@@ -148,6 +153,8 @@
     let gw = Rc::new(Gateway {
         ring: RefCell::new(Ring::new(boot.instance.clone())),
         table: RefCell::new(None),
+        text: RefCell::default(),
+        newer: RefCell::default(),
         pool: RefCell::new(Pool::default()),
         budget: RefCell::new(Budget::new(allowance(&boot))),
         bodies: Cell::new(0),
@@ -180,6 +187,7 @@
     actix_rt::spawn(vigil::watch(gw.clone()));
     if let Some(address) = boot.inner {
         peers::start(&gw, address).await.map_err(|e| GatewayError::Bind(address, e))?;
+        copy::start(&gw, address).await?;
     }
     let hangups = signal(SignalKind::hangup()).map_err(GatewayError::Signal)?;
     actix_rt::spawn(reload(gw.clone(), file, hangups));
@@ -219,6 +227,11 @@
         }
     }
 
+    /// Returns the version in force, 0 before there is one.
+    fn own_version(&self) -> u64 {
+        self.table.borrow().as_ref().map_or(0, |t| t.version.0)
+    }
+
     /// Tells whether new connections are welcome.
     fn is_ready(&self) -> bool {
         self.stopping.get().is_none() && self.table.borrow().is_some()
@@ -265,6 +278,7 @@
         gw.pool.borrow_mut().refresh(&gw.ledger.borrow());
         let changes = gw.pool.borrow_mut().step(now);
         changes.into_iter().for_each(|c| gw.note_change(c));
+        copy::step(&gw);
     }
 }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -48,8 +48,8 @@
 /// Another instance.
 #[derive(Debug)]
 pub struct Peer {
-    /// Address for messages.
-    address: SocketAddr,
+    /// Address for messages and for copies of the configuration.
+    pub address: SocketAddr,
     /// Key that its messages are signed with.
     keys: Keyring,
 }
@@ -100,14 +100,21 @@
     Ok(())
 }
 
+/// Signs a message; `None` before this instance has a key.
+pub fn seal(gw: &Gateway, body: Note) -> Option<Vec<u8>> {
+    let voice = gw.talk.voice.borrow();
+    let v = voice.as_ref()?;
+    let at = gw.ring.borrow_mut().clock.tick(clock::wall());
+    let from = gw.boot.borrow().instance.clone();
+    let version = IntentVersion(gw.own_version());
+    Some(v.keys.seal(&Envelope { from, incarnation: v.incarnation, at, version, body }))
+}
+
 /// Sends a message to other instances.
 fn send(gw: &Gateway, to: &[SocketAddr], body: Note) {
+    let Some(frame) = seal(gw, body) else { return };
     let voice = gw.talk.voice.borrow();
     let Some(v) = voice.as_ref() else { return };
-    let at = gw.ring.borrow_mut().clock.tick(clock::wall());
-    let from = gw.boot.borrow().instance.clone();
-    let version = IntentVersion(gw.table.borrow().as_ref().map_or(0, |t| t.version.0));
-    let frame = v.keys.seal(&Envelope { from, incarnation: v.incarnation, at, version, body });
     for peer in to {
         // A datagram that finds no room is made good by the next full one.
         if let Err(e) = v.socket.try_send_to(&frame, *peer) {
@@ -273,10 +280,8 @@
                 continue;
             }
         };
-        let Some(envelope) = open(&gw, &buf[..n], from) else {
-            metrics::counter!("frames_dropped_total").increment(1);
-            continue;
-        };
+        let Some(envelope) = open(&gw, &buf[..n], |a| *a == from) else { continue };
+        gw.newer.borrow_mut().note(clock::now(), &envelope.from, envelope.version.0);
         take_note(&gw, envelope, from);
     }
 }
@@ -294,6 +299,9 @@
         }
         Note::Blame(gossip) => convict::merge(gw, &gossip),
         Note::News(bulletin) => follow::take_bulletin(gw, &bulletin),
+        Note::Pull | Note::Table(_) => {
+            log::debug!("message of {from} belongs on a connection");
+        }
         Note::Grant(number, granted) => {
             if let Some(answer) = gw.talk.awaited.borrow_mut().remove(&number) {
                 // Who asked may have given up meanwhile.
@@ -303,8 +311,17 @@
     }
 }
 
-fn open(gw: &Gateway, frame: &[u8], from: SocketAddr) -> Option<Envelope<Note>> {
+/// Checks a frame with the keys of the instances whose address `is_sender`.
+pub fn open(
+    gw: &Gateway,
+    frame: &[u8],
+    is_sender: impl Fn(&SocketAddr) -> bool,
+) -> Option<Envelope<Note>> {
     let peers = gw.peers.borrow();
-    let peer = peers.values().find(|p| p.address == from)?;
-    peer.keys.open(frame).ok()
+    let mut senders = peers.values().filter(|p| is_sender(&p.address));
+    let envelope = senders.find_map(|p| p.keys.open(frame).ok());
+    if envelope.is_none() {
+        metrics::counter!("frames_dropped_total").increment(1);
+    }
+    envelope
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -47,7 +47,8 @@
     }
 }
 
-async fn accept(listener: &TcpListener) -> TcpStream {
+/// Accepts a connection, however long that takes.
+pub async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((io, _)) => return io,
--- a/src/share/mod.rs
+++ b/src/share/mod.rs
@@ -6,6 +6,10 @@
 //! as soon as that changes. A message carries the rows that changed, and now and then all of them;
 //! one that is lost is made good by the next full one.
 
+mod newer;
+
+pub use newer::Newer;
+
 use crate::frame::Gossip;
 use crate::id::{EndpointId, Fingerprint, InstanceId};
 use crate::store::Fact;
@@ -122,6 +126,12 @@
     /// What the store told a reader.
     #[serde(rename = "n")]
     News(Bulletin),
+    /// Asks for the operators' configuration; not sent as a datagram.
+    #[serde(rename = "p")]
+    Pull,
+    /// The operators' configuration as the store holds it; not sent as a datagram.
+    #[serde(rename = "t", with = "serde_bytes")]
+    Table(Vec<u8>),
 }
 
 /// Changes that a reader passes on.
--- a/standin/src/platform/gateway.rs
+++ b/standin/src/platform/gateway.rs
@@ -18,6 +18,8 @@
     pub front: SocketAddr,
     /// Address for readiness.
     pub ready: SocketAddr,
+    /// Address for other instances.
+    pub inner: SocketAddr,
     /// Settings file.
     pub file: PathBuf,
     binary: PathBuf,
@@ -50,14 +52,16 @@
     }
 
     fn launch(binary: &Path, store: SocketAddr, piped: bool) -> Gateway {
-        let (front, ready) = (free_address(), free_address());
+        let (front, ready, inner) = (free_address(), free_address(), free_address());
         let name = format!("g-{}", NEXT.fetch_add(1, Ordering::Relaxed));
         let dir = std::env::temp_dir().join(format!("gateway-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("the folder can be made");
         let file = dir.join(format!("{name}.conf"));
-        std::fs::write(&file, settings(&name, front, ready, store)).expect("it can be written");
+        std::fs::write(&file, settings(&name, [front, ready, inner], store))
+            .expect("it can be written");
         let child = spawn(binary, &file, piped);
-        let gateway = Gateway { front, ready, file, binary: binary.to_owned(), child, piped };
+        let gateway =
+            Gateway { front, ready, inner, file, binary: binary.to_owned(), child, piped };
         assert!(gateway.listens(), "the gateway listens");
         gateway
     }
@@ -128,8 +132,9 @@
         .expect("the binary runs")
 }
 
-fn settings(name: &str, front: SocketAddr, ready: SocketAddr, store: SocketAddr) -> String {
-    let (ip, port) = (front.ip(), free_address().port());
+fn settings(name: &str, own: [SocketAddr; 3], store: SocketAddr) -> String {
+    let [front, ready, inner] = own;
+    let (ip, port) = (inner.ip(), inner.port());
     format!(
         "node={name}\nclass=front\nip={ip}\nzone=z-a\nlisten.front={front}\nlisten.ready={ready}\n\
         internal_port_range={port},{port}\nlimits.memory_mb=110\nlimits.max_fds=4100\n\
--- a/tests/decisions/share.rs
+++ b/tests/decisions/share.rs
@@ -3,7 +3,7 @@
 use crate::fixture::{id, work};
 use proptest::prelude::*;
 use skylarkthread::id::InstanceId;
-use skylarkthread::share::{self, Bulletin, Digest, Ledger, Tag, Teller, Work};
+use skylarkthread::share::{self, Bulletin, Digest, Ledger, Newer, Tag, Teller, Work};
 use skylarkthread::store::Fact;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -74,6 +74,25 @@
     assert!(bulletin.more && bulletin.facts.len() < 60);
 }
 
+/// Plays a version that others have and this instance does not get from the store.
+#[test]
+fn who_lags_behind_for_long_asks_the_latest_sender() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut newer = Newer::default();
+    newer.note(at(0), &instance(1), 8);
+    assert_eq!(newer.step(at(100), 7), None, "the store is given time first");
+    newer.note(at(300), &instance(2), 9);
+    newer.note(at(350), &instance(3), 8);
+    assert_eq!(newer.step(at(450), 7), Some(instance(2)));
+    assert_eq!(newer.step(at(500), 7), None, "one try at a time");
+    newer.note(at(600), &instance(4), 9);
+    assert_eq!(newer.step(at(900), 7), Some(instance(4)), "another one after a failure");
+    assert_eq!(newer.step(at(1400), 9), None);
+    newer.note(at(1500), &instance(1), 10);
+    assert_eq!(newer.step(at(1550), 9), None, "each time anew");
+}
+
 proptest! {
     /// Whatever is lost, the next full message makes the view right.
     #[test]
--- a/tests/gateway/common.rs
+++ b/tests/gateway/common.rs
@@ -1,6 +1,7 @@
 //! What the tests share: one or more gateways, a store and endpoints.
 
 use standin::platform::{Endpoint, Gateway, Reply, Sent, Store, send, wait_until};
+use std::net::SocketAddr;
 use std::path::Path;
 
 /// The first configuration: a route of each kind, one service of each sort.
@@ -23,7 +24,12 @@
 
 /// Starts a gateway on the store.
 pub fn gateway(store: &Store) -> Gateway {
-    Gateway::start(Path::new(env!("CARGO_BIN_EXE_skylarkthread")), store.address)
+    gateway_at(store.address)
+}
+
+/// Starts a gateway that reaches the store at an address.
+pub fn gateway_at(store: SocketAddr) -> Gateway {
+    Gateway::start(Path::new(env!("CARGO_BIN_EXE_skylarkthread")), store)
 }
 
 /// Starts a store with the configuration and the endpoints, and a gateway that knows them.
--- a/tests/gateway/intent.rs
+++ b/tests/gateway/intent.rs
@@ -1,7 +1,9 @@
 //! The operators' configuration and the list of endpoints.
 
 use crate::common::{CONFIG, call, list, request, start, wait};
-use standin::platform::{Act, Endpoint, Outage, Store, send};
+use standin::platform::{Act, Endpoint, Mode, Outage, Proxy, Store, send};
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::Duration;
 
 fn named(name: &str) -> Endpoint {
@@ -69,6 +71,55 @@
     assert!(wait(2, || call(&gateway, "GET", "/safe/x", "id-2").status == 401));
 }
 
+#[test]
+fn an_instance_that_is_cut_off_from_the_store_follows_the_others() {
+    let (e, f) = (named("i-1"), named("i-2"));
+    let (store, near) = start(&[(&e, "plain"), (&f, "second")]);
+    let link = Proxy::start(store.address);
+    let far = crate::common::gateway_at(link.address);
+    assert!(wait(5, || far.readiness() == 200));
+    // Each must have read the other's key before the cut.
+    std::thread::sleep(Duration::from_millis(1500));
+    for (n, cut) in [Mode::Silent, Mode::Reset].into_iter().enumerate() {
+        link.set(cut);
+        std::thread::sleep(Duration::from_millis(1000));
+        let to = ["second", "plain"][n];
+        let version = format!("\"version\":{}", 12 + n);
+        let mut text = CONFIG.replace("\"version\":7", &version);
+        text = text.replace(
+            "\"priority\":2,\"service\":\"plain\"",
+            &format!("\"priority\":2,\"service\":\"{to}\""),
+        );
+        // Larger than a datagram.
+        text.push_str(&" ".repeat(40_000));
+        store.set("op/config", Some(text.as_bytes()));
+        let body = |g| call(g, "GET", "/safe/x", "id-1").body;
+        let want = ["i-2", "i-1"][n];
+        assert!(wait(2, || body(&near) == want), "{cut:?}");
+        assert!(wait(2, || body(&far) == want), "{cut:?}: the far one follows");
+        link.set(Mode::Pass);
+        std::thread::sleep(Duration::from_millis(1000));
+    }
+}
+
+#[test]
+fn a_configuration_is_handed_to_nobody_who_has_no_key_in_the_store() {
+    let e = named("i-1");
+    let (_store, gateway) = start(&[(&e, "plain")]);
+    for frame in
+        [b"\0\0\0\x20aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa", &b"GET /config HTTP/1.1\r\n\r\n"[..]]
+    {
+        let mut io = TcpStream::connect(gateway.inner).expect("the instance listens");
+        io.set_read_timeout(Some(Duration::from_secs(2))).expect("it is a valid time");
+        io.write_all(frame).expect("it takes the bytes");
+        let mut got = Vec::new();
+        let ended = io.read_to_end(&mut got);
+        assert!(got.is_empty(), "{got:?}");
+        assert!(ended.is_ok_and(|n| n == 0), "it closes the connection");
+    }
+    assert_eq!(call(&gateway, "GET", "/safe/x", "id-1").status, 200);
+}
+
 #[test]
 fn an_endpoint_that_is_leaving_gets_nothing_new() {
     let (e, f) = (named("i-1"), named("i-2"));
