Log the size of each generation with its outcome

Cause: why the largest requests of a kind are served worse could not be read from the logs: a line told what an engine held, not what the request asked for.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -231,6 +231,12 @@
         label(self.job.ask.id.as_ref())
     }
 
+    /// Names the engine and the size of the generation for the log.
+    fn place(&self) -> String {
+        let size = self.job.ask.prompt.map_or_else(String::new, |p| format!(" {p}"));
+        format!("endpoint={}{size}", self.leg.taken.endpoint)
+    }
+
     fn note_whole(&self) {
         offer::note_health(self.gw, self.leg.place.key, true);
         convict::clear(self.gw, self.job);
@@ -238,16 +244,15 @@
         metrics::counter!("streams_total", "end" => "whole").increment(1);
         metrics::histogram!("stream_seconds").record(ms as f64 / 1e3);
         metrics::histogram!("pause_seconds").record(self.pace.pause.as_secs_f64());
-        let detail = format!("endpoint={} {} ms={ms}", self.leg.taken.endpoint, self.pace);
+        let detail = format!("{} {} ms={ms}", self.place(), self.pace);
         self.gw.event(Kind::Answered, self.label(), detail);
     }
 
     fn note_failed(&self, why: &Failure) {
         metrics::counter!("streams_total", "end" => "failed").increment(1);
         let ms = clock::now().saturating_duration_since(self.job.since).as_millis();
-        let endpoint = &self.leg.taken.endpoint;
         let why = why.to_string();
-        let detail = format!("endpoint={endpoint} why={why:?} {} ms={ms}", self.pace);
+        let detail = format!("{} why={why:?} {} ms={ms}", self.place(), self.pace);
         self.gw.event(Kind::Failed, self.label(), detail);
     }
 
--- a/src/platform/head.rs
+++ b/src/platform/head.rs
@@ -9,7 +9,7 @@
     AUTHORIZATION, CONNECTION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER,
 };
 use actix_http::{HttpMessage, Request, RequestHead, Response, ResponseHead, StatusCode};
-use std::fmt::Display;
+use std::fmt::{self, Display};
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -67,6 +67,13 @@
     pub hint: Option<Tokens>,
 }
 
+impl Display for Prompt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let hint = self.hint.map_or(0, |h| h.0);
+        write!(f, "input={} hint={hint} most={}", self.input.0, self.most.0)
+    }
+}
+
 /// What the head of a request says.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Ask {
