Leave endpoints alone that take no connection, and charge no offer for them

Ejection needs three failures in a row and stops at half of a service.

Change: one failed connection takes an endpoint out at once, for 1 s, doubled each time up to 8 s, whatever share of its service is left; an answer clears it. A request goes on to up to ten endpoints; only those that have seen it count as offers and cost a retry.

Ruled out: ejecting by the shared health record (its floor keeps dead ones in use; its trial lets one request in at a time for as long as a stream lasts). Not done: telling other instances, as one that is cut off would speak for all.

--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -99,11 +99,9 @@
 pub async fn begin(gw: &Rc<Gateway>, job: &Job) -> Result<Leg, Problem> {
     gw.budget.borrow_mut().earn(&job.service, offer::COST);
     let mut tried: Vec<PoolKey> = Vec::new();
+    let mut reached = 0;
     loop {
-        let may_try = tried.is_empty()
-            || tried.len() < offer::OFFERS
-                && gw.budget.borrow_mut().spend(&job.service, offer::COST);
-        if !may_try {
+        if !offer::may_go_on(gw, job, tried.len(), reached) {
             let kind = ProblemKind::Refused(Refusal::Busy);
             return Err(job.refusal(clock::now(), kind, "the engines tried took nothing more"));
         }
@@ -114,9 +112,8 @@
             Ok(leg) => return Ok(leg),
             Err(miss) => miss,
         };
-        if miss.is_failure() {
-            offer::note_health(gw, key, false);
-        }
+        offer::note_miss(gw, key, miss);
+        reached += usize::from(!miss.is_unseen());
         if miss == Miss::Broken {
             convict::suspect(gw, job, key);
         }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -105,6 +105,8 @@
 struct Trials {
     /// Endpoints that it was sent to.
     tried: Vec<PoolKey>,
+    /// Endpoints that have seen it.
+    reached: usize,
     /// Endpoints that may have run it.
     runs: u32,
     /// A failure that an endpoint answered with, for want of anything better.
@@ -129,9 +131,8 @@
             }
             Err(miss) => miss,
         };
-        if miss.is_failure() {
-            offer::note_health(gw, key, false);
-        }
+        offer::note_miss(gw, key, miss);
+        trials.reached += usize::from(!miss.is_unseen());
         if miss == Miss::Broken {
             convict::suspect(gw, job, key);
         }
@@ -155,13 +156,10 @@
 
 /// Returns the endpoint to try next, if one may be tried.
 fn next(gw: &Gateway, job: &Job, trials: &Trials) -> Option<PoolKey> {
-    let now = clock::now();
-    let is_first = trials.tried.is_empty();
-    let is_over = trials.tried.len() >= offer::OFFERS || job.left(now).is_zero();
-    if !is_first && (is_over || !gw.budget.borrow_mut().spend(&job.service, offer::COST)) {
+    if !offer::may_go_on(gw, job, trials.tried.len(), trials.reached) {
         return None;
     }
-    job.choose(gw, now, &trials.tried)
+    job.choose(gw, clock::now(), &trials.tried)
 }
 
 /// Makes the answer to a request that may have run and may not be sent again.
--- a/src/gateway/offer.rs
+++ b/src/gateway/offer.rs
@@ -14,8 +14,10 @@
 use std::time::Duration;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
-/// Endpoints that a request is sent to, those that turn it away unrun included.
-pub const OFFERS: usize = 3;
+/// Endpoints that a request reaches, those that turn it away unrun included.
+const OFFERS: usize = 3;
+/// Endpoints that a request is sent to in all; those that take no connection cost them nothing.
+pub const TRIES: usize = 10;
 /// Cost of a retry in the budget of this platform, which counts requests.
 pub const COST: Tokens = Tokens(1);
 /// Time to connect to an endpoint.
@@ -55,6 +57,11 @@
         matches!(self, Gone | Leaving | Unreached | Head | Full | Misdirected)
     }
 
+    /// Tells whether the endpoint has not even seen the request.
+    pub fn is_unseen(self) -> bool {
+        matches!(self, Miss::Gone | Miss::Leaving | Miss::Unreached | Miss::Head)
+    }
+
     /// Tells whether it speaks against the endpoint: one that is full says so and is well.
     pub fn is_failure(self) -> bool {
         !matches!(self, Miss::Full | Miss::Gone | Miss::Leaving)
@@ -104,11 +111,31 @@
         Err(_) => return Err(Miss::Late),
     };
     let answer = platform::scan_answer(&head);
+    gw.pool.borrow_mut().note_present(key);
     note_answer(gw, key, &answer);
     check(job, &answer)?;
     Ok(Taken { head, answer, out, endpoint: onward.endpoint.clone() })
 }
 
+/// Tells whether a request may be sent once more, after it was sent to `tried` endpoints and
+/// reached `reached` of them.
+pub fn may_go_on(gw: &Gateway, job: &Job, tried: usize, reached: usize) -> bool {
+    let is_free = reached == 0;
+    let is_open = tried < TRIES && reached < OFFERS && !job.left(clock::now()).is_zero();
+    is_open && (is_free || gw.budget.borrow_mut().spend(&job.service, COST))
+}
+
+/// Counts a failed attempt for or against its endpoint.
+pub fn note_miss(gw: &Gateway, key: PoolKey, miss: Miss) {
+    if miss == Miss::Unreached {
+        if let Some(change) = gw.pool.borrow_mut().note_absent(clock::now(), key) {
+            gw.note_change(change);
+        }
+    } else if miss.is_failure() {
+        note_health(gw, key, false);
+    }
+}
+
 /// Tells whether an answer is the endpoint's, and to this request.
 fn check(job: &Job, answer: &Answer) -> Result<(), Miss> {
     if answer.misdirected {
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -20,6 +20,10 @@
 const FLOOR: usize = 50;
 /// Time for which a load that an endpoint told of counts.
 const LOAD_AGE: Duration = Duration::from_millis(600);
+/// Time for which an endpoint that takes no connection is left alone; it doubles each time.
+const ABSENT_TIME: Duration = Duration::from_millis(1000);
+/// Longest such time: a cut between an instance and its endpoints lasts seconds.
+const ABSENT_MOST: Duration = Duration::from_secs(8);
 /// Requests that an endpoint gets at one time while it is tried.
 const TRIAL_OPEN: u32 = 1;
 
@@ -88,6 +92,10 @@
     pub load: Option<(Load, Instant)>,
     /// When it has warmed up.
     pub warm: Instant,
+    /// Time until which it is left alone, as it took no connection.
+    pub absent: Option<Instant>,
+    /// Times in a row that it took none.
+    misses: u32,
     /// Wakes the generations that run there when it begins to leave.
     pub leave: Rc<Notify>,
 }
@@ -105,6 +113,8 @@
             tag,
             load: None,
             warm,
+            absent: None,
+            misses: 0,
             leave: Rc::new(Notify::new()),
         };
         e.mark(now);
@@ -132,7 +142,7 @@
     pub fn is_usable(&self) -> bool {
         let is_out = self.health.until.is_some();
         let is_tried = self.health.trial && self.own.open >= TRIAL_OPEN;
-        self.standing == Standing::Serving && !is_out && !is_tried
+        self.standing == Standing::Serving && !is_out && !is_tried && self.absent.is_none()
     }
 
     /// Tells whether it is leaving.
@@ -248,6 +258,23 @@
         }
     }
 
+    /// Notes that an endpoint took no connection. It looks idle, so it would be chosen first; and
+    /// unlike one that fails, it serves nobody, so no share of a service stays in use that way.
+    pub fn note_absent(&mut self, now: Instant, key: PoolKey) -> Option<Change> {
+        let e = self.endpoints.get_mut(key).filter(|e| e.absent.is_none())?;
+        let time = ABSENT_TIME.saturating_mul(1 << e.misses.min(5)).min(ABSENT_MOST);
+        e.absent = Some(now + time);
+        e.misses += 1;
+        Some(Change::Ejected(e.listing.id.clone()))
+    }
+
+    /// Notes that an endpoint answered.
+    pub fn note_present(&mut self, key: PoolKey) {
+        if let Some(e) = self.endpoints.get_mut(key) {
+            (e.absent, e.misses) = (None, 0);
+        }
+    }
+
     /// Counts a request as sent to an endpoint.
     pub fn enter(&mut self, key: PoolKey, work: Work) {
         if let Some(e) = self.endpoints.get_mut(key) {
@@ -289,7 +316,11 @@
         let mut lapsed = Vec::new();
         let mut failing = Vec::new();
         for (key, e) in &mut self.endpoints {
-            if e.health.readmit(now) {
+            let is_due = e.absent.is_some_and(|t| t <= now);
+            if is_due {
+                e.absent = None;
+            }
+            if e.health.readmit(now) || is_due {
                 changes.push(Change::Readmitted(e.listing.id.clone()));
             }
             if matches!(e.standing, Standing::Lapsed(t) if t <= now) {
--- a/tests/decisions/pool.rs
+++ b/tests/decisions/pool.rs
@@ -73,6 +73,41 @@
     assert!(!pool.endpoints[tried].is_usable());
 }
 
+#[test]
+fn one_that_takes_no_connection_is_left_alone_at_once_and_for_longer_each_time() {
+    let start = Instant::now();
+    let (mut pool, keys) = pool(start, 2);
+    let key = keys[0];
+    let mut now = start;
+    let mut times = Vec::new();
+    for _ in 0..6 {
+        assert!(pool.note_absent(now, key).is_some());
+        assert!(pool.note_absent(now, key).is_none(), "several fail at one moment");
+        let out = now;
+        while !pool.endpoints[key].is_usable() {
+            now += Duration::from_millis(100);
+            pool.step(now);
+        }
+        times.push((now - out).as_secs());
+    }
+    assert_eq!(times, [1, 2, 4, 8, 8, 8]);
+    pool.note_present(key);
+    pool.note_absent(now, key);
+    pool.step(now + Duration::from_secs(1));
+    assert!(pool.endpoints[key].is_usable(), "one that answered starts anew");
+}
+
+/// An instance that is cut off from all endpoints finds them again within a second.
+#[test]
+fn no_share_of_a_service_is_kept_in_use_that_takes_no_connection() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool(now, 4);
+    keys.iter().for_each(|k| drop(pool.note_absent(now, *k)));
+    assert!(pool.endpoints.values().all(|e| !e.is_usable()));
+    assert_eq!(pool.step(now + Duration::from_secs(1)).len(), 4);
+    assert!(pool.endpoints.values().all(|e| e.is_usable()));
+}
+
 /// Load it plays: many instances that send at once to engines of which one has just joined.
 #[test]
 fn prompts_are_spread_by_what_waits_to_be_read_not_only_by_what_runs() {
--- a/tests/gateway/intent.rs
+++ b/tests/gateway/intent.rs
@@ -1,6 +1,7 @@
 //! The operators' configuration and the list of endpoints.
 
 use crate::common::{CONFIG, call, list, request, start, wait};
+use standin::host::free_address;
 use standin::platform::{Act, Endpoint, Mode, Outage, Proxy, Store, send};
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -178,6 +179,24 @@
     }
 }
 
+/// Load it plays: endpoints go while the store cannot say so, and look idle from then on.
+#[test]
+fn endpoints_that_are_gone_cost_no_request_while_the_store_is_away() {
+    let e = named("i-1");
+    let (store, gateway) = start(&[(&e, "plain")]);
+    for n in 0..8 {
+        let nobody = Endpoint::entry_at(free_address(), "plain", "ready");
+        store.set(&format!("servers/dead-{n}"), Some(nobody.as_bytes()));
+    }
+    std::thread::sleep(Duration::from_millis(400));
+    store.fail(Some(Outage::Busy));
+    let bad: Vec<u16> = (0..40)
+        .map(|n| call(&gateway, "POST", "/unsafe/x", &format!("id-{n}")).status)
+        .filter(|status| *status != 200)
+        .collect();
+    assert!(bad.is_empty(), "{bad:?}");
+}
+
 #[test]
 fn an_entry_that_lapsed_in_an_outage_stays_in_use_until_it_is_back() {
     let e = named("i-1");
