Let readers tell the others how the store is, and look less often

Read off the code: each of 28 instances made a stale read every 300 ms and a look every 1.3 s, though three readers do the same and pass on what they find.

Change: a message says whether the store answers its sender. An instance that hears two readers say that it is well looks every 2.6 s and makes no stale reads; one that hears fewer, or hears them disagree, looks every 0.6 s and asks itself (share::Hearsay, no network).

Ruled out: fewer readers (a lost datagram would count), longer pauses without looking at who is heard (a reader killed at the wrong moment would hide a leaving endpoint past its bound).

Tests: readers heard, silent, disagreeing and losing the store.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -18,8 +18,8 @@
 const RETURN_TIME: Duration = Duration::from_millis(2000);
 /// Time after a change within which others that belong to it are awaited.
 const GATHER_TIME: Duration = Duration::from_millis(40);
-/// Time between two looks of an instance that hears of changes from readers.
-const HEARSAY_TIME: Duration = Duration::from_millis(1300);
+/// Time between two questions whether it is time to look.
+const STEP_TIME: Duration = Duration::from_millis(100);
 /// Keys whose revisions are remembered.
 const SEEN_LIMIT: usize = 4096;
 /// The configuration and the endpoints are followed by one watch over all keys.
@@ -58,9 +58,13 @@
 /// Waits before the next look: others follow the store closely for those who are no readers.
 async fn pause(gw: &Gateway) {
     tokio::time::sleep(GATHER_TIME).await;
-    if !peers::is_reader(gw) {
-        // Either way the store is asked next.
-        let _ = tokio::time::timeout(HEARSAY_TIME, gw.hint.notified()).await;
+    let since = clock::now();
+    while !peers::is_reader(gw) {
+        let is_hinted = tokio::time::timeout(STEP_TIME, gw.hint.notified()).await.is_ok();
+        let now = clock::now();
+        if is_hinted || now >= since + peers::hearsay(gw, now).look_time() {
+            break;
+        }
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -122,6 +122,8 @@
     talk: peers::Talk,
     /// Revisions of the keys that were taken over.
     seen: RefCell<HashMap<Box<str>, u64>>,
+    /// Tells that the store did not answer the last question whether it does.
+    lost: Cell<bool>,
     /// Tells that the store has news that nobody passes on.
     hint: Notify,
     /// Tells that what this instance has under way has changed.
@@ -170,6 +172,7 @@
         blame: RefCell::new(Blame::default()),
         talk: peers::Talk::default(),
         seen: RefCell::new(HashMap::new()),
+        lost: Cell::new(false),
         hint: Notify::new(),
         reading: RefCell::new(HashMap::new()),
         changed: Notify::new(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -10,7 +10,7 @@
 use crate::frame::{Envelope, Gossip, Keyring};
 use crate::id::{Incarnation, InstanceId, IntentVersion};
 use crate::route::Urgency;
-use crate::share::{self, Ask, Bulletin, FULL_TIME, Note, Tag, Teller};
+use crate::share::{self, Ask, Bulletin, FULL_TIME, Hearsay, Note, Tag, Teller};
 use crate::store::{Fact, LeaseId, Leases, StoreError};
 use actix_rt::net::UdpSocket;
 use rand::Rng;
@@ -20,7 +20,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
 /// Start of the keys of instances in the store.
@@ -142,6 +142,12 @@
     share::is_reader(&gw.boot.borrow().instance, gw.peers.borrow().keys())
 }
 
+/// Returns what is known of the store from those who follow it closely.
+pub fn hearsay(gw: &Gateway, now: Instant) -> Hearsay {
+    let peers = gw.peers.borrow();
+    gw.ledger.borrow().hearsay(now, &share::readers(peers.keys()))
+}
+
 /// Asks the warden of an engine for room there; it counts as granted where nobody answers.
 pub async fn ask(gw: &Gateway, tag: Tag, entrant: &Entrant) -> bool {
     let own = gw.boot.borrow().instance.clone();
@@ -257,6 +263,7 @@
         let digest = {
             let pool = gw.pool.borrow();
             let work = pool.endpoints.values().map(|e| (e.tag, e.own));
+            teller.lost = gw.lost.get();
             teller.step(now, peers.len(), work)
         };
         match digest {
--- a/src/gateway/vigil.rs
+++ b/src/gateway/vigil.rs
@@ -5,6 +5,7 @@
 use crate::event::Kind;
 use crate::platform;
 use crate::pool::PoolKey;
+use crate::share::Hearsay;
 use crate::store::{Feed, StoreError};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -23,13 +24,24 @@
 /// Watches the engines that generations of this instance run on, for as long as the process runs.
 pub async fn watch(gw: Rc<Gateway>) {
     let own = format!("{}{}", peers::PREFIX, gw.boot.borrow().instance);
-    let mut pause = ROUND_TIME;
     loop {
-        tokio::time::sleep(pause).await;
-        let ping = gw.store.ping(&own, PING_WAIT);
-        // A store that is silent holds up the ping, not the questions.
-        let answers = if pause == ROUND_TIME { ping.await.is_ok() } else { is_back(ping).await };
-        pause = if answers { ROUND_TIME } else { OUTAGE_TIME };
+        let was_lost = gw.lost.get();
+        tokio::time::sleep(if was_lost { OUTAGE_TIME } else { ROUND_TIME }).await;
+        let hearsay = if peers::is_reader(&gw) {
+            Hearsay::Unheard
+        } else {
+            peers::hearsay(&gw, clock::now())
+        };
+        let answers = match hearsay {
+            Hearsay::Well => true,
+            Hearsay::Lost => false,
+            Hearsay::Unheard => {
+                let ping = gw.store.ping(&own, PING_WAIT);
+                // A store that is silent holds up the ping, not the questions.
+                if was_lost { is_back(ping).await } else { ping.await.is_ok() }
+            }
+        };
+        gw.lost.set(!answers);
         if answers {
             continue;
         }
--- a/src/share/mod.rs
+++ b/src/share/mod.rs
@@ -89,6 +89,9 @@
     /// Rows.
     #[serde(rename = "r")]
     pub rows: Vec<Row>,
+    /// Tells that the store does not answer the sender.
+    #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
+    pub lost: bool,
 }
 
 /// Asks the warden of an engine whether a generation may begin there.
@@ -164,15 +167,52 @@
 
 /// Instances that follow the store closely and pass on what it says.
 const READERS: usize = 3;
+/// Readers that have to be heard for the others to rely on them: one datagram may be lost.
+const READERS_LEAST: usize = 2;
+/// Age past which a reader does not count as heard: it sends a message in less than this.
+const HEARD_AGE: Duration = Duration::from_millis(700);
+/// Time between two looks at the store of an instance that hears of changes from readers.
+const HEARSAY_TIME: Duration = Duration::from_millis(2600);
+/// Time between two looks of one that hears too few of them.
+const ALONE_TIME: Duration = Duration::from_millis(600);
 
 /// Tells whether an instance is one of those that follow the store closely. The others ask it now
 /// and then, so that its load does not grow with their number.
 pub fn is_reader<'i>(own: &InstanceId, others: impl Iterator<Item = &'i InstanceId>) -> bool {
-    let rank = |i: &InstanceId| (weigh("reader", i), i.clone());
     let mine = rank(own);
     others.filter(|i| rank(i) > mine).count() < READERS
 }
 
+/// Returns the instances among `others` that follow the store closely, for one that does not.
+pub fn readers<'i>(others: impl Iterator<Item = &'i InstanceId>) -> Vec<&'i InstanceId> {
+    let mut all: Vec<_> = others.collect();
+    all.sort_by_cached_key(|i| std::cmp::Reverse(rank(i)));
+    all.truncate(READERS);
+    all
+}
+
+fn rank(instance: &InstanceId) -> (u64, InstanceId) {
+    (weigh("reader", instance), instance.clone())
+}
+
+/// What an instance knows of the store from those that follow it closely.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Hearsay {
+    /// Too few of them are heard, or they do not agree.
+    Unheard,
+    /// The store answers them.
+    Well,
+    /// The store does not answer them.
+    Lost,
+}
+
+impl Hearsay {
+    /// Returns the time between two looks at the store.
+    pub fn look_time(self) -> Duration {
+        if self == Hearsay::Well { HEARSAY_TIME } else { ALONE_TIME }
+    }
+}
+
 fn weigh<T: Hash>(what: T, instance: &InstanceId) -> u64 {
     let mut hasher = DefaultHasher::new();
     (what, instance).hash(&mut hasher);
@@ -203,17 +243,38 @@
     until: Instant,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Word {
-    at: Instant,
+    at: Option<Instant>,
+    lost: bool,
     rows: HashMap<Tag, Work>,
 }
 
+impl Word {
+    fn is_within(&self, now: Instant, age: Duration) -> bool {
+        self.at.is_some_and(|t| now.saturating_duration_since(t) < age)
+    }
+}
+
 impl Ledger {
+    /// Returns what is known of the store from its readers.
+    pub fn hearsay(&self, now: Instant, readers: &[&InstanceId]) -> Hearsay {
+        let words = readers.iter().filter_map(|r| self.words.get(*r));
+        let heard: Vec<&Word> = words.filter(|w| w.is_within(now, HEARD_AGE)).collect();
+        let lost = heard.iter().filter(|w| w.lost).count();
+        match heard.len() - lost {
+            0 if lost >= READERS_LEAST => Hearsay::Lost,
+            well if well >= READERS_LEAST => Hearsay::Well,
+            // A reader may be cut off alone.
+            _ => Hearsay::Unheard,
+        }
+    }
+
     /// Takes over a message.
     pub fn note(&mut self, now: Instant, from: InstanceId, digest: &Digest) {
-        let word = self.words.entry(from).or_insert_with(|| Word { at: now, rows: HashMap::new() });
-        word.at = now;
+        let word = self.words.entry(from).or_default();
+        word.at = Some(now);
+        word.lost = digest.lost;
         if digest.full {
             word.rows.clear();
         }
@@ -235,7 +296,7 @@
     /// Forgets instances that have gone silent, and grants that show by now.
     pub fn step(&mut self, now: Instant) {
         self.granted.retain(|g| g.until > now);
-        self.words.retain(|_, w| now.saturating_duration_since(w.at) < WORD_AGE);
+        self.words.retain(|_, w| w.is_within(now, WORD_AGE));
     }
 
     /// Returns what the others have at an endpoint.
@@ -260,6 +321,8 @@
 /// Decides what to tell and when.
 #[derive(Debug, Default)]
 pub struct Teller {
+    /// Tells that the store does not answer this instance.
+    pub lost: bool,
     told: HashMap<Tag, Work>,
     full: Option<Instant>,
     latest: Option<Instant>,
@@ -291,7 +354,7 @@
             self.full = Some(now);
         }
         self.told = now_open;
-        Some(Digest { full, rows })
+        Some(Digest { full, rows, lost: self.lost })
     }
 
     /// Returns the least time between two messages to so many others.
--- a/tests/decisions/share.rs
+++ b/tests/decisions/share.rs
@@ -3,7 +3,7 @@
 use crate::fixture::{id, work};
 use proptest::prelude::*;
 use skylarkthread::id::InstanceId;
-use skylarkthread::share::{self, Bulletin, Digest, Ledger, Newer, Tag, Teller, Work};
+use skylarkthread::share::{self, Bulletin, Digest, Hearsay, Ledger, Newer, Tag, Teller, Work};
 use skylarkthread::store::Fact;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -17,11 +17,16 @@
     let start = Instant::now();
     let tag = Tag::of(&id(1));
     let mut ledger = Ledger::default();
-    let digest = |held| Digest { full: true, rows: vec![share::row(tag, work(held, 5))] };
+    let digest =
+        |held| Digest { full: true, rows: vec![share::row(tag, work(held, 5))], lost: false };
     ledger.note(start, instance(1), &digest(100));
     ledger.note(start, instance(2), &digest(30));
     assert_eq!(ledger.at(tag), Work { open: 2, held: 130, unread: 10, copies: 0 });
-    ledger.note(start + Duration::from_secs(1), instance(2), &Digest { full: true, rows: vec![] });
+    ledger.note(
+        start + Duration::from_secs(1),
+        instance(2),
+        &Digest { full: true, rows: vec![], lost: false },
+    );
     ledger.step(start + Duration::from_millis(2500));
     assert_eq!((ledger.at(tag), ledger.len()), (Work::default(), 1));
 }
@@ -74,6 +79,32 @@
     assert!(bulletin.more && bulletin.facts.len() < 60);
 }
 
+/// Plays readers that are heard, that fall silent, and that lose the store.
+#[test]
+fn who_hears_too_few_readers_looks_at_the_store_itself() {
+    let start = Instant::now();
+    let all: Vec<InstanceId> = (0..28).map(instance).collect();
+    let own = all
+        .iter()
+        .find(|i| !share::is_reader(i, all.iter().filter(|o| o != i)))
+        .expect("most are no readers");
+    let readers = share::readers(all.iter().filter(|i| *i != own));
+    assert!(readers.iter().all(|r| share::is_reader(r, all.iter().filter(|o| o != r))));
+    let mut ledger = Ledger::default();
+    let digest = |lost| Digest { full: true, rows: vec![], lost };
+    let at = |ms| start + Duration::from_millis(ms);
+    ledger.note(at(0), readers[0].clone(), &digest(false));
+    assert_eq!(ledger.hearsay(at(100), &readers), Hearsay::Unheard);
+    ledger.note(at(100), readers[2].clone(), &digest(false));
+    assert_eq!(ledger.hearsay(at(200), &readers), Hearsay::Well);
+    assert!(Hearsay::Well.look_time() > 4 * Hearsay::Unheard.look_time());
+    ledger.note(at(300), readers[2].clone(), &digest(true));
+    assert_eq!(ledger.hearsay(at(400), &readers), Hearsay::Unheard, "one may be cut off alone");
+    ledger.note(at(400), readers[0].clone(), &digest(true));
+    assert_eq!(ledger.hearsay(at(500), &readers), Hearsay::Lost);
+    assert_eq!(ledger.hearsay(at(1050), &readers), Hearsay::Unheard, "one is silent");
+}
+
 /// Plays a version that others have and this instance does not get from the store.
 #[test]
 fn who_lags_behind_for_long_asks_the_latest_sender() {
