Say what engines lack in a refusal, and check settings and the deploy file offline

Cause: the line of a refused generation told how long it had waited and not what it waited for; and a slip in the deploy file or in settings showed only when a deployment failed. A negative grace time in the settings ended the process with a panic.

Change: refusals say how many engines could be used and how many lacked memory, time to read the prompt, or a place. A time that is no time is a fault.

Tests: shortage, 13 cases of check, the deploy file of this repository.

--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -13,6 +13,7 @@
 use crate::spread::{self, Need};
 use rand::Rng;
 use std::collections::{BTreeSet, HashMap};
+use std::fmt;
 use std::time::{Duration, Instant};
 
 /// Prompt tokens that an engine reads in a millisecond, until the first one was observed.
@@ -145,6 +146,17 @@
     pub urgency: Urgency,
 }
 
+/// What an engine lacks for a generation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lack {
+    /// Memory.
+    Memory,
+    /// Time to read its prompt behind others.
+    Reading,
+    /// A place in its batch.
+    Place,
+}
+
 /// Tells whether an engine has the memory for a generation, and reads it in time.
 pub fn fits(
     now: Instant,
@@ -153,6 +165,17 @@
     entrant: &Entrant,
     reading: &Reading,
 ) -> bool {
+    lack(now, e, engine, entrant, reading).is_none()
+}
+
+/// Returns what an engine lacks for a generation; `None` where it may begin now.
+pub fn lack(
+    now: Instant,
+    e: &Endpoint,
+    engine: &Engine,
+    entrant: &Entrant,
+    reading: &Reading,
+) -> Option<Lack> {
     let (work, own) = (e.work(), entrant.work);
     let fill = if entrant.urgency.0 == 0 { FILL + URGENT_FILL } else { FILL };
     let memory = fill * f64::from(engine.memory.0);
@@ -161,7 +184,47 @@
     let time = reading.time(work.unread + own.unread);
     // Nowhere would it begin sooner than where nothing else is read.
     let begins = time <= entrant.left.mul_f64(READ_SHARE) || work.unread == 0;
-    has_memory && begins && e.busy(now) < e.listing.slots
+    let has_place = e.busy(now) < e.listing.slots;
+    let needs = [(has_memory, Lack::Memory), (begins, Lack::Reading), (has_place, Lack::Place)];
+    needs.into_iter().find(|(is_met, _)| !is_met).map(|(_, lack)| lack)
+}
+
+/// What the engines of a service lack for a generation, in numbers of engines.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Shortage {
+    /// Engines that take new work.
+    pub usable: u32,
+    /// Those without the memory.
+    pub memory: u32,
+    /// Those that have the memory, and would read it too late.
+    pub reading: u32,
+    /// Those that only have no place.
+    pub place: u32,
+}
+
+impl fmt::Display for Shortage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (usable, memory, reading) = (self.usable, self.memory, self.reading);
+        write!(f, "engines={usable} no_memory={memory} no_time={reading} no_place={}", self.place)
+    }
+}
+
+/// Counts what the engines lack for a generation.
+pub fn shortage(now: Instant, pool: &Pool, bid: &Bid<'_>, reading: &Reading) -> Shortage {
+    let entrant = entrant(now, bid, reading);
+    let mut sum = Shortage::default();
+    let serves = |e: &&Endpoint| e.listing.service == *bid.need.service && e.is_usable();
+    for e in pool.endpoints.values().filter(serves) {
+        sum.usable += 1;
+        let lacks = bid.need.engine.and_then(|engine| lack(now, e, engine, &entrant, reading));
+        match lacks {
+            Some(Lack::Memory) => sum.memory += 1,
+            Some(Lack::Reading) => sum.reading += 1,
+            Some(Lack::Place) => sum.place += 1,
+            None => {}
+        }
+    }
+    sum
 }
 
 /// Returns when a refused generation should come back: after the present crowd, and within the
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,7 +7,7 @@
 use crate::http::Metrics;
 use crate::id::InstanceId;
 use crate::logs::Lines;
-use crate::platform;
+use crate::platform::{self, Boot, Deploy};
 use crate::process::Process;
 use crate::settings::{self, Settings};
 use crate::text::Text;
@@ -77,10 +77,37 @@
 struct Check {
     #[options(help = "print this help")]
     help: bool,
-    #[options(free, required, help = "the text")]
+    #[options(help = "what the file is: text, settings or deploy", meta = "FORM")]
+    form: Form,
+    #[options(free, required, help = "the file")]
     file: PathBuf,
 }
 
+/// What a file to be checked is.
+#[derive(Debug, Clone, Copy, Default)]
+enum Form {
+    /// The operators' text.
+    #[default]
+    Text,
+    /// Settings as the platform writes them.
+    Settings,
+    /// The deploy file.
+    Deploy,
+}
+
+impl FromStr for Form {
+    type Err = &'static str;
+
+    fn from_str(s: &str) -> Result<Self, &'static str> {
+        match s {
+            "text" => Ok(Form::Text),
+            "settings" => Ok(Form::Settings),
+            "deploy" => Ok(Form::Deploy),
+            _ => Err("a file is text, settings or deploy"),
+        }
+    }
+}
+
 /// Address of an entry on the command line.
 #[derive(Debug, Clone, Copy)]
 struct Address(SocketAddr);
@@ -164,7 +191,7 @@
         Some(Command::Entry(d)) => daemon(&d.settings, Role::Entry),
         Some(Command::Gateway(g)) => gateway(g),
         Some(Command::Sidecar(d)) => daemon(&d.settings, Role::Sidecar),
-        Some(Command::Check(c)) => check(&c.file),
+        Some(Command::Check(c)) => check(&c.file, c.form),
         Some(Command::Submit(s)) => client::submit(&s),
         Some(Command::Show(s)) => client::show(&s),
         Some(Command::Status(a)) => client::status(&a),
@@ -188,14 +215,25 @@
     })
 }
 
-fn check(file: &Path) -> ExitCode {
+fn check(file: &Path, form: Form) -> ExitCode {
     let text = match read(file) {
         Ok(text) => text,
         Err(code) => return code,
     };
-    match Text::parse(&text) {
-        Ok(t) => {
-            println!("{} services, {} workspaces", t.services.len(), t.workspaces.len());
+    let checked = match form {
+        Form::Text => Text::parse(&text)
+            .map(|t| format!("{} services, {} workspaces", t.services.len(), t.workspaces.len()))
+            .map_err(|faults| lines(&faults)),
+        Form::Settings => Boot::parse(&text)
+            .map(|b| format!("instance {} in {}", b.instance, b.centre))
+            .map_err(|e| vec![format!(" {e}")]),
+        Form::Deploy => Deploy::parse(&text)
+            .map(|d| format!("{} roles", d.roles.len()))
+            .map_err(|faults| faults.iter().map(|f| format!(" {f}")).collect()),
+    };
+    match checked {
+        Ok(found) => {
+            println!("{found}");
             ExitCode::SUCCESS
         }
         Err(faults) => {
@@ -205,6 +243,10 @@
     }
 }
 
+fn lines<T: ToString>(faults: &[T]) -> Vec<String> {
+    faults.iter().map(ToString::to_string).collect()
+}
+
 #[derive(Debug, Clone, Copy)]
 enum Role {
     Entry,
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -76,8 +76,10 @@
                 let line = gw.line.borrow().len(&job.service);
                 let waited = now.saturating_duration_since(job.since).as_millis();
                 let size = job.ask.prompt.map_or_else(String::new, |p| format!(" {p}"));
-                let detail =
-                    format!("no engine has room in time: waited_ms={waited} line={line}{size}");
+                let shortage = job.shortage(gw, now);
+                let detail = format!(
+                    "no engine has room in time: waited_ms={waited} line={line} {shortage}{size}"
+                );
                 let kind = ProblemKind::Refused(Refusal::Busy);
                 return Err(Problem::new(kind, detail).retry(super::jitter(after)));
             }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -1,7 +1,7 @@
 //! One request with the terms that it is served on.
 
 use super::Gateway;
-use crate::admit::{self, Bid, Entrant, Reading, Verdict};
+use crate::admit::{self, Bid, Entrant, Reading, Shortage, Verdict};
 use crate::event::Kind;
 use crate::h1::Inbound;
 use crate::id::{DataCentre, RequestId, ServiceName, Tokens};
@@ -135,6 +135,12 @@
         admit::decide(now, &gw.pool.borrow(), &bid, &self.reading(gw), tried, &mut rand::rng())
     }
 
+    /// Counts what the engines lack for it.
+    pub fn shortage(&self, gw: &Gateway, now: Instant) -> Shortage {
+        let centre = gw.boot.borrow().centre.clone();
+        admit::shortage(now, &gw.pool.borrow(), &self.bid(gw, &centre), &self.reading(gw))
+    }
+
     /// Returns it as an engine would meet it now.
     pub fn entrant(&self, gw: &Gateway, now: Instant) -> Entrant {
         let centre = gw.boot.borrow().centre.clone();
--- a/src/platform/boot.rs
+++ b/src/platform/boot.rs
@@ -83,7 +83,7 @@
             store: need(&fields, "platform.address")?,
             memory: need::<f64>(&fields, "limits.memory_mb")? as u32,
             sockets: sockets.saturating_sub(FILE_DESCRIPTORS),
-            grace: Duration::from_secs_f64(need(&fields, "bounds.grace_s")?),
+            grace: need_time(&fields, "bounds.grace_s")?,
             retries: need(&fields, "bounds.retry_budget_ratio")?,
         })
     }
@@ -115,6 +115,13 @@
     fields.get(name).filter(|v| !v.is_empty()).map(parse).transpose()
 }
 
+/// Reads a time in seconds.
+fn need_time(fields: &HashMap<&str, &str>, name: &'static str) -> Result<Duration, BootError> {
+    let secs: f64 = need(fields, name)?;
+    Duration::try_from_secs_f64(secs)
+        .map_err(|e| BootError::Value(name, format!("{secs}: {e}").into()))
+}
+
 fn need<T: FromStr>(fields: &HashMap<&str, &str>, name: &'static str) -> Result<T, BootError> {
     find(fields, name)?.ok_or(BootError::Missing(name))
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,6 +7,7 @@
 
 mod boot;
 mod config;
+mod deploy;
 mod engine;
 mod head;
 mod kv;
@@ -14,6 +15,7 @@
 
 pub use boot::{Boot, BootError, settings_path};
 pub use config::scan_table;
+pub use deploy::{Deploy, DeployError, Role};
 pub use engine::{CallError, Copied, Handoff, Report, copy, forget, report};
 pub use head::{
     Answer, Ask, Onward, Prompt, answer_head, forward_head, host, refusal_head, scan_answer,
--- /dev/null
+++ b/tests/check.rs
@@ -0,0 +1,103 @@
+//! The offline check of files, as an operator calls it.
+
+use rstest::rstest;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+const SETTINGS: &str = "node=n-1\nzone=z-a\nlimits.max_fds=4100\nlimits.memory_mb=110\n\
+    bounds.grace_s=8\nbounds.retry_budget_ratio=0.2\nplatform.address=127.0.0.1:1\n";
+
+const DEPLOY: &str = r#"build = "cargo build"
+[roles.entry]
+run = "target/release/skylarkthread gateway --metrics 9464"
+on = "front"
+share = 1.0
+serves = ["front"]
+metrics = "9464/metrics"
+"#;
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let file = std::env::temp_dir().join(format!("check-{}-{name}", std::process::id()));
+    std::fs::write(&file, text).expect("the folder takes files");
+    file
+}
+
+/// Returns the exit code and what was printed, without the file's name.
+fn check(form: &str, file: &Path) -> (Option<i32>, String) {
+    let out = Command::new(env!("CARGO_BIN_EXE_skylarkthread"))
+        .args(["check", "--form", form])
+        .arg(file)
+        .output()
+        .expect("the binary runs");
+    let text = [out.stdout, out.stderr].concat();
+    let text = String::from_utf8(text).expect("it prints text");
+    (out.status.code(), text.replace(&*file.to_string_lossy(), "FILE"))
+}
+
+#[rstest]
+#[case::whole("node", "node", 0, "instance n-1 in z-a\n")]
+#[case::equals(
+    "bounds.grace_s=8",
+    "bounds.grace_s",
+    1,
+    "FILE: line 5 is not of the form name=value\n"
+)]
+#[case::missing("node=n-1\n", "", 1, "FILE: node is missing\n")]
+#[case::number("=4100", "=many", 1, "FILE: limits.max_fds cannot be \"many\"\n")]
+#[case::negative(
+    "grace_s=8",
+    "grace_s=-1",
+    1,
+    "FILE: bounds.grace_s cannot be \"-1: cannot convert float seconds to Duration: value is negative\"\n"
+)]
+fn settings_are_checked(
+    #[case] old: &str,
+    #[case] new: &str,
+    #[case] code: i32,
+    #[case] said: &str,
+) {
+    let file = file(&format!("{}-{}", old.len(), new.len()), &SETTINGS.replacen(old, new, 1));
+    assert_eq!(check("settings", &file), (Some(code), said.to_owned()));
+}
+
+#[rstest]
+#[case::whole("share = 1.0", "share = 1.0", 0, "1 roles\n")]
+#[case::class(
+    "\"front\"\nshare",
+    "\"edge\"\nshare",
+    1,
+    "FILE: role entry: no class of machines is called \"edge\"\n"
+)]
+#[case::share("1.0", "1.5", 1, "FILE: role entry: share is not above 0 and at most 1\n")]
+#[case::none("share = 1.0\n", "", 1, "FILE: role entry: one of share and count is needed\n")]
+#[case::caller("[\"front\"]", "[\"all\"]", 1, "FILE: role entry: nobody is called \"all\"\n")]
+#[case::port(
+    "9464/",
+    "9465/",
+    1,
+    "FILE: role entry: metrics are fetched at port 9465, --metrics is Some(\"9464\")\n"
+)]
+fn the_deploy_file_is_checked(
+    #[case] old: &str,
+    #[case] new: &str,
+    #[case] code: i32,
+    #[case] said: &str,
+) {
+    let name = format!("{}.toml", old.len() * 100 + new.len());
+    let file = file(&name, &DEPLOY.replacen(old, new, 1));
+    assert_eq!(check("deploy", &file), (Some(code), said.to_owned()));
+}
+
+#[test]
+fn the_deploy_file_of_this_repository_is_sound() {
+    let own = Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy/system.toml");
+    assert_eq!(check("deploy", &own), (Some(0), "1 roles\n".to_owned()));
+}
+
+#[test]
+fn a_fault_of_syntax_has_a_line_and_a_column() {
+    let file = file("syntax.toml", "build = \n");
+    let (code, said) = check("deploy", &file);
+    assert_eq!(code, Some(1));
+    assert!(said.contains("line 1, column 9"), "{said}");
+}
--- a/tests/decisions/admit.rs
+++ b/tests/decisions/admit.rs
@@ -129,6 +129,26 @@
     assert!(after >= TARGET && after < LONG / 3, "{after:?}");
 }
 
+#[test]
+fn a_refusal_says_what_the_engines_lack() {
+    let start = Instant::now();
+    let (mut pool, keys) = pool(start, 5);
+    for (key, (held, unread)) in keys.iter().zip([(20_000, 0), (20_000, 9_000), (9_000, 9_000)]) {
+        pool.enter(*key, work(held, unread));
+    }
+    (0..24).for_each(|_| pool.enter(keys[3], work(10, 0)));
+    let (service, centre, kind) = (service(), fixture::centre("a"), engine(MEMORY));
+    let need = Need {
+        service: &service,
+        engine: Some(&kind),
+        work: work(4000, 3000),
+        centre: &centre,
+        connections: 100,
+    };
+    let shortage = admit::shortage(start, &pool, &bid(need, start, LONG, 0), &Reading::default());
+    assert_eq!(shortage.to_string(), "engines=5 no_memory=2 no_time=1 no_place=1");
+}
+
 #[test]
 fn a_generation_waits_where_too_much_is_to_be_read_before_it() {
     let own = work(4000, 3000);
