Put off repeated copies of a configuration, and name the port in words

Cause, on reading the diff: a configuration that no instance can hand on (or that this release cannot read) was asked for every 400 ms for as long as it was the newest; a copy that failed left only a debug line; the deploy check printed a value in Rust's form.

Change: the pause between tries doubles up to 6.4 s and starts anew with a newer version; failures are warnings.

--- a/src/gateway/copy.rs
+++ b/src/gateway/copy.rs
@@ -83,7 +83,7 @@
     let fetched = timeout(EXCHANGE_TIME, fetch(&gw, address)).await;
     match fetched.unwrap_or(Err(CopyError::Timeout)) {
         Ok(text) => follow::adopt(&gw, &text, &from),
-        Err(e) => log::debug!("configuration of {from} not copied: {e}"),
+        Err(e) => log::warn!("configuration of {from} not copied: {e}"),
     }
 }
 
--- a/src/gateway/offer.rs
+++ b/src/gateway/offer.rs
@@ -17,7 +17,7 @@
 /// Endpoints that a request reaches, those that turn it away unrun included.
 const OFFERS: usize = 3;
 /// Endpoints that a request is sent to in all; those that take no connection cost them nothing.
-pub const TRIES: usize = 10;
+const TRIES: usize = 10;
 /// Cost of a retry in the budget of this platform, which counts requests.
 pub const COST: Tokens = Tokens(1);
 /// Time to connect to an endpoint.
--- a/src/platform/deploy.rs
+++ b/src/platform/deploy.rs
@@ -106,7 +106,8 @@
         let words: Vec<&str> = self.run.split(' ').collect();
         let told = words.windows(2).find(|w| w[0] == "--metrics").map(|w| w[1]);
         if told != Some(port) {
-            return Some(format!("metrics are fetched at port {port}, --metrics is {told:?}"));
+            let told = told.unwrap_or("absent");
+            return Some(format!("metrics are fetched at port {port}, --metrics is {told}"));
         }
         (path != "metrics").then(|| format!("metrics are not served at /{path}"))
     }
--- a/src/share/newer.rs
+++ b/src/share/newer.rs
@@ -11,6 +11,9 @@
 /// and a read after it takes tens of milliseconds.
 const PATIENCE: Duration = Duration::from_millis(400);
 
+/// Longest time between two tries: one that no instance can hand on is not asked for all day.
+const PATIENCE_MOST: Duration = Duration::from_millis(6400);
+
 /// The newest version that another instance has in force.
 #[derive(Debug)]
 struct Seen {
@@ -18,6 +21,8 @@
     from: InstanceId,
     /// When it is time to ask.
     due: Instant,
+    /// Time to the next try after that.
+    pause: Duration,
 }
 
 /// Versions of other instances.
@@ -33,8 +38,16 @@
         match &mut self.seen {
             Some(s) if s.version > version => {}
             // A later version does not put off what is due: changes may come faster than that.
-            Some(s) => (s.version, s.from) = (version, from.clone()),
-            None => self.seen = Some(Seen { version, from: from.clone(), due: now + PATIENCE }),
+            Some(s) => {
+                if version > s.version {
+                    s.pause = PATIENCE;
+                }
+                (s.version, s.from) = (version, from.clone());
+            }
+            None => {
+                let (from, due) = (from.clone(), now + PATIENCE);
+                self.seen = Some(Seen { version, from, due, pause: PATIENCE });
+            }
         }
     }
 
@@ -48,7 +61,8 @@
         if now < seen.due {
             return None;
         }
-        seen.due = now + PATIENCE;
+        seen.due = now + seen.pause;
+        seen.pause = (seen.pause * 2).min(PATIENCE_MOST);
         Some(seen.from.clone())
     }
 }
--- a/tests/check.rs
+++ b/tests/check.rs
@@ -75,7 +75,7 @@
     "9464/",
     "9465/",
     1,
-    "FILE: role entry: metrics are fetched at port 9465, --metrics is Some(\"9464\")\n"
+    "FILE: role entry: metrics are fetched at port 9465, --metrics is 9464\n"
 )]
 fn the_deploy_file_is_checked(
     #[case] old: &str,
--- a/tests/decisions/share.rs
+++ b/tests/decisions/share.rs
@@ -119,9 +119,11 @@
     assert_eq!(newer.step(at(500), 7), None, "one try at a time");
     newer.note(at(600), &instance(4), 9);
     assert_eq!(newer.step(at(900), 7), Some(instance(4)), "another one after a failure");
-    assert_eq!(newer.step(at(1400), 9), None);
-    newer.note(at(1500), &instance(1), 10);
-    assert_eq!(newer.step(at(1550), 9), None, "each time anew");
+    assert_eq!(newer.step(at(1400), 7), None, "each try is put off for longer");
+    assert_eq!(newer.step(at(1700), 7), Some(instance(4)));
+    assert_eq!(newer.step(at(1800), 9), None);
+    newer.note(at(1900), &instance(1), 10);
+    assert_eq!(newer.step(at(1950), 9), None, "each time anew");
 }
 
 proptest! {
