--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -13,6 +13,7 @@
 use crate::text::Text;
 use crate::{entry, sidecar};
 use gumdrop::Options;
+use std::fmt;
 use std::net::{AddrParseError, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -95,15 +96,25 @@
     Deploy,
 }
 
+/// Tells that no file is of this form.
+#[derive(Debug)]
+struct FormError;
+
+impl fmt::Display for FormError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a file is text, settings or deploy")
+    }
+}
+
 impl FromStr for Form {
-    type Err = &'static str;
+    type Err = FormError;
 
-    fn from_str(s: &str) -> Result<Self, &'static str> {
+    fn from_str(s: &str) -> Result<Self, FormError> {
         match s {
             "text" => Ok(Form::Text),
             "settings" => Ok(Form::Settings),
             "deploy" => Ok(Form::Deploy),
-            _ => Err("a file is text, settings or deploy"),
+            _ => Err(FormError),
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -152,32 +152,7 @@
     port: Option<u16>,
 ) -> Result<(), GatewayError> {
     let front = boot.front.ok_or(GatewayError::NoFront)?;
-    let gw = Rc::new(Gateway {
-        ring: RefCell::new(Ring::new(boot.instance.clone())),
-        table: RefCell::new(None),
-        text: RefCell::default(),
-        newer: RefCell::default(),
-        pool: RefCell::new(Pool::default()),
-        budget: RefCell::new(Budget::new(allowance(&boot))),
-        bodies: Cell::new(0),
-        callers: Cell::new(0),
-        active: Cell::new(0),
-        stopping: Cell::new(None),
-        codec: codec(),
-        store: Kv::new(boot.store),
-        metrics,
-        ledger: RefCell::new(Ledger::default()),
-        peers: RefCell::new(HashMap::new()),
-        line: RefCell::new(Line::default()),
-        blame: RefCell::new(Blame::default()),
-        talk: peers::Talk::default(),
-        seen: RefCell::new(HashMap::new()),
-        lost: Cell::new(false),
-        hint: Notify::new(),
-        reading: RefCell::new(HashMap::new()),
-        changed: Notify::new(),
-        boot: RefCell::new(boot.clone()),
-    });
+    let gw = Rc::new(Gateway::new(&boot, metrics));
     gw.event(Kind::Started, &boot.instance, format_args!("data_centre={}", boot.centre));
     for address in [boot.ready, port.map(|p| SocketAddr::new(front.ip(), p))].into_iter().flatten()
     {
@@ -215,6 +190,35 @@
 }
 
 impl Gateway {
+    fn new(boot: &Boot, metrics: Metrics) -> Self {
+        Gateway {
+            ring: RefCell::new(Ring::new(boot.instance.clone())),
+            table: RefCell::new(None),
+            text: RefCell::default(),
+            newer: RefCell::default(),
+            pool: RefCell::new(Pool::default()),
+            budget: RefCell::new(Budget::new(allowance(boot))),
+            bodies: Cell::new(0),
+            callers: Cell::new(0),
+            active: Cell::new(0),
+            stopping: Cell::new(None),
+            codec: codec(),
+            store: Kv::new(boot.store),
+            metrics,
+            ledger: RefCell::new(Ledger::default()),
+            peers: RefCell::new(HashMap::new()),
+            line: RefCell::new(Line::default()),
+            blame: RefCell::new(Blame::default()),
+            talk: peers::Talk::default(),
+            seen: RefCell::new(HashMap::new()),
+            lost: Cell::new(false),
+            hint: Notify::new(),
+            reading: RefCell::new(HashMap::new()),
+            changed: Notify::new(),
+            boot: RefCell::new(boot.clone()),
+        }
+    }
+
     fn event(&self, kind: Kind, subject: impl Display, detail: impl Display) {
         let (subject, detail) = (subject.to_string(), detail.to_string());
         self.ring.borrow_mut().push(clock::wall(), kind, &subject, &detail);
