Refuse calls that could outlast a stopping instance

Generations were refused after 2.5 s; calls were taken to the last moment. Such a caller comes over a connection that it kept, or where most of a data centre stops at once.

Change: past 2.5 s after SIGTERM a call is refused as not run, with when to come back, if its deadline lies past the instance's end.

Ruled out: the drain itself (it ended as planned); a lost answer (the endpoint had run it for 45 ms).

Test: a call to an endpoint that hangs, 2.9 s into four seconds of grace; it was cut off before.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -239,6 +239,12 @@
         self.table.borrow().as_ref().map_or(0, |t| t.version.0)
     }
 
+    /// Returns when this instance ends whatever runs, once it was told to stop.
+    fn end(&self) -> Option<Instant> {
+        let grace = self.boot.borrow().grace.saturating_sub(GRACE_RESERVE);
+        self.stopping.get().map(|begun| begun + grace)
+    }
+
     /// Tells whether new connections are welcome.
     fn is_ready(&self) -> bool {
         self.stopping.get().is_none() && self.table.borrow().is_some()
@@ -317,12 +323,11 @@
     gw.stopping.set(Some(begun));
     let boot = gw.boot.borrow().clone();
     gw.event(Kind::Draining, &boot.instance, format_args!("active={}", gw.active.get()));
-    let last = begun + boot.grace.saturating_sub(GRACE_RESERVE);
     loop {
         tokio::time::sleep(Duration::from_millis(50)).await;
         let now = clock::now();
         let is_done = now >= begun + LINGER_TIME && gw.active.get() == 0;
-        if is_done || now >= last {
+        if is_done || gw.end().is_some_and(|end| now >= end) {
             break;
         }
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -123,10 +123,12 @@
     }
 }
 
-/// Refuses a generation that could not end before this instance does.
+/// Refuses what could not end before this instance does. Callers reach it so late where it is
+/// all that their data centre has, or over a connection that they kept.
 fn check_start(gw: &Gateway, job: Job) -> Result<Job, Problem> {
     let is_late = gw.stopping.get().is_some_and(|t| job.since >= t + LAST_START);
-    if is_late && job.route.kind == Kind::Streaming {
+    let outlasts = gw.end().is_some_and(|end| job.deadline > end);
+    if is_late && (outlasts || job.route.kind == Kind::Streaming) {
         let problem = Problem::new(ProblemKind::Draining, "this instance is stopping");
         return Err(problem.retry(Duration::from_millis(100)));
     }
--- a/tests/gateway/lifecycle.rs
+++ b/tests/gateway/lifecycle.rs
@@ -20,6 +20,22 @@
     assert_eq!(gateway.exit(5), Some(0));
 }
 
+/// The platform gives four seconds here, and the instance leaves half of one unused.
+#[test]
+fn a_call_that_could_outlast_a_stopping_instance_is_refused_not_cut_off() {
+    let e = Endpoint::start("i-1", Act::Stream(300, Duration::from_millis(20)));
+    let f = Endpoint::start("i-2", Act::Hang);
+    let (_store, gateway) = start(&[(&e, "model"), (&f, "plain")]);
+    let running = stream(&gateway, "id-1");
+    gateway.signal(libc::SIGTERM);
+    std::thread::sleep(Duration::from_millis(2900));
+    let late = call(&gateway, "POST", "/unsafe/x", "id-2");
+    assert_eq!((late.status, late.header("connection")), (503, Some("close")));
+    assert!(late.header("retry-after").is_some());
+    assert!(f.seen().is_empty(), "it was not sent on");
+    drop(running);
+}
+
 #[test]
 fn a_reload_loses_nothing() {
     let e = Endpoint::start("i-1", Act::Stream(30, Duration::from_millis(20)));
