--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -213,8 +213,7 @@
 pub fn shortage(now: Instant, pool: &Pool, bid: &Bid<'_>, reading: &Reading) -> Shortage {
     let entrant = entrant(now, bid, reading);
     let mut sum = Shortage::default();
-    let serves = |e: &&Endpoint| e.listing.service == *bid.need.service && e.is_usable();
-    for e in pool.endpoints.values().filter(serves) {
+    for e in pool.endpoints.values().filter(|e| e.serves(bid.need.service)) {
         sum.usable += 1;
         let lacks = bid.need.engine.and_then(|engine| lack(now, e, engine, &entrant, reading));
         match lacks {
--- a/src/evacuate/mod.rs
+++ b/src/evacuate/mod.rs
@@ -100,8 +100,7 @@
 ) -> Option<PoolKey> {
     let fits = |k: &PoolKey, e: &Endpoint| {
         *k != mover.source
-            && e.listing.service == *mover.service
-            && e.is_usable()
+            && e.serves(mover.service)
             && !tried.contains(k)
             && e.busy(now) < e.listing.slots
             && share(e, mover, engine) <= FULL
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -75,8 +75,7 @@
             Verdict::Refuse(after) => {
                 let line = gw.line.borrow().len(&job.service);
                 let waited = now.saturating_duration_since(job.since).as_millis();
-                let size = job.ask.prompt.map_or_else(String::new, |p| format!(" {p}"));
-                let shortage = job.shortage(gw, now);
+                let (shortage, size) = (job.shortage(gw, now), job.size());
                 let detail = format!(
                     "no engine has room in time: waited_ms={waited} line={line} {shortage}{size}"
                 );
@@ -147,7 +146,6 @@
         endpoint: &endpoint,
         member: job.member.as_deref(),
         left: job.left(clock::now()),
-        urgency: None,
         handoff,
         last,
         resumable: job.route.resumable,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -179,7 +179,6 @@
         endpoint: &endpoint,
         member: job.member.as_deref(),
         left: job.left(clock::now()),
-        urgency: None,
         handoff: None,
         last: None,
         resumable: false,
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -98,6 +98,11 @@
         Tokens(p.input.0 + output)
     }
 
+    /// Returns the size of a generation as the log tells it, with a space before it.
+    pub fn size(&self) -> String {
+        self.ask.prompt.map_or_else(String::new, |p| format!(" {p}"))
+    }
+
     /// Returns what it will need of an endpoint.
     pub fn work(&self) -> Work {
         let unread = self.ask.prompt.map_or(0, |p| u64::from(p.input.0));
@@ -111,8 +116,8 @@
 
     /// Chooses an endpoint for it.
     pub fn choose(&self, gw: &Gateway, now: Instant, tried: &[PoolKey]) -> Option<PoolKey> {
-        let centre = gw.boot.borrow().centre.clone();
-        let need = self.need(&centre);
+        let boot = gw.boot.borrow();
+        let need = self.need(&boot.centre);
         spread::choose(now, &gw.pool.borrow(), &need, tried, &mut rand::rng())
     }
 
@@ -130,21 +135,21 @@
 
     /// Decides whether it begins now.
     pub fn decide(&self, gw: &Gateway, now: Instant, tried: &[PoolKey]) -> Verdict {
-        let centre = gw.boot.borrow().centre.clone();
-        let bid = self.bid(gw, &centre);
+        let boot = gw.boot.borrow();
+        let bid = self.bid(gw, &boot.centre);
         admit::decide(now, &gw.pool.borrow(), &bid, &self.reading(gw), tried, &mut rand::rng())
     }
 
     /// Counts what the engines lack for it.
     pub fn shortage(&self, gw: &Gateway, now: Instant) -> Shortage {
-        let centre = gw.boot.borrow().centre.clone();
-        admit::shortage(now, &gw.pool.borrow(), &self.bid(gw, &centre), &self.reading(gw))
+        let boot = gw.boot.borrow();
+        admit::shortage(now, &gw.pool.borrow(), &self.bid(gw, &boot.centre), &self.reading(gw))
     }
 
     /// Returns it as an engine would meet it now.
     pub fn entrant(&self, gw: &Gateway, now: Instant) -> Entrant {
-        let centre = gw.boot.borrow().centre.clone();
-        admit::entrant(now, &self.bid(gw, &centre), &self.reading(gw))
+        let boot = gw.boot.borrow();
+        admit::entrant(now, &self.bid(gw, &boot.centre), &self.reading(gw))
     }
 
     fn bid<'a>(&'a self, gw: &Gateway, centre: &'a DataCentre) -> Bid<'a> {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -233,8 +233,7 @@
 
     /// Names the engine and the size of the generation for the log.
     fn place(&self) -> String {
-        let size = self.job.ask.prompt.map_or_else(String::new, |p| format!(" {p}"));
-        format!("endpoint={}{size}", self.leg.taken.endpoint)
+        format!("endpoint={}{}", self.leg.taken.endpoint, self.job.size())
     }
 
     fn note_whole(&self) {
--- a/src/h1/inbound.rs
+++ b/src/h1/inbound.rs
@@ -15,6 +15,8 @@
 
 /// Time for a caller to take the bytes of one write before it counts as gone.
 const WRITE_TIME: Duration = Duration::from_secs(10);
+/// Time to wait for a caller to close after an answer that ends the connection.
+const LINGER_TIME: Duration = Duration::from_millis(500);
 /// Bytes of further requests that a caller may send ahead of an answer.
 const AHEAD_BYTES: usize = 64 << 10;
 
@@ -186,6 +188,16 @@
     ///
     /// Returns an error where the caller is gone or takes no bytes.
     pub async fn start(
+        &mut self,
+        head: Response<()>,
+        size: BodySize,
+        close: bool,
+    ) -> std::io::Result<()> {
+        self.put_head(head, size, close)?;
+        self.flush().await
+    }
+
+    fn put_head(
         &mut self,
         mut head: Response<()>,
         size: BodySize,
@@ -194,8 +206,7 @@
         if close {
             head.head_mut().set_connection_type(ConnectionType::Close);
         }
-        self.codec.encode(Message::Item((head, size)), &mut self.out)?;
-        self.flush().await
+        self.codec.encode(Message::Item((head, size)), &mut self.out)
     }
 
     /// Sends a whole answer.
@@ -205,15 +216,11 @@
     /// Returns an error where the caller is gone or takes no bytes.
     pub async fn answer(
         &mut self,
-        mut head: Response<()>,
+        head: Response<()>,
         body: Bytes,
         close: bool,
     ) -> std::io::Result<()> {
-        if close {
-            head.head_mut().set_connection_type(ConnectionType::Close);
-        }
-        let size = BodySize::Sized(body.len() as u64);
-        self.codec.encode(Message::Item((head, size)), &mut self.out)?;
+        self.put_head(head, BodySize::Sized(body.len() as u64), close)?;
         if !body.is_empty() {
             self.codec.encode(Message::Chunk(Some(body)), &mut self.out)?;
         }
@@ -256,6 +263,3 @@
         let _ = timeout(LINGER_TIME, self.gone()).await;
     }
 }
-
-/// Time to wait for a caller to close after an answer that ends the connection.
-const LINGER_TIME: Duration = Duration::from_millis(500);
--- a/src/platform/head.rs
+++ b/src/platform/head.rs
@@ -3,7 +3,7 @@
 use super::engine::Handoff;
 use crate::id::{EndpointId, RequestId, Tokens};
 use crate::pool::Load;
-use crate::route::{Member, Urgency};
+use crate::route::Member;
 use crate::sse::EventId;
 use actix_http::header::{
     AUTHORIZATION, CONNECTION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER,
@@ -132,8 +132,6 @@
     pub member: Option<&'a Member>,
     /// Time that is left.
     pub left: Duration,
-    /// Rank at the engine.
-    pub urgency: Option<Urgency>,
     /// Memory of the generation that it goes on from.
     pub handoff: Option<&'a Handoff>,
     /// Last event that the caller has.
@@ -180,9 +178,6 @@
     if let Some(m) = to.member {
         set(h, WORKSPACE, &m.workspace);
     }
-    if let Some(u) = to.urgency {
-        set(h, URGENCY, u);
-    }
     if let Some(handoff) = to.handoff {
         set(h, RESUME_FROM, handoff);
     }
@@ -205,8 +200,6 @@
     pub unrun: bool,
     /// Tells that the endpoint is not the one that was meant.
     pub misdirected: bool,
-    /// Tells that the endpoint closes the connection, as one does that is leaving.
-    pub closing: bool,
     /// Requests at the endpoint.
     pub load: Option<Load>,
 }
@@ -221,7 +214,6 @@
         sealed: h.contains_key(SEAL),
         unrun: h.contains_key(NOT_RUN) || misdirected,
         misdirected,
-        closing: find(h, "connection").is_some_and(|v| v.eq_ignore_ascii_case("close")),
         load: find(h, LOAD).and_then(scan_load),
     }
 }
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -145,6 +145,11 @@
         self.standing == Standing::Serving && !is_out && !is_tried && self.absent.is_none()
     }
 
+    /// Tells whether it may get a new request of a service now.
+    pub fn serves(&self, service: &ServiceName) -> bool {
+        self.listing.service == *service && self.is_usable()
+    }
+
     /// Tells whether it is leaving.
     pub fn is_leaving(&self) -> bool {
         matches!(self.standing, Standing::Leaving(_))
--- a/src/spread/mod.rs
+++ b/src/spread/mod.rs
@@ -63,9 +63,8 @@
     accept: impl Fn(&Endpoint) -> bool,
 ) -> Option<PoolKey> {
     let fits = |k: &PoolKey, e: &Endpoint| {
-        let is_usable = e.listing.service == *need.service && e.is_usable();
         let is_open = e.work().open < need.connections;
-        is_usable && is_open && !tried.contains(k) && accept(e)
+        e.serves(need.service) && is_open && !tried.contains(k) && accept(e)
     };
     pool.endpoints
         .iter()
--- a/tests/decisions/admit.rs
+++ b/tests/decisions/admit.rs
@@ -1,6 +1,6 @@
 //! Waiting and refusing: more generations than the engines hold.
 
-use crate::fixture::{self, engine, pool, service, work};
+use crate::fixture::{Terms, pool, service, work};
 use crate::sim::{self, Engine, Job, Outcome, STEP};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -22,7 +22,7 @@
 fn play(rate: f64, is_held: bool) -> (Outcome, usize) {
     let start = Instant::now();
     let (mut pool, keys) = pool(start, 4);
-    let (service, centre, kind) = (service(), fixture::centre("a"), engine(MEMORY));
+    let terms = Terms::engines(MEMORY);
     let mut engines = vec![Engine::new(MEMORY); 4];
     let jobs = sim::arrivals(start, 7, rate, 40);
     let total = jobs.len();
@@ -36,13 +36,7 @@
             waiting.extend(coming.pop_front());
         }
         while let Some(job) = waiting.front() {
-            let need = || Need {
-                service: &service,
-                engine: Some(&kind),
-                work: needs(job),
-                centre: &centre,
-                connections: 100,
-            };
+            let need = || terms.need(needs(job));
             let verdict = if is_held {
                 let bid = bid(need(), job.came, Duration::from_secs(39), waiting.len());
                 admit::decide(now, &pool, &bid, &reading, &[], &mut rng)
@@ -104,14 +98,8 @@
     let start = Instant::now();
     let (mut pool, keys) = pool(start, 1);
     pool.enter(keys[0], work(held, unread));
-    let (service, centre, kind) = (service(), fixture::centre("a"), engine(MEMORY));
-    let need = Need {
-        service: &service,
-        engine: Some(&kind),
-        work: own,
-        centre: &centre,
-        connections: 100,
-    };
+    let terms = Terms::engines(MEMORY);
+    let need = terms.need(own);
     let bid = bid(need, start, patience, 0);
     let mut rng = SmallRng::seed_from_u64(1);
     admit::decide(start + waited, &pool, &bid, &Reading::default(), &[], &mut rng)
@@ -137,14 +125,8 @@
         pool.enter(*key, work(held, unread));
     }
     (0..24).for_each(|_| pool.enter(keys[3], work(10, 0)));
-    let (service, centre, kind) = (service(), fixture::centre("a"), engine(MEMORY));
-    let need = Need {
-        service: &service,
-        engine: Some(&kind),
-        work: work(4000, 3000),
-        centre: &centre,
-        connections: 100,
-    };
+    let terms = Terms::engines(MEMORY);
+    let need = terms.need(work(4000, 3000));
     let shortage = admit::shortage(start, &pool, &bid(need, start, LONG, 0), &Reading::default());
     assert_eq!(shortage.to_string(), "engines=5 no_memory=2 no_time=1 no_place=1");
 }
@@ -167,15 +149,9 @@
 fn one_larger_than_any_memory_begins_where_nothing_runs() {
     let start = Instant::now();
     let (pool, _) = pool(start, 1);
-    let (service, centre, kind) = (service(), fixture::centre("a"), engine(MEMORY));
+    let terms = Terms::engines(MEMORY);
     let own = work(30_000, 6000);
-    let need = Need {
-        service: &service,
-        engine: Some(&kind),
-        work: own,
-        centre: &centre,
-        connections: 100,
-    };
+    let need = terms.need(own);
     let verdict = admit::decide(
         start,
         &pool,
@@ -192,15 +168,9 @@
     let start = Instant::now();
     let (mut pool, keys) = pool(start, 1);
     pool.enter(keys[0], work(22_000, 0));
-    let (service, centre, kind) = (service(), fixture::centre("a"), engine(MEMORY));
+    let terms = Terms::engines(MEMORY);
     let after = |line| {
-        let need = Need {
-            service: &service,
-            engine: Some(&kind),
-            work: work(4000, 3000),
-            centre: &centre,
-            connections: 100,
-        };
+        let need = terms.need(work(4000, 3000));
         let bid = bid(need, start, LONG, line);
         let now = start + Duration::from_millis(1700);
         match admit::decide(
--- a/tests/decisions/fixture.rs
+++ b/tests/decisions/fixture.rs
@@ -4,6 +4,7 @@
 use skylarkthread::pool::{Listing, Pool, PoolKey};
 use skylarkthread::route::Engine;
 use skylarkthread::share::Work;
+use skylarkthread::spread::Need;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -51,6 +52,28 @@
     }
 }
 
+/// The service, data centre and engines that a request is for.
+pub struct Terms {
+    service: ServiceName,
+    centre: DataCentre,
+    engine: Option<Engine>,
+}
+
+impl Terms {
+    pub fn plain() -> Terms {
+        Terms { service: service(), centre: centre("a"), engine: None }
+    }
+
+    pub fn engines(memory: u32) -> Terms {
+        Terms { engine: Some(engine(memory)), ..Terms::plain() }
+    }
+
+    pub fn need(&self, work: Work) -> Need<'_> {
+        let (service, centre, engine) = (&self.service, &self.centre, self.engine.as_ref());
+        Need { service, engine, work, centre, connections: 100 }
+    }
+}
+
 pub fn work(held: u64, unread: u64) -> Work {
     Work { open: 1, held, unread, copies: 0 }
 }
--- a/tests/decisions/pool.rs
+++ b/tests/decisions/pool.rs
@@ -1,6 +1,6 @@
 //! The list of endpoints: leaving, lapsing, starting anew, failing.
 
-use crate::fixture::{self, engine, id, listing, pool, service, work};
+use crate::fixture::{Terms, id, listing, pool, work};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use skylarkthread::pool::{Change, Listing, Standing};
@@ -118,14 +118,8 @@
     keys[1..]
         .iter()
         .for_each(|k| pool.enter(*k, Work { open: 3, held: 11_000, unread: 0, copies: 0 }));
-    let (service, centre, kind) = (service(), fixture::centre("a"), engine(34_000));
-    let need = Need {
-        service: &service,
-        engine: Some(&kind),
-        work: work(4000, 3000),
-        centre: &centre,
-        connections: 100,
-    };
+    let terms = Terms::engines(34_000);
+    let need = terms.need(work(4000, 3000));
     let mut rng = SmallRng::seed_from_u64(3);
     for _ in 0..50 {
         assert_ne!(spread::choose(now, &pool, &need, &[], &mut rng), Some(keys[0]));
@@ -138,14 +132,8 @@
     let (mut pool, keys) = pool(now, 1);
     pool.list(now, listing(5, "b"));
     let far = pool.find(&id(5)).expect("it is listed");
-    let (service, centre) = (service(), fixture::centre("a"));
-    let need = || Need {
-        service: &service,
-        engine: None,
-        work: work(0, 0),
-        centre: &centre,
-        connections: 100,
-    };
+    let terms = Terms::plain();
+    let need = || terms.need(work(0, 0));
     let mut rng = SmallRng::seed_from_u64(3);
     assert_eq!(spread::choose(now, &pool, &need(), &[], &mut rng), Some(keys[0]));
     (0..4).for_each(|_| pool.enter(keys[0], work(0, 0)));
@@ -156,9 +144,8 @@
 fn an_endpoint_is_not_sent_more_than_the_connections_that_it_takes() {
     let now = Instant::now();
     let (mut pool, keys) = pool(now, 1);
-    let (service, centre) = (service(), fixture::centre("a"));
-    let need =
-        Need { service: &service, engine: None, work: work(0, 0), centre: &centre, connections: 2 };
+    let terms = Terms::plain();
+    let need = Need { connections: 2, ..terms.need(work(0, 0)) };
     let mut rng = SmallRng::seed_from_u64(3);
     pool.enter(keys[0], work(0, 0));
     assert_eq!(spread::choose(now, &pool, &need, &[], &mut rng), Some(keys[0]));
