Grant the copies of a data centre's engines one at a time per link

All instances that have generations on reclaimed engines choose the same target, the engine with the most free memory, before they hear of each other's copies, which takes up to 120 ms at 68 instances. Copies to it queue, and while they wait they block the links of their sources. Last copies, all due at the same time before the stop, queue behind first copies and fail.

Change: one instance, chosen among the stronger ones, grants the copies between the engines of a data centre, each only while both links are idle. The last copy follows the first within the same grant.

--- a/src/evacuate/mod.rs
+++ b/src/evacuate/mod.rs
@@ -7,6 +7,10 @@
 //! Therefore first copies are distributed over the engines, and last copies wait until the links
 //! are free, as far as the notice allows.
 
+mod links;
+
+pub use links::{LinkScheduler, TransferId, TransferRequest, Verdict};
+
 use crate::id::{DataCentre, ServiceName};
 use crate::pool::{Endpoint, Pool, PoolKey};
 use crate::route::Engine;
@@ -17,7 +21,7 @@
 /// Age that a report of an engine may have when it is read; deducted from the remaining time.
 const REPORT_LAG: Duration = Duration::from_millis(600);
 /// Time reserved for the last copy and for resuming on the target.
-const LAST_COPY_RESERVE: Duration = Duration::from_millis(300);
+const LAST_COPY_RESERVE: Duration = Duration::from_millis(80);
 /// Share of an engine's memory above which it is not considered as a target. It exceeds 1 because
 /// expected needs are higher than the memory in use, and the engine itself refuses a copy that does
 /// not fit.
@@ -31,7 +35,7 @@
 /// Longest delay before the first copy of a generation. Instances distribute the start of their
 /// copies over this time so that each sees the copies of the others. Smaller generations start
 /// earlier, so that more of them are migrated in time.
-const MAX_COPY_DELAY: Duration = Duration::from_millis(80);
+const MAX_COPY_DELAY: Duration = Duration::from_millis(20);
 /// Factor by which copies take longer than the bare transfer on a link that others use too.
 const LINK_SLACK: f64 = 1.15;
 /// Most tokens queued on a link when another copy may start: enough to keep the link busy until the
@@ -84,9 +88,14 @@
     if queued > MAX_QUEUED_TOKENS {
         return false;
     }
-    let bits = f64::from(queued + own) * engine.token_bytes as f64 * 8.0;
-    let time = Duration::try_from_secs_f64(bits / engine.link_bps.max(1.0));
-    time.is_ok_and(|t| now + t.mul_f64(LINK_SLACK) <= deadline)
+    copy_time(engine, queued + own) <= deadline.saturating_duration_since(now)
+}
+
+/// Returns the time to copy `tokens` tokens over a link.
+fn copy_time(engine: &Engine, tokens: u32) -> Duration {
+    let bits = f64::from(tokens) * engine.token_bytes as f64 * 8.0;
+    let secs = bits / engine.link_bps.max(1.0) * LINK_SLACK;
+    Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX)
 }
 
 /// A generation that has to be migrated.
@@ -114,14 +123,9 @@
             && e.serves(request.service)
             && !tried.contains(k)
             && e.open_requests(now) < e.listing.slots
-            && memory_share(e, request, engine) <= MAX_MEMORY_SHARE
-    };
-    let cost = |e: &Endpoint| {
-        let remote = if e.listing.centre == *request.centre { 0.0 } else { REMOTE_COST };
-        memory_share(e, request, engine)
-            + remote
-            + f64::from(e.work().copies) / LINK_TOKENS_PER_COST
+            && memory_share(e, request.held, engine) <= MAX_MEMORY_SHARE
     };
+    let cost = |e: &Endpoint| target_cost(e, request.centre, request.held, engine);
     pool.endpoints
         .iter()
         .filter(|(k, e)| fits(k, e))
@@ -129,7 +133,16 @@
         .map(|(k, _)| k)
 }
 
-/// Returns the share of an engine's memory that is needed once it runs the generation.
-fn memory_share(e: &Endpoint, request: &MoveRequest<'_>, engine: &Engine) -> f64 {
-    (e.work().held + request.held) as f64 / f64::from(engine.kv_capacity.0.max(1))
+/// Returns the cost of an engine as the target of a generation that runs in `centre` and needs
+/// `held` tokens of memory.
+fn target_cost(e: &Endpoint, centre: &DataCentre, held: u64, engine: &Engine) -> f64 {
+    let remote = if e.listing.centre == *centre { 0.0 } else { REMOTE_COST };
+    let link = f64::from(e.work().copies) / LINK_TOKENS_PER_COST;
+    memory_share(e, held, engine) + remote + link
+}
+
+/// Returns the share of an engine's memory that is needed once it runs a generation that needs
+/// `held` tokens.
+fn memory_share(e: &Endpoint, held: u64, engine: &Engine) -> f64 {
+    (e.work().held + held) as f64 / f64::from(engine.kv_capacity.0.max(1))
 }
--- a/src/gateway/migrate.rs
+++ b/src/gateway/migrate.rs
@@ -3,9 +3,10 @@
 //! The memory is copied once while the generation runs. A second copy, of what has been added
 //! since, stops the generation, which then resumes on the target engine.
 
+use super::transfer::{Answer, Grant, TransferClient};
 use super::{Gateway, WorkGuard};
 use crate::clock;
-use crate::evacuate::{self, MoveRequest, ShutdownNotice};
+use crate::evacuate::{self, ShutdownNotice};
 use crate::event::Kind;
 use crate::gossip::Work;
 use crate::id::{DataCentre, RequestId, ServiceName, Tokens};
@@ -21,10 +22,8 @@
 const COPY_TIMEOUT: Duration = Duration::from_millis(4000);
 /// Interval between attempts of a copy that could not start.
 const RETRY_INTERVAL: Duration = Duration::from_millis(60);
-/// Time within which other instances have announced the copies that they started.
-const GOSSIP_DELAY: Duration = Duration::from_millis(60);
-/// Interval between checks of whether the links are free.
-const LINK_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval between requests for the links while they are busy.
+const LINK_POLL_INTERVAL: Duration = Duration::from_millis(8);
 /// Longest wait for an engine's status report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Longest wait for an engine to free a copy.
@@ -62,7 +61,7 @@
 
 impl RunningGeneration {
     /// Returns the load on the target engine, which does not have to read the prompt again.
-    fn work(&self) -> Work {
+    pub fn work(&self) -> Work {
         Work { open: 1, held: u64::from(self.expected_tokens.0), unread: 0, copies: 0 }
     }
 }
@@ -70,10 +69,10 @@
 /// Duration of each phase of a migration.
 #[derive(Debug, Default, Clone, Copy)]
 struct PhaseTimes {
+    /// Wait until the first copy starts.
+    hold: Duration,
     /// First copy, made while the generation runs.
     first: Duration,
-    /// Wait between the two copies.
-    hold: Duration,
     /// Last copy, of the remaining memory, while the generation is stopped.
     last: Duration,
 }
@@ -139,39 +138,42 @@
         let mut tried = Vec::new();
         self.poll_report().await;
         tokio::time::sleep(evacuate::copy_delay(self.generation.used_tokens.get())).await;
+        let mut client = TransferClient::new(&self.gw, &self.generation);
         while clock::now() < self.started + MOVE_WINDOW && tried.len() < MAX_TARGETS {
             if self.generation.ended.get() {
                 return MoveOutcome::Stay("ended");
             }
-            let Some((guard, to)) = self.choose_target(&tried) else {
-                tokio::time::sleep(RETRY_INTERVAL).await;
-                tried.clear();
-                continue;
-            };
             let deadline = self.last_copy_deadline().await;
-            let since = clock::now();
-            let Some(links) = self.reserve_links(guard.key, deadline) else {
-                if since > deadline {
-                    return MoveOutcome::Stay("not enough time left for a copy");
+            let grant = match client.request(&self.generation, deadline, &tried).await {
+                Answer::Granted(grant) => grant,
+                Answer::Wait => {
+                    tokio::time::sleep(super::jitter(LINK_POLL_INTERVAL)).await;
+                    continue;
                 }
-                drop(guard);
-                tokio::time::sleep(super::jitter(LINK_POLL_INTERVAL * 2)).await;
-                continue;
+                Answer::TooLate => return MoveOutcome::Stay("not enough time left for a copy"),
             };
-            let result = self.copy(to, false).await;
-            drop(links);
-            match result {
+            let since = clock::now();
+            self.times.hold = since.saturating_duration_since(self.started);
+            match self.copy(grant.to, false).await {
                 Ok(CopyOutcome::Done(first)) => {
-                    self.times.first = clock::now().saturating_duration_since(since);
-                    return self.finish(guard, to, first).await;
+                    let now = clock::now();
+                    self.times.first = now.saturating_duration_since(since);
+                    let outcome = self.final_copy(grant, first).await;
+                    self.times.last = clock::now().saturating_duration_since(now);
+                    return outcome;
                 }
                 Ok(CopyOutcome::Absent | CopyOutcome::Busy) => {
-                    tokio::time::sleep(RETRY_INTERVAL).await
+                    drop(grant);
+                    tokio::time::sleep(RETRY_INTERVAL).await;
                 }
-                Ok(CopyOutcome::NoRoom(_)) => tried.push(guard.key),
+                Ok(CopyOutcome::NoRoom(_)) => tried.push(grant.guard.key),
                 Err(e) => {
-                    log::debug!("copying generation {} to {to} failed: {e}", self.generation.id);
-                    tried.push(guard.key);
+                    log::debug!(
+                        "copying generation {} to {} failed: {e}",
+                        self.generation.id,
+                        grant.to
+                    );
+                    tried.push(grant.guard.key);
                 }
             }
         }
@@ -215,68 +217,8 @@
         evacuate::last_copy_deadline(&self.notice)
     }
 
-    fn choose_target(&self, tried: &[PoolKey]) -> Option<(WorkGuard, SocketAddr)> {
-        let generation = &self.generation;
-        let engine = generation.spec.engine.as_ref()?;
-        let request = MoveRequest {
-            source: generation.source,
-            service: &generation.service,
-            centre: &generation.centre,
-            held: u64::from(generation.expected_tokens.0),
-        };
-        let (key, to) = {
-            let pool = self.gw.pool.borrow();
-            let key = evacuate::choose(clock::now(), &pool, &request, engine, tried)?;
-            (key, pool.endpoints.get(key)?.listing.address)
-        };
-        Some((WorkGuard::new(&self.gw, key, generation.work()), to))
-    }
-
-    /// Counts a copy on the links of both engines; `None` if it would not finish by `deadline`.
-    fn reserve_links(&self, to: PoolKey, deadline: Instant) -> Option<[WorkGuard; 2]> {
-        let keys = [self.generation.source, to];
-        let engine = self.generation.spec.engine.as_ref()?;
-        let copies = {
-            let pool = self.gw.pool.borrow();
-            let is_remote = pool.endpoints.get(to)?.listing.centre != self.generation.centre;
-            let own = evacuate::link_tokens(self.generation.used_tokens.get(), is_remote);
-            let now = clock::now();
-            let queued = |key| pool.endpoints.get(key).map_or(0, |e| e.work().copies);
-            let fits = |key| evacuate::can_start_copy(now, deadline, engine, queued(key), own);
-            keys.into_iter().all(fits).then_some(own)?
-        };
-        let copy = Work { copies, ..Work::default() };
-        Some(keys.map(|key| WorkGuard::new(&self.gw, key, copy)))
-    }
-
-    /// Returns whether no first copy is in progress on the links of either engine.
-    fn has_free_links(&self, to: PoolKey) -> bool {
-        let pool = self.gw.pool.borrow();
-        let copies = |key| pool.endpoints.get(key).map_or(0, |e| e.work().copies);
-        copies(self.generation.source) + copies(to) == 0
-    }
-
-    /// Makes the last copy, for which the generation pauses. To keep the pause short, the copy
-    /// waits until first copies of other generations on the same links are complete, as far as time
-    /// allows.
-    async fn finish(&mut self, guard: WorkGuard, to: SocketAddr, first: Handoff) -> MoveOutcome {
-        let now = clock::now();
-        // Other instances see the notice at the same time: wait for the copies that they announce.
-        tokio::time::sleep(GOSSIP_DELAY).await;
-        while !self.has_free_links(guard.key) && !self.generation.ended.get() {
-            if clock::now() >= self.last_copy_deadline().await {
-                break;
-            }
-            tokio::time::sleep(LINK_POLL_INTERVAL).await;
-        }
-        self.times.hold = clock::now().saturating_duration_since(now);
-        let since = clock::now();
-        let outcome = self.final_copy(guard, to, first).await;
-        self.times.last = clock::now().saturating_duration_since(since);
-        outcome
-    }
-
-    async fn final_copy(&self, guard: WorkGuard, to: SocketAddr, first: Handoff) -> MoveOutcome {
+    /// Makes the last copy, of what was added since the first one. The generation pauses for it.
+    async fn final_copy(&self, grant: Grant, first: Handoff) -> MoveOutcome {
         loop {
             if self.generation.ended.get() {
                 if let Err(e) = platform::free_copy(&first, &self.gw.codec, RELEASE_TIMEOUT).await {
@@ -287,8 +229,8 @@
                 }
                 return MoveOutcome::Stay("ended");
             }
-            match self.copy(to, true).await {
-                Ok(CopyOutcome::Done(handoff)) => return MoveOutcome::To(guard, handoff),
+            match self.copy(grant.to, true).await {
+                Ok(CopyOutcome::Done(handoff)) => return MoveOutcome::To(grant.guard, handoff),
                 Ok(CopyOutcome::Busy) => tokio::time::sleep(RETRY_INTERVAL).await,
                 Ok(CopyOutcome::Absent) => return MoveOutcome::Stay("ended"),
                 // The generation has stopped. The source holds its memory and still serves.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,10 +17,12 @@
 mod quarantine;
 mod serve;
 mod stream;
+mod transfer;
 
 use crate::admit::{PrefillRate, WaitQueue};
 use crate::budget::{Allowance, Budget};
 use crate::clock;
+use crate::evacuate::LinkScheduler;
 use crate::event::{EventRing, Kind};
 use crate::gossip::{ConfigPull, PeerLoads, Work};
 use crate::http::{self, Metrics};
@@ -115,6 +117,8 @@
     queue: RefCell<WaitQueue>,
     /// Prefill rates of engines, by service.
     prefill_rates: RefCell<HashMap<ServiceName, PrefillRate>>,
+    /// Copies of generations that this instance has granted.
+    links: RefCell<LinkScheduler>,
     /// Fingerprints of request contents that have crashed endpoints.
     quarantine: RefCell<Quarantine>,
     /// Other instances registered in the store.
@@ -213,6 +217,7 @@
             peer_loads: RefCell::new(PeerLoads::default()),
             peers: RefCell::new(HashMap::new()),
             queue: RefCell::new(WaitQueue::default()),
+            links: RefCell::default(),
             quarantine: RefCell::new(Quarantine::default()),
             messenger: peers::Messenger::default(),
             revisions: RefCell::new(HashMap::new()),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -4,16 +4,17 @@
 //! verify its messages with that key, so that only processes with write access to the store are
 //! trusted.
 
-use super::{Gateway, follow, jitter, quarantine};
+use super::{Gateway, follow, jitter, quarantine, transfer};
 use crate::admit::{self, Candidate};
 use crate::clock;
+use crate::evacuate::Verdict;
 use crate::event::Kind;
 use crate::frame::{Envelope, Gossip, Keyring};
 use crate::gossip::{
     self, AdmissionRequest, DigestScheduler, FULL_DIGEST_INTERVAL, PeerMessage, StoreChanges,
     StoreStatus, Tag,
 };
-use crate::id::{Incarnation, InstanceId, IntentVersion};
+use crate::id::{Incarnation, InstanceId, IntentVersion, MilliCores};
 use crate::route::Urgency;
 use crate::store::{KeyValue, LeaseId, Leases, StoreError};
 use actix_rt::net::UdpSocket;
@@ -48,6 +49,9 @@
 struct Registration {
     address: SocketAddr,
     key: [u8; KEY_BYTES],
+    /// Absent in registrations of older versions.
+    #[serde(default)]
+    power: MilliCores,
 }
 
 /// Another instance.
@@ -55,6 +59,8 @@
 pub struct Peer {
     /// Address of its datagrams, and of connections that transfer the configuration.
     pub address: SocketAddr,
+    /// Processing power.
+    pub power: MilliCores,
     /// Key that verifies its messages.
     keys: Keyring,
 }
@@ -64,13 +70,31 @@
 pub struct Messenger {
     /// `None` where the settings name no address for peers.
     sender: RefCell<Option<Sender>>,
-    /// Admission requests without a reply yet, by their numbers.
-    pending: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
-    /// Number of the next admission request.
+    /// Requests without a reply yet, by their numbers.
+    pending: RefCell<HashMap<u64, oneshot::Sender<Reply>>>,
+    /// Number of the next request.
     next_number: Cell<u64>,
 }
 
-/// Removes a pending admission request when its future is dropped.
+/// Reply of a coordinator.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Reply {
+    /// Whether a generation may begin.
+    Admission(bool),
+    /// Whether a copy may start.
+    Transfer(Verdict),
+}
+
+impl Messenger {
+    /// Returns a number that no other request of this instance has.
+    pub fn number(&self) -> u64 {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        number
+    }
+}
+
+/// Removes a pending request when its future is dropped.
 struct PendingGuard<'a> {
     messenger: &'a Messenger,
     number: u64,
@@ -98,7 +122,7 @@
 pub async fn start(gw: &Rc<Gateway>, address: SocketAddr) -> std::io::Result<()> {
     let socket = Rc::new(UdpSocket::bind(address).await?);
     let key: [u8; KEY_BYTES] = rand::rng().random();
-    let registration = Registration { address, key };
+    let registration = Registration { address, key, power: gw.settings.borrow().power };
     let keys = Keyring::new(&[Arc::from(&key[..])]);
     let sender = Sender { socket: socket.clone(), keys, incarnation: Incarnation::random() };
     *gw.messenger.sender.borrow_mut() = Some(sender);
@@ -119,7 +143,7 @@
 }
 
 /// Sends a message to the given addresses without waiting.
-fn send(gw: &Gateway, to: &[SocketAddr], body: PeerMessage) {
+pub fn send(gw: &Gateway, to: &[SocketAddr], body: PeerMessage) {
     let Some(frame) = seal_message(gw, body) else { return };
     let sender = gw.messenger.sender.borrow();
     let Some(s) = sender.as_ref() else { return };
@@ -168,18 +192,36 @@
         gossip::coordinator(tag, instances).and_then(|i| peers.get(i)).map(|p| p.address)
     };
     let Some(coordinator) = coordinator else { return true };
-    let number = gw.messenger.next_number.get();
-    gw.messenger.next_number.set(number + 1);
-    let (reply, replied) = oneshot::channel();
-    gw.messenger.pending.borrow_mut().insert(number, reply);
-    let _guard = PendingGuard { messenger: &gw.messenger, number };
+    let number = gw.messenger.number();
     let left = u32::try_from(candidate.left.as_millis()).unwrap_or(u32::MAX);
     let row = gossip::encode_row(tag, candidate.work);
     let request = AdmissionRequest { number, row, left_ms: left, urgency: candidate.urgency.0 };
-    send(gw, &[coordinator], PeerMessage::AdmissionRequest(request));
-    let granted = tokio::time::timeout(ADMISSION_TIMEOUT, replied).await;
-    metrics::counter!("asks_total", "answered" => granted.is_ok().to_string()).increment(1);
-    !matches!(granted, Ok(Ok(false)))
+    let message = PeerMessage::AdmissionRequest(request);
+    let reply = request_reply(gw, coordinator, number, message, ADMISSION_TIMEOUT).await;
+    metrics::counter!("asks_total", "answered" => reply.is_some().to_string()).increment(1);
+    reply != Some(Reply::Admission(false))
+}
+
+/// Sends a request with a number and waits for the reply; `None` if it does not come within `wait`.
+pub async fn request_reply(
+    gw: &Gateway,
+    to: SocketAddr,
+    number: u64,
+    message: PeerMessage,
+    wait: Duration,
+) -> Option<Reply> {
+    let (reply, replied) = oneshot::channel();
+    gw.messenger.pending.borrow_mut().insert(number, reply);
+    let _guard = PendingGuard { messenger: &gw.messenger, number };
+    send(gw, &[to], message);
+    tokio::time::timeout(wait, replied).await.ok()?.ok()
+}
+
+fn receive_reply(gw: &Gateway, number: u64, reply: Reply) {
+    if let Some(pending) = gw.messenger.pending.borrow_mut().remove(&number) {
+        // The request may have timed out meanwhile.
+        let _ = pending.send(reply);
+    }
 }
 
 /// Decides on an admission request as the coordinator of the engine. Grants it if the engine is
@@ -254,7 +296,7 @@
     match registration {
         Some(r) => {
             let keys = Keyring::new(&[Arc::from(&r.key[..])]);
-            let peer = Peer { address: r.address, keys };
+            let peer = Peer { address: r.address, power: r.power, keys };
             if gw.peers.borrow_mut().insert(instance.clone(), peer).is_none() {
                 gw.event(Kind::LinkUp, instance, format_args!("address={}", r.address));
             }
@@ -328,11 +370,17 @@
             );
         }
         PeerMessage::AdmissionReply(number, granted) => {
-            if let Some(reply) = gw.messenger.pending.borrow_mut().remove(&number) {
-                // The request may have timed out meanwhile.
-                let _ = reply.send(granted);
-            }
+            receive_reply(gw, number, Reply::Admission(granted));
+        }
+        PeerMessage::TransferRequest(request) => {
+            let number = request.number;
+            let verdict = transfer::decide(gw, envelope.from, &request);
+            send(gw, &[from], PeerMessage::TransferReply(number, verdict));
+        }
+        PeerMessage::TransferReply(number, verdict) => {
+            receive_reply(gw, number, Reply::Transfer(verdict));
         }
+        PeerMessage::TransferDone(number) => transfer::finish(gw, envelope.from, number),
     }
 }
 
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -13,8 +13,9 @@
 
 pub use pull::ConfigPull;
 
+use crate::evacuate::Verdict;
 use crate::frame::Gossip;
-use crate::id::{EndpointId, Fingerprint, InstanceId};
+use crate::id::{DataCentre, EndpointId, Fingerprint, InstanceId, MilliCores, ServiceName};
 use crate::store::KeyValue;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
@@ -116,6 +117,36 @@
     pub urgency: u8,
 }
 
+/// A request to the coordinator of a data centre's transfers, to copy a generation from an engine
+/// that is leaving.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TransferMessage {
+    /// Number that the reply repeats, unique per sender and generation.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// Engine that is leaving.
+    #[serde(rename = "s")]
+    pub source: Tag,
+    /// Service of that engine.
+    #[serde(rename = "k")]
+    pub service: ServiceName,
+    /// Data centre of that engine.
+    #[serde(rename = "d")]
+    pub centre: DataCentre,
+    /// Tokens to copy.
+    #[serde(rename = "c")]
+    pub tokens: u32,
+    /// Memory that the generation needs by its end, in tokens.
+    #[serde(rename = "h")]
+    pub held: u32,
+    /// Milliseconds within which the copy has to end.
+    #[serde(rename = "l")]
+    pub left_ms: u32,
+    /// Engines that did not accept the copy.
+    #[serde(rename = "t")]
+    pub tried: Vec<Tag>,
+}
+
 /// A message from one instance to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -128,6 +159,15 @@
     /// Reply to the admission request with this number: whether it is granted.
     #[serde(rename = "g")]
     AdmissionReply(u64, bool),
+    /// Requests the links for a copy of a generation.
+    #[serde(rename = "m")]
+    TransferRequest(TransferMessage),
+    /// Reply to the transfer request with this number.
+    #[serde(rename = "v")]
+    TransferReply(u64, Verdict),
+    /// The transfer with this number has ended.
+    #[serde(rename = "e")]
+    TransferDone(u64),
     /// Contents that crashed endpoints.
     #[serde(rename = "b")]
     Quarantine(Gossip),
@@ -238,6 +278,28 @@
     instances.max_by_key(|i| rendezvous_weight(tag, i))
 }
 
+/// Returns the instances that schedule the transfers of a data centre's engines: the one that all
+/// ask first, and the one to ask if that does not reply.
+///
+/// Only instances with at least half the power of the strongest are eligible. At the start of a
+/// wave of transfers, a weak one would reply after its peers have given up waiting.
+pub fn transfer_coordinators<'i>(
+    centre: &DataCentre,
+    instances: impl Iterator<Item = (&'i InstanceId, MilliCores)> + Clone,
+) -> [Option<&'i InstanceId>; 2] {
+    let strongest = instances.clone().map(|(_, power)| power.0).max().unwrap_or(0);
+    let mut best = [None, None];
+    for (i, _) in instances.filter(|(_, power)| power.0 * 2 >= strongest) {
+        let entry = Some((rendezvous_weight(centre, i), i));
+        if entry > best[0] {
+            best = [entry, best[0]];
+        } else if entry > best[1] {
+            best[1] = entry;
+        }
+    }
+    best.map(|b| b.map(|(_, i)| i))
+}
+
 /// Open work of the other instances.
 #[derive(Debug, Default)]
 pub struct PeerLoads {
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -171,6 +171,11 @@
     Epoch, u32
 }
 
+number! {
+    /// Processing power, in thousandths of a core.
+    MilliCores, u32
+}
+
 macro_rules! hex_id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,7 +1,7 @@
 //! The settings file that the platform provides for a process: lines of `a.b=value`, with the items
 //! of lists separated by commas.
 
-use crate::id::{DataCentre, InstanceId};
+use crate::id::{DataCentre, InstanceId, MilliCores};
 use std::collections::HashMap;
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
@@ -55,6 +55,8 @@
     pub peer_address: Option<SocketAddr>,
     /// Address of the metadata store.
     pub store_address: SocketAddr,
+    /// Processing power of the instance.
+    pub power: MilliCores,
     /// Memory limit of the process in MB.
     pub memory_mb: u32,
     /// Maximum number of open sockets: the platform's descriptor limit less those for files.
@@ -84,6 +86,7 @@
             probe_address: optional(&fields, "listen.ready")?,
             peer_address: peer_address(&fields)?,
             store_address: required(&fields, "platform.address")?,
+            power: power(&fields)?,
             memory_mb: required::<f64>(&fields, "limits.memory_mb")? as u32,
             max_sockets: max_fds.saturating_sub(RESERVED_FDS),
             stop_grace: required_duration(&fields, "bounds.grace_s")?,
@@ -111,6 +114,13 @@
     Ok(Some(SocketAddr::new(ip, port)))
 }
 
+/// Returns the processing power; zero if the platform states no share of a core.
+fn power(fields: &HashMap<&str, &str>) -> Result<MilliCores, SettingsError> {
+    let share: f64 = optional(fields, "limits.cpu_share")?.unwrap_or(0.0);
+    let cores: f64 = optional(fields, "limits.cores")?.unwrap_or(1.0);
+    Ok(MilliCores((share * cores * 1e3) as u32))
+}
+
 fn optional<T: FromStr>(
     fields: &HashMap<&str, &str>,
     name: &'static str,
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -212,6 +212,11 @@
         self.tags.get(&tag).and_then(|k| self.endpoints.get(*k))
     }
 
+    /// Finds the key of an endpoint by its tag.
+    pub fn find_key_by_tag(&self, tag: Tag) -> Option<PoolKey> {
+        self.tags.get(&tag).copied()
+    }
+
     /// Adds the endpoint of a listing, or updates it if it is known.
     pub fn upsert(&mut self, now: Instant, listing: Listing) -> Option<Change> {
         let id = listing.id.clone();
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -60,6 +60,17 @@
     pub closed: Arc<AtomicBool>,
 }
 
+/// Copy of a generation's memory to another endpoint.
+#[derive(Debug, Clone)]
+pub struct MemoryCopy {
+    /// Body of the request.
+    pub request: String,
+    /// When the copy started.
+    pub started: Instant,
+    /// When it ended.
+    pub ended: Instant,
+}
+
 #[derive(Debug)]
 struct State {
     /// Actions for the next requests.
@@ -69,8 +80,10 @@
     received: Mutex<Vec<ReceivedRequest>>,
     /// Generations that run here, by request id.
     runs: Mutex<HashMap<String, Arc<Run>>>,
-    /// Bodies of the requests to copy the memory of a generation.
-    copies: Mutex<Vec<String>>,
+    /// Requests to copy the memory of a generation.
+    copies: Mutex<Vec<MemoryCopy>>,
+    /// Time that each copy takes, except a last one.
+    copy_time: Mutex<Duration>,
     /// Whether the report gives the state as draining.
     is_draining: AtomicBool,
     /// Time until which new connections are closed at once.
@@ -107,6 +120,7 @@
             received: Mutex::default(),
             runs: Mutex::default(),
             copies: Mutex::default(),
+            copy_time: Mutex::default(),
             is_draining: AtomicBool::new(false),
             down_until: Mutex::default(),
         });
@@ -145,9 +159,19 @@
 
     /// Returns the bodies of the requests to copy the memory of a generation.
     pub fn copy_requests(&self) -> Vec<String> {
+        self.copies().into_iter().map(|c| c.request).collect()
+    }
+
+    /// Returns the copies made so far, in the order in which they ended.
+    pub fn copies(&self) -> Vec<MemoryCopy> {
         self.state.copies.lock().expect("no holder panics").clone()
     }
 
+    /// Sets the time that each copy takes, except a last one.
+    pub fn set_copy_time(&self, time: Duration) {
+        *self.state.copy_time.lock().expect("no holder panics") = time;
+    }
+
     /// Returns the value of the endpoint's key in the store.
     pub fn listing(&self, service: &str, state: &str) -> String {
         Endpoint::listing_at(self.address, service, state)
@@ -196,11 +220,16 @@
     let Some(run) = state.runs.lock().ok()?.get(id).cloned() else {
         return respond(writer, "", 404, "{}");
     };
-    state.copies.lock().ok()?.push(body.to_string());
+    let started = Instant::now();
     if body["last"] == true {
         run.stopped.store(true, Ordering::SeqCst);
         std::thread::sleep(Duration::from_millis(20));
+    } else {
+        let time = *state.copy_time.lock().ok()?;
+        std::thread::sleep(time);
     }
+    let copy = MemoryCopy { request: body.to_string(), started, ended: Instant::now() };
+    state.copies.lock().ok()?.push(copy);
     respond(writer, "", 200, &format!(r#"{{"handle":"{}","created":1}}"#, run.tag))
 }
 
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod evacuate;
 mod fixture;
 mod gossip;
+mod links;
 mod platform;
 mod pool;
 mod sim;
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -50,6 +50,37 @@
     assert_eq!(last_flags, [false, true]);
 }
 
+/// Two gateways have generations on an engine that is no longer listed. The copies of all of them
+/// use its link one after the other, whichever gateway coordinates them.
+#[test]
+fn copies_of_several_gateways_take_turns_on_the_link_of_an_engine() {
+    let e = Endpoint::start("i-1", Action::Stream(100, EVENT_INTERVAL));
+    let (store, gateway) = start_platform(&[(&e, "model")]);
+    let other = crate::common::start_gateway(&store);
+    assert!(wait_for(5, || other.readiness() == 200));
+    assert!(wait_for(4, || store.keys("gateways/").len() == 2));
+    std::thread::sleep(Duration::from_millis(1500));
+    let ids = ["id-1", "id-2", "id-3", "id-4"];
+    let gateways = [&gateway, &other, &gateway, &other];
+    let mut sent: Vec<_> =
+        ids.iter().zip(gateways).map(|(id, gateway)| start_stream(gateway, id)).collect();
+    assert!(wait_for(2, || e.run_count() == 4));
+    let f = Endpoint::start("i-2", Action::Stream(100, EVENT_INTERVAL));
+    list_endpoint(&store, &f, "model", "ready");
+    std::thread::sleep(Duration::from_millis(300));
+    e.set_copy_time(Duration::from_millis(80));
+    store.set("servers/i-1", None);
+    for reply in sent.iter_mut().map(|s| s.reply()) {
+        assert_eq!((reply.complete, reply.body), (true, expected_events(100)));
+    }
+    assert_eq!((e.run_count(), f.run_count()), (4, 4));
+    let copies = e.copies();
+    assert_eq!(copies.len(), 8);
+    // A first and a last copy of each, and none starts before the previous one has ended.
+    let overlaps = copies.windows(2).filter(|pair| pair[1].started < pair[0].ended).count();
+    assert_eq!(overlaps, 0, "{copies:?}");
+}
+
 #[test]
 fn engines_are_asked_whether_they_leave_during_store_outage() {
     let e = Endpoint::start("i-1", Action::Stream(80, EVENT_INTERVAL));
