Read the store only where changes passed on by readers are missing

Change: relayed changes carry the revisions between which they are complete, digests of readers the revision that they have passed on; another instance reads the store when it stays behind, when a configuration changed, and every 15 s. The start reads all keys in one call instead of three.

Found on the way, and mended: instances that are not readers removed endpoints whose leases expired in an outage at once, and moved their generations; readers kept them. The new process test fails without the mark on relayed changes (4 of 5 generations were moved).

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -12,6 +12,8 @@
 
 /// Longest wait of a watch. A connection that has become silent is noticed soon after it.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Wait of a watch that only fetches changes which were missed.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(50);
 /// Interval between two calls while the store is unreachable.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 /// Time after the store's return during which a deleted endpoint entry may be due to a lease that
@@ -26,11 +28,9 @@
 /// Prefix of all keys: one watch follows the configuration, the endpoints and the peers.
 const ALL_KEYS: &str = "";
 
-/// Progress of the follower.
+/// State of the connection to the store.
 #[derive(Debug, Default)]
-struct Position {
-    /// Revision to watch from; `None` before the first list.
-    revision: Option<u64>,
+struct Connection {
     /// Whether the last call failed.
     is_lost: bool,
     /// When the store last became reachable again.
@@ -39,15 +39,15 @@
 
 /// Follows the store. Does not return.
 pub async fn follow_store(gw: Rc<Gateway>) {
-    let mut position = Position::default();
+    let mut connection = Connection::default();
     loop {
-        match poll_store(&gw, &mut position).await {
+        match poll_store(&gw, &mut connection).await {
             Ok(()) => wait_for_poll(&gw).await,
-            Err(StoreError::Compacted) => position.revision = None,
+            Err(StoreError::Compacted) => gw.store_position.borrow_mut().set(None),
             Err(e) => {
-                if !position.is_lost {
-                    position.is_lost = true;
-                    let at = position.revision.unwrap_or_default();
+                if !connection.is_lost {
+                    connection.is_lost = true;
+                    let at = gw.store_position.borrow().revision().unwrap_or_default();
                     gw.event(Kind::StoreLost, "store", format_args!("why={e:?} revision={at}"));
                 }
                 tokio::time::sleep(jitter(RETRY_INTERVAL)).await;
@@ -57,8 +57,8 @@
 }
 
 /// Waits until the next poll is due. Readers poll again after [`BATCH_DELAY`]; the other
-/// instances rely on the changes that readers pass on, and poll at longer intervals or when a
-/// reader's message is not complete.
+/// instances rely on the changes that readers pass on, and poll when some of these are missing,
+/// and at long intervals.
 async fn wait_for_poll(gw: &Gateway) {
     tokio::time::sleep(BATCH_DELAY).await;
     let since = clock::now();
@@ -66,7 +66,9 @@
         let is_hinted =
             tokio::time::timeout(POLL_CHECK_INTERVAL, gw.poll_hint.notified()).await.is_ok();
         let now = clock::now();
-        if is_hinted || now >= since + peers::store_report(gw, now).poll_interval() {
+        let report = peers::reader_report(gw, now);
+        let is_behind = gw.store_position.borrow_mut().is_behind(now, report.revision);
+        if is_hinted || is_behind || now >= since + report.poll_interval() {
             break;
         }
     }
@@ -74,7 +76,8 @@
 
 /// Applies changes passed on by a reader, and requests a poll if they are not complete.
 pub fn apply_changes(gw: &Gateway, changes: &StoreChanges) {
-    changes.kvs.iter().for_each(|kv| apply_kv(gw, kv, false));
+    changes.kvs.iter().for_each(|kv| apply_kv(gw, kv, changes.recovering));
+    gw.store_position.borrow_mut().extend(changes);
     if changes.truncated {
         gw.poll_hint.notify_one();
     }
@@ -97,37 +100,43 @@
     peers::update_peer(gw, kv);
 }
 
-async fn poll_store(gw: &Gateway, position: &mut Position) -> Result<(), StoreError> {
-    let Some(revision) = position.revision else {
-        let endpoints = gw.store.list(platform::SERVERS_PREFIX).await?;
-        let config = gw.store.list(platform::CONFIG_KEY).await?;
-        let peers = gw.store.list(peers::KEY_PREFIX).await?;
-        log_store_back(gw, position);
-        position.revision = Some(endpoints.revision.min(config.revision));
-        apply_config(gw, &config);
-        replace_listings(gw, &endpoints);
-        peers.kvs.iter().for_each(|kv| peers::update_peer(gw, kv));
-        return Ok(());
-    };
-    let update = gw.store.watch(ALL_KEYS, revision, WATCH_TIMEOUT).await?;
-    log_store_back(gw, position);
-    position.revision = Some(update.revision.max(revision));
+async fn poll_store(gw: &Gateway, connection: &mut Connection) -> Result<(), StoreError> {
+    let known = gw.store_position.borrow().revision();
+    let Some(revision) = known else { return read_all(gw, connection).await };
+    // An instance that is not a reader reads what it has missed, and does not wait for changes.
+    let wait = if peers::is_reader(gw) { WATCH_TIMEOUT } else { CATCH_UP_TIMEOUT };
+    let update = gw.store.watch(ALL_KEYS, revision, wait).await?;
+    log_store_back(gw, connection);
+    let newest = update.revision.max(revision);
     apply_config(gw, &update);
-    let is_recovering = position.returned_at.is_some_and(|t| clock::now() < t + RECOVERY_TIME);
+    let is_recovering = connection.returned_at.is_some_and(|t| clock::now() < t + RECOVERY_TIME);
     let (large, small): (Vec<_>, Vec<_>) =
         update.kvs.iter().partition(|kv| &*kv.key == platform::CONFIG_KEY);
     let mut changes = StoreChanges::of(small.into_iter());
     changes.truncated |= !large.is_empty();
-    if !update.kvs.is_empty() {
+    (changes.after, changes.upto, changes.recovering) = (revision, newest, is_recovering);
+    if newest > revision {
         peers::publish(gw, changes);
     }
     update.kvs.iter().for_each(|kv| apply_kv(gw, kv, is_recovering));
+    gw.store_position.borrow_mut().set(Some(newest));
+    Ok(())
+}
+
+/// Reads all keys: the configuration, the endpoints and the peers.
+async fn read_all(gw: &Gateway, connection: &mut Connection) -> Result<(), StoreError> {
+    let all = gw.store.list(ALL_KEYS).await?;
+    log_store_back(gw, connection);
+    apply_config(gw, &all);
+    replace_listings(gw, &all);
+    all.kvs.iter().for_each(|kv| peers::update_peer(gw, kv));
+    gw.store_position.borrow_mut().set(Some(all.revision));
     Ok(())
 }
 
-fn log_store_back(gw: &Gateway, position: &mut Position) {
-    if std::mem::take(&mut position.is_lost) {
-        position.returned_at = Some(clock::now());
+fn log_store_back(gw: &Gateway, connection: &mut Connection) {
+    if std::mem::take(&mut connection.is_lost) {
+        connection.returned_at = Some(clock::now());
         gw.event(Kind::StoreBack, "store", "");
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,7 +24,7 @@
 use crate::clock;
 use crate::evacuate::LinkScheduler;
 use crate::event::{EventRing, Kind};
-use crate::gossip::{ConfigPull, PeerLoads, Work};
+use crate::gossip::{ConfigPull, PeerLoads, StorePosition, Work};
 use crate::http::{self, Metrics};
 use crate::id::{InstanceId, ServiceName};
 use crate::platform::{GatewaySettings, KvClient, SettingsError};
@@ -125,6 +125,8 @@
     peers: RefCell<HashMap<InstanceId, peers::Peer>>,
     /// Sends messages to peers and matches their replies with requests.
     messenger: peers::Messenger,
+    /// Store revision up to which this instance has all changes.
+    store_position: RefCell<StorePosition>,
     /// Latest applied revision of each store key, to discard changes that arrive late.
     revisions: RefCell<HashMap<Box<str>, u64>>,
     /// Whether the last check found the store unreachable.
@@ -221,6 +223,7 @@
             quarantine: RefCell::new(Quarantine::default()),
             messenger: peers::Messenger::default(),
             revisions: RefCell::new(HashMap::new()),
+            store_position: RefCell::default(),
             store_lost: Cell::new(false),
             poll_hint: Notify::new(),
             prefill_rates: RefCell::new(HashMap::new()),
--- a/src/gateway/outage.rs
+++ b/src/gateway/outage.rs
@@ -33,7 +33,7 @@
         let status = if peers::is_reader(&gw) {
             StoreStatus::Unknown
         } else {
-            peers::store_report(&gw, clock::now())
+            peers::reader_report(&gw, clock::now()).status
         };
         let is_reachable = match status {
             StoreStatus::Reachable => true,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -11,8 +11,8 @@
 use crate::event::Kind;
 use crate::frame::{Envelope, Gossip, Keyring};
 use crate::gossip::{
-    self, AdmissionRequest, DigestScheduler, FULL_DIGEST_INTERVAL, PeerMessage, StoreChanges,
-    StoreStatus, Tag,
+    self, AdmissionRequest, DigestScheduler, FULL_DIGEST_INTERVAL, PeerMessage, ReaderReport,
+    StoreChanges, Tag,
 };
 use crate::id::{Incarnation, InstanceId, IntentVersion, MilliCores};
 use crate::route::Urgency;
@@ -174,10 +174,10 @@
     gossip::is_reader(&gw.settings.borrow().instance, gw.peers.borrow().keys())
 }
 
-/// Returns whether the store is reachable according to the digests of its readers.
-pub fn store_report(gw: &Gateway, now: Instant) -> StoreStatus {
+/// Returns what the readers' digests say about the store.
+pub fn reader_report(gw: &Gateway, now: Instant) -> ReaderReport {
     let peers = gw.peers.borrow();
-    gw.peer_loads.borrow().store_status(now, &gossip::readers(peers.keys()))
+    gw.peer_loads.borrow().reader_report(now, &gossip::readers(peers.keys()))
 }
 
 /// Asks the coordinator of an engine whether a generation may begin there.
@@ -322,6 +322,11 @@
             let pool = gw.pool.borrow();
             let work = pool.endpoints.values().map(|e| (e.tag, e.own));
             scheduler.store_down = gw.store_lost.get();
+            scheduler.revision = if is_reader(&gw) {
+                gw.store_position.borrow().revision().unwrap_or_default()
+            } else {
+                0
+            };
             scheduler.step(now, peers.len(), work)
         };
         match digest {
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -10,8 +10,10 @@
 //! reports, and changes of the store, which only a few instances follow closely.
 
 mod pull;
+mod relay;
 
 pub use pull::ConfigPull;
+pub use relay::{ReaderReport, StorePosition};
 
 use crate::evacuate::Verdict;
 use crate::frame::Gossip;
@@ -98,6 +100,9 @@
     /// Whether the sender gets no answer from the store.
     #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
     pub store_down: bool,
+    /// Store revision up to which the sender has passed changes on; 0 if it is no reader.
+    #[serde(rename = "v", default)]
+    pub revision: u64,
 }
 
 /// A request to the coordinator of an engine for permission to start a generation there.
@@ -193,6 +198,16 @@
     /// store.
     #[serde(rename = "m")]
     pub truncated: bool,
+    /// Store revision after which the changes follow.
+    #[serde(rename = "a", default)]
+    pub after: u64,
+    /// Store revision up to which the changes are complete, unless they are truncated.
+    #[serde(rename = "u", default)]
+    pub upto: u64,
+    /// Whether the store was unreachable until shortly before. Keys may be missing because their
+    /// leases expired meanwhile.
+    #[serde(rename = "r", default)]
+    pub recovering: bool,
 }
 
 impl StoreChanges {
@@ -219,11 +234,6 @@
 const READER_QUORUM: usize = 2;
 /// Age up to which a reader's digest counts as recent; readers send one more often than this.
 const READER_TIMEOUT: Duration = Duration::from_millis(700);
-/// Interval between two polls of the store by an instance that receives changes from readers.
-const RELAYED_POLL_INTERVAL: Duration = Duration::from_millis(2600);
-/// Interval between two polls by an instance that does not receive reports of enough readers.
-const DIRECT_POLL_INTERVAL: Duration = Duration::from_millis(600);
-
 /// Returns whether an instance is a reader, which watches the store continuously. The others poll
 /// it at long intervals, so that the load of the store does not grow with their number.
 pub fn is_reader<'i>(own: &InstanceId, others: impl Iterator<Item = &'i InstanceId>) -> bool {
@@ -255,13 +265,6 @@
     Unreachable,
 }
 
-impl StoreStatus {
-    /// Returns the interval at which an instance that is not a reader polls the store.
-    pub fn poll_interval(self) -> Duration {
-        if self == StoreStatus::Reachable { RELAYED_POLL_INTERVAL } else { DIRECT_POLL_INTERVAL }
-    }
-}
-
 fn rendezvous_weight<T: Hash>(key: T, instance: &InstanceId) -> u64 {
     let mut hasher = DefaultHasher::new();
     (key, instance).hash(&mut hasher);
@@ -325,6 +328,8 @@
     /// When the last digest arrived.
     received: Option<Instant>,
     store_down: bool,
+    /// Store revision up to which the peer has passed changes on.
+    revision: u64,
     rows: HashMap<Tag, Work>,
 }
 
@@ -335,17 +340,20 @@
 }
 
 impl PeerLoads {
-    /// Returns the state of the store as reported by `readers`.
-    pub fn store_status(&self, now: Instant, readers: &[&InstanceId]) -> StoreStatus {
+    /// Returns what `readers` say about the store.
+    pub fn reader_report(&self, now: Instant, readers: &[&InstanceId]) -> ReaderReport {
         let states = readers.iter().filter_map(|r| self.peers.get(*r));
         let recent: Vec<&PeerState> = states.filter(|p| p.is_recent(now, READER_TIMEOUT)).collect();
-        let down = recent.iter().filter(|p| p.store_down).count();
-        match recent.len() - down {
-            0 if down >= READER_QUORUM => StoreStatus::Unreachable,
+        let up = recent.iter().filter(|p| !p.store_down);
+        let revision = up.clone().map(|p| p.revision).max().unwrap_or_default();
+        let up = up.count();
+        let status = match up {
+            0 if recent.len() >= READER_QUORUM => StoreStatus::Unreachable,
             up if up >= READER_QUORUM => StoreStatus::Reachable,
             // A single reader may be the only one that is cut off from the store.
             _ => StoreStatus::Unknown,
-        }
+        };
+        ReaderReport { status, up, revision }
     }
 
     /// Applies a digest of another instance.
@@ -353,6 +361,7 @@
         let mut peer = self.peers.remove(&from).unwrap_or_default();
         peer.received = Some(now);
         peer.store_down = digest.store_down;
+        peer.revision = digest.revision;
         if digest.full {
             peer.rows.drain().for_each(|(tag, work)| self.deduct(tag, work));
         }
@@ -428,6 +437,8 @@
 pub struct DigestScheduler {
     /// Whether this instance gets no answer from the store; copied to each digest.
     pub store_down: bool,
+    /// Store revision up to which this instance has passed changes on; copied to each digest.
+    pub revision: u64,
     /// Rows as of the last digest.
     sent: HashMap<Tag, Work>,
     /// When the last full digest was sent.
@@ -462,7 +473,7 @@
             self.last_full = Some(now);
         }
         self.sent = current;
-        Some(Digest { full, rows, store_down: self.store_down })
+        Some(Digest { full, rows, store_down: self.store_down, revision: self.revision })
     }
 
     /// Returns the shortest interval between two digests for a number of peers.
--- /dev/null
+++ b/src/gossip/relay.rs
@@ -0,0 +1,85 @@
+//! Tracks which changes of the store an instance has received from readers, and decides when it
+//! has to read the store itself.
+//!
+//! Answers the load that a large fleet puts on the store: reads grow with the changes that are
+//! lost on the way, not with the number of instances.
+
+use super::{StoreChanges, StoreStatus};
+use std::time::{Duration, Instant};
+
+/// Time for the changes up to a reader's revision to arrive, counted from its report of that
+/// revision. Readers pass changes on before they report them.
+const RELAY_WAIT: Duration = Duration::from_millis(300);
+/// Interval between two reads if enough readers report that they follow the store. It limits how
+/// long a fault of all readers goes unnoticed.
+const RELAYED_POLL_INTERVAL: Duration = Duration::from_secs(15);
+/// The same interval if one reader does, or if the store is known to be unreachable.
+const DEGRADED_POLL_INTERVAL: Duration = Duration::from_millis(2600);
+/// Interval between two reads without such a report.
+const DIRECT_POLL_INTERVAL: Duration = Duration::from_millis(600);
+
+/// What recent digests of readers say about the store.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ReaderReport {
+    /// Whether the store is reachable.
+    pub status: StoreStatus,
+    /// Number of readers that get answers from the store.
+    pub up: usize,
+    /// Newest store revision that one of these has passed on.
+    pub revision: u64,
+}
+
+impl ReaderReport {
+    /// Returns the interval at which an instance that is not a reader reads the store.
+    pub fn poll_interval(&self) -> Duration {
+        match (self.status, self.up) {
+            (StoreStatus::Reachable, _) => RELAYED_POLL_INTERVAL,
+            (StoreStatus::Unreachable, _) | (StoreStatus::Unknown, 1..) => DEGRADED_POLL_INTERVAL,
+            (StoreStatus::Unknown, 0) => DIRECT_POLL_INTERVAL,
+        }
+    }
+}
+
+/// Revision of the store up to which an instance has all changes.
+#[derive(Debug, Default)]
+pub struct StorePosition {
+    revision: Option<u64>,
+    /// Since when a reader has reported a newer revision, and that revision.
+    behind: Option<(Instant, u64)>,
+}
+
+impl StorePosition {
+    /// Returns the revision; `None` before the first read of the store.
+    pub fn revision(&self) -> Option<u64> {
+        self.revision
+    }
+
+    /// Records a read of the store up to a revision. `None` makes the next read a full one.
+    pub fn set(&mut self, revision: Option<u64>) {
+        self.revision = revision;
+        self.behind = None;
+    }
+
+    /// Records changes that a reader has passed on, if none are missing before them.
+    pub fn extend(&mut self, changes: &StoreChanges) {
+        let Some(own) = self.revision else { return };
+        if !changes.truncated && changes.after <= own && changes.upto > own {
+            self.revision = Some(changes.upto);
+        }
+    }
+
+    /// Returns whether changes that a reader has are missing here for longer than they take to
+    /// arrive.
+    pub fn is_behind(&mut self, now: Instant, reported: u64) -> bool {
+        let own = self.revision.unwrap_or_default();
+        // Newer changes may be on their way, but those that were missing first count.
+        if self.behind.is_some_and(|(_, revision)| own >= revision) {
+            self.behind = None;
+        }
+        if own >= reported {
+            return false;
+        }
+        let (since, _) = *self.behind.get_or_insert((now, reported));
+        now.saturating_duration_since(since) >= RELAY_WAIT
+    }
+}
--- a/tests/decisions/gossip.rs
+++ b/tests/decisions/gossip.rs
@@ -3,7 +3,8 @@
 use crate::fixture::{id, work};
 use proptest::prelude::*;
 use skylarkthread::gossip::{
-    self, ConfigPull, Digest, DigestScheduler, PeerLoads, StoreChanges, StoreStatus, Tag, Work,
+    self, ConfigPull, Digest, DigestScheduler, PeerLoads, ReaderReport, StoreChanges,
+    StorePosition, StoreStatus, Tag, Work,
 };
 use skylarkthread::id::InstanceId;
 use skylarkthread::store::KeyValue;
@@ -23,6 +24,7 @@
         full: true,
         rows: vec![gossip::encode_row(tag, work(held, 5))],
         store_down: false,
+        revision: 0,
     };
     peer_loads.apply(start, instance(1), &digest(100));
     peer_loads.apply(start, instance(2), &digest(30));
@@ -30,7 +32,7 @@
     peer_loads.apply(
         start + Duration::from_secs(1),
         instance(2),
-        &Digest { full: true, rows: vec![], store_down: false },
+        &Digest { full: true, rows: vec![], store_down: false, revision: 0 },
     );
     peer_loads.step(start + Duration::from_millis(2500));
     assert_eq!((peer_loads.at(tag), peer_loads.len()), (Work::default(), 1));
@@ -97,26 +99,103 @@
     let readers = gossip::readers(all.iter().filter(|i| *i != own));
     assert!(readers.iter().all(|r| gossip::is_reader(r, all.iter().filter(|o| o != r))));
     let mut peer_loads = PeerLoads::default();
-    let digest = |lost| Digest { full: true, rows: vec![], store_down: lost };
+    let digest = |lost| Digest { full: true, rows: vec![], store_down: lost, revision: 0 };
     let at = |ms| start + Duration::from_millis(ms);
+    let status = |peer_loads: &PeerLoads, now| peer_loads.reader_report(now, &readers).status;
     peer_loads.apply(at(0), readers[0].clone(), &digest(false));
-    assert_eq!(peer_loads.store_status(at(100), &readers), StoreStatus::Unknown);
+    assert_eq!(status(&peer_loads, at(100)), StoreStatus::Unknown);
     peer_loads.apply(at(100), readers[2].clone(), &digest(false));
-    assert_eq!(peer_loads.store_status(at(200), &readers), StoreStatus::Reachable);
-    assert!(StoreStatus::Reachable.poll_interval() > 4 * StoreStatus::Unknown.poll_interval());
+    assert_eq!(status(&peer_loads, at(200)), StoreStatus::Reachable);
+    let direct = ReaderReport { status: StoreStatus::Unknown, up: 0, revision: 0 };
+    let relayed = peer_loads.reader_report(at(200), &readers);
+    assert!(relayed.poll_interval() > 4 * direct.poll_interval());
+    let one_up = ReaderReport { up: 1, ..direct };
+    assert!(relayed.poll_interval() > 4 * one_up.poll_interval());
     peer_loads.apply(at(300), readers[2].clone(), &digest(true));
     assert_eq!(
-        peer_loads.store_status(at(400), &readers),
+        status(&peer_loads, at(400)),
         StoreStatus::Unknown,
         "one reader may be cut off alone"
     );
     peer_loads.apply(at(400), readers[0].clone(), &digest(true));
-    assert_eq!(peer_loads.store_status(at(500), &readers), StoreStatus::Unreachable);
-    assert_eq!(
-        peer_loads.store_status(at(1050), &readers),
-        StoreStatus::Unknown,
-        "one reader is silent"
-    );
+    assert_eq!(status(&peer_loads, at(500)), StoreStatus::Unreachable);
+    assert_eq!(status(&peer_loads, at(1050)), StoreStatus::Unknown, "one reader is silent");
+}
+
+/// Changes from one revision of the store to another, as a reader passes them on.
+fn relayed(after: u64, upto: u64) -> StoreChanges {
+    StoreChanges { after, upto, ..StoreChanges::default() }
+}
+
+#[test]
+fn relayed_changes_without_gap_make_reads_of_the_store_needless() {
+    let now = Instant::now();
+    let at = |ms| now + Duration::from_millis(ms);
+    let mut position = StorePosition::default();
+    position.extend(&relayed(0, 9));
+    assert_eq!(position.revision(), None, "the first read has to be a full one");
+    position.set(Some(10));
+    // Two readers pass on the same changes in other portions.
+    for (after, upto) in [(10, 14), (8, 12), (12, 20), (14, 17)] {
+        position.extend(&relayed(after, upto));
+    }
+    assert_eq!(position.revision(), Some(20));
+    assert!(!position.is_behind(at(0), 20) && !position.is_behind(at(5000), 20));
+}
+
+#[test]
+fn changes_that_stay_missing_are_read_from_the_store() {
+    let now = Instant::now();
+    let at = |ms| now + Duration::from_millis(ms);
+    let mut position = StorePosition::default();
+    position.set(Some(10));
+    position.extend(&relayed(12, 15));
+    position.extend(&StoreChanges { truncated: true, ..relayed(10, 15) });
+    assert_eq!(position.revision(), Some(10), "changes 11 and 12 are missing");
+    assert!(!position.is_behind(at(0), 15), "they may be on their way");
+    // A newer revision does not start the wait again.
+    assert!(!position.is_behind(at(200), 18));
+    assert!(position.is_behind(at(350), 18));
+    position.set(Some(18));
+    assert!(!position.is_behind(at(360), 18));
+}
+
+#[test]
+fn late_changes_end_the_wait_for_them() {
+    let now = Instant::now();
+    let at = |ms| now + Duration::from_millis(ms);
+    let mut position = StorePosition::default();
+    position.set(Some(10));
+    assert!(!position.is_behind(at(0), 15));
+    position.extend(&relayed(10, 15));
+    assert!(!position.is_behind(at(400), 20), "these are missing only since now");
+    assert!(position.is_behind(at(750), 20));
+}
+
+/// Over a day of 400 changes, of which each instance loses one message of each reader in fifty, an
+/// instance reads the store a few times, however many instances there are.
+#[test]
+fn reads_of_the_store_grow_with_lost_messages_only() {
+    let start = Instant::now();
+    let mut position = StorePosition::default();
+    position.set(Some(0));
+    let (mut reads, mut lost) = (0, 0);
+    for revision in 1..=400_u64 {
+        let now = start + Duration::from_millis(120) * revision as u32;
+        for reader in 0..3 {
+            if (revision * 7 + reader * 13) % 50 == 0 {
+                lost += 1;
+            } else {
+                position.extend(&relayed(revision - 1, revision));
+            }
+        }
+        if position.is_behind(now, revision) {
+            reads += 1;
+            position.set(Some(revision));
+        }
+    }
+    assert!(lost >= 20, "{lost}");
+    assert_eq!((reads, position.revision()), (0, Some(400)), "another reader's message arrived");
 }
 
 /// Other instances have a version that this instance does not get from the store.
@@ -152,11 +231,19 @@
     for n in 0..300 {
         let rows =
             (0..10).map(|k| gossip::encode_row(Tag::of(&id(n * 10 + k)), work(500, 0))).collect();
-        peer_loads.apply(start, instance(n), &Digest { full: true, rows, store_down: false });
+        peer_loads.apply(
+            start,
+            instance(n),
+            &Digest { full: true, rows, store_down: false, revision: 0 },
+        );
     }
     assert_eq!(peer_loads.take_changed().len(), 3000);
     let rows = vec![gossip::encode_row(Tag::of(&id(7)), work(900, 0))];
-    peer_loads.apply(start, instance(0), &Digest { full: false, rows, store_down: false });
+    peer_loads.apply(
+        start,
+        instance(0),
+        &Digest { full: false, rows, store_down: false, revision: 0 },
+    );
     assert_eq!(peer_loads.take_changed(), [Tag::of(&id(7))].into());
     assert_eq!(peer_loads.at(Tag::of(&id(7))).held, 900);
     peer_loads.step(start + Duration::from_secs(3));
@@ -185,7 +272,7 @@
                 Tag::of(&id(n)),
                 if held == 0 { Work::default() } else { work(held, 0) },
             )];
-            peer_loads.apply(now, instance(from), &Digest { full, rows, store_down: false });
+            peer_loads.apply(now, instance(from), &Digest { full, rows, store_down: false, revision: 0 });
             let (at, rows) = peers.entry(from).or_insert_with(|| (now, HashMap::new()));
             *at = now;
             if full {
--- a/tests/gateway/lifecycle.rs
+++ b/tests/gateway/lifecycle.rs
@@ -1,7 +1,7 @@
 //! Tests start, stop, reload, discovery of peers, and the log.
 
 use crate::common::{expected_events, send_request, start_platform, start_stream, wait_for};
-use standin::platform::{Action, Endpoint, Gateway, send};
+use standin::platform::{Action, Endpoint, Gateway, Outage, send};
 use std::time::Duration;
 
 #[test]
@@ -103,3 +103,35 @@
     );
     assert!(line("id-lost").contains("kind=Failed"), "{}", line("id-lost"));
 }
+
+/// The store drops the entry of an endpoint in an outage, as its lease expires, and has it back
+/// soon after. Running generations stay where they are, at readers and at other instances.
+#[test]
+fn entry_that_lapsed_in_an_outage_does_not_end_work_at_any_instance() {
+    let e = Endpoint::start("i-1", Action::Stream(160, Duration::from_millis(30)));
+    let f = Endpoint::start("i-2", Action::Stream(160, Duration::from_millis(30)));
+    let (store, first) = start_platform(&[(&e, "model")]);
+    let mut gateways = vec![first];
+    gateways.extend((0..4).map(|_| crate::common::start_gateway(&store)));
+    assert!(gateways.iter().all(|g| wait_for(5, || g.readiness() == 200)));
+    assert!(wait_for(4, || store.keys("gateways/").len() == 5));
+    std::thread::sleep(Duration::from_millis(1500));
+    let mut sent: Vec<_> = gateways
+        .iter()
+        .enumerate()
+        .map(|(n, gateway)| start_stream(gateway, &format!("id-{n}")))
+        .collect();
+    assert!(wait_for(2, || e.run_count() == 5));
+    crate::common::list_endpoint(&store, &f, "model", "ready");
+    std::thread::sleep(Duration::from_millis(300));
+    store.set_outage(Some(Outage::Busy));
+    std::thread::sleep(Duration::from_millis(700));
+    store.set("servers/i-1", None);
+    store.set_outage(None);
+    std::thread::sleep(Duration::from_millis(1000));
+    crate::common::list_endpoint(&store, &e, "model", "ready");
+    for reply in sent.iter_mut().map(|s| s.reply()) {
+        assert_eq!((reply.complete, reply.body), (true, expected_events(160)));
+    }
+    assert_eq!((e.run_count(), f.run_count()), (5, 0), "generations were moved");
+}
