Pass an engine's notice on to all instances while the store is unreachable

Change: the first instance that gets the notice tells the others. The new process test fails without it (1 of 2 moved).

--- a/src/gateway/outage.rs
+++ b/src/gateway/outage.rs
@@ -3,10 +3,12 @@
 use super::{Gateway, peers};
 use crate::clock;
 use crate::event::Kind;
-use crate::gossip::StoreStatus;
+use crate::gossip::{StoreStatus, Tag};
+use crate::id::InstanceId;
 use crate::platform;
 use crate::pool::PoolKey;
 use crate::store::{ChangeFeed, StoreError};
+use std::fmt::Display;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -77,14 +79,34 @@
 async fn poll_engine(gw: Rc<Gateway>, key: PoolKey, address: SocketAddr) {
     match platform::fetch_report(address, &gw.codec, REPORT_TIMEOUT).await {
         Ok(report) if report.leaving => {
-            let id = gw.pool.borrow().endpoints.get(key).map(|e| e.listing.id.clone());
-            gw.pool.borrow_mut().mark_leaving(clock::now(), key);
-            if let Some(id) = id {
-                let left = report.leaves_in.map(|d| d.as_millis());
-                gw.event(Kind::Leaving, id, format_args!("from=report leaves_ms={left:?}"));
+            let left = report.leaves_in.map(|d| d.as_millis());
+            if let Some(tag) =
+                mark_leaving(&gw, key, format_args!("from=report leaves_ms={left:?}"))
+            {
+                peers::send_leaving(&gw, tag);
             }
         }
         Ok(_) => {}
         Err(e) => log::debug!("report of engine {address} not received: {e}"),
     }
 }
+
+/// Marks an engine as leaving and returns its tag; `None` if it was known to be leaving.
+fn mark_leaving(gw: &Gateway, key: PoolKey, detail: impl Display) -> Option<Tag> {
+    let known = gw.pool.borrow().endpoints.get(key).map(|e| (e.listing.id.clone(), e.is_leaving()));
+    let (id, false) = known? else { return None };
+    gw.pool.borrow_mut().mark_leaving(clock::now(), key);
+    let tag = Tag::of(&id);
+    gw.event(Kind::Leaving, id, detail);
+    Some(tag)
+}
+
+/// Records that an engine told another instance that it is leaving. Of the instances with
+/// generations on the engine, the first to ask spares the others up to a whole interval.
+pub fn record_leaving(gw: &Gateway, tag: Tag, from: &InstanceId) {
+    let key = gw.pool.borrow().find_key_by_tag(tag);
+    if let Some(key) = key {
+        let detail = format_args!("from=peer peer={from}");
+        mark_leaving(gw, key, detail);
+    }
+}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -4,7 +4,7 @@
 //! verify its messages with that key, so that only processes with write access to the store are
 //! trusted.
 
-use super::{Gateway, follow, jitter, quarantine, transfer};
+use super::{Gateway, follow, jitter, outage, quarantine, transfer};
 use crate::admit::{self, Candidate};
 use crate::clock;
 use crate::evacuate::Verdict;
@@ -163,6 +163,12 @@
     }
 }
 
+/// Tells all peers that an engine reported that it is leaving.
+pub fn send_leaving(gw: &Gateway, tag: Tag) {
+    let to: Vec<SocketAddr> = gw.peers.borrow().values().map(|p| p.address).collect();
+    send(gw, &to, PeerMessage::EngineLeaving(tag));
+}
+
 /// Sends the fingerprints of contents that crashed endpoints to all peers.
 pub fn send_suspects(gw: &Gateway, gossip: Gossip) {
     let to: Vec<SocketAddr> = gw.peers.borrow().values().map(|p| p.address).collect();
@@ -385,6 +391,7 @@
         PeerMessage::TransferReply(number, verdict) => {
             receive_reply(gw, number, Reply::Transfer(verdict));
         }
+        PeerMessage::EngineLeaving(tag) => outage::record_leaving(gw, tag, &envelope.from),
         PeerMessage::TransferDone(number) => transfer::finish(gw, envelope.from, number),
     }
 }
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -173,6 +173,9 @@
     /// The transfer with this number has ended.
     #[serde(rename = "e")]
     TransferDone(u64),
+    /// An engine reported to the sender that it is leaving.
+    #[serde(rename = "q")]
+    EngineLeaving(Tag),
     /// Contents that crashed endpoints.
     #[serde(rename = "b")]
     Quarantine(Gossip),
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -5,7 +5,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -84,8 +84,8 @@
     copies: Mutex<Vec<MemoryCopy>>,
     /// Time that each copy takes, except a last one.
     copy_time: Mutex<Duration>,
-    /// Whether the report gives the state as draining.
-    is_draining: AtomicBool,
+    /// Number of coming reports that give the state as draining.
+    draining_reports: AtomicU32,
     /// Time until which new connections are closed at once.
     down_until: Mutex<Option<Instant>>,
 }
@@ -121,7 +121,7 @@
             runs: Mutex::default(),
             copies: Mutex::default(),
             copy_time: Mutex::default(),
-            is_draining: AtomicBool::new(false),
+            draining_reports: AtomicU32::new(0),
             down_until: Mutex::default(),
         });
         let serving = state.clone();
@@ -139,7 +139,12 @@
 
     /// Reports the state as draining from now on.
     pub fn start_draining(&self) {
-        self.state.is_draining.store(true, Ordering::SeqCst);
+        self.report_draining(u32::MAX);
+    }
+
+    /// Reports the state as draining to the next `n` callers.
+    pub fn report_draining(&self, n: u32) {
+        self.state.draining_reports.store(n, Ordering::SeqCst);
     }
 
     /// Queues an action; each request takes the first one in the queue.
@@ -205,7 +210,9 @@
 }
 
 fn send_report(state: &State, writer: &mut TcpStream) -> Option<()> {
-    let is_draining = state.is_draining.load(Ordering::SeqCst);
+    let left = |n: u32| n.checked_sub(1);
+    let reports = &state.draining_reports;
+    let is_draining = reports.fetch_update(Ordering::SeqCst, Ordering::SeqCst, left).is_ok();
     let body = if is_draining {
         r#"{"leaves_ms":2000,"state":"draining"}"#
     } else {
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -97,6 +97,28 @@
     assert_eq!(f.run_count(), 1);
 }
 
+/// An engine tells only one of two gateways that it leaves, while the store cannot.
+#[test]
+fn notice_of_an_engine_reaches_the_instances_that_did_not_ask() {
+    let e = Endpoint::start("i-1", Action::Stream(100, EVENT_INTERVAL));
+    let (store, gateway) = start_platform(&[(&e, "model")]);
+    let other = crate::common::start_gateway(&store);
+    assert!(wait_for(5, || other.readiness() == 200));
+    assert!(wait_for(4, || store.keys("gateways/").len() == 2));
+    std::thread::sleep(Duration::from_millis(1500));
+    let mut sent = [start_stream(&gateway, "id-1"), start_stream(&other, "id-2")];
+    assert!(wait_for(2, || e.run_count() == 2));
+    let f = Endpoint::start("i-2", Action::Stream(100, EVENT_INTERVAL));
+    list_endpoint(&store, &f, "model", "ready");
+    std::thread::sleep(Duration::from_millis(300));
+    store.set_outage(Some(Outage::Busy));
+    e.report_draining(1);
+    for reply in sent.iter_mut().map(|s| s.reply()) {
+        assert_eq!((reply.complete, reply.body), (true, expected_events(100)));
+    }
+    assert_eq!((e.run_count(), f.run_count()), (2, 2));
+}
+
 #[test]
 fn caller_disconnect_cancels_the_generation() {
     let e = Endpoint::start("i-1", Action::Stream(200, EVENT_INTERVAL));
