Weigh the pace of tokens in placement where memory is ample

Change: each instance measures the time per token of the streams that it relays and shares it in full digests. Long outputs go to engines that are fast now, prompts of short outputs to engines on which they delay few others.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -102,10 +102,16 @@
     /// Returns the engine memory that the generation is expected to need at its end: prompt and
     /// output. Zero for plain requests.
     pub fn expected_tokens(&self) -> Tokens {
+        let input = self.meta.tokens.map_or(0, |t| t.input.0);
+        Tokens(input + self.expected_output().0)
+    }
+
+    /// Returns the number of output tokens that the generation is expected to have. Zero for plain
+    /// requests.
+    fn expected_output(&self) -> Tokens {
         let Some(tokens) = self.meta.tokens else { return Tokens(0) };
-        let output =
-            tokens.output_hint.map_or(DEFAULT_OUTPUT_TOKENS, |h| h.0).min(tokens.max_output.0);
-        Tokens(tokens.input.0 + output)
+        let output = tokens.output_hint.map_or(DEFAULT_OUTPUT_TOKENS, |h| h.0);
+        Tokens(output.min(tokens.max_output.0))
     }
 
     /// Returns the token counts of a generation for a log line, with a leading space; empty for
@@ -140,7 +146,7 @@
     fn need<'a>(&'a self, centre: &'a DataCentre) -> Need<'a> {
         let connections = self.spec.as_ref().map_or(u32::MAX, |s| s.max_connections);
         let (service, engine, work) = (&self.service, self.engine(), self.expected_work());
-        Need { service, engine, work, centre, connections }
+        Need { service, engine, work, output: self.expected_output(), centre, connections }
     }
 
     /// Returns the priority of the request: the workspace's, or else the route's.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -324,7 +324,7 @@
         let _ = tokio::time::timeout(FULL_DIGEST_INTERVAL / 2, gw.work_changed.notified()).await;
         let peers: Vec<SocketAddr> = gw.peers.borrow().values().map(|p| p.address).collect();
         let now = clock::now();
-        let digest = {
+        let mut digest = {
             let pool = gw.pool.borrow();
             let work = pool.endpoints.values().map(|e| (e.tag, e.own));
             scheduler.store_down = gw.store_lost.get();
@@ -335,6 +335,9 @@
             };
             scheduler.step(now, peers.len(), work)
         };
+        if let Some(digest) = digest.as_mut().filter(|d| d.full) {
+            digest.token_times = own_token_times(&gw, now);
+        }
         match digest {
             Some(digest) => send(&gw, &peers, PeerMessage::Digest(digest)),
             None => {
@@ -345,6 +348,14 @@
     }
 }
 
+/// Returns the time per output token, in microseconds, of the engines whose streams this instance
+/// relays.
+fn own_token_times(gw: &Gateway, now: Instant) -> Vec<(Tag, u32)> {
+    let pool = gw.pool.borrow();
+    let times = pool.endpoints.values().filter_map(|e| Some((e.tag, e.own_token_time.get(now)?)));
+    times.map(|(tag, time)| (tag, u32::try_from(time.as_micros()).unwrap_or(u32::MAX))).collect()
+}
+
 /// Receives and handles messages of peers. Does not return.
 async fn receive_messages(gw: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
@@ -366,8 +377,14 @@
     match envelope.body {
         PeerMessage::Digest(digest) => {
             let mut peer_loads = gw.peer_loads.borrow_mut();
-            peer_loads.apply(clock::now(), envelope.from, &digest);
-            gw.pool.borrow_mut().update_peer_work(&mut peer_loads);
+            let now = clock::now();
+            peer_loads.apply(now, envelope.from, &digest);
+            let mut pool = gw.pool.borrow_mut();
+            pool.update_peer_work(&mut peer_loads);
+            for (tag, micros) in digest.token_times {
+                let time = Duration::from_micros(u64::from(micros));
+                pool.observe_peer_token_time(now, tag, time);
+            }
         }
         PeerMessage::AdmissionRequest(request) => {
             let granted = decide_admission(gw, &request);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -10,6 +10,7 @@
 use crate::event::Kind;
 use crate::h1::{Broken, Inbound};
 use crate::platform;
+use crate::pool::TokenTimer;
 use crate::sse::{self, EventId, EventOrder};
 use actix_http::body::BodySize;
 use bytes::BytesMut;
@@ -44,6 +45,8 @@
     /// Tokens that the generation occupies in the engine's memory.
     used_tokens: Rc<Cell<u32>>,
     migration: Option<JoinHandle<MoveOutcome>>,
+    /// Measures the time per token on the present engine.
+    timer: TokenTimer,
 }
 
 /// Timing of a stream's events, for the log and the metrics.
@@ -168,6 +171,7 @@
                 ended: ended.clone(),
                 used_tokens: Rc::new(Cell::new(job.meta.tokens.map_or(0, |t| t.input.0))),
                 migration: None,
+                timer: TokenTimer::default(),
             };
             let disposition = stream.relay(conn, close).await;
             ended.set(true);
@@ -342,7 +346,11 @@
         }
         self.stats.record(self.job.received, now, events);
         let stride = self.job.engine().map_or(1, |e| e.event_tokens);
-        self.used_tokens.set(self.used_tokens.get().saturating_add(events * stride));
+        let tokens = events * stride;
+        self.used_tokens.set(self.used_tokens.get().saturating_add(tokens));
+        if let Some(time) = self.timer.record(now, tokens) {
+            self.gw.pool.borrow_mut().observe_token_time(now, self.segment.guard.key, time);
+        }
         conn.send_chunk(out.freeze()).await.map_err(|_| Failure::Unread)
     }
 
@@ -394,6 +402,7 @@
             return Err(Failure::Failed(segment.response.info.status.as_u16()));
         }
         self.segment = segment;
+        self.timer = TokenTimer::default();
         self.stats.moves += 1;
         metrics::counter!("moves_total").increment(1);
         Ok(())
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -103,6 +103,10 @@
     /// Store revision up to which the sender has passed changes on; 0 if it is no reader.
     #[serde(rename = "v", default)]
     pub revision: u64,
+    /// Time per output token, in microseconds, of the engines whose streams the sender relays; only
+    /// in full digests.
+    #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
+    pub token_times: Vec<(Tag, u32)>,
 }
 
 /// A request to the coordinator of an engine for permission to start a generation there.
@@ -476,7 +480,13 @@
             self.last_full = Some(now);
         }
         self.sent = current;
-        Some(Digest { full, rows, store_down: self.store_down, revision: self.revision })
+        Some(Digest {
+            full,
+            rows,
+            store_down: self.store_down,
+            revision: self.revision,
+            token_times: Vec::new(),
+        })
     }
 
     /// Returns the shortest interval between two digests for a number of peers.
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -4,6 +4,10 @@
 //! name a new endpoint at a reused address. What this instance observes itself, that an endpoint is
 //! leaving or refuses connections, takes precedence over the listing.
 
+mod speed;
+
+pub use speed::{TokenTime, TokenTimer};
+
 use crate::board::{FAILURE_LIMIT, Health};
 use crate::gossip::{PeerLoads, Tag, Work};
 use crate::id::{DataCentre, EndpointId, ServiceName};
@@ -90,6 +94,10 @@
     pub tag: Tag,
     /// Last reported load, and when it was received.
     pub load: Option<(Load, Instant)>,
+    /// Time per output token, from the streams of all instances.
+    pub token_time: TokenTime,
+    /// The same, from the streams of this instance.
+    pub own_token_time: TokenTime,
     /// Time at which its warm-up ends.
     pub warmup_end: Instant,
     /// Time until which it is not used because it refused a connection.
@@ -112,6 +120,8 @@
             others: Work::default(),
             tag,
             load: None,
+            token_time: TokenTime::default(),
+            own_token_time: TokenTime::default(),
             warmup_end,
             unreachable_until: None,
             connect_failures: 0,
@@ -305,6 +315,31 @@
         }
     }
 
+    /// Records the time per output token of a stream that this instance relays from an endpoint.
+    pub fn observe_token_time(&mut self, now: Instant, key: PoolKey, time: Duration) {
+        if let Some(e) = self.endpoints.get_mut(key) {
+            e.token_time.observe(now, time);
+            e.own_token_time.observe(now, time);
+        }
+    }
+
+    /// Records the time per output token that another instance sees at an endpoint.
+    pub fn observe_peer_token_time(&mut self, now: Instant, tag: Tag, time: Duration) {
+        if let Some(e) = self.tags.get(&tag).and_then(|k| self.endpoints.get_mut(*k)) {
+            e.token_time.observe(now, time);
+        }
+    }
+
+    /// Returns the mean time per output token over the engines of a service; `None` if no engine
+    /// has a recent one.
+    pub fn mean_token_time(&self, now: Instant, service: &ServiceName) -> Option<Duration> {
+        let engines = self.endpoints.values().filter(|e| e.serves(service));
+        let (sum, count) = engines
+            .filter_map(|e| e.token_time.get(now))
+            .fold((Duration::ZERO, 0), |(sum, count), time| (sum + time, count + 1));
+        sum.checked_div(count)
+    }
+
     /// Subtracts the prompt tokens of a request whose prefill is complete.
     pub fn finish_prefill(&mut self, key: PoolKey, unread: u64) {
         if let Some(e) = self.endpoints.get_mut(key) {
--- a/tests/decisions/fixture.rs
+++ b/tests/decisions/fixture.rs
@@ -70,7 +70,8 @@
 
     pub fn need(&self, work: Work) -> Need<'_> {
         let (service, centre, engine) = (&self.service, &self.centre, self.engine.as_ref());
-        Need { service, engine, work, centre, connections: 100 }
+        let output = Tokens(0);
+        Need { service, engine, work, output, centre, connections: 100 }
     }
 }
 
--- a/tests/decisions/gossip.rs
+++ b/tests/decisions/gossip.rs
@@ -25,6 +25,7 @@
         rows: vec![gossip::encode_row(tag, work(held, 5))],
         store_down: false,
         revision: 0,
+        token_times: vec![],
     };
     peer_loads.apply(start, instance(1), &digest(100));
     peer_loads.apply(start, instance(2), &digest(30));
@@ -32,7 +33,7 @@
     peer_loads.apply(
         start + Duration::from_secs(1),
         instance(2),
-        &Digest { full: true, rows: vec![], store_down: false, revision: 0 },
+        &Digest { full: true, rows: vec![], store_down: false, revision: 0, token_times: vec![] },
     );
     peer_loads.step(start + Duration::from_millis(2500));
     assert_eq!((peer_loads.at(tag), peer_loads.len()), (Work::default(), 1));
@@ -99,7 +100,13 @@
     let readers = gossip::readers(all.iter().filter(|i| *i != own));
     assert!(readers.iter().all(|r| gossip::is_reader(r, all.iter().filter(|o| o != r))));
     let mut peer_loads = PeerLoads::default();
-    let digest = |lost| Digest { full: true, rows: vec![], store_down: lost, revision: 0 };
+    let digest = |lost| Digest {
+        full: true,
+        rows: vec![],
+        store_down: lost,
+        revision: 0,
+        token_times: vec![],
+    };
     let at = |ms| start + Duration::from_millis(ms);
     let status = |peer_loads: &PeerLoads, now| peer_loads.reader_report(now, &readers).status;
     peer_loads.apply(at(0), readers[0].clone(), &digest(false));
@@ -234,7 +241,7 @@
         peer_loads.apply(
             start,
             instance(n),
-            &Digest { full: true, rows, store_down: false, revision: 0 },
+            &Digest { full: true, rows, store_down: false, revision: 0, token_times: vec![] },
         );
     }
     assert_eq!(peer_loads.take_changed().len(), 3000);
@@ -242,7 +249,7 @@
     peer_loads.apply(
         start,
         instance(0),
-        &Digest { full: false, rows, store_down: false, revision: 0 },
+        &Digest { full: false, rows, store_down: false, revision: 0, token_times: vec![] },
     );
     assert_eq!(peer_loads.take_changed(), [Tag::of(&id(7))].into());
     assert_eq!(peer_loads.at(Tag::of(&id(7))).held, 900);
@@ -272,7 +279,7 @@
                 Tag::of(&id(n)),
                 if held == 0 { Work::default() } else { work(held, 0) },
             )];
-            peer_loads.apply(now, instance(from), &Digest { full, rows, store_down: false, revision: 0 });
+            peer_loads.apply(now, instance(from), &Digest { full, rows, store_down: false, revision: 0, token_times: vec![] });
             let (at, rows) = peers.entry(from).or_insert_with(|| (now, HashMap::new()));
             *at = now;
             if full {
