Continue resumable streams on another engine

A resumable stream whose engine broke off was cut at its caller, and one that got no response was not sent again.

Change: a stream of a resumable route goes on at another engine after the last event that its caller has, within the route's attempts and the retry budget; one without a response is sent again. Streams of other routes are not. Three process tests fail before, and generation_is_not_retried_after_connection_reset and broken_stream_ends_incomplete_after_its_last_whole_event keep the others from it.

--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -32,6 +32,8 @@
     pub load: Work,
     /// When the request was sent to the engine.
     pub sent: Instant,
+    /// Engines that may have run the request, this one included. A migration does not count.
+    pub runs: u32,
 }
 
 /// A place in the admission queue of a service, given up on drop.
@@ -110,13 +112,16 @@
 /// # Errors
 ///
 /// Returns a problem if the generation was not admitted in time, the attempts are used up, or an
-/// attempt may have run: generations are not idempotent, so they are not sent again then.
+/// attempt may have run and the generation is not idempotent.
 pub async fn dispatch(gw: &Rc<Gateway>, job: &Job) -> Result<Segment, Problem> {
     gw.budget.borrow_mut().earn(&job.service, attempt::RETRY_COST);
     let mut tried: Vec<PoolKey> = Vec::new();
-    let mut reached = 0;
+    let (mut reached, mut runs) = (0, 0);
     loop {
         if !attempt::permit_attempt(gw, job, tried.len(), reached) {
+            if runs > 0 {
+                return Err(attempt::unknown_outcome(job, AttemptError::Broken));
+            }
             let kind = ProblemKind::Refused(Refusal::Busy);
             let detail =
                 format!("none of the {} engines tried accepted the generation", tried.len());
@@ -126,7 +131,7 @@
         tried.push(key);
         let guard = WorkGuard::new(gw, key, job.expected_work());
         let error = match open_segment(gw, job, guard, None, None).await {
-            Ok(segment) => return Ok(segment),
+            Ok(segment) => return Ok(Segment { runs: runs + 1, ..segment }),
             Err(error) => error,
         };
         attempt::record_error(gw, key, error);
@@ -134,7 +139,8 @@
         if error == AttemptError::Broken {
             quarantine::check_crash(gw, job, key);
         }
-        if !error.is_not_executed() {
+        runs += u32::from(!error.is_not_executed());
+        if runs > 0 && (!job.is_idempotent() || runs >= job.route.max_attempts) {
             return Err(attempt::unknown_outcome(job, error));
         }
         let detail = format!("why={error} tried={}", tried.len());
@@ -170,5 +176,37 @@
         resumable: job.route.resumable,
     };
     let response = attempt::send(gw, job, guard.key, &params).await?;
-    Ok(Segment { response, guard, leaving, load, sent })
+    Ok(Segment { response, guard, leaving, load, sent, runs: 1 })
+}
+
+/// Sends an idempotent generation that broke off after event `last` to another engine, which runs
+/// it anew from there.
+///
+/// # Errors
+///
+/// Returns an error if no further attempt is allowed or none succeeds.
+pub async fn rerun(
+    gw: &Rc<Gateway>,
+    job: &Job,
+    broken: &Segment,
+    last: Option<EventId>,
+) -> Result<Segment, AttemptError> {
+    let tried = [broken.guard.key];
+    if !job.is_idempotent() || broken.runs >= job.route.max_attempts {
+        return Err(AttemptError::Broken);
+    }
+    // The stream has begun, so it does not wait for admission a second time.
+    let key = job.choose_endpoint(gw, clock::now(), &tried).ok_or(AttemptError::Gone)?;
+    if !attempt::permit_attempt(gw, job, tried.len(), tried.len()) {
+        return Err(AttemptError::Broken);
+    }
+    let guard = WorkGuard::new(gw, key, job.expected_work());
+    let opened = open_segment(gw, job, guard, None, last).await;
+    let segment = opened.inspect_err(|error| attempt::record_error(gw, key, *error))?;
+    if !segment.response.info.status.is_success() {
+        return Err(AttemptError::Failed);
+    }
+    let detail = format!("why=broken tried=1 after={}", last.map_or(0, |id| id.0));
+    gw.event(Kind::Reoffered, log_id(job.meta.id.as_ref()), detail);
+    Ok(Segment { runs: broken.runs + 1, ..segment })
 }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -128,7 +128,11 @@
 
     /// Returns whether the request may run more than once.
     pub fn is_idempotent(&self) -> bool {
-        self.route.kind == RouteKind::Safe
+        match self.route.kind {
+            RouteKind::Safe => true,
+            RouteKind::Streaming => self.route.resumable,
+            RouteKind::Unsafe => false,
+        }
     }
 
     /// Chooses an endpoint by load, excluding those in `tried`.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -231,7 +231,10 @@
                 SegmentEnd::Interrupted(why) if self.migration.is_none() => {
                     attempt::record_health(self.gw, self.segment.guard.key, false);
                     quarantine::check_crash(self.gw, self.job, self.segment.guard.key);
-                    break Failure::Cut(why);
+                    match begin::rerun(self.gw, self.job, &self.segment, self.last_id).await {
+                        Ok(segment) => self.continue_on(segment),
+                        Err(_) => break Failure::Cut(why),
+                    }
                 }
                 SegmentEnd::Interrupted(_) => {
                     if let Err(failure) = self.resume(conn).await {
@@ -394,20 +397,27 @@
             Err(_) => return Err(Failure::Unmoved("migration timed out")),
         };
         self.drain(conn).await?;
-        self.buf.clear();
         let opened =
             begin::open_segment(self.gw, self.job, guard, Some(&handoff), self.last_id).await;
         let segment = opened.map_err(Failure::Refused)?;
         if !segment.response.info.status.is_success() {
             return Err(Failure::Failed(segment.response.info.status.as_u16()));
         }
-        self.segment = segment;
-        self.timer = TokenTimer::default();
+        let runs = self.segment.runs;
+        self.continue_on(Segment { runs, ..segment });
         self.stats.moves += 1;
         metrics::counter!("moves_total").increment(1);
         Ok(())
     }
 
+    /// Goes on with the response of another engine. An event that the previous one left incomplete
+    /// is dropped.
+    fn continue_on(&mut self, segment: Segment) {
+        self.buf.clear();
+        self.segment = segment;
+        self.timer = TokenTimer::default();
+    }
+
     /// Relays the last events of the engine that has stopped the generation.
     async fn drain(&mut self, conn: &mut Inbound) -> Result<(), Failure> {
         while let Ok(Ok(Some(part))) =
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -45,6 +45,50 @@
     TaggedStream(u64, Duration),
     /// Streams this many events and closes the connection in the middle of the next.
     TruncatedStream(u64),
+    /// Sends bytes that never make up a response until the caller closes the connection.
+    Endless(EndlessPart),
+}
+
+/// Part of a response that does not end.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum EndlessPart {
+    /// Header lines.
+    Head,
+    /// A single header line.
+    HeaderLine,
+    /// Interim responses before the final one.
+    Interim,
+    /// Chunks of a body.
+    Body,
+    /// A body that would end with the connection.
+    UnframedBody,
+    /// The extension of a chunk.
+    ChunkExtension,
+    /// An event of a stream.
+    Event,
+    /// Comment lines of a stream.
+    Comments,
+}
+
+impl EndlessPart {
+    /// Returns the bytes before the endless part, and those that repeat in it.
+    fn bytes(self, sealed_headers: &str) -> (String, &'static str) {
+        let ok = "HTTP/1.1 200 X\r\n";
+        let chunked = format!("{ok}{sealed_headers}Transfer-Encoding: chunked\r\n");
+        let stream = format!("{chunked}Content-Type: text/event-stream\r\n\r\n");
+        match self {
+            EndlessPart::Head => (ok.into(), "X-Filler: filler filler filler\r\n"),
+            EndlessPart::HeaderLine => (format!("{ok}X-Filler: "), "filler filler filler "),
+            EndlessPart::Interim => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
+            EndlessPart::Body => (format!("{chunked}\r\n"), "10\r\nfiller filler fi\r\n"),
+            EndlessPart::UnframedBody => {
+                (format!("{ok}{sealed_headers}Connection: close\r\n\r\n"), "filler filler filler ")
+            }
+            EndlessPart::ChunkExtension => (format!("{chunked}\r\n10;"), "filler=filler;filler"),
+            EndlessPart::Event => (stream, "10\r\ndata: filler fil\r\n"),
+            EndlessPart::Comments => (stream, "10\r\n: filler fille\n\n\r\n"),
+        }
+    }
 }
 
 /// Request that reached an endpoint.
@@ -308,6 +352,14 @@
             let result = write_stream(&run, writer, &sealed_headers, last, n, interval, &closed);
             finish_run(state, &id, result)
         }
+        Action::Endless(part) => {
+            let (start, repeated) = part.bytes(&sealed_headers);
+            writer.write_all(start.as_bytes()).ok()?;
+            let block = repeated.repeat(200);
+            while writer.write_all(block.as_bytes()).is_ok() {}
+            closed.store(true, Ordering::SeqCst);
+            None
+        }
         Action::TruncatedStream(n) => {
             write_stream_head(writer, &sealed_headers)?;
             (1..=n).try_for_each(|ix| write_chunk(writer, &format_event("token", ix)))?;
--- a/standin/src/platform/gateway.rs
+++ b/standin/src/platform/gateway.rs
@@ -101,6 +101,15 @@
         }
     }
 
+    /// Returns the resident memory of the process in KiB.
+    pub fn memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
+            .expect("the process runs");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let number = line.and_then(|l| l.split_whitespace().next());
+        number.and_then(|n| n.parse().ok()).expect("the kernel reports the resident memory")
+    }
+
     /// Returns the status of the readiness check; 0 if it gets no response.
     pub fn readiness(&self) -> u16 {
         send(self.ready, b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -8,5 +8,6 @@
 mod links;
 mod platform;
 mod pool;
+mod sidecar;
 mod sim;
 mod sse;
--- a/tests/gateway/common.rs
+++ b/tests/gateway/common.rs
@@ -10,6 +10,7 @@
  {"name":"r1","host":"app.example","prefix":"/safe/","kind":"safe","timeout_ms":800,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":2},
  {"name":"r2","host":"app.example","prefix":"/unsafe/","kind":"unsafe","timeout_ms":800,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":1},
  {"name":"r3","host":"app.example","prefix":"/stream/","kind":"streaming","timeout_ms":9000,"target_latency_ms":1500,"priority":1,"service":"model","max_attempts":1,"sticky":true,"gap_target_ms":180},
+ {"name":"r5","host":"app.example","prefix":"/resume/","kind":"streaming","timeout_ms":9000,"target_latency_ms":1500,"priority":1,"service":"model","max_attempts":2,"sticky":true,"resumable":true,"gap_target_ms":180},
  {"name":"r4","host":"app.example","prefix":"/open/","kind":"safe","timeout_ms":800,"target_latency_ms":300,"priority":2,"service":"plain","max_attempts":1,"public":true}],
 "services":[
  {"name":"plain","health_path":"/healthz","max_connections":50},
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod common;
+mod endless;
 mod intent;
 mod lifecycle;
 mod streams;
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -26,6 +26,56 @@
     assert_eq!(e.run_count(), 1);
 }
 
+fn start_resumable(
+    gateway: &standin::platform::Gateway,
+    id: &str,
+) -> standin::platform::Connection {
+    let extra = "X-Model: m\r\nX-Token-Counts: 100,500\r\n";
+    let bytes = crate::common::request_bytes("POST", "/resume/x", id, extra, "prompt");
+    standin::platform::send(gateway.front, &bytes)
+}
+
+/// Sends resumable streams until one has met the engine, and returns their replies.
+fn send_until_met(gateway: &standin::platform::Gateway, e: &Endpoint) -> Vec<(bool, String)> {
+    let mut replies = Vec::new();
+    while e.run_count() == 0 && replies.len() < 40 {
+        let reply = start_resumable(gateway, &format!("id-{}", replies.len())).reply();
+        replies.push((reply.complete, reply.body));
+    }
+    assert!(e.run_count() > 0, "no request met the engine");
+    replies
+}
+
+#[test]
+fn resumable_stream_continues_on_another_engine_after_its_last_whole_event() {
+    let e = Endpoint::start("i-1", Action::TruncatedStream(3));
+    let f = Endpoint::start("i-2", Action::Stream(6, EVENT_INTERVAL));
+    let (_store, gateway) = start_platform(&[(&e, "model"), (&f, "model")]);
+    let replies = send_until_met(&gateway, &e);
+    assert!(replies.iter().all(|r| *r == (true, expected_events(6))), "{replies:?}");
+    let last = f.received().pop().expect("the stream continued there").req;
+    assert_eq!(last.header("last-event-id"), Some("3"));
+    assert_eq!((last.header("kv-from"), &*last.body), (None, &b"prompt"[..]));
+}
+
+#[test]
+fn resumable_stream_that_got_no_response_runs_on_another_engine() {
+    let e = Endpoint::start("i-1", Action::Reset);
+    let f = Endpoint::start("i-2", Action::Stream(6, EVENT_INTERVAL));
+    let (_store, gateway) = start_platform(&[(&e, "model"), (&f, "model")]);
+    let replies = send_until_met(&gateway, &e);
+    assert!(replies.iter().all(|r| *r == (true, expected_events(6))), "{replies:?}");
+}
+
+#[test]
+fn resumable_stream_runs_on_as_many_engines_as_its_route_allows() {
+    let engines = ["i-1", "i-2", "i-3"].map(|id| Endpoint::start(id, Action::TruncatedStream(3)));
+    let (_store, gateway) = start_platform(&engines.each_ref().map(|e| (e, "model")));
+    let reply = start_resumable(&gateway, "id-1").reply();
+    assert_eq!((reply.complete, reply.body), (false, expected_events(3)));
+    assert_eq!(engines.iter().map(|e| e.run_count()).sum::<usize>(), 2);
+}
+
 #[test]
 fn stream_continues_on_another_engine_when_its_engine_leaves() {
     let e = Endpoint::start("i-1", Action::Stream(80, EVENT_INTERVAL));
