Do not report a resumed generation as not run

Change: only a refused submission (4xx, 503) has not run. In all other cases the stream is resumed, and a generation that the engine no longer knows ends as lost.

--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -1,6 +1,7 @@
 //! HTTP client of the endpoint: streams, load reports, cache events and orders of a model engine,
 //! and health checks of a plain service.
 
+use super::status::{self, StreamStatus};
 use super::{Sidecar, Submission, finish};
 use crate::board::{Engine, JobKey, Phase};
 use crate::clock;
@@ -134,12 +135,16 @@
             return StreamEnd::Broken;
         }
     };
-    match res.status().as_u16() {
-        200 => {}
-        404 if *is_known => return StreamEnd::Unknown,
-        _ => return StreamEnd::Done(Finish::NotRun(Refusal::Down)),
+    let status = status::classify(res.status().as_u16(), *is_known);
+    if status == StreamStatus::NotRun {
+        return StreamEnd::Done(Finish::NotRun(Refusal::Down));
     }
     *is_known = true;
+    match status {
+        StreamStatus::Open => {}
+        StreamStatus::Forgotten => return StreamEnd::Unknown,
+        StreamStatus::NotRun | StreamStatus::MayRun => return StreamEnd::Broken,
+    }
     let mut events = res.eventsource();
     loop {
         let event = match tokio::time::timeout(stream_timeout(s), events.next()).await {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod peers;
 mod polls;
+pub mod status;
 
 use crate::board::{Job, JobKey, Phase, SidecarBoard};
 use crate::clock;
