Examine each byte of a streamed event once

An event of a megabyte in parts of 16 bytes costs 32 thousand million steps, during which the instance serves nobody.

Change: the scanner goes on where it stopped.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -11,7 +11,7 @@
 use crate::h1::{Broken, Inbound};
 use crate::platform;
 use crate::pool::TokenTimer;
-use crate::sse::{self, EventId, EventOrder};
+use crate::sse::{self, EventId, EventOrder, EventScanner};
 use actix_http::body::BodySize;
 use bytes::BytesMut;
 use std::cell::Cell;
@@ -37,6 +37,8 @@
     segment: Segment,
     /// Received bytes that do not make up a whole event yet.
     buf: BytesMut,
+    /// Finds the events in `buf`.
+    scanner: EventScanner,
     /// Id of the last event sent to the caller.
     last_id: Option<EventId>,
     stats: StreamStats,
@@ -166,6 +168,7 @@
                 job,
                 segment,
                 buf: BytesMut::new(),
+                scanner: EventScanner::default(),
                 last_id: None,
                 stats,
                 ended: ended.clone(),
@@ -317,7 +320,7 @@
     async fn forward_events(&mut self, conn: &mut Inbound) -> Result<(), Failure> {
         let mut out = BytesMut::new();
         let mut events = 0;
-        while let Some(event) = sse::scan_event(&self.buf) {
+        while let Some(event) = self.scanner.scan(&self.buf) {
             let bytes = self.buf.split_to(event.len);
             match sse::check_order(self.last_id, event.id) {
                 EventOrder::Next => {
@@ -414,6 +417,7 @@
     /// is dropped.
     fn continue_on(&mut self, segment: Segment) {
         self.buf.clear();
+        self.scanner = EventScanner::default();
         self.segment = segment;
         self.timer = TokenTimer::default();
     }
--- a/src/sse/mod.rs
+++ b/src/sse/mod.rs
@@ -32,19 +32,38 @@
     pub id: Option<EventId>,
 }
 
-/// Returns the event at the start of `buf`, `None` until its blank line has been received.
-pub fn scan_event(buf: &[u8]) -> Option<Event> {
-    let mut id = None;
-    let mut at = 0;
-    while let Some(n) = buf[at..].iter().position(|b| *b == b'\n') {
-        let line = buf[at..at + n].strip_suffix(b"\r").unwrap_or(&buf[at..at + n]);
-        at += n + 1;
-        if line.is_empty() {
-            return Some(Event { len: at, id });
+/// Finds events at the start of a buffer that grows. Each byte is examined once, however small the
+/// parts in which an event arrives.
+#[derive(Debug, Default)]
+pub struct EventScanner {
+    /// Start of the present line.
+    line: usize,
+    /// End of the bytes that have been examined.
+    examined: usize,
+    /// Id of the event so far.
+    id: Option<EventId>,
+}
+
+impl EventScanner {
+    /// Returns the event at the start of `buf`, `None` until its blank line has been received.
+    ///
+    /// Between calls, bytes may only be appended to `buf`, unless an event was returned: then the
+    /// event has to be removed.
+    pub fn scan(&mut self, buf: &[u8]) -> Option<Event> {
+        while let Some(n) = buf[self.examined..].iter().position(|b| *b == b'\n') {
+            let end = self.examined + n;
+            let line = &buf[self.line..end];
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            (self.line, self.examined) = (end + 1, end + 1);
+            if line.is_empty() {
+                let id = std::mem::take(self).id;
+                return Some(Event { len: end + 1, id });
+            }
+            self.id = parse_id(line).or(self.id);
         }
-        id = parse_id(line).or(id);
+        self.examined = buf.len();
+        None
     }
-    None
 }
 
 fn parse_id(line: &[u8]) -> Option<EventId> {
--- a/tests/decisions/sse.rs
+++ b/tests/decisions/sse.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use rstest::rstest;
-use skylarkthread::sse::{EventId, EventOrder, check_order, scan_event};
+use skylarkthread::sse::{EventId, EventOrder, EventScanner, check_order};
 
 #[rstest]
 #[case::complete(b"id: 4\ndata: x\n\nid: 5", Some((15, Some(4))))]
@@ -11,11 +11,11 @@
 #[case::no_blank_line(b"id: 4\ndata: x\n", None)]
 #[case::incomplete_blank_line(b"id: 4\r\n\r", None)]
 #[case::empty_buffer(b"", None)]
-fn scan_event_returns_event_once_its_blank_line_arrived(
+fn scanner_returns_event_once_its_blank_line_arrived(
     #[case] bytes: &[u8],
     #[case] want: Option<(usize, Option<u64>)>,
 ) {
-    let got = scan_event(bytes).map(|e| (e.len, e.id.map(|i| i.0)));
+    let got = EventScanner::default().scan(bytes).map(|e| (e.len, e.id.map(|i| i.0)));
     assert_eq!(got, want);
 }
 
@@ -35,14 +35,15 @@
 
 proptest! {
     #[test]
-    fn scan_event_finds_all_events_for_any_split_of_the_stream(n in 1u64..20, cuts in prop::collection::vec(1usize..30, 0..40)) {
+    fn scanner_finds_all_events_for_any_split_of_the_stream(n in 1u64..20, cuts in prop::collection::vec(1usize..30, 0..40)) {
         let all: Vec<u8> = (1..=n).flat_map(|i| format!("id: {i}\ndata: t{i}\n\n").into_bytes()).collect();
         let (mut buf, mut ids, mut at) = (Vec::new(), Vec::new(), 0);
+        let mut scanner = EventScanner::default();
         for cut in cuts.into_iter().chain([all.len()]) {
             let end = (at + cut).min(all.len());
             buf.extend_from_slice(&all[at..end]);
             at = end;
-            while let Some(e) = scan_event(&buf) {
+            while let Some(e) = scanner.scan(&buf) {
                 ids.push(e.id.expect("every event has an id").0);
                 buf.drain(..e.len);
             }
@@ -51,3 +52,18 @@
         prop_assert_eq!(ids, (1..=n).collect::<Vec<_>>());
     }
 }
+
+/// A megabyte of one event in parts of 16 bytes. Examining all of it for each part would take 32
+/// thousand million steps.
+#[test]
+fn event_that_arrives_in_many_parts_is_examined_once() {
+    let mut scanner = EventScanner::default();
+    let mut buf = Vec::new();
+    for _ in 0..(1 << 16) {
+        buf.extend_from_slice(b"data: filler fil");
+        assert_eq!(scanner.scan(&buf), None);
+    }
+    buf.extend_from_slice(b"\nid: 3\n\n");
+    let event = scanner.scan(&buf).expect("the event is complete");
+    assert_eq!((event.len, event.id), (buf.len(), Some(EventId(3))));
+}
