Keep notices from peers and failed reads from costing more than they bring

Memory is short there, and generations sent to an engine in its last second mostly ended in time.

Cause 2: an instance that is cut off from the store alone repeated a failed read every 300 ms though readers told it all changes. It now waits 1.5 s and then for a reason to read.

--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -123,10 +123,7 @@
 
 impl Pace {
     fn of(now: Instant, pool: &Pool, service: &ServiceName, engine: &Engine) -> Pace {
-        let serving = pool.endpoints.values().filter(|e| e.serves(service));
-        let (held, count) = serving.fold((0, 0), |(held, n), e| (held + e.work().held, n + 1));
-        let memory = f64::from(engine.kv_capacity.0.max(1)) * f64::from(count.max(1));
-        let share = held as f64 / memory;
+        let share = mean_memory_share(pool, service, engine);
         let weight = (SHORT_MEMORY_SHARE - share) / (SHORT_MEMORY_SHARE - AMPLE_MEMORY_SHARE);
         Pace { mean_time: pool.mean_token_time(now, service), weight: weight.clamp(0.0, 1.0) }
     }
@@ -144,6 +141,19 @@
     }
 }
 
+/// Returns the mean share of memory that is in use on the engines of a service that take new work.
+fn mean_memory_share(pool: &Pool, service: &ServiceName, engine: &Engine) -> f64 {
+    let serving = pool.endpoints.values().filter(|e| e.serves(service));
+    let (held, count) = serving.fold((0, 0), |(held, n), e| (held + e.work().held, n + 1));
+    let memory = f64::from(engine.kv_capacity.0.max(1)) * f64::from(count.max(1));
+    held as f64 / memory
+}
+
+/// Returns whether memory is short on the engines of a service.
+pub fn is_memory_short(pool: &Pool, service: &ServiceName, engine: &Engine) -> bool {
+    mean_memory_share(pool, service, engine) >= SHORT_MEMORY_SHARE
+}
+
 fn engine_load(e: &Endpoint, need: &Need<'_>, engine: &Engine) -> f64 {
     let work = e.work();
     let memory = (work.held + need.work.held) as f64 / f64::from(engine.kv_capacity.0.max(1));
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -14,7 +14,7 @@
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Wait of a watch that only fetches changes which were missed.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(50);
-/// Interval between two calls while the store is unreachable.
+/// Interval between two calls of a reader while the store is unreachable.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 /// Time after the store's return during which a deleted endpoint entry may be due to a lease that
 /// expired in the outage; the owners of such entries write them again within this time.
@@ -50,12 +50,24 @@
                     let at = gw.store_position.borrow().revision().unwrap_or_default();
                     gw.event(Kind::StoreLost, "store", format_args!("why={e:?} revision={at}"));
                 }
-                tokio::time::sleep(jitter(RETRY_INTERVAL)).await;
+                tokio::time::sleep(jitter(retry_interval(&gw))).await;
+                if gw.store_position.borrow().revision().is_some() {
+                    wait_for_poll(&gw).await;
+                }
             }
         }
     }
 }
 
+/// Returns the time to wait after a failed call.
+fn retry_interval(gw: &Gateway) -> Duration {
+    if peers::is_reader(gw) || gw.store_position.borrow().revision().is_none() {
+        RETRY_INTERVAL
+    } else {
+        peers::reader_report(gw, clock::now()).retry_interval()
+    }
+}
+
 /// Waits until the next poll is due. Readers poll again after [`BATCH_DELAY`]; the other
 /// instances rely on the changes that readers pass on, and poll when some of these are missing,
 /// and at long intervals.
--- a/src/gateway/outage.rs
+++ b/src/gateway/outage.rs
@@ -1,6 +1,7 @@
 //! Asks engines directly whether they are leaving while the store cannot report it.
 
 use super::{Gateway, peers};
+use crate::balance;
 use crate::clock;
 use crate::event::Kind;
 use crate::gossip::{StoreStatus, Tag};
@@ -103,10 +104,23 @@
 
 /// Records that an engine told another instance that it is leaving. Of the instances with
 /// generations on the engine, the first to ask spares the others up to a whole interval.
+///
+/// Where memory is short, an instance without any goes on using the engine until it asks itself:
+/// short generations still end in time there.
 pub fn record_leaving(gw: &Gateway, tag: Tag, from: &InstanceId) {
-    let key = gw.pool.borrow().find_key_by_tag(tag);
+    let key = gw.pool.borrow().find_key_by_tag(tag).filter(|k| is_notice_useful(gw, *k));
     if let Some(key) = key {
         let detail = format_args!("from=peer peer={from}");
         mark_leaving(gw, key, detail);
     }
 }
+
+fn is_notice_useful(gw: &Gateway, key: PoolKey) -> bool {
+    let pool = gw.pool.borrow();
+    let Some(e) = pool.endpoints.get(key) else { return false };
+    let service = &e.listing.service;
+    let table = gw.table.borrow();
+    let config = table.as_ref().and_then(|t| t.services.get(service));
+    let engine = config.and_then(|s| s.engine.as_ref());
+    e.own.open > 0 || engine.is_some_and(|engine| !balance::is_memory_short(&pool, service, engine))
+}
--- a/src/gossip/relay.rs
+++ b/src/gossip/relay.rs
@@ -17,6 +17,10 @@
 const DEGRADED_POLL_INTERVAL: Duration = Duration::from_millis(2600);
 /// Interval between two reads without such a report.
 const DIRECT_POLL_INTERVAL: Duration = Duration::from_millis(600);
+/// Wait after a failed read of an instance that learns of changes from nobody else.
+const DIRECT_RETRY_INTERVAL: Duration = Duration::from_millis(300);
+/// The same for one that learns of them from readers, or knows that the store is unreachable.
+const RELAYED_RETRY_INTERVAL: Duration = Duration::from_millis(1500);
 
 /// What recent digests of readers say about the store.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -38,6 +42,15 @@
             (StoreStatus::Unknown, 0) => DIRECT_POLL_INTERVAL,
         }
     }
+
+    /// Returns the time after a failed read in which an instance that is not a reader does not read
+    /// again. One that is cut off from the store alone would else load it with calls in vain.
+    pub fn retry_interval(&self) -> Duration {
+        match (self.status, self.up) {
+            (StoreStatus::Unknown, 0) => DIRECT_RETRY_INTERVAL,
+            _ => RELAYED_RETRY_INTERVAL,
+        }
+    }
 }
 
 /// Revision of the store up to which an instance has all changes.
--- a/tests/decisions/balance.rs
+++ b/tests/decisions/balance.rs
@@ -152,3 +152,16 @@
     let (blind, measured) = (play(seed, false), play(seed, true));
     assert!(measured < blind * 0.97, "{measured:.2} ms a token, {blind:.2} without");
 }
+
+#[test]
+fn memory_is_short_once_expected_needs_fill_most_of_it() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool(now, 4);
+    let engine = crate::fixture::engine(30_000);
+    keys.iter().for_each(|k| pool.add_work(*k, work(20_000, 0)));
+    assert!(!balance::is_memory_short(&pool, &service(), &engine));
+    // Engines that are leaving take no new work, so their memory does not count.
+    keys[..2].iter().for_each(|k| pool.mark_leaving(now, *k));
+    keys[2..].iter().for_each(|k| pool.add_work(*k, work(5_000, 0)));
+    assert!(balance::is_memory_short(&pool, &service(), &engine));
+}
--- a/tests/decisions/gossip.rs
+++ b/tests/decisions/gossip.rs
@@ -129,6 +129,22 @@
     assert_eq!(status(&peer_loads, at(1050)), StoreStatus::Unknown, "one reader is silent");
 }
 
+/// A third of the instances is cut off from the store, or the store is down for all. Instances that
+/// hear of it from readers leave the store alone.
+#[test]
+fn failed_reads_are_repeated_quickly_only_without_readers() {
+    let report = |status, up| ReaderReport { status, up, revision: 5 };
+    let direct = report(StoreStatus::Unknown, 0).retry_interval();
+    for relayed in [
+        report(StoreStatus::Reachable, 2),
+        report(StoreStatus::Unknown, 1),
+        report(StoreStatus::Unreachable, 0),
+    ] {
+        assert!(relayed.retry_interval() >= 4 * direct, "{relayed:?}");
+    }
+    assert!(direct <= Duration::from_millis(500), "changes may be known within a second");
+}
+
 /// Changes from one revision of the store to another, as a reader passes them on.
 fn relayed(after: u64, upto: u64) -> StoreChanges {
     StoreChanges { after, upto, ..StoreChanges::default() }
