--- a/src/gossip/relay.rs
+++ b/src/gossip/relay.rs
@@ -13,7 +13,7 @@
 /// Interval between two reads if enough readers report that they follow the store. It limits how
 /// long a fault of all readers goes unnoticed.
 const RELAYED_POLL_INTERVAL: Duration = Duration::from_secs(15);
-/// The same interval if one reader does, or if the store is known to be unreachable.
+/// The same interval if one reader does.
 const DEGRADED_POLL_INTERVAL: Duration = Duration::from_millis(2600);
 /// Interval between two reads without such a report.
 const DIRECT_POLL_INTERVAL: Duration = Duration::from_millis(600);
@@ -38,8 +38,9 @@
     pub fn poll_interval(&self) -> Duration {
         match (self.status, self.up) {
             (StoreStatus::Reachable, _) => RELAYED_POLL_INTERVAL,
-            (StoreStatus::Unreachable, _) | (StoreStatus::Unknown, 1..) => DEGRADED_POLL_INTERVAL,
-            (StoreStatus::Unknown, 0) => DIRECT_POLL_INTERVAL,
+            (StoreStatus::Unknown, 1..) => DEGRADED_POLL_INTERVAL,
+            // The readers may be the only instances that are cut off.
+            (StoreStatus::Unreachable, _) | (StoreStatus::Unknown, 0) => DIRECT_POLL_INTERVAL,
         }
     }
 
--- a/tests/decisions/gossip.rs
+++ b/tests/decisions/gossip.rs
@@ -145,6 +145,16 @@
     assert!(direct <= Duration::from_millis(500), "changes may be known within a second");
 }
 
+/// All readers are cut off from the store, and nobody passes changes on. An instance that reaches
+/// the store has to learn of a configuration within two seconds.
+#[test]
+fn store_is_read_often_while_all_readers_are_cut_off() {
+    for status in [StoreStatus::Unreachable, StoreStatus::Unknown] {
+        let report = ReaderReport { status, up: 0, revision: 0 };
+        assert!(report.poll_interval() <= Duration::from_secs(1), "{report:?}");
+    }
+}
+
 /// Changes from one revision of the store to another, as a reader passes them on.
 fn relayed(after: u64, upto: u64) -> StoreChanges {
     StoreChanges { after, upto, ..StoreChanges::default() }
