Log a wave of joining and leaving instances and endpoints as one line

Change: changes of one kind within a second are one line with their count; a single one keeps its subject. Leaving, left and ejected endpoints keep a line each, as they explain what became of a request.

--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -1,5 +1,9 @@
 //! The numbered events of a process and the ring buffer that stores the newest of them.
 
+mod wave;
+
+pub use wave::{WaveEvent, WaveLog};
+
 use crate::hlc::{Hlc, Stamp};
 use crate::id::InstanceId;
 use serde::{Deserialize, Serialize};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,7 +23,7 @@
 use crate::budget::{Allowance, Budget};
 use crate::clock;
 use crate::evacuate::LinkScheduler;
-use crate::event::{EventRing, Kind};
+use crate::event::{EventRing, Kind, WaveLog};
 use crate::gossip::{ConfigPull, PeerLoads, StorePosition, Work};
 use crate::http::{self, Metrics};
 use crate::id::{InstanceId, ServiceName};
@@ -91,6 +91,8 @@
 struct Gateway {
     settings: RefCell<GatewaySettings>,
     ring: RefCell<EventRing>,
+    /// Changes of the fleet that are not in the log yet.
+    waves: RefCell<WaveLog>,
     /// Operators' configuration in force; `None` until the first one is known.
     table: RefCell<Option<Rc<Table>>>,
     /// Serialized form of `table`, sent to instances that cannot reach the store.
@@ -204,6 +206,7 @@
     fn new(settings: &GatewaySettings, metrics: Metrics) -> Self {
         Gateway {
             ring: RefCell::new(EventRing::new(settings.instance.clone())),
+            waves: RefCell::default(),
             table: RefCell::new(None),
             table_text: RefCell::default(),
             config_pull: RefCell::default(),
@@ -237,9 +240,15 @@
         self.ring.borrow_mut().push(clock::wall(), kind, &subject, &detail);
     }
 
+    /// Records a change of which many may come at once, and which all instances notice.
+    fn wave_event(&self, kind: Kind, subject: impl Display, detail: impl Display) {
+        let (subject, detail) = (subject.to_string(), detail.to_string());
+        self.waves.borrow_mut().add(clock::now(), kind, &subject, &detail);
+    }
+
     fn log_change(&self, change: Change) {
         match change {
-            Change::Joined(id) => self.event(Kind::Joined, id, ""),
+            Change::Joined(id) => self.wave_event(Kind::Joined, id, ""),
             Change::Leaving(id) => self.event(Kind::Leaving, id, "from=list"),
             Change::Left(id) => self.event(Kind::Left, id, ""),
             Change::Ejected(id) => self.event(Kind::Ejected, id, ""),
@@ -304,6 +313,8 @@
         gw.pool.borrow_mut().update_all_peer_work(&mut gw.peer_loads.borrow_mut());
         let changes = gw.pool.borrow_mut().step(now);
         changes.into_iter().for_each(|c| gw.log_change(c));
+        let waves = gw.waves.borrow_mut().step(now);
+        waves.into_iter().for_each(|w| gw.event(w.kind, w.subject, w.detail));
         copy::fetch_newer(&gw);
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -304,12 +304,12 @@
             let keys = Keyring::new(&[Arc::from(&r.key[..])]);
             let peer = Peer { address: r.address, power: r.power, keys };
             if gw.peers.borrow_mut().insert(instance.clone(), peer).is_none() {
-                gw.event(Kind::LinkUp, instance, format_args!("address={}", r.address));
+                gw.wave_event(Kind::LinkUp, instance, format_args!("address={}", r.address));
             }
         }
         None => {
             if gw.peers.borrow_mut().remove(&instance).is_some() {
-                gw.event(Kind::LinkSilent, instance, "why=\"no longer listed\"");
+                gw.wave_event(Kind::LinkSilent, instance, "why=\"no longer listed\"");
             }
         }
     }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -11,3 +11,4 @@
 mod sidecar;
 mod sim;
 mod sse;
+mod waves;
