--- a/src/h1/inbound.rs
+++ b/src/h1/inbound.rs
@@ -9,7 +9,7 @@
 use actix_rt::net::TcpStream;
 use bytes::{Bytes, BytesMut};
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -59,6 +59,9 @@
     BodyTooLarge,
 }
 
+/// Interval between checks of whether a caller with many pipelined bytes has disconnected.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Connection from a caller, which serves one request at a time.
 #[derive(Debug)]
 pub struct Inbound {
@@ -175,7 +178,8 @@
 
     /// Waits until the caller has closed the connection. Cancel safe.
     ///
-    /// Never returns once the buffer for pipelined requests is full, since it stops reading then.
+    /// Once the buffer for pipelined requests is full, it reads no more, and checks at intervals
+    /// whether the caller has closed its end.
     pub async fn closed(&mut self) {
         while self.buf.len() < MAX_PIPELINED_BYTES {
             match read_available(&mut self.io, &mut self.buf).await {
@@ -183,7 +187,17 @@
                 _ => return,
             }
         }
-        std::future::pending().await
+        while !self.is_read_closed().await {
+            tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Returns whether the caller has closed its end, even if bytes before that are unread.
+    async fn is_read_closed(&self) -> bool {
+        match self.io.ready(Interest::READABLE).await {
+            Ok(ready) => ready.is_read_closed(),
+            Err(_) => true,
+        }
     }
 
     /// Returns whether the connection stays open after the last response.
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -182,6 +182,20 @@
     assert!(disconnected.elapsed() < Duration::from_millis(450), "{:?}", disconnected.elapsed());
 }
 
+#[test]
+fn disconnect_behind_many_pipelined_bytes_cancels_the_generation() {
+    let e = Endpoint::start("i-1", Action::Hang);
+    let (_store, gateway) = start_platform(&[(&e, "model")]);
+    let mut sent = start_stream(&gateway, "id-1");
+    assert!(wait_for(2, || e.received().len() == 1));
+    sent.write(&[b'x'; 80 << 10]).expect("the connection is open");
+    std::thread::sleep(Duration::from_millis(300));
+    drop(sent);
+    let disconnected = Instant::now();
+    assert!(wait_for(2, || e.received()[0].closed.load(Ordering::SeqCst)));
+    assert!(disconnected.elapsed() < Duration::from_millis(500), "{:?}", disconnected.elapsed());
+}
+
 #[test]
 fn generation_is_not_retried_after_connection_reset() {
     let e = Endpoint::start("i-1", Action::Reset);
