--- a/src/gateway/migrate.rs
+++ b/src/gateway/migrate.rs
@@ -219,20 +219,14 @@
 
     /// Makes the last copy, of what was added since the first one. The generation pauses for it.
     async fn final_copy(&self, grant: Grant, first: Handoff) -> MoveOutcome {
-        loop {
+        let why = loop {
             if self.generation.ended.get() {
-                if let Err(e) = platform::free_copy(&first, &self.gw.codec, RELEASE_TIMEOUT).await {
-                    log::debug!(
-                        "freeing the copy of generation {} failed: {e}",
-                        self.generation.id
-                    );
-                }
-                return MoveOutcome::Stay("ended");
+                break "ended";
             }
             match self.copy(grant.to, true).await {
                 Ok(CopyOutcome::Done(handoff)) => return MoveOutcome::To(grant.guard, handoff),
                 Ok(CopyOutcome::Busy) => tokio::time::sleep(RETRY_INTERVAL).await,
-                Ok(CopyOutcome::Absent) => return MoveOutcome::Stay("ended"),
+                Ok(CopyOutcome::Absent) => break "ended",
                 // The generation has stopped. The source holds its memory and still serves.
                 Ok(CopyOutcome::NoRoom(Some(handoff))) => {
                     let guard =
@@ -240,13 +234,22 @@
                     return MoveOutcome::To(guard, handoff);
                 }
                 Ok(CopyOutcome::NoRoom(None)) => {
-                    return MoveOutcome::Stay("no memory on the target for the last copy");
+                    break "no memory on the target for the last copy";
                 }
                 Err(e) => {
                     log::debug!("last copy of generation {} failed: {e}", self.generation.id);
-                    return MoveOutcome::Stay("last copy failed");
+                    break "last copy failed";
                 }
             }
-        }
+        };
+        // The first copy holds memory on the target for seconds if it is not freed.
+        actix_rt::spawn(free_copy(self.gw.clone(), first));
+        MoveOutcome::Stay(why)
+    }
+}
+
+async fn free_copy(gw: Rc<Gateway>, copy: Handoff) {
+    if let Err(e) = platform::free_copy(&copy, &gw.codec, RELEASE_TIMEOUT).await {
+        log::debug!("freeing copy {copy} failed: {e}");
     }
 }
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -128,6 +128,10 @@
     copies: Mutex<Vec<MemoryCopy>>,
     /// Time that each copy takes, except a last one.
     copy_time: Mutex<Duration>,
+    /// Whether last copies find no memory at their target.
+    refuses_last: AtomicBool,
+    /// Handles of the copies that were freed.
+    freed: Mutex<Vec<String>>,
     /// Number of coming reports that give the state as draining.
     draining_reports: AtomicU32,
     /// Time until which new connections are closed at once.
@@ -165,6 +169,8 @@
             runs: Mutex::default(),
             copies: Mutex::default(),
             copy_time: Mutex::default(),
+            refuses_last: AtomicBool::new(false),
+            freed: Mutex::default(),
             draining_reports: AtomicU32::new(0),
             down_until: Mutex::default(),
         });
@@ -216,6 +222,16 @@
         self.state.copies.lock().expect("no holder panics").clone()
     }
 
+    /// Makes last copies find no memory at their target, so that generations stay.
+    pub fn refuse_last_copies(&self) {
+        self.state.refuses_last.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns the handles of the copies that were freed.
+    pub fn freed_copies(&self) -> Vec<String> {
+        self.state.freed.lock().expect("no holder panics").clone()
+    }
+
     /// Sets the time that each copy takes, except a last one.
     pub fn set_copy_time(&self, time: Duration) {
         *self.state.copy_time.lock().expect("no holder panics") = time;
@@ -243,7 +259,7 @@
         let result = match req.target.as_str() {
             "/kv-move" => copy_memory(state, &req, &mut writer),
             "/report" => send_report(state, &mut writer),
-            t if t.starts_with("/kv-handle/") => respond(&mut writer, "", 200, "{}"),
+            t if t.starts_with("/kv-handle/") => free_copy(state, &req, &mut writer),
             _ => perform_action(state, req, &mut writer),
         };
         if result.is_none() {
@@ -265,6 +281,12 @@
     respond(writer, "", 200, body)
 }
 
+fn free_copy(state: &State, req: &Request, writer: &mut TcpStream) -> Option<()> {
+    let handle = req.target.trim_start_matches("/kv-handle/").to_owned();
+    state.freed.lock().ok()?.push(handle);
+    respond(writer, "", 200, "{}")
+}
+
 fn copy_memory(state: &State, req: &Request, writer: &mut TcpStream) -> Option<()> {
     let body: serde_json::Value = serde_json::from_slice(&req.body).ok()?;
     let id = body["id"].as_str().unwrap_or("");
@@ -272,6 +294,9 @@
         return respond(writer, "", 404, "{}");
     };
     let started = Instant::now();
+    if body["last"] == true && state.refuses_last.load(Ordering::SeqCst) {
+        return respond(writer, "", 503, "{}");
+    }
     if body["last"] == true {
         run.stopped.store(true, Ordering::SeqCst);
         std::thread::sleep(Duration::from_millis(20));
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -100,6 +100,22 @@
     assert_eq!(last_flags, [false, true]);
 }
 
+#[test]
+fn first_copy_is_freed_when_the_last_one_finds_no_memory() {
+    let e = Endpoint::start("i-1", Action::Stream(60, EVENT_INTERVAL));
+    let (store, gateway) = start_platform(&[(&e, "model")]);
+    let mut sent = start_stream(&gateway, "id-1");
+    assert!(wait_for(2, || e.run_count() == 1));
+    let f = Endpoint::start("i-2", Action::Stream(60, EVENT_INTERVAL));
+    list_endpoint(&store, &f, "model", "ready");
+    std::thread::sleep(Duration::from_millis(300));
+    e.refuse_last_copies();
+    list_endpoint(&store, &e, "model", "draining");
+    let reply = sent.reply();
+    assert_eq!((reply.complete, reply.body), (true, expected_events(60)));
+    assert_eq!((e.freed_copies(), f.run_count()), (vec!["token".to_owned()], 0));
+}
+
 /// Two gateways have generations on an engine that is no longer listed. The copies of all of them
 /// use its link one after the other, whichever gateway coordinates them.
 #[test]
