--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -86,12 +86,8 @@
         .iter()
         .filter(|(k, e)| fits(k, e))
         .map(|(k, e)| {
-            (
-                k,
-                cost(now, e, need)
-                    + pace.as_ref().map_or(0.0, |p| p.cost(now, e, need.output))
-                    + rng.random_range(0.0..COST_JITTER),
-            )
+            let pace = pace.as_ref().map_or(0.0, |p| p.cost(now, e, need.output));
+            (k, cost(now, e, need) + pace + rng.random_range(0.0..COST_JITTER))
         })
         .min_by(|a, b| a.1.total_cmp(&b.1))
         .map(|(k, _)| k)
--- a/src/evacuate/links.rs
+++ b/src/evacuate/links.rs
@@ -4,8 +4,8 @@
 //! copy occupies the links of two engines, and one that waits for the first link keeps the second
 //! from being used, so that a few copies to the same engine hold up those of a whole data centre.
 //! Instances that decide on their own all choose the same engine before they hear of each other.
-//! One instance therefore grants all copies that leave a data centre's engines, each only while
-//! both links are idle.
+//! One instance therefore grants all copies from a data centre's engines, each only while both
+//! links are idle.
 
 use super::{copy_time, memory_share, target_cost};
 use crate::gossip::Tag;
@@ -106,11 +106,8 @@
         if copy_time(engine, request.tokens) > request.time_left {
             return Verdict::TooLate;
         }
-        let target = if self.is_busy(request.source) || self.is_preceded(request) {
-            None
-        } else {
-            self.choose_target(now, pool, engine, request)
-        };
+        let may_start = !self.is_busy(request.source) && !self.is_preceded(request);
+        let target = may_start.then(|| self.choose_target(now, pool, engine, request)).flatten();
         let Some((target, time)) = target else {
             let waiter = Waiter { source: request.source, tokens: request.tokens, asked: now };
             self.waiting.insert(request.id.clone(), waiter);
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -6,19 +6,22 @@
 //! per endpoint to all others as soon as it changes. A digest carries the rows that changed, and
 //! at regular intervals all rows; a lost digest is corrected by the next full one.
 //!
-//! The same messages carry admission requests to the instance that coordinates an engine, crash
-//! reports, and changes of the store, which only a few instances follow closely.
+//! The same messages carry admission requests to the instance that coordinates an engine, requests
+//! for the links of engines, crash reports, and changes of the store, which only a few instances
+//! follow closely.
 
+mod message;
 mod pull;
 mod relay;
 
+pub use message::{
+    AdmissionRequest, Digest, PeerMessage, Row, StoreChanges, TransferMessage, decode_row,
+    encode_row,
+};
 pub use pull::ConfigPull;
 pub use relay::{ReaderReport, StorePosition};
 
-use crate::evacuate::Verdict;
-use crate::frame::Gossip;
-use crate::id::{DataCentre, EndpointId, Fingerprint, InstanceId, MilliCores, ServiceName};
-use crate::store::KeyValue;
+use crate::id::{DataCentre, EndpointId, Fingerprint, InstanceId, MilliCores};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -28,8 +31,6 @@
 /// Time after which an instance that sent no digest is dropped; full digests are sent several
 /// times within it.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2000);
-/// Limit of keys and values in a [`StoreChanges`] message, so that it fits a datagram.
-const MAX_CHANGES_BYTES: usize = 8 << 10;
 /// Time after which a reservation expires; by then the work appears in a digest of the instance
 /// that requested it.
 const RESERVATION_TTL: Duration = Duration::from_millis(150);
@@ -85,155 +86,6 @@
     }
 }
 
-/// One row of a message: endpoint, then the fields of [`Work`] in their order.
-pub type Row = (Tag, u32, u32, u32, u32);
-
-/// The open work of one instance, sent to all others.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Digest {
-    /// Whether endpoints without a row have no open work; otherwise their rows are unchanged.
-    #[serde(rename = "f")]
-    pub full: bool,
-    /// All rows of a full digest, or those that changed since the previous digest.
-    #[serde(rename = "r")]
-    pub rows: Vec<Row>,
-    /// Whether the sender gets no answer from the store.
-    #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
-    pub store_down: bool,
-    /// Store revision up to which the sender has passed changes on; 0 if it is no reader.
-    #[serde(rename = "v", default)]
-    pub revision: u64,
-    /// Time per output token, in microseconds, of the engines whose streams the sender relays; only
-    /// in full digests.
-    #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
-    pub token_times: Vec<(Tag, u32)>,
-}
-
-/// A request to the coordinator of an engine for permission to start a generation there.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct AdmissionRequest {
-    /// Number that the reply repeats, unique per sender.
-    #[serde(rename = "n")]
-    pub number: u64,
-    /// Engine, and the load that the generation adds to it.
-    #[serde(rename = "w")]
-    pub row: Row,
-    /// Milliseconds left until the first event is late.
-    #[serde(rename = "l")]
-    pub left_ms: u32,
-    /// Rank; 0 is the most urgent.
-    #[serde(rename = "u")]
-    pub urgency: u8,
-}
-
-/// A request to the coordinator of a data centre's transfers, to copy a generation from an engine
-/// that is leaving.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct TransferMessage {
-    /// Number that the reply repeats, unique per sender and generation.
-    #[serde(rename = "n")]
-    pub number: u64,
-    /// Engine that is leaving.
-    #[serde(rename = "s")]
-    pub source: Tag,
-    /// Service of that engine.
-    #[serde(rename = "k")]
-    pub service: ServiceName,
-    /// Data centre of that engine.
-    #[serde(rename = "d")]
-    pub centre: DataCentre,
-    /// Tokens to copy.
-    #[serde(rename = "c")]
-    pub tokens: u32,
-    /// Memory that the generation needs by its end, in tokens.
-    #[serde(rename = "h")]
-    pub held: u32,
-    /// Milliseconds within which the copy has to end.
-    #[serde(rename = "l")]
-    pub left_ms: u32,
-    /// Engines that did not accept the copy.
-    #[serde(rename = "t")]
-    pub tried: Vec<Tag>,
-}
-
-/// A message from one instance to another.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum PeerMessage {
-    /// Open work of the sender.
-    #[serde(rename = "d")]
-    Digest(Digest),
-    /// Requests admission to an engine.
-    #[serde(rename = "a")]
-    AdmissionRequest(AdmissionRequest),
-    /// Reply to the admission request with this number: whether it is granted.
-    #[serde(rename = "g")]
-    AdmissionReply(u64, bool),
-    /// Requests the links for a copy of a generation.
-    #[serde(rename = "m")]
-    TransferRequest(TransferMessage),
-    /// Reply to the transfer request with this number.
-    #[serde(rename = "v")]
-    TransferReply(u64, Verdict),
-    /// The transfer with this number has ended.
-    #[serde(rename = "e")]
-    TransferDone(u64),
-    /// An engine reported to the sender that it is leaving.
-    #[serde(rename = "q")]
-    EngineLeaving(Tag),
-    /// Contents that crashed endpoints.
-    #[serde(rename = "b")]
-    Quarantine(Gossip),
-    /// Changes that a reader received from the store.
-    #[serde(rename = "n")]
-    StoreChanges(StoreChanges),
-    /// Requests the operators' configuration; sent on a connection, not as a datagram.
-    #[serde(rename = "p")]
-    PullConfig,
-    /// The operators' configuration as the store holds it; sent on a connection, not as a
-    /// datagram.
-    #[serde(rename = "t", with = "serde_bytes")]
-    Config(Vec<u8>),
-}
-
-/// Changes of the store that a reader forwards to the other instances.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct StoreChanges {
-    /// Changes of keys with small values.
-    #[serde(rename = "f")]
-    pub kvs: Vec<KeyValue>,
-    /// Whether further changes are left out because of their size; the receiver then reads the
-    /// store.
-    #[serde(rename = "m")]
-    pub truncated: bool,
-    /// Store revision after which the changes follow.
-    #[serde(rename = "a", default)]
-    pub after: u64,
-    /// Store revision up to which the changes are complete, unless they are truncated.
-    #[serde(rename = "u", default)]
-    pub upto: u64,
-    /// Whether the store was unreachable until shortly before. Keys may be missing because their
-    /// leases expired meanwhile.
-    #[serde(rename = "r", default)]
-    pub recovering: bool,
-}
-
-impl StoreChanges {
-    /// Collects changes up to the size of a datagram.
-    pub fn of<'k>(kvs: impl Iterator<Item = &'k KeyValue>) -> StoreChanges {
-        let mut changes = StoreChanges::default();
-        let mut bytes = 0;
-        for kv in kvs {
-            bytes += kv.key.len() + kv.value.as_ref().map_or(0, Vec::len);
-            if bytes > MAX_CHANGES_BYTES {
-                changes.truncated = true;
-                break;
-            }
-            changes.kvs.push(kv.clone());
-        }
-        changes
-    }
-}
-
 /// Number of readers: instances that watch the store continuously and forward its changes.
 const READER_COUNT: usize = 3;
 /// Number of readers with the same recent report that the other instances need to rely on it. It is
@@ -501,14 +353,3 @@
         changed.chain(ended.map(|t| encode_row(*t, Work::default()))).collect()
     }
 }
-
-/// Converts a row to the work at its endpoint.
-pub fn decode_row((tag, open, held, unread, copies): Row) -> (Tag, Work) {
-    (tag, Work { open, held: u64::from(held), unread: u64::from(unread), copies })
-}
-
-/// Converts the work at an endpoint to a row; counts above `u32::MAX` are capped.
-pub fn encode_row(tag: Tag, work: Work) -> Row {
-    let cap = |n: u64| u32::try_from(n).unwrap_or(u32::MAX);
-    (tag, work.open, cap(work.held), cap(work.unread), work.copies)
-}
