--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -202,6 +202,8 @@
     /// Returns what `readers` say about the store.
     pub fn reader_report(&self, now: Instant, readers: &[&InstanceId]) -> ReaderReport {
         let states = readers.iter().filter_map(|r| self.peers.get(*r));
+        // An instance that does not know all others yet may take some for readers that are none.
+        let states = states.filter(|p| p.revision > 0);
         let recent: Vec<&PeerState> = states.filter(|p| p.is_recent(now, READER_TIMEOUT)).collect();
         let up = recent.iter().filter(|p| !p.store_down);
         let revision = up.clone().map(|p| p.revision).max().unwrap_or_default();
