--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -61,7 +61,8 @@
     metrics::histogram!("call_seconds").record(ms as f64 / 1e3);
     let status = response.info.status.as_u16();
     metrics::counter!("answers_total", "status" => status.to_string()).increment(1);
-    let detail = format!("endpoint={} status={status} ms={ms}", response.endpoint);
+    let (endpoint, framing) = (&response.endpoint, response.out.framing());
+    let detail = format!("endpoint={endpoint} framing={framing} status={status} ms={ms}");
     gw.event(Kind::Answered, log_id(job.meta.id.as_ref()), detail);
 }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -8,7 +8,7 @@
 use super::{Gateway, quarantine};
 use crate::clock;
 use crate::event::Kind;
-use crate::h1::{Broken, Inbound};
+use crate::h1::{Broken, Framing, Inbound};
 use crate::platform;
 use crate::pool::TokenTimer;
 use crate::sse::{self, EventId, EventOrder, EventScanner};
@@ -70,6 +70,8 @@
     unread: u64,
     /// Memory in tokens expected to be needed on that engine, including its own.
     held: u64,
+    /// Bytes after the last complete event when the response of an engine ended.
+    rest: usize,
 }
 
 impl StreamStats {
@@ -88,8 +90,9 @@
         let (first, pause) = (self.first.as_millis(), self.pause.as_millis());
         let (events, moves) = (self.events, self.moves);
         let (sent, unread, held) = (self.sent.as_millis(), self.unread, self.held);
+        let rest = self.rest;
         write!(f, "events={events} first_ms={first} pause_ms={pause} moves={moves} ")?;
-        write!(f, "sent_ms={sent} unread={unread} held={held}")
+        write!(f, "sent_ms={sent} unread={unread} held={held} rest={rest}")
     }
 }
 
@@ -254,9 +257,12 @@
         log_id(self.job.meta.id.as_ref())
     }
 
-    /// Returns the engine and the token counts of the generation for a log line.
+    /// Returns the engine, the framing of its response and the token counts of the generation for a
+    /// log line.
     fn engine_detail(&self) -> String {
-        format!("endpoint={}{}", self.segment.response.endpoint, self.job.size_suffix())
+        let response = &self.segment.response;
+        let (endpoint, framing) = (&response.endpoint, response.out.framing());
+        format!("endpoint={endpoint} framing={framing}{}", self.job.size_suffix())
     }
 
     fn record_completed(&self) {
@@ -281,6 +287,7 @@
     /// Relays the events of one segment until it ends.
     async fn relay_segment(&mut self, conn: &mut Inbound) -> SegmentEnd {
         let leaving = self.segment.leaving.clone();
+        let framing = self.segment.response.out.framing();
         loop {
             let notified = leaving.notified();
             if self.migration.is_none() {
@@ -295,6 +302,9 @@
                     return SegmentEnd::Failed(Failure::Late);
                 }
             };
+            if !matches!(part, Ok(Some(_))) {
+                self.stats.rest = self.buf.len();
+            }
             match part {
                 Ok(Some(part)) => {
                     self.buf.extend_from_slice(&part);
@@ -302,7 +312,7 @@
                         return SegmentEnd::Failed(failure);
                     }
                 }
-                Ok(None) if self.segment.response.out.has_framing() || self.migration.is_none() => {
+                Ok(None) if framing != Framing::Close || self.migration.is_none() => {
                     let rest = self.buf.split().freeze();
                     if !rest.is_empty() && conn.send_chunk(rest).await.is_err() {
                         return SegmentEnd::Failed(Failure::Unread);
--- a/src/h1/mod.rs
+++ b/src/h1/mod.rs
@@ -9,7 +9,7 @@
 mod outbound;
 
 pub use inbound::{Inbound, ReadError, RequestLimits};
-pub use outbound::{Broken, Outbound, SendError};
+pub use outbound::{Broken, Framing, Outbound, SendError};
 
 use bytes::BytesMut;
 use std::time::Duration;
--- a/src/h1/outbound.rs
+++ b/src/h1/outbound.rs
@@ -7,6 +7,7 @@
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use actix_rt::net::TcpStream;
 use bytes::{Bytes, BytesMut};
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -33,6 +34,27 @@
     Malformed,
 }
 
+/// How a response marks the end of its body.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Framing {
+    /// By its length; a response without a body counts too.
+    Length,
+    /// By the last chunk.
+    Chunked,
+    /// By the end of the connection, which cannot be told from an interruption.
+    Close,
+}
+
+impl fmt::Display for Framing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Framing::Length => "length",
+            Framing::Chunked => "chunked",
+            Framing::Close => "close",
+        })
+    }
+}
+
 /// Part of the response that is read next.
 enum Phase {
     Head(ClientCodec),
@@ -42,8 +64,8 @@
     Done,
 }
 
-impl std::fmt::Debug for Phase {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Debug for Phase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Phase::Head(_) => "Head",
             Phase::Body(_) => "Body",
@@ -64,7 +86,7 @@
     out: BytesMut,
     phase: Phase,
     method: Method,
-    has_framing: bool,
+    framing: Framing,
 }
 
 impl Outbound {
@@ -106,7 +128,7 @@
             out,
             phase: Phase::Head(codec),
             method,
-            has_framing: true,
+            framing: Framing::Length,
         })
     }
 
@@ -139,10 +161,13 @@
         let Phase::Head(codec) = phase else { return };
         if codec.message_type() != MessageType::None {
             self.phase = Phase::Body(codec.into_payload_codec());
+            if head.headers().contains_key(TRANSFER_ENCODING) {
+                self.framing = Framing::Chunked;
+            }
         } else if !self.is_bodiless(head) {
             // The codec treats a response without a length as one without a body.
             self.phase = Phase::Rest;
-            self.has_framing = false;
+            self.framing = Framing::Close;
         }
     }
 
@@ -206,11 +231,9 @@
         }
     }
 
-    /// Returns whether the response marks the end of its body, by a length or by chunks.
-    ///
-    /// Without framing, a complete body cannot be distinguished from an interrupted one.
-    pub fn has_framing(&self) -> bool {
-        self.has_framing
+    /// Returns how the response marks the end of its body, once its head has been read.
+    pub fn framing(&self) -> Framing {
+        self.framing
     }
 
     /// Reads a complete body of at most `max` bytes.
