--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -2,6 +2,7 @@
 
 use super::{Request, read_request};
 use crate::host::free_address;
+use socket2::SockRef;
 use std::collections::{HashMap, VecDeque};
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -45,10 +46,25 @@
     TaggedStream(u64, Duration),
     /// Streams this many events and closes the connection in the middle of the next.
     TruncatedStream(u64),
+    /// Streams this many events and then these bytes, and ends the response in this way.
+    EndingStream(StreamEnd, u64, &'static str),
     /// Sends bytes that never make up a response until the caller closes the connection.
     Endless(EndlessPart),
 }
 
+/// How the response that carries a stream ends.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum StreamEnd {
+    /// At the length given in its head.
+    Length,
+    /// With its last chunk.
+    Chunked,
+    /// With its connection; the head has neither a length nor chunks.
+    Close,
+    /// Like `Close`, but the connection is reset.
+    Reset,
+}
+
 /// Part of a response that does not end.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum EndlessPart {
@@ -385,6 +401,10 @@
             closed.store(true, Ordering::SeqCst);
             None
         }
+        Action::EndingStream(end, n, rest) => {
+            let events: String = (1..=n).map(|ix| format_event("token", ix)).collect();
+            end_stream(writer, &sealed_headers, end, &(events + rest))
+        }
         Action::TruncatedStream(n) => {
             write_stream_head(writer, &sealed_headers)?;
             (1..=n).try_for_each(|ix| write_chunk(writer, &format_event("token", ix)))?;
@@ -394,6 +414,40 @@
     }
 }
 
+/// Time between the last bytes of a response and the reset of its connection, which would discard
+/// them at the receiver.
+const RESET_DELAY: Duration = Duration::from_millis(100);
+
+/// Writes a stream in one part and ends its response and connection; `None` closes it in order.
+fn end_stream(
+    writer: &mut TcpStream,
+    sealed_headers: &str,
+    end: StreamEnd,
+    body: &str,
+) -> Option<()> {
+    let framing = match end {
+        StreamEnd::Length => format!("Content-Length: {}\r\n", body.len()),
+        StreamEnd::Chunked => "Transfer-Encoding: chunked\r\n".to_owned(),
+        StreamEnd::Close | StreamEnd::Reset => "Connection: close\r\n".to_owned(),
+    };
+    let kind = "Content-Type: text/event-stream\r\n";
+    let head = format!("HTTP/1.1 200 X\r\n{sealed_headers}{kind}{framing}\r\n");
+    writer.write_all(head.as_bytes()).ok()?;
+    if end == StreamEnd::Chunked {
+        write_chunk(writer, body)?;
+        writer.write_all(b"0\r\n\r\n").ok()?;
+    } else {
+        writer.write_all(body.as_bytes()).ok()?;
+    }
+    if end == StreamEnd::Reset {
+        std::thread::sleep(RESET_DELAY);
+        SockRef::from(&*writer).set_linger(Some(Duration::ZERO)).ok()?;
+        // Ends the loop over requests; the last close then sends the reset.
+        return writer.shutdown(Shutdown::Read).ok();
+    }
+    None
+}
+
 fn wait_for_close(writer: &mut TcpStream, closed: &AtomicBool) -> Option<()> {
     let mut byte = [0];
     let _ = writer.read(&mut byte);
--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -9,7 +9,7 @@
 mod store;
 
 pub use caller::{Connection, Reply, send, try_send};
-pub use endpoint::{Action, EndlessPart, Endpoint, ReceivedRequest};
+pub use endpoint::{Action, EndlessPart, Endpoint, ReceivedRequest, StreamEnd};
 pub use gateway::{Gateway, wait_until};
 pub use proxy::{Proxy, ProxyMode};
 pub use store::{Outage, Store};
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -1,7 +1,8 @@
 //! Generations: relayed events, broken streams and migrations.
 
 use crate::common::{expected_events, list_endpoint, start_platform, start_stream, wait_for};
-use standin::platform::{Action, Endpoint, Outage};
+use rstest::rstest;
+use standin::platform::{Action, Endpoint, Outage, StreamEnd};
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,39 @@
     assert_eq!(e.run_count(), 1);
 }
 
+#[rstest]
+#[case::id_line(StreamEnd::Close, "id: 4\n")]
+#[case::open_line(StreamEnd::Close, "id: 4\ndata: tok")]
+#[case::no_blank_line(StreamEnd::Close, "id: 4\ndata: token-4\n")]
+#[case::last_chunk(StreamEnd::Chunked, "id: 4\ndata: tok")]
+#[case::length(StreamEnd::Length, "id: 4\ndata: tok")]
+fn stream_that_ends_inside_an_event_does_not_look_complete(
+    #[case] end: StreamEnd,
+    #[case] rest: &'static str,
+) {
+    let e = Endpoint::start("i-1", Action::EndingStream(end, 3, rest));
+    let (_store, gateway) = start_platform(&[(&e, "model")]);
+    let reply = start_stream(&gateway, "id-1").reply();
+    assert_eq!((reply.status, reply.complete, reply.body), (200, false, expected_events(3)));
+    assert_eq!(e.run_count(), 1);
+}
+
+#[test]
+fn stream_without_framing_that_ends_after_an_event_is_complete() {
+    let e = Endpoint::start("i-1", Action::EndingStream(StreamEnd::Close, 3, ": done\n"));
+    let (_store, gateway) = start_platform(&[(&e, "model")]);
+    let reply = start_stream(&gateway, "id-1").reply();
+    assert_eq!((reply.complete, reply.body), (true, expected_events(3) + ": done\n"));
+}
+
+#[test]
+fn stream_without_framing_that_is_reset_does_not_look_complete() {
+    let e = Endpoint::start("i-1", Action::EndingStream(StreamEnd::Reset, 3, ""));
+    let (_store, gateway) = start_platform(&[(&e, "model")]);
+    let reply = start_stream(&gateway, "id-1").reply();
+    assert_eq!((reply.complete, reply.body), (false, expected_events(3)));
+}
+
 fn start_resumable(
     gateway: &standin::platform::Gateway,
     id: &str,
@@ -58,6 +92,15 @@
     assert_eq!((last.header("kv-from"), &*last.body), (None, &b"prompt"[..]));
 }
 
+#[test]
+fn resumable_stream_that_ends_inside_an_event_continues_on_another_engine() {
+    let e = Endpoint::start("i-1", Action::EndingStream(StreamEnd::Close, 3, "id: 4\ndata: tok"));
+    let f = Endpoint::start("i-2", Action::Stream(6, EVENT_INTERVAL));
+    let (_store, gateway) = start_platform(&[(&e, "model"), (&f, "model")]);
+    let replies = send_until_met(&gateway, &e);
+    assert!(replies.iter().all(|r| *r == (true, expected_events(6))), "{replies:?}");
+}
+
 #[test]
 fn resumable_stream_that_got_no_response_runs_on_another_engine() {
     let e = Endpoint::start("i-1", Action::Reset);
