Treat a stream that ends inside an event as broken off

Cause: the end of the engine's response was taken for the end of the generation. Bytes that were left over were passed on and the response was completed, so a response that ends with its connection was complete wherever the engine crashed. The same held for a response with chunks or a length that ended inside an event, and, during a migration, for one with chunks.

Now the bytes after the last complete event decide: anything but complete comment lines means that the engine broke off. The stream then ends like one whose connection failed: the engine's health is charged, the content is a suspect, a migration under way is resumed, a resumable stream continues on another engine, and any other is cut without a last chunk and logged as 702. A complete stream ends with the blank line of its last event, so none is refused by this.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -312,6 +312,9 @@
                         return SegmentEnd::Failed(failure);
                     }
                 }
+                Ok(None) if sse::ends_inside_event(&self.buf) => {
+                    return SegmentEnd::Interrupted(Broken::Early);
+                }
                 Ok(None) if framing != Framing::Close || self.migration.is_none() => {
                     let rest = self.buf.split().freeze();
                     if !rest.is_empty() && conn.send_chunk(rest).await.is_err() {
--- a/src/sse/mod.rs
+++ b/src/sse/mod.rs
@@ -66,6 +66,13 @@
     }
 }
 
+/// Returns whether a stream whose last bytes after its last complete event are `rest` ended inside
+/// an event. Complete comment lines belong to no event.
+pub fn ends_inside_event(rest: &[u8]) -> bool {
+    rest.split_inclusive(|b| *b == b'\n')
+        .any(|line| !line.starts_with(b":") || !line.ends_with(b"\n"))
+}
+
 fn parse_id(line: &[u8]) -> Option<EventId> {
     let value = line.strip_prefix(b"id:")?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
--- a/tests/decisions/sse.rs
+++ b/tests/decisions/sse.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use rstest::rstest;
-use skylarkthread::sse::{EventId, EventOrder, EventScanner, check_order};
+use skylarkthread::sse::{EventId, EventOrder, EventScanner, check_order, ends_inside_event};
 
 #[rstest]
 #[case::complete(b"id: 4\ndata: x\n\nid: 5", Some((15, Some(4))))]
@@ -67,3 +67,19 @@
     let event = scanner.scan(&buf).expect("the event is complete");
     assert_eq!((event.len, event.id), (buf.len(), Some(EventId(3))));
 }
+
+#[rstest]
+#[case::nothing("", false)]
+#[case::comment(": keep-alive\n", false)]
+#[case::comments(": one\r\n:two\n", false)]
+#[case::open_comment(": keep-al", true)]
+#[case::field("data: token\n", true)]
+#[case::open_field("da", true)]
+#[case::comment_then_field(": one\nid: 4\n", true)]
+#[case::half_line_ending("\r", true)]
+fn bytes_after_the_last_event_show_whether_the_stream_broke_off(
+    #[case] rest: &str,
+    #[case] is_inside: bool,
+) {
+    assert_eq!(ends_inside_event(rest.as_bytes()), is_inside);
+}
