Treat a stream without framing that has no event as broken off

A generation has at least one event, so an empty one was cut at its start. Both cases of the new test failed before (complete, with an empty body or one comment) and pass now. A framed response without events is passed on as before, since its end is explicit.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -312,7 +312,7 @@
                         return SegmentEnd::Failed(failure);
                     }
                 }
-                Ok(None) if sse::ends_inside_event(&self.buf) => {
+                Ok(None) if sse::ends_inside_event(&self.buf) || self.is_cut_at_start(framing) => {
                     return SegmentEnd::Interrupted(Broken::Early);
                 }
                 Ok(None) if framing != Framing::Close || self.migration.is_none() => {
@@ -329,6 +329,12 @@
         }
     }
 
+    /// Returns whether a response that ended was cut before its first event: a generation has at
+    /// least one, and an end of the connection alone does not show that there was none.
+    fn is_cut_at_start(&self, framing: Framing) -> bool {
+        framing == Framing::Close && self.stats.events == 0
+    }
+
     /// Sends the complete events in the buffer to the caller, skipping repeated ones.
     async fn forward_events(&mut self, conn: &mut Inbound) -> Result<(), Failure> {
         let mut out = BytesMut::new();
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -25,6 +25,9 @@
     TruncatedBody,
     /// Responds without a content length; the end of the connection ends the body.
     CloseDelimited(String),
+    /// Responds with this status line, these headers beside its own, and this body, and closes the
+    /// connection.
+    Raw(&'static str, &'static str, &'static str),
     /// Responds with this body and then sends a second response that nothing asked for.
     ExtraResponse(String),
     /// Responds with the id and the seal of another request.
@@ -367,6 +370,11 @@
             writer.write_all(text.as_bytes()).ok()?;
             None
         }
+        Action::Raw(status, headers, body) => {
+            let text = format!("{status}\r\n{sealed_headers}{headers}\r\n{body}");
+            writer.write_all(text.as_bytes()).ok()?;
+            None
+        }
         Action::ExtraResponse(body) => {
             respond(writer, &sealed_headers, 200, &body)?;
             respond(writer, "X-Attempt-Id: other\r\nX-Replica-Seal: s.other\r\n", 200, "stray")
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -52,6 +52,18 @@
     assert_eq!((reply.complete, reply.body), (true, expected_events(3) + ": done\n"));
 }
 
+#[rstest]
+#[case::nothing("")]
+#[case::comment(": started\n")]
+fn stream_without_framing_that_ends_before_its_first_event_does_not_look_complete(
+    #[case] rest: &'static str,
+) {
+    let e = Endpoint::start("i-1", Action::EndingStream(StreamEnd::Close, 0, rest));
+    let (_store, gateway) = start_platform(&[(&e, "model")]);
+    let reply = start_stream(&gateway, "id-1").reply();
+    assert_eq!((reply.status, reply.complete, reply.body.as_str()), (200, false, ""));
+}
+
 #[test]
 fn stream_without_framing_that_is_reset_does_not_look_complete() {
     let e = Endpoint::start("i-1", Action::EndingStream(StreamEnd::Reset, 3, ""));
