Read bodies that the HTTP codec takes for empty, or reject them

The end of a response was taken from the codec, which reports no body for a response with Transfer-Encoding: identity or with an Upgrade header: callers got a complete response with an empty body (200 "" in place of "all of it"; with a length, 200 in place of 502). A response of HTTP/1.0 without a length, whose end is that of its connection, was rejected as broken (502).

The framing is now chosen from the head alone: chunks, a length, or the end of the connection. A length that the codec ignores and chunks in HTTP/1.0 have no reliable end, and count as malformed. Four of the five cases of the two new tests failed before (a fifth, chunks in HTTP/1.0, was rejected already).

--- a/src/h1/outbound.rs
+++ b/src/h1/outbound.rs
@@ -3,8 +3,10 @@
 use super::{read_available, set_socket_options};
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
-use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
+use actix_http::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use actix_http::{
+    Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, Version,
+};
 use actix_rt::net::TcpStream;
 use bytes::{Bytes, BytesMut};
 use std::fmt;
@@ -144,7 +146,7 @@
             match codec.decode(&mut self.buf).map_err(|_| Broken::Malformed)? {
                 Some(head) if head.status.is_informational() => continue,
                 Some(head) => {
-                    self.begin_body(&head);
+                    self.begin_body(&head)?;
                     return Ok(head);
                 }
                 None => {}
@@ -156,28 +158,37 @@
     }
 
     /// Chooses how the body of the response is read.
-    fn begin_body(&mut self, head: &ResponseHead) {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Broken::Malformed`] if the length of the body is unknown.
+    fn begin_body(&mut self, head: &ResponseHead) -> Result<(), Broken> {
         let phase = std::mem::replace(&mut self.phase, Phase::Done);
-        let Phase::Head(codec) = phase else { return };
-        if codec.message_type() != MessageType::None {
-            self.phase = Phase::Body(codec.into_payload_codec());
-            if head.headers().contains_key(TRANSFER_ENCODING) {
-                self.framing = Framing::Chunked;
-            }
-        } else if !self.is_bodiless(head) {
-            // The codec treats a response without a length as one without a body.
-            self.phase = Phase::Rest;
-            self.framing = Framing::Close;
-        }
-    }
-
-    /// Returns whether a response that the codec reports as without a body really has none.
-    fn is_bodiless(&self, head: &ResponseHead) -> bool {
-        let headers = head.headers();
-        self.method == Method::HEAD
+        let Phase::Head(codec) = phase else { return Err(Broken::Malformed) };
+        if self.method == Method::HEAD
             || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
-            || headers.contains_key(CONTENT_LENGTH)
-            || headers.contains_key(TRANSFER_ENCODING)
+        {
+            return Ok(());
+        }
+        let encoding = head.headers().get(TRANSFER_ENCODING).map(HeaderValue::as_bytes);
+        let is_chunked = encoding.is_some_and(|e| e.eq_ignore_ascii_case(b"chunked"));
+        let length = head.headers().get(CONTENT_LENGTH).map(HeaderValue::as_bytes);
+        let has_body = codec.message_type() != MessageType::None;
+        (self.framing, self.phase) = match (is_chunked, length) {
+            (true, _) if head.version == Version::HTTP_10 => return Err(Broken::Malformed),
+            (true, _) => (Framing::Chunked, Phase::Body(codec.into_payload_codec())),
+            (false, Some(_)) if has_body => {
+                (Framing::Length, Phase::Body(codec.into_payload_codec()))
+            }
+            (false, Some(n)) if n.trim_ascii().iter().all(|b| *b == b'0') => {
+                (Framing::Length, Phase::Done)
+            }
+            // The codec ignores the length beside some `Upgrade` headers.
+            (false, Some(_)) => return Err(Broken::Malformed),
+            // The codec takes such a body for an empty or an endless one.
+            (false, None) => (Framing::Close, Phase::Rest),
+        };
+        Ok(())
     }
 
     /// Sends bytes of the request until some bytes of the response have been read; returns the
--- a/tests/gateway/calls.rs
+++ b/tests/gateway/calls.rs
@@ -115,6 +115,32 @@
     assert_eq!((reply.status, reply.body.as_str(), reply.complete), (200, "all of it", true));
 }
 
+#[rstest]
+#[case::identity("HTTP/1.1 200 X", "Transfer-Encoding: identity\r\n")]
+#[case::http_1_0("HTTP/1.0 200 X", "")]
+#[case::upgrade("HTTP/1.1 200 X", "Upgrade: websocket\r\n")]
+fn body_that_the_codec_does_not_see_is_not_dropped(
+    #[case] status: &'static str,
+    #[case] headers: &'static str,
+) {
+    let e = Endpoint::start("i-1", Action::Raw(status, headers, "all of it"));
+    let (_store, gateway) = start_platform(&[(&e, "plain")]);
+    let reply = send_request(&gateway, "GET", "/safe/x", "id-1");
+    assert_eq!((reply.status, reply.body.as_str(), reply.complete), (200, "all of it", true));
+}
+
+#[rstest]
+#[case::length_under_upgrade("HTTP/1.1 200 X", "Upgrade: websocket\r\nContent-Length: 30\r\n")]
+#[case::chunked_in_http_1_0("HTTP/1.0 200 X", "Transfer-Encoding: chunked\r\n")]
+fn body_of_unknown_length_is_not_passed_on(
+    #[case] status: &'static str,
+    #[case] headers: &'static str,
+) {
+    let e = Endpoint::start("i-1", Action::Raw(status, headers, "part of it"));
+    let (_store, gateway) = start_platform(&[(&e, "plain")]);
+    assert_eq!(send_request(&gateway, "GET", "/safe/x", "id-1").status, 502);
+}
+
 #[test]
 fn response_sent_before_the_body_is_read_is_passed_on() {
     let e = Endpoint::start("i-1", Action::ContentTooLarge);
