Complete an unframed stream that ends while its engine leaves

Any migration under way made the end ambiguous, so the stream waited up to 4 s for its outcome and then failed (why="ended").

Cause: the test was whether a migration had begun, not whether it could have stopped the generation. Only the last copy does that. Before it, the end of the connection is the end of the response; after it, the outcome decides: an engine that no longer runs the generation had ended it, one that made the copy had stopped it, and a copy that failed leaves the end unknown, so the stream is cut as before.

The new test failed before (all 40 events, framed as incomplete, after the wait) and passes now; a second one, an unframed stream that is stopped by a migration and continues elsewhere, passed before and after.

--- a/src/gateway/migrate.rs
+++ b/src/gateway/migrate.rs
@@ -57,6 +57,8 @@
     pub centre: DataCentre,
     /// Set once the generation has ended.
     pub ended: Rc<Cell<bool>>,
+    /// Set once the source may have stopped the generation for the last copy.
+    pub stopping: Rc<Cell<bool>>,
 }
 
 impl RunningGeneration {
@@ -89,6 +91,8 @@
 pub enum MoveOutcome {
     /// The generation has stopped and can be resumed on this engine, from this memory.
     To(WorkGuard, Handoff),
+    /// The generation ended on its source before it was stopped.
+    Ended,
     /// The generation was not migrated, for the reason in the text.
     Stay(&'static str),
 }
@@ -123,6 +127,9 @@
                 let to = pool.endpoints.get(guard.key).map(|e| e.listing.address);
                 (Kind::MoveDone, format!("to={to:?} handle={}", handoff.handle))
             }
+            MoveOutcome::Ended => {
+                (Kind::MoveFailed, format!("why=\"ended\" over={}", generation.ended.get()))
+            }
             MoveOutcome::Stay(why) => {
                 (Kind::MoveFailed, format!("why={why:?} over={}", generation.ended.get()))
             }
@@ -141,7 +148,7 @@
         let mut client = TransferClient::new(&self.gw, &self.generation);
         while clock::now() < self.started + MOVE_WINDOW && tried.len() < MAX_TARGETS {
             if self.generation.ended.get() {
-                return MoveOutcome::Stay("ended");
+                return MoveOutcome::Ended;
             }
             let deadline = self.last_copy_deadline().await;
             let grant = match client.request(&self.generation, deadline, &tried).await {
@@ -219,14 +226,15 @@
 
     /// Makes the last copy, of what was added since the first one. The generation pauses for it.
     async fn final_copy(&self, grant: Grant, first: Handoff) -> MoveOutcome {
-        let why = loop {
+        let outcome = loop {
             if self.generation.ended.get() {
-                break "ended";
+                break MoveOutcome::Ended;
             }
+            self.generation.stopping.set(true);
             match self.copy(grant.to, true).await {
                 Ok(CopyOutcome::Done(handoff)) => return MoveOutcome::To(grant.guard, handoff),
                 Ok(CopyOutcome::Busy) => tokio::time::sleep(RETRY_INTERVAL).await,
-                Ok(CopyOutcome::Absent) => break "ended",
+                Ok(CopyOutcome::Absent) => break MoveOutcome::Ended,
                 // The generation has stopped. The source holds its memory and still serves.
                 Ok(CopyOutcome::NoRoom(Some(handoff))) => {
                     let guard =
@@ -234,17 +242,17 @@
                     return MoveOutcome::To(guard, handoff);
                 }
                 Ok(CopyOutcome::NoRoom(None)) => {
-                    break "no memory on the target for the last copy";
+                    break MoveOutcome::Stay("no memory on the target for the last copy");
                 }
                 Err(e) => {
                     log::debug!("last copy of generation {} failed: {e}", self.generation.id);
-                    break "last copy failed";
+                    break MoveOutcome::Stay("last copy failed");
                 }
             }
         };
         // The first copy holds memory on the target for seconds if it is not freed.
         actix_rt::spawn(free_copy(self.gw.clone(), first));
-        MoveOutcome::Stay(why)
+        outcome
     }
 }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -44,6 +44,8 @@
     stats: StreamStats,
     /// Set when the stream has ended, to stop a migration under way.
     ended: Rc<Cell<bool>>,
+    /// Set by a migration once it may have stopped the generation.
+    stopping: Rc<Cell<bool>>,
     /// Tokens that the generation occupies in the engine's memory.
     used_tokens: Rc<Cell<u32>>,
     migration: Option<JoinHandle<MoveOutcome>>,
@@ -101,6 +103,9 @@
 enum SegmentEnd {
     /// The response is complete.
     Complete,
+    /// The connection ended after an event, at the end of the response or because a migration has
+    /// stopped the generation.
+    Closed,
     /// The engine stopped the generation for a migration, or the connection broke.
     Interrupted(Broken),
     /// The caller has disconnected.
@@ -109,6 +114,15 @@
     Failed(Failure),
 }
 
+/// How a stream goes on after the end of a segment during a migration.
+#[derive(Debug)]
+enum Resumption {
+    /// It continues on the target engine.
+    Continued,
+    /// The generation had ended before it could be stopped.
+    Ended,
+}
+
 /// Why a stream could not be completed.
 #[derive(Debug)]
 enum Failure {
@@ -175,6 +189,7 @@
                 last_id: None,
                 stats,
                 ended: ended.clone(),
+                stopping: Rc::default(),
                 used_tokens: Rc::new(Cell::new(job.meta.tokens.map_or(0, |t| t.input.0))),
                 migration: None,
                 timer: TokenTimer::default(),
@@ -224,11 +239,7 @@
         }
         let failure = loop {
             match self.relay_segment(conn).await {
-                SegmentEnd::Complete => {
-                    self.record_completed();
-                    let sent = conn.finish_body().await;
-                    return disposition(conn, sent, close);
-                }
+                SegmentEnd::Complete => return self.complete(conn, close).await,
                 SegmentEnd::CallerGone => {
                     self.gw.event(Kind::Abandoned, self.log_id(), &self.stats);
                     return Disposition::Abort;
@@ -242,17 +253,28 @@
                         Err(_) => break Failure::Cut(why),
                     }
                 }
-                SegmentEnd::Interrupted(_) => {
-                    if let Err(failure) = self.resume(conn).await {
-                        break failure;
-                    }
-                }
+                SegmentEnd::Closed => match self.resume(conn).await {
+                    Ok(Resumption::Continued) => {}
+                    Ok(Resumption::Ended) => return self.complete(conn, close).await,
+                    Err(failure) => break failure,
+                },
+                SegmentEnd::Interrupted(why) => match self.resume(conn).await {
+                    Ok(Resumption::Continued) => {}
+                    Ok(Resumption::Ended) => break Failure::Cut(why),
+                    Err(failure) => break failure,
+                },
             }
         };
         self.record_failed(&failure);
         Disposition::Abort
     }
 
+    async fn complete(&self, conn: &mut Inbound, close: bool) -> Disposition {
+        self.record_completed();
+        let sent = conn.finish_body().await;
+        disposition(conn, sent, close)
+    }
+
     fn log_id(&self) -> &str {
         log_id(self.job.meta.id.as_ref())
     }
@@ -315,15 +337,17 @@
                 Ok(None) if sse::ends_inside_event(&self.buf) || self.is_cut_at_start(framing) => {
                     return SegmentEnd::Interrupted(Broken::Early);
                 }
-                Ok(None) if framing != Framing::Close || self.migration.is_none() => {
+                // Without framing, a stop for a migration looks like a normal end.
+                Ok(None) if framing == Framing::Close && self.stopping.get() => {
+                    return SegmentEnd::Closed;
+                }
+                Ok(None) => {
                     let rest = self.buf.split().freeze();
                     if !rest.is_empty() && conn.send_chunk(rest).await.is_err() {
                         return SegmentEnd::Failed(Failure::Unread);
                     }
                     return SegmentEnd::Complete;
                 }
-                // Without a framed body, a stop for a migration looks like a normal end.
-                Ok(None) => return SegmentEnd::Interrupted(Broken::Early),
                 Err(e) => return SegmentEnd::Interrupted(e),
             }
         }
@@ -398,13 +422,14 @@
             centre: e.listing.centre.clone(),
             used_tokens: self.used_tokens.clone(),
             ended: self.ended.clone(),
+            stopping: self.stopping.clone(),
         };
         self.migration =
             Some(actix_rt::spawn(migrate::migrate_generation(self.gw.clone(), generation)));
     }
 
     /// Continues the stream on the engine that the generation has migrated to.
-    async fn resume(&mut self, conn: &mut Inbound) -> Result<(), Failure> {
+    async fn resume(&mut self, conn: &mut Inbound) -> Result<Resumption, Failure> {
         let Some(migration) = self.migration.take() else {
             return Err(Failure::Cut(Broken::Early));
         };
@@ -414,6 +439,7 @@
         };
         let (guard, handoff) = match outcome {
             Ok(Ok(MoveOutcome::To(guard, handoff))) => (guard, handoff),
+            Ok(Ok(MoveOutcome::Ended)) => return Ok(Resumption::Ended),
             Ok(Ok(MoveOutcome::Stay(why))) => return Err(Failure::Unmoved(why)),
             Ok(Err(_)) => return Err(Failure::Unmoved("migration task aborted")),
             Err(_) => return Err(Failure::Unmoved("migration timed out")),
@@ -429,7 +455,7 @@
         self.continue_on(Segment { runs, ..segment });
         self.stats.moves += 1;
         metrics::counter!("moves_total").increment(1);
-        Ok(())
+        Ok(Resumption::Continued)
     }
 
     /// Goes on with the response of another engine. An event that the previous one left incomplete
@@ -437,6 +463,7 @@
     fn continue_on(&mut self, segment: Segment) {
         self.buf.clear();
         self.scanner = EventScanner::default();
+        self.stopping = Rc::default();
         self.segment = segment;
         self.timer = TokenTimer::default();
     }
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -40,6 +40,8 @@
     Hang,
     /// Streams events up to this index, at this interval.
     Stream(u64, Duration),
+    /// Like `Stream`, in a response that ends with its connection.
+    UnframedStream(u64, Duration),
     /// Responds with the id of the request as the body.
     EchoId,
     /// Runs the request, closes its connection without a response, and closes new connections at
@@ -392,14 +394,19 @@
         Action::EchoId => respond(writer, &sealed_headers, 200, &id),
         Action::Stream(n, interval) => {
             let run = start_run(state, &id, continued.unwrap_or("token".into()))?;
-            let result = write_stream(&run, writer, &sealed_headers, last, n, interval, &closed);
-            finish_run(state, &id, result)
+            let mut events = EventWriter::start(writer, &sealed_headers, StreamEnd::Chunked)?;
+            finish_run(state, &id, events.write(&run, last..n, interval, &closed))
+        }
+        Action::UnframedStream(n, interval) => {
+            let run = start_run(state, &id, continued.unwrap_or("token".into()))?;
+            let mut events = EventWriter::start(writer, &sealed_headers, StreamEnd::Close)?;
+            finish_run(state, &id, events.write(&run, last..n, interval, &closed))
         }
         Action::TaggedStream(n, interval) => {
             let tag = continued.unwrap_or_else(|| format!("{id}.{:08x}", rand::random::<u32>()));
             let run = start_run(state, &id, tag)?;
-            let result = write_stream(&run, writer, &sealed_headers, last, n, interval, &closed);
-            finish_run(state, &id, result)
+            let mut events = EventWriter::start(writer, &sealed_headers, StreamEnd::Chunked)?;
+            finish_run(state, &id, events.write(&run, last..n, interval, &closed))
         }
         Action::Endless(part) => {
             let (start, repeated) = part.bytes(&sealed_headers);
@@ -487,26 +494,52 @@
     writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).ok()
 }
 
-/// Writes a stream from the event after `last` to event `n`.
-fn write_stream(
-    run: &Run,
-    writer: &mut TcpStream,
-    sealed_headers: &str,
-    last: u64,
-    n: u64,
-    interval: Duration,
-    closed: &AtomicBool,
-) -> Option<()> {
-    write_stream_head(writer, sealed_headers)?;
-    for ix in last + 1..=n {
-        if run.stopped.load(Ordering::SeqCst) {
-            return None;
+/// Writes the events of a run into a response.
+struct EventWriter<'a> {
+    writer: &'a mut TcpStream,
+    end: StreamEnd,
+}
+
+impl<'a> EventWriter<'a> {
+    /// Writes the head of the response.
+    fn start(writer: &'a mut TcpStream, sealed_headers: &str, end: StreamEnd) -> Option<Self> {
+        let framing = match end {
+            StreamEnd::Chunked => "Transfer-Encoding: chunked\r\n",
+            _ => "Connection: close\r\n",
+        };
+        let kind = "Content-Type: text/event-stream\r\n";
+        let head = format!("HTTP/1.1 200 X\r\n{sealed_headers}{kind}{framing}\r\n");
+        writer.write_all(head.as_bytes()).ok()?;
+        Some(EventWriter { writer, end })
+    }
+
+    /// Writes the events after the start of the range, up to its end, and ends the response;
+    /// `None` closes the connection.
+    fn write(
+        &mut self,
+        run: &Run,
+        range: std::ops::Range<u64>,
+        interval: Duration,
+        closed: &AtomicBool,
+    ) -> Option<()> {
+        for ix in range.start + 1..=range.end {
+            if run.stopped.load(Ordering::SeqCst) {
+                return None;
+            }
+            let event = format_event(&run.tag, ix);
+            let sent = match self.end {
+                StreamEnd::Chunked => write_chunk(self.writer, &event),
+                _ => self.writer.write_all(event.as_bytes()).ok(),
+            };
+            if sent.is_none() {
+                closed.store(true, Ordering::SeqCst);
+                return None;
+            }
+            std::thread::sleep(interval);
         }
-        if write_chunk(writer, &format_event(&run.tag, ix)).is_none() {
-            closed.store(true, Ordering::SeqCst);
-            return None;
+        match self.end {
+            StreamEnd::Chunked => self.writer.write_all(b"0\r\n\r\n").ok(),
+            _ => None,
         }
-        std::thread::sleep(interval);
     }
-    writer.write_all(b"0\r\n\r\n").ok()
 }
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -171,6 +171,39 @@
     assert_eq!((e.freed_copies(), f.run_count()), (vec!["token".to_owned()], 0));
 }
 
+#[test]
+fn unframed_stream_that_ends_during_its_first_copy_is_complete() {
+    let e = Endpoint::start("i-1", Action::UnframedStream(40, EVENT_INTERVAL));
+    let (store, gateway) = start_platform(&[(&e, "model")]);
+    let mut sent = start_stream(&gateway, "id-1");
+    assert!(wait_for(2, || e.run_count() == 1));
+    let f = Endpoint::start("i-2", Action::UnframedStream(40, EVENT_INTERVAL));
+    list_endpoint(&store, &f, "model", "ready");
+    std::thread::sleep(Duration::from_millis(300));
+    e.set_copy_time(Duration::from_secs(3));
+    let started = Instant::now();
+    list_endpoint(&store, &e, "model", "draining");
+    let reply = sent.reply();
+    assert_eq!((reply.complete, reply.body), (true, expected_events(40)));
+    assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
+    assert_eq!(f.run_count(), 0);
+}
+
+#[test]
+fn unframed_stream_continues_on_another_engine_when_its_engine_leaves() {
+    let e = Endpoint::start("i-1", Action::UnframedStream(80, EVENT_INTERVAL));
+    let (store, gateway) = start_platform(&[(&e, "model")]);
+    let mut sent = start_stream(&gateway, "id-1");
+    assert!(wait_for(2, || e.run_count() == 1));
+    let f = Endpoint::start("i-2", Action::UnframedStream(80, EVENT_INTERVAL));
+    list_endpoint(&store, &f, "model", "ready");
+    std::thread::sleep(Duration::from_millis(300));
+    list_endpoint(&store, &e, "model", "draining");
+    let reply = sent.reply();
+    assert_eq!((reply.complete, reply.body), (true, expected_events(80)));
+    assert_eq!((e.run_count(), f.run_count()), (1, 1));
+}
+
 /// Two gateways have generations on an engine that is no longer listed. The copies of all of them
 /// use its link one after the other, whichever gateway coordinates them.
 #[test]
