Read unframed responses of plain services in the sidecar

A plain service whose response has neither a length nor chunks had its call reported as done with an empty body.

Cause: the sidecar used awc, whose codec reports no body for such a response. It now uses the connection of the gateway (h1::Outbound), which reads to the end of the connection and fails on a reset. The head of such a request is built in one place, h1::request_head, which the control calls to engines share.

--- a/src/h1/mod.rs
+++ b/src/h1/mod.rs
@@ -9,7 +9,7 @@
 mod outbound;
 
 pub use inbound::{Inbound, ReadError, RequestLimits};
-pub use outbound::{Broken, Framing, Outbound, SendError};
+pub use outbound::{Broken, Framing, Outbound, SendError, request_head};
 
 use bytes::BytesMut;
 use std::time::Duration;
--- a/src/h1/outbound.rs
+++ b/src/h1/outbound.rs
@@ -3,12 +3,13 @@
 use super::{read_available, set_socket_options};
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
-use actix_http::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use actix_http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, TRANSFER_ENCODING};
 use actix_http::{
     Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, Version,
 };
 use actix_rt::net::TcpStream;
 use bytes::{Bytes, BytesMut};
+use futures_util::stream::{self, Stream};
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,6 +17,24 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder, Encoder};
 
+/// Builds the head of a request to an endpoint, with the content type of its body if it has one;
+/// `None` if the path or the content type is invalid.
+pub fn request_head(
+    to: SocketAddr,
+    method: Method,
+    path: &str,
+    content: Option<&str>,
+) -> Option<RequestHead> {
+    let mut head = RequestHead::default();
+    head.method = method;
+    head.uri = path.parse().ok()?;
+    head.headers.insert(HOST, HeaderValue::from_str(&to.to_string()).ok()?);
+    if let Some(content) = content {
+        head.headers.insert(CONTENT_TYPE, HeaderValue::from_str(content).ok()?);
+    }
+    Some(head)
+}
+
 /// Reason why a request was not sent.
 #[derive(Debug)]
 pub enum SendError {
@@ -262,4 +281,16 @@
         }
         Ok(body.freeze())
     }
+
+    /// Converts into a stream of the chunks of the body, which ends after an error.
+    pub fn into_chunks(self) -> impl Stream<Item = Result<Bytes, Broken>> {
+        stream::unfold(Some(self), async |out| {
+            let mut out = out?;
+            match out.read_chunk().await {
+                Ok(Some(chunk)) => Some((Ok(chunk), Some(out))),
+                Ok(None) => None,
+                Err(e) => Some((Err(e), None)),
+            }
+        })
+    }
 }
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -1,9 +1,8 @@
 //! Control calls to engines: their reports, and the transfer of a generation's KV memory.
 
-use crate::h1::{Broken, Outbound, SendError};
+use crate::h1::{self, Broken, Outbound, SendError};
 use crate::id::RequestId;
-use actix_http::header::{HeaderName, HeaderValue};
-use actix_http::{Method, RequestHead, ServiceConfig};
+use actix_http::{Method, ServiceConfig};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -113,15 +112,8 @@
     body: Bytes,
     wait: Duration,
 ) -> Result<(u16, Bytes), CallError> {
-    let mut head = RequestHead::default();
-    head.method = method;
-    head.uri = path.parse().map_err(|_| CallError::Malformed)?;
-    let host = HeaderValue::from_str(&to.to_string()).map_err(|_| CallError::Malformed)?;
-    head.headers.insert(HeaderName::from_static("host"), host);
-    if !body.is_empty() {
-        let json = HeaderValue::from_static("application/json");
-        head.headers.insert(HeaderName::from_static("content-type"), json);
-    }
+    let content = (!body.is_empty()).then_some("application/json");
+    let head = h1::request_head(to, method, path, content).ok_or(CallError::Malformed)?;
     let exchange = async {
         let sent = Outbound::connect(to, CONNECT_TIMEOUT, config, head, body).await;
         let mut out = sent.map_err(CallError::Unreached)?;
--- a/src/sidecar/calls.rs
+++ b/src/sidecar/calls.rs
@@ -1,11 +1,13 @@
 //! Calls to a plain service.
 
-use super::Sidecar;
+use super::{CONNECT_TIMEOUT, Sidecar};
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::{Answer, Call, CallKey, CallReply, Refusal};
+use crate::h1::{self, Outbound};
 use crate::once::Verdict;
-use awc::error::SendRequestError;
+use actix_http::header::CONTENT_TYPE;
+use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -69,19 +71,20 @@
 }
 
 async fn send(s: &Sidecar, call: &Call) -> CallReply {
-    let Ok(method) = call.method.parse::<awc::http::Method>() else {
-        return CallReply::NotRun(Refusal::NoEndpoint);
-    };
-    let mut req = s.engine.client.request(method, s.engine.url(&call.path)).force_close();
-    if !call.content.is_empty() {
-        req = req.insert_header(("content-type", &*call.content));
-    }
+    let content = (!call.content.is_empty()).then_some(&*call.content);
+    let method = call.method.parse().ok();
+    let head = method.and_then(|m| h1::request_head(s.engine.address, m, &call.path, content));
+    let Some(head) = head else { return CallReply::NotRun(Refusal::NoEndpoint) };
     let exchange = async {
-        let mut res = req.send_body(call.body.clone()).await.map_err(|e| error_reply(&e))?;
-        let body = res.body().limit(MAX_RESPONSE_BYTES).await.map_err(|_| CallReply::Unknown)?;
-        let content = res.headers().get("content-type").and_then(|v| v.to_str().ok());
+        let body = Bytes::from(call.body.clone());
+        let sent = Outbound::connect(s.engine.address, CONNECT_TIMEOUT, &s.codec, head, body).await;
+        // Nothing has been sent after an error here; after a later one, the call may have run.
+        let mut out = sent.map_err(|_| CallReply::NotRun(Refusal::Down))?;
+        let head = out.read_head().await.map_err(|_| CallReply::Unknown)?;
+        let body = out.read_body(MAX_RESPONSE_BYTES).await.map_err(|_| CallReply::Unknown)?;
+        let content = head.headers().get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
         Ok(Answer {
-            status: res.status().as_u16(),
+            status: head.status.as_u16(),
             content: Arc::from(content.unwrap_or("application/octet-stream")),
             body: body.to_vec(),
         })
@@ -92,12 +95,3 @@
         Err(_) => CallReply::Unknown,
     }
 }
-
-/// Returns the reply for a failed request. The call did not run if no connection was made; after
-/// any other failure this is unknown.
-fn error_reply(e: &SendRequestError) -> CallReply {
-    match e {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => CallReply::NotRun(Refusal::Down),
-        _ => CallReply::Unknown,
-    }
-}
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -22,6 +22,7 @@
 use crate::settings::{Admission, EndpointKind, EndpointSettings};
 use crate::shutdown;
 use crate::store::{Etcd, Store};
+use actix_http::ServiceConfig;
 use polls::Polls;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -66,6 +67,8 @@
     /// Wakes the scheduler before its next interval.
     wake: Notify,
     engine: UnpooledClient,
+    /// Configuration of the HTTP/1 codecs for calls and streams.
+    codec: ServiceConfig,
 }
 
 /// Runs a sidecar until it has received a stop signal and finished its work.
@@ -87,6 +90,7 @@
         polls: Polls::default(),
         wake: Notify::new(),
         engine: UnpooledClient::new(endpoint.address, CONNECT_TIMEOUT),
+        codec: ServiceConfig::default(),
         endpoint,
         process,
     });
--- a/standin/src/host/mod.rs
+++ b/standin/src/host/mod.rs
@@ -1,6 +1,8 @@
 //! Runs each stand-in server on its own thread, so that stopping it closes its sockets at once.
 
+use actix_http::{ConnectionType, Response};
 use actix_rt::System;
+use skylarkthread::http::Body;
 use socket2::{Domain, Socket, Type};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -82,3 +84,10 @@
     let Ok(socket) = Socket::new(Domain::IPV4, Type::STREAM, None) else { return false };
     socket.set_reuse_address(true).and_then(|()| socket.bind(&address.into())).is_ok()
 }
+
+/// Makes the body of a streamed response end with the connection in place of a last chunk.
+pub fn unframe(mut response: Response<Body>) -> Response<Body> {
+    response.head_mut().no_chunking(true);
+    response.head_mut().set_connection_type(ConnectionType::Close);
+    response
+}
--- a/standin/src/plain/mod.rs
+++ b/standin/src/plain/mod.rs
@@ -1,11 +1,13 @@
 //! A stand-in for a plain service, which counts how often each call ran.
 
-use crate::host::{ServerThread, free_address};
+use crate::host::{ServerThread, free_address, unframe};
+use bytes::Bytes;
 use skylarkthread::http;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
+use tokio::sync::mpsc;
 
 /// Number of executions by call (method, path and body), shared by the replicas of a service.
 #[derive(Debug, Clone, Default)]
@@ -47,7 +49,8 @@
     /// Starts a replica on a free loopback address.
     ///
     /// The replica records each call in `call_log`. If the body contains `delay=MS;`, it sends the
-    /// answer that many milliseconds after the execution.
+    /// answer that many milliseconds after the execution. If it contains `unframed;`, the answer has
+    /// neither a length nor chunks.
     pub fn start(call_log: CallLog) -> PlainService {
         PlainService::start_at(free_address(), call_log)
     }
@@ -81,7 +84,19 @@
     if let Some(ms) = parse_delay(&body) {
         tokio::time::sleep(Duration::from_millis(ms)).await;
     }
-    http::json_response(200, &serde_json::json!({ "ran": call, "count": n }))
+    let answer = serde_json::json!({ "ran": call, "count": n });
+    match body.contains("unframed;") {
+        true => unframed_response(answer.to_string().into()),
+        false => http::json_response(200, &answer),
+    }
+}
+
+/// Builds a response whose body ends with the connection.
+fn unframed_response(body: Bytes) -> actix_http::Response<http::Body> {
+    let (tx, rx) = mpsc::channel(1);
+    // The channel is empty and its receiver is in use, so this cannot fail.
+    let _ = tx.try_send(body);
+    unframe(http::event_stream(rx))
 }
 
 fn parse_delay(body: &str) -> Option<u64> {
--- a/tests/deployment/calls.rs
+++ b/tests/deployment/calls.rs
@@ -30,6 +30,16 @@
     }
 }
 
+#[actix_rt::test]
+async fn response_without_length_or_chunks_reaches_the_caller_whole() {
+    let fleet = fleet().await;
+    let caller = Caller::new("key-1");
+    let body = "unframed;x";
+    let answer =
+        caller.call(fleet.entry_address(0), "POST", CALL_PATH, Some("k"), body).await.unwrap();
+    assert_eq!((answer["count"].as_u64(), count(&fleet, body)), (Some(1), 1));
+}
+
 #[actix_rt::test]
 async fn missing_key_and_key_of_other_content_are_refused() {
     let fleet = fleet().await;
