Read unframed streams of engines in the sidecar

The stream of an engine without length or chunks gave no token: callers got 504 (refused expired), as the sidecar reopened it again and again.

Streams are read through h1::Outbound too. A generation there is complete only by its finish reason, so a stream that breaks off is reopened as before, whatever its framing; an incomplete event is dropped by the event parser.

--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -2,19 +2,23 @@
 //! and health checks of a plain service.
 
 use super::status::{self, StreamStatus};
-use super::{Sidecar, Submission, finish};
+use super::{CONNECT_TIMEOUT, Sidecar, Submission, finish};
 use crate::board::{Engine, JobKey, Phase};
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::{Crash, Finish, Order, OrderAction, Refusal};
+use crate::h1::{self, Outbound};
 use crate::id::Nonce;
 use crate::settings::EndpointKind;
+use actix_http::{Method, RequestHead};
 use awc::error::SendRequestError;
+use bytes::Bytes;
 use eventsource_stream::{Event, Eventsource};
 use futures_util::StreamExt;
 use serde::Deserialize;
 use serde_json::json;
 use std::collections::HashMap;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -125,17 +129,15 @@
     let Some(request) = stream_request(s, submission, *is_known) else {
         return StreamEnd::Superseded;
     };
-    let sent = tokio::time::timeout(CALL_TIMEOUT, request).await;
+    let address = s.engine.address;
+    let sent = Outbound::connect(address, CONNECT_TIMEOUT, &s.codec, request.head, request.body);
+    let Ok(mut out) = sent.await else { return StreamEnd::Unreachable };
     // Once a connection was made, the engine may have the generation even without a response.
-    let res = match sent {
-        Ok(Ok(res)) => res,
-        Ok(Err(SendRequestError::Connect(_))) => return StreamEnd::Unreachable,
-        Ok(Err(_)) | Err(_) => {
-            *is_known = true;
-            return StreamEnd::Broken;
-        }
+    let Ok(Ok(head)) = tokio::time::timeout(CALL_TIMEOUT, out.read_head()).await else {
+        *is_known = true;
+        return StreamEnd::Broken;
     };
-    let status = status::classify(res.status().as_u16(), *is_known);
+    let status = status::classify(head.status.as_u16(), *is_known);
     if status == StreamStatus::NotRun {
         return StreamEnd::Done(Finish::NotRun(Refusal::Down));
     }
@@ -145,7 +147,7 @@
         StreamStatus::Forgotten => return StreamEnd::Unknown,
         StreamStatus::NotRun | StreamStatus::MayRun => return StreamEnd::Broken,
     }
-    let mut events = res.eventsource();
+    let mut events = pin!(out.into_chunks().eventsource());
     loop {
         let event = match tokio::time::timeout(stream_timeout(s), events.next()).await {
             Ok(Some(Ok(event))) => event,
@@ -179,20 +181,22 @@
     }
 }
 
+/// A request that opens a stream.
+struct StreamRequest {
+    head: RequestHead,
+    body: Bytes,
+}
+
 /// Returns the request that submits the generation or resumes its stream; `None` once the
 /// submission is over.
-fn stream_request(
-    s: &Sidecar,
-    submission: Submission,
-    is_known: bool,
-) -> Option<awc::SendClientRequest> {
+fn stream_request(s: &Sidecar, submission: Submission, is_known: bool) -> Option<StreamRequest> {
     let board = s.board.borrow();
     let job = submission.job(&board)?;
     let id = job.start.generation.nonce;
     if is_known {
-        let next = job.tokens.len();
-        let url = s.engine.url(&format!("/v1/streams/{id}?from={next}"));
-        return Some(s.engine.client.get(url).send());
+        let path = format!("/v1/streams/{id}?from={}", job.tokens.len());
+        let head = h1::request_head(s.engine.address, Method::GET, &path, None)?;
+        return Some(StreamRequest { head, body: Bytes::new() });
     }
     let body = json!({
         "request_id": id.to_string(),
@@ -202,8 +206,9 @@
         "priority": job.start.rank,
         "stream": true,
     });
-    let url = s.engine.url("/v1/completions");
-    Some(s.engine.client.post(url).send_json(&body))
+    let content = Some("application/json");
+    let head = h1::request_head(s.engine.address, Method::POST, "/v1/completions", content)?;
+    Some(StreamRequest { head, body: body.to_string().into() })
 }
 
 fn stream_timeout(s: &Sidecar) -> Duration {
--- a/standin/src/engine/scheduler.rs
+++ b/standin/src/engine/scheduler.rs
@@ -30,6 +30,8 @@
     pub checks_fence: bool,
     /// Model specs loaded at start, in the form `model+adapter@version`.
     pub loaded: Vec<String>,
+    /// Whether streams have chunks; without them, they end with their connection.
+    pub chunked: bool,
 }
 
 impl Default for Params {
@@ -44,6 +46,7 @@
             load_time: Duration::from_millis(500),
             checks_fence: true,
             loaded: Vec::new(),
+            chunked: true,
         }
     }
 }
--- a/standin/src/engine/serve.rs
+++ b/standin/src/engine/serve.rs
@@ -2,6 +2,7 @@
 
 use super::scheduler::{Params, Scheduler, Step};
 use super::{Counts, lock};
+use crate::host::unframe;
 use actix_http::{Method, Request, Response};
 use actix_rt::System;
 use bytes::Bytes;
@@ -252,6 +253,7 @@
 fn stream_from(e: &Rc<Engine>, id: &str, from: u32) -> Response<Body> {
     let (tx, rx) = mpsc::channel(64);
     let (e, id) = (e.clone(), id.to_string());
+    let is_chunked = e.params.chunked;
     actix_rt::spawn(async move {
         let mut next = from;
         loop {
@@ -273,7 +275,8 @@
             }
         }
     });
-    http::event_stream(rx)
+    let response = http::event_stream(rx);
+    if is_chunked { response } else { unframe(response) }
 }
 
 /// Formats the tokens from number `next` on as server-sent events and advances `next`. Returns how
--- a/tests/deployment/streams.rs
+++ b/tests/deployment/streams.rs
@@ -55,6 +55,15 @@
     assert!(fleet.wait_ready(0, 1, 2, Duration::from_secs(10)).await);
 }
 
+#[actix_rt::test]
+async fn stream_of_an_engine_without_chunks_is_read_to_its_end() {
+    let params = Params { chunked: false, ..loaded_params() };
+    let plan = Plan { pools: vec![engine_pool(1, params)], ..Plan::default() };
+    let fleet = start_deployment(plan).await;
+    let mut stream = open_stream(fleet.entry_address(0), 40, "a").await.unwrap();
+    assert_complete(&mut stream, 40).await;
+}
+
 #[actix_rt::test]
 async fn stream_resumes_through_another_entry_after_entry_crash() {
     let plan = Plan { pools: vec![engine_pool(2, loaded_params())], ..Plan::default() };
