Let the soak's checker find malformed and incomplete events

The checker passed over an event that it could not parse, so a complete stream that ended inside an event broke no promise. Two of the three new corruptions of a correct run went unnoticed before and are found now; the third (a missing last line feed) was found already, by the count.

--- a/standin/src/soak/checker.rs
+++ b/standin/src/soak/checker.rs
@@ -160,12 +160,18 @@
     let mut count = 0;
     for event in c.reply.body.split_terminator("\n\n") {
         count += 1;
-        let (head, data) = event.split_once("\ndata: ")?;
-        let (tag, ix) = data.rsplit_once('-')?;
-        if head != format!("id: {count}") || ix != count.to_string() {
-            return Some(format!("event {count} is {event:?}"));
+        let parts = event.split_once("\ndata: ");
+        match parts.and_then(|(head, data)| Some((head, data.rsplit_once('-')?))) {
+            Some((head, (tag, ix)))
+                if head == format!("id: {count}") && ix == count.to_string() =>
+            {
+                tags.insert(tag);
+            }
+            _ => return Some(format!("event {count} is {event:?}")),
         }
-        tags.insert(tag);
+    }
+    if count > 0 && !c.reply.body.ends_with("\n\n") {
+        return Some(format!("event {count} has no blank line"));
     }
     if tags.len() > 1 || tags.iter().any(|t| !t.starts_with(&c.id)) {
         return Some(format!("events of runs {tags:?}"));
--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -83,6 +83,9 @@
 #[case::events_of_two_runs("in-order", |run: &mut Run| run.calls[2].reply.body = events(&[("c.1", 1), ("c.2", 2), ("c.2", 3)]))]
 #[case::events_of_another_request("in-order", |run: &mut Run| run.calls[2].reply.body = events(&[("x.1", 1), ("x.1", 2), ("x.1", 3)]))]
 #[case::stream_complete_too_early("in-order", |run: &mut Run| run.calls[2].reply.body = events(&[("c.1", 1)]))]
+#[case::event_cut("in-order", |run: &mut Run| run.calls[2].reply.body.truncate(50))]
+#[case::event_without_blank_line("in-order", |run: &mut Run| { run.calls[2].reply.body.pop(); })]
+#[case::event_malformed("in-order", |run: &mut Run| run.calls[2].reply.body = "id: 1\nno data\n\n".into())]
 #[case::replaced_key_accepted("intent", |run: &mut Run| { let t = run.start + secs(5); run.history.versions.push((2, t)); })]
 #[case::valid_key_refused("intent", |run: &mut Run| run.calls[0].reply.status = 401)]
 #[case::call_interrupted_by_stop("planned", |run: &mut Run| {
