--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -53,6 +53,9 @@
     TruncatedStream(u64),
     /// Streams this many events and then these bytes, and ends the response in this way.
     EndingStream(StreamEnd, u64, &'static str),
+    /// Streams this many events that name their request and run, and then at most this many bytes
+    /// of the next, and ends the response in this way.
+    CutStream(StreamEnd, u64, usize),
     /// Sends bytes that never make up a response until the caller closes the connection.
     Endless(EndlessPart),
 }
@@ -403,7 +406,7 @@
             finish_run(state, &id, events.write(&run, last..n, interval, &closed))
         }
         Action::TaggedStream(n, interval) => {
-            let tag = continued.unwrap_or_else(|| format!("{id}.{:08x}", rand::random::<u32>()));
+            let tag = continued.unwrap_or_else(|| run_tag(&id));
             let run = start_run(state, &id, tag)?;
             let mut events = EventWriter::start(writer, &sealed_headers, StreamEnd::Chunked)?;
             finish_run(state, &id, events.write(&run, last..n, interval, &closed))
@@ -420,6 +423,13 @@
             let events: String = (1..=n).map(|ix| format_event("token", ix)).collect();
             end_stream(writer, &sealed_headers, end, &(events + rest))
         }
+        Action::CutStream(end, n, bytes) => {
+            let tag = run_tag(&id);
+            let mut body: String = (1..=n).map(|ix| format_event(&tag, ix)).collect();
+            let next = format_event(&tag, n + 1);
+            body.push_str(&next[..bytes.min(next.len() - 1)]);
+            end_stream(writer, &sealed_headers, end, &body)
+        }
         Action::TruncatedStream(n) => {
             write_stream_head(writer, &sealed_headers)?;
             (1..=n).try_for_each(|ix| write_chunk(writer, &format_event("token", ix)))?;
@@ -475,6 +485,11 @@
     writer.write_all(format!("HTTP/1.1 200 X\r\n{sealed_headers}{kind}\r\n").as_bytes()).ok()
 }
 
+/// Returns a name for a run of the request `id`.
+fn run_tag(id: &str) -> String {
+    format!("{id}.{:08x}", rand::random::<u32>())
+}
+
 fn format_event(tag: &str, ix: u64) -> String {
     format!("id: {ix}\ndata: {tag}-{ix}\n\n")
 }
--- a/standin/src/soak/cluster.rs
+++ b/standin/src/soak/cluster.rs
@@ -4,7 +4,8 @@
 use super::checker::{self, Arrival, CallRecord, History, RequestKind};
 use super::faults::{self, ENDPOINTS_PER_SERVICE, Fault, GATEWAY_COUNT};
 use crate::platform::{
-    Action, Endpoint, Gateway, Outage, Proxy, ProxyMode, Reply, Store, try_send, wait_until,
+    Action, Endpoint, Gateway, Outage, Proxy, ProxyMode, Reply, Store, StreamEnd, try_send,
+    wait_until,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -280,13 +281,14 @@
         let target = &self.endpoints[e];
         let mut rng = SmallRng::seed_from_u64(self.seed ^ u64::from(n));
         for _ in 0..n {
-            let action = match (target.service, rng.random_range(0..6)) {
+            let action = match (target.service, rng.random_range(0..8)) {
                 (_, 0) => Action::NotExecuted,
                 (_, 1) => Action::Reset,
                 ("model", 2 | 3) => Action::TruncatedStream(0),
                 (_, 2) => Action::TruncatedBody,
                 (_, 3) => Action::WrongId,
                 (_, 4) => Action::Unsealed,
+                ("model", 6 | 7) => draw_cut_stream(&mut rng),
                 _ => Action::Misdirected,
             };
             target.endpoint.push_action(action);
@@ -327,6 +329,13 @@
     }
 }
 
+/// Draws a stream that breaks off inside an event, or before the first.
+fn draw_cut_stream(rng: &mut SmallRng) -> Action {
+    let ends = [StreamEnd::Close, StreamEnd::Chunked, StreamEnd::Length, StreamEnd::Reset];
+    let events = rng.random_range(0..STREAM_EVENTS.0);
+    Action::CutStream(ends[rng.random_range(0..ends.len())], events, rng.random_range(1..64))
+}
+
 /// Sends a random request; some callers disconnect without reading the response.
 fn send_request(front: SocketAddr, id: String, version: u64, rng: &mut SmallRng) -> CallRecord {
     let kind = match rng.random_range(0..4) {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -14,6 +14,8 @@
 #[case::stops_and_pauses(4)]
 // The proxy discarded bytes in the middle of a connection and passed on those that followed.
 #[case::silent_engine_link(609)]
+// Streams that an engine ended inside an event were passed on as complete.
+#[case::cut_streams(800)]
 fn seeded_run_breaks_no_promise(#[case] seed: u64) {
     let binary = Path::new(env!("CARGO_BIN_EXE_skylarkthread"));
     let report = soak::run(binary, seed, Duration::from_secs(6));
