Write the operator's key of a test fleet once

KNOWN-RED: concurrent_submissions_accept_one_and_report_conflict failed once with "operator key is missing or unknown" in place of the conflict.

Cause: a fault of the test fleet, not of the entry. Each command rewrote the key file, and a client that started at the same time could read it while it was empty. Ruled out: the guess of the entry, an entry that has not learned its first configuration; operators stand in the settings, not in the configuration.

--- a/standin/src/fleet/mod.rs
+++ b/standin/src/fleet/mod.rs
@@ -125,6 +125,11 @@
     dir: PathBuf,
 }
 
+/// Returns the path of the file with the operator's key in the directory of a fleet.
+fn key_file(dir: &Path) -> PathBuf {
+    dir.join("operator.key")
+}
+
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|b| format!("{b:02x}")).collect()
 }
@@ -134,6 +139,8 @@
     pub fn start(binary: &Path, plan: &Plan) -> Fleet {
         let dir = std::env::temp_dir().join(format!("skylark-{:016x}", rand::random::<u64>()));
         std::fs::create_dir_all(&dir).expect("cannot create the fleet's temporary directory");
+        // Written once: a command that runs at the same time as another one reads it too.
+        std::fs::write(key_file(&dir), OPERATOR_KEY).expect("cannot write the operator's key file");
         let mut fleet = Fleet {
             store: Store::start(),
             list: InstanceList::start(plan.list_lag),
@@ -307,13 +314,11 @@
 
     /// Runs an operator's command against entry `ix`; returns its exit code and output.
     pub fn run_command_at(&self, ix: usize, args: &[&str]) -> (i32, String) {
-        let key = self.dir.join("operator.key");
-        std::fs::write(&key, OPERATOR_KEY).expect("cannot write the operator's key file");
         let entry = self.entries[ix].daemon.http.to_string();
         let out = std::process::Command::new(&self.binary)
             .arg(args[0])
             .args(["--entry", &entry, "--key"])
-            .arg(&key)
+            .arg(key_file(&self.dir))
             .args(&args[1..])
             .output()
             .expect("cannot run the operator's command");
--- a/tests/deployment/intent.rs
+++ b/tests/deployment/intent.rs
@@ -72,6 +72,18 @@
     }
 }
 
+#[actix_rt::test]
+async fn commands_at_the_same_time_find_the_operator_key() {
+    let fleet = start_deployment(plan(1, 1)).await;
+    let run_many = || (0..25).map(|_| fleet.run_command(&["status"])).collect::<Vec<_>>();
+    let results: Vec<_> = std::thread::scope(|s| {
+        let threads: Vec<_> = (0..8).map(|_| s.spawn(run_many)).collect();
+        threads.into_iter().flat_map(|t| t.join().unwrap()).collect()
+    });
+    let failed: Vec<_> = results.iter().filter(|(code, _)| *code != 0).collect();
+    assert!(failed.is_empty(), "{} of {}: {:?}", failed.len(), results.len(), failed[0]);
+}
+
 #[actix_rt::test]
 async fn retry_after_lost_store_response_reports_acceptance() {
     let fleet = start_deployment(plan(2, 1)).await;
