Stop using an endpoint that states in a response that it is leaving

The header is one more source of the notice that the store and the reports of engines give: the endpoint gets nothing new from then on, its generations begin to move, and the other instances are told. Only a response to this request from the endpoint that was asked counts. A generation whose engines all leave is refused at once.

--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -9,7 +9,7 @@
 use crate::balance::{self, Need};
 use crate::gossip::Work;
 use crate::id::ServiceName;
-use crate::pool::{Endpoint, Pool, PoolKey};
+use crate::pool::{Availability, Endpoint, Pool, PoolKey};
 use crate::route::{Engine, Urgency};
 use rand::Rng;
 use std::collections::{BTreeSet, HashMap};
@@ -117,6 +117,9 @@
     if let Some(key) = balance::choose_where(now, pool, &request.need, tried, rng, has_capacity) {
         return Decision::Send(key);
     }
+    if pool.availability(request.need.service) == Availability::Never {
+        return Decision::Refuse(retry_after(now, request));
+    }
     let own_prefill = rate.prefill_time(request.need.work.unread);
     if now + own_prefill > request.since + first_event_limit(request, own_prefill) {
         return Decision::Refuse(retry_after(now, request));
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt to send a request to an endpoint, and how its result is recorded.
 
-use super::Gateway;
 use super::job::Job;
+use super::{Gateway, outage};
 use crate::clock;
 use crate::h1::{Outbound, SendError};
 use crate::id::{EndpointId, Tokens};
@@ -122,6 +122,9 @@
     let info = platform::parse_response(&head);
     gw.pool.borrow_mut().record_reachable(key);
     record_response(gw, key, &info);
+    if info.leaving && is_own_response(job, &info) {
+        outage::record_notice(gw, key);
+    }
     check_response(job, &info)?;
     Ok(EndpointResponse { head, info, out, endpoint: params.endpoint.clone() })
 }
@@ -162,6 +165,12 @@
     if info.sealed { Ok(()) } else { Err(AttemptError::Unsealed) }
 }
 
+/// Returns whether a response is that of the addressed endpoint to this request, so that what it
+/// states of its sender holds for this endpoint.
+fn is_own_response(job: &Job, info: &ResponseInfo) -> bool {
+    !info.misdirected && info.id == job.meta.id
+}
+
 fn record_response(gw: &Gateway, key: PoolKey, info: &ResponseInfo) {
     let now = clock::now();
     let mut pool = gw.pool.borrow_mut();
--- a/src/gateway/outage.rs
+++ b/src/gateway/outage.rs
@@ -1,4 +1,5 @@
-//! Asks engines directly whether they are leaving while the store cannot report it.
+//! Notices of endpoints that they are leaving: in their responses, passed on by other instances,
+//! and, while the store cannot report it, in the reports that engines are asked for.
 
 use super::{Gateway, peers};
 use crate::balance;
@@ -92,7 +93,14 @@
     }
 }
 
-/// Marks an engine as leaving and returns its tag; `None` if it was known to be leaving.
+/// Records that an endpoint states in a response that it is leaving, and tells the other instances.
+pub fn record_notice(gw: &Gateway, key: PoolKey) {
+    if let Some(tag) = mark_leaving(gw, key, "from=response") {
+        peers::send_leaving(gw, tag);
+    }
+}
+
+/// Marks an endpoint as leaving and returns its tag; `None` if it was known to be leaving.
 fn mark_leaving(gw: &Gateway, key: PoolKey, detail: impl Display) -> Option<Tag> {
     let known = gw.pool.borrow().endpoints.get(key).map(|e| (e.listing.id.clone(), e.is_leaving()));
     let (id, false) = known? else { return None };
@@ -102,7 +110,7 @@
     Some(tag)
 }
 
-/// Records that an engine told another instance that it is leaving. Of the instances with
+/// Records that an endpoint told another instance that it is leaving. Of the instances with
 /// generations on the engine, the first to ask spares the others up to a whole interval.
 ///
 /// Where memory is short, an instance without any goes on using the engine until it asks itself:
@@ -122,5 +130,5 @@
     let table = gw.table.borrow();
     let config = table.as_ref().and_then(|t| t.services.get(service));
     let engine = config.and_then(|s| s.engine.as_ref());
-    e.own.open > 0 || engine.is_some_and(|engine| !balance::is_memory_short(&pool, service, engine))
+    e.own.open > 0 || engine.is_none_or(|engine| !balance::is_memory_short(&pool, service, engine))
 }
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -1,8 +1,9 @@
 //! Control calls to engines: their reports, and the transfer of a generation's KV memory.
 
+use super::headers::states_leaving;
 use crate::h1::{self, Broken, Outbound, SendError};
 use crate::id::RequestId;
-use actix_http::{Method, ServiceConfig};
+use actix_http::{Method, ResponseHead, ServiceConfig};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -111,7 +112,7 @@
     path: &str,
     body: Bytes,
     wait: Duration,
-) -> Result<(u16, Bytes), CallError> {
+) -> Result<(ResponseHead, Bytes), CallError> {
     let content = (!body.is_empty()).then_some("application/json");
     let head = h1::request_head(to, method, path, content).ok_or(CallError::Malformed)?;
     let exchange = async {
@@ -119,7 +120,7 @@
         let mut out = sent.map_err(CallError::Unreached)?;
         let head = out.read_head().await.map_err(CallError::Broken)?;
         let body = out.read_body(MAX_RESPONSE_BYTES).await.map_err(CallError::Broken)?;
-        Ok((head.status.as_u16(), body))
+        Ok((head, body))
     };
     timeout(wait, exchange).await.unwrap_or(Err(CallError::Slow))
 }
@@ -140,10 +141,10 @@
 ) -> Result<CopyOutcome, CallError> {
     let request = CopyRequest { id: id.as_str(), to, last };
     let body = serde_json::to_vec(&request).map_err(|_| CallError::Malformed)?;
-    let response =
+    let (head, body) =
         send_request(source, config, Method::POST, "/kv-move", body.into(), wait).await?;
-    let handoff = || parse_handoff(source, &response.1);
-    match response.0 {
+    let handoff = || parse_handoff(source, &body);
+    match head.status.as_u16() {
         200 => handoff().map(CopyOutcome::Done).ok_or(CallError::Malformed),
         404 => Ok(CopyOutcome::Absent),
         409 => Ok(CopyOutcome::Busy),
@@ -186,10 +187,12 @@
     config: &ServiceConfig,
     wait: Duration,
 ) -> Result<Report, CallError> {
-    let (_, body) = send_request(to, config, Method::GET, "/report", Bytes::new(), wait).await?;
+    let (head, body) = send_request(to, config, Method::GET, "/report", Bytes::new(), wait).await?;
     let report: ReportBody = serde_json::from_slice(&body).map_err(|_| CallError::Malformed)?;
     Ok(Report {
-        leaving: report.leaves_ms.is_some() || report.state.as_deref() == Some("draining"),
+        leaving: report.leaves_ms.is_some()
+            || report.state.as_deref() == Some("draining")
+            || states_leaving(head.headers()),
         leaves_in: report.leaves_ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok()),
     })
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -22,6 +22,7 @@
 const LOAD: &str = "x-replica-load";
 const ENDPOINT: &str = "x-replica-id";
 const NOT_RUN: &str = "x-not-executed";
+const LEAVING: &str = "server-leaving";
 const TOKEN_COUNTS: &str = "x-token-counts";
 const LENGTH_HINT: &str = "x-length-hint";
 const LAST_EVENT: &str = "last-event-id";
@@ -204,6 +205,8 @@
     pub misdirected: bool,
     /// Number of requests at the endpoint, if it reports that.
     pub load: Option<Load>,
+    /// Whether the endpoint states that it is leaving.
+    pub leaving: bool,
 }
 
 /// Extracts the information in the head of a response.
@@ -217,9 +220,15 @@
         not_run: h.contains_key(NOT_RUN) || misdirected,
         misdirected,
         load: find(h, LOAD).and_then(parse_load),
+        leaving: states_leaving(h),
     }
 }
 
+/// Returns whether the sender of a response states that it is leaving.
+pub fn states_leaving(headers: &HeaderMap) -> bool {
+    find(headers, LEAVING).is_some_and(|v| v.trim() == "1")
+}
+
 /// Parses `running,waiting,slots`; the number of slots is ignored.
 fn parse_load(s: &str) -> Option<Load> {
     let mut parts = s.split(',').map(|p| p.trim().parse().ok());
@@ -232,7 +241,7 @@
     let hop_by_hop = connection_headers(head.headers());
     for (name, value) in head.headers() {
         let n = name.as_str();
-        let is_internal = n == LOAD || n == ENDPOINT || n == NOT_RUN;
+        let is_internal = matches!(n, LOAD | ENDPOINT | NOT_RUN | LEAVING);
         if !HOP_BY_HOP_HEADERS.contains(&n) && !is_internal && !hop_by_hop.iter().any(|h| **h == *n)
         {
             res.headers_mut().append(name.clone(), value.clone());
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -206,6 +206,15 @@
     }
 }
 
+/// Whether a service has an endpoint that may get requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Availability {
+    /// It has one, or one that may be usable again at any time.
+    Now,
+    /// All its endpoints are leaving, or none is listed.
+    Never,
+}
+
 /// Change to the pool that is published as an event.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Change {
@@ -375,6 +384,13 @@
         }
     }
 
+    /// Returns whether a service has an endpoint that may get requests.
+    pub fn availability(&self, service: &ServiceName) -> Availability {
+        let staying =
+            self.endpoints.values().any(|e| e.listing.service == *service && !e.is_leaving());
+        if staying { Availability::Now } else { Availability::Never }
+    }
+
     /// Returns the mean time per output token over the engines of a service; `None` if no engine
     /// has a recent one.
     pub fn mean_token_time(&self, now: Instant, service: &ServiceName) -> Option<Duration> {
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -158,6 +158,8 @@
     freed: Mutex<Vec<String>>,
     /// Number of coming reports that give the state as draining.
     draining_reports: AtomicU32,
+    /// Headers beside the usual ones in all responses to requests.
+    extra_headers: Mutex<String>,
     /// Time until which new connections are closed at once.
     down_until: Mutex<Option<Instant>>,
 }
@@ -196,6 +198,7 @@
             refuses_last: AtomicBool::new(false),
             freed: Mutex::default(),
             draining_reports: AtomicU32::new(0),
+            extra_headers: Mutex::default(),
             down_until: Mutex::default(),
         });
         let serving = state.clone();
@@ -221,6 +224,11 @@
         self.state.draining_reports.store(n, Ordering::SeqCst);
     }
 
+    /// Adds header lines, each with its line ending, to all responses to requests from now on.
+    pub fn set_headers(&self, headers: &str) {
+        *self.state.extra_headers.lock().expect("no holder panics") = headers.to_owned();
+    }
+
     /// Queues an action; each request takes the first one in the queue.
     pub fn push_action(&self, action: Action) {
         self.state.actions.lock().expect("no holder panics").push_back(action);
@@ -355,7 +363,8 @@
         ran,
         closed: closed.clone(),
     });
-    let id_header = format!("X-Attempt-Id: {id}\r\n");
+    let extra = state.extra_headers.lock().ok()?.clone();
+    let id_header = format!("X-Attempt-Id: {id}\r\n{extra}");
     let sealed_headers = format!("{id_header}X-Replica-Seal: s.{id}\r\nX-Replica-Load: 1,0,8\r\n");
     match action {
         Action::Respond(status, body) => respond(writer, &sealed_headers, status, &body),
@@ -385,7 +394,8 @@
             respond(writer, "X-Attempt-Id: other\r\nX-Replica-Seal: s.other\r\n", 200, "stray")
         }
         Action::WrongId => {
-            respond(writer, "X-Attempt-Id: other\r\nX-Replica-Seal: s.other\r\n", 200, "stray")
+            let headers = format!("X-Attempt-Id: other\r\nX-Replica-Seal: s.other\r\n{extra}");
+            respond(writer, &headers, 200, "stray")
         }
         Action::Unsealed => respond(writer, &id_header, 200, "forged"),
         Action::ContentTooLarge => respond(writer, &sealed_headers, 413, "too long"),
--- a/tests/decisions/admit.rs
+++ b/tests/decisions/admit.rs
@@ -225,3 +225,22 @@
     assert!(queue.is_first(&service, first) && !queue.is_first(&service, second));
     assert_eq!(queue.len(&service), 2);
 }
+
+#[test]
+fn generation_is_refused_at_once_where_all_engines_leave() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool(now, 2);
+    let fixture = NeedFixture::engines(MEMORY_TOKENS);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut decide = |pool: &_| {
+        let request = request(fixture.need(work(2000, 2000)), now, Duration::from_secs(39), 0);
+        admit::decide(now, pool, &request, &PrefillRate::default(), &[], &mut rng)
+    };
+    pool.mark_leaving(now, keys[0]);
+    assert_eq!(decide(&pool), Decision::Send(keys[1]));
+    // An endpoint that is merely unreachable may be back in time.
+    pool.record_unreachable(now, keys[1]);
+    assert_eq!(decide(&pool), Decision::Wait);
+    pool.mark_leaving(now, keys[1]);
+    assert!(matches!(decide(&pool), Decision::Refuse(_)));
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,5 +5,6 @@
 mod endless;
 mod intent;
 mod lifecycle;
+mod notices;
 mod store_return;
 mod streams;
