Send nothing to an endpoint during the pause that it asked for

The endpoint is not used until the latest end that it named, and up to a fifth longer. It is not ejected, and no other instance holds it against it. Where all endpoints want a pause, requests that can wait do so in order and return spread; the others are refused at once. A value that is no number of seconds is logged and ignored. One of the tests of the notice of leaving failed once: its other generations could fill the engine that the generation should move to; it now leaves room there, and asserts the move unconditionally.

--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -73,6 +73,9 @@
     }
 }
 
+/// Time between two requests that waited for the end of the same pause.
+const PAUSE_SPACING: Duration = Duration::from_millis(5);
+
 /// A request to start a generation, with its resource needs and time limits.
 #[derive(Debug)]
 pub struct AdmissionRequest<'a> {
@@ -117,14 +120,17 @@
     if let Some(key) = balance::choose_where(now, pool, &request.need, tried, rng, has_capacity) {
         return Decision::Send(key);
     }
-    if pool.availability(request.need.service) == Availability::Never {
-        return Decision::Refuse(retry_after(now, request));
-    }
     let own_prefill = rate.prefill_time(request.need.work.unread);
-    if now + own_prefill > request.since + first_event_limit(request, own_prefill) {
-        return Decision::Refuse(retry_after(now, request));
+    let earliest = match pool.availability(request.need.service) {
+        Availability::Now => Some(now),
+        Availability::At(end) => Some(end),
+        Availability::Never => None,
+    };
+    let limit = request.since + first_event_limit(request, own_prefill);
+    match earliest.filter(|start| *start + own_prefill <= limit) {
+        Some(_) => Decision::Wait,
+        None => Decision::Refuse(retry_after(now, request)),
     }
-    Decision::Wait
 }
 
 /// Returns the time after arrival by which the first event should come. A prompt whose prefill
@@ -254,6 +260,24 @@
     sum
 }
 
+/// Returns how long a plain request waits for endpoints that all want no requests until `end`;
+/// `None` if it could not be answered by its deadline then, which takes up to `target`.
+///
+/// Answers the load of a service whose endpoints all ask for a pause. Requests that can wait keep
+/// their order: each follows the `ahead` ones before it at a distance, so that the end of the pause
+/// brings no wave. The others are refused at once, since another instance may serve them.
+pub fn pause_wait(
+    now: Instant,
+    end: Instant,
+    deadline: Instant,
+    target: Duration,
+    ahead: usize,
+) -> Option<Duration> {
+    let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+    let wait = end.saturating_duration_since(now) + PAUSE_SPACING.saturating_mul(ahead);
+    (now + wait + target <= deadline).then_some(wait)
+}
+
 /// Returns the time after which a refused caller should retry: late enough for the present queue
 /// to drain, and early enough that the caller still retries.
 fn retry_after(now: Instant, request: &AdmissionRequest<'_>) -> Duration {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -3,6 +3,7 @@
 use super::job::Job;
 use super::{Gateway, outage};
 use crate::clock;
+use crate::event::Kind;
 use crate::h1::{Outbound, SendError};
 use crate::id::{EndpointId, Tokens};
 use crate::platform::{self, ForwardParams, ResponseInfo};
@@ -10,6 +11,7 @@
 use crate::problem::{Problem, ProblemKind};
 use actix_http::ResponseHead;
 use std::fmt;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant as TokioInstant, timeout_at};
@@ -22,6 +24,8 @@
 /// Cost of a retry: the retry budget of the gateway counts requests, not tokens.
 pub const RETRY_COST: Tokens = Tokens(1);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Upper bound of the random extension of a pause that an endpoint asked for, as a share of it.
+const MAX_PAUSE_EXTENSION: f64 = 0.2;
 
 /// Why an attempt gave no response that can be passed on. The log shows the variants in lower case.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,6 +34,8 @@
     Gone,
     /// The endpoint is leaving and takes no new requests.
     Leaving,
+    /// The endpoint has asked for a pause that is not over.
+    Paused,
     /// The connection could not be established.
     Unreached,
     /// The head of the request could not be encoded.
@@ -48,13 +54,16 @@
     Unsealed,
     /// The endpoint responded with a server error.
     Failed,
+    /// The endpoint responded that it wants no requests for a while, but not that it did not run
+    /// this one.
+    Overloaded,
 }
 
 impl AttemptError {
     /// Returns whether the request has not run on the endpoint and never will.
     pub fn is_not_executed(self) -> bool {
-        use AttemptError::{Full, Gone, Head, Leaving, Misdirected, Unreached};
-        matches!(self, Gone | Leaving | Unreached | Head | Full | Misdirected)
+        use AttemptError::{Full, Gone, Head, Leaving, Misdirected, Paused, Unreached};
+        matches!(self, Gone | Leaving | Paused | Unreached | Head | Full | Misdirected)
     }
 
     /// Returns whether the request never reached the endpoint.
@@ -63,6 +72,7 @@
             self,
             AttemptError::Gone
                 | AttemptError::Leaving
+                | AttemptError::Paused
                 | AttemptError::Unreached
                 | AttemptError::Head
         )
@@ -70,7 +80,8 @@
 
     /// Returns whether the error counts against the endpoint's health. A full endpoint is healthy.
     pub fn is_endpoint_failure(self) -> bool {
-        !matches!(self, AttemptError::Full | AttemptError::Gone | AttemptError::Leaving)
+        use AttemptError::{Full, Gone, Leaving, Overloaded, Paused};
+        !matches!(self, Full | Gone | Leaving | Paused | Overloaded)
     }
 }
 
@@ -95,18 +106,14 @@
 
 /// Sends a request to an endpoint and waits for the head of its response.
 ///
-/// A leaving endpoint is sent no new requests, but may resume a migrated generation.
+/// A leaving or paused endpoint is sent no new requests, but may resume a migrated generation.
 pub async fn send(
     gw: &Rc<Gateway>,
     job: &Job,
     key: PoolKey,
     params: &ForwardParams<'_>,
 ) -> Result<EndpointResponse, AttemptError> {
-    let found = gw.pool.borrow().endpoints.get(key).map(|e| (e.listing.address, e.is_leaving()));
-    let (address, is_leaving) = found.ok_or(AttemptError::Gone)?;
-    if is_leaving && params.handoff.is_none() {
-        return Err(AttemptError::Leaving);
-    }
+    let address = check_endpoint(gw, key, params.handoff.is_some())?;
     let head = job.forward_head(params);
     let opened =
         Outbound::connect(address, CONNECT_TIMEOUT, &gw.codec, head, job.body.clone()).await;
@@ -122,13 +129,33 @@
     let info = platform::parse_response(&head);
     gw.pool.borrow_mut().record_reachable(key);
     record_response(gw, key, &info);
-    if info.leaving && is_own_response(job, &info) {
-        outage::record_notice(gw, key);
+    if is_own_response(job, &info) {
+        if info.leaving {
+            outage::record_notice(gw, key);
+        }
+        if let Some(time) = info.pause {
+            record_pause(gw, key, time);
+        }
     }
     check_response(job, &info)?;
     Ok(EndpointResponse { head, info, out, endpoint: params.endpoint.clone() })
 }
 
+/// Returns the address of an endpoint that may be sent a request.
+fn check_endpoint(
+    gw: &Gateway,
+    key: PoolKey,
+    is_resumed: bool,
+) -> Result<SocketAddr, AttemptError> {
+    let pool = gw.pool.borrow();
+    let e = pool.endpoints.get(key).ok_or(AttemptError::Gone)?;
+    match (e.is_leaving(), e.paused_until.is_some()) {
+        (true, _) if !is_resumed => Err(AttemptError::Leaving),
+        (_, true) if !is_resumed => Err(AttemptError::Paused),
+        _ => Ok(e.listing.address),
+    }
+}
+
 /// Returns whether a request that was sent to `tried` endpoints and reached `reached` of them may
 /// be sent once more. Charges the retry budget once an endpoint has been reached.
 pub fn permit_attempt(gw: &Gateway, job: &Job, tried: usize, reached: usize) -> bool {
@@ -182,6 +209,18 @@
     }
 }
 
+/// Stops using an endpoint for the time that it asked for, and a little longer, so that its callers
+/// do not all return at the same moment.
+fn record_pause(gw: &Gateway, key: PoolKey, time: Duration) {
+    let time = time.mul_f64(1.0 + rand::random::<f64>() * MAX_PAUSE_EXTENSION);
+    if !gw.pool.borrow_mut().pause(clock::now(), key, time) {
+        return;
+    }
+    if let Some(e) = gw.pool.borrow().endpoints.get(key) {
+        gw.event(Kind::Paused, &e.listing.id, format_args!("ms={}", time.as_millis()));
+    }
+}
+
 /// Counts the result of a request in the health of its endpoint.
 pub fn record_health(gw: &Gateway, key: PoolKey, is_success: bool) {
     if let Some(e) = gw.pool.borrow_mut().endpoints.get_mut(key) {
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -37,14 +37,15 @@
 }
 
 /// A place in the admission queue of a service, given up on drop.
-struct QueueEntry<'a> {
+pub struct QueueEntry<'a> {
     gw: &'a Gateway,
     service: &'a ServiceName,
     ticket: Ticket,
 }
 
 impl<'a> QueueEntry<'a> {
-    fn join(gw: &'a Gateway, job: &'a Job) -> Self {
+    /// Joins the queue of the job's service.
+    pub fn join(gw: &'a Gateway, job: &'a Job) -> Self {
         let ticket = gw.queue.borrow_mut().join(&job.service, job.urgency());
         QueueEntry { gw, service: &job.service, ticket }
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,15 +1,17 @@
 //! Plain requests, safe and unsafe: one request, one response.
 
 use super::attempt::{self, AttemptError, EndpointResponse};
+use super::begin::QueueEntry;
 use super::job::{self, Job, log_id};
 use super::serve::{Disposition, disposition};
-use super::{Gateway, WorkGuard, quarantine};
+use super::{Gateway, MAINTENANCE_INTERVAL, WorkGuard, quarantine};
+use crate::admit;
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::Refusal;
 use crate::h1::Inbound;
 use crate::platform::{self, ForwardParams};
-use crate::pool::PoolKey;
+use crate::pool::{Availability, PoolKey};
 use crate::problem::{Problem, ProblemKind};
 use actix_http::body::BodySize;
 use bytes::{Bytes, BytesMut};
@@ -124,14 +126,22 @@
 async fn send_with_retries(gw: &Rc<Gateway>, job: &Job) -> Result<CallResponse, Problem> {
     gw.budget.borrow_mut().earn(&job.service, attempt::RETRY_COST);
     let mut attempts = Attempts::default();
-    while let Some(key) = next_endpoint(gw, job, &attempts) {
+    loop {
+        let Some(key) = next_endpoint(gw, job, &attempts) else {
+            if attempts.runs == 0 && wait_for_pause(gw, job).await {
+                attempts.tried.clear();
+                continue;
+            }
+            break;
+        };
         attempts.tried.push(key);
         let error = match try_endpoint(gw, job, key).await {
             Ok(CallResponse::Complete(response, body))
                 if response.info.status.is_server_error() =>
             {
+                let is_paused = response.info.pause.is_some();
                 attempts.error_response = Some((response, body));
-                AttemptError::Failed
+                if is_paused { AttemptError::Overloaded } else { AttemptError::Failed }
             }
             Ok(response) => {
                 attempt::record_health(gw, key, true);
@@ -155,6 +165,9 @@
     if attempts.runs > 0 {
         return final_response(job, attempts, AttemptError::Failed);
     }
+    if let Availability::At(end) = gw.pool.borrow().availability(&job.service) {
+        return Err(job.pause_refusal(clock::now(), end));
+    }
     let (why, detail) = if attempts.tried.is_empty() {
         (Refusal::NoEndpoint, "the service has no usable endpoint".to_owned())
     } else {
@@ -174,6 +187,21 @@
     job.choose_endpoint(gw, clock::now(), &attempts.tried)
 }
 
+/// Waits, in the order of arrival, for the end of a pause that all endpoints of the service have
+/// asked for. Returns `false` if there is none, or the request cannot wait so long.
+async fn wait_for_pause(gw: &Gateway, job: &Job) -> bool {
+    let now = clock::now();
+    let Availability::At(end) = gw.pool.borrow().availability(&job.service) else { return false };
+    let ahead = gw.queue.borrow().len(&job.service);
+    let target = job.route.target_latency;
+    let Some(wait) = admit::pause_wait(now, end, job.deadline, target, ahead) else {
+        return false;
+    };
+    let _entry = QueueEntry::join(gw, job);
+    tokio::time::sleep(wait + MAINTENANCE_INTERVAL).await;
+    true
+}
+
 /// Returns the final result for a request that may have run and must not be sent again.
 fn final_response(
     job: &Job,
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -4,6 +4,7 @@
 use crate::admit::{self, AdmissionRequest, Candidate, Decision, PrefillRate, Shortage};
 use crate::balance::{self, Need};
 use crate::event::Kind;
+use crate::frame::Refusal;
 use crate::gossip::Work;
 use crate::h1::Inbound;
 use crate::id::{DataCentre, RequestId, ServiceName, Tokens};
@@ -220,6 +221,17 @@
         super::jitter(DEFAULT_RETRY_AFTER).min(max)
     }
 
+    /// Builds a refusal for a request whose endpoints all want no requests until `end`. Another
+    /// instance may serve it before, so the delay is limited like that of other refusals.
+    pub fn pause_refusal(&self, now: Instant, end: Instant) -> Problem {
+        let left = end.saturating_duration_since(now);
+        let detail =
+            format!("all endpoints of the service want no requests for {} ms", left.as_millis());
+        let max = self.time_left(now) / RETRY_AFTER_DIVISOR;
+        let kind = ProblemKind::Refused(Refusal::Busy);
+        Problem::new(kind, detail).retry_after(super::jitter(left).min(max))
+    }
+
     /// Builds a refusal with a retry delay, for a request that has not run.
     pub fn refusal(&self, now: Instant, kind: ProblemKind, detail: &str) -> Problem {
         Problem::new(kind, detail).retry_after(self.retry_after(now))
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -207,6 +207,8 @@
     pub load: Option<Load>,
     /// Whether the endpoint states that it is leaving.
     pub leaving: bool,
+    /// Time for which an endpoint that turned the request away wants no others.
+    pub pause: Option<Duration>,
 }
 
 /// Extracts the information in the head of a response.
@@ -221,9 +223,21 @@
         misdirected,
         load: find(h, LOAD).and_then(parse_load),
         leaving: states_leaving(h),
+        pause: find(h, RETRY_AFTER.as_str())
+            .filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE)
+            .and_then(parse_seconds),
     }
 }
 
+/// Parses a number of seconds, which may have a fraction.
+fn parse_seconds(s: &str) -> Option<Duration> {
+    let time = s.trim().parse().ok().and_then(|secs| Duration::try_from_secs_f64(secs).ok());
+    if time.is_none() {
+        log::warn!("header {RETRY_AFTER} is {s:?}, not a number of seconds: ignored");
+    }
+    time
+}
+
 /// Returns whether the sender of a response states that it is leaving.
 pub fn states_leaving(headers: &HeaderMap) -> bool {
     find(headers, LEAVING).is_some_and(|v| v.trim() == "1")
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -31,6 +31,8 @@
 /// Time for which the removal of an endpoint is remembered. A copy from which the store comes back
 /// is some seconds old and may still list it.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
+/// Longest pause that an endpoint may ask for.
+const MAX_PAUSE: Duration = Duration::from_secs(600);
 /// Most concurrent requests to an endpoint that is on trial after an ejection.
 const MAX_TRIAL_REQUESTS: u32 = 1;
 
@@ -122,6 +124,8 @@
     pub warmup_end: Instant,
     /// Time until which it is not used because it refused a connection.
     pub unreachable_until: Option<Instant>,
+    /// Time until which it is not used because it asked for a pause.
+    pub paused_until: Option<Instant>,
     /// Failed connection attempts in a row, not counting those while it was not used.
     connect_failures: u32,
     /// Notifies the generations that run on it when it starts to leave.
@@ -144,6 +148,7 @@
             own_token_time: TokenTime::default(),
             warmup_end,
             unreachable_until: None,
+            paused_until: None,
             connect_failures: 0,
             leave_signal: Rc::new(Notify::new()),
         };
@@ -178,6 +183,7 @@
             && !is_ejected
             && !is_trial_full
             && self.unreachable_until.is_none()
+            && self.paused_until.is_none()
     }
 
     /// Returns whether it may get a new request for a service now.
@@ -211,6 +217,8 @@
 pub enum Availability {
     /// It has one, or one that may be usable again at any time.
     Now,
+    /// All that are not leaving have asked for a pause; the first of these ends at this time.
+    At(Instant),
     /// All its endpoints are leaving, or none is listed.
     Never,
 }
@@ -386,9 +394,23 @@
 
     /// Returns whether a service has an endpoint that may get requests.
     pub fn availability(&self, service: &ServiceName) -> Availability {
-        let staying =
-            self.endpoints.values().any(|e| e.listing.service == *service && !e.is_leaving());
-        if staying { Availability::Now } else { Availability::Never }
+        let all = self.endpoints.values().filter(|e| e.listing.service == *service);
+        let staying = all.filter(|e| !e.is_leaving()).map(|e| e.paused_until);
+        match staying.min() {
+            None => Availability::Never,
+            // An endpoint that is not paused comes first.
+            Some(None) => Availability::Now,
+            Some(Some(end)) => Availability::At(end),
+        }
+    }
+
+    /// Records that an endpoint wants no requests for a time. Of several such times, the latest end
+    /// counts. It is neither a failure nor a departure. Returns whether it was not paused before.
+    pub fn pause(&mut self, now: Instant, key: PoolKey, time: Duration) -> bool {
+        let Some(e) = self.endpoints.get_mut(key) else { return false };
+        let was_paused = e.paused_until.is_some();
+        e.paused_until = e.paused_until.max(Some(now + time.min(MAX_PAUSE)));
+        !was_paused
     }
 
     /// Returns the mean time per output token over the engines of a service; `None` if no engine
@@ -451,6 +473,7 @@
         let mut lapsed = Vec::new();
         let mut failing = Vec::new();
         for (key, e) in &mut self.endpoints {
+            e.paused_until.take_if(|t| *t <= now);
             let is_backoff_over = e.unreachable_until.is_some_and(|t| t <= now);
             if is_backoff_over {
                 e.unreachable_until = None;
--- a/tests/decisions/admit.rs
+++ b/tests/decisions/admit.rs
@@ -244,3 +244,41 @@
     pool.mark_leaving(now, keys[1]);
     assert!(matches!(decide(&pool), Decision::Refuse(_)));
 }
+
+/// Fifty requests arrive during a pause of all endpoints: those that can wait return in their
+/// order, none at the same moment, and the others are refused at once.
+#[test]
+fn requests_return_from_a_pause_in_order_and_spread() {
+    let start = Instant::now();
+    let ms = Duration::from_millis;
+    let end = start + ms(1000);
+    let returns: Vec<Option<Instant>> = (0..50)
+        .map(|n| {
+            let now = start + ms(10) * n;
+            let ahead = n as usize;
+            let wait = admit::pause_wait(now, end, now + ms(1500), ms(300), ahead);
+            wait.map(|w| now + w)
+        })
+        .collect();
+    assert!(returns.iter().all(|r| r.is_some_and(|t| t >= end)));
+    assert!(returns.windows(2).all(|pair| pair[0] < pair[1]));
+    // With 1.2 s left there is time for the pause or for the answer, but not for both.
+    assert_eq!(admit::pause_wait(start, end, start + ms(1200), ms(300), 0), None);
+}
+
+#[test]
+fn generation_waits_for_the_end_of_a_pause_only_if_it_can_still_begin_in_time() {
+    let now = Instant::now();
+    let fixture = NeedFixture::engines(MEMORY_TOKENS);
+    let decide = |pause: Duration| {
+        let (mut pool, keys) = pool(now, 2);
+        for key in keys {
+            pool.pause(now, key, pause);
+        }
+        let request = request(fixture.need(work(2000, 2000)), now, Duration::from_secs(39), 0);
+        let mut rng = SmallRng::seed_from_u64(1);
+        admit::decide(now, &pool, &request, &PrefillRate::default(), &[], &mut rng)
+    };
+    assert_eq!(decide(Duration::from_millis(300)), Decision::Wait);
+    assert!(matches!(decide(Duration::from_secs(20)), Decision::Refuse(_)));
+}
--- a/tests/decisions/pool.rs
+++ b/tests/decisions/pool.rs
@@ -1,11 +1,11 @@
 //! Endpoint pool: leaving, lapsed, restarted, failing and unreachable endpoints, and balancing.
 
-use crate::fixture::{NeedFixture, id, listing, pool, work};
+use crate::fixture::{NeedFixture, id, listing, pool, service, work};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use skylarkthread::balance::{self, Need};
 use skylarkthread::gossip::Work;
-use skylarkthread::pool::{Change, Listing, Source, Standing};
+use skylarkthread::pool::{Availability, Change, Listing, Source, Standing};
 use std::time::{Duration, Instant};
 
 #[test]
@@ -43,6 +43,30 @@
     assert_eq!(changes, [Change::Left(id(0))]);
 }
 
+#[test]
+fn endpoint_stays_paused_until_the_latest_end_that_it_asked_for() {
+    let now = Instant::now();
+    let (mut pool, keys) = pool(now, 2);
+    let secs = Duration::from_secs;
+    assert!(pool.pause(now, keys[0], secs(3)));
+    assert!(!pool.pause(now, keys[0], secs(1)), "it is paused already");
+    assert_eq!(pool.availability(&service()), Availability::Now);
+    pool.step(now + secs(2));
+    assert!(!pool.endpoints[keys[0]].is_usable() && pool.endpoints[keys[1]].is_usable());
+    pool.pause(now, keys[1], secs(5));
+    assert_eq!(pool.availability(&service()), Availability::At(now + secs(3)));
+    pool.step(now + secs(3));
+    assert!(pool.endpoints[keys[0]].is_usable());
+    pool.mark_leaving(now, keys[0]);
+    assert_eq!(pool.availability(&service()), Availability::At(now + secs(5)));
+    pool.mark_leaving(now, keys[1]);
+    assert_eq!(pool.availability(&service()), Availability::Never);
+    // The pause is that of one endpoint, and is gone with it.
+    pool.remove(now, &id(0));
+    pool.upsert(now, listing(0, "a"));
+    assert_eq!(pool.availability(&service()), Availability::Now);
+}
+
 #[test]
 fn copy_of_the_store_brings_no_removed_endpoint_back() {
     let now = Instant::now();
--- a/tests/gateway/notices.rs
+++ b/tests/gateway/notices.rs
@@ -1,4 +1,5 @@
-//! What endpoints state of themselves in their responses: that they are leaving.
+//! What endpoints state of themselves in their responses: that they are leaving, or want no
+//! requests for a while.
 
 use crate::common::{
     expected_events, list_endpoint, send_request, start_gateway, start_platform, start_stream,
@@ -69,16 +70,21 @@
     let f = Endpoint::start("i-2", Action::Stream(80, EVENT_INTERVAL));
     list_endpoint(&store, &f, "model", "ready");
     std::thread::sleep(Duration::from_millis(300));
+    // Both engines have work, so that the next generation may go to either.
+    let _busy = start_stream(&gateway, "id-2");
+    assert!(wait_for(2, || f.run_count() == 1));
     e.set_headers(LEAVING);
     e.push_action(Action::NotExecuted);
-    // The first engine has more work, so some of these go to it only if the second is not chosen.
-    let mut others: Vec<_> = (0..12).map(|n| start_stream(&gateway, &format!("id-x{n}"))).collect();
+    // Each of these leaves before the next one, so that the other engine keeps room for the move.
+    assert!(wait_for(2, || {
+        let other = start_stream(&gateway, "id-3");
+        std::thread::sleep(Duration::from_millis(30));
+        drop(other);
+        e.received().len() > 1
+    }));
     let reply = sent.reply();
     assert_eq!((reply.complete, reply.body), (true, expected_events(80)));
-    others.iter_mut().for_each(|s| drop(s.reply()));
-    if e.received().len() > 1 {
-        assert!(!e.copies().is_empty(), "the generation did not move");
-    }
+    assert_eq!(e.copies().len(), 2, "the generation did not move");
 }
 
 /// An instance that has sent the endpoint nothing learns of the notice from its neighbour.
@@ -126,3 +132,91 @@
     store.set("servers/i-1", Some(restarted.as_bytes()));
     assert!(wait_for(2, || bodies(&gateway, 10).contains(&"i-1".to_owned())));
 }
+
+/// Lets an endpoint turn its next request away and ask for a pause.
+fn refuse_next(e: &Endpoint, pause: &str) {
+    e.set_headers(&format!("Retry-After: {pause}\r\n"));
+    e.push_action(Action::NotExecuted);
+}
+
+#[test]
+fn endpoint_that_asks_for_a_pause_gets_no_requests_until_it_ends() {
+    let (e, f) = (endpoint("i-1"), endpoint("i-2"));
+    let (_store, gateway) = start_platform(&[(&e, "plain"), (&f, "plain")]);
+    refuse_next(&e, "1.2");
+    assert!(wait_for(2, || {
+        bodies(&gateway, 1);
+        !e.received().is_empty()
+    }));
+    let paused = Instant::now();
+    while paused.elapsed() < Duration::from_millis(1100) {
+        assert_eq!(bodies(&gateway, 1), ["i-2"]);
+    }
+    assert_eq!(e.received().len(), 1);
+    // It was not ejected, so it is used again as before.
+    assert!(wait_for(1, || bodies(&gateway, 4).contains(&"i-1".to_owned())));
+}
+
+#[test]
+fn endpoint_that_asks_for_pauses_again_and_again_is_not_ejected() {
+    let e = endpoint("i-1");
+    let (_store, gateway) = start_platform(&[(&e, "plain")]);
+    e.set_headers("Retry-After: 0.1\r\n");
+    for n in 0..8 {
+        e.push_action(Action::Respond(503, "later".into()));
+        let reply = send_request(&gateway, "GET", "/open/x", &format!("id-{n}"));
+        assert_eq!((reply.status, reply.body.as_str()), (503, "later"));
+        std::thread::sleep(Duration::from_millis(250));
+    }
+    assert_eq!(bodies(&gateway, 1), ["i-1"]);
+}
+
+#[test]
+fn pause_that_cannot_be_read_is_ignored() {
+    let e = endpoint("i-1");
+    let (_store, gateway) = start_platform(&[(&e, "plain")]);
+    for pause in ["soon", "-1", "NaN", ""] {
+        refuse_next(&e, pause);
+        send_request(&gateway, "GET", "/safe/x", "id-1");
+        assert_eq!(bodies(&gateway, 1), ["i-1"], "{pause:?}");
+    }
+}
+
+#[test]
+fn request_waits_for_the_end_of_a_pause_that_ends_in_time() {
+    let e = endpoint("i-1");
+    let (_store, gateway) = start_platform(&[(&e, "plain")]);
+    refuse_next(&e, "0.2");
+    let started = Instant::now();
+    let reply = send_request(&gateway, "GET", "/safe/x", "id-1");
+    assert_eq!((reply.status, reply.body.as_str(), e.received().len()), (200, "i-1", 2));
+    assert!(started.elapsed() >= Duration::from_millis(200), "{:?}", started.elapsed());
+}
+
+#[test]
+fn requests_are_refused_at_once_during_a_pause_that_ends_too_late() {
+    let e = endpoint("i-1");
+    let (_store, gateway) = start_platform(&[(&e, "plain")]);
+    refuse_next(&e, "30");
+    for n in 0..20 {
+        let started = Instant::now();
+        let reply = send_request(&gateway, "GET", "/unsafe/x", &format!("id-{n}"));
+        assert_eq!(reply.status, 503);
+        assert!(reply.header("retry-after").is_some());
+        assert!(started.elapsed() < Duration::from_millis(150), "{:?}", started.elapsed());
+    }
+    assert_eq!((e.received().len(), e.run_count()), (1, 0));
+}
+
+#[test]
+fn generation_is_refused_at_once_where_all_engines_want_a_long_pause() {
+    let e = Endpoint::start("i-1", Action::Stream(2, EVENT_INTERVAL));
+    let (_store, gateway) = start_platform(&[(&e, "model")]);
+    refuse_next(&e, "30");
+    for n in 0..5 {
+        let started = Instant::now();
+        assert_eq!(start_stream(&gateway, &format!("id-{n}")).reply().status, 503);
+        assert!(started.elapsed() < Duration::from_millis(150), "{:?}", started.elapsed());
+    }
+    assert_eq!(e.received().len(), 1);
+}
