Count comments in a stream as no events; shorten functions, split the pool

They also set the time of the first event, which they no longer do.

No other behaviour changes: removals of endpoints are a module of their own, refusals of plain requests a function, and the era of a late response no longer replaces a newer one as the default for responses that name none.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -141,7 +141,8 @@
     Ok(EndpointResponse { head, info, out, endpoint: params.endpoint.clone() })
 }
 
-/// Returns the address of an endpoint that may be sent a request.
+/// Returns the address of an endpoint that may be sent a request; `is_resumed` is set for one that
+/// resumes a migrated generation.
 fn check_endpoint(
     gw: &Gateway,
     key: PoolKey,
@@ -149,11 +150,13 @@
 ) -> Result<SocketAddr, AttemptError> {
     let pool = gw.pool.borrow();
     let e = pool.endpoints.get(key).ok_or(AttemptError::Gone)?;
-    match (e.is_leaving(), e.paused_until.is_some()) {
-        (true, _) if !is_resumed => Err(AttemptError::Leaving),
-        (_, true) if !is_resumed => Err(AttemptError::Paused),
-        _ => Ok(e.listing.address),
+    if !is_resumed && e.is_leaving() {
+        return Err(AttemptError::Leaving);
     }
+    if !is_resumed && e.paused_until.is_some() {
+        return Err(AttemptError::Paused);
+    }
+    Ok(e.listing.address)
 }
 
 /// Returns whether a request that was sent to `tried` endpoints and reached `reached` of them may
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -165,18 +165,21 @@
     if attempts.runs > 0 {
         return final_response(job, attempts, AttemptError::Failed);
     }
+    Err(not_run_problem(gw, job, attempts.tried.len()))
+}
+
+/// Builds the problem for a request that has not run on any of the `tried` endpoints.
+fn not_run_problem(gw: &Gateway, job: &Job, tried: usize) -> Problem {
+    let now = clock::now();
     if let Availability::At(end) = gw.pool.borrow().availability(&job.service) {
-        return Err(job.pause_refusal(clock::now(), end));
+        return job.pause_refusal(now, end);
     }
-    let (why, detail) = if attempts.tried.is_empty() {
-        (Refusal::NoEndpoint, "the service has no usable endpoint".to_owned())
-    } else {
-        (
-            Refusal::Busy,
-            format!("none of the {} endpoints tried accepted the request", attempts.tried.len()),
-        )
-    };
-    Err(job.refusal(clock::now(), ProblemKind::Refused(why), &detail))
+    if tried == 0 {
+        let kind = ProblemKind::Refused(Refusal::NoEndpoint);
+        return job.refusal(now, kind, "the service has no usable endpoint");
+    }
+    let detail = format!("none of the {tried} endpoints tried accepted the request");
+    job.refusal(now, ProblemKind::Refused(Refusal::Busy), &detail)
 }
 
 /// Returns the next endpoint to try; `None` if no attempt is allowed or no endpoint is left.
@@ -198,6 +201,7 @@
         return false;
     };
     let _entry = QueueEntry::join(gw, job);
+    // The pool ends pauses in its steps.
     tokio::time::sleep(wait + MAINTENANCE_INTERVAL).await;
     true
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -368,7 +368,7 @@
             match sse::check_order(self.last_id, event.id) {
                 EventOrder::Next => {
                     self.last_id = event.id.or(self.last_id);
-                    events += 1;
+                    events += u32::from(!event.is_comment);
                     out.unsplit(bytes);
                 }
                 EventOrder::Repeated => {}
@@ -378,9 +378,17 @@
         if self.buf.len() > MAX_EVENT_BYTES {
             return Err(Failure::Cut(Broken::Malformed));
         }
+        if events > 0 {
+            self.record_events(events);
+        }
         if out.is_empty() {
             return Ok(());
         }
+        conn.send_chunk(out.freeze()).await.map_err(|_| Failure::Unread)
+    }
+
+    /// Records that the engine has sent events.
+    fn record_events(&mut self, events: u32) {
         let now = clock::now();
         self.segment.guard.finish_prefill();
         if self.stats.events == 0 {
@@ -400,7 +408,6 @@
         if let Some(time) = self.timer.record(now, tokens) {
             self.gw.pool.borrow_mut().observe_token_time(now, self.segment.guard.key, time);
         }
-        conn.send_chunk(out.freeze()).await.map_err(|_| Failure::Unread)
     }
 
     /// Starts a migration if the engine is leaving and its service supports migration.
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -30,7 +30,7 @@
 pub struct KvClient {
     client: awc::Client,
     address: SocketAddr,
-    /// Era of the latest response that named one.
+    /// Newest era that a response has named.
     era: Rc<Cell<Era>>,
 }
 
@@ -99,14 +99,16 @@
         KvClient { client, address, era: Rc::default() }
     }
 
-    /// Returns the era that a response names, or that of the latest one that did.
+    /// Returns the era that a response names, or else the newest known.
     fn read_era<S>(&self, response: &awc::ClientResponse<S>) -> Era {
-        let Some(value) = response.headers().get(ERA) else { return self.era.get() };
-        match value.to_str().ok().and_then(|v| v.trim().parse().ok()) {
-            Some(era) => self.era.set(era),
-            None => log::warn!("header {ERA} is {value:?}, not an unsigned number: ignored"),
-        }
-        self.era.get()
+        let newest = self.era.get();
+        let Some(value) = response.headers().get(ERA) else { return newest };
+        let Some(era) = value.to_str().ok().and_then(|v| v.trim().parse().ok()) else {
+            log::warn!("header {ERA} is {value:?}, not an unsigned number: ignored");
+            return newest;
+        };
+        self.era.set(newest.max(era));
+        era
     }
 
     /// Reads a JSON document; returns it with the era in which it was read.
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -4,6 +4,7 @@
 //! name a new endpoint at a reused address. What this instance observes itself, that an endpoint is
 //! leaving or refuses connections, takes precedence over the listing.
 
+mod departure;
 mod speed;
 
 pub use speed::{TokenTime, TokenTimer};
@@ -11,6 +12,7 @@
 use crate::board::{FAILURE_LIMIT, Health};
 use crate::gossip::{PeerLoads, Tag, Work};
 use crate::id::{DataCentre, EndpointId, ServiceName};
+use departure::Departures;
 use slotmap::{SlotMap, new_key_type};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -28,9 +30,6 @@
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(1000);
 /// Upper bound of that time. Network partitions between an instance and its endpoints last seconds.
 const MAX_UNREACHABLE_BACKOFF: Duration = Duration::from_secs(8);
-/// Time for which the removal of an endpoint is remembered. A copy from which the store comes back
-/// is some seconds old and may still list it.
-const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
 /// Longest pause that an endpoint may ask for.
 const MAX_PAUSE: Duration = Duration::from_secs(600);
 /// Most concurrent requests to an endpoint that is on trial after an ejection.
@@ -71,14 +70,6 @@
     Copy,
 }
 
-/// Removal of an endpoint.
-#[derive(Debug)]
-struct Departure {
-    at: Instant,
-    /// Start time of the removed endpoint.
-    started_ms: Option<u64>,
-}
-
 /// Number of requests at an endpoint, as reported with a response.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Load {
@@ -246,8 +237,7 @@
     ids: HashMap<EndpointId, PoolKey>,
     /// Keys by tag; the newest endpoint if an id was reused.
     tags: HashMap<Tag, PoolKey>,
-    /// Recent removals.
-    departures: HashMap<EndpointId, Departure>,
+    departures: Departures,
 }
 
 impl Pool {
@@ -275,7 +265,7 @@
             let key = self.endpoints.insert(Endpoint::new(now, listing));
             self.tags.insert(Tag::of(&id), key);
             self.ids.insert(id.clone(), key);
-            self.departures.remove(&id);
+            self.departures.forget(&id);
             return Some(Change::Joined(id));
         };
         let e = &mut self.endpoints[key];
@@ -299,21 +289,18 @@
         let key = self.ids.remove(id)?;
         let e = &mut self.endpoints[key];
         e.start_leaving(now);
-        let departure = Departure { at: now, started_ms: e.listing.started_ms };
-        self.departures.insert(id.clone(), departure);
+        self.departures.record(now, &e.listing);
         self.drop_unused(key);
         Some(Change::Left(id.clone()))
     }
 
     /// Returns whether a listing from a copy may be outdated: the endpoint was removed or restarted
     /// since the listing was written.
-    fn is_outdated(&self, now: Instant, listing: &Listing) -> bool {
-        if let Some(key) = self.find(&listing.id) {
-            return self.endpoints[key].listing.started_ms > listing.started_ms;
+    fn is_outdated(&self, listing: &Listing) -> bool {
+        match self.find(&listing.id) {
+            Some(key) => self.endpoints[key].listing.started_ms > listing.started_ms,
+            None => self.departures.contains(listing),
         }
-        let is_same =
-            |d: &&Departure| d.started_ms == listing.started_ms && now < d.at + DEPARTURE_RETENTION;
-        self.departures.get(&listing.id).filter(is_same).is_some()
     }
 
     /// Marks an endpoint as lapsed whose listing is missing after the store was unavailable. It is
@@ -335,7 +322,7 @@
         source: Source,
     ) -> Vec<Change> {
         if source == Source::Copy {
-            all.retain(|l| !self.is_outdated(now, l));
+            all.retain(|l| !self.is_outdated(l));
         }
         let missing: Vec<EndpointId> =
             self.ids.keys().filter(|id| all.iter().all(|l| l.id != **id)).cloned().collect();
@@ -468,7 +455,7 @@
     /// Ejects endpoints that keep failing, readmits those whose ejection or back-off has ended, and
     /// removes lapsed ones that were not listed again in time.
     pub fn step(&mut self, now: Instant) -> Vec<Change> {
-        self.departures.retain(|_, d| now < d.at + DEPARTURE_RETENTION);
+        self.departures.step(now);
         let mut changes = Vec::new();
         let mut lapsed = Vec::new();
         let mut failing = Vec::new();
--- a/src/sse/mod.rs
+++ b/src/sse/mod.rs
@@ -30,6 +30,8 @@
     pub len: usize,
     /// Value of the `id` field; `None` if it is absent or not a number.
     pub id: Option<EventId>,
+    /// Whether it consists of comments alone, which are no event.
+    pub is_comment: bool,
 }
 
 /// Finds events at the start of a buffer that grows. Each byte is examined once, however small the
@@ -42,6 +44,8 @@
     examined: usize,
     /// Id of the event so far.
     id: Option<EventId>,
+    /// Whether the event has a field so far.
+    has_field: bool,
 }
 
 impl EventScanner {
@@ -56,10 +60,11 @@
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             (self.line, self.examined) = (end + 1, end + 1);
             if line.is_empty() {
-                let id = std::mem::take(self).id;
-                return Some(Event { len: end + 1, id });
+                let EventScanner { id, has_field, .. } = std::mem::take(self);
+                return Some(Event { len: end + 1, id, is_comment: !has_field });
             }
             self.id = parse_id(line).or(self.id);
+            self.has_field |= !line.starts_with(b":");
         }
         self.examined = buf.len();
         None
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -64,6 +64,15 @@
     assert_eq!((reply.status, reply.complete, reply.body.as_str()), (200, false, ""));
 }
 
+#[test]
+fn stream_without_framing_of_comments_alone_does_not_look_complete() {
+    let comments = ": started\n\n: still there\n\n";
+    let e = Endpoint::start("i-1", Action::EndingStream(StreamEnd::Close, 0, comments));
+    let (_store, gateway) = start_platform(&[(&e, "model")]);
+    let reply = start_stream(&gateway, "id-1").reply();
+    assert_eq!((reply.status, reply.complete, reply.body.as_str()), (200, false, comments));
+}
+
 #[test]
 fn stream_without_framing_that_is_reset_does_not_look_complete() {
     let e = Endpoint::start("i-1", Action::EndingStream(StreamEnd::Reset, 3, ""));
