Play returns of the store, notices and pauses in the soak, on connections that stay open

The store comes back from a copy, endpoints state that they leave or ask for a pause, beside the faults that seeds had before. Callers keep their connections open until the process is gone. Two promises are new: announced (nothing from an instance 2 s after it passed on an answer with the notice) and pause (at most two requests after the first half second); the checker finds an injected violation of each. The numbers of gateways and endpoints are flags.

--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -2,6 +2,7 @@
 
 use gumdrop::Options;
 use standin::bench::{self, Policy, Workload};
+use standin::soak::Sizes;
 use standin::{demo, slopes};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -39,6 +40,10 @@
     runs: u64,
     #[options(help = "length of each run in seconds", default = "10")]
     seconds: u64,
+    #[options(help = "number of gateway processes", default = "3")]
+    gateways: usize,
+    #[options(help = "number of plain endpoints, and of engines", default = "3")]
+    endpoints: usize,
 }
 
 fn soak(args: &Soak) -> ExitCode {
@@ -49,9 +54,11 @@
         return ExitCode::from(2);
     };
     let first = args.seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
+    let sizes = Sizes { gateways: args.gateways, endpoints: args.endpoints };
     let mut failed = 0;
     for seed in first..first + args.runs {
-        let report = standin::soak::run(&binary, seed, Duration::from_secs(args.seconds));
+        let length = Duration::from_secs(args.seconds);
+        let report = standin::soak::run(&binary, seed, length, sizes);
         println!("{}", report.to_json());
         failed += u32::from(!report.violations.is_empty());
     }
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -17,6 +17,8 @@
     Respond(u16, String),
     /// Responds with 503 and states that the request has not run.
     NotExecuted,
+    /// Responds with 503, states that the request has not run, and asks for a pause.
+    Pause(Duration),
     /// Responds with 421, as an endpoint other than the one addressed does.
     Misdirected,
     /// Runs the request and closes the connection without a response.
@@ -124,6 +126,8 @@
     pub at: Instant,
     /// Whether the endpoint ran the request.
     pub ran: bool,
+    /// Pause that the endpoint asked for in its response.
+    pub pause: Option<Duration>,
     /// Set once the caller has closed the connection of a request that hangs or streams.
     pub closed: Arc<AtomicBool>,
 }
@@ -352,7 +356,8 @@
     let action =
         state.actions.lock().ok()?.pop_front().unwrap_or_else(|| state.default_action.clone());
     let id = req.header("x-attempt-id").unwrap_or("").to_owned();
-    let ran = !matches!(action, Action::NotExecuted | Action::Misdirected);
+    let ran = !matches!(action, Action::NotExecuted | Action::Misdirected | Action::Pause(_));
+    let pause = if let Action::Pause(time) = action { Some(time) } else { None };
     let closed = Arc::new(AtomicBool::new(false));
     let continued =
         req.header("kv-from").and_then(|v| v.rsplit_once('/')).map(|(_, tag)| tag.to_owned());
@@ -361,6 +366,7 @@
         req,
         at: Instant::now(),
         ran,
+        pause,
         closed: closed.clone(),
     });
     let extra = state.extra_headers.lock().ok()?.clone();
@@ -371,6 +377,10 @@
         Action::NotExecuted => {
             respond(writer, &format!("{id_header}X-Not-Executed: 1\r\n"), 503, "")
         }
+        Action::Pause(time) => {
+            let pause = format!("X-Not-Executed: 1\r\nRetry-After: {}\r\n", time.as_secs_f64());
+            respond(writer, &(id_header + &pause), 503, "")
+        }
         Action::Misdirected => respond(writer, &id_header, 421, ""),
         Action::Reset => None,
         Action::TruncatedBody => {
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -24,7 +24,7 @@
 }
 
 /// Write to a key.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 struct Change {
     key: String,
     /// Value in base64, as on the wire; `None` for a removal.
@@ -128,16 +128,27 @@
     /// Comes back from a copy: what was written since is gone, leases too, and their revisions are
     /// given out again.
     pub fn restore(&self, copy: StoreCopy) {
-        let mut state = lock(&self.shared);
-        state.era += 1;
-        state.revision = copy.revision;
-        state.items = copy.items;
-        state.leases.clear();
-        state.history.retain(|c| c.revision <= copy.revision);
-        drop(state);
+        lock(&self.shared).restore(copy);
         self.shared.1.notify_all();
     }
 
+    /// Returns a function that ends the outage with a return from a copy, for use in another
+    /// thread. The operator and the endpoints write theirs again at once.
+    pub fn restorer(&self, copy: StoreCopy) -> impl FnOnce() + Send + 'static {
+        let shared = self.shared.clone();
+        move || {
+            let mut state = lock(&shared);
+            let is_theirs = |k: &str| k.starts_with("op/") || k.starts_with("servers/");
+            let mut lost: Vec<_> = state.items.values().cloned().collect();
+            lost.retain(|c| is_theirs(&c.key) && copy.items.get(&c.key) != Some(c));
+            state.restore(copy);
+            lost.into_iter().for_each(|c| state.write(&c.key, c.value, 0));
+            state.outage = None;
+            drop(state);
+            shared.1.notify_all();
+        }
+    }
+
     /// Returns the number of requests received, refused ones included.
     pub fn calls(&self) -> u64 {
         lock(&self.shared).calls
@@ -151,6 +162,14 @@
 }
 
 impl State {
+    fn restore(&mut self, copy: StoreCopy) {
+        self.era += 1;
+        self.revision = copy.revision;
+        self.items = copy.items;
+        self.leases.clear();
+        self.history.retain(|c| c.revision <= copy.revision);
+    }
+
     fn write(&mut self, key: &str, value: Option<String>, lease: u64) {
         self.revision += 1;
         let change = Change { key: key.to_owned(), value, revision: self.revision, lease };
--- a/standin/src/soak/checker.rs
+++ b/standin/src/soak/checker.rs
@@ -6,6 +6,12 @@
 
 /// Time within which a change of the configuration or of an endpoint must take effect.
 const MAX_CHANGE_DELAY: Duration = Duration::from_millis(2300);
+/// Time within which an instance stops using an endpoint that it knows to be leaving.
+const MAX_LEAVING_DELAY: Duration = Duration::from_millis(2000);
+/// Time after an endpoint has asked for a pause in which requests may still reach it.
+const PAUSE_SLACK: Duration = Duration::from_millis(500);
+/// Requests from one instance that may reach an endpoint during its pause.
+const MAX_PAUSED_ARRIVALS: usize = 2;
 /// Time before and after a fault within which limits on time are not checked.
 const FAULT_MARGIN: Duration = Duration::from_millis(3000);
 /// Share of requests that may be retried, and the number of retries allowed in addition.
@@ -27,6 +33,8 @@
 pub struct CallRecord {
     /// Id that the caller gave it.
     pub id: String,
+    /// Number of the gateway that it was sent to.
+    pub gateway: usize,
     /// Kind of the request, which decides the checks.
     pub kind: RequestKind,
     /// Version of the configuration whose API key it carried.
@@ -50,6 +58,8 @@
     pub at: Instant,
     /// Whether the endpoint ran it.
     pub ran: bool,
+    /// Pause that the endpoint asked for in its response.
+    pub pause: Option<Duration>,
     /// Whether it continued a generation from another endpoint.
     pub resumed: bool,
 }
@@ -63,6 +73,10 @@
     pub planned: Vec<(Instant, Instant)>,
     /// Endpoints that started draining, with the time.
     pub drained: Vec<(String, Instant)>,
+    /// Endpoints that state in their responses that they are leaving, with the time since when.
+    pub announced: Vec<(String, Instant)>,
+    /// Gateways that were stopped, paused or restarted, with the start and the end.
+    pub breaks: Vec<(usize, Instant, Instant)>,
     /// Versions of the configuration with their times; each replaces the API key.
     pub versions: Vec<(u64, Instant)>,
 }
@@ -73,6 +87,13 @@
         self.faults.iter().all(|(a, b)| *b + FAULT_MARGIN < from || *a > to + FAULT_MARGIN)
     }
 
+    /// Returns whether gateway `g` ran all the time and no fault overlaps the interval.
+    fn is_unbroken(&self, g: usize, from: Instant, to: Instant) -> bool {
+        let overlaps = |a: Instant, b: Instant| a < to && b > from;
+        self.breaks.iter().all(|(n, a, b)| *n != g || !overlaps(*a, *b))
+            && self.faults.iter().all(|(a, b)| !overlaps(*a, *b))
+    }
+
     /// Returns whether a planned stop or reload overlaps the interval.
     fn has_planned_work(&self, from: Instant, to: Instant) -> bool {
         self.planned.iter().any(|(a, b)| *a < to && *b > from)
@@ -120,6 +141,9 @@
         violations.push(Violation { promise: "asked", subject: (*id).to_owned(), observed });
     }
     violations.extend(check_drains(arrivals, history));
+    let by_call: HashMap<&str, &CallRecord> = calls.iter().map(|c| (c.id.as_str(), c)).collect();
+    violations.extend(check_announced(arrivals, &by_call, history));
+    violations.extend(check_pauses(arrivals, &by_call, history));
     violations.extend(check_retries(calls, &by_id));
     violations
 }
@@ -229,6 +253,63 @@
     violations
 }
 
+/// Checks that an instance which has passed on an answer of an endpoint that states that it is
+/// leaving sends it no request that a caller sent later.
+fn check_announced(
+    arrivals: &[Arrival],
+    calls: &HashMap<&str, &CallRecord>,
+    history: &History,
+) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (endpoint, since) in &history.announced {
+        let at_endpoint = arrivals.iter().filter(|a| a.endpoint == *endpoint && !a.resumed);
+        let known: Vec<(&Arrival, &CallRecord)> =
+            at_endpoint.filter_map(|a| Some((a, *calls.get(a.id.as_str())?))).collect();
+        for (a, c) in &known {
+            let is_later = |(b, d): &&(&Arrival, &CallRecord)| {
+                let is_passed_on = b.at > *since && d.reply.status == 200 && d.reply.complete;
+                d.gateway == c.gateway
+                    && is_passed_on
+                    && c.sent > d.done + MAX_LEAVING_DELAY
+                    && history.is_unbroken(c.gateway, d.done, a.at)
+            };
+            if let Some((_, d)) = known.iter().find(is_later) {
+                violations.push(Violation {
+                    promise: "announced",
+                    subject: c.id.clone(),
+                    observed: format!("reached {endpoint} {:?} after its notice", a.at - d.done),
+                });
+            }
+        }
+    }
+    violations
+}
+
+/// Checks that an instance sends an endpoint nothing during a pause that it asked for.
+fn check_pauses(
+    arrivals: &[Arrival],
+    calls: &HashMap<&str, &CallRecord>,
+    history: &History,
+) -> Vec<Violation> {
+    let gateway = |a: &Arrival| calls.get(a.id.as_str()).map(|c| c.gateway);
+    let mut violations = Vec::new();
+    for asked in arrivals {
+        let (Some(pause), Some(g)) = (asked.pause, gateway(asked)) else { continue };
+        let (from, to) = (asked.at + PAUSE_SLACK, asked.at + pause);
+        let during = arrivals.iter().filter(|a| {
+            let is_same = a.endpoint == asked.endpoint && gateway(a) == Some(g) && !a.resumed;
+            is_same && a.at > from && a.at < to
+        });
+        let count = during.count();
+        if count > MAX_PAUSED_ARRIVALS && history.is_unbroken(g, asked.at, to) {
+            let endpoint = &asked.endpoint;
+            let observed = format!("{count} requests reached {endpoint} in a pause of {pause:?}");
+            violations.push(Violation { promise: "pause", subject: asked.id.clone(), observed });
+        }
+    }
+    violations
+}
+
 /// Checks that retries stay within the budget.
 fn check_retries(calls: &[CallRecord], by_id: &HashMap<&str, Vec<&Arrival>>) -> Option<Violation> {
     let sends = |v: &Vec<&Arrival>| v.iter().filter(|a| !a.resumed).count();
--- a/standin/src/soak/cluster.rs
+++ b/standin/src/soak/cluster.rs
@@ -2,10 +2,10 @@
 
 use super::RunReport;
 use super::checker::{self, Arrival, CallRecord, History, RequestKind};
-use super::faults::{self, ENDPOINTS_PER_SERVICE, Fault, GATEWAY_COUNT};
+use super::faults::{self, Fault, Sizes};
 use crate::platform::{
-    Action, Endpoint, Gateway, Outage, Proxy, ProxyMode, Reply, Store, StreamEnd, try_send,
-    wait_until,
+    Action, Connection, Endpoint, Gateway, Outage, Proxy, ProxyMode, Reply, Store, StreamEnd,
+    try_send, wait_until,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -16,8 +16,8 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-/// Number of callers, each of which sends one request after the other.
-const CALLER_COUNT: usize = 6;
+/// Number of callers for each gateway, each of which sends one request after the other.
+const CALLERS_PER_GATEWAY: usize = 2;
 /// Number of events of each generation and the time between them.
 const STREAM_EVENTS: (u64, Duration) = (40, Duration::from_millis(25));
 /// Time that a gateway has to become ready or to stop.
@@ -33,6 +33,7 @@
 /// Store, gateways and endpoints of a run.
 pub struct Cluster {
     seed: u64,
+    sizes: Sizes,
     store: Store,
     gateways: Vec<Arc<Mutex<Gateway>>>,
     /// Proxies between the gateways and the store, in the order of the gateways.
@@ -80,14 +81,15 @@
 
 impl Cluster {
     /// Starts the processes and waits until all gateways are ready.
-    pub fn start(binary: &Path, seed: u64) -> Cluster {
+    pub fn start(binary: &Path, seed: u64, sizes: Sizes) -> Cluster {
         let store = Store::start();
         let store_links: Vec<Proxy> =
-            (0..GATEWAY_COUNT).map(|_| Proxy::start(store.address)).collect();
+            (0..sizes.gateways).map(|_| Proxy::start(store.address)).collect();
         let gateways =
             store_links.iter().map(|l| Arc::new(Mutex::new(Gateway::start(binary, l.address))));
         let mut cluster = Cluster {
             seed,
+            sizes,
             gateways: gateways.collect(),
             store_links,
             endpoints: Vec::new(),
@@ -99,9 +101,9 @@
             store,
         };
         cluster.publish_config();
-        for n in 0..2 * ENDPOINTS_PER_SERVICE {
+        for n in 0..2 * sizes.endpoints {
             let endpoint =
-                cluster.add_endpoint(if n < ENDPOINTS_PER_SERVICE { "plain" } else { "model" });
+                cluster.add_endpoint(if n < sizes.endpoints { "plain" } else { "model" });
             cluster.endpoints.push(endpoint);
         }
         for g in &cluster.gateways {
@@ -140,9 +142,10 @@
     /// Injects the faults of the seed under load for `length`, and checks the promises.
     pub fn run(mut self, length: Duration) -> RunReport {
         let stop = Arc::new(AtomicBool::new(false));
-        let callers: Vec<_> =
-            (0..CALLER_COUNT).map(|n| self.start_caller(n as u64, &stop)).collect();
-        let (start, faults) = (Instant::now(), faults::draw(self.seed, length));
+        let callers: Vec<_> = (0..CALLERS_PER_GATEWAY * self.sizes.gateways)
+            .map(|n| self.start_caller(n as u64, &stop))
+            .collect();
+        let (start, faults) = (Instant::now(), faults::draw(self.seed, length, self.sizes));
         for (at, fault) in &faults {
             std::thread::sleep((start + *at).saturating_duration_since(Instant::now()));
             self.inject(fault);
@@ -178,6 +181,7 @@
                 endpoint: endpoint.clone(),
                 at: r.at,
                 ran: r.ran,
+                pause: r.pause,
                 resumed: r.req.header("kv-from").is_some(),
             };
             e.endpoint.received().into_iter().map(arrival).collect::<Vec<_>>()
@@ -191,21 +195,30 @@
         lock(&self.history).faults.push((now, now + time));
     }
 
+    /// Records that gateway `g` is stopped, paused or restarted within `time` from now on.
+    fn record_break(&self, g: usize, time: Duration) {
+        let now = Instant::now();
+        lock(&self.history).breaks.push((g, now, now + time));
+    }
+
     /// Injects a fault, and records it for the checker.
     fn inject(&mut self, fault: &Fault) {
         match fault {
             Fault::Kill(g) => {
                 self.record_fault(Duration::from_millis(300));
+                self.record_break(*g, Duration::from_millis(300));
                 lock(&self.gateways[*g]).restart();
             }
             Fault::Pause(g, time) => {
                 self.record_fault(*time);
+                self.record_break(*g, *time);
                 lock(&self.gateways[*g]).signal(libc::SIGSTOP);
                 self.run_later(*time, |g| lock(g).signal(libc::SIGCONT), *g);
             }
             Fault::Stop(g) => {
                 let now = Instant::now();
                 lock(&self.history).planned.push((now, now + GATEWAY_TIMEOUT));
+                self.record_break(*g, GATEWAY_TIMEOUT);
                 lock(&self.gateways[*g]).signal(libc::SIGTERM);
                 let restart = |g: &Arc<Mutex<Gateway>>| {
                     wait_until(GATEWAY_TIMEOUT, || lock(g).wait_for_exit(0).is_some());
@@ -224,6 +237,20 @@
                 self.record_fault(Duration::ZERO);
                 self.store.compact();
             }
+            Fault::StoreReturn(time) => {
+                self.record_fault(*time + Duration::from_millis(2500));
+                let restore = self.store.restorer(self.store.copy());
+                self.store.set_outage(Some(Outage::Busy));
+                let time = *time;
+                self.fault_threads.push(std::thread::spawn(move || {
+                    std::thread::sleep(time);
+                    restore();
+                }));
+            }
+            Fault::Announce(e) => self.announce_leaving(*e),
+            Fault::AskPause(e, time) => {
+                self.endpoints[*e].endpoint.push_action(Action::Pause(*time));
+            }
             Fault::StoreLink(g, mode, time) => {
                 self.record_fault(*time);
                 self.store_links[*g].set_mode(*mode);
@@ -307,6 +334,16 @@
         self.replaced.push(old);
     }
 
+    /// Lets an endpoint state that it is leaving, which the list does not say, and adds another one
+    /// for its service.
+    fn announce_leaving(&mut self, e: usize) {
+        let new = self.add_endpoint(self.endpoints[e].service);
+        let old = std::mem::replace(&mut self.endpoints[e], new);
+        old.endpoint.set_headers("Server-Leaving: 1\r\n");
+        lock(&self.history).announced.push((old.endpoint.id.clone(), Instant::now()));
+        self.replaced.push(old);
+    }
+
     /// Starts caller `n`, which sends one request after the other until `stop` is set.
     fn start_caller(&self, n: u64, stop: &Arc<AtomicBool>) -> JoinHandle<Vec<CallRecord>> {
         let fronts: Vec<SocketAddr> = self.gateways.iter().map(|g| lock(g).front).collect();
@@ -315,13 +352,15 @@
         let seed = self.seed;
         std::thread::spawn(move || {
             let mut calls = Vec::new();
+            let mut open: Vec<Option<Connection>> = fronts.iter().map(|_| None).collect();
             while !stop.load(Ordering::SeqCst) {
                 let id = format!("{seed:x}x{n}x{:x}", calls.len());
-                let front = fronts[rng.random_range(0..fronts.len())];
+                let gateway = rng.random_range(0..fronts.len());
                 // Some requests carry the API key of the previous version.
                 let newest = version.load(Ordering::SeqCst);
                 let key = if rng.random_bool(0.2) { newest.max(2) - 1 } else { newest };
-                calls.push(send_request(front, id, key, &mut rng));
+                let target = Target { gateway, front: fronts[gateway], open: &mut open[gateway] };
+                calls.push(send_request(target, id, key, &mut rng));
                 std::thread::sleep(Duration::from_millis(rng.random_range(0..30)));
             }
             calls
@@ -336,8 +375,40 @@
     Action::CutStream(ends[rng.random_range(0..ends.len())], events, rng.random_range(1..64))
 }
 
+/// Gateway that a request is sent to.
+struct Target<'a> {
+    gateway: usize,
+    front: SocketAddr,
+    /// Connection of the caller that stays open between its requests.
+    open: &'a mut Option<Connection>,
+}
+
+impl Target<'_> {
+    /// Sends a request on the open connection, or else on a new one.
+    fn send(&mut self, bytes: &[u8]) -> std::io::Result<Connection> {
+        match self.open.take() {
+            Some(mut connection) => connection.write(bytes).map(|()| connection),
+            None => try_send(self.front, bytes),
+        }
+    }
+
+    /// Reads the response, and keeps the connection open if it allows that.
+    fn read(&mut self, mut connection: Connection) -> Reply {
+        let reply = connection.reply();
+        if reply.complete && reply.header("connection") != Some("close") {
+            *self.open = Some(connection);
+        }
+        reply
+    }
+}
+
 /// Sends a random request; some callers disconnect without reading the response.
-fn send_request(front: SocketAddr, id: String, version: u64, rng: &mut SmallRng) -> CallRecord {
+fn send_request(
+    mut target: Target<'_>,
+    id: String,
+    version: u64,
+    rng: &mut SmallRng,
+) -> CallRecord {
     let kind = match rng.random_range(0..4) {
         0 => RequestKind::Stream(STREAM_EVENTS.0),
         1 => RequestKind::Safe,
@@ -354,12 +425,13 @@
     );
     let sent = Instant::now();
     let disconnects = rng.random_bool(0.05);
-    let reply = match try_send(front, bytes.as_bytes()) {
+    let reply = match target.send(bytes.as_bytes()) {
         Ok(_) if disconnects => Reply::default(),
-        Ok(mut sent) => sent.reply(),
+        Ok(connection) => target.read(connection),
         Err(_) => Reply::default(),
     };
     // A response that the caller did not wait for must not count as interrupted.
     let reply = if disconnects { Reply { complete: true, status: 499, ..reply } } else { reply };
-    CallRecord { id, kind, version, sent, done: Instant::now(), reply }
+    let gateway = target.gateway;
+    CallRecord { id, gateway, kind, version, sent, done: Instant::now(), reply }
 }
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -5,14 +5,29 @@
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
 
-/// Number of gateways in a run.
-pub const GATEWAY_COUNT: usize = 3;
-/// Number of plain endpoints in a run, and of engines.
-pub const ENDPOINTS_PER_SERVICE: usize = 3;
+/// Number of processes and endpoints of a run.
+#[derive(Debug, Clone, Copy)]
+pub struct Sizes {
+    /// Number of gateways.
+    pub gateways: usize,
+    /// Number of plain endpoints, and of engines.
+    pub endpoints: usize,
+}
+
+impl Default for Sizes {
+    fn default() -> Self {
+        Sizes { gateways: 3, endpoints: 3 }
+    }
+}
+
 /// Seconds at the start and at the end of a run in which no fault begins.
 const FAULT_FREE_SECONDS: f64 = 1.0;
 /// Approximate mean time between two faults, in seconds.
 const MEAN_FAULT_INTERVAL_SECONDS: f64 = 0.55;
+/// The same for the faults that endpoints announce and returns of the store.
+const MEAN_NOTICE_INTERVAL_SECONDS: f64 = 1.2;
+/// Separates the draws of the two kinds, so that earlier seeds keep the faults that they had.
+const NOTICE_SEED: u64 = 0x6e6f_7469_6365;
 
 /// Fault or planned change.
 #[derive(Debug, Clone, PartialEq)]
@@ -31,6 +46,12 @@
     StoreSilent(Duration),
     /// The store discards its history.
     Compact,
+    /// The store refuses calls and comes back from a copy that was made when this began.
+    StoreReturn(Duration),
+    /// An endpoint states in its responses that it is leaving, and a new one is added.
+    Announce(usize),
+    /// An endpoint turns its next requests away and asks for a pause.
+    AskPause(usize, Duration),
     /// The connections from a gateway to the store are disturbed by a proxy.
     StoreLink(usize, ProxyMode, Duration),
     /// The connections to an endpoint are disturbed by a proxy.
@@ -44,21 +65,46 @@
 }
 
 /// Draws the faults of a run with their times since the start, in order of time.
-pub fn draw(seed: u64, length: Duration) -> Vec<(Duration, Fault)> {
+pub fn draw(seed: u64, length: Duration, sizes: Sizes) -> Vec<(Duration, Fault)> {
+    let faults =
+        draw_series(seed, length, MEAN_FAULT_INTERVAL_SECONDS, |rng| draw_fault(rng, sizes));
+    let notices = draw_series(seed ^ NOTICE_SEED, length, MEAN_NOTICE_INTERVAL_SECONDS, |rng| {
+        draw_notice(rng, sizes)
+    });
+    let mut all: Vec<_> = faults.into_iter().chain(notices).collect();
+    all.sort_by_key(|(at, _)| *at);
+    all
+}
+
+fn draw_series(
+    seed: u64,
+    length: Duration,
+    interval: f64,
+    draw: impl Fn(&mut SmallRng) -> Fault,
+) -> Vec<(Duration, Fault)> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut at = FAULT_FREE_SECONDS;
     let mut all = Vec::new();
     while at < length.as_secs_f64() - FAULT_FREE_SECONDS {
-        all.push((Duration::from_secs_f64(at), draw_fault(&mut rng)));
+        all.push((Duration::from_secs_f64(at), draw(&mut rng)));
         // Some faults begin at the same time, some soon after each other, some after a pause.
-        at += MEAN_FAULT_INTERVAL_SECONDS * [0.0, 0.3, 1.0, 2.5][rng.random_range(0..4)];
+        at += interval * [0.0, 0.3, 1.0, 2.5][rng.random_range(0..4)];
     }
     all
 }
 
-fn draw_fault(rng: &mut SmallRng) -> Fault {
-    let gateway = rng.random_range(0..GATEWAY_COUNT);
-    let endpoint = rng.random_range(0..2 * ENDPOINTS_PER_SERVICE);
+fn draw_notice(rng: &mut SmallRng, sizes: Sizes) -> Fault {
+    let endpoint = rng.random_range(0..2 * sizes.endpoints);
+    match rng.random_range(0..4) {
+        0 => Fault::StoreReturn(Duration::from_millis(rng.random_range(100..1200))),
+        1 => Fault::Announce(endpoint),
+        _ => Fault::AskPause(endpoint, Duration::from_millis(rng.random_range(600..2500))),
+    }
+}
+
+fn draw_fault(rng: &mut SmallRng, sizes: Sizes) -> Fault {
+    let gateway = rng.random_range(0..sizes.gateways);
+    let endpoint = rng.random_range(0..2 * sizes.endpoints);
     let time = Duration::from_millis(rng.random_range(200..1800));
     match rng.random_range(0..13) {
         0 => Fault::Kill(gateway),
--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -6,6 +6,7 @@
 pub mod faults;
 
 use checker::Violation;
+pub use faults::Sizes;
 use serde_json::json;
 use std::path::Path;
 use std::time::Duration;
@@ -47,6 +48,6 @@
 }
 
 /// Runs a seed under load for `length`.
-pub fn run(binary: &Path, seed: u64, length: Duration) -> RunReport {
-    cluster::Cluster::start(binary, seed).run(length)
+pub fn run(binary: &Path, seed: u64, length: Duration, sizes: Sizes) -> RunReport {
+    cluster::Cluster::start(binary, seed, sizes).run(length)
 }
--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -26,6 +26,7 @@
     let start = Instant::now();
     let called = |id: &str, kind, body: String| CallRecord {
         id: id.into(),
+        gateway: 0,
         kind,
         version: 1,
         sent: start + secs(10),
@@ -42,6 +43,7 @@
         endpoint: "i-1".into(),
         at: start + secs(10),
         ran: true,
+        pause: None,
         resumed,
     };
     let stream = events(&[("c.1", 1), ("c.1", 2), ("c.1", 3)]);
@@ -93,6 +95,16 @@
     run.calls[1].reply = Reply::default();
 })]
 #[case::request_to_drained_endpoint("drained", |run: &mut Run| { let t = run.start + secs(6); run.history.drained.push(("i-1".into(), t)); })]
+#[case::request_after_the_notice_of_leaving("announced", |run: &mut Run| {
+    run.history.announced.push(("i-1".into(), run.start));
+    run.calls[0].done = run.start + secs(1);
+    run.arrivals[0].at = run.start + secs(1);
+})]
+#[case::requests_during_a_pause("pause", |run: &mut Run| {
+    run.arrivals.iter_mut().for_each(|a| a.resumed = false);
+    run.arrivals[0].at = run.start + secs(9);
+    run.arrivals[0].pause = Some(secs(2));
+})]
 #[case::request_of_no_caller("asked", |run: &mut Run| run.arrivals[0].id = "zzz".into())]
 #[case::too_many_retries("budget", |run: &mut Run| (0..80).for_each(|_| { let arrival = run.arrivals[0].clone(); run.arrivals.push(arrival); }))]
 fn violation_of_promise_is_detected(#[case] promise: &str, #[case] corrupt: Corruption) {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -18,7 +18,7 @@
 #[case::cut_streams(800)]
 fn seeded_run_breaks_no_promise(#[case] seed: u64) {
     let binary = Path::new(env!("CARGO_BIN_EXE_skylarkthread"));
-    let report = soak::run(binary, seed, Duration::from_secs(6));
+    let report = soak::run(binary, seed, Duration::from_secs(6), soak::Sizes::default());
     println!("{}", report.to_json());
     assert!(report.requests > 50, "too few requests: {}", report.requests);
     assert_eq!(report.violations, []);
