Keep the name of a continued run in cut streams of the soak

Traced from the gateway's log: the generation had moved (711, moves=1), and the stand-in that continued it gave it the name of a new run, as its queued action to cut the stream did not look at Kv-From. An engine that continues from a copy goes on with the same run, so the gateway joined what belonged together. The stand-in now does so.

--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -55,8 +55,8 @@
     TruncatedStream(u64),
     /// Streams this many events and then these bytes, and ends the response in this way.
     EndingStream(StreamEnd, u64, &'static str),
-    /// Streams this many events that name their request and run, and then at most this many bytes
-    /// of the next, and ends the response in this way.
+    /// Streams events up to this index that name their request and run, and then at most this many
+    /// bytes of the next, and ends the response in this way. A continued run keeps its name.
     CutStream(StreamEnd, u64, usize),
     /// Sends bytes that never make up a response until the caller closes the connection.
     Endless(EndlessPart),
@@ -444,9 +444,11 @@
             end_stream(writer, &sealed_headers, end, &(events + rest))
         }
         Action::CutStream(end, n, bytes) => {
-            let tag = run_tag(&id);
-            let mut body: String = (1..=n).map(|ix| format_event(&tag, ix)).collect();
-            let next = format_event(&tag, n + 1);
+            let tag = continued.unwrap_or_else(|| run_tag(&id));
+            let end_ix = n.max(last);
+            let events = (last + 1..=end_ix).map(|ix| format_event(&tag, ix));
+            let mut body: String = events.collect();
+            let next = format_event(&tag, end_ix + 1);
             body.push_str(&next[..bytes.min(next.len() - 1)]);
             end_stream(writer, &sealed_headers, end, &body)
         }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -16,6 +16,8 @@
 #[case::silent_engine_link(609)]
 // Streams that an engine ended inside an event were passed on as complete.
 #[case::cut_streams(800)]
+// The stand-in of an engine gave a continued generation the name of a new run.
+#[case::cut_after_a_move(1017)]
 fn seeded_run_breaks_no_promise(#[case] seed: u64) {
     let binary = Path::new(env!("CARGO_BIN_EXE_skylarkthread"));
     let report = soak::run(binary, seed, Duration::from_secs(6), soak::Sizes::default());
