Move the streams of the platform's stand-in endpoint to a module of their own

No behaviour changes: the heads of streams are written in one place, and the actions that stream events in one function. The gateway and soak tests pass before and after.

--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -1,8 +1,8 @@
 //! Endpoint of the platform whose treatment of requests, valid or faulty, is set by tests.
 
+use super::stream::{self, Run, StreamEnd};
 use super::{Request, read_request};
 use crate::host::free_address;
-use socket2::SockRef;
 use std::collections::{HashMap, VecDeque};
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -62,19 +62,6 @@
     Endless(EndlessPart),
 }
 
-/// How the response that carries a stream ends.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum StreamEnd {
-    /// At the length given in its head.
-    Length,
-    /// With its last chunk.
-    Chunked,
-    /// With its connection; the head has neither a length nor chunks.
-    Close,
-    /// Like `Close`, but the connection is reset.
-    Reset,
-}
-
 /// Part of a response that does not end.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum EndlessPart {
@@ -168,15 +155,6 @@
     down_until: Mutex<Option<Instant>>,
 }
 
-/// Run of a generation, which may continue on another endpoint.
-#[derive(Debug)]
-struct Run {
-    /// Name of the run in its events, and handle of its memory.
-    tag: String,
-    /// Set by the last copy of the memory; the stream then breaks off before its end.
-    stopped: AtomicBool,
-}
-
 /// Running endpoint.
 #[derive(Debug)]
 pub struct Endpoint {
@@ -334,7 +312,7 @@
         return respond(writer, "", 503, "{}");
     }
     if body["last"] == true {
-        run.stopped.store(true, Ordering::SeqCst);
+        run.stop();
         std::thread::sleep(Duration::from_millis(20));
     } else {
         let time = *state.copy_time.lock().ok()?;
@@ -415,22 +393,6 @@
             None
         }
         Action::EchoId => respond(writer, &sealed_headers, 200, &id),
-        Action::Stream(n, interval) => {
-            let run = start_run(state, &id, continued.unwrap_or("token".into()))?;
-            let mut events = EventWriter::start(writer, &sealed_headers, StreamEnd::Chunked)?;
-            finish_run(state, &id, events.write(&run, last..n, interval, &closed))
-        }
-        Action::UnframedStream(n, interval) => {
-            let run = start_run(state, &id, continued.unwrap_or("token".into()))?;
-            let mut events = EventWriter::start(writer, &sealed_headers, StreamEnd::Close)?;
-            finish_run(state, &id, events.write(&run, last..n, interval, &closed))
-        }
-        Action::TaggedStream(n, interval) => {
-            let tag = continued.unwrap_or_else(|| run_tag(&id));
-            let run = start_run(state, &id, tag)?;
-            let mut events = EventWriter::start(writer, &sealed_headers, StreamEnd::Chunked)?;
-            finish_run(state, &id, events.write(&run, last..n, interval, &closed))
-        }
         Action::Endless(part) => {
             let (start, repeated) = part.bytes(&sealed_headers);
             writer.write_all(start.as_bytes()).ok()?;
@@ -439,60 +401,64 @@
             closed.store(true, Ordering::SeqCst);
             None
         }
-        Action::EndingStream(end, n, rest) => {
-            let events: String = (1..=n).map(|ix| format_event("token", ix)).collect();
-            end_stream(writer, &sealed_headers, end, &(events + rest))
-        }
-        Action::CutStream(end, n, bytes) => {
-            let tag = continued.unwrap_or_else(|| run_tag(&id));
-            let end_ix = n.max(last);
-            let events = (last + 1..=end_ix).map(|ix| format_event(&tag, ix));
-            let mut body: String = events.collect();
-            let next = format_event(&tag, end_ix + 1);
-            body.push_str(&next[..bytes.min(next.len() - 1)]);
-            end_stream(writer, &sealed_headers, end, &body)
-        }
-        Action::TruncatedStream(n) => {
-            write_stream_head(writer, &sealed_headers)?;
-            (1..=n).try_for_each(|ix| write_chunk(writer, &format_event("token", ix)))?;
-            write_chunk(writer, "id: 99\ndata: to")?;
-            None
+        _ => {
+            let stream = StreamRequest { id: &id, continued, last, headers: &sealed_headers };
+            perform_stream(state, action, &stream, writer, &closed)
         }
     }
 }
 
-/// Time between the last bytes of a response and the reset of its connection, which would discard
-/// them at the receiver.
-const RESET_DELAY: Duration = Duration::from_millis(100);
+/// What a request for a generation asks for.
+struct StreamRequest<'a> {
+    id: &'a str,
+    /// Name of the run that it continues.
+    continued: Option<String>,
+    /// Last event that the caller has.
+    last: u64,
+    /// Headers of the response.
+    headers: &'a str,
+}
 
-/// Writes a stream in one part and ends its response and connection; `None` closes it in order.
-fn end_stream(
+/// Performs an action that streams events; `None` closes the connection.
+fn perform_stream(
+    state: &State,
+    action: Action,
+    request: &StreamRequest<'_>,
     writer: &mut TcpStream,
-    sealed_headers: &str,
-    end: StreamEnd,
-    body: &str,
+    closed: &AtomicBool,
 ) -> Option<()> {
-    let framing = match end {
-        StreamEnd::Length => format!("Content-Length: {}\r\n", body.len()),
-        StreamEnd::Chunked => "Transfer-Encoding: chunked\r\n".to_owned(),
-        StreamEnd::Close | StreamEnd::Reset => "Connection: close\r\n".to_owned(),
+    let (id, last, headers) = (request.id, request.last, request.headers);
+    let continued = request.continued.clone();
+    let (tag, end, n, interval) = match action {
+        Action::Stream(n, interval) => ("token".into(), StreamEnd::Chunked, n, interval),
+        Action::UnframedStream(n, interval) => ("token".into(), StreamEnd::Close, n, interval),
+        Action::TaggedStream(n, interval) => (stream::run_tag(id), StreamEnd::Chunked, n, interval),
+        Action::EndingStream(end, n, rest) => {
+            return stream::end_stream(
+                writer,
+                headers,
+                end,
+                &(stream::events("token", 0..n) + rest),
+            );
+        }
+        Action::CutStream(end, n, bytes) => {
+            let tag = continued.unwrap_or_else(|| stream::run_tag(id));
+            let n = n.max(last);
+            let next = stream::events(&tag, n..n + 1);
+            let cut = &next[..bytes.min(next.len() - 1)];
+            return stream::end_stream(
+                writer,
+                headers,
+                end,
+                &(stream::events(&tag, last..n) + cut),
+            );
+        }
+        Action::TruncatedStream(n) => return stream::truncate_stream(writer, headers, n),
+        _ => return None,
     };
-    let kind = "Content-Type: text/event-stream\r\n";
-    let head = format!("HTTP/1.1 200 X\r\n{sealed_headers}{kind}{framing}\r\n");
-    writer.write_all(head.as_bytes()).ok()?;
-    if end == StreamEnd::Chunked {
-        write_chunk(writer, body)?;
-        writer.write_all(b"0\r\n\r\n").ok()?;
-    } else {
-        writer.write_all(body.as_bytes()).ok()?;
-    }
-    if end == StreamEnd::Reset {
-        std::thread::sleep(RESET_DELAY);
-        SockRef::from(&*writer).set_linger(Some(Duration::ZERO)).ok()?;
-        // Ends the loop over requests; the last close then sends the reset.
-        return writer.shutdown(Shutdown::Read).ok();
-    }
-    None
+    let run = start_run(state, id, continued.unwrap_or(tag))?;
+    let result = stream::write_events(writer, headers, end, &run, last..n, interval, closed);
+    finish_run(state, id, result)
 }
 
 fn wait_for_close(writer: &mut TcpStream, closed: &AtomicBool) -> Option<()> {
@@ -502,22 +468,8 @@
     None
 }
 
-fn write_stream_head(writer: &mut TcpStream, sealed_headers: &str) -> Option<()> {
-    let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
-    writer.write_all(format!("HTTP/1.1 200 X\r\n{sealed_headers}{kind}\r\n").as_bytes()).ok()
-}
-
-/// Returns a name for a run of the request `id`.
-fn run_tag(id: &str) -> String {
-    format!("{id}.{:08x}", rand::random::<u32>())
-}
-
-fn format_event(tag: &str, ix: u64) -> String {
-    format!("id: {ix}\ndata: {tag}-{ix}\n\n")
-}
-
 fn start_run(state: &State, id: &str, tag: String) -> Option<Arc<Run>> {
-    let run = Arc::new(Run { tag, stopped: AtomicBool::new(false) });
+    let run = Arc::new(Run::new(tag));
     state.runs.lock().ok()?.insert(id.to_owned(), run.clone());
     Some(run)
 }
@@ -526,57 +478,3 @@
     state.runs.lock().ok()?.remove(id);
     result
 }
-
-fn write_chunk(writer: &mut TcpStream, text: &str) -> Option<()> {
-    writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).ok()
-}
-
-/// Writes the events of a run into a response.
-struct EventWriter<'a> {
-    writer: &'a mut TcpStream,
-    end: StreamEnd,
-}
-
-impl<'a> EventWriter<'a> {
-    /// Writes the head of the response.
-    fn start(writer: &'a mut TcpStream, sealed_headers: &str, end: StreamEnd) -> Option<Self> {
-        let framing = match end {
-            StreamEnd::Chunked => "Transfer-Encoding: chunked\r\n",
-            _ => "Connection: close\r\n",
-        };
-        let kind = "Content-Type: text/event-stream\r\n";
-        let head = format!("HTTP/1.1 200 X\r\n{sealed_headers}{kind}{framing}\r\n");
-        writer.write_all(head.as_bytes()).ok()?;
-        Some(EventWriter { writer, end })
-    }
-
-    /// Writes the events after the start of the range, up to its end, and ends the response;
-    /// `None` closes the connection.
-    fn write(
-        &mut self,
-        run: &Run,
-        range: std::ops::Range<u64>,
-        interval: Duration,
-        closed: &AtomicBool,
-    ) -> Option<()> {
-        for ix in range.start + 1..=range.end {
-            if run.stopped.load(Ordering::SeqCst) {
-                return None;
-            }
-            let event = format_event(&run.tag, ix);
-            let sent = match self.end {
-                StreamEnd::Chunked => write_chunk(self.writer, &event),
-                _ => self.writer.write_all(event.as_bytes()).ok(),
-            };
-            if sent.is_none() {
-                closed.store(true, Ordering::SeqCst);
-                return None;
-            }
-            std::thread::sleep(interval);
-        }
-        match self.end {
-            StreamEnd::Chunked => self.writer.write_all(b"0\r\n\r\n").ok(),
-            _ => None,
-        }
-    }
-}
--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -7,12 +7,14 @@
 mod gateway;
 mod proxy;
 mod store;
+mod stream;
 
 pub use caller::{Connection, Reply, send, try_send};
-pub use endpoint::{Action, EndlessPart, Endpoint, ReceivedRequest, StreamEnd};
+pub use endpoint::{Action, EndlessPart, Endpoint, ReceivedRequest};
 pub use gateway::{Gateway, wait_until};
 pub use proxy::{Proxy, ProxyMode};
 pub use store::{Outage, Store, StoreCopy};
+pub use stream::StreamEnd;
 
 use std::io::{BufRead, BufReader, Read};
 use std::net::TcpStream;
