Describe pauses of endpoints in one term

Found in the last read of the change: comments, an event's description and a refusal said in turn that endpoints "want no requests", and one comment spoke of a wave. They say paused now. admit::decide states the load that its refusals answer. Only comments and the text of one refusal change; no behaviour.

--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -120,6 +120,7 @@
     if let Some(key) = balance::choose_where(now, pool, &request.need, tried, rng, has_capacity) {
         return Decision::Send(key);
     }
+    // Answers the load that is left when all engines leave or are paused: callers learn it at once.
     let own_prefill = rate.prefill_time(request.need.work.unread);
     let earliest = match pool.availability(request.need.service) {
         Availability::Now => Some(now),
@@ -260,12 +261,11 @@
     sum
 }
 
-/// Returns how long a plain request waits for endpoints that all want no requests until `end`;
-/// `None` if it could not be answered by its deadline then, which takes up to `target`.
+/// Returns how long a plain request waits for endpoints that are all paused until `end`; `None` if it could not be answered by its deadline then, which takes up to `target`.
 ///
 /// Answers the load of a service whose endpoints all ask for a pause. Requests that can wait keep
-/// their order: each follows the `ahead` ones before it at a distance, so that the end of the pause
-/// brings no wave. The others are refused at once, since another instance may serve them.
+/// their order: each follows the `ahead` ones before it at a distance, so that they do not all
+/// arrive when the pause ends. The others are refused at once, since another instance may serve them.
 pub fn pause_wait(
     now: Instant,
     end: Instant,
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -86,7 +86,7 @@
     Ejected = 310,
     /// An ejected endpoint is used again on trial.
     Readmitted = 311,
-    /// An endpoint turned a request away and wants no others for a while.
+    /// An endpoint turned a request away and asked for a pause.
     Paused = 312,
     /// The content of a request is suspected of having crashed an endpoint.
     Suspected = 320,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -54,8 +54,7 @@
     Unsealed,
     /// The endpoint responded with a server error.
     Failed,
-    /// The endpoint responded that it wants no requests for a while, but not that it did not run
-    /// this one.
+    /// The endpoint asked for a pause, but did not state that it has not run this request.
     Overloaded,
 }
 
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -221,12 +221,12 @@
         super::jitter(DEFAULT_RETRY_AFTER).min(max)
     }
 
-    /// Builds a refusal for a request whose endpoints all want no requests until `end`. Another
+    /// Builds a refusal for a request whose endpoints are all paused until `end`. Another
     /// instance may serve it before, so the delay is limited like that of other refusals.
     pub fn pause_refusal(&self, now: Instant, end: Instant) -> Problem {
         let left = end.saturating_duration_since(now);
         let detail =
-            format!("all endpoints of the service want no requests for {} ms", left.as_millis());
+            format!("all endpoints of the service are paused for another {} ms", left.as_millis());
         let max = self.time_left(now) / RETRY_AFTER_DIVISOR;
         let kind = ProblemKind::Refused(Refusal::Busy);
         Problem::new(kind, detail).retry_after(super::jitter(left).min(max))
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -207,7 +207,7 @@
     pub load: Option<Load>,
     /// Whether the endpoint states that it is leaving.
     pub leaving: bool,
-    /// Time for which an endpoint that turned the request away wants no others.
+    /// Pause that an endpoint asks for after it turned the request away.
     pub pause: Option<Duration>,
 }
 
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -391,7 +391,7 @@
         }
     }
 
-    /// Records that an endpoint wants no requests for a time. Of several such times, the latest end
+    /// Records that an endpoint asked for a pause. Of several pauses, the latest end
     /// counts. It is neither a failure nor a departure. Returns whether it was not paused before.
     pub fn pause(&mut self, now: Instant, key: PoolKey, time: Duration) -> bool {
         let Some(e) = self.endpoints.get_mut(key) else { return false };
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -133,7 +133,7 @@
     }
 
     /// Returns a function that ends the outage with a return from a copy, for use in another
-    /// thread. The operator and the endpoints write theirs again at once.
+    /// thread. The operator and the endpoints write their keys again at once.
     pub fn restorer(&self, copy: StoreCopy) -> impl FnOnce() + Send + 'static {
         let shared = self.shared.clone();
         move || {
--- a/tests/gateway/notices.rs
+++ b/tests/gateway/notices.rs
@@ -1,5 +1,5 @@
-//! What endpoints state of themselves in their responses: that they are leaving, or want no
-//! requests for a while.
+//! What endpoints state of themselves in their responses: that they are leaving, or ask for
+//! a pause.
 
 use crate::common::{
     expected_events, list_endpoint, send_request, start_gateway, start_platform, start_stream,
