Reset the connection of an HTTP/1.0 caller whose stream is broken off

The same class, found on the caller's side: a stream to an HTTP/1.0 caller was sent in chunks, which that version does not have, so it took chunk lines for content, and the end of the connection, also of a stream broken off or of a killed instance, for the end of the answer. Cause: the encoder was left to choose chunks for a body of unknown length, and the connection is closed in order whatever became of the response. Now such a body is sent without chunks, and from its head to its end the socket resets on close.

Three tests failed before and pass now: a stream that ends is whole, one broken off and one of a killed instance are not.

--- a/src/h1/inbound.rs
+++ b/src/h1/inbound.rs
@@ -5,9 +5,10 @@
 use actix_http::error::ParseError;
 use actix_http::h1::{Codec, Message};
 use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use actix_http::{ConnectionType, HttpMessage, Request, Response, ServiceConfig};
+use actix_http::{ConnectionType, HttpMessage, Request, Response, ServiceConfig, Version};
 use actix_rt::net::TcpStream;
 use bytes::{Bytes, BytesMut};
+use socket2::SockRef;
 use std::time::Duration;
 use tokio::io::{AsyncWriteExt, Interest};
 use tokio::time::timeout;
@@ -71,6 +72,10 @@
     buf: BytesMut,
     /// Encoded bytes that are not sent yet.
     out: BytesMut,
+    /// HTTP version of the latest request.
+    version: Version,
+    /// Whether the end of the connection marks the end of the response.
+    is_unframed: bool,
 }
 
 impl Inbound {
@@ -78,7 +83,14 @@
     pub fn new(io: TcpStream, config: &ServiceConfig) -> Self {
         set_socket_options(&io);
         let codec = Codec::new(config.clone());
-        Inbound { io, codec, buf: BytesMut::new(), out: BytesMut::new() }
+        Inbound {
+            io,
+            codec,
+            buf: BytesMut::new(),
+            out: BytesMut::new(),
+            version: Version::HTTP_11,
+            is_unframed: false,
+        }
     }
 
     /// Waits until the first bytes of a request have arrived.
@@ -109,6 +121,7 @@
             Ok(done) => done?,
             Err(_) => return Err(ReadError::Slow),
         };
+        self.version = req.version();
         // Servers differ in which of the two headers they use for the length of the body, which
         // would allow request smuggling.
         let headers = req.headers();
@@ -202,10 +215,11 @@
 
     /// Returns whether the connection stays open after the last response.
     pub fn is_keep_alive(&self) -> bool {
-        self.codec.keep_alive()
+        self.codec.keep_alive() && !self.is_unframed
     }
 
-    /// Sends the head of a response whose body follows in chunks.
+    /// Sends the head of a response whose body follows in chunks. HTTP/1.0 has no chunks, so the
+    /// end of the connection then marks the end of the body.
     ///
     /// # Errors
     ///
@@ -226,7 +240,14 @@
         size: BodySize,
         close: bool,
     ) -> std::io::Result<()> {
-        if close {
+        self.is_unframed = size == BodySize::Stream && self.version < Version::HTTP_11;
+        if self.is_unframed {
+            // A close in order, also that of a process that is killed, would mark the response as
+            // complete.
+            SockRef::from(&self.io).set_linger(Some(Duration::ZERO))?;
+            head.head_mut().no_chunking(true);
+        }
+        if close || self.is_unframed {
             head.head_mut().set_connection_type(ConnectionType::Close);
         }
         self.codec.encode(Message::Item((head, size)), &mut self.out)
@@ -267,7 +288,11 @@
     /// Returns an error if the caller has disconnected or does not read.
     pub async fn finish_body(&mut self) -> std::io::Result<()> {
         self.codec.encode(Message::Chunk(None), &mut self.out)?;
-        self.flush().await
+        self.flush().await?;
+        if self.is_unframed {
+            SockRef::from(&self.io).set_linger(None)?;
+        }
+        Ok(())
     }
 
     async fn flush(&mut self) -> std::io::Result<()> {
--- a/standin/src/platform/caller.rs
+++ b/standin/src/platform/caller.rs
@@ -88,6 +88,14 @@
         }
     }
 
+    /// Reads until the connection ends. Returns what was received, and whether the connection was
+    /// closed in order rather than reset.
+    pub fn read_to_end(&mut self) -> (String, bool) {
+        let mut received = Vec::new();
+        let is_closed = self.reader.read_to_end(&mut received).is_ok();
+        (String::from_utf8_lossy(&received).into_owned(), is_closed)
+    }
+
     /// Returns whether the instance closes the connection within `timeout`.
     pub fn is_closed(&mut self, timeout: Duration) -> bool {
         let io = self.reader.get_mut();
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -44,6 +44,59 @@
     assert_eq!(e.run_count(), 1);
 }
 
+#[rstest]
+#[case::close(StreamEnd::Close)]
+#[case::chunked(StreamEnd::Chunked)]
+#[case::length(StreamEnd::Length)]
+fn stream_cut_at_any_byte_of_an_event_does_not_look_complete(#[case] end: StreamEnd) {
+    const EVENT: &str = ": comment\nid: 4\r\ndata: token-4\r\n\r\n";
+    let e = Endpoint::start("i-1", Action::Hang);
+    let (_store, gateway) = start_platform(&[(&e, "model")]);
+    let first_field = EVENT.find("id").expect("the event has an id");
+    for cut in (1..EVENT.len()).filter(|n| *n != first_field) {
+        e.push_action(Action::EndingStream(end, 3, &EVENT[..cut]));
+        let reply = start_stream(&gateway, &format!("id-{cut}")).reply();
+        assert_eq!((reply.status, reply.complete), (200, false), "cut after {cut} bytes");
+        assert_eq!(reply.body, expected_events(3), "cut after {cut} bytes");
+    }
+}
+
+/// Sends a request for a generation in HTTP/1.0, whose response ends with its connection.
+fn start_http_1_0_stream(gateway: &standin::platform::Gateway) -> standin::platform::Connection {
+    let extra = "X-Model: m\r\nX-Token-Counts: 100,500\r\n";
+    let request = crate::common::request_bytes("POST", "/stream/x", "id-1", extra, "prompt");
+    let text = String::from_utf8(request).expect("the request is text");
+    standin::platform::send(gateway.front, text.replace("HTTP/1.1", "HTTP/1.0").as_bytes())
+}
+
+#[test]
+fn stream_to_an_http_1_0_caller_that_is_broken_off_does_not_look_complete() {
+    let e = Endpoint::start("i-1", Action::TruncatedStream(3));
+    let (_store, gateway) = start_platform(&[(&e, "model")]);
+    let (response, is_complete) = start_http_1_0_stream(&gateway).read_to_end();
+    assert_eq!((is_complete, e.run_count()), (false, 1), "{response}");
+}
+
+#[test]
+fn stream_to_an_http_1_0_caller_does_not_look_complete_when_its_instance_is_killed() {
+    let e = Endpoint::start("i-1", Action::Stream(80, EVENT_INTERVAL));
+    let (_store, gateway) = start_platform(&[(&e, "model")]);
+    let mut connection = start_http_1_0_stream(&gateway);
+    assert!(wait_for(5, || e.run_count() == 1));
+    std::thread::sleep(3 * EVENT_INTERVAL);
+    drop(gateway);
+    let (response, is_complete) = connection.read_to_end();
+    assert!(!is_complete, "{response}");
+}
+
+#[test]
+fn stream_to_an_http_1_0_caller_that_ends_is_complete() {
+    let e = Endpoint::start("i-1", Action::Stream(3, EVENT_INTERVAL));
+    let (_store, gateway) = start_platform(&[(&e, "model")]);
+    let (response, is_complete) = start_http_1_0_stream(&gateway).read_to_end();
+    assert!(is_complete && response.ends_with(&expected_events(3)), "{response}");
+}
+
 #[test]
 fn stream_without_framing_that_ends_after_an_event_is_complete() {
     let e = Endpoint::start("i-1", Action::EndingStream(StreamEnd::Close, 3, ": done\n"));
