--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -86,7 +86,7 @@
             Decision::Refuse(after) => {
                 let queue_len = gw.queue.borrow().len(&job.service);
                 let waited = now.saturating_duration_since(job.received).as_millis();
-                let (shortage, size) = (job.shortage(gw, now), job.size_suffix());
+                let (shortage, size) = (job.shortage(gw, now), job.prompt_suffix());
                 let detail = format!(
                     "no engine can admit the generation in time: waited_ms={waited} \
                     line={queue_len} {shortage}{size}"
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -7,7 +7,7 @@
 use crate::frame::Refusal;
 use crate::gossip::Work;
 use crate::h1::Inbound;
-use crate::id::{DataCentre, RequestId, ServiceName, Tokens};
+use crate::id::{DataCentre, PartId, RequestId, ServiceName, Tokens};
 use crate::platform::{self, ForwardParams, RequestInfo};
 use crate::pool::PoolKey;
 use crate::problem::{Problem, ProblemKind};
@@ -115,10 +115,15 @@
         Tokens(output.min(tokens.max_output.0))
     }
 
-    /// Returns the token counts of a generation for a log line, with a leading space; empty for
-    /// plain requests.
-    pub fn size_suffix(&self) -> String {
-        self.meta.tokens.map_or_else(String::new, |t| format!(" {t}"))
+    /// Returns the token counts and the shared parts of a generation for a log line, with a leading
+    /// space; empty for plain requests.
+    pub fn prompt_suffix(&self) -> String {
+        /// Most parts in one line.
+        const MAX_LOGGED_PARTS: usize = 8;
+        let Some(tokens) = self.meta.tokens else { return String::new() };
+        let parts = self.meta.shared_parts.iter().take(MAX_LOGGED_PARTS);
+        let parts: Vec<String> = parts.map(PartId::to_string).collect();
+        format!(" {tokens} parts={}", parts.join(","))
     }
 
     /// Returns the load that the request is expected to put on an endpoint.
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -56,12 +56,14 @@
     });
     // A leaving endpoint drops its requests without having crashed.
     let Some((address, incarnation, false)) = found else { return };
-    actix_rt::spawn(check_endpoint(gw.clone(), fingerprint(job), address, incarnation));
+    let parts = job.prompt_suffix();
+    actix_rt::spawn(check_endpoint(gw.clone(), fingerprint(job), parts, address, incarnation));
 }
 
 async fn check_endpoint(
     gw: Rc<Gateway>,
     content: Fingerprint,
+    prompt: String,
     address: SocketAddr,
     crashed: Incarnation,
 ) {
@@ -74,7 +76,7 @@
         gw.event(
             Kind::Suspected,
             content,
-            format_args!("endpoint={address} standing={standing:?}"),
+            format_args!("endpoint={address} standing={standing:?}{prompt}"),
         );
     }
     peers::send_suspects(&gw, gw.quarantine.borrow().gossip());
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -284,7 +284,7 @@
     fn engine_detail(&self) -> String {
         let response = &self.segment.response;
         let (endpoint, framing) = (&response.endpoint, response.out.framing());
-        format!("endpoint={endpoint} framing={framing}{}", self.job.size_suffix())
+        format!("endpoint={endpoint} framing={framing}{}", self.job.prompt_suffix())
     }
 
     fn record_completed(&self) {
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -224,6 +224,18 @@
     /// Hash of the content of a request, independent of its idempotency key.
     Fingerprint
 }
+hex_id! {
+    /// Identifies a part of a prompt that several requests may share.
+    PartId
+}
+
+impl PartId {
+    /// Returns the part with this name: the number that it spells in hexadecimal, or the hash of
+    /// any other text.
+    pub fn of(name: &str) -> Self {
+        name.parse().unwrap_or_else(|_| PartId(Fingerprint::of(&[name.as_bytes()]).0))
+    }
+}
 
 impl Fingerprint {
     /// Hashes the parts of a request that determine what an endpoint computes.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,7 +1,7 @@
 //! Headers of requests and responses.
 
 use super::engine::Handoff;
-use crate::id::{EndpointId, RequestId, Tokens};
+use crate::id::{EndpointId, PartId, RequestId, Tokens};
 use crate::pool::Load;
 use crate::route::KeyOwner;
 use crate::sse::EventId;
@@ -10,6 +10,7 @@
 };
 use actix_http::{HttpMessage, Request, RequestHead, Response, ResponseHead, StatusCode};
 use std::fmt::{self, Display};
+use std::rc::Rc;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 const LEAVING: &str = "server-leaving";
 const TOKEN_COUNTS: &str = "x-token-counts";
 const LENGTH_HINT: &str = "x-length-hint";
+const PROMPT_PARTS: &str = "x-prompt-prefix";
 const LAST_EVENT: &str = "last-event-id";
 const RESUME_FROM: &str = "kv-from";
 
@@ -87,6 +89,8 @@
     pub timeout: Option<Duration>,
     /// Sizes of the generation; `None` for other requests.
     pub tokens: Option<TokenCounts>,
+    /// Parts of the prompt that other requests may share: all but the last.
+    pub shared_parts: Rc<[PartId]>,
 }
 
 fn find<'h>(headers: &'h HeaderMap, name: &str) -> Option<&'h str> {
@@ -113,9 +117,19 @@
         timeout: ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok()),
         tokens: find(headers, TOKEN_COUNTS)
             .and_then(|v| parse_counts(v, parse(headers, LENGTH_HINT))),
+        shared_parts: find(headers, PROMPT_PARTS).map_or_else(Rc::default, parse_shared_parts),
     }
 }
 
+/// Parses `id:tokens` entries separated by commas, and leaves out the last, which belongs to the
+/// request itself.
+fn parse_shared_parts(s: &str) -> Rc<[PartId]> {
+    let names = s.split(',').map(|p| p.split_once(':').map_or(p, |(name, _)| name).trim());
+    let mut parts: Vec<PartId> = names.map(PartId::of).collect();
+    parts.pop();
+    parts.into()
+}
+
 /// Parses `input,max_output`, both in tokens.
 fn parse_counts(counts: &str, hint: Option<f64>) -> Option<TokenCounts> {
     let (input, max_output) = counts.split_once(',')?;
