Add failing tests of prompt parts that crash engines

Stand-in engines crash when they begin to answer a request with one part in its prompt, break off all their responses and close new connections at once.

--- a/standin/src/caller/mod.rs
+++ b/standin/src/caller/mod.rs
@@ -126,6 +126,27 @@
         self.read_response(req.send_json(&body).await).await
     }
 
+    /// Requests a generation for a conversation of messages; returns once the response has begun.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RequestError`] if the entry refuses or does not answer.
+    pub async fn open_chat(
+        &self,
+        entry: SocketAddr,
+        service: &str,
+        messages: &[&str],
+        limit: u32,
+    ) -> Result<TokenStream, RequestError> {
+        let messages: Vec<Value> =
+            messages.iter().map(|m| json!({ "role": "user", "content": m })).collect();
+        let body = json!({
+            "model": service, "messages": messages, "max_tokens": limit, "stream": true
+        });
+        let req = self.request("POST", &format!("http://{entry}/v1/chat/completions"));
+        self.read_response(req.send_json(&body).await).await
+    }
+
     /// Resumes a generation after the last token of `previous`, through any entry. The new stream
     /// starts with the tokens of `previous`.
     ///
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -153,6 +153,33 @@
     extra_headers: Mutex<String>,
     /// Time until which new connections are closed at once.
     down_until: Mutex<Option<Instant>>,
+    /// Part of a prompt that crashes the endpoint, and how long it is down then.
+    crash_part: Mutex<Option<(String, Duration)>>,
+    /// Connections accepted since the last crash.
+    connections: Mutex<Vec<TcpStream>>,
+}
+
+/// Time from the head of a response to the crash of an endpoint by a part of the prompt.
+const CRASH_DELAY: Duration = Duration::from_millis(60);
+
+impl State {
+    /// Breaks off all responses, and closes new connections at once for this time.
+    fn crash(&self, down: Duration) -> Option<()> {
+        *self.down_until.lock().ok()? = Some(Instant::now() + down);
+        for io in self.connections.lock().ok()?.drain(..) {
+            // A connection that has ended is closed already.
+            let _ = io.shutdown(Shutdown::Both);
+        }
+        None
+    }
+
+    /// Returns how long the endpoint is down after it has begun to answer the request; `None` if
+    /// the request does not crash it.
+    fn crash_time(&self, req: &Request) -> Option<Duration> {
+        let (part, down) = self.crash_part.lock().ok()?.clone()?;
+        let mut parts = req.header("x-prompt-prefix")?.split(',');
+        parts.any(|p| p.split(':').next() == Some(&part)).then_some(down)
+    }
 }
 
 /// Running endpoint.
@@ -182,6 +209,8 @@
             draining_reports: AtomicU32::new(0),
             extra_headers: Mutex::default(),
             down_until: Mutex::default(),
+            crash_part: Mutex::default(),
+            connections: Mutex::default(),
         });
         let serving = state.clone();
         std::thread::spawn(move || {
@@ -189,6 +218,9 @@
                 let state = serving.clone();
                 let down_until = *state.down_until.lock().expect("no holder panics");
                 if down_until.is_none_or(|t| t < Instant::now()) {
+                    if let Ok(io) = io.try_clone() {
+                        state.connections.lock().expect("no holder panics").push(io);
+                    }
                     std::thread::spawn(move || serve(&state, io));
                 }
             }
@@ -211,6 +243,18 @@
         *self.state.extra_headers.lock().expect("no holder panics") = headers.to_owned();
     }
 
+    /// Crashes, for this time, whenever the endpoint begins to answer a request whose prompt has
+    /// this part.
+    pub fn crash_on_part(&self, part: &str, down: Duration) {
+        let crash = Some((part.to_owned(), down));
+        *self.state.crash_part.lock().expect("no holder panics") = crash;
+    }
+
+    /// Crashes: breaks off all responses, and closes new connections at once for this time.
+    pub fn crash(&self, down: Duration) {
+        self.state.crash(down);
+    }
+
     /// Queues an action; each request takes the first one in the queue.
     pub fn push_action(&self, action: Action) {
         self.state.actions.lock().expect("no holder panics").push_back(action);
@@ -337,6 +381,7 @@
     let ran = !matches!(action, Action::NotExecuted | Action::Misdirected | Action::Pause(_));
     let pause = if let Action::Pause(time) = action { Some(time) } else { None };
     let closed = Arc::new(AtomicBool::new(false));
+    let crash_time = state.crash_time(&req);
     let continued =
         req.header("kv-from").and_then(|v| v.rsplit_once('/')).map(|(_, tag)| tag.to_owned());
     let last = req.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
@@ -350,6 +395,11 @@
     let extra = state.extra_headers.lock().ok()?.clone();
     let id_header = format!("X-Attempt-Id: {id}\r\n{extra}");
     let sealed_headers = format!("{id_header}X-Replica-Seal: s.{id}\r\nX-Replica-Load: 1,0,8\r\n");
+    if let Some(down) = crash_time {
+        stream::begin_stream(writer, &sealed_headers)?;
+        std::thread::sleep(CRASH_DELAY);
+        return state.crash(down);
+    }
     match action {
         Action::Respond(status, body) => respond(writer, &sealed_headers, status, &body),
         Action::NotExecuted => {
@@ -388,10 +438,7 @@
         Action::Unsealed => respond(writer, &id_header, 200, "forged"),
         Action::ContentTooLarge => respond(writer, &sealed_headers, 413, "too long"),
         Action::Hang => wait_for_close(writer, &closed),
-        Action::Crash(time) => {
-            *state.down_until.lock().ok()? = Some(Instant::now() + time);
-            None
-        }
+        Action::Crash(time) => state.crash(time),
         Action::EchoId => respond(writer, &sealed_headers, 200, &id),
         Action::Endless(part) => {
             let (start, repeated) = part.bytes(&sealed_headers);
--- a/standin/src/platform/stream.rs
+++ b/standin/src/platform/stream.rs
@@ -92,6 +92,11 @@
     None
 }
 
+/// Writes the head of a response in chunks, before its first event.
+pub fn begin_stream(writer: &mut TcpStream, headers: &str) -> Option<()> {
+    write_head(writer, headers, &framing(StreamEnd::Chunked, 0))
+}
+
 /// Writes `n` events and the beginning of another in chunks, without the last chunk.
 pub fn truncate_stream(writer: &mut TcpStream, headers: &str, n: u64) -> Option<()> {
     write_head(writer, headers, &framing(StreamEnd::Chunked, 0))?;
--- a/tests/deployment/streams.rs
+++ b/tests/deployment/streams.rs
@@ -271,6 +271,50 @@
     }
 }
 
+/// Sends a conversation that begins with `first` and returns whether its generation completed.
+async fn complete_chat(
+    entry: std::net::SocketAddr,
+    first: &str,
+    last: &str,
+) -> Result<bool, RequestError> {
+    let messages = ["be brief", first, last];
+    let mut stream = Caller::new("key-1").open_chat(entry, "captions", &messages, 100).await?;
+    Ok(matches!(stream.finish().await, StreamEnd::Done(_)))
+}
+
+#[actix_rt::test]
+async fn message_that_crashes_engines_is_refused_while_other_conversations_are_served() {
+    let plan = Plan { pools: vec![engine_pool(8, loaded_params())], ..Plan::default() };
+    let mut fleet = start_deployment(plan).await;
+    let is_convicted = |result: &Result<bool, RequestError>| matches!(result, Err(RequestError::Refused(r)) if &*r.kind == "refused convicted");
+    let mut refused = false;
+    for n in 0..12 {
+        let entry = fleet.entry_address(n);
+        let _ = complete_chat(entry, "sound manual", &format!("output=5; question {n}")).await;
+        let bad = complete_chat(entry, "crash; manual", &format!("output=5; other {n}")).await;
+        refused = is_convicted(&bad);
+        if refused {
+            break;
+        }
+        sleep_ms(400).await;
+    }
+    assert!(refused, "the message was not refused after 12 conversations");
+    let (_, out) = fleet.run_command(&["timeline", "--kind", "EngineLost"]);
+    assert!(out.matches("EngineLost").count() <= 5, "{out}");
+    // The quarantine spreads to the other entry by gossip.
+    sleep_ms(1500).await;
+    for n in 0..4 {
+        let entry = fleet.entry_address(n);
+        let bad = complete_chat(entry, "crash; manual", &format!("output=5; third {n}")).await;
+        assert!(is_convicted(&bad), "{bad:?}");
+        let sound = complete_chat(entry, "sound manual", &format!("output=5; fourth {n}")).await;
+        assert_eq!(sound, Ok(true));
+    }
+    for ix in 0..8 {
+        fleet.restart_backend(ix);
+    }
+}
+
 #[actix_rt::test]
 async fn requests_in_a_crashed_batch_are_suspected() {
     let plan = Plan { entries: 1, pools: vec![engine_pool(3, loaded_params())], ..Plan::default() };
--- /dev/null
+++ b/tests/gateway/crashing_parts.rs
@@ -0,0 +1,167 @@
+//! Parts of prompts that crash each engine that begins to answer a request with them.
+
+use crate::common::{CONFIG, request_bytes, start_gateway, start_platform, wait_for};
+use standin::platform::{Action, Connection, Endpoint, Gateway, Reply, Store, send};
+use std::time::{Duration, Instant};
+
+/// Part that crashes engines.
+const BAD: &str = "dead";
+/// First part of all prompts, sound or not.
+const FIRST: &str = "a1";
+/// Time for which an engine that has crashed is down.
+const DOWN: Duration = Duration::from_secs(60);
+/// Time between two requests with the part that crashes engines.
+const PAUSE: Duration = Duration::from_millis(450);
+/// Engines that may crash before the part has to be refused.
+const MAX_CRASHES: usize = 5;
+
+fn start_engines(n: usize) -> Vec<Endpoint> {
+    let start = |ix| Endpoint::start(&format!("i-{ix}"), Action::Stream(3, Duration::ZERO));
+    let engines: Vec<Endpoint> = (0..n).map(start).collect();
+    engines.iter().for_each(|e| e.crash_on_part(BAD, DOWN));
+    engines
+}
+
+/// Starts a store with the engines and two gateways that know each other.
+fn start_pair(engines: &[Endpoint]) -> (Store, [Gateway; 2]) {
+    let listed: Vec<(&Endpoint, &str)> = engines.iter().map(|e| (e, "model")).collect();
+    let (store, gateway) = start_platform(&listed);
+    let other = start_gateway(&store);
+    assert!(wait_for(3, || other.readiness() == 200 && store.keys("gateways/").len() == 2));
+    std::thread::sleep(Duration::from_millis(500));
+    (store, [gateway, other])
+}
+
+/// Sends a request whose prompt has these shared parts and a last one of its own.
+fn start_with_parts(gateway: &Gateway, id: &str, parts: &[&str]) -> Connection {
+    let shared: String = parts.iter().map(|p| format!("{p}:40,")).collect();
+    let extra =
+        format!("X-Model: m\r\nX-Token-Counts: 100,40\r\nX-Prompt-Prefix: {shared}{id}:20\r\n");
+    send(gateway.front, &request_bytes("POST", "/stream/x", id, &extra, &format!("prompt {id}")))
+}
+
+fn send_bad(gateway: &Gateway, id: &str) -> Reply {
+    start_with_parts(gateway, id, &[FIRST, BAD]).reply()
+}
+
+/// Sends a sound request; its reply is complete unless its engine crashes meanwhile.
+fn send_sound(gateway: &Gateway, id: &str) -> Reply {
+    start_with_parts(gateway, id, &[FIRST, "b2"]).reply()
+}
+
+/// Returns how many requests with [`BAD`] have reached engines.
+fn bad_runs(engines: &[Endpoint]) -> usize {
+    let received = engines.iter().flat_map(Endpoint::received);
+    let parts = received.filter_map(|r| Some(r.req.header("x-prompt-prefix")?.to_owned()));
+    parts.filter(|p| p.contains(&format!("{BAD}:"))).count()
+}
+
+/// Sends sound and crashing requests in turn to both gateways until one of the latter is refused.
+fn crash_until_refused(gateways: &[Gateway; 2], engines: &[Endpoint]) {
+    for n in 0..2 * MAX_CRASHES {
+        let gateway = &gateways[n % 2];
+        send_sound(gateway, &format!("{n:x}f"));
+        if send_bad(gateway, &format!("{n:x}e")).status == 503 {
+            break;
+        }
+        std::thread::sleep(PAUSE);
+    }
+    let runs = bad_runs(engines);
+    assert!(runs <= MAX_CRASHES, "{runs} requests that crash engines reached one");
+}
+
+/// Checks that requests with [`BAD`] are refused and sound ones are served at their first attempt.
+fn assert_only_sound_served(gateways: &[Gateway; 2], engines: &[Endpoint], round: &str) {
+    let before = bad_runs(engines);
+    for n in 0..8 {
+        let gateway = &gateways[n % 2];
+        let reply = send_bad(gateway, &format!("{round}{n}e"));
+        assert_eq!(reply.status, 503, "request {n}");
+        assert!(reply.body.contains("not-run"), "{}", reply.body);
+        let reply = send_sound(gateway, &format!("{round}{n}f"));
+        assert_eq!((reply.status, reply.complete), (200, true), "request {n}");
+    }
+    assert_eq!(bad_runs(engines), before);
+}
+
+#[test]
+fn part_that_crashes_engines_is_refused_by_all_gateways_while_sound_requests_are_served() {
+    let engines = start_engines(8);
+    let (_store, gateways) = start_pair(&engines);
+    crash_until_refused(&gateways, &engines);
+    std::thread::sleep(PAUSE);
+    assert_only_sound_served(&gateways, &engines, "1");
+}
+
+#[test]
+fn part_that_crashes_engines_stays_refused_after_restarts_of_the_gateways() {
+    let engines = start_engines(8);
+    let (_store, mut gateways) = start_pair(&engines);
+    crash_until_refused(&gateways, &engines);
+    std::thread::sleep(PAUSE);
+    gateways[0].restart();
+    assert!(wait_for(5, || gateways[0].readiness() == 200));
+    assert_only_sound_served(&gateways, &engines, "1");
+    gateways.iter_mut().for_each(Gateway::restart);
+    assert!(wait_for(5, || gateways.iter().all(|g| g.readiness() == 200)));
+    assert_only_sound_served(&gateways, &engines, "2");
+}
+
+/// Pauses all engines towards a gateway.
+fn pause_all(gateway: &Gateway, engines: &[Endpoint], pause: Duration) {
+    engines.iter().for_each(|e| e.push_action(Action::Pause(pause)));
+    for n in 0..engines.len() {
+        send_sound(gateway, &format!("{n}d"));
+    }
+    assert!(engines.iter().all(|e| e.received().iter().any(|r| r.pause.is_some())));
+}
+
+#[test]
+fn queued_request_is_refused_once_one_of_its_parts_has_crashed_engines() {
+    let pause = Duration::from_secs(4);
+    let engines = start_engines(8);
+    let (store, gateways) = start_pair(&engines);
+    let patient = CONFIG.replace(r#""version":7"#, r#""version":8"#).replace(":1500,", ":6000,");
+    store.set("op/config", Some(patient.as_bytes()));
+    std::thread::sleep(PAUSE);
+    pause_all(&gateways[0], &engines, pause);
+    let started = Instant::now();
+    let extra =
+        format!("X-Model: m\r\nX-Token-Counts: 100,40\r\nX-Prompt-Prefix: {BAD}:40,9c:2\r\n");
+    let queued = request_bytes("POST", "/stream/x", "9c", &extra, "queued");
+    let queued = String::from_utf8(queued).expect("the request is text");
+    let mut queued = send(gateways[0].front, queued.replace(" 5000\r", " 9000\r").as_bytes());
+    for n in 0..MAX_CRASHES {
+        send_sound(&gateways[1], &format!("{n}f"));
+        if send_bad(&gateways[1], &format!("{n}e")).status == 503 {
+            break;
+        }
+        std::thread::sleep(PAUSE);
+    }
+    let runs = bad_runs(&engines);
+    let reply = queued.reply();
+    assert_eq!((reply.status, bad_runs(&engines)), (503, runs), "{}", reply.body);
+    assert!(reply.body.contains("crashed"), "{}", reply.body);
+    assert!(started.elapsed() < pause, "refused after {:?}", started.elapsed());
+}
+
+#[test]
+fn crash_of_all_engines_at_once_refuses_no_part() {
+    let engines = start_engines(6);
+    let (_store, gateways) = start_pair(&engines);
+    let outage = Duration::from_millis(1200);
+    for round in 0..3 {
+        engines.iter().for_each(|e| e.push_action(Action::Stream(100, Duration::from_millis(50))));
+        let mut streams: Vec<Connection> = (0..12)
+            .map(|n| start_with_parts(&gateways[n % 2], &format!("{round}{n:x}a"), &[FIRST, "b2"]))
+            .collect();
+        std::thread::sleep(Duration::from_millis(200));
+        engines.iter().for_each(|e| e.crash(outage));
+        streams.iter_mut().for_each(|s| drop(s.reply()));
+        // Engines that restart are other endpoints to the gateways.
+        std::thread::sleep(outage);
+    }
+    let served =
+        |n: usize| wait_for(10, || send_sound(&gateways[n % 2], &format!("{n}b")).complete);
+    assert!((0..4).all(served), "sound requests are not served after the crashes");
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod common;
+mod crashing_parts;
 mod endless;
 mod intent;
 mod lifecycle;
