--- a/src/board/sidecar.rs
+++ b/src/board/sidecar.rs
@@ -50,6 +50,8 @@
     /// Number of submissions to the engine. The reader of an earlier submission's stream stops when
     /// the number has changed.
     pub submissions: u32,
+    /// Time of the first token.
+    pub begun: Option<Instant>,
     /// Whether a poll reply has included the end.
     pub end_sent: bool,
 }
@@ -114,8 +116,8 @@
     pub leaving: bool,
     /// Calls on a plain service in progress.
     pub calls: u32,
-    /// Crashes of the engine since the sidecar started.
-    pub crashes: Vec<Crash>,
+    /// Crashes of the engine since the sidecar started, with their times.
+    pub crashes: Vec<(Instant, Crash)>,
 }
 
 impl SidecarBoard {
--- a/src/entry/background.rs
+++ b/src/entry/background.rs
@@ -2,7 +2,7 @@
 //!
 //! The elected leader also sends load and unload orders to the sidecars.
 
-use super::{Entry, jitter, links, sync};
+use super::{Entry, jitter, links, quarantine, sync};
 use crate::clock;
 use crate::eject;
 use crate::event::Kind;
@@ -98,12 +98,12 @@
 }
 
 async fn send_hello(e: &Rc<Entry>, link: &Link) -> bool {
-    let gossip = e.quarantine.borrow().gossip();
+    let gossip = e.quarantine.borrow().gossip(clock::now());
     let Ok(reply) = e.process.request(link, Request::Hello(gossip), GOSSIP_TIMEOUT).await else {
         return false;
     };
     if let Reply::Hello(received) = &reply.body {
-        e.quarantine.borrow_mut().merge(received);
+        quarantine::merge(e, received);
     }
     e.peer_versions.borrow_mut().insert(reply.from.clone(), reply.version);
     sync::exchange_intent(e, link, reply.version).await;
@@ -112,15 +112,16 @@
 
 /// Merges the quarantine state of another entry and returns the local state.
 pub fn answer_hello(e: &Entry, received: &Gossip) -> Gossip {
-    let mut quarantine = e.quarantine.borrow_mut();
-    quarantine.merge(received);
-    quarantine.gossip()
+    quarantine::merge(e, received);
+    e.quarantine.borrow().gossip(clock::now())
 }
 
-/// Ejects failing endpoints and readmits them after their ejection period.
+/// Ejects failing endpoints, readmits them after their ejection period, and keeps the quarantine up
+/// to date.
 pub async fn run_ejection(e: Rc<Entry>) {
     loop {
         tokio::time::sleep(EJECTION_INTERVAL).await;
+        quarantine::step(&e);
         let changes = eject::step(clock::now(), &mut e.board.borrow_mut());
         for change in changes {
             let (kind, key) = match change {
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -4,7 +4,7 @@
 
 use super::links::{self, LinkState, TokenReceiver};
 use super::request::{self, GenerationRequest};
-use super::{Entry, OpenRequest, elapsed_since, relay};
+use super::{Entry, OpenRequest, elapsed_since, quarantine, relay};
 use crate::board::EndpointKey;
 use crate::clock;
 use crate::eject;
@@ -14,8 +14,9 @@
 use crate::id::{GenerationId, InstanceId, Nonce, TokenId, Workspace};
 use crate::place;
 use crate::problem::{Problem, ProblemKind};
-use crate::quarantine::Standing;
+use crate::quarantine::{RunKey, Standing};
 use actix_http::{Method, Response};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -51,14 +52,26 @@
     entry: Rc<Entry>,
     endpoint: EndpointKey,
     request: Option<GenerationRequest>,
+    /// Key of the run while it may crash its endpoint.
+    run: Option<RunKey>,
+    /// Whether the generation finished.
+    is_whole: Cell<bool>,
     _open: Option<OpenRequest>,
 }
 
 impl GenerationGuard {
+    /// Records that tokens have arrived.
+    pub fn record_tokens(&self) {
+        let Some(key) = self.run else { return };
+        let sound = self.entry.runs.borrow_mut().record_event(clock::now(), key);
+        sound.iter().for_each(|parts| quarantine::record_sound(&self.entry, parts));
+    }
+
     /// Records that the generation finished without a crash.
     pub fn record_completion(&self) {
         let Some(request) = &self.request else { return };
-        if self.entry.quarantine.borrow_mut().clear(&request.content) {
+        self.is_whole.set(true);
+        if self.entry.quarantine.borrow_mut().clear(clock::now(), &request.content) {
             self.entry.process.event(Kind::Cleared, request.content, "");
         }
         if let Some(e) = self.entry.board.borrow_mut().endpoints.get_mut(self.endpoint) {
@@ -69,6 +82,9 @@
 
 impl Drop for GenerationGuard {
     fn drop(&mut self) {
+        if let Some(key) = self.run {
+            self.entry.runs.borrow_mut().end(clock::now(), key, self.is_whole.get());
+        }
         if let Some(request) = &self.request {
             self.entry.quarantine.borrow_mut().finish(&request.content);
             if let Some(e) = self.entry.board.borrow_mut().endpoints.get_mut(self.endpoint) {
@@ -140,6 +156,7 @@
     let mut last_refusal = (Refusal::Down, Duration::from_secs(1));
     e.budget.borrow_mut().earn(&request.service, request.need.input);
     loop {
+        quarantine::check_parts(e, &request)?;
         let key = match choose_endpoint(e, &request, &tried) {
             Ok(key) => key,
             Err(_) if !tried.is_empty() => return Err(refusal_problem(last_refusal)),
@@ -214,10 +231,14 @@
         endpoint.sent_requests += 1;
         endpoint.sent_tokens += request.need.input.0;
     }
+    let parts = request.parts.clone();
+    let run = (!parts.is_empty()).then(|| e.runs.borrow_mut().start(key, parts));
     Ok(GenerationGuard {
         entry: e.clone(),
         endpoint: key,
         request: Some(request.clone()),
+        run,
+        is_whole: Cell::new(false),
         _open: open.take(),
     })
 }
@@ -233,6 +254,7 @@
     let result = try_start(e, request, key, arrived).await;
     match result {
         Ok((generation, first, rest)) => {
+            guard.record_tokens();
             Attempt::Started(Box::new(StartedGeneration { generation, first, rest, guard }))
         }
         Err(failed) => {
@@ -282,6 +304,11 @@
                 return Err(Attempt::TimedOut);
             }
             Err(_) => {
+                if let Err(refusal) = quarantine::check_parts(e, request)
+                    && withdraw_queued(e, &link, generation.nonce).await
+                {
+                    return Err(Attempt::Refused(refusal, Duration::from_secs(1)));
+                }
                 if can_move(e, request, key) && withdraw_queued(e, &link, generation.nonce).await {
                     e.process.event(Kind::Replaced, &generation, "withdrawn from queue");
                     return Err(Attempt::Withdrawn);
@@ -346,6 +373,7 @@
         input: request.need.input,
         limit: request.max_output,
         fingerprint: request.content,
+        parts: request.parts.to_vec(),
         alone: request.need.alone,
         left: left.as_millis() as u64,
     }
@@ -429,7 +457,14 @@
         return Err(gone());
     }
     let endpoint = e.board.borrow().find(&generation.instance).ok_or_else(gone)?;
-    let guard = GenerationGuard { entry: e.clone(), endpoint, request: None, _open: None };
+    let guard = GenerationGuard {
+        entry: e.clone(),
+        endpoint,
+        request: None,
+        run: None,
+        is_whole: Cell::new(false),
+        _open: None,
+    };
     let format = relay::ResponseFormat { service: service.into(), chat };
     Ok(relay::stream(e, StartedGeneration { generation, first, rest, guard }, format))
 }
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -3,7 +3,7 @@
 //! Each link keeps one long poll open. Its replies carry new tokens and the sidecar's report, and
 //! also serve as heartbeat.
 
-use super::{Entry, sync};
+use super::{Entry, quarantine, sync};
 use crate::board::{EndpointKey, EntryBoard, LatestReport};
 use crate::clock;
 use crate::event::Kind;
@@ -268,7 +268,7 @@
     link.version.set(envelope.version);
     sync::reconcile(e, link, envelope.version);
     let Reply::Batches(batches, report) = envelope.body else { return };
-    record_crashes(e, incarnation, &report.crashes);
+    quarantine::record_crashes(e, incarnation, &report.crashes);
     apply_report(e, link, now, incarnation, *report);
     for batch in batches {
         link.dispatch(&batch);
@@ -298,19 +298,6 @@
     endpoint.latest = Some(LatestReport { report, incarnation, received: now });
 }
 
-fn record_crashes(e: &Entry, incarnation: Incarnation, crashes: &[Crash]) {
-    for crash in crashes {
-        let changes = e.quarantine.borrow_mut().record_crash(incarnation, crash);
-        for (content, standing) in changes {
-            let kind = match standing {
-                crate::quarantine::Standing::Refused => Kind::Convicted,
-                _ => Kind::Suspected,
-            };
-            e.process.event(kind, content, format_args!("{standing:?}"));
-        }
-    }
-}
-
 fn handle_silence(e: &Rc<Entry>, link: &Rc<LinkState>) {
     let silence = super::elapsed_since(link.last_reply.get());
     // The sidecar may be reachable even if this connection is dead, so it is replaced.
@@ -334,8 +321,10 @@
         let incarnation = endpoint.latest.as_ref().map(|l| l.incarnation);
         drop(board);
         if let Some(incarnation) = incarnation {
-            let crash = Crash { number: LINK_CRASH_NUMBER, running: contents };
-            record_crashes(e, incarnation, &[crash]);
+            let (number, running) = (LINK_CRASH_NUMBER, contents);
+            // A silent link does not show that the engine crashed, so no part is accused.
+            let crash = Crash { number, running, parts: Vec::new(), age: 0 };
+            quarantine::record_crashes(e, incarnation, &[crash]);
         }
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,11 +10,12 @@
 mod generate;
 mod links;
 mod peers;
+mod quarantine;
 mod relay;
 mod request;
 mod sync;
 
-use crate::board::EntryBoard;
+use crate::board::{EndpointKey, EntryBoard};
 use crate::budget::Budget;
 use crate::clock;
 use crate::event::Kind;
@@ -24,7 +25,7 @@
 use crate::place::Placer;
 use crate::problem::{Problem, ProblemKind};
 use crate::process::Process;
-use crate::quarantine::Quarantine;
+use crate::quarantine::{Quarantine, Runs};
 use crate::shutdown;
 use crate::store::{Etcd, InstanceList};
 use crate::text::Text;
@@ -58,6 +59,8 @@
     board: RefCell<EntryBoard>,
     placer: RefCell<Placer>,
     quarantine: RefCell<Quarantine>,
+    /// Runs that may still crash their endpoints.
+    runs: RefCell<Runs<EndpointKey>>,
     budget: RefCell<Budget>,
     links: RefCell<HashMap<InstanceId, Rc<LinkState>>>,
     workspace_requests: RefCell<HashMap<Workspace, u32>>,
@@ -84,6 +87,7 @@
         board: RefCell::new(EntryBoard::default()),
         placer: RefCell::new(placer),
         quarantine: RefCell::new(Quarantine::default()),
+        runs: RefCell::default(),
         budget: RefCell::new(Budget::default()),
         links: RefCell::new(HashMap::new()),
         workspace_requests: RefCell::new(HashMap::new()),
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -119,7 +119,10 @@
     let mut batch = Some(std::mem::replace(&mut started.first, empty_batch(&generation)));
     loop {
         let (bytes, finish) = match &batch {
-            Some(b) => (format_events(&format, &generation, b), b.finish),
+            Some(b) => {
+                started.guard.record_tokens();
+                (format_events(&format, &generation, b), b.finish)
+            }
             None => (Bytes::from_static(b": heartbeat\n\n"), None),
         };
         match tokio::time::timeout(SEND_TIMEOUT, tx.send(bytes)).await {
@@ -178,6 +181,7 @@
             record_end(e, &started, Finish::Lost);
             return Err(incomplete_problem(Finish::Lost));
         };
+        started.guard.record_tokens();
         text.extend(b.tokens.iter().map(|t| &**t));
         if let Some(finish) = b.finish {
             record_end(e, &started, finish);
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -3,11 +3,12 @@
 use super::Entry;
 use crate::frame::Refusal;
 use crate::http::Incoming;
-use crate::id::{Fingerprint, ServiceName, Tokens, Workspace};
+use crate::id::{Fingerprint, PartId, ServiceName, Tokens, Workspace};
 use crate::place::{Need, prefix_hash};
 use crate::problem::{Problem, ProblemKind};
 use crate::text::{ModelSpec, Service, ServiceKind, Text};
 use serde::Deserialize;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -57,6 +58,8 @@
     pub first_timeout: Duration,
     /// Fingerprint of spec and prompt, by which crashing requests are quarantined.
     pub content: Fingerprint,
+    /// Parts of the prompt that other requests may share: all messages but the last.
+    pub parts: Rc<[PartId]>,
     /// Requirements for the choice of an endpoint.
     pub need: Need,
 }
@@ -96,6 +99,7 @@
         rank: text.effective_priority(&service),
         weight: text.workspaces.get(&workspace).map_or(1, |w| w.weight),
         first_timeout: config.max_latency * FIRST_TOKEN_FACTOR,
+        parts: shared_parts(&document, chat),
         content: Fingerprint::of(&[spec_text.as_bytes(), prompt.as_bytes()]),
         spec: spec_text,
         max_output: Tokens(limit),
@@ -117,6 +121,14 @@
     Ok(messages.iter().map(|m| format!("{}: {}\n", m.role, m.content)).collect())
 }
 
+/// Identifies all messages of a chat but the last. A prompt that is one text has no parts.
+fn shared_parts(d: &Document, chat: bool) -> Rc<[PartId]> {
+    let messages = d.messages.as_deref().filter(|_| chat).unwrap_or_default();
+    let shared = messages.split_last().map_or(&[][..], |(_, shared)| shared);
+    let id = |m: &Message| Fingerprint::of(&[m.role.as_bytes(), m.content.as_bytes()]).0;
+    shared.iter().map(|m| PartId(id(m))).collect()
+}
+
 fn find_model<'a>(
     text: &'a Text,
     name: &str,
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -90,10 +90,12 @@
     Paused = 312,
     /// The content of a request is suspected of having crashed an endpoint.
     Suspected = 320,
-    /// The content of a request is quarantined, as it crashed endpoints repeatedly.
+    /// The content of a request or a part of its prompt is quarantined, as it crashed endpoints.
     Convicted = 321,
-    /// A suspected content ran to completion and is cleared.
+    /// A suspected content or part ran soundly and is cleared.
     Cleared = 322,
+    /// An endpoint crashed, of which the shared parts of the prompts there are accused.
+    Accused = 323,
     /// A non-idempotent call was recorded and then started.
     CallStarted = 400,
     /// A non-idempotent call finished and its result was recorded.
--- a/src/frame/mod.rs
+++ b/src/frame/mod.rs
@@ -8,7 +8,7 @@
 use crate::event::{Event, Filter};
 use crate::hlc::Stamp;
 use crate::id::{
-    Epoch, Fence, Fingerprint, GenerationId, Incarnation, InstanceId, IntentVersion, Nonce,
+    Epoch, Fence, Fingerprint, GenerationId, Incarnation, InstanceId, IntentVersion, Nonce, PartId,
     ServiceName, Tokens, Workspace,
 };
 use hmac::{Hmac, Mac};
@@ -133,6 +133,9 @@
     pub limit: Tokens,
     /// Fingerprint of the content, by which the quarantine identifies it after a crash.
     pub fingerprint: Fingerprint,
+    /// Parts of the prompt that other requests may share.
+    #[serde(default)]
+    pub parts: Vec<PartId>,
     /// Whether no other generation may run on the engine at the same time.
     pub alone: bool,
     /// Time until a queued generation expires, in milliseconds.
@@ -265,6 +268,12 @@
     pub number: u32,
     /// Contents that were running on the endpoint.
     pub running: Vec<Fingerprint>,
+    /// Shared parts of the prompts that may have caused it.
+    #[serde(default)]
+    pub parts: Vec<PartId>,
+    /// Time since the crash, in milliseconds.
+    #[serde(default)]
+    pub age: u64,
 }
 
 /// A call to a plain service.
@@ -354,6 +363,33 @@
     pub suspects: Vec<Suspect>,
     /// Contents that have since run to completion, each with the crashes of which it is cleared.
     pub cleared: Vec<Suspect>,
+    /// Parts of prompts that several contents share.
+    #[serde(default)]
+    pub parts: PartsGossip,
+}
+
+/// Crash as an instance has seen it: the run of the endpoint or its sidecar, [`Crash::number`] and
+/// the time since then in milliseconds.
+pub type SeenCrash = (Incarnation, u32, u64);
+
+/// Parts of prompts that are accused of crashes, or cleared of them.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct PartsGossip {
+    /// Crashes by part.
+    pub rows: Vec<PartRow>,
+    /// Parts that are refused.
+    pub refused: Vec<PartId>,
+}
+
+/// A part and the crashes at which it was present.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct PartRow {
+    /// The part.
+    pub part: PartId,
+    /// Crashes of which it is accused.
+    pub crashes: Vec<SeenCrash>,
+    /// Crashes of which it is cleared.
+    pub cleared: Vec<SeenCrash>,
 }
 
 /// A content and the crashes during which it was running.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -56,6 +56,8 @@
     Failed,
     /// The endpoint asked for a pause, but did not state that it has not run this request.
     Overloaded,
+    /// The request was quarantined while the endpoint had not answered it yet.
+    Quarantined,
 }
 
 impl AttemptError {
@@ -79,8 +81,8 @@
 
     /// Returns whether the error counts against the endpoint's health. A full endpoint is healthy.
     pub fn is_endpoint_failure(self) -> bool {
-        use AttemptError::{Full, Gone, Leaving, Overloaded, Paused};
-        !matches!(self, Full | Gone | Leaving | Paused | Overloaded)
+        use AttemptError::{Full, Gone, Leaving, Overloaded, Paused, Quarantined};
+        !matches!(self, Full | Gone | Leaving | Paused | Overloaded | Quarantined)
     }
 }
 
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -2,7 +2,8 @@
 
 use super::attempt::{self, AttemptError, EndpointResponse};
 use super::job::{Job, log_id};
-use super::{Gateway, WorkGuard, peers, quarantine};
+use super::quarantine::{self, RunGuard};
+use super::{Gateway, WorkGuard, peers};
 use crate::admit::{Decision, Ticket};
 use crate::clock;
 use crate::event::Kind;
@@ -26,6 +27,8 @@
     pub response: EndpointResponse,
     /// Load counted on the engine while the segment runs.
     pub guard: WorkGuard,
+    /// Tracks whether the run crashes its engine.
+    pub run: RunGuard,
     /// Notified when the engine starts to leave.
     pub leaving: Rc<Notify>,
     /// Load of the engine at the time of sending, including this generation.
@@ -65,7 +68,7 @@
 ///
 /// # Errors
 ///
-/// Returns a problem as soon as no engine could begin it in time.
+/// Returns a problem as soon as no engine could begin it in time, or once it is quarantined.
 async fn wait_for_engine(
     gw: &Rc<Gateway>,
     job: &Job,
@@ -74,12 +77,13 @@
     let entry = QueueEntry::join(gw, job);
     let mut denied = tried.to_vec();
     loop {
+        quarantine::check(gw, job)?;
         let now = clock::now();
         let is_first = entry.is_first();
         match job.decide_admission(gw, now, &denied) {
             Decision::Send(key) if is_first => {
                 if is_granted(gw, job, key).await {
-                    return Ok(key);
+                    return quarantine::check(gw, job).map(|()| key);
                 }
                 denied.push(key);
             }
@@ -136,6 +140,9 @@
             Err(error) => error,
         };
         attempt::record_error(gw, key, error);
+        if error == AttemptError::Quarantined {
+            return Err(attempt::unknown_outcome(job, error));
+        }
         reached += usize::from(!error.is_undelivered());
         if error == AttemptError::Broken {
             quarantine::check_crash(gw, job, key);
@@ -168,6 +175,7 @@
         .map(|e| (e.listing.id.clone(), e.leave_signal.clone(), e.work()));
     let sent = clock::now();
     let Some((endpoint, leaving, load)) = found else { return Err(AttemptError::Gone) };
+    let mut run = RunGuard::new(gw, job, guard.key);
     let params = ForwardParams {
         endpoint: &endpoint,
         key_owner: job.workspace.as_deref(),
@@ -176,8 +184,17 @@
         last_event: last,
         resumable: job.route.resumable,
     };
-    let response = attempt::send(gw, job, guard.key, &params).await?;
-    Ok(Segment { response, guard, leaving, load, sent, runs: 1 })
+    let sending = tokio::select! {
+        response = attempt::send(gw, job, guard.key, &params) => response,
+        // Closing the connection cancels the request before the engine begins to answer it.
+        () = quarantine::refused(gw, job) => Err(AttemptError::Quarantined),
+    };
+    let response = sending.inspect_err(|e| {
+        if e.is_not_executed() {
+            run.discard();
+        }
+    })?;
+    Ok(Segment { response, guard, run, leaving, load, sent, runs: 1 })
 }
 
 /// Sends an idempotent generation that broke off after event `last` to another engine, which runs
@@ -196,6 +213,9 @@
     if !job.is_idempotent() || broken.runs >= job.route.max_attempts {
         return Err(AttemptError::Broken);
     }
+    if quarantine::check(gw, job).is_err() {
+        return Err(AttemptError::Broken);
+    }
     // The stream has begun, so it does not wait for admission a second time.
     let key = job.choose_endpoint(gw, clock::now(), &tried).ok_or(AttemptError::Gone)?;
     if !attempt::permit_attempt(gw, job, tried.len(), tried.len()) {
@@ -203,7 +223,12 @@
     }
     let guard = WorkGuard::new(gw, key, job.expected_work());
     let opened = open_segment(gw, job, guard, None, last).await;
-    let segment = opened.inspect_err(|error| attempt::record_error(gw, key, *error))?;
+    let segment = opened.inspect_err(|error| {
+        attempt::record_error(gw, key, *error);
+        if *error == AttemptError::Broken {
+            quarantine::check_crash(gw, job, key);
+        }
+    })?;
     if !segment.response.info.status.is_success() {
         return Err(AttemptError::Failed);
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the store: the operators' configuration, the list of endpoints and the list of peers.
 
-use super::{Gateway, jitter, peers};
+use super::{Gateway, jitter, peers, quarantine};
 use crate::clock;
 use crate::event::Kind;
 use crate::gossip::{StoreChanges, Succession};
@@ -122,6 +122,7 @@
     }
     apply_listing(gw, kv, is_recovering);
     peers::update_peer(gw, kv);
+    quarantine::apply_kv(gw, kv);
 }
 
 async fn poll_store(gw: &Gateway, connection: &mut Connection) -> Result<(), StoreError> {
@@ -181,7 +182,13 @@
     }
     apply_config(gw, &all);
     replace_listings(gw, &all, source);
-    all.kvs.iter().for_each(|kv| peers::update_peer(gw, kv));
+    if source == Source::Copy {
+        quarantine::forget_published(gw);
+    }
+    for kv in &all.kvs {
+        peers::update_peer(gw, kv);
+        quarantine::apply_kv(gw, kv);
+    }
     gw.store_position.borrow_mut().set(all.at);
     if source == Source::Copy {
         gw.store_returned.notify_one();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,15 +26,15 @@
 use crate::event::{EventRing, Kind, WaveLog};
 use crate::gossip::{ConfigPull, PeerLoads, StorePosition, Work};
 use crate::http::{self, Metrics};
-use crate::id::{InstanceId, ServiceName};
+use crate::id::{InstanceId, PartId, ServiceName};
 use crate::platform::{GatewaySettings, KvClient, SettingsError};
 use crate::pool::{Change, Pool, PoolKey};
-use crate::quarantine::Quarantine;
+use crate::quarantine::{Quarantine, Runs};
 use crate::route::Table;
 use crate::store::Position;
 use actix_http::{KeepAlive, ServiceConfig};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt::{self, Display};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -122,8 +122,18 @@
     prefill_rates: RefCell<HashMap<ServiceName, PrefillRate>>,
     /// Copies of generations that this instance has granted.
     links: RefCell<LinkScheduler>,
-    /// Fingerprints of request contents that have crashed endpoints.
+    /// Contents of requests and parts of prompts that have crashed endpoints.
     quarantine: RefCell<Quarantine>,
+    /// Runs that may still crash their endpoints.
+    runs: RefCell<Runs<PoolKey>>,
+    /// Endpoints that are checked for a crash.
+    crash_checks: RefCell<quarantine::CrashChecks>,
+    /// Notified when a part of a prompt is refused, to write it to the store.
+    parts_refused: Notify,
+    /// Notified at the same time, to stop generations that wait for their first event.
+    parts_changed: Notify,
+    /// Refused parts that the store holds.
+    published_parts: RefCell<HashSet<PartId>>,
     /// Other instances registered in the store.
     peers: RefCell<HashMap<InstanceId, peers::Peer>>,
     /// Sends messages to peers and matches their replies with requests.
@@ -179,9 +189,11 @@
     actix_rt::spawn(follow::follow_store(gw.clone()));
     actix_rt::spawn(run_maintenance(gw.clone()));
     actix_rt::spawn(outage::poll_engines(gw.clone()));
+    actix_rt::spawn(quarantine::publish_refused(gw.clone()));
     if let Some(address) = settings.peer_address {
         peers::start(&gw, address).await.map_err(|e| GatewayError::Bind(address, e))?;
         copy::start(&gw, address).await?;
+        actix_rt::spawn(quarantine::run_gossip(gw.clone()));
     }
     let hangups = signal(SignalKind::hangup()).map_err(GatewayError::Signal)?;
     actix_rt::spawn(reload(gw.clone(), file, hangups));
@@ -227,6 +239,11 @@
             queue: RefCell::new(WaitQueue::default()),
             links: RefCell::default(),
             quarantine: RefCell::new(Quarantine::default()),
+            runs: RefCell::default(),
+            crash_checks: RefCell::default(),
+            parts_refused: Notify::new(),
+            parts_changed: Notify::new(),
+            published_parts: RefCell::default(),
             messenger: peers::Messenger::default(),
             revisions: RefCell::new(HashMap::new()),
             store_position: RefCell::default(),
@@ -319,6 +336,7 @@
         changes.into_iter().for_each(|c| gw.log_change(c));
         let waves = gw.waves.borrow_mut().step(now);
         waves.into_iter().for_each(|w| gw.event(w.kind, w.subject, w.detail));
+        quarantine::step(&gw);
         copy::fetch_newer(&gw);
     }
 }
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -1,24 +1,94 @@
-//! Detects requests that crash endpoints and refuses repeats of them.
+//! Detects requests that crash endpoints, and refuses repeats of them and requests that share the
+//! cause.
 
-use super::job::{Job, log_id};
-use super::{Gateway, peers};
+use super::job::Job;
+use super::{Gateway, jitter, peers};
+use crate::clock;
 use crate::event::Kind;
-use crate::frame::{Crash, Gossip};
-use crate::id::{Fingerprint, Incarnation};
+use crate::frame::{Crash, Gossip, PartsGossip};
+use crate::id::{EndpointId, Fingerprint, Incarnation, PartId};
 use crate::pool::PoolKey;
 use crate::problem::{Problem, ProblemKind};
-use crate::quarantine::Standing;
+use crate::quarantine::{MAX_CRASHES, RefusedParts, RunKey, Scope, Standing};
+use crate::store::{KeyValue, Leases, StoreError};
 use actix_rt::net::TcpStream;
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::time::timeout;
 
+/// Prefix of the store keys of refused parts.
+pub const KEY_PREFIX: &str = "quarantine/";
 /// Longest time to connect to an endpoint that may have crashed.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time within which an endpoint that cannot serve closes a new connection.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(40);
+/// Interval between two messages about accused and refused parts.
+const GOSSIP_INTERVAL: Duration = Duration::from_secs(1);
+/// Time to live of a refused part in the store, as long as its crashes count.
+const STORE_TTL: Duration = Duration::from_secs(600);
+/// Interval between two checks for refused parts that the store lacks.
+const PUBLISH_CHECK_INTERVAL: Duration = Duration::from_secs(10);
+/// Longest delay before a refused part is written to the store.
+const MAX_PUBLISH_DELAY: Duration = Duration::from_millis(300);
+/// Interval between two attempts to write to the store.
+const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Upper bound of the random extension of a retry delay, as a share of it.
+const MAX_RETRY_EXTENSION: f64 = 0.2;
+/// Most parts in one log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
+/// Contents of the requests whose connections to an endpoint broke, until it has been checked.
+pub type CrashChecks = HashMap<PoolKey, Vec<Fingerprint>>;
+
+/// Tracks a run at an endpoint until dropped.
+#[derive(Debug)]
+pub struct RunGuard {
+    gw: Rc<Gateway>,
+    /// `None` for a request without shared parts.
+    key: Option<RunKey>,
+    is_whole: Cell<bool>,
+}
+
+impl RunGuard {
+    /// Starts to track a run.
+    pub fn new(gw: &Rc<Gateway>, job: &Job, endpoint: PoolKey) -> Self {
+        let parts = job.meta.shared_parts.clone();
+        let key = (!parts.is_empty()).then(|| gw.runs.borrow_mut().start(endpoint, parts));
+        RunGuard { gw: gw.clone(), key, is_whole: Cell::new(false) }
+    }
+
+    /// Records an event of the run.
+    pub fn record_event(&self) {
+        let Some(key) = self.key else { return };
+        let sound = self.gw.runs.borrow_mut().record_event(clock::now(), key);
+        sound.iter().for_each(|parts| record_sound(&self.gw, parts));
+    }
+
+    /// Records that the response is complete.
+    pub fn complete(&self) {
+        self.is_whole.set(true);
+    }
+
+    /// Stops to track a run that did not take place.
+    pub fn discard(&mut self) {
+        if let Some(key) = self.key.take() {
+            self.gw.runs.borrow_mut().remove(key);
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            self.gw.runs.borrow_mut().end(clock::now(), key, self.is_whole.get());
+        }
+    }
+}
 
 /// Identifies the content of a request: repeats of it have the same path, API key and body.
 fn fingerprint(job: &Job) -> Fingerprint {
@@ -27,78 +97,235 @@
     Fingerprint::of(&[path, key, &job.body])
 }
 
-/// Refuses a request whose content has crashed too many endpoints.
+/// Refuses a request whose content or whose part has crashed too many endpoints.
 ///
 /// # Errors
 ///
-/// Returns a problem if the content is quarantined. The request has not run.
-pub fn check(gw: &Gateway, job: Job) -> Result<Job, Problem> {
-    let is_refused = {
-        let quarantine = gw.quarantine.borrow();
-        quarantine.has_suspects() && quarantine.standing(&fingerprint(&job)) == Standing::Refused
-    };
-    if !is_refused {
-        return Ok(job);
+/// Returns a problem if the request is quarantined. It has not run.
+pub fn check(gw: &Gateway, job: &Job) -> Result<(), Problem> {
+    let quarantine = gw.quarantine.borrow();
+    if quarantine.has_suspects() && quarantine.standing(&fingerprint(job)) == Standing::Refused {
+        let detail =
+            format!("the request has crashed {MAX_CRASHES} endpoints, the limit is {MAX_CRASHES}");
+        return Err(Problem::new(ProblemKind::Quarantined, detail));
+    }
+    match quarantine.parts.find_refused(&job.meta.shared_parts) {
+        Some(refused) => Err(refusal(refused)),
+        None => Ok(()),
     }
-    gw.event(Kind::Convicted, log_id(job.meta.id.as_ref()), "");
-    Err(Problem::new(
-        ProblemKind::Draining,
-        "request quarantined: its content has crashed endpoints before",
-    ))
+}
+
+fn refusal(refused: &RefusedParts) -> Problem {
+    let left = refused.until.saturating_duration_since(clock::now());
+    let detail = format!(
+        "part {} of the prompt has crashed {} engines, the limit is {MAX_CRASHES}",
+        join(refused.parts.iter()),
+        refused.crashes,
+    );
+    let after = left.mul_f64(1.0 + rand::random::<f64>() * MAX_RETRY_EXTENSION);
+    Problem::new(ProblemKind::Quarantined, detail).retry_after(after)
+}
+
+fn join<'a>(parts: impl Iterator<Item = &'a PartId>) -> String {
+    let parts: Vec<String> = parts.take(MAX_LOGGED_PARTS).map(PartId::to_string).collect();
+    parts.join("+")
 }
 
 /// Checks in the background whether an endpoint whose connection broke during a request has
-/// crashed, and if so records the request's content as a suspect.
+/// crashed, and if so accuses the requests that may have caused it.
 pub fn check_crash(gw: &Rc<Gateway>, job: &Job, key: PoolKey) {
     let found = gw.pool.borrow().endpoints.get(key).map(|e| {
-        let incarnation = Fingerprint::of(&[e.listing.id.as_str().as_bytes()]).0;
-        (e.listing.address, Incarnation(incarnation), e.is_leaving())
+        let started = e.listing.started_ms.unwrap_or(0).to_le_bytes();
+        let incarnation = Fingerprint::of(&[e.listing.id.as_str().as_bytes(), &started]).0;
+        let id = e.listing.id.clone();
+        (
+            Suspected { id, address: e.listing.address, run: Incarnation(incarnation) },
+            e.is_leaving(),
+        )
     });
     // A leaving endpoint drops its requests without having crashed.
-    let Some((address, incarnation, false)) = found else { return };
-    let parts = job.prompt_suffix();
-    actix_rt::spawn(check_endpoint(gw.clone(), fingerprint(job), parts, address, incarnation));
+    let Some((endpoint, false)) = found else { return };
+    let mut checks = gw.crash_checks.borrow_mut();
+    let is_under_way = checks.contains_key(&key);
+    checks.entry(key).or_default().push(fingerprint(job));
+    if !is_under_way {
+        actix_rt::spawn(check_endpoint(gw.clone(), key, endpoint));
+    }
 }
 
-async fn check_endpoint(
-    gw: Rc<Gateway>,
-    content: Fingerprint,
-    prompt: String,
+/// Endpoint that may have crashed.
+struct Suspected {
+    id: EndpointId,
     address: SocketAddr,
-    crashed: Incarnation,
-) {
-    if !is_down(address).await {
+    /// Identifies the run of the endpoint to all instances.
+    run: Incarnation,
+}
+
+async fn check_endpoint(gw: Rc<Gateway>, key: PoolKey, endpoint: Suspected) {
+    let is_crashed = is_down(endpoint.address).await;
+    let contents = gw.crash_checks.borrow_mut().remove(&key).unwrap_or_default();
+    if !is_crashed {
         return;
     }
-    let crash = Crash { number: 0, running: vec![content] };
-    let changes = gw.quarantine.borrow_mut().record_crash(crashed, &crash);
-    for (content, standing) in changes {
-        gw.event(
-            Kind::Suspected,
-            content,
-            format_args!("endpoint={address} standing={standing:?}{prompt}"),
-        );
+    let parts = gw.runs.borrow_mut().take_crashed(key);
+    let crash = Crash { number: 0, running: contents, parts, age: 0 };
+    let (contents, mut parts) = {
+        let mut quarantine = gw.quarantine.borrow_mut();
+        let parts = quarantine.parts.record_crash(clock::now(), (endpoint.run, 0), &crash.parts);
+        (quarantine.record_crash(clock::now(), endpoint.run, &crash), parts)
+    };
+    for (content, standing) in contents {
+        let kind = if standing == Standing::Refused { Kind::Convicted } else { Kind::Suspected };
+        gw.event(kind, content, format_args!("endpoint={} standing={standing:?}", endpoint.id));
     }
-    peers::send_suspects(&gw, gw.quarantine.borrow().gossip());
+    parts.sort_by_key(|(p, crashes)| (std::cmp::Reverse(*crashes), *p));
+    let counts: Vec<String> =
+        parts.iter().take(MAX_LOGGED_PARTS).map(|(p, n)| format!("{p}:{n}")).collect();
+    let (count, most) = (parts.len(), counts.join(","));
+    gw.event(Kind::Accused, &endpoint.id, format_args!("parts={count} crashes={most}"));
+    update(&gw);
+    send_gossip(&gw, Scope::Changed);
 }
 
-/// Returns whether an endpoint refuses connections or closes them at once.
+/// Returns whether an endpoint refuses connections or closes them at once. One that does not
+/// answer may be cut off from this instance, and has not shown that it crashed.
 async fn is_down(address: SocketAddr) -> bool {
-    let Ok(Ok(mut io)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await else {
-        return true;
-    };
-    timeout(CLOSE_TIMEOUT, io.read(&mut [0])).await.is_ok()
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(mut io)) => timeout(CLOSE_TIMEOUT, io.read(&mut [0])).await.is_ok(),
+        Ok(Err(e)) => matches!(e.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset),
+        Err(_) => false,
+    }
+}
+
+fn record_sound(gw: &Gateway, parts: &[PartId]) {
+    let cleared = gw.quarantine.borrow_mut().parts.record_sound(clock::now(), parts);
+    for (part, crashes) in cleared.into_iter().filter(|(_, crashes)| *crashes > 1) {
+        gw.event(Kind::Cleared, part, format_args!("crashes={crashes}"));
+    }
+}
+
+/// Brings what is accused and refused up to date; called at short intervals.
+pub fn step(gw: &Gateway) {
+    let sound = gw.runs.borrow_mut().step(clock::now());
+    sound.iter().for_each(|parts| record_sound(gw, parts));
+    update(gw);
+}
+
+fn update(gw: &Gateway) {
+    let new = gw.quarantine.borrow_mut().parts.step(clock::now());
+    for refused in &new {
+        let detail = format_args!("crashes={}", refused.crashes);
+        gw.event(Kind::Convicted, join(refused.parts.iter()), detail);
+    }
+    let count = gw.quarantine.borrow().parts.refused().len();
+    metrics::gauge!("refused_parts").set(count as f64);
+    if !new.is_empty() {
+        gw.parts_refused.notify_one();
+        gw.parts_changed.notify_waiters();
+    }
+}
+
+/// Returns once a request is quarantined. Does not return before.
+pub async fn refused(gw: &Gateway, job: &Job) {
+    loop {
+        let changed = gw.parts_changed.notified();
+        if check(gw, job).is_err() {
+            return;
+        }
+        changed.await;
+    }
+}
+
+/// Sends what other instances need to know, at intervals: each instance what has changed there, and
+/// those that follow the store what is refused. Does not return.
+pub async fn run_gossip(gw: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(jitter(GOSSIP_INTERVAL)).await;
+        let scope = if peers::is_reader(&gw) { Scope::Refused } else { Scope::Changed };
+        send_gossip(&gw, scope);
+    }
+}
+
+fn send_gossip(gw: &Gateway, scope: Scope) {
+    let gossip = gw.quarantine.borrow_mut().recent_gossip(clock::now(), scope);
+    if gossip != Gossip::default() {
+        peers::send_suspects(gw, gossip);
+    }
 }
 
 /// Merges the suspects and cleared contents reported by another instance.
 pub fn merge(gw: &Gateway, gossip: &Gossip) {
-    gw.quarantine.borrow_mut().merge(gossip);
+    gw.quarantine.borrow_mut().merge(clock::now(), gossip);
+    update(gw);
 }
 
 /// Clears the content of a request that ran to completion.
 pub fn clear(gw: &Gateway, job: &Job) {
     let mut quarantine = gw.quarantine.borrow_mut();
     if quarantine.has_suspects() {
-        quarantine.clear(&fingerprint(job));
+        quarantine.clear(clock::now(), &fingerprint(job));
+    }
+}
+
+/// Adopts a refused part that an instance wrote to the store.
+pub fn apply_kv(gw: &Gateway, kv: &KeyValue) {
+    let Some(part) = kv.key.strip_prefix(KEY_PREFIX).and_then(|p| p.parse().ok()) else { return };
+    let Some(value) = &kv.value else {
+        gw.published_parts.borrow_mut().remove(&part);
+        gw.parts_refused.notify_one();
+        return;
+    };
+    match serde_json::from_slice::<PartsGossip>(value) {
+        Ok(gossip) => {
+            gw.published_parts.borrow_mut().insert(part);
+            gw.quarantine.borrow_mut().parts.merge(clock::now(), &gossip);
+            update(gw);
+        }
+        Err(e) => log::warn!("key {} of the store ignored, its value is not valid: {e}", kv.key),
     }
 }
+
+/// Forgets which refused parts the store holds, after it has come back from a copy.
+pub fn forget_published(gw: &Gateway) {
+    gw.published_parts.borrow_mut().clear();
+    gw.parts_refused.notify_one();
+}
+
+/// Writes refused parts to the store, from which instances learn of them when they start. Does not
+/// return.
+pub async fn publish_refused(gw: Rc<Gateway>) {
+    loop {
+        let _ = timeout(PUBLISH_CHECK_INTERVAL, gw.parts_refused.notified()).await;
+        // The instances that follow the store write; the first of them spares the others a call.
+        tokio::time::sleep(MAX_PUBLISH_DELAY.mul_f64(rand::random())).await;
+        while let Some(part) = next_unpublished(&gw) {
+            match publish(&gw, part).await {
+                Ok(true) => drop(gw.published_parts.borrow_mut().insert(part)),
+                Ok(false) => {
+                    log::warn!("part {part} not written to the store: its lease has ended")
+                }
+                Err(e) => {
+                    log::debug!("part {part} not written to the store: {e:?}");
+                    tokio::time::sleep(jitter(STORE_RETRY_INTERVAL)).await;
+                }
+            }
+        }
+    }
+}
+
+/// Returns a refused part that this instance has to write to the store.
+fn next_unpublished(gw: &Gateway) -> Option<PartId> {
+    let published = gw.published_parts.borrow();
+    let quarantine = gw.quarantine.borrow();
+    let refused = quarantine.parts.refused().iter().filter(|r| r.parts.len() == 1);
+    let part = refused.flat_map(|r| r.parts.iter()).find(|p| !published.contains(p));
+    part.copied().filter(|_| peers::is_reader(gw))
+}
+
+async fn publish(gw: &Gateway, part: PartId) -> Result<bool, StoreError> {
+    let gossip = gw.quarantine.borrow().parts.gossip_of(clock::now(), part);
+    // Serializing numbers cannot fail.
+    let value = serde_json::to_vec(&gossip).unwrap_or_default();
+    let lease = gw.store.grant(STORE_TTL).await?;
+    gw.store.put(&format!("{KEY_PREFIX}{part}"), &value, lease).await
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -117,10 +117,10 @@
         )
         .retry_after(Duration::from_millis(500))),
     };
-    let job = match job
+    let checked = job
         .and_then(|job| check_draining(gw, job))
-        .and_then(|job| quarantine::check(gw, job))
-    {
+        .and_then(|job| quarantine::check(gw, &job).map(|()| job));
+    let job = match checked {
         Ok(job) => job,
         Err(problem) => {
             let sent = job::refuse(gw, conn, id.as_ref(), &problem, close).await;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -290,6 +290,7 @@
     fn record_completed(&self) {
         attempt::record_health(self.gw, self.segment.guard.key, true);
         quarantine::clear(self.gw, self.job);
+        self.segment.run.complete();
         let ms = clock::now().saturating_duration_since(self.job.received).as_millis();
         metrics::counter!("streams_total", "end" => "whole").increment(1);
         metrics::histogram!("stream_seconds").record(ms as f64 / 1e3);
@@ -391,6 +392,7 @@
     fn record_events(&mut self, events: u32) {
         let now = clock::now();
         self.segment.guard.finish_prefill();
+        self.segment.run.record_event();
         if self.stats.events == 0 {
             let first = now.saturating_duration_since(self.job.received);
             metrics::histogram!("first_event_seconds").record(first.as_secs_f64());
--- a/src/problem/mod.rs
+++ b/src/problem/mod.rs
@@ -57,6 +57,8 @@
     Gone,
     /// This process does not accept the request, usually because it is shutting down.
     Draining,
+    /// The request, or a part of its prompt, has crashed endpoints.
+    Quarantined,
     /// This process has no configuration yet that could serve the request.
     NotReady,
     /// A newer configuration was submitted first.
@@ -83,6 +85,7 @@
             ProblemKind::NoClaim
             | ProblemKind::Refused(_)
             | ProblemKind::Draining
+            | ProblemKind::Quarantined
             | ProblemKind::NotReady => 503,
         }
     }
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -5,15 +5,29 @@
 //! crashes it runs alone on its endpoint; after three it is refused. A content that runs to its
 //! end is cleared of the crashes recorded so far, unless it is already refused: it has then crashed
 //! an endpoint on which it ran alone.
+//!
+//! Requests with different contents may share a part of their prompts that crashes endpoints; see
+//! [`PartSuspects`].
+
+mod parts;
+mod runs;
+
+pub use parts::{CrashId, MAX_CRASHES, PartSuspects, RefusedParts, Scope};
+pub use runs::{RunKey, Runs, SOUND_TIME};
 
 use crate::frame::{Crash, Gossip, Suspect};
 use crate::id::{Fingerprint, Incarnation};
 use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
 
 /// Number of crashes from which a content runs alone.
 const ALONE_THRESHOLD: usize = 2;
 /// Number of crashes from which a content is refused.
 const REFUSE_THRESHOLD: usize = 3;
+/// Time for which a change is sent to other instances, since messages may be lost.
+const GOSSIP_TIME: Duration = Duration::from_secs(3);
+/// Most contents of each kind in one message.
+const MAX_GOSSIP_ROWS: usize = 40;
 /// Most suspects kept, and most cleared contents.
 const MAX_CONTENTS: usize = 4096;
 
@@ -31,13 +45,17 @@
 }
 
 /// Crashes by run of the endpoint's sidecar and number of the crash in that run.
-type CrashSet = HashSet<(Incarnation, u32)>;
+type CrashSet = HashSet<CrashId>;
 
 /// Contents that were running when endpoints crashed.
 #[derive(Debug, Default)]
 pub struct Quarantine {
+    /// Parts of prompts that several contents share.
+    pub parts: PartSuspects,
     suspects: HashMap<Fingerprint, CrashSet>,
     cleared: HashMap<Fingerprint, CrashSet>,
+    /// Contents that changed within [`GOSSIP_TIME`], and when.
+    changed: HashMap<Fingerprint, Instant>,
     running: HashMap<Fingerprint, u32>,
 }
 
@@ -45,6 +63,7 @@
     /// Records a crash; returns the contents to which it was added, with their new standing.
     pub fn record_crash(
         &mut self,
+        now: Instant,
         endpoint: Incarnation,
         crash: &Crash,
     ) -> Vec<(Fingerprint, Standing)> {
@@ -52,6 +71,7 @@
         let mut changed = Vec::new();
         for f in &crash.running {
             if self.add(*f, id) {
+                self.changed.insert(*f, now);
                 changed.push((*f, self.standing(f)));
             }
         }
@@ -60,7 +80,7 @@
 
     /// Adds a crash to a content unless it was cleared of that crash; returns whether the crash is
     /// new for the content.
-    fn add(&mut self, f: Fingerprint, crash: (Incarnation, u32)) -> bool {
+    fn add(&mut self, f: Fingerprint, crash: CrashId) -> bool {
         if self.cleared.get(&f).is_some_and(|c| c.contains(&crash)) {
             return false;
         }
@@ -76,10 +96,11 @@
 
     /// Clears a content that ran to its end; returns whether it was a suspect. A refused content
     /// stays refused.
-    pub fn clear(&mut self, f: &Fingerprint) -> bool {
+    pub fn clear(&mut self, now: Instant, f: &Fingerprint) -> bool {
         if matches!(self.standing(f), Standing::Free | Standing::Refused) {
             return false;
         }
+        self.changed.insert(*f, now);
         let crashes = self.suspects.remove(f).unwrap_or_default();
         if self.cleared.len() >= MAX_CONTENTS {
             self.cleared.clear();
@@ -129,12 +150,31 @@
     }
 
     /// Returns all suspects and cleared contents, to be merged by other instances.
-    pub fn gossip(&self) -> Gossip {
-        Gossip { suspects: to_rows(&self.suspects), cleared: to_rows(&self.cleared) }
+    pub fn gossip(&self, now: Instant) -> Gossip {
+        Gossip {
+            suspects: to_rows(self.suspects.iter()),
+            cleared: to_rows(self.cleared.iter()),
+            parts: self.parts.gossip(now, Scope::All),
+        }
+    }
+
+    /// Returns the contents that changed of late, and the parts in a scope.
+    pub fn recent_gossip(&mut self, now: Instant, scope: Scope) -> Gossip {
+        self.changed.retain(|_, at| now.saturating_duration_since(*at) < GOSSIP_TIME);
+        let pick = |all: &HashMap<Fingerprint, CrashSet>| {
+            let recent = self.changed.keys().filter_map(|f| Some((f, all.get(f)?)));
+            to_rows(recent.take(MAX_GOSSIP_ROWS))
+        };
+        Gossip {
+            suspects: pick(&self.suspects),
+            cleared: pick(&self.cleared),
+            parts: self.parts.gossip(now, scope),
+        }
     }
 
     /// Merges the state of another instance; the order of merges does not matter.
-    pub fn merge(&mut self, gossip: &Gossip) {
+    pub fn merge(&mut self, now: Instant, gossip: &Gossip) {
+        self.parts.merge(now, &gossip.parts);
         for s in &gossip.cleared {
             self.cleared.entry(s.content).or_default().extend(s.crashes.iter().copied());
             if let Some(known) = self.suspects.get_mut(&s.content) {
@@ -152,9 +192,8 @@
     }
 }
 
-fn to_rows(all: &HashMap<Fingerprint, CrashSet>) -> Vec<Suspect> {
+fn to_rows<'a>(all: impl Iterator<Item = (&'a Fingerprint, &'a CrashSet)>) -> Vec<Suspect> {
     let mut rows: Vec<Suspect> = all
-        .iter()
         .map(|(f, crashes)| Suspect { content: *f, crashes: crashes.iter().copied().collect() })
         .collect();
     rows.sort_by_key(|s| s.content);
--- /dev/null
+++ b/src/quarantine/parts.rs
@@ -0,0 +1,320 @@
+//! Parts of prompts that crash engines, whatever else their requests hold.
+//!
+//! Each crash accuses the parts of all requests that might have caused it. A run that is sound
+//! clears its parts, so only the cause and parts that share all of its requests stay accused. Of
+//! these, the part with the most crashes is refused, and the crashes that it explains accuse no
+//! other part. Parts that were present at the same crashes are refused only together, until a
+//! request with some of them tells them apart.
+
+use crate::frame::{PartRow, PartsGossip, SeenCrash};
+use crate::id::{Incarnation, PartId};
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+/// Number of crashes from which a part is refused.
+pub const MAX_CRASHES: usize = 3;
+/// Least time between the first and the last of these crashes. Engines that crash at the same
+/// moment have crashed for another reason.
+const MIN_SPREAD: Duration = Duration::from_secs(1);
+/// Time for which a crash counts, and for which a part is cleared of it.
+const CRASH_MEMORY: Duration = Duration::from_secs(600);
+/// Time for which a part that was refused is refused again at its first crash.
+const RELAPSE_MEMORY: Duration = Duration::from_secs(3600);
+/// Time for which a change is sent to other instances, since messages may be lost.
+const GOSSIP_TIME: Duration = Duration::from_secs(3);
+/// A part with a sound run within this time is not named to other instances, which have sound runs
+/// of such a common part too.
+const COMMON_TIME: Duration = Duration::from_secs(1);
+/// Time for which a sound run is remembered, longer than messages are late.
+const SOUND_MEMORY: Duration = Duration::from_secs(30);
+/// Most parts that are accused, and most that are cleared.
+const MAX_PARTS: usize = 4096;
+/// Most crashes of one part in a message, the latest ones.
+const MAX_ROW_CRASHES: usize = 32;
+/// Most parts in one message.
+const MAX_GOSSIP_ROWS: usize = 60;
+/// Most crashes in one message, which has to fit into a datagram.
+const MAX_GOSSIP_CRASHES: usize = 300;
+
+/// Crash of an endpoint: the run of the endpoint or its sidecar, and the number in that run.
+pub type CrashId = (Incarnation, u32);
+type Crashes = HashMap<CrashId, Instant>;
+type PartSet = BTreeSet<PartId>;
+
+/// Parts that are refused together.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RefusedParts {
+    /// The parts; a request is refused if it has all of them.
+    pub parts: PartSet,
+    /// Crashes at which they were present.
+    pub crashes: usize,
+    /// Time from which they are allowed again unless they crash another engine.
+    pub until: Instant,
+}
+
+/// Parts that a message to other instances names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// Those that changed at this instance of late.
+    Changed,
+    /// Also those that are refused.
+    Refused,
+    /// All, those with the most crashes first.
+    All,
+}
+
+/// Parts accused of crashes, cleared of them, and refused.
+#[derive(Debug, Default)]
+pub struct PartSuspects {
+    /// Crashes at which each accused part was present.
+    accused: HashMap<PartId, Crashes>,
+    /// Crashes of which sound runs have cleared each part.
+    cleared: HashMap<PartId, Crashes>,
+    /// Parts that this instance accused of late, and when.
+    accusations: HashMap<PartId, Instant>,
+    /// Parts that this instance cleared of several crashes of late, or that another instance still
+    /// accuses, and when.
+    clearances: HashMap<PartId, Instant>,
+    /// Parts refused at present.
+    refused: Vec<RefusedParts>,
+    /// Parts that are or were refused by themselves, and since when.
+    known: HashMap<PartId, Instant>,
+    /// Latest sound run of each part.
+    last_sound: HashMap<PartId, Instant>,
+    /// When any run was last found sound.
+    sound_at: Option<Instant>,
+}
+
+impl PartSuspects {
+    /// Accuses parts of a crash at `at`. Returns those that are accused of it for the first time,
+    /// with their numbers of crashes.
+    pub fn record_crash(
+        &mut self,
+        at: Instant,
+        id: CrashId,
+        parts: &[PartId],
+    ) -> Vec<(PartId, usize)> {
+        let accused: Vec<(PartId, usize)> =
+            parts.iter().filter_map(|p| Some((*p, self.accuse(at, id, *p)?))).collect();
+        self.accusations.extend(accused.iter().map(|(p, _)| (*p, at)));
+        accused
+    }
+
+    /// Returns whether a part is cleared of a crash at `at`, of which this instance may learn only
+    /// after the sound run.
+    fn is_cleared(&self, at: Instant, part: PartId, id: CrashId) -> bool {
+        self.cleared.get(&part).is_some_and(|c| c.contains_key(&id))
+            || self.last_sound.get(&part).is_some_and(|sound| *sound >= at)
+    }
+
+    /// Returns the part's number of crashes; `None` if this one is known or the part is cleared of
+    /// it.
+    fn accuse(&mut self, at: Instant, id: CrashId, part: PartId) -> Option<usize> {
+        if self.is_cleared(at, part, id) {
+            return None;
+        }
+        if self.accused.len() >= MAX_PARTS && !self.accused.contains_key(&part) {
+            // The part with the fewest crashes is the least likely cause.
+            let least = self.accused.iter().min_by_key(|(_, c)| c.len()).map(|(p, _)| *p);
+            least.map(|p| self.accused.remove(&p));
+        }
+        let crashes = self.accused.entry(part).or_default();
+        if crashes.contains_key(&id) {
+            return None;
+        }
+        crashes.insert(id, at);
+        Some(crashes.len())
+    }
+
+    /// Clears the parts of a sound run of all known crashes. Returns the parts that were accused,
+    /// with their numbers of crashes.
+    pub fn record_sound(&mut self, now: Instant, parts: &[PartId]) -> Vec<(PartId, usize)> {
+        self.sound_at = Some(now);
+        let mut changed = Vec::new();
+        for p in parts {
+            self.last_sound.insert(*p, now);
+            self.known.remove(p);
+            let Some(crashes) = self.accused.remove(p) else { continue };
+            changed.push((*p, crashes.len()));
+            if crashes.len() > 1 {
+                self.clearances.insert(*p, now);
+            }
+            self.clear(*p, crashes);
+        }
+        changed
+    }
+
+    fn clear(&mut self, part: PartId, crashes: Crashes) {
+        if self.cleared.len() >= MAX_PARTS {
+            self.cleared.clear();
+        }
+        self.cleared.entry(part).or_default().extend(crashes);
+    }
+
+    /// Forgets old crashes and decides anew which parts are refused. Returns those that were not
+    /// refused before.
+    pub fn step(&mut self, now: Instant) -> Vec<RefusedParts> {
+        self.forget(now);
+        let refused = if self.accused.is_empty() { Vec::new() } else { self.find_causes() };
+        let is_new = |r: &&RefusedParts| self.refused.iter().all(|old| old.parts != r.parts);
+        let new: Vec<RefusedParts> = refused.iter().filter(is_new).cloned().collect();
+        for r in refused.iter().filter(|r| r.parts.len() == 1) {
+            self.known.extend(r.parts.iter().map(|p| (*p, now)));
+        }
+        self.refused = refused;
+        new
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let is_recent = |at: Instant, time| now.saturating_duration_since(at) < time;
+        for all in [&mut self.accused, &mut self.cleared] {
+            all.retain(|_, crashes| {
+                crashes.retain(|_, at| is_recent(*at, CRASH_MEMORY));
+                !crashes.is_empty()
+            });
+        }
+        self.accusations.retain(|_, at| is_recent(*at, GOSSIP_TIME));
+        self.clearances.retain(|_, at| is_recent(*at, GOSSIP_TIME));
+        self.last_sound.retain(|_, at| is_recent(*at, SOUND_MEMORY));
+        self.known.retain(|_, at| is_recent(*at, RELAPSE_MEMORY));
+    }
+
+    /// Returns the fewest sets of parts that explain the crashes, as far as these suffice.
+    fn find_causes(&self) -> Vec<RefusedParts> {
+        let mut causes: Vec<RefusedParts> = Vec::new();
+        let mut explained: HashSet<CrashId> = HashSet::new();
+        loop {
+            let open = |c: &Crashes| c.keys().filter(|id| !explained.contains(id)).count();
+            let eligible = self.accused.iter().filter(|(p, c)| self.is_cause(**p, c, &explained));
+            let rank = |p: &PartId, c: &Crashes| (self.known.contains_key(p), open(c), *p);
+            let Some((part, crashes)) = eligible.max_by_key(|(p, c)| rank(p, c)) else { break };
+            let is_same = |other: &Crashes| {
+                other.len() == crashes.len() && crashes.keys().all(|id| other.contains_key(id))
+            };
+            let mut parts = PartSet::from([*part]);
+            if !self.known.contains_key(part) {
+                parts.extend(self.accused.iter().filter(|(_, c)| is_same(c)).map(|(p, _)| *p));
+            }
+            let newest = crashes.values().max().copied();
+            let Some(newest) = newest else { break };
+            let count = crashes.len();
+            explained.extend(crashes.keys());
+            causes.push(RefusedParts { parts, crashes: count, until: newest + CRASH_MEMORY });
+        }
+        causes
+    }
+
+    /// Returns whether the crashes of a part that no other part explains suffice to refuse it.
+    fn is_cause(&self, part: PartId, crashes: &Crashes, explained: &HashSet<CrashId>) -> bool {
+        let open = crashes.iter().filter(|(id, _)| !explained.contains(id)).map(|(_, at)| *at);
+        let times: Vec<Instant> = open.collect();
+        let (Some(first), Some(last)) = (times.iter().min(), times.iter().max()) else {
+            return false;
+        };
+        if self.known.contains_key(&part) {
+            return true;
+        }
+        // Without any sound run since, the engines rather than the part may be at fault.
+        times.len() >= MAX_CRASHES
+            && *last >= *first + MIN_SPREAD
+            && self.sound_at.is_some_and(|at| at > *first)
+    }
+
+    /// Returns why a request with these parts is refused; `None` if it is not.
+    pub fn find_refused(&self, parts: &[PartId]) -> Option<&RefusedParts> {
+        self.refused.iter().find(|r| r.parts.iter().all(|p| parts.contains(p)))
+    }
+
+    /// Returns the parts refused at present.
+    pub fn refused(&self) -> &[RefusedParts] {
+        &self.refused
+    }
+
+    /// Returns what other instances need to know of the parts in a scope.
+    pub fn gossip(&self, now: Instant, scope: Scope) -> PartsGossip {
+        let is_recent = |changes: &HashMap<PartId, Instant>, p: &PartId, time| {
+            changes.get(p).is_some_and(|at| now.saturating_duration_since(*at) < time)
+        };
+        let is_changed = |p: &PartId| {
+            is_recent(&self.clearances, p, GOSSIP_TIME)
+                || is_recent(&self.accusations, p, GOSSIP_TIME)
+                    && !is_recent(&self.last_sound, p, COMMON_TIME)
+        };
+        let is_refused = |p: &PartId| self.refused.iter().any(|r| r.parts.contains(p));
+        let is_named = |p: &PartId| match scope {
+            Scope::Changed => is_changed(p),
+            Scope::Refused => is_changed(p) || is_refused(p),
+            Scope::All => true,
+        };
+        let parts: HashSet<PartId> =
+            self.accused.keys().chain(self.clearances.keys()).copied().collect();
+        let mut rows: Vec<PartRow> =
+            parts.into_iter().filter(is_named).map(|p| self.row(now, p)).collect();
+        rows.sort_by_key(|r| (std::cmp::Reverse(r.crashes.len()), r.part));
+        rows.truncate(MAX_GOSSIP_ROWS);
+        let mut left = MAX_GOSSIP_CRASHES;
+        rows.retain(|r| {
+            left = left.saturating_sub(r.crashes.len() + r.cleared.len());
+            left > 0
+        });
+        let is_alone = |r: &&RefusedParts| r.parts.len() == 1;
+        let refused = self.refused.iter().filter(is_alone).flat_map(|r| r.parts.iter().copied());
+        let refused = refused.filter(|p| rows.iter().any(|r| r.part == *p)).collect();
+        PartsGossip { rows, refused }
+    }
+
+    fn row(&self, now: Instant, part: PartId) -> PartRow {
+        let seen = |all: &HashMap<PartId, Crashes>| {
+            all.get(&part).map_or_else(Vec::new, |crashes| to_seen(now, crashes))
+        };
+        PartRow { part, crashes: seen(&self.accused), cleared: seen(&self.cleared) }
+    }
+
+    /// Returns what another instance needs to know to refuse a part.
+    pub fn gossip_of(&self, now: Instant, part: PartId) -> PartsGossip {
+        PartsGossip { rows: vec![self.row(now, part)], refused: vec![part] }
+    }
+
+    /// Merges what another instance knows; the order of merges does not matter.
+    pub fn merge(&mut self, now: Instant, gossip: &PartsGossip) {
+        for row in &gossip.rows {
+            let cleared: Crashes = from_seen(now, &row.cleared).collect();
+            if let Some(known) = self.accused.get_mut(&row.part) {
+                known.retain(|id, _| !cleared.contains_key(id));
+                if known.is_empty() {
+                    self.accused.remove(&row.part);
+                    self.known.remove(&row.part);
+                }
+            }
+            if !cleared.is_empty() {
+                self.clear(row.part, cleared);
+            }
+            for (id, at) in from_seen(now, &row.crashes) {
+                if self.is_cleared(at, row.part, id) {
+                    self.clearances.insert(row.part, now);
+                } else {
+                    self.accuse(at, id, row.part);
+                }
+            }
+        }
+        for part in gossip.refused.iter().filter(|p| self.accused.contains_key(p)) {
+            self.known.entry(*part).or_insert(now);
+        }
+    }
+}
+
+fn to_seen(now: Instant, crashes: &Crashes) -> Vec<SeenCrash> {
+    let age = |at: &Instant| now.saturating_duration_since(*at).as_millis() as u64;
+    let mut seen: Vec<SeenCrash> = crashes.iter().map(|(id, at)| (id.0, id.1, age(at))).collect();
+    seen.sort_by_key(|(incarnation, number, age)| (*age, *incarnation, *number));
+    seen.truncate(MAX_ROW_CRASHES);
+    seen
+}
+
+fn from_seen(now: Instant, seen: &[SeenCrash]) -> impl Iterator<Item = (CrashId, Instant)> + '_ {
+    seen.iter().filter_map(move |(incarnation, number, age)| {
+        let age = Duration::from_millis(*age);
+        let at = if age < CRASH_MEMORY { now.checked_sub(age) } else { None };
+        Some(((*incarnation, *number), at?))
+    })
+}
--- /dev/null
+++ b/src/quarantine/runs.rs
@@ -0,0 +1,100 @@
+//! Runs of generations at endpoints, as far as they may have caused a crash there.
+
+use crate::id::PartId;
+use slotmap::{SlotMap, new_key_type};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Time after its first event for which a run may still crash its endpoint.
+pub const SOUND_TIME: Duration = Duration::from_millis(500);
+
+new_key_type! {
+    /// Key of a run until it is sound.
+    pub struct RunKey;
+}
+
+#[derive(Debug)]
+struct Run<K> {
+    endpoint: K,
+    parts: Rc<[PartId]>,
+    /// Time of the first event.
+    begun: Option<Instant>,
+    /// When it ended.
+    ended: Option<Instant>,
+    /// Whether it ended with a complete response.
+    is_whole: bool,
+}
+
+/// Runs that are not known to be sound, at endpoints with keys of type `K`.
+#[derive(Debug)]
+pub struct Runs<K> {
+    runs: SlotMap<RunKey, Run<K>>,
+}
+
+impl<K> Default for Runs<K> {
+    fn default() -> Self {
+        Runs { runs: SlotMap::with_key() }
+    }
+}
+
+impl<K: Copy + PartialEq> Runs<K> {
+    /// Adds a run that is sent to an endpoint.
+    pub fn start(&mut self, endpoint: K, parts: Rc<[PartId]>) -> RunKey {
+        self.runs.insert(Run { endpoint, parts, begun: None, ended: None, is_whole: false })
+    }
+
+    /// Records an event of a run. Returns the parts of the run once it is sound.
+    pub fn record_event(&mut self, now: Instant, key: RunKey) -> Option<Rc<[PartId]>> {
+        let run = self.runs.get_mut(key)?;
+        let begun = *run.begun.get_or_insert(now);
+        if now < begun + SOUND_TIME {
+            return None;
+        }
+        self.runs.remove(key).map(|run| run.parts)
+    }
+
+    /// Records the end of a run; `is_whole` if its response is complete.
+    pub fn end(&mut self, now: Instant, key: RunKey, is_whole: bool) {
+        if let Some(run) = self.runs.get_mut(key) {
+            run.ended.get_or_insert(now);
+            run.is_whole |= is_whole;
+        }
+    }
+
+    /// Removes a run of a request that has not run there.
+    pub fn remove(&mut self, key: RunKey) {
+        self.runs.remove(key);
+    }
+
+    /// Removes the runs at an endpoint that has crashed. Returns their parts.
+    pub fn take_crashed(&mut self, endpoint: K) -> Vec<PartId> {
+        let mut parts: Vec<PartId> = Vec::new();
+        self.runs.retain(|_, run| {
+            let is_there = run.endpoint == endpoint;
+            if is_there {
+                parts.extend(run.parts.iter());
+            }
+            !is_there
+        });
+        parts.sort();
+        parts.dedup();
+        parts
+    }
+
+    /// Removes the runs that ended long enough ago. Returns the parts of each that is sound.
+    pub fn step(&mut self, now: Instant) -> Vec<Rc<[PartId]>> {
+        let mut sound = Vec::new();
+        self.runs.retain(|_, run| {
+            let Some(ended) = run.ended else { return true };
+            match run.begun.filter(|_| run.is_whole) {
+                Some(begun) if now >= begun + SOUND_TIME => {
+                    sound.push(run.parts.clone());
+                    false
+                }
+                Some(_) => true,
+                None => now < ended + SOUND_TIME,
+            }
+        });
+        sound
+    }
+}
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -3,12 +3,13 @@
 
 use super::status::{self, StreamStatus};
 use super::{CONNECT_TIMEOUT, Sidecar, Submission, finish};
-use crate::board::{Engine, JobKey, Phase};
+use crate::board::{Engine, Job, JobKey, Phase, SidecarBoard};
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::{Crash, Finish, Order, OrderAction, Refusal};
 use crate::h1::{self, Outbound};
-use crate::id::Nonce;
+use crate::id::{Nonce, PartId};
+use crate::quarantine::SOUND_TIME;
 use crate::settings::EndpointKind;
 use actix_http::{Method, RequestHead};
 use awc::error::SendRequestError;
@@ -39,7 +40,7 @@
 const STREAM_TIMEOUT_STEPS: u32 = 20;
 /// Delay before a broken stream is reopened.
 const REOPEN_DELAY: Duration = Duration::from_millis(100);
-/// Maximum number of contents recorded with a crash.
+/// Maximum number of contents, and of parts, recorded with a crash.
 const MAX_CRASH_CONTENTS: usize = 256;
 /// Maximum number of cached prefixes kept for reports.
 const MAX_PREFIXES: usize = 256;
@@ -241,6 +242,7 @@
         s.wake.notify_one();
     }
     job.prefilled = true;
+    job.begun.get_or_insert(now);
     job.last_active = now;
     job.tokens.push(text);
     board.fair.charge(&job.start.workspace, job.start.weight, 1);
@@ -395,6 +397,18 @@
     res.json().await.map_err(|_| false)
 }
 
+/// Returns the shared parts of the running generations that may have crashed the engine: those
+/// that have not sent tokens for a while.
+fn accused_parts(board: &SidecarBoard) -> Vec<PartId> {
+    let is_sound = |j: &Job| j.begun.is_some_and(|begun| j.last_active >= begun + SOUND_TIME);
+    let suspects = board.in_phase(Phase::Running).filter(|(_, j)| !is_sound(j));
+    let mut parts: Vec<PartId> = suspects.flat_map(|(_, j)| j.start.parts.clone()).collect();
+    parts.sort();
+    parts.dedup();
+    parts.truncate(MAX_CRASH_CONTENTS);
+    parts
+}
+
 /// Records the loss of the endpoint: ends its generations, and records a crash with the contents
 /// that were running.
 fn record_loss(s: &Rc<Sidecar>) {
@@ -406,6 +420,7 @@
         let has_started = |p: Phase| matches!(p, Phase::Running | Phase::Held);
         let running = board.in_phase(Phase::Running).map(|(_, j)| j.start.fingerprint);
         let running: Vec<_> = running.take(MAX_CRASH_CONTENTS).collect();
+        let parts = accused_parts(&board);
         let started = board.jobs.iter().filter(|(_, j)| has_started(j.phase)).map(|(k, _)| k);
         let started: Vec<JobKey> = started.collect();
         let queued: Vec<JobKey> = board.in_phase(Phase::Queued).map(|(k, _)| k).collect();
@@ -415,7 +430,7 @@
             format_args!("running={}", running.len()),
         );
         if !running.is_empty() {
-            board.crashes.push(Crash { number, running });
+            board.crashes.push((clock::now(), Crash { number, running, parts, age: 0 }));
         }
         (started, queued)
     };
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -10,7 +10,7 @@
 use crate::board::{Job, JobKey, Phase, SidecarBoard};
 use crate::clock;
 use crate::event::Kind;
-use crate::frame::{Finish, Refusal, Report};
+use crate::frame::{Crash, Finish, Refusal, Report};
 use crate::gate::{self, Action, Gate};
 use crate::http::{self, Body, UnpooledClient};
 use crate::id::{Fence, Tokens};
@@ -27,7 +27,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
 /// Time limit for connecting to the endpoint.
@@ -261,6 +261,7 @@
 
 /// Returns the report on this endpoint that each poll reply includes.
 fn report(s: &Sidecar) -> Report {
+    let now = clock::now();
     let board = s.board.borrow();
     let engine = &board.engine;
     let pool: Arc<str> = match &s.endpoint.kind {
@@ -282,10 +283,16 @@
         gap: engine.gap.as_micros() as u32,
         epoch: s.ledger.borrow().epoch(),
         prefixes: engine.prefixes.clone(),
-        crashes: board.crashes[skip..].to_vec(),
+        crashes: board.crashes[skip..].iter().map(|(at, c)| with_age(now, *at, c)).collect(),
     }
 }
 
+/// Returns a crash at `at` with its age at `now`.
+fn with_age(now: Instant, at: Instant, crash: &Crash) -> Crash {
+    let age = now.saturating_duration_since(at).as_millis() as u64;
+    Crash { age, ..crash.clone() }
+}
+
 /// Returns a retry delay in milliseconds, as in [`Reply::Refused`](crate::frame::Reply::Refused).
 fn retry_millis(wait: Duration) -> u64 {
     wait.as_millis() as u64
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -102,6 +102,7 @@
         last_read: now,
         prefilled: false,
         submissions: 0,
+        begun: None,
         end_sent: false,
         start,
     };
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -46,8 +46,7 @@
     UnframedStream(u64, Duration),
     /// Responds with the id of the request as the body.
     EchoId,
-    /// Runs the request, closes its connection without a response, and closes new connections at
-    /// once for this time.
+    /// Runs the request, breaks off all responses, and refuses connections for this time.
     Crash(Duration),
     /// Like `Stream`, with events that name their request and run. A continued run keeps its name.
     TaggedStream(u64, Duration),
@@ -151,7 +150,9 @@
     draining_reports: AtomicU32,
     /// Headers beside the usual ones in all responses to requests.
     extra_headers: Mutex<String>,
-    /// Time until which new connections are closed at once.
+    /// Address that the endpoint listens on.
+    address: SocketAddr,
+    /// Time until which connections are refused.
     down_until: Mutex<Option<Instant>>,
     /// Part of a prompt that crashes the endpoint, and how long it is down then.
     crash_part: Mutex<Option<(String, Duration)>>,
@@ -163,9 +164,17 @@
 const CRASH_DELAY: Duration = Duration::from_millis(60);
 
 impl State {
-    /// Breaks off all responses, and closes new connections at once for this time.
+    /// Returns how long the endpoint is still down; `None` if it is not.
+    fn down_time(&self) -> Option<Duration> {
+        let until = (*self.down_until.lock().ok()?)?;
+        Some(until.saturating_duration_since(Instant::now())).filter(|d| !d.is_zero())
+    }
+
+    /// Breaks off all responses, and refuses connections for this time.
     fn crash(&self, down: Duration) -> Option<()> {
         *self.down_until.lock().ok()? = Some(Instant::now() + down);
+        // Wakes the thread that waits for a connection. One that waits no more refuses this one.
+        let _ = TcpStream::connect(self.address);
         for io in self.connections.lock().ok()?.drain(..) {
             // A connection that has ended is closed already.
             let _ = io.shutdown(Shutdown::Both);
@@ -208,23 +217,13 @@
             freed: Mutex::default(),
             draining_reports: AtomicU32::new(0),
             extra_headers: Mutex::default(),
+            address,
             down_until: Mutex::default(),
             crash_part: Mutex::default(),
             connections: Mutex::default(),
         });
         let serving = state.clone();
-        std::thread::spawn(move || {
-            for io in listener.incoming().flatten() {
-                let state = serving.clone();
-                let down_until = *state.down_until.lock().expect("no holder panics");
-                if down_until.is_none_or(|t| t < Instant::now()) {
-                    if let Ok(io) = io.try_clone() {
-                        state.connections.lock().expect("no holder panics").push(io);
-                    }
-                    std::thread::spawn(move || serve(&state, io));
-                }
-            }
-        });
+        std::thread::spawn(move || accept(&serving, listener));
         Endpoint { id: id.to_owned(), address, state }
     }
 
@@ -250,7 +249,7 @@
         *self.state.crash_part.lock().expect("no holder panics") = crash;
     }
 
-    /// Crashes: breaks off all responses, and closes new connections at once for this time.
+    /// Crashes: breaks off all responses, and refuses connections for this time.
     pub fn crash(&self, down: Duration) {
         self.state.crash(down);
     }
@@ -310,6 +309,26 @@
     }
 }
 
+/// Serves connections, and refuses them while the endpoint is down.
+fn accept(state: &Arc<State>, mut listener: TcpListener) {
+    let Ok(address) = listener.local_addr() else { return };
+    loop {
+        for io in listener.incoming().flatten() {
+            if state.down_time().is_some() {
+                break;
+            }
+            if let Ok(io) = io.try_clone() {
+                state.connections.lock().expect("no holder panics").push(io);
+            }
+            let state = state.clone();
+            std::thread::spawn(move || serve(&state, io));
+        }
+        drop(listener);
+        std::thread::sleep(state.down_time().unwrap_or_default());
+        listener = TcpListener::bind(address).expect("cannot listen again after a crash");
+    }
+}
+
 fn serve(state: &State, io: TcpStream) {
     let Ok(mut writer) = io.try_clone() else { return };
     let mut reader = BufReader::new(io);
--- a/tests/gateway/crashing_parts.rs
+++ b/tests/gateway/crashing_parts.rs
@@ -1,7 +1,10 @@
 //! Parts of prompts that crash each engine that begins to answer a request with them.
 
-use crate::common::{CONFIG, request_bytes, start_gateway, start_platform, wait_for};
+use crate::common::{
+    CONFIG, list_endpoint, request_bytes, start_gateway, start_platform, wait_for,
+};
 use standin::platform::{Action, Connection, Endpoint, Gateway, Reply, Store, send};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Part that crashes engines.
@@ -110,10 +113,11 @@
 /// Pauses all engines towards a gateway.
 fn pause_all(gateway: &Gateway, engines: &[Endpoint], pause: Duration) {
     engines.iter().for_each(|e| e.push_action(Action::Pause(pause)));
-    for n in 0..engines.len() {
+    let is_paused = || engines.iter().all(|e| e.received().iter().any(|r| r.pause.is_some()));
+    for n in (0..engines.len()).take_while(|_| !is_paused()) {
         send_sound(gateway, &format!("{n}d"));
     }
-    assert!(engines.iter().all(|e| e.received().iter().any(|r| r.pause.is_some())));
+    assert!(is_paused());
 }
 
 #[test]
@@ -145,6 +149,32 @@
     assert!(started.elapsed() < pause, "refused after {:?}", started.elapsed());
 }
 
+#[test]
+fn request_that_its_engine_has_not_begun_is_cancelled_once_its_part_is_refused() {
+    let engines = start_engines(6);
+    let slow = Endpoint::start("i-slow", Action::Stream(3, Duration::ZERO));
+    slow.push_action(Action::Hang);
+    let (store, gateways) = start_pair(&engines);
+    pause_all(&gateways[0], &engines, Duration::from_secs(8));
+    list_endpoint(&store, &slow, "model", "ready");
+    std::thread::sleep(PAUSE);
+    let mut waiting = start_with_parts(&gateways[0], "9c", &[FIRST, BAD]);
+    assert!(wait_for(2, || slow.run_count() == 1));
+    slow.crash_on_part(BAD, DOWN);
+    let hanging = slow.received()[0].closed.clone();
+    for n in 0..MAX_CRASHES {
+        send_sound(&gateways[1], &format!("{n}f"));
+        if send_bad(&gateways[1], &format!("{n}e")).status == 503 {
+            break;
+        }
+        std::thread::sleep(PAUSE);
+    }
+    let reply = waiting.reply();
+    assert_eq!(reply.status, 502, "{}", reply.body);
+    assert!(reply.body.contains("unknown"), "{}", reply.body);
+    assert!(wait_for(1, || hanging.load(Ordering::SeqCst)), "the connection is open");
+}
+
 #[test]
 fn crash_of_all_engines_at_once_refuses_no_part() {
     let engines = start_engines(6);
@@ -164,4 +194,7 @@
     let served =
         |n: usize| wait_for(10, || send_sound(&gateways[n % 2], &format!("{n}b")).complete);
     assert!((0..4).all(served), "sound requests are not served after the crashes");
+    for log in gateways.map(Gateway::into_log) {
+        assert!(!log.contains("kind=Convicted"), "{log}");
+    }
 }
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -110,6 +110,7 @@
             input: Tokens(a.input),
             limit: Tokens(a.output + 1000),
             fingerprint: Fingerprint(1),
+            parts: Vec::new(),
             alone: false,
             left: QUEUE_TIMEOUT.as_millis() as u64,
         };
@@ -127,6 +128,7 @@
             last_read: arrived,
             prefilled: false,
             submissions: 0,
+            begun: None,
             end_sent: false,
             start,
         };
--- a/tests/scenario/gate.rs
+++ b/tests/scenario/gate.rs
@@ -45,6 +45,7 @@
         input: arg(case, "input").unwrap_or(Tokens(10)),
         limit: arg(case, "limit").unwrap_or(Tokens(1000)),
         fingerprint: Fingerprint(1),
+        parts: Vec::new(),
         alone: arg(case, "alone").unwrap_or(false),
         left: arg(case, "left").unwrap_or(5000),
     }
@@ -102,6 +103,7 @@
             last_read: now,
             prefilled: false,
             submissions: 0,
+            begun: None,
             end_sent: false,
             start,
         };
--- a/tests/scenario/quarantine.rs
+++ b/tests/scenario/quarantine.rs
@@ -1,15 +1,38 @@
-//! Commands on the quarantine of crashing contents, for several entries that exchange gossip.
+//! Commands on the quarantine of crashing contents and parts, for several entries that exchange
+//! gossip. Gossip may be sent `lost`, or kept and delivered later.
 
-use super::{lines, names, need};
+use super::{arg, at, lines, names, need};
 use datadriven::TestCase;
-use skylarkthread::frame::Crash;
-use skylarkthread::id::{Fingerprint, Incarnation};
-use skylarkthread::quarantine::Quarantine;
+use skylarkthread::frame::{Crash, Gossip};
+use skylarkthread::id::{Fingerprint, Incarnation, PartId};
+use skylarkthread::quarantine::{Quarantine, RefusedParts};
 use std::collections::BTreeMap;
+use std::time::Instant;
 
-#[derive(Default)]
 pub struct State {
     entries: BTreeMap<String, Quarantine>,
+    kept: BTreeMap<String, Gossip>,
+    start: Instant,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        // Ages in gossip need times before the first command.
+        State { entries: BTreeMap::new(), kept: BTreeMap::new(), start: Instant::now() }
+    }
+}
+
+/// Returns the part whose name is the hexadecimal number `name`.
+fn part(name: &str) -> PartId {
+    PartId::of(name)
+}
+
+fn part_names<'a>(parts: impl Iterator<Item = &'a PartId>) -> String {
+    parts.map(|p| format!("{:x}", p.0)).collect::<Vec<_>>().join("+")
+}
+
+fn refused_line(r: &RefusedParts) -> String {
+    format!("refused {} crashes={}", part_names(r.parts.iter()), r.crashes)
 }
 
 fn content(name: &str) -> Fingerprint {
@@ -19,15 +42,19 @@
 impl State {
     pub fn run(&mut self, case: &TestCase) -> String {
         let entry: String = need(case, "entry");
-        let quarantine = self.entries.entry(entry).or_default();
+        let now = at(self.start, case);
+        let quarantine = self.entries.entry(entry.clone()).or_default();
         match case.directive.as_str() {
             "crash" => {
                 let running: Vec<_> = names(case, "running");
                 let crash = Crash {
                     number: need(case, "number"),
                     running: running.iter().map(|n| content(n)).collect(),
+                    parts: Vec::new(),
+                    age: 0,
                 };
-                let changed = quarantine.record_crash(Incarnation(need(case, "endpoint")), &crash);
+                let endpoint = Incarnation(need(case, "endpoint"));
+                let changed = quarantine.record_crash(now, endpoint, &crash);
                 let name = |f| running.iter().find(|n| content(n) == f).cloned();
                 let line = |(f, s)| format!("{} {s:?}", name(f).unwrap_or_default());
                 lines(changed.into_iter().map(line).collect())
@@ -38,7 +65,7 @@
             "end" => {
                 let f = content(&need::<String>(case, "content"));
                 quarantine.finish(&f);
-                format!("cleared {}\n", quarantine.clear(&f))
+                format!("cleared {}\n", quarantine.clear(now, &f))
             }
             "lost" => {
                 quarantine.finish(&content(&need::<String>(case, "content")));
@@ -48,11 +75,43 @@
                 format!("{:?}\n", quarantine.standing(&content(&need::<String>(case, "content"))))
             }
             "gossip" => {
-                let gossip = quarantine.gossip();
+                let gossip = quarantine.gossip(now);
                 let to: String = need(case, "to");
-                self.entries.entry(to).or_default().merge(&gossip);
+                self.entries.entry(to).or_default().merge(now, &gossip);
                 "ok\n".into()
             }
+            "keep" => {
+                self.kept.insert(entry, quarantine.gossip(now));
+                "ok\n".into()
+            }
+            "deliver" => {
+                let to: String = need(case, "to");
+                let late = arg(case, "late").unwrap_or(0);
+                let now = now + std::time::Duration::from_millis(late);
+                self.entries.entry(to).or_default().merge(now, &self.kept[&entry]);
+                "ok\n".into()
+            }
+            "restart" => {
+                *quarantine = Quarantine::default();
+                "ok\n".into()
+            }
+            "accuse" => {
+                let parts: Vec<PartId> = names(case, "parts").iter().map(|n| part(n)).collect();
+                let id = (Incarnation(need(case, "endpoint")), 0);
+                quarantine.parts.record_crash(now, id, &parts);
+                lines(quarantine.parts.step(now).iter().map(refused_line).collect())
+            }
+            "sound" => {
+                let parts: Vec<PartId> = names(case, "parts").iter().map(|n| part(n)).collect();
+                quarantine.parts.record_sound(now, &parts);
+                lines(quarantine.parts.step(now).iter().map(refused_line).collect())
+            }
+            "step" => lines(quarantine.parts.step(now).iter().map(refused_line).collect()),
+            "request" => {
+                let parts: Vec<PartId> = names(case, "parts").iter().map(|n| part(n)).collect();
+                let refused = quarantine.parts.find_refused(&parts);
+                refused.map_or("served\n".into(), |r| format!("{}\n", refused_line(r)))
+            }
             other => panic!("no command {other}"),
         }
     }
