Attribute crashes of engines to a part only where the part was present at most of them

Cause: one old crash and several of one wave made three crashes over a second apart, and prompts that engines had not begun to read counted like those that they were answering.

Crashes within a second of each other now count once, and only if the part was present at half or more of all crashes within 250 ms; a crash counts 300 ms later, when others of its wave are known. Requests whose engine had not begun to answer count only from six crashes. Clearances of all accused parts are sent to other instances. A generation whose part is accused of two crashes is not started again on another engine after a crash, which crashed three engines for one conversation in the form with sidecars.

The log of a stream names the time of its response head, which showed that engines send it with their first event.

--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -177,7 +177,8 @@
             Attempt::Lost => {
                 losses += 1;
                 let may_retry = e.budget.borrow_mut().spend(&request.service, request.need.input);
-                if losses > MAX_RESTARTS || !may_retry {
+                let is_suspect = e.quarantine.borrow().parts.is_suspect(&request.parts);
+                if losses > MAX_RESTARTS || !may_retry || is_suspect {
                     return Err(refusal_problem((Refusal::Down, Duration::from_secs(1))));
                 }
                 e.process.event(Kind::Replaced, request.content, format_args!("losses={losses}"));
--- a/src/entry/quarantine.rs
+++ b/src/entry/quarantine.rs
@@ -6,7 +6,7 @@
 use crate::event::Kind;
 use crate::frame::{Crash, Gossip, Refusal};
 use crate::id::{Incarnation, PartId};
-use crate::quarantine::Standing;
+use crate::quarantine::{AccusedPart, Standing};
 use std::time::Duration;
 
 /// Records the crashes that a sidecar reports, known ones included.
@@ -23,7 +23,10 @@
         }
         let at = now.checked_sub(Duration::from_millis(crash.age)).unwrap_or(now);
         let id = (incarnation, crash.number);
-        let accused = e.quarantine.borrow_mut().parts.record_crash(at, id, &crash.parts);
+        // The sidecar names only generations that its engine was running.
+        let parts: Vec<AccusedPart> =
+            crash.parts.iter().map(|p| AccusedPart { part: *p, begun: true }).collect();
+        let accused = e.quarantine.borrow_mut().parts.record_crash(at, id, &parts);
         if !accused.is_empty() {
             let detail = format_args!("parts={}", accused.len());
             e.process.event(Kind::Accused, incarnation, detail);
--- a/src/frame/mod.rs
+++ b/src/frame/mod.rs
@@ -368,9 +368,22 @@
     pub parts: PartsGossip,
 }
 
-/// Crash as an instance has seen it: the run of the endpoint or its sidecar, [`Crash::number`] and
-/// the time since then in milliseconds.
-pub type SeenCrash = (Incarnation, u32, u64);
+/// Crash at which a part was present.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SeenCrash {
+    /// Run of the endpoint or of its sidecar.
+    #[serde(rename = "e")]
+    pub endpoint: Incarnation,
+    /// [`Crash::number`].
+    #[serde(rename = "n")]
+    pub number: u32,
+    /// Time since the crash, in milliseconds.
+    #[serde(rename = "a")]
+    pub age: u64,
+    /// Whether the engine had begun to answer a request with the part.
+    #[serde(rename = "b")]
+    pub begun: bool,
+}
 
 /// Parts of prompts that are accused of crashes, or cleared of them.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -148,7 +148,9 @@
             quarantine::check_crash(gw, job, key);
         }
         runs += u32::from(!error.is_not_executed());
-        if runs > 0 && (!job.is_idempotent() || runs >= job.route.max_attempts) {
+        let may_rerun =
+            job.is_idempotent() && runs < job.route.max_attempts && quarantine::may_rerun(gw, job);
+        if runs > 0 && !may_rerun {
             return Err(attempt::unknown_outcome(job, error));
         }
         let detail = format!("why={error} tried={}", tried.len());
@@ -194,6 +196,7 @@
             run.discard();
         }
     })?;
+    run.record_head();
     Ok(Segment { response, guard, run, leaving, load, sent, runs: 1 })
 }
 
@@ -213,8 +216,8 @@
     if !job.is_idempotent() || broken.runs >= job.route.max_attempts {
         return Err(AttemptError::Broken);
     }
-    if quarantine::check(gw, job).is_err() {
-        return Err(AttemptError::Broken);
+    if !quarantine::may_rerun(gw, job) {
+        return Err(AttemptError::Quarantined);
     }
     // The stream has begun, so it does not wait for admission a second time.
     let key = job.choose_endpoint(gw, clock::now(), &tried).ok_or(AttemptError::Gone)?;
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -62,6 +62,13 @@
         RunGuard { gw: gw.clone(), key, is_whole: Cell::new(false) }
     }
 
+    /// Records that the endpoint has begun to answer.
+    pub fn record_head(&self) {
+        if let Some(key) = self.key {
+            self.gw.runs.borrow_mut().record_head(key);
+        }
+    }
+
     /// Records an event of the run.
     pub fn record_event(&self) {
         let Some(key) = self.key else { return };
@@ -115,6 +122,11 @@
     }
 }
 
+/// Returns whether a request whose engine has crashed may be sent to another one.
+pub fn may_rerun(gw: &Gateway, job: &Job) -> bool {
+    check(gw, job).is_ok() && !gw.quarantine.borrow().parts.is_suspect(&job.meta.shared_parts)
+}
+
 fn refusal(refused: &RefusedParts) -> Problem {
     let left = refused.until.saturating_duration_since(clock::now());
     let detail = format!(
@@ -168,10 +180,10 @@
         return;
     }
     let parts = gw.runs.borrow_mut().take_crashed(key);
-    let crash = Crash { number: 0, running: contents, parts, age: 0 };
+    let crash = Crash { number: 0, running: contents, parts: Vec::new(), age: 0 };
     let (contents, mut parts) = {
         let mut quarantine = gw.quarantine.borrow_mut();
-        let parts = quarantine.parts.record_crash(clock::now(), (endpoint.run, 0), &crash.parts);
+        let parts = quarantine.parts.record_crash(clock::now(), (endpoint.run, 0), &parts);
         (quarantine.record_crash(clock::now(), endpoint.run, &crash), parts)
     };
     for (content, standing) in contents {
@@ -181,8 +193,10 @@
     parts.sort_by_key(|(p, crashes)| (std::cmp::Reverse(*crashes), *p));
     let counts: Vec<String> =
         parts.iter().take(MAX_LOGGED_PARTS).map(|(p, n)| format!("{p}:{n}")).collect();
-    let (count, most) = (parts.len(), counts.join(","));
-    gw.event(Kind::Accused, &endpoint.id, format_args!("parts={count} crashes={most}"));
+    if !parts.is_empty() {
+        let (count, most) = (parts.len(), counts.join(","));
+        gw.event(Kind::Accused, &endpoint.id, format_args!("parts={count} crashes={most}"));
+    }
     update(&gw);
     send_gossip(&gw, Scope::Changed);
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -68,6 +68,8 @@
     moves: u32,
     /// Time from the request until it was sent to the first engine.
     sent: Duration,
+    /// Time from the request until the head of that engine's response.
+    head: Duration,
     /// Prompt tokens not yet read by that engine at the time of sending, including its own.
     unread: u64,
     /// Memory in tokens expected to be needed on that engine, including its own.
@@ -92,9 +94,9 @@
         let (first, pause) = (self.first.as_millis(), self.pause.as_millis());
         let (events, moves) = (self.events, self.moves);
         let (sent, unread, held) = (self.sent.as_millis(), self.unread, self.held);
-        let rest = self.rest;
+        let (head, rest) = (self.head.as_millis(), self.rest);
         write!(f, "events={events} first_ms={first} pause_ms={pause} moves={moves} ")?;
-        write!(f, "sent_ms={sent} unread={unread} held={held} rest={rest}")
+        write!(f, "sent_ms={sent} head_ms={head} unread={unread} held={held} rest={rest}")
     }
 }
 
@@ -176,6 +178,7 @@
             let ended = Rc::new(Cell::new(false));
             let stats = StreamStats {
                 sent: segment.sent.saturating_duration_since(job.received),
+                head: clock::now().saturating_duration_since(job.received),
                 unread: segment.load.unread,
                 held: segment.load.held,
                 ..StreamStats::default()
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -12,7 +12,7 @@
 mod parts;
 mod runs;
 
-pub use parts::{CrashId, MAX_CRASHES, PartSuspects, RefusedParts, Scope};
+pub use parts::{AccusedPart, CrashId, MAX_CRASHES, PartSuspects, RefusedParts, Scope};
 pub use runs::{RunKey, Runs, SOUND_TIME};
 
 use crate::frame::{Crash, Gossip, Suspect};
--- a/src/quarantine/parts.rs
+++ b/src/quarantine/parts.rs
@@ -5,17 +5,28 @@
 //! these, the part with the most crashes is refused, and the crashes that it explains accuse no
 //! other part. Parts that were present at the same crashes are refused only together, until a
 //! request with some of them tells them apart.
+//!
+//! Engines also crash for other reasons, often several at a time. Crashes at the same moment
+//! therefore count once, and only if the part was present at half of them or more; a request that
+//! its engine had not begun to answer counts less.
 
 use crate::frame::{PartRow, PartsGossip, SeenCrash};
 use crate::id::{Incarnation, PartId};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-/// Number of crashes from which a part is refused.
+/// Number of crashes, at different moments, from which a part is refused.
 pub const MAX_CRASHES: usize = 3;
-/// Least time between the first and the last of these crashes. Engines that crash at the same
-/// moment have crashed for another reason.
-const MIN_SPREAD: Duration = Duration::from_secs(1);
+/// Number of crashes from which a request with the part is not sent to another engine.
+const MAX_RERUN_CRASHES: usize = 2;
+/// Like [`MAX_CRASHES`], for crashes of engines that had not begun to answer a request with the part.
+const MAX_WAITING_CRASHES: usize = 6;
+/// Least time between two crashes at different moments.
+const MOMENT: Duration = Duration::from_secs(1);
+/// Crashes within this time of each other may have the same cause.
+const WAVE: Duration = Duration::from_millis(250);
+/// Time until a crash counts, in which others of the same wave become known.
+const SETTLE_TIME: Duration = Duration::from_millis(300);
 /// Time for which a crash counts, and for which a part is cleared of it.
 const CRASH_MEMORY: Duration = Duration::from_secs(600);
 /// Time for which a part that was refused is refused again at its first crash.
@@ -38,9 +49,29 @@
 
 /// Crash of an endpoint: the run of the endpoint or its sidecar, and the number in that run.
 pub type CrashId = (Incarnation, u32);
-type Crashes = HashMap<CrashId, Instant>;
+type Crashes = HashMap<CrashId, Presence>;
+/// Crashes that no other part explains, with their times.
+type OpenCrashes = BTreeMap<CrashId, Instant>;
 type PartSet = BTreeSet<PartId>;
 
+/// Presence of a part at a crash.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Presence {
+    /// Time of the crash.
+    at: Instant,
+    /// Whether the engine had begun to answer a request with the part.
+    begun: bool,
+}
+
+/// A part of a request that may have caused a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AccusedPart {
+    /// The part.
+    pub part: PartId,
+    /// Whether the engine had begun to answer the request.
+    pub begun: bool,
+}
+
 /// Parts that are refused together.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RefusedParts {
@@ -68,6 +99,8 @@
 pub struct PartSuspects {
     /// Crashes at which each accused part was present.
     accused: HashMap<PartId, Crashes>,
+    /// Times of all known crashes.
+    times: HashMap<CrashId, Instant>,
     /// Crashes of which sound runs have cleared each part.
     cleared: HashMap<PartId, Crashes>,
     /// Parts that this instance accused of late, and when.
@@ -92,10 +125,16 @@
         &mut self,
         at: Instant,
         id: CrashId,
-        parts: &[PartId],
+        parts: &[AccusedPart],
     ) -> Vec<(PartId, usize)> {
-        let accused: Vec<(PartId, usize)> =
-            parts.iter().filter_map(|p| Some((*p, self.accuse(at, id, *p)?))).collect();
+        self.times.entry(id).or_insert(at);
+        let accused: Vec<(PartId, usize)> = parts
+            .iter()
+            .filter_map(|p| {
+                let presence = Presence { at, begun: p.begun };
+                Some((p.part, self.accuse(id, presence, p.part)?))
+            })
+            .collect();
         self.accusations.extend(accused.iter().map(|(p, _)| (*p, at)));
         accused
     }
@@ -109,8 +148,9 @@
 
     /// Returns the part's number of crashes; `None` if this one is known or the part is cleared of
     /// it.
-    fn accuse(&mut self, at: Instant, id: CrashId, part: PartId) -> Option<usize> {
-        if self.is_cleared(at, part, id) {
+    fn accuse(&mut self, id: CrashId, presence: Presence, part: PartId) -> Option<usize> {
+        self.times.entry(id).or_insert(presence.at);
+        if self.is_cleared(presence.at, part, id) {
             return None;
         }
         if self.accused.len() >= MAX_PARTS && !self.accused.contains_key(&part) {
@@ -119,10 +159,11 @@
             least.map(|p| self.accused.remove(&p));
         }
         let crashes = self.accused.entry(part).or_default();
-        if crashes.contains_key(&id) {
+        if let Some(known) = crashes.get_mut(&id) {
+            known.begun |= presence.begun;
             return None;
         }
-        crashes.insert(id, at);
+        crashes.insert(id, presence);
         Some(crashes.len())
     }
 
@@ -136,9 +177,7 @@
             self.known.remove(p);
             let Some(crashes) = self.accused.remove(p) else { continue };
             changed.push((*p, crashes.len()));
-            if crashes.len() > 1 {
-                self.clearances.insert(*p, now);
-            }
+            self.clearances.insert(*p, now);
             self.clear(*p, crashes);
         }
         changed
@@ -155,7 +194,7 @@
     /// refused before.
     pub fn step(&mut self, now: Instant) -> Vec<RefusedParts> {
         self.forget(now);
-        let refused = if self.accused.is_empty() { Vec::new() } else { self.find_causes() };
+        let refused = if self.accused.is_empty() { Vec::new() } else { self.find_causes(now) };
         let is_new = |r: &&RefusedParts| self.refused.iter().all(|old| old.parts != r.parts);
         let new: Vec<RefusedParts> = refused.iter().filter(is_new).cloned().collect();
         for r in refused.iter().filter(|r| r.parts.len() == 1) {
@@ -169,10 +208,11 @@
         let is_recent = |at: Instant, time| now.saturating_duration_since(at) < time;
         for all in [&mut self.accused, &mut self.cleared] {
             all.retain(|_, crashes| {
-                crashes.retain(|_, at| is_recent(*at, CRASH_MEMORY));
+                crashes.retain(|_, c| is_recent(c.at, CRASH_MEMORY));
                 !crashes.is_empty()
             });
         }
+        self.times.retain(|_, at| is_recent(*at, CRASH_MEMORY));
         self.accusations.retain(|_, at| is_recent(*at, GOSSIP_TIME));
         self.clearances.retain(|_, at| is_recent(*at, GOSSIP_TIME));
         self.last_sound.retain(|_, at| is_recent(*at, SOUND_MEMORY));
@@ -180,44 +220,79 @@
     }
 
     /// Returns the fewest sets of parts that explain the crashes, as far as these suffice.
-    fn find_causes(&self) -> Vec<RefusedParts> {
-        let mut causes: Vec<RefusedParts> = Vec::new();
-        let mut explained: HashSet<CrashId> = HashSet::new();
-        loop {
-            let open = |c: &Crashes| c.keys().filter(|id| !explained.contains(id)).count();
-            let eligible = self.accused.iter().filter(|(p, c)| self.is_cause(**p, c, &explained));
-            let rank = |p: &PartId, c: &Crashes| (self.known.contains_key(p), open(c), *p);
-            let Some((part, crashes)) = eligible.max_by_key(|(p, c)| rank(p, c)) else { break };
-            let is_same = |other: &Crashes| {
-                other.len() == crashes.len() && crashes.keys().all(|id| other.contains_key(id))
-            };
-            let mut parts = PartSet::from([*part]);
-            if !self.known.contains_key(part) {
-                parts.extend(self.accused.iter().filter(|(_, c)| is_same(c)).map(|(p, _)| *p));
+    fn find_causes(&self, now: Instant) -> Vec<RefusedParts> {
+        let mut causes = Vec::new();
+        let mut explained = HashSet::new();
+        for (is_counted, limit) in [
+            ((|c: &Presence| c.begun) as fn(&Presence) -> bool, MAX_CRASHES),
+            (|_| true, MAX_WAITING_CRASHES),
+        ] {
+            while let Some((cause, crashes)) = self.find_cause(now, is_counted, limit, &explained) {
+                explained.extend(crashes.into_keys());
+                causes.push(cause);
             }
-            let newest = crashes.values().max().copied();
-            let Some(newest) = newest else { break };
-            let count = crashes.len();
-            explained.extend(crashes.keys());
-            causes.push(RefusedParts { parts, crashes: count, until: newest + CRASH_MEMORY });
         }
         causes
     }
 
-    /// Returns whether the crashes of a part that no other part explains suffice to refuse it.
-    fn is_cause(&self, part: PartId, crashes: &Crashes, explained: &HashSet<CrashId>) -> bool {
-        let open = crashes.iter().filter(|(id, _)| !explained.contains(id)).map(|(_, at)| *at);
-        let times: Vec<Instant> = open.collect();
-        let (Some(first), Some(last)) = (times.iter().min(), times.iter().max()) else {
-            return false;
+    /// Returns the part that explains the most open crashes, with the parts that were present at
+    /// the same ones, and these crashes. `None` if no part has as many as `limit`.
+    fn find_cause(
+        &self,
+        now: Instant,
+        is_counted: fn(&Presence) -> bool,
+        limit: usize,
+        explained: &HashSet<CrashId>,
+    ) -> Option<(RefusedParts, OpenCrashes)> {
+        let open = |crashes: &Crashes| -> OpenCrashes {
+            let counted = crashes.iter().filter(|(id, c)| is_counted(c) && !explained.contains(id));
+            counted.map(|(id, c)| (*id, c.at)).collect()
+        };
+        let all: Vec<_> = self.accused.iter().map(|(p, crashes)| (*p, open(crashes))).collect();
+        let is_known = |p: &PartId| self.known.contains_key(p);
+        let suffices = |(part, open): &&(PartId, OpenCrashes)| {
+            !open.is_empty() && (is_known(part) || self.is_cause(now, open, limit))
         };
-        if self.known.contains_key(&part) {
-            return true;
+        let rank = |(part, open): &&(PartId, OpenCrashes)| (is_known(part), open.len(), *part);
+        let (part, crashes) = all.iter().filter(suffices).max_by_key(rank)?;
+        let mut parts = PartSet::from([*part]);
+        if !is_known(part) {
+            let same = all.iter().filter(|(_, open)| open.keys().eq(crashes.keys()));
+            parts.extend(same.map(|(p, _)| *p));
+        }
+        let until = *crashes.values().max()? + CRASH_MEMORY;
+        Some((RefusedParts { parts, crashes: crashes.len(), until }, crashes.clone()))
+    }
+
+    /// Returns whether the open crashes of a part suffice to refuse it. Without a sound run since
+    /// the first, the engines rather than the part may be at fault.
+    fn is_cause(&self, now: Instant, open: &OpenCrashes, limit: usize) -> bool {
+        if open.len() < limit {
+            return false;
         }
-        // Without any sound run since, the engines rather than the part may be at fault.
-        times.len() >= MAX_CRASHES
-            && *last >= *first + MIN_SPREAD
-            && self.sound_at.is_some_and(|at| at > *first)
+        let mut crashes = self.attributed(open.values().copied().collect());
+        crashes.retain(|at| now.saturating_duration_since(*at) >= SETTLE_TIME);
+        crashes.sort_unstable();
+        let is_later = |sound: Instant| crashes.first().is_some_and(|first| sound > *first);
+        count_moments(&crashes) >= limit && self.sound_at.is_some_and(is_later)
+    }
+
+    /// Returns those of the crashes of a part around which it was present at half of all or more.
+    fn attributed(&self, crashes: Vec<Instant>) -> Vec<Instant> {
+        let is_attributed = |at: &Instant| {
+            2 * count_near(*at, crashes.iter()) >= count_near(*at, self.times.values())
+        };
+        crashes.iter().filter(|at| is_attributed(at)).copied().collect()
+    }
+
+    /// Returns whether a part is accused of enough crashes that a request with it should not be
+    /// sent to another engine after a crash.
+    pub fn is_suspect(&self, parts: &[PartId]) -> bool {
+        let begun = |crashes: &Crashes| -> Vec<Instant> {
+            crashes.values().filter(|c| c.begun).map(|c| c.at).collect()
+        };
+        let accused = parts.iter().filter_map(|p| self.accused.get(p));
+        accused.map(|c| self.attributed(begun(c))).any(|c| c.len() >= MAX_RERUN_CRASHES)
     }
 
     /// Returns why a request with these parts is refused; `None` if it is not.
@@ -289,11 +364,11 @@
             if !cleared.is_empty() {
                 self.clear(row.part, cleared);
             }
-            for (id, at) in from_seen(now, &row.crashes) {
-                if self.is_cleared(at, row.part, id) {
+            for (id, presence) in from_seen(now, &row.crashes) {
+                if self.is_cleared(presence.at, row.part, id) {
                     self.clearances.insert(row.part, now);
                 } else {
-                    self.accuse(at, id, row.part);
+                    self.accuse(id, presence, row.part);
                 }
             }
         }
@@ -303,18 +378,43 @@
     }
 }
 
+/// Counts the crashes of the same wave as one at `at`.
+fn count_near<'a>(at: Instant, times: impl Iterator<Item = &'a Instant>) -> usize {
+    let distance = |t: &Instant| t.max(&at).saturating_duration_since(*t.min(&at));
+    times.filter(|t| distance(t) <= WAVE).count()
+}
+
+/// Counts the moments of crashes in the order of time; those within [`MOMENT`] of the first are one.
+fn count_moments(times: &[Instant]) -> usize {
+    let mut count = 0;
+    let mut last = None;
+    for t in times {
+        if last.is_none_or(|last| *t >= last + MOMENT) {
+            count += 1;
+            last = Some(*t);
+        }
+    }
+    count
+}
+
 fn to_seen(now: Instant, crashes: &Crashes) -> Vec<SeenCrash> {
-    let age = |at: &Instant| now.saturating_duration_since(*at).as_millis() as u64;
-    let mut seen: Vec<SeenCrash> = crashes.iter().map(|(id, at)| (id.0, id.1, age(at))).collect();
-    seen.sort_by_key(|(incarnation, number, age)| (*age, *incarnation, *number));
+    let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+    let row = |(id, c): (&CrashId, &Presence)| SeenCrash {
+        endpoint: id.0,
+        number: id.1,
+        age: age(c.at),
+        begun: c.begun,
+    };
+    let mut seen: Vec<SeenCrash> = crashes.iter().map(row).collect();
+    seen.sort_by_key(|c| (c.age, c.endpoint, c.number));
     seen.truncate(MAX_ROW_CRASHES);
     seen
 }
 
-fn from_seen(now: Instant, seen: &[SeenCrash]) -> impl Iterator<Item = (CrashId, Instant)> + '_ {
-    seen.iter().filter_map(move |(incarnation, number, age)| {
-        let age = Duration::from_millis(*age);
+fn from_seen(now: Instant, seen: &[SeenCrash]) -> impl Iterator<Item = (CrashId, Presence)> + '_ {
+    seen.iter().filter_map(move |c| {
+        let age = Duration::from_millis(c.age);
         let at = if age < CRASH_MEMORY { now.checked_sub(age) } else { None };
-        Some(((*incarnation, *number), at?))
+        Some(((c.endpoint, c.number), Presence { at: at?, begun: c.begun }))
     })
 }
--- a/src/quarantine/runs.rs
+++ b/src/quarantine/runs.rs
@@ -1,7 +1,9 @@
 //! Runs of generations at endpoints, as far as they may have caused a crash there.
 
+use super::AccusedPart;
 use crate::id::PartId;
 use slotmap::{SlotMap, new_key_type};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -17,6 +19,8 @@
 struct Run<K> {
     endpoint: K,
     parts: Rc<[PartId]>,
+    /// Whether the head of the response has arrived.
+    has_head: bool,
     /// Time of the first event.
     begun: Option<Instant>,
     /// When it ended.
@@ -40,7 +44,15 @@
 impl<K: Copy + PartialEq> Runs<K> {
     /// Adds a run that is sent to an endpoint.
     pub fn start(&mut self, endpoint: K, parts: Rc<[PartId]>) -> RunKey {
-        self.runs.insert(Run { endpoint, parts, begun: None, ended: None, is_whole: false })
+        let (has_head, begun, ended, is_whole) = (false, None, None, false);
+        self.runs.insert(Run { endpoint, parts, has_head, begun, ended, is_whole })
+    }
+
+    /// Records that the endpoint has begun to answer.
+    pub fn record_head(&mut self, key: RunKey) {
+        if let Some(run) = self.runs.get_mut(key) {
+            run.has_head = true;
+        }
     }
 
     /// Records an event of a run. Returns the parts of the run once it is sound.
@@ -66,19 +78,17 @@
         self.runs.remove(key);
     }
 
-    /// Removes the runs at an endpoint that has crashed. Returns their parts.
-    pub fn take_crashed(&mut self, endpoint: K) -> Vec<PartId> {
-        let mut parts: Vec<PartId> = Vec::new();
+    /// Removes the runs at an endpoint that has crashed. Returns their parts, each once.
+    pub fn take_crashed(&mut self, endpoint: K) -> Vec<AccusedPart> {
+        let mut parts: BTreeMap<PartId, bool> = BTreeMap::new();
         self.runs.retain(|_, run| {
             let is_there = run.endpoint == endpoint;
-            if is_there {
-                parts.extend(run.parts.iter());
+            for part in run.parts.iter().filter(|_| is_there) {
+                *parts.entry(*part).or_default() |= run.has_head;
             }
             !is_there
         });
-        parts.sort();
-        parts.dedup();
-        parts
+        parts.into_iter().map(|(part, begun)| AccusedPart { part, begun }).collect()
     }
 
     /// Removes the runs that ended long enough ago. Returns the parts of each that is sound.
