--- a/src/quarantine/parts.rs
+++ b/src/quarantine/parts.rs
@@ -22,7 +22,7 @@
 /// Like [`MAX_CRASHES`], for crashes of engines that had not begun to answer a request with the part.
 const MAX_WAITING_CRASHES: usize = 6;
 /// Least time between two crashes at different moments.
-const MOMENT: Duration = Duration::from_secs(1);
+const MOMENT: Duration = Duration::from_millis(700);
 /// Crashes within this time of each other may have the same cause.
 const WAVE: Duration = Duration::from_millis(250);
 /// Time until a crash counts, in which others of the same wave become known.
--- a/tests/gateway/crashing_parts.rs
+++ b/tests/gateway/crashing_parts.rs
@@ -3,7 +3,7 @@
 use crate::common::{
     CONFIG, list_endpoint, request_bytes, start_gateway, start_platform, wait_for,
 };
-use standin::platform::{Action, Connection, Endpoint, Gateway, Reply, Store, send};
+use standin::platform::{Action, Connection, Endpoint, Gateway, Outage, Reply, Store, send};
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,7 @@
 /// Time for which an engine that has crashed is down.
 const DOWN: Duration = Duration::from_secs(60);
 /// Time between two requests with the part that crashes engines.
-const PAUSE: Duration = Duration::from_millis(450);
+const PAUSE: Duration = Duration::from_millis(800);
 /// Engines that may crash before the part has to be refused.
 const MAX_CRASHES: usize = 5;
 
@@ -120,6 +120,36 @@
     assert!(is_paused());
 }
 
+#[test]
+fn refused_part_is_written_again_after_the_store_returns_from_a_copy_without_it() {
+    let engines = start_engines(8);
+    let (store, mut gateways) = start_pair(&engines);
+    let copy = store.copy();
+    crash_until_refused(&gateways, &engines);
+    let is_written = || store.keys("quarantine/").len() == 1;
+    assert!(wait_for(3, is_written));
+    store.restore(copy);
+    assert!(wait_for(5, is_written), "not written again");
+    gateways.iter_mut().for_each(Gateway::restart);
+    assert!(wait_for(5, || gateways.iter().all(|g| g.readiness() == 200)));
+    assert_only_sound_served(&gateways, &engines, "1");
+}
+
+#[test]
+fn part_refused_during_an_outage_of_the_store_stays_refused_after_restarts() {
+    let engines = start_engines(8);
+    let (store, mut gateways) = start_pair(&engines);
+    store.set_outage(Some(Outage::Busy));
+    crash_until_refused(&gateways, &engines);
+    std::thread::sleep(PAUSE);
+    assert_only_sound_served(&gateways, &engines, "1");
+    store.set_outage(None);
+    assert!(wait_for(5, || store.keys("quarantine/").len() == 1), "not written after the outage");
+    gateways.iter_mut().for_each(Gateway::restart);
+    assert!(wait_for(5, || gateways.iter().all(|g| g.readiness() == 200)));
+    assert_only_sound_served(&gateways, &engines, "2");
+}
+
 #[test]
 fn queued_request_is_refused_once_one_of_its_parts_has_crashed_engines() {
     let pause = Duration::from_secs(4);
