Tell an instance that starts of the crashes of engines, and play crashing parts in the soak

Cause: what instances know of crashes before a part is refused lived in their memory only, and all three were killed one after the other between the crashes. Instances that follow the store now tell one that has started what they know, once it can verify their messages. Besides, five crashes at two moments suffice to refuse a part.

The soak's engines crash on a part of prompts from a drawn time on (seeds from 2000), restart under a new start time in their listing, and a third of the generations carry the part; the checker finds requests with it that reach engines too late, and sound requests refused for a part; an injected violation of each is found.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -94,7 +94,7 @@
 }
 
 /// Applies changes passed on by a reader, and requests a poll if they are not complete.
-pub fn apply_changes(gw: &Gateway, changes: &StoreChanges) {
+pub fn apply_changes(gw: &Rc<Gateway>, changes: &StoreChanges) {
     let end = changes.end();
     if gw.store_position.borrow().compare(end) == Succession::Outdated {
         return log::debug!("dropped changes up to {end}: the store has come back from a copy");
@@ -108,7 +108,7 @@
 
 /// Applies a change that was read at `at` unless the same or a newer one of the key was applied
 /// before. `is_recovering` is set if the store became reachable again within [`RECOVERY_TIME`].
-fn apply_kv(gw: &Gateway, kv: &KeyValue, at: Position, is_recovering: bool) {
+fn apply_kv(gw: &Rc<Gateway>, kv: &KeyValue, at: Position, is_recovering: bool) {
     {
         let changed = Position::new(at.era, kv.revision);
         let mut revisions = gw.revisions.borrow_mut();
@@ -125,7 +125,7 @@
     quarantine::apply_kv(gw, kv);
 }
 
-async fn poll_store(gw: &Gateway, connection: &mut Connection) -> Result<(), StoreError> {
+async fn poll_store(gw: &Rc<Gateway>, connection: &mut Connection) -> Result<(), StoreError> {
     if connection.settled_at.take_if(|t| *t <= clock::now()).is_some() {
         gw.store_position.borrow_mut().reset();
     }
@@ -162,7 +162,7 @@
 }
 
 /// Reads all keys: the configuration, the endpoints and the peers.
-async fn read_all(gw: &Gateway, connection: &mut Connection) -> Result<(), StoreError> {
+async fn read_all(gw: &Rc<Gateway>, connection: &mut Connection) -> Result<(), StoreError> {
     let all = gw.store.list(ALL_KEYS).await?;
     log_store_back(gw, connection);
     let known = gw.store_position.borrow().era();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -61,7 +61,8 @@
     pub address: SocketAddr,
     /// Processing power.
     pub power: MilliCores,
-    /// Key that verifies its messages.
+    /// Key that verifies its messages, new with each start.
+    key: [u8; KEY_BYTES],
     keys: Keyring,
 }
 
@@ -169,7 +170,7 @@
     send(gw, &to, PeerMessage::EngineLeaving(tag));
 }
 
-/// Sends the fingerprints of contents that crashed endpoints to all peers.
+/// Sends what is known of contents and parts that crashed endpoints to all peers.
 pub fn send_suspects(gw: &Gateway, gossip: Gossip) {
     let to: Vec<SocketAddr> = gw.peers.borrow().values().map(|p| p.address).collect();
     send(gw, &to, PeerMessage::Quarantine(gossip));
@@ -296,7 +297,7 @@
 }
 
 /// Adds, updates or removes a peer after a change of its registration.
-pub fn update_peer(gw: &Gateway, kv: &KeyValue) {
+pub fn update_peer(gw: &Rc<Gateway>, kv: &KeyValue) {
     let Some(name) = kv.key.strip_prefix(KEY_PREFIX) else { return };
     let Ok(instance) = name.parse::<InstanceId>() else { return };
     if instance == gw.settings.borrow().instance {
@@ -307,8 +308,12 @@
     match registration {
         Some(r) => {
             let keys = Keyring::new(&[Arc::from(&r.key[..])]);
-            let peer = Peer { address: r.address, power: r.power, keys };
-            if gw.peers.borrow_mut().insert(instance.clone(), peer).is_none() {
+            let peer = Peer { address: r.address, power: r.power, key: r.key, keys };
+            let known = gw.peers.borrow_mut().insert(instance.clone(), peer);
+            if known.as_ref().is_none_or(|k| k.key != r.key) {
+                quarantine::greet(gw, r.address);
+            }
+            if known.is_none() {
                 gw.wave_event(Kind::LinkUp, instance, format_args!("address={}", r.address));
             }
         }
@@ -375,7 +380,7 @@
     }
 }
 
-fn handle_message(gw: &Gateway, envelope: Envelope<PeerMessage>, from: SocketAddr) {
+fn handle_message(gw: &Rc<Gateway>, envelope: Envelope<PeerMessage>, from: SocketAddr) {
     match envelope.body {
         PeerMessage::Digest(digest) => {
             let mut peer_loads = gw.peer_loads.borrow_mut();
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -6,6 +6,7 @@
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::{Crash, Gossip, PartsGossip};
+use crate::gossip::PeerMessage;
 use crate::id::{EndpointId, Fingerprint, Incarnation, PartId};
 use crate::pool::PoolKey;
 use crate::problem::{Problem, ProblemKind};
@@ -27,6 +28,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time within which an endpoint that cannot serve closes a new connection.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(40);
+/// Time in which an instance that has started learns of the others and their keys.
+const GREETING_DELAY: Duration = Duration::from_millis(700);
 /// Interval between two messages about accused and refused parts.
 const GOSSIP_INTERVAL: Duration = Duration::from_secs(1);
 /// Time to live of a refused part in the store, as long as its crashes count.
@@ -260,6 +263,18 @@
     }
 }
 
+/// Tells an instance that has started what this one knows, if it follows the store.
+pub fn greet(gw: &Rc<Gateway>, to: SocketAddr) {
+    let gw = gw.clone();
+    actix_rt::spawn(async move {
+        tokio::time::sleep(GREETING_DELAY).await;
+        let gossip = gw.quarantine.borrow_mut().recent_gossip(clock::now(), Scope::All);
+        if peers::is_reader(&gw) && gossip != Gossip::default() {
+            peers::send(&gw, &[to], PeerMessage::Quarantine(gossip));
+        }
+    });
+}
+
 fn send_gossip(gw: &Gateway, scope: Scope) {
     let gossip = gw.quarantine.borrow_mut().recent_gossip(clock::now(), scope);
     if gossip != Gossip::default() {
--- a/src/quarantine/parts.rs
+++ b/src/quarantine/parts.rs
@@ -17,6 +17,8 @@
 
 /// Number of crashes, at different moments, from which a part is refused.
 pub const MAX_CRASHES: usize = 3;
+/// Number of crashes from which two moments suffice.
+const MANY_CRASHES: usize = 5;
 /// Number of crashes from which a request with the part is not sent to another engine.
 const MAX_RERUN_CRASHES: usize = 2;
 /// Like [`MAX_CRASHES`], for crashes of engines that had not begun to answer a request with the part.
@@ -274,7 +276,9 @@
         crashes.retain(|at| now.saturating_duration_since(*at) >= SETTLE_TIME);
         crashes.sort_unstable();
         let is_later = |sound: Instant| crashes.first().is_some_and(|first| sound > *first);
-        count_moments(&crashes) >= limit && self.sound_at.is_some_and(is_later)
+        let moments = count_moments(&crashes);
+        let is_frequent = limit == MAX_CRASHES && moments > 1 && crashes.len() >= MANY_CRASHES;
+        (moments >= limit || is_frequent) && self.sound_at.is_some_and(is_later)
     }
 
     /// Returns those of the crashes of a part around which it was present at half of all or more.
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -156,6 +156,8 @@
     down_until: Mutex<Option<Instant>>,
     /// Part of a prompt that crashes the endpoint, and how long it is down then.
     crash_part: Mutex<Option<(String, Duration)>>,
+    /// Number of crashes after which the endpoint serves again.
+    restarts: Arc<AtomicU32>,
     /// Connections accepted since the last crash.
     connections: Mutex<Vec<TcpStream>>,
 }
@@ -220,6 +222,7 @@
             address,
             down_until: Mutex::default(),
             crash_part: Mutex::default(),
+            restarts: Arc::default(),
             connections: Mutex::default(),
         });
         let serving = state.clone();
@@ -254,6 +257,11 @@
         self.state.crash(down);
     }
 
+    /// Returns the number of crashes after which the endpoint serves again, updated as it does.
+    pub fn restarts(&self) -> Arc<AtomicU32> {
+        self.state.restarts.clone()
+    }
+
     /// Queues an action; each request takes the first one in the queue.
     pub fn push_action(&self, action: Action) {
         self.state.actions.lock().expect("no holder panics").push_back(action);
@@ -301,9 +309,20 @@
 
     /// Returns a listing with another address, such as that of a proxy.
     pub fn listing_at(address: SocketAddr, service: &str, state: &str) -> String {
+        Endpoint::listing_of_start(address, service, state, 0)
+    }
+
+    /// Returns a listing of the endpoint after a number of restarts.
+    pub fn listing_of_start(
+        address: SocketAddr,
+        service: &str,
+        state: &str,
+        restarts: u32,
+    ) -> String {
+        let born = 7 + restarts;
         format!(
             r#"{{"service":"{service}","address":"{}","zone":"z-a","version":"v1","slots":8,
-            "state":"{state}","cold_remaining_ms":0,"sequence":4,"born":7}}"#,
+            "state":"{state}","cold_remaining_ms":0,"sequence":4,"born":{born}}}"#,
             address
         )
     }
@@ -326,6 +345,7 @@
         drop(listener);
         std::thread::sleep(state.down_time().unwrap_or_default());
         listener = TcpListener::bind(address).expect("cannot listen again after a crash");
+        state.restarts.fetch_add(1, Ordering::SeqCst);
     }
 }
 
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -92,6 +92,15 @@
         self.shared.1.notify_all();
     }
 
+    /// Returns a function that writes a key, for use in another thread.
+    pub fn setter(&self) -> impl Fn(&str, &str) + Send + 'static {
+        let shared = self.shared.clone();
+        move |key, value| {
+            lock(&shared).write(key, Some(STANDARD.encode(value)), 0);
+            shared.1.notify_all();
+        }
+    }
+
     /// Begins or ends an outage.
     pub fn set_outage(&self, outage: Option<Outage>) {
         lock(&self.shared).outage = outage;
--- a/standin/src/soak/checker.rs
+++ b/standin/src/soak/checker.rs
@@ -14,6 +14,11 @@
 const MAX_PAUSED_ARRIVALS: usize = 2;
 /// Time before and after a fault within which limits on time are not checked.
 const FAULT_MARGIN: Duration = Duration::from_millis(3000);
+/// Time after the fifth crash within which requests with the part that causes them may reach
+/// engines.
+const CRASH_PART_DELAY: Duration = Duration::from_millis(3000);
+/// Requests with that part that may reach engines later.
+const MAX_LATE_CRASHES: usize = 3;
 /// Share of requests that may be retried, and the number of retries allowed in addition.
 const RETRY_BUDGET: (f64, f64) = (0.2, 56.0);
 
@@ -39,6 +44,8 @@
     pub kind: RequestKind,
     /// Version of the configuration whose API key it carried.
     pub version: u64,
+    /// Whether its prompt has the part that may crash engines.
+    pub has_crash_part: bool,
     /// Time before it was sent.
     pub sent: Instant,
     /// Time at which its response ended.
@@ -77,6 +84,8 @@
     pub announced: Vec<(String, Instant)>,
     /// Gateways that were stopped, paused or restarted, with the start and the end.
     pub breaks: Vec<(usize, Instant, Instant)>,
+    /// When a part of prompts began to crash engines.
+    pub crash_part: Option<Instant>,
     /// Versions of the configuration with their times; each replaces the API key.
     pub versions: Vec<(u64, Instant)>,
 }
@@ -126,6 +135,7 @@
             ("in-order", check_stream(c)),
             ("intent", check_version(c, history)),
             ("planned", check_planned(c, runs, history)),
+            ("sound-part", check_sound(c)),
         ];
         let broken =
             checks.into_iter().filter_map(|(promise, observed)| Some((promise, observed?)));
@@ -144,6 +154,7 @@
     let by_call: HashMap<&str, &CallRecord> = calls.iter().map(|c| (c.id.as_str(), c)).collect();
     violations.extend(check_announced(arrivals, &by_call, history));
     violations.extend(check_pauses(arrivals, &by_call, history));
+    violations.extend(check_crash_part(arrivals, &by_call, history));
     violations.extend(check_retries(calls, &by_id));
     violations
 }
@@ -310,6 +321,39 @@
     violations
 }
 
+/// Checks that a request is not refused for a part of its prompt that crashes no engine.
+fn check_sound(c: &CallRecord) -> Option<String> {
+    let is_refused = c.reply.status == 503 && c.reply.body.contains("of the prompt has crashed");
+    (is_refused && !c.has_crash_part).then(|| format!("refused with {:?}", c.reply.body))
+}
+
+/// Checks that few requests with a part that crashes engines reach one, sent later than
+/// [`CRASH_PART_DELAY`] after the fifth crash by instances that ran meanwhile.
+fn check_crash_part(
+    arrivals: &[Arrival],
+    calls: &HashMap<&str, &CallRecord>,
+    history: &History,
+) -> Option<Violation> {
+    let since = history.crash_part?;
+    let known = arrivals.iter().filter_map(|a| Some((a, *calls.get(a.id.as_str())?)));
+    let mut crashes: Vec<(&Arrival, &CallRecord)> =
+        known.filter(|(a, c)| c.has_crash_part && a.ran && a.at >= since).collect();
+    crashes.sort_by_key(|(a, _)| a.at);
+    let fifth = crashes.get(4)?.0.at;
+    let late = crashes.iter().filter(|(a, c)| {
+        let is_running = history.breaks.iter().all(|(g, from, to)| {
+            *g != c.gateway || *from > a.at || *to + CRASH_PART_DELAY < c.sent
+        });
+        c.sent > fifth + CRASH_PART_DELAY && is_running
+    });
+    let count = late.count();
+    (count > MAX_LATE_CRASHES).then(|| Violation {
+        promise: "crash-part",
+        subject: "all".into(),
+        observed: format!("{count} requests reached engines, {} crashes in all", crashes.len()),
+    })
+}
+
 /// Checks that retries stay within the budget.
 fn check_retries(calls: &[CallRecord], by_id: &HashMap<&str, Vec<&Arrival>>) -> Option<Violation> {
     let sends = |v: &Vec<&Arrival>| v.iter().filter(|a| !a.resumed).count();
--- a/standin/src/soak/cluster.rs
+++ b/standin/src/soak/cluster.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -23,6 +23,23 @@
 /// Time that a gateway has to become ready or to stop.
 const GATEWAY_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Part of prompts that crashes engines, once the fault of that kind is injected.
+const CRASH_PART: &str = "dead";
+/// One of so many requests of a caller has that part in its prompt, if it is for a generation.
+const CRASH_PART_INTERVAL: usize = 3;
+/// Interval of checks for endpoints that have restarted.
+const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Endpoint whose restarts are listed in the store.
+struct Listed {
+    id: String,
+    service: &'static str,
+    proxy: SocketAddr,
+    restarts: Arc<AtomicU32>,
+    /// Restarts that the store has.
+    known: u32,
+}
+
 /// Endpoint behind a proxy.
 struct ProxiedEndpoint {
     endpoint: Endpoint,
@@ -39,6 +56,10 @@
     /// Proxies between the gateways and the store, in the order of the gateways.
     store_links: Vec<Proxy>,
     endpoints: Vec<ProxiedEndpoint>,
+    /// Endpoints in use, as the store lists them.
+    listed: Arc<Mutex<Vec<Listed>>>,
+    /// How long an engine is down that a part of a prompt has crashed; `None` if none does.
+    crash_time: Option<Duration>,
     /// Endpoints that were replaced, still running.
     replaced: Vec<ProxiedEndpoint>,
     history: Arc<Mutex<History>>,
@@ -93,6 +114,8 @@
             gateways: gateways.collect(),
             store_links,
             endpoints: Vec::new(),
+            listed: Arc::default(),
+            crash_time: None,
             replaced: Vec::new(),
             history: Arc::default(),
             version: Arc::new(AtomicU64::new(0)),
@@ -128,7 +151,41 @@
         let proxy = Proxy::start(endpoint.address);
         let listing = Endpoint::listing_at(proxy.address, service, "ready");
         self.store.set(&format!("servers/{}", endpoint.id), Some(listing.as_bytes()));
-        ProxiedEndpoint { endpoint, proxy, service }
+        let (id, restarts) = (endpoint.id.clone(), endpoint.restarts());
+        lock(&self.listed).push(Listed { id, service, proxy: proxy.address, restarts, known: 0 });
+        let endpoint = ProxiedEndpoint { endpoint, proxy, service };
+        self.arm(&endpoint);
+        endpoint
+    }
+
+    /// Lets an engine crash on the part of prompts that does so.
+    fn arm(&self, e: &ProxiedEndpoint) {
+        if let Some(time) = self.crash_time.filter(|_| e.service == "model") {
+            e.endpoint.crash_on_part(CRASH_PART, time);
+        }
+    }
+
+    /// Lists the endpoints that have restarted, until `stop` is set.
+    fn list_restarts(&self, stop: &Arc<AtomicBool>) -> JoinHandle<()> {
+        let (listed, stop, set) = (self.listed.clone(), stop.clone(), self.store.setter());
+        std::thread::spawn(move || {
+            while !stop.load(Ordering::SeqCst) {
+                for e in lock(&listed).iter_mut() {
+                    let restarts = e.restarts.load(Ordering::SeqCst);
+                    if restarts > std::mem::replace(&mut e.known, restarts) {
+                        let listing =
+                            Endpoint::listing_of_start(e.proxy, e.service, "ready", restarts);
+                        set(&format!("servers/{}", e.id), &listing);
+                    }
+                }
+                std::thread::sleep(RESTART_CHECK_INTERVAL);
+            }
+        })
+    }
+
+    /// Stops to list the restarts of an endpoint that leaves.
+    fn unlist(&self, id: &str) {
+        lock(&self.listed).retain(|e| e.id != id);
     }
 
     /// Writes the next version of the configuration to the store.
@@ -145,6 +202,7 @@
         let callers: Vec<_> = (0..CALLERS_PER_GATEWAY * self.sizes.gateways)
             .map(|n| self.start_caller(n as u64, &stop))
             .collect();
+        let listing = self.list_restarts(&stop);
         let (start, faults) = (Instant::now(), faults::draw(self.seed, length, self.sizes));
         for (at, fault) in &faults {
             std::thread::sleep((start + *at).saturating_duration_since(Instant::now()));
@@ -156,6 +214,7 @@
         stop.store(true, Ordering::SeqCst);
         let calls: Vec<CallRecord> =
             callers.into_iter().flat_map(|c| c.join().expect("a caller panicked")).collect();
+        drop(listing.join());
         std::thread::sleep(Duration::from_millis(500));
         let arrivals = self.arrivals();
         let violations = checker::check(&calls, &arrivals, &lock(&self.history));
@@ -264,6 +323,11 @@
             Fault::Misbehave(e, n) => self.queue_faulty_actions(*e, *n),
             Fault::Replace(e) => self.replace_endpoint(*e),
             Fault::Configure => self.publish_config(),
+            Fault::CrashPart(time) => {
+                self.crash_time = Some(*time);
+                self.endpoints.iter().for_each(|e| self.arm(e));
+                lock(&self.history).crash_part = Some(Instant::now());
+            }
         }
     }
 
@@ -327,6 +391,7 @@
         let service = self.endpoints[e].service;
         let new = self.add_endpoint(service);
         let old = std::mem::replace(&mut self.endpoints[e], new);
+        self.unlist(&old.endpoint.id);
         old.endpoint.start_draining();
         let listing = Endpoint::listing_at(old.proxy.address, service, "draining");
         self.store.set(&format!("servers/{}", old.endpoint.id), Some(listing.as_bytes()));
@@ -339,6 +404,7 @@
     fn announce_leaving(&mut self, e: usize) {
         let new = self.add_endpoint(self.endpoints[e].service);
         let old = std::mem::replace(&mut self.endpoints[e], new);
+        self.unlist(&old.endpoint.id);
         old.endpoint.set_headers("Server-Leaving: 1\r\n");
         lock(&self.history).announced.push((old.endpoint.id.clone(), Instant::now()));
         self.replaced.push(old);
@@ -360,7 +426,9 @@
                 let newest = version.load(Ordering::SeqCst);
                 let key = if rng.random_bool(0.2) { newest.max(2) - 1 } else { newest };
                 let target = Target { gateway, front: fronts[gateway], open: &mut open[gateway] };
-                calls.push(send_request(target, id, key, &mut rng));
+                let has_crash_part =
+                    faults::has_crash_part(seed) && calls.len() % CRASH_PART_INTERVAL == 0;
+                calls.push(send_request(target, id, key, has_crash_part, &mut rng));
                 std::thread::sleep(Duration::from_millis(rng.random_range(0..30)));
             }
             calls
@@ -407,6 +475,7 @@
     mut target: Target<'_>,
     id: String,
     version: u64,
+    has_crash_part: bool,
     rng: &mut SmallRng,
 ) -> CallRecord {
     let kind = match rng.random_range(0..4) {
@@ -415,10 +484,15 @@
         _ => RequestKind::Unsafe,
     };
     let (path, extra) = match kind {
-        RequestKind::Safe => ("safe", ""),
-        RequestKind::Unsafe => ("unsafe", ""),
-        RequestKind::Stream(_) => ("stream", "X-Model: m\r\nX-Token-Counts: 100,100\r\n"),
+        RequestKind::Safe => ("safe", String::new()),
+        RequestKind::Unsafe => ("unsafe", String::new()),
+        RequestKind::Stream(_) => {
+            let part = if has_crash_part { CRASH_PART } else { "b2" };
+            let parts = format!("X-Prompt-Prefix: a1:40,{part}:40,{id}:20\r\n");
+            ("stream", format!("X-Model: m\r\nX-Token-Counts: 100,100\r\n{parts}"))
+        }
     };
+    let has_crash_part = has_crash_part && matches!(kind, RequestKind::Stream(_));
     let bytes = format!(
         "POST /{path}/x HTTP/1.1\r\nHost: app.example\r\nX-Attempt-Id: {id}\r\nContent-Length: 2\r\n\
         Authorization: Bearer key-{version}\r\nX-Deadline-Ms: 6000\r\n{extra}\r\nhi"
@@ -433,5 +507,5 @@
     // A response that the caller did not wait for must not count as interrupted.
     let reply = if disconnects { Reply { complete: true, status: 499, ..reply } } else { reply };
     let gateway = target.gateway;
-    CallRecord { id, gateway, kind, version, sent, done: Instant::now(), reply }
+    CallRecord { id, gateway, kind, version, has_crash_part, sent, done: Instant::now(), reply }
 }
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -29,6 +29,16 @@
 /// Separates the draws of the two kinds, so that earlier seeds keep the faults that they had.
 const NOTICE_SEED: u64 = 0x6e6f_7469_6365;
 
+/// The same for a part of prompts that crashes engines.
+const CRASH_SEED: u64 = 0x6372_6173_6865;
+/// First seed of a run in which a part of prompts crashes engines.
+const FIRST_CRASH_PART_SEED: u64 = 2000;
+
+/// Returns whether a part of prompts crashes engines in the run of a seed.
+pub fn has_crash_part(seed: u64) -> bool {
+    seed >= FIRST_CRASH_PART_SEED
+}
+
 /// Fault or planned change.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Fault {
@@ -62,6 +72,9 @@
     Replace(usize),
     /// A new version of the configuration replaces the API key.
     Configure,
+    /// From now on, engines crash when they begin to answer a request with a certain part in its
+    /// prompt, and are down for this time.
+    CrashPart(Duration),
 }
 
 /// Draws the faults of a run with their times since the start, in order of time.
@@ -71,7 +84,12 @@
     let notices = draw_series(seed ^ NOTICE_SEED, length, MEAN_NOTICE_INTERVAL_SECONDS, |rng| {
         draw_notice(rng, sizes)
     });
-    let mut all: Vec<_> = faults.into_iter().chain(notices).collect();
+    let crash = has_crash_part(seed).then(|| {
+        let mut rng = SmallRng::seed_from_u64(seed ^ CRASH_SEED);
+        let at = length.mul_f64(rng.random_range(0.1..0.3));
+        (at, Fault::CrashPart(Duration::from_millis(rng.random_range(200..1500))))
+    });
+    let mut all: Vec<_> = faults.into_iter().chain(notices).chain(crash).collect();
     all.sort_by_key(|(at, _)| *at);
     all
 }
--- a/tests/gateway/crashing_parts.rs
+++ b/tests/gateway/crashing_parts.rs
@@ -120,6 +120,27 @@
     assert!(is_paused());
 }
 
+#[test]
+fn crashes_before_the_restarts_of_all_gateways_count() {
+    let engines = start_engines(8);
+    let (_store, mut gateways) = start_pair(&engines);
+    for n in 0..2 {
+        send_sound(&gateways[0], &format!("{n}f"));
+        assert_eq!(send_bad(&gateways[0], &format!("{n}e")).status, 200);
+        std::thread::sleep(PAUSE);
+    }
+    for g in &mut gateways {
+        g.restart();
+        assert!(wait_for(5, || g.readiness() == 200));
+        std::thread::sleep(2 * PAUSE);
+    }
+    gateways.iter().for_each(|g| drop(send_sound(g, "2f")));
+    assert_eq!(send_bad(&gateways[0], "2e").status, 200);
+    gateways.iter().for_each(|g| drop(send_sound(g, "3f")));
+    std::thread::sleep(2 * PAUSE);
+    assert_only_sound_served(&gateways, &engines, "1");
+}
+
 #[test]
 fn refused_part_is_written_again_after_the_store_returns_from_a_copy_without_it() {
     let engines = start_engines(8);
--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -29,6 +29,7 @@
         gateway: 0,
         kind,
         version: 1,
+        has_crash_part: false,
         sent: start + secs(10),
         done: start + secs(11),
         reply: Reply {
@@ -105,6 +106,21 @@
     run.arrivals[0].at = run.start + secs(9);
     run.arrivals[0].pause = Some(secs(2));
 })]
+#[case::requests_with_a_part_that_crashed_five_engines("crash-part", |run: &mut Run| {
+    run.history.crash_part = Some(run.start);
+    for n in 0..9 {
+        let (mut call, mut arrival) = (run.calls[2].clone(), run.arrivals[2].clone());
+        (call.id, call.has_crash_part) = (format!("c{n}"), true);
+        call.sent = run.start + secs(if n < 5 { n } else { n + 4 });
+        (arrival.id, arrival.at) = (call.id.clone(), call.sent);
+        run.calls.push(call);
+        run.arrivals.push(arrival);
+    }
+})]
+#[case::sound_request_refused_for_its_part("sound-part", |run: &mut Run| {
+    run.calls[2].reply.status = 503;
+    run.calls[2].reply.body = "part 1 of the prompt has crashed 3 engines".into();
+})]
 #[case::request_of_no_caller("asked", |run: &mut Run| run.arrivals[0].id = "zzz".into())]
 #[case::too_many_retries("budget", |run: &mut Run| (0..80).for_each(|_| { let arrival = run.arrivals[0].clone(); run.arrivals.push(arrival); }))]
 fn violation_of_promise_is_detected(#[case] promise: &str, #[case] corrupt: Corruption) {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -18,9 +18,21 @@
 #[case::cut_streams(800)]
 // The stand-in of an engine gave a continued generation the name of a new run.
 #[case::cut_after_a_move(1017)]
+// A part of prompts crashes engines.
+#[case::crashing_part(2000)]
 fn seeded_run_breaks_no_promise(#[case] seed: u64) {
+    check_run(seed, Duration::from_secs(6));
+}
+
+// Instances that started again did not know of the crashes before.
+#[test]
+fn seeded_run_with_restarts_between_crashes_breaks_no_promise() {
+    check_run(2117, Duration::from_secs(20));
+}
+
+fn check_run(seed: u64, length: Duration) {
     let binary = Path::new(env!("CARGO_BIN_EXE_skylarkthread"));
-    let report = soak::run(binary, seed, Duration::from_secs(6), soak::Sizes::default());
+    let report = soak::run(binary, seed, length, soak::Sizes::default());
     println!("{}", report.to_json());
     assert!(report.requests > 50, "too few requests: {}", report.requests);
     assert_eq!(report.violations, []);
