Name what the quarantine does in plain terms, and shorten a function

Found in the last read of the change: greet says inform_started now, comments on known and cleared parts say what they hold, and the reasons to withdraw a queued generation have a function of their own.

--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -305,20 +305,26 @@
                 return Err(Attempt::TimedOut);
             }
             Err(_) => {
-                if let Err(refusal) = quarantine::check_parts(e, request)
+                let outcome = reason_to_withdraw(e, request, key);
+                if let Some(outcome) = outcome
                     && withdraw_queued(e, &link, generation.nonce).await
                 {
-                    return Err(Attempt::Refused(refusal, Duration::from_secs(1)));
-                }
-                if can_move(e, request, key) && withdraw_queued(e, &link, generation.nonce).await {
                     e.process.event(Kind::Replaced, &generation, "withdrawn from queue");
-                    return Err(Attempt::Withdrawn);
+                    return Err(outcome);
                 }
             }
         }
     }
 }
 
+/// Returns the outcome for a generation that should not stay in the queue of its endpoint.
+fn reason_to_withdraw(e: &Entry, request: &GenerationRequest, key: EndpointKey) -> Option<Attempt> {
+    match quarantine::check_parts(e, request) {
+        Err(refusal) => Some(Attempt::Refused(refusal, Duration::from_secs(1))),
+        Ok(()) => can_move(e, request, key).then_some(Attempt::Withdrawn),
+    }
+}
+
 /// Returns whether the endpoint has a queue while another one could start the generation at once.
 fn can_move(e: &Entry, request: &GenerationRequest, key: EndpointKey) -> bool {
     let board = e.board.borrow();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -311,7 +311,7 @@
             let peer = Peer { address: r.address, power: r.power, key: r.key, keys };
             let known = gw.peers.borrow_mut().insert(instance.clone(), peer);
             if known.as_ref().is_none_or(|k| k.key != r.key) {
-                quarantine::greet(gw, r.address);
+                quarantine::inform_started(gw, r.address);
             }
             if known.is_none() {
                 gw.wave_event(Kind::LinkUp, instance, format_args!("address={}", r.address));
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -29,7 +29,7 @@
 /// Time within which an endpoint that cannot serve closes a new connection.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(40);
 /// Time in which an instance that has started learns of the others and their keys.
-const GREETING_DELAY: Duration = Duration::from_millis(700);
+const PEER_START_TIME: Duration = Duration::from_millis(700);
 /// Interval between two messages about accused and refused parts.
 const GOSSIP_INTERVAL: Duration = Duration::from_secs(1);
 /// Time to live of a refused part in the store, as long as its crashes count.
@@ -264,10 +264,10 @@
 }
 
 /// Tells an instance that has started what this one knows, if it follows the store.
-pub fn greet(gw: &Rc<Gateway>, to: SocketAddr) {
+pub fn inform_started(gw: &Rc<Gateway>, to: SocketAddr) {
     let gw = gw.clone();
     actix_rt::spawn(async move {
-        tokio::time::sleep(GREETING_DELAY).await;
+        tokio::time::sleep(PEER_START_TIME).await;
         let gossip = gw.quarantine.borrow_mut().recent_gossip(clock::now(), Scope::All);
         if peers::is_reader(&gw) && gossip != Gossip::default() {
             peers::send(&gw, &[to], PeerMessage::Quarantine(gossip));
--- a/src/quarantine/parts.rs
+++ b/src/quarantine/parts.rs
@@ -107,12 +107,11 @@
     cleared: HashMap<PartId, Crashes>,
     /// Parts that this instance accused of late, and when.
     accusations: HashMap<PartId, Instant>,
-    /// Parts that this instance cleared of several crashes of late, or that another instance still
-    /// accuses, and when.
+    /// Parts that this instance cleared of late, or that another instance still accuses, and when.
     clearances: HashMap<PartId, Instant>,
     /// Parts refused at present.
     refused: Vec<RefusedParts>,
-    /// Parts that are or were refused by themselves, and since when.
+    /// Parts that are or were refused by themselves, and when last.
     known: HashMap<PartId, Instant>,
     /// Latest sound run of each part.
     last_sound: HashMap<PartId, Instant>,
@@ -238,7 +237,7 @@
     }
 
     /// Returns the part that explains the most open crashes, with the parts that were present at
-    /// the same ones, and these crashes. `None` if no part has as many as `limit`.
+    /// the same ones, and these crashes. `None` if no part has crashes at `limit` moments.
     fn find_cause(
         &self,
         now: Instant,
