--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -156,7 +156,10 @@
     let mut last_refusal = (Refusal::Down, Duration::from_secs(1));
     e.budget.borrow_mut().earn(&request.service, request.need.input);
     loop {
-        quarantine::check_parts(e, &request)?;
+        quarantine::check_parts(e, &request).map_err(|refusal| {
+            let problem = Problem::from(refusal);
+            if losses > 0 { problem.maybe_ran() } else { problem }
+        })?;
         let key = match choose_endpoint(e, &request, &tried) {
             Ok(key) => key,
             Err(_) if !tried.is_empty() => return Err(refusal_problem(last_refusal)),
