Log the limits that endpoints state for the rate of their requests

The log could not tell an instance that never heard of a limit from one that ignores it. Event 313 names the endpoint and the rate when a limit is stated, changes or ends. Nothing decides by it yet. A statement that cannot be read is logged with its value and changes nothing.

--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -88,6 +88,8 @@
     Readmitted = 311,
     /// An endpoint turned a request away and asked for a pause.
     Paused = 312,
+    /// An endpoint limited the rate of its requests, changed the limit or ended it.
+    Limited = 313,
     /// The content of a request is suspected of having crashed an endpoint.
     Suspected = 320,
     /// The content of a request or a part of its prompt is quarantined, as it crashed endpoints.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,6 +6,7 @@
 use crate::event::Kind;
 use crate::h1::{Outbound, SendError};
 use crate::id::{EndpointId, Tokens};
+use crate::limit::{Known, Stated};
 use crate::platform::{self, ForwardParams, ResponseInfo};
 use crate::pool::PoolKey;
 use crate::problem::{Problem, ProblemKind};
@@ -13,7 +14,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
 /// Endpoints that one request may reach, including those that reject it without running it.
@@ -116,6 +117,7 @@
 ) -> Result<EndpointResponse, AttemptError> {
     let address = check_endpoint(gw, key, params.handoff.is_some())?;
     let head = job.forward_head(params);
+    let sent = clock::now();
     let opened =
         Outbound::connect(address, CONNECT_TIMEOUT, &gw.codec, head, job.body.clone()).await;
     let mut out = opened.map_err(|e| match e {
@@ -137,6 +139,7 @@
         if let Some(time) = info.pause {
             record_pause(gw, key, time);
         }
+        record_limit(gw, key, sent, info.limit);
     }
     check_response(job, &info)?;
     Ok(EndpointResponse { head, info, out, endpoint: params.endpoint.clone() })
@@ -225,6 +228,22 @@
     }
 }
 
+/// Records what an endpoint states of its limit in the response to a request sent at `sent`.
+fn record_limit(gw: &Gateway, key: PoolKey, sent: Instant, stated: Stated) {
+    let known = match stated {
+        Stated::Limited(rate) => Known { limit: Some(rate), at: clock::now() },
+        Stated::Unlimited => Known { limit: None, at: sent },
+        Stated::Unreadable => return,
+    };
+    if !gw.pool.borrow_mut().record_limit(key, known) {
+        return;
+    }
+    if let Some(e) = gw.pool.borrow().endpoints.get(key) {
+        let limit = known.limit.map_or("none".to_owned(), |rate| rate.to_string());
+        gw.event(Kind::Limited, &e.listing.id, format_args!("limit={limit} from=response"));
+    }
+}
+
 /// Counts the result of a request in the health of its endpoint.
 pub fn record_health(gw: &Gateway, key: PoolKey, is_success: bool) {
     if let Some(e) = gw.pool.borrow_mut().endpoints.get_mut(key) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod jsonc;
 pub mod lead;
 pub mod length;
+pub mod limit;
 pub mod logs;
 pub mod member;
 pub mod once;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -2,6 +2,7 @@
 
 use super::engine::Handoff;
 use crate::id::{EndpointId, PartId, RequestId, Tokens};
+use crate::limit::Stated;
 use crate::pool::Load;
 use crate::route::KeyOwner;
 use crate::sse::EventId;
@@ -24,6 +25,7 @@
 const ENDPOINT: &str = "x-replica-id";
 const NOT_RUN: &str = "x-not-executed";
 const LEAVING: &str = "server-leaving";
+const LIMIT: &str = "server-limit";
 const TOKEN_COUNTS: &str = "x-token-counts";
 const LENGTH_HINT: &str = "x-length-hint";
 const PROMPT_PARTS: &str = "x-prompt-prefix";
@@ -223,6 +225,8 @@
     pub leaving: bool,
     /// Pause that an endpoint asks for after it turned the request away.
     pub pause: Option<Duration>,
+    /// What the endpoint states of the rate of requests that it takes from all instances.
+    pub limit: Stated,
 }
 
 /// Extracts the information in the head of a response.
@@ -240,6 +244,21 @@
         pause: find(h, RETRY_AFTER.as_str())
             .filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE)
             .and_then(parse_seconds),
+        limit: parse_limit(h),
+    }
+}
+
+fn parse_limit(headers: &HeaderMap) -> Stated {
+    if !headers.contains_key(LIMIT) {
+        return Stated::Unlimited;
+    }
+    let text = find(headers, LIMIT).unwrap_or("").trim();
+    match text.parse() {
+        Ok(rate) => Stated::Limited(rate),
+        Err(e) => {
+            log::warn!("header {LIMIT} is {text:?}, not a rate of requests: ignored: {e}");
+            Stated::Unreadable
+        }
     }
 }
 
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -12,6 +12,7 @@
 use crate::board::{FAILURE_LIMIT, Health};
 use crate::gossip::{PeerLoads, Tag, Work};
 use crate::id::{DataCentre, EndpointId, ServiceName};
+use crate::limit::Known;
 use departure::Departures;
 use slotmap::{SlotMap, new_key_type};
 use std::collections::HashMap;
@@ -117,6 +118,8 @@
     pub unreachable_until: Option<Instant>,
     /// Time until which it is not used because it asked for a pause.
     pub paused_until: Option<Instant>,
+    /// Limit that it states for the rate of its requests, if it has stated anything.
+    pub limit: Option<Known>,
     /// Failed connection attempts in a row, not counting those while it was not used.
     connect_failures: u32,
     /// Notifies the generations that run on it when it starts to leave.
@@ -140,6 +143,7 @@
             warmup_end,
             unreachable_until: None,
             paused_until: None,
+            limit: None,
             connect_failures: 0,
             leave_signal: Rc::new(Notify::new()),
         };
@@ -400,6 +404,17 @@
         !was_paused
     }
 
+    /// Records the limit that an endpoint states, or that it states none. What is older than the
+    /// known statement is ignored. Returns whether the limit changed.
+    pub fn record_limit(&mut self, key: PoolKey, stated: Known) -> bool {
+        let Some(e) = self.endpoints.get_mut(key) else { return false };
+        if e.limit.is_some_and(|known| known.at > stated.at) {
+            return false;
+        }
+        let previous = e.limit.replace(stated).and_then(|known| known.limit);
+        previous != stated.limit
+    }
+
     /// Returns the mean time per output token over the engines of a service; `None` if no engine
     /// has a recent one.
     pub fn mean_token_time(&self, now: Instant, service: &ServiceName) -> Option<Duration> {
