--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod endless;
 mod intent;
 mod lifecycle;
+mod limits;
 mod notices;
 mod store_return;
 mod streams;
