--- a/src/admit/mod.rs
+++ b/src/admit/mod.rs
@@ -91,6 +91,8 @@
     pub urgency: Urgency,
     /// Number of generations waiting for the same service on this instance.
     pub queue_len: usize,
+    /// Number of those that come before it.
+    pub ahead: usize,
 }
 
 /// Outcome of an admission decision.
@@ -120,9 +122,10 @@
     if let Some(key) = balance::choose_where(now, pool, &request.need, tried, rng, has_capacity) {
         return Decision::Send(key);
     }
-    // Answers the load that is left when all engines leave or are paused: callers learn it at once.
+    // Answers the load that is left when all engines leave, are paused or limit their requests:
+    // callers learn it at once.
     let own_prefill = rate.prefill_time(request.need.work.unread);
-    let earliest = match pool.availability(request.need.service) {
+    let earliest = match pool.availability_after(request.need.service, request.ahead) {
         Availability::Now => Some(now),
         Availability::At(end) => Some(end),
         Availability::Never => None,
@@ -325,7 +328,12 @@
         self.waiting.get(service).and_then(BTreeSet::first) == Some(&ticket)
     }
 
-    /// Returns the number of generations waiting for a service.
+    /// Returns the number of requests that come before one in the queue of a service.
+    pub fn ahead(&self, service: &ServiceName, ticket: Ticket) -> usize {
+        self.waiting.get(service).map_or(0, |queue| queue.range(..ticket).count())
+    }
+
+    /// Returns the number of requests waiting for a service.
     pub fn len(&self, service: &ServiceName) -> usize {
         self.waiting.get(service).map_or(0, BTreeSet::len)
     }
--- a/src/evacuate/links.rs
+++ b/src/evacuate/links.rs
@@ -148,7 +148,7 @@
             |e: &Endpoint| copy_time(engine, super::link_tokens(request.tokens, is_remote(e)));
         let fits = |e: &Endpoint| {
             e.tag != request.source
-                && e.serves(request.service)
+                && e.accepts_moves(request.service)
                 && !request.tried.contains(&e.tag)
                 && !self.is_busy(e.tag)
                 // Copies to another data centre's engines are granted by several instances.
--- a/src/evacuate/mod.rs
+++ b/src/evacuate/mod.rs
@@ -98,6 +98,10 @@
     Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX)
 }
 
+/// Cost of an engine that limits its requests, where a generation may have to wait for a permit
+/// while it is stopped. It exceeds all other costs together.
+const LIMITED_COST: f64 = 100.0;
+
 /// A generation that has to be migrated.
 #[derive(Debug)]
 pub struct MoveRequest<'a> {
@@ -120,7 +124,7 @@
 ) -> Option<PoolKey> {
     let fits = |k: &PoolKey, e: &Endpoint| {
         *k != request.source
-            && e.serves(request.service)
+            && e.accepts_moves(request.service)
             && !tried.contains(k)
             && e.open_requests(now) < e.listing.slots
             && memory_share(e, request.held, engine) <= MAX_MEMORY_SHARE
@@ -138,7 +142,8 @@
 fn target_cost(e: &Endpoint, centre: &DataCentre, held: u64, engine: &Engine) -> f64 {
     let remote = if e.listing.centre == *centre { 0.0 } else { REMOTE_COST };
     let link = f64::from(e.work().copies) / LINK_TOKENS_PER_COST;
-    memory_share(e, held, engine) + remote + link
+    let limited = if e.is_limited() { LIMITED_COST } else { 0.0 };
+    memory_share(e, held, engine) + remote + link + limited
 }
 
 /// Returns the share of an engine's memory that is needed once it runs a generation that needs
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,20 +1,19 @@
 //! One attempt to send a request to an endpoint, and how its result is recorded.
 
 use super::job::Job;
-use super::{Gateway, outage};
+use super::{Gateway, limits, outage};
 use crate::clock;
 use crate::event::Kind;
 use crate::h1::{Outbound, SendError};
 use crate::id::{EndpointId, Tokens};
-use crate::limit::{Known, Stated};
 use crate::platform::{self, ForwardParams, ResponseInfo};
-use crate::pool::PoolKey;
+use crate::pool::{Hold, PoolKey, Purpose};
 use crate::problem::{Problem, ProblemKind};
 use actix_http::ResponseHead;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
 /// Endpoints that one request may reach, including those that reject it without running it.
@@ -37,6 +36,8 @@
     Leaving,
     /// The endpoint has asked for a pause that is not over.
     Paused,
+    /// The endpoint limits its requests, and there is no permit for this one.
+    Limited,
     /// The connection could not be established.
     Unreached,
     /// The head of the request could not be encoded.
@@ -64,26 +65,20 @@
 impl AttemptError {
     /// Returns whether the request has not run on the endpoint and never will.
     pub fn is_not_executed(self) -> bool {
-        use AttemptError::{Full, Gone, Head, Leaving, Misdirected, Paused, Unreached};
-        matches!(self, Gone | Leaving | Paused | Unreached | Head | Full | Misdirected)
+        use AttemptError::{Full, Misdirected};
+        self.is_undelivered() || matches!(self, Full | Misdirected)
     }
 
     /// Returns whether the request never reached the endpoint.
     pub fn is_undelivered(self) -> bool {
-        matches!(
-            self,
-            AttemptError::Gone
-                | AttemptError::Leaving
-                | AttemptError::Paused
-                | AttemptError::Unreached
-                | AttemptError::Head
-        )
+        use AttemptError::{Gone, Head, Leaving, Limited, Paused, Unreached};
+        matches!(self, Gone | Leaving | Paused | Limited | Unreached | Head)
     }
 
     /// Returns whether the error counts against the endpoint's health. A full endpoint is healthy.
     pub fn is_endpoint_failure(self) -> bool {
-        use AttemptError::{Full, Gone, Leaving, Overloaded, Paused, Quarantined};
-        !matches!(self, Full | Gone | Leaving | Paused | Overloaded | Quarantined)
+        use AttemptError::{Full, Gone, Leaving, Limited, Overloaded, Paused, Quarantined};
+        !matches!(self, Full | Gone | Leaving | Paused | Limited | Overloaded | Quarantined)
     }
 }
 
@@ -108,14 +103,18 @@
 
 /// Sends a request to an endpoint and waits for the head of its response.
 ///
-/// A leaving or paused endpoint is sent no new requests, but may resume a migrated generation.
+/// A leaving or paused endpoint is sent no new requests, but may resume a migrated generation,
+/// which waits for a permit if the endpoint limits its requests.
 pub async fn send(
     gw: &Rc<Gateway>,
     job: &Job,
     key: PoolKey,
     params: &ForwardParams<'_>,
 ) -> Result<EndpointResponse, AttemptError> {
-    let address = check_endpoint(gw, key, params.handoff.is_some())?;
+    let address = match params.handoff {
+        None => begin_sending(gw, key, Purpose::Request)?,
+        Some(_) => limits::wait_to_resume(gw, job, key).await?,
+    };
     let head = job.forward_head(params);
     let sent = clock::now();
     let opened =
@@ -139,27 +138,25 @@
         if let Some(time) = info.pause {
             record_pause(gw, key, time);
         }
-        record_limit(gw, key, sent, info.limit);
+        limits::record_response(gw, key, sent, info.limit);
     }
     check_response(job, &info)?;
     Ok(EndpointResponse { head, info, out, endpoint: params.endpoint.clone() })
 }
 
-/// Returns the address of an endpoint that may be sent a request; `is_resumed` is set for one that
-/// resumes a migrated generation.
-fn check_endpoint(
+/// Takes the permission to send something to an endpoint, and returns its address.
+pub fn begin_sending(
     gw: &Gateway,
     key: PoolKey,
-    is_resumed: bool,
+    purpose: Purpose,
 ) -> Result<SocketAddr, AttemptError> {
-    let pool = gw.pool.borrow();
-    let e = pool.endpoints.get(key).ok_or(AttemptError::Gone)?;
-    if !is_resumed && e.is_leaving() {
-        return Err(AttemptError::Leaving);
-    }
-    if !is_resumed && e.paused_until.is_some() {
-        return Err(AttemptError::Paused);
-    }
+    let mut pool = gw.pool.borrow_mut();
+    let e = pool.endpoints.get_mut(key).ok_or(AttemptError::Gone)?;
+    e.begin_sending(clock::now(), purpose).map_err(|hold| match hold {
+        Hold::Leaving => AttemptError::Leaving,
+        Hold::Paused(_) => AttemptError::Paused,
+        Hold::Limited => AttemptError::Limited,
+    })?;
     Ok(e.listing.address)
 }
 
@@ -228,22 +225,6 @@
     }
 }
 
-/// Records what an endpoint states of its limit in the response to a request sent at `sent`.
-fn record_limit(gw: &Gateway, key: PoolKey, sent: Instant, stated: Stated) {
-    let known = match stated {
-        Stated::Limited(rate) => Known { limit: Some(rate), at: clock::now() },
-        Stated::Unlimited => Known { limit: None, at: sent },
-        Stated::Unreadable => return,
-    };
-    if !gw.pool.borrow_mut().record_limit(key, known) {
-        return;
-    }
-    if let Some(e) = gw.pool.borrow().endpoints.get(key) {
-        let limit = known.limit.map_or("none".to_owned(), |rate| rate.to_string());
-        gw.event(Kind::Limited, &e.listing.id, format_args!("limit={limit} from=response"));
-    }
-}
-
 /// Counts the result of a request in the health of its endpoint.
 pub fn record_health(gw: &Gateway, key: PoolKey, is_success: bool) {
     if let Some(e) = gw.pool.borrow_mut().endpoints.get_mut(key) {
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -53,8 +53,9 @@
         QueueEntry { gw, service: &job.service, ticket }
     }
 
-    fn is_first(&self) -> bool {
-        self.gw.queue.borrow().is_first(self.service, self.ticket)
+    /// Returns the number of requests that come before this one.
+    pub fn ahead(&self) -> usize {
+        self.gw.queue.borrow().ahead(self.service, self.ticket)
     }
 }
 
@@ -79,9 +80,9 @@
     loop {
         quarantine::check(gw, job)?;
         let now = clock::now();
-        let is_first = entry.is_first();
-        match job.decide_admission(gw, now, &denied) {
-            Decision::Send(key) if is_first => {
+        let ahead = entry.ahead();
+        match job.decide_admission(gw, now, ahead, &denied) {
+            Decision::Send(key) if ahead == 0 => {
                 if is_granted(gw, job, key).await {
                     return quarantine::check(gw, job).map(|()| key);
                 }
@@ -120,6 +121,7 @@
 /// attempt may have run and the generation is not idempotent.
 pub async fn dispatch(gw: &Rc<Gateway>, job: &Job) -> Result<Segment, Problem> {
     gw.budget.borrow_mut().earn(&job.service, attempt::RETRY_COST);
+    gw.pool.borrow_mut().note_demand(&job.service);
     let mut tried: Vec<PoolKey> = Vec::new();
     let (mut reached, mut runs) = (0, 0);
     loop {
@@ -133,12 +135,14 @@
             return Err(job.refusal(clock::now(), kind, &detail));
         }
         let key = wait_for_engine(gw, job, &tried).await?;
-        tried.push(key);
         let guard = WorkGuard::new(gw, key, job.expected_work());
         let error = match open_segment(gw, job, guard, None, None).await {
             Ok(segment) => return Ok(Segment { runs: runs + 1, ..segment }),
+            // Another request took the permit meanwhile.
+            Err(AttemptError::Limited) => continue,
             Err(error) => error,
         };
+        tried.push(key);
         attempt::record_error(gw, key, error);
         if error == AttemptError::Quarantined {
             return Err(attempt::unknown_outcome(job, error));
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -4,24 +4,28 @@
 use super::begin::QueueEntry;
 use super::job::{self, Job, log_id};
 use super::serve::{Disposition, disposition};
-use super::{Gateway, MAINTENANCE_INTERVAL, WorkGuard, quarantine};
+use super::{Gateway, MAINTENANCE_INTERVAL, WorkGuard, limits, quarantine};
 use crate::admit;
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::Refusal;
 use crate::h1::Inbound;
 use crate::platform::{self, ForwardParams};
-use crate::pool::{Availability, PoolKey};
+use crate::pool::{Availability, Endpoint, PoolKey};
 use crate::problem::{Problem, ProblemKind};
 use actix_http::body::BodySize;
 use bytes::{Bytes, BytesMut};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
 /// Bytes of a response that are buffered before any are passed on. If the response breaks off
 /// within them, the request can still be sent to another endpoint.
 const RETRY_BUFFER_BYTES: usize = 256 << 10;
 
+/// Interval at which a request that waits for a permit checks for one.
+const PERMIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// A response as read so far.
 enum CallResponse {
     /// The whole response with its body.
@@ -117,6 +121,8 @@
     reached: usize,
     /// Endpoints that may have run the request.
     runs: u32,
+    /// Whether the request has waited for its turn at a limited endpoint.
+    has_waited: bool,
     /// Latest server error from an endpoint, passed on if no attempt succeeds.
     error_response: Option<(EndpointResponse, Bytes)>,
 }
@@ -125,14 +131,24 @@
 /// is allowed.
 async fn send_with_retries(gw: &Rc<Gateway>, job: &Job) -> Result<CallResponse, Problem> {
     gw.budget.borrow_mut().earn(&job.service, attempt::RETRY_COST);
+    gw.pool.borrow_mut().note_demand(&job.service);
     let mut attempts = Attempts::default();
     loop {
         let Some(key) = next_endpoint(gw, job, &attempts) else {
-            if attempts.runs == 0 && wait_for_pause(gw, job).await {
-                attempts.tried.clear();
-                continue;
+            if attempts.runs > 0 {
+                break;
+            }
+            let is_limited = gw.pool.borrow().permit_time(&job.service, 0).is_some();
+            let is_ready = match is_limited {
+                true => wait_for_permit(gw, job).await,
+                false => wait_for_pause(gw, job).await,
+            };
+            if !is_ready {
+                break;
             }
-            break;
+            attempts.has_waited |= is_limited;
+            attempts.tried.clear();
+            continue;
         };
         attempts.tried.push(key);
         let error = match try_endpoint(gw, job, key).await {
@@ -171,6 +187,10 @@
 /// Builds the problem for a request that has not run on any of the `tried` endpoints.
 fn not_run_problem(gw: &Gateway, job: &Job, tried: usize) -> Problem {
     let now = clock::now();
+    let ahead = gw.queue.borrow().len(&job.service);
+    if let Some(permit) = gw.pool.borrow().permit_time(&job.service, ahead) {
+        return job.limit_refusal(now, permit);
+    }
     if let Availability::At(end) = gw.pool.borrow().availability(&job.service) {
         return job.pause_refusal(now, end);
     }
@@ -187,7 +207,32 @@
     if !attempt::permit_attempt(gw, job, attempts.tried.len(), attempts.reached) {
         return None;
     }
-    job.choose_endpoint(gw, clock::now(), &attempts.tried)
+    let key = job.choose_endpoint(gw, clock::now(), &attempts.tried)?;
+    let is_limited = gw.pool.borrow().endpoints.get(key).is_some_and(Endpoint::is_limited);
+    let has_waiters = gw.queue.borrow().len(&job.service) > 0;
+    // Requests that wait for a permit come first.
+    (!is_limited || !has_waiters || attempts.has_waited).then_some(key)
+}
+
+/// Waits, in the order of arrival, for a permit for a limited endpoint of the service, or for
+/// another endpoint. Returns `false` as soon as the request cannot wait so long.
+async fn wait_for_permit(gw: &Gateway, job: &Job) -> bool {
+    let entry = QueueEntry::join(gw, job);
+    // Permits come unevenly, so a request joins the queue only if there is time for one more.
+    let mut spare = usize::from(entry.ahead() > 0);
+    loop {
+        let before = entry.ahead() + std::mem::take(&mut spare);
+        let permit = gw.pool.borrow().permit_time(&job.service, before);
+        if permit.is_none_or(|t| t + job.route.target_latency > job.deadline) {
+            return false;
+        }
+        tokio::time::sleep(super::jitter(PERMIT_POLL_INTERVAL)).await;
+        limits::refresh(gw, clock::now(), &job.service);
+        let is_usable = gw.pool.borrow().endpoints.values().any(|e| e.serves(&job.service));
+        if is_usable && entry.ahead() == 0 {
+            return true;
+        }
+    }
 }
 
 /// Waits, in the order of arrival, for the end of a pause that all endpoints of the service have
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -1,6 +1,6 @@
 //! A caller's request, resolved to its route, workspace and service.
 
-use super::Gateway;
+use super::{Gateway, limits};
 use crate::admit::{self, AdmissionRequest, Candidate, Decision, PrefillRate, Shortage};
 use crate::balance::{self, Need};
 use crate::event::Kind;
@@ -148,6 +148,7 @@
         now: Instant,
         tried: &[PoolKey],
     ) -> Option<PoolKey> {
+        limits::refresh(gw, now, &self.service);
         let settings = gw.settings.borrow();
         let need = self.need(&settings.centre);
         balance::choose(now, &gw.pool.borrow(), &need, tried, &mut rand::rng())
@@ -165,10 +166,18 @@
         own.unwrap_or(self.route.urgency)
     }
 
-    /// Decides whether the generation is sent to an engine now, waits or is refused.
-    pub fn decide_admission(&self, gw: &Gateway, now: Instant, tried: &[PoolKey]) -> Decision {
+    /// Decides whether the generation is sent to an engine now, waits behind `ahead` others or is
+    /// refused.
+    pub fn decide_admission(
+        &self,
+        gw: &Gateway,
+        now: Instant,
+        ahead: usize,
+        tried: &[PoolKey],
+    ) -> Decision {
+        limits::refresh(gw, now, &self.service);
         let settings = gw.settings.borrow();
-        let request = self.admission_request(gw, &settings.centre);
+        let request = AdmissionRequest { ahead, ..self.admission_request(gw, &settings.centre) };
         admit::decide(
             now,
             &gw.pool.borrow(),
@@ -208,6 +217,7 @@
             deadline: self.deadline,
             urgency: self.urgency(),
             queue_len: gw.queue.borrow().len(&self.service),
+            ahead: 0,
         }
     }
 
@@ -237,6 +247,21 @@
         Problem::new(kind, detail).retry_after(super::jitter(left).min(max))
     }
 
+    /// Builds a refusal for a request that can expect a permit for a limited endpoint at `permit`
+    /// at the earliest.
+    pub fn limit_refusal(&self, now: Instant, permit: Instant) -> Problem {
+        let (wait, left) = (permit.saturating_duration_since(now), self.time_left(now));
+        let detail = format!(
+            "the endpoints of the service limit their requests: the wait for a permit is {} ms, \
+            the time left {} ms",
+            wait.as_millis(),
+            left.as_millis()
+        );
+        let kind = ProblemKind::Refused(Refusal::Busy);
+        let after = super::jitter(wait).max(DEFAULT_RETRY_AFTER).min(left / RETRY_AFTER_DIVISOR);
+        Problem::new(kind, detail).retry_after(after)
+    }
+
     /// Builds a refusal with a retry delay, for a request that has not run.
     pub fn refusal(&self, now: Instant, kind: ProblemKind, detail: &str) -> Problem {
         Problem::new(kind, detail).retry_after(self.retry_after(now))
--- /dev/null
+++ b/src/gateway/limits.rs
@@ -0,0 +1,254 @@
+//! Limits that endpoints state: recorded from responses, passed on to the other instances, and
+//! kept to with permits from the coordinator of each endpoint.
+
+use super::attempt::{self, AttemptError};
+use super::job::Job;
+use super::peers::{self, Reply};
+use super::{Gateway, jitter};
+use crate::clock;
+use crate::event::Kind;
+use crate::gossip::{self, LimitNotice, LimitRow, PeerMessage, Tag};
+use crate::id::{InstanceId, ServiceName};
+use crate::limit::{Grant, Known, NOTICE_INTERVAL, PermitRequest, REPLY_TIMEOUT, Rate, Stated};
+use crate::pool::{PoolKey, Purpose};
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Longest wait of a stopped generation for the permit to resume on its new engine.
+const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
+/// Interval at which it checks for one.
+const RESUME_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Brings the permits for a service's endpoints up to date, and has them requested if due.
+pub fn refresh(gw: &Gateway, now: Instant, service: &ServiceName) {
+    let waiting = gw.queue.borrow().len(service);
+    if gw.pool.borrow_mut().update_permits(now, service, waiting) {
+        gw.permits_due.notify_one();
+    }
+}
+
+/// Waits for the permit to resume a generation on an engine, and returns the engine's address.
+pub async fn wait_to_resume(
+    gw: &Gateway,
+    job: &Job,
+    key: PoolKey,
+) -> Result<SocketAddr, AttemptError> {
+    let until = job.deadline.min(clock::now() + RESUME_TIMEOUT);
+    loop {
+        let result = attempt::begin_sending(gw, key, Purpose::Resume);
+        let now = clock::now();
+        if result != Err(AttemptError::Limited) || now >= until {
+            return result;
+        }
+        gw.pool.borrow_mut().note_demand(&job.service);
+        refresh(gw, now, &job.service);
+        tokio::time::sleep(jitter(RESUME_POLL_INTERVAL)).await;
+    }
+}
+
+/// Records what an endpoint states in the response to a request sent at `sent`, and tells its
+/// coordinator of a change.
+pub fn record_response(gw: &Gateway, key: PoolKey, sent: Instant, stated: Stated) {
+    let known = match stated {
+        Stated::Limited(rate) => Known { limit: Some(rate), at: clock::now() },
+        Stated::Unlimited => Known { limit: None, at: sent },
+        Stated::Unreadable => return,
+    };
+    let Some(tag) = record(gw, key, known, "from=response") else { return };
+    match peers::coordinator(gw, tag) {
+        None => publish(gw, vec![tag]),
+        Some((_, address)) => {
+            let notice = notice(gw, &[tag], false);
+            peers::send(gw, &[address], PeerMessage::Limits(notice));
+        }
+    }
+}
+
+/// Records a statement and returns the tag of the endpoint if its limit changed.
+fn record(gw: &Gateway, key: PoolKey, known: Known, from: impl Display) -> Option<Tag> {
+    if !gw.pool.borrow_mut().record_limit(clock::now(), key, known) {
+        return None;
+    }
+    let pool = gw.pool.borrow();
+    let e = pool.endpoints.get(key)?;
+    let limit = known.limit.map_or("none".to_owned(), |rate| rate.to_string());
+    gw.event(Kind::Limited, &e.listing.id, format_args!("limit={limit} {from}"));
+    Some(e.tag)
+}
+
+/// Builds a notice of what this instance knows of the limits of endpoints.
+fn notice(gw: &Gateway, tags: &[Tag], forward: bool) -> LimitNotice {
+    let now = clock::now();
+    let pool = gw.pool.borrow();
+    let rows = tags.iter().filter_map(|tag| {
+        let known = pool.find_by_tag(*tag)?.notices.known_limit()?;
+        let granting = gw.allocator.borrow().is_active(*tag);
+        let age_ms = age_ms(now, known.at);
+        Some(LimitRow { tag: *tag, limit: known.limit, age_ms, granting })
+    });
+    LimitNotice { rows: rows.collect(), forward }
+}
+
+fn age_ms(now: Instant, at: Instant) -> u32 {
+    u32::try_from(now.saturating_duration_since(at).as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Returns the time of a statement that has the given age.
+fn time_of(now: Instant, age_ms: u32) -> Instant {
+    now.checked_sub(Duration::from_millis(u64::from(age_ms))).unwrap_or(now)
+}
+
+/// Tells all other instances what this one knows of the limits of endpoints.
+fn publish(gw: &Gateway, tags: Vec<Tag>) {
+    let peers = gw.peers.borrow();
+    let groups = gossip::notice_groups(peers.keys().collect());
+    let first = groups.iter().filter_map(|g| Some(peers.get(*g.first()?)?.address));
+    let first: Vec<SocketAddr> = first.collect();
+    let forward = groups.iter().any(|g| g.len() > 1);
+    peers::send(gw, &first, PeerMessage::Limits(notice(gw, &tags, forward)));
+}
+
+/// Applies a notice of another instance. The coordinator of an endpoint passes changes on to all,
+/// and the first of a group passes the notice on to the group.
+pub fn merge(gw: &Gateway, from: &InstanceId, notice: &LimitNotice) {
+    let now = clock::now();
+    let mut changed = Vec::new();
+    for row in &notice.rows {
+        if row.granting {
+            gw.allocator.borrow_mut().note_rival(now, row.tag, from);
+        }
+        let known = Known { limit: row.limit, at: time_of(now, row.age_ms) };
+        let key = gw.pool.borrow().find_key_by_tag(row.tag);
+        let source = format_args!("from=peer peer={from}");
+        changed.extend(key.and_then(|key| record(gw, key, known, source)));
+    }
+    changed.retain(|tag| peers::coordinator(gw, *tag).is_none());
+    if !changed.is_empty() {
+        publish(gw, changed);
+    }
+    if notice.forward {
+        forward(gw, from, notice);
+    }
+}
+
+/// Passes a notice on to the other instances of this one's group.
+fn forward(gw: &Gateway, from: &InstanceId, notice: &LimitNotice) {
+    let own = gw.settings.borrow().instance.clone();
+    let peers = gw.peers.borrow();
+    let receivers = peers.keys().filter(|i| *i != from).chain(std::iter::once(&own)).collect();
+    let groups = gossip::notice_groups(receivers);
+    let group = groups.iter().find(|g| g.contains(&&own));
+    let others = group.into_iter().flatten().filter_map(|i| peers.get(*i));
+    let others: Vec<SocketAddr> = others.map(|p| p.address).collect();
+    let notice = LimitNotice { forward: false, ..notice.clone() };
+    peers::send(gw, &others, PeerMessage::Limits(notice));
+}
+
+/// Tells an instance that has started of the limits that this one coordinates.
+pub fn inform_started(gw: &Gateway, address: SocketAddr) {
+    let tags = coordinated(gw);
+    if !tags.is_empty() {
+        peers::send(gw, &[address], PeerMessage::Limits(notice(gw, &tags, false)));
+    }
+}
+
+/// Returns the limited endpoints that this instance coordinates, or grants permits for.
+fn coordinated(gw: &Gateway) -> Vec<Tag> {
+    let pool = gw.pool.borrow();
+    let limited = pool.endpoints.values().filter(|e| e.is_limited()).map(|e| e.tag);
+    let is_own =
+        |tag: &Tag| gw.allocator.borrow().is_active(*tag) || peers::coordinator(gw, *tag).is_none();
+    limited.filter(is_own).collect()
+}
+
+/// Repeats the notices of the limits that this instance coordinates.
+pub fn step(gw: &Gateway, now: Instant) {
+    let is_heard = |i: &InstanceId| gw.peer_loads.borrow().has_heard(i);
+    gw.allocator.borrow_mut().check_rivals(is_heard);
+    if gw.limits_sent.get().is_some_and(|t| now < t + NOTICE_INTERVAL) {
+        return;
+    }
+    gw.limits_sent.set(Some(now));
+    gw.allocator.borrow_mut().step(now);
+    let tags = coordinated(gw);
+    if !tags.is_empty() {
+        publish(gw, tags);
+    }
+}
+
+/// Requests permits whenever some are due. Does not return.
+pub async fn request_permits(gw: Rc<Gateway>) {
+    loop {
+        gw.permits_due.notified().await;
+        let now = clock::now();
+        let waiting = |service: &ServiceName| gw.queue.borrow().len(service);
+        let due = gw.pool.borrow_mut().due_permit_requests(now, waiting);
+        for (key, request) in due {
+            actix_rt::spawn(request_grant(gw.clone(), key, request));
+        }
+    }
+}
+
+async fn request_grant(gw: Rc<Gateway>, key: PoolKey, request: PermitRequest) {
+    let sent = clock::now();
+    let grant = match peers::coordinator(&gw, request.tag) {
+        None => {
+            let own = gw.settings.borrow().instance.clone();
+            Some(grant(&gw, sent, &own, &request))
+        }
+        Some((coordinator, address)) => {
+            let number = gw.messenger.number();
+            let message = PeerMessage::PermitRequest(number, request);
+            let reply = peers::request_reply(&gw, address, number, message, REPLY_TIMEOUT).await;
+            peers::record_reply(&gw, coordinator, reply.is_some());
+            match reply {
+                Some(Reply::Permits(grant)) => Some(grant),
+                _ => None,
+            }
+        }
+    };
+    metrics::counter!("permit_requests_total", "answered" => grant.is_some().to_string())
+        .increment(1);
+    let fleet = peers::fleet(&gw);
+    let mut pool = gw.pool.borrow_mut();
+    let Some(share) = pool.endpoints.get_mut(key).and_then(|e| e.notices.share()) else { return };
+    match grant {
+        Some(grant) => share.apply(clock::now(), sent, &grant),
+        None => {
+            let (part, interval) = (fleet.own_part(request.limit), jitter(fleet.retry_interval()));
+            share.record_unanswered(clock::now(), part, interval);
+        }
+    }
+}
+
+/// Decides on a request for permits as the coordinator of the endpoint. An instance whose knowledge
+/// of the limit is outdated is told what is known here.
+pub fn decide(
+    gw: &Gateway,
+    from: &InstanceId,
+    address: SocketAddr,
+    request: &PermitRequest,
+) -> Grant {
+    let now = clock::now();
+    let key = gw.pool.borrow().find_key_by_tag(request.tag);
+    let Some(key) = key else { return grant(gw, now, from, request) };
+    let known = Known { limit: Some(request.limit), at: time_of(now, request.age_ms) };
+    if let Some(tag) = record(gw, key, known, format_args!("from=peer peer={from}")) {
+        publish(gw, vec![tag]);
+    }
+    let limit: Option<Rate> =
+        gw.pool.borrow().endpoints.get(key).and_then(|e| e.notices.limit()).map(|(rate, _)| rate);
+    if limit != Some(request.limit) {
+        let notice = notice(gw, &[request.tag], false);
+        peers::send(gw, &[address], PeerMessage::Limits(notice));
+    }
+    let limit = limit.unwrap_or(request.limit);
+    grant(gw, now, from, &PermitRequest { limit, ..*request })
+}
+
+fn grant(gw: &Gateway, now: Instant, from: &InstanceId, request: &PermitRequest) -> Grant {
+    let fleet = peers::fleet(gw);
+    gw.allocator.borrow_mut().request(now, fleet, from, request)
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod copy;
 mod follow;
 mod job;
+mod limits;
 mod migrate;
 mod outage;
 mod peers;
@@ -27,6 +28,7 @@
 use crate::gossip::{ConfigPull, PeerLoads, StorePosition, Work};
 use crate::http::{self, Metrics};
 use crate::id::{InstanceId, PartId, ServiceName};
+use crate::limit::Allocator;
 use crate::platform::{GatewaySettings, KvClient, SettingsError};
 use crate::pool::{Change, Pool, PoolKey};
 use crate::quarantine::{Quarantine, Runs};
@@ -122,6 +124,12 @@
     prefill_rates: RefCell<HashMap<ServiceName, PrefillRate>>,
     /// Copies of generations that this instance has granted.
     links: RefCell<LinkScheduler>,
+    /// Permits for limited endpoints that this instance has granted.
+    allocator: RefCell<Allocator>,
+    /// Notified when permits for a limited endpoint are due to be requested.
+    permits_due: Notify,
+    /// When this instance last sent notices of the limits that it coordinates.
+    limits_sent: Cell<Option<Instant>>,
     /// Contents of requests and parts of prompts that have crashed endpoints.
     quarantine: RefCell<Quarantine>,
     /// Runs that may still crash their endpoints.
@@ -190,6 +198,7 @@
     actix_rt::spawn(run_maintenance(gw.clone()));
     actix_rt::spawn(outage::poll_engines(gw.clone()));
     actix_rt::spawn(quarantine::publish_refused(gw.clone()));
+    actix_rt::spawn(limits::request_permits(gw.clone()));
     if let Some(address) = settings.peer_address {
         peers::start(&gw, address).await.map_err(|e| GatewayError::Bind(address, e))?;
         copy::start(&gw, address).await?;
@@ -238,6 +247,9 @@
             peers: RefCell::new(HashMap::new()),
             queue: RefCell::new(WaitQueue::default()),
             links: RefCell::default(),
+            allocator: RefCell::new(Allocator::new(clock::now())),
+            permits_due: Notify::new(),
+            limits_sent: Cell::default(),
             quarantine: RefCell::new(Quarantine::default()),
             runs: RefCell::default(),
             crash_checks: RefCell::default(),
@@ -337,6 +349,7 @@
         let waves = gw.waves.borrow_mut().step(now);
         waves.into_iter().for_each(|w| gw.event(w.kind, w.subject, w.detail));
         quarantine::step(&gw);
+        limits::step(&gw, now);
         copy::fetch_newer(&gw);
     }
 }
--- a/src/gateway/outage.rs
+++ b/src/gateway/outage.rs
@@ -8,7 +8,7 @@
 use crate::gossip::{StoreStatus, Tag};
 use crate::id::InstanceId;
 use crate::platform;
-use crate::pool::{Endpoint, PoolKey};
+use crate::pool::{Endpoint, PoolKey, Purpose};
 use crate::store::{ChangeFeed, StoreError};
 use std::fmt::Display;
 use std::future::Future;
@@ -73,7 +73,7 @@
     let Some(table) = table.as_ref() else { return Vec::new() };
     let is_engine = |s| table.services.get(s).is_some_and(|s| s.engine.is_some());
     let pool = gw.pool.borrow();
-    let is_asked = |e: &Endpoint| e.own.held > 0 && !e.is_leaving() && e.paused_until.is_none();
+    let is_asked = |e: &Endpoint| e.own.held > 0 && e.hold(Purpose::Poll).is_none();
     let used = pool.endpoints.iter().filter(|(_, e)| is_asked(e));
     let used = used.filter(|(_, e)| is_engine(&e.listing.service));
     used.map(|(k, e)| (k, e.listing.address)).collect()
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -4,7 +4,7 @@
 //! verify its messages with that key, so that only processes with write access to the store are
 //! trusted.
 
-use super::{Gateway, follow, jitter, outage, quarantine, transfer};
+use super::{Gateway, follow, jitter, limits, outage, quarantine, transfer};
 use crate::admit::{self, Candidate};
 use crate::clock;
 use crate::evacuate::Verdict;
@@ -15,6 +15,7 @@
     StoreChanges, Tag,
 };
 use crate::id::{Incarnation, InstanceId, IntentVersion, MilliCores};
+use crate::limit::{Fleet, Grant, MAX_MISSES};
 use crate::route::Urgency;
 use crate::store::{KeyValue, LeaseId, Leases, StoreError};
 use actix_rt::net::UdpSocket;
@@ -39,6 +40,8 @@
 /// Time for a coordinator to answer an admission request, and so the delay that a lost datagram
 /// causes.
 const ADMISSION_TIMEOUT: Duration = Duration::from_millis(15);
+/// Time for which an instance that does not reply is not asked again.
+const MISS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Size of the receive buffer for datagrams.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 /// Length of the signing key of an instance.
@@ -75,6 +78,16 @@
     pending: RefCell<HashMap<u64, oneshot::Sender<Reply>>>,
     /// Number of the next request.
     next_number: Cell<u64>,
+    /// Requests for permits without a reply.
+    misses: RefCell<HashMap<InstanceId, Misses>>,
+}
+
+/// Requests to an instance without a reply in a row.
+#[derive(Debug)]
+struct Misses {
+    count: u32,
+    /// When they are forgotten.
+    until: Instant,
 }
 
 /// Reply of a coordinator.
@@ -84,6 +97,8 @@
     Admission(bool),
     /// Whether a copy may start.
     Transfer(Verdict),
+    /// Permits for a limited endpoint.
+    Permits(Grant),
 }
 
 impl Messenger {
@@ -224,6 +239,40 @@
     tokio::time::timeout(wait, replied).await.ok()?.ok()
 }
 
+/// Returns the instance among those heard from recently that coordinates an endpoint, and its
+/// address; `None` if it is this one.
+pub fn coordinator(gw: &Gateway, tag: Tag) -> Option<(InstanceId, SocketAddr)> {
+    let own = gw.settings.borrow().instance.clone();
+    let (peers, loads) = (gw.peers.borrow(), gw.peer_loads.borrow());
+    let (now, misses) = (clock::now(), gw.messenger.misses.borrow());
+    let is_silent = |i| misses.get(i).is_some_and(|m| m.count >= MAX_MISSES && now < m.until);
+    let heard = peers.keys().filter(|i| loads.has_heard(i) && !is_silent(i));
+    let found = gossip::coordinator(tag, heard.chain(std::iter::once(&own)))?;
+    peers.get(found).map(|p| (found.clone(), p.address))
+}
+
+/// Records whether a coordinator replied. After several requests without a reply in a row, another
+/// instance is asked for a while.
+pub fn record_reply(gw: &Gateway, coordinator: InstanceId, has_replied: bool) {
+    let mut all = gw.messenger.misses.borrow_mut();
+    if has_replied {
+        all.remove(&coordinator);
+        return;
+    }
+    let now = clock::now();
+    all.retain(|_, m| now < m.until);
+    let misses = all.entry(coordinator).or_insert(Misses { count: 0, until: now });
+    misses.count += 1;
+    misses.until = now + MISS_TIMEOUT;
+}
+
+/// Returns how many instances are registered, and how many of them were heard from recently.
+pub fn fleet(gw: &Gateway) -> Fleet {
+    let (peers, loads) = (gw.peers.borrow(), gw.peer_loads.borrow());
+    let heard = peers.keys().filter(|i| loads.has_heard(i)).count();
+    Fleet { registered: peers.len() + 1, heard: heard + 1 }
+}
+
 fn receive_reply(gw: &Gateway, number: u64, reply: Reply) {
     if let Some(pending) = gw.messenger.pending.borrow_mut().remove(&number) {
         // The request may have timed out meanwhile.
@@ -312,6 +361,7 @@
             let known = gw.peers.borrow_mut().insert(instance.clone(), peer);
             if known.as_ref().is_none_or(|k| k.key != r.key) {
                 quarantine::inform_started(gw, r.address);
+                limits::inform_started(gw, r.address);
             }
             if known.is_none() {
                 gw.wave_event(Kind::LinkUp, instance, format_args!("address={}", r.address));
@@ -397,6 +447,14 @@
             let granted = decide_admission(gw, &request);
             send(gw, &[from], PeerMessage::AdmissionReply(request.number, granted));
         }
+        PeerMessage::PermitRequest(number, request) => {
+            let grant = limits::decide(gw, &envelope.from, from, &request);
+            send(gw, &[from], PeerMessage::PermitReply(number, grant));
+        }
+        PeerMessage::PermitReply(number, grant) => {
+            receive_reply(gw, number, Reply::Permits(grant));
+        }
+        PeerMessage::Limits(notice) => limits::merge(gw, &envelope.from, &notice),
         PeerMessage::Quarantine(gossip) => quarantine::merge(gw, &gossip),
         PeerMessage::StoreChanges(changes) => follow::apply_changes(gw, &changes),
         PeerMessage::PullConfig | PeerMessage::Config(_) => {
--- a/src/gossip/message.rs
+++ b/src/gossip/message.rs
@@ -4,6 +4,7 @@
 use crate::evacuate::Verdict;
 use crate::frame::Gossip;
 use crate::id::{DataCentre, ServiceName};
+use crate::limit::{Grant, PermitRequest, Rate};
 use crate::store::{Era, KeyValue, Position};
 use serde::{Deserialize, Serialize};
 
@@ -111,6 +112,15 @@
     /// Contents that crashed endpoints.
     #[serde(rename = "b")]
     Quarantine(Gossip),
+    /// Requests permits for a limited endpoint, with a number that the reply repeats.
+    #[serde(rename = "k")]
+    PermitRequest(u64, PermitRequest),
+    /// Reply to the request for permits with this number.
+    #[serde(rename = "r")]
+    PermitReply(u64, Grant),
+    /// Limits that endpoints state.
+    #[serde(rename = "l")]
+    Limits(LimitNotice),
     /// Changes that a reader received from the store.
     #[serde(rename = "n")]
     StoreChanges(StoreChanges),
@@ -123,6 +133,34 @@
     Config(Vec<u8>),
 }
 
+/// What an instance knows of the limit of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct LimitRow {
+    /// Endpoint.
+    #[serde(rename = "w")]
+    pub tag: Tag,
+    /// Its limit; `None` if that has ended.
+    #[serde(rename = "l")]
+    pub limit: Option<Rate>,
+    /// Age of that knowledge in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u32,
+    /// Whether the instance grants permits for the endpoint.
+    #[serde(rename = "g")]
+    pub granting: bool,
+}
+
+/// Limits of endpoints, which an instance tells their coordinator, and the coordinator all others.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LimitNotice {
+    /// What the instance knows, by endpoint.
+    #[serde(rename = "r")]
+    pub rows: Vec<LimitRow>,
+    /// Whether the receiver passes the notice on to its group of instances.
+    #[serde(rename = "f")]
+    pub forward: bool,
+}
+
 /// Changes of the store that a reader forwards to the other instances.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct StoreChanges {
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -15,8 +15,8 @@
 mod relay;
 
 pub use message::{
-    AdmissionRequest, Digest, PeerMessage, Row, StoreChanges, TransferMessage, decode_row,
-    encode_row,
+    AdmissionRequest, Digest, LimitNotice, LimitRow, PeerMessage, Row, StoreChanges,
+    TransferMessage, decode_row, encode_row,
 };
 pub use pull::ConfigPull;
 pub use relay::{ReaderReport, StorePosition, Succession};
@@ -141,6 +141,21 @@
     instances.max_by_key(|i| rendezvous_weight(tag, i))
 }
 
+/// Number of instances up to which a notice is sent to each of them by its sender.
+const MAX_DIRECT_RECEIVERS: usize = 32;
+
+/// Groups the instances that get a notice. The sender sends it to the first of each group, which
+/// passes it on to the others, so that none sends more than about two times the square root of
+/// their number. `instances` are all but the sender.
+pub fn notice_groups(mut instances: Vec<&InstanceId>) -> Vec<Vec<&InstanceId>> {
+    instances.sort();
+    let size = match instances.len() {
+        0..=MAX_DIRECT_RECEIVERS => 1,
+        n => n.isqrt(),
+    };
+    instances.chunks(size).map(<[&InstanceId]>::to_vec).collect()
+}
+
 /// Returns the instances that schedule the transfers of a data centre's engines: the one that all
 /// ask first, and the one to ask if that does not reply.
 ///
@@ -283,6 +298,11 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// Returns whether an instance sent a digest recently.
+    pub fn has_heard(&self, instance: &InstanceId) -> bool {
+        self.peers.contains_key(instance)
+    }
+
     /// Returns the number of peers that sent a digest and were not dropped since.
     pub fn len(&self) -> usize {
         self.peers.len()
--- /dev/null
+++ b/src/limit/allocator.rs
@@ -0,0 +1,246 @@
+//! Shares the rates of limited endpoints out to the instances that ask for permits.
+//!
+//! Answers the load of an endpoint in need before which any number of instances stand. An instance
+//! whose part is worth a request or more until it asks again gets a rate. With a low limit, it gets
+//! single requests as its part adds up to them. With many instances that takes too long, and what
+//! is left over goes to the next instance that asks. All instances together ask at a bounded rate, so that the messages to a coordinator do
+//! not grow with their number.
+
+use super::{Bucket, Grant, PermitRequest, Rate};
+use crate::gossip::Tag;
+use crate::id::InstanceId;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Requests for permits per second that a coordinator is asked for by all instances together.
+const REQUESTS_PER_SECOND: u32 = 10;
+/// Shortest interval between two requests for permits of one instance to an endpoint.
+const MIN_INTERVAL: Duration = Duration::from_millis(100);
+/// Intervals after which an instance that did not ask again has no demand.
+const ASKER_TIMEOUT_INTERVALS: u32 = 2;
+/// Time added to this timeout.
+const ASKER_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
+/// Time until the next request for permits by which a lease outlasts it, as a divisor of the
+/// interval.
+const LEASE_MARGIN_DIVISOR: u32 = 2;
+/// Requests of an endpoint that are kept for instances whose part adds up to one.
+const KEPT_REQUESTS: u32 = 1;
+/// Time over which requests are kept beyond those.
+const SAVING_TIME: Duration = Duration::from_millis(300);
+/// Most requests that the part of an instance adds up to.
+const MAX_CREDIT: f64 = 2.0;
+/// Time for which another instance that grants permits for the same endpoint counts as active.
+const RIVAL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which such an instance is remembered, longer than any lease.
+const RIVAL_RETENTION: Duration = Duration::from_secs(300);
+/// Smallest demand that counts, so that the parts of all askers have a sum.
+const MIN_DEMAND: f64 = 1e-3;
+
+/// Returns the time for which an instance uses what it was granted.
+pub fn lease_time(interval: Duration) -> Duration {
+    interval + interval / LEASE_MARGIN_DIVISOR
+}
+
+/// What a coordinator knows of the fleet, itself included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Fleet {
+    /// Instances that are registered.
+    pub registered: usize,
+    /// Those of which it has heard recently.
+    pub heard: usize,
+}
+
+impl Fleet {
+    /// Returns the part of a rate that `n` instances own.
+    fn part(self, rate: Rate, n: usize) -> Rate {
+        rate.times(n.min(self.registered) as f64 / self.registered.max(1) as f64)
+    }
+
+    /// Returns the part of a rate that one instance owns.
+    pub fn own_part(self, rate: Rate) -> Rate {
+        self.part(rate, 1)
+    }
+
+    /// Returns the interval at which instances without a coordinator ask again.
+    pub fn retry_interval(self) -> Duration {
+        interval(self.registered)
+    }
+
+    /// Returns the time after which no instance has a lease of an earlier coordinator.
+    fn handover_time(self) -> Duration {
+        lease_time(interval(self.registered))
+    }
+}
+
+/// Returns the interval between two requests for permits of one instance to an endpoint where
+/// `pairs` of an instance and an endpoint share the coordinator.
+fn interval(pairs: usize) -> Duration {
+    let pairs = u32::try_from(pairs).unwrap_or(u32::MAX);
+    (Duration::from_secs(1) / REQUESTS_PER_SECOND).saturating_mul(pairs).max(MIN_INTERVAL)
+}
+
+/// An instance that asks for permits.
+#[derive(Debug)]
+struct Asker {
+    demand: f64,
+    /// Requests that its part has added up to since it was granted one.
+    credit: f64,
+    /// When it last asked.
+    asked: Instant,
+    /// Rate that it was granted, in parts of the limit, until the given time.
+    lease: Option<(f64, Instant)>,
+    /// Time after which it has no demand, unless it asks again.
+    expires: Instant,
+}
+
+impl Asker {
+    fn leased(&self, now: Instant) -> f64 {
+        self.lease.filter(|(_, until)| *until > now).map_or(0.0, |(part, _)| part)
+    }
+}
+
+/// Permits of one endpoint.
+#[derive(Debug)]
+struct Allocation {
+    askers: HashMap<InstanceId, Asker>,
+    bucket: Bucket,
+    /// Rate that is not leased.
+    unleased: Rate,
+}
+
+impl Allocation {
+    fn new(now: Instant) -> Self {
+        Allocation { askers: HashMap::new(), bucket: Bucket::empty(now), unleased: Rate::ZERO }
+    }
+
+    /// Returns the parts of the limit that are leased.
+    fn leased(&self, now: Instant) -> f64 {
+        self.askers.values().map(|a| a.leased(now)).sum()
+    }
+
+    fn grant(
+        &mut self,
+        now: Instant,
+        fleet: Fleet,
+        from: &InstanceId,
+        request: &PermitRequest,
+        owners: usize,
+        interval: Duration,
+    ) -> Grant {
+        let cap = f64::from(KEPT_REQUESTS + 1) + request.limit.over(SAVING_TIME);
+        self.bucket.advance(now, self.unleased, cap);
+        let demand = request.demand.as_f64().max(MIN_DEMAND);
+        let expires = now + interval * ASKER_TIMEOUT_INTERVALS + ASKER_TIMEOUT_MARGIN;
+        let known = self.askers.remove(from);
+        let (credit, asked) = known.map_or((0.0, now), |a| (a.credit, a.asked));
+        let others: f64 = self.askers.values().map(|a| a.demand).sum();
+        let limit = fleet.part(request.limit, owners.max(self.askers.len() + 1));
+        let expected = limit.times(demand / (demand + others));
+        let free = limit.as_f64() - request.limit.times(self.leased(now)).as_f64();
+        let rate = Rate::per_second(free.min(expected.as_f64()));
+        let earned = expected.over(now.saturating_duration_since(asked));
+        let mut asker = Asker {
+            demand,
+            credit: (credit + earned).min(MAX_CREDIT),
+            asked: now,
+            lease: None,
+            expires,
+        };
+        let mut permits = 0;
+        let is_lease = rate.over(interval) >= 1.0;
+        if is_lease {
+            let part = rate.as_f64() / request.limit.as_f64();
+            asker.lease = Some((part, now + lease_time(interval)));
+        } else {
+            let wanted = (request.demand.over(interval).ceil() as u32).max(1);
+            let left_over = self.bucket.whole().saturating_sub(KEPT_REQUESTS);
+            permits = left_over.max(self.bucket.whole().min(asker.credit as u32)).min(wanted);
+            self.bucket.take(permits);
+            asker.credit -= f64::from(permits);
+        }
+        self.askers.insert(from.clone(), asker);
+        let leased = request.limit.times(self.leased(now));
+        self.unleased = Rate::per_second(limit.as_f64() - leased.as_f64());
+        let interval_ms = u32::try_from(interval.as_millis()).unwrap_or(u32::MAX);
+        Grant { permits, rate: if is_lease { rate } else { Rate::ZERO }, expected, interval_ms }
+    }
+}
+
+/// Another instance that grants permits for an endpoint.
+#[derive(Debug)]
+struct Rival {
+    instance: InstanceId,
+    /// When it last said so.
+    at: Instant,
+    /// Whether it has been heard from since.
+    is_heard: bool,
+}
+
+/// Shares out the rates of the limited endpoints that one instance coordinates.
+#[derive(Debug)]
+pub struct Allocator {
+    started: Instant,
+    endpoints: HashMap<Tag, Allocation>,
+    rivals: HashMap<Tag, Rival>,
+}
+
+impl Allocator {
+    /// Starts without any permit granted.
+    pub fn new(now: Instant) -> Self {
+        Allocator { started: now, endpoints: HashMap::new(), rivals: HashMap::new() }
+    }
+
+    /// Decides on a request for permits.
+    pub fn request(
+        &mut self,
+        now: Instant,
+        fleet: Fleet,
+        from: &InstanceId,
+        request: &PermitRequest,
+    ) -> Grant {
+        self.step(now);
+        let owners = if self.is_alone(now, fleet, request.tag) { fleet.heard } else { 0 };
+        let known = self.endpoints.get(&request.tag).is_some_and(|a| a.askers.contains_key(from));
+        let pairs: usize = self.endpoints.values().map(|a| a.askers.len()).sum();
+        let interval = interval(pairs + usize::from(!known));
+        let allocation = self.endpoints.entry(request.tag).or_insert_with(|| Allocation::new(now));
+        allocation.grant(now, fleet, from, request, owners, interval)
+    }
+
+    /// Returns whether instances that do not ask here have no permits of another coordinator, so
+    /// that their parts can be shared out too.
+    fn is_alone(&self, now: Instant, fleet: Fleet, tag: Tag) -> bool {
+        let handover = fleet.handover_time();
+        let has_rival = self.rivals.get(&tag).is_some_and(|rival| {
+            let is_active = rival.is_heard && now < rival.at + RIVAL_TIMEOUT;
+            is_active || now < rival.at + handover
+        });
+        now >= self.started + handover && !has_rival
+    }
+
+    /// Forgets instances that no longer ask, endpoints that none asks for, and other coordinators.
+    pub fn step(&mut self, now: Instant) {
+        for a in self.endpoints.values_mut() {
+            a.askers.retain(|_, asker| asker.expires > now);
+        }
+        self.endpoints.retain(|_, a| !a.askers.is_empty());
+        self.rivals.retain(|_, rival| now < rival.at + RIVAL_RETENTION);
+    }
+
+    /// Records that another instance grants permits for an endpoint.
+    pub fn note_rival(&mut self, now: Instant, tag: Tag, instance: &InstanceId) {
+        self.rivals.insert(tag, Rival { instance: instance.clone(), at: now, is_heard: true });
+    }
+
+    /// Records which of the other instances that grant permits are not heard from any more.
+    pub fn check_rivals(&mut self, is_heard: impl Fn(&InstanceId) -> bool) {
+        for rival in self.rivals.values_mut() {
+            rival.is_heard &= is_heard(&rival.instance);
+        }
+    }
+
+    /// Returns whether instances ask here for permits of an endpoint.
+    pub fn is_active(&self, tag: Tag) -> bool {
+        self.endpoints.contains_key(&tag)
+    }
+}
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -1,12 +1,30 @@
 //! Limits that endpoints state for the rate of their requests.
 //!
-//! An endpoint in need states how many requests a second it takes from all instances together.
+//! An endpoint in need states how many requests a second it takes from all instances together. One
+//! instance per endpoint, its coordinator, shares the rate out ([`Allocator`]), and each instance
+//! spends what it was granted ([`Share`]).
+//!
+//! Each registered instance owns an equal part of the rate. The coordinator shares out the parts of
+//! the instances that it hears from, and an instance that gets no reply from it spends its own
+//! part. The sum therefore holds while instances start again, are cut off, or disagree on which of
+//! them is the coordinator.
 
+mod allocator;
 mod rate;
+mod share;
 
+pub use allocator::{Allocator, Fleet};
 pub use rate::{Rate, RateError};
+pub use share::{MAX_MISSES, Share};
+
+use crate::gossip::Tag;
+use serde::{Deserialize, Serialize};
+use std::time::{Duration, Instant};
 
-use std::time::Instant;
+/// Interval at which coordinators repeat their notices of limits, for instances that missed one.
+pub const NOTICE_INTERVAL: Duration = Duration::from_secs(4);
+/// Time for a coordinator to reply to a request for permits.
+pub const REPLY_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// What a response states about the limit of its endpoint.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -19,6 +37,41 @@
     Unreadable,
 }
 
+/// A request for permits, from an instance to the coordinator of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// Limited endpoint.
+    #[serde(rename = "w")]
+    pub tag: Tag,
+    /// Limit as the sender knows it.
+    #[serde(rename = "l")]
+    pub limit: Rate,
+    /// Age of that knowledge in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u32,
+    /// Rate of the sender's requests that could go to the endpoint.
+    #[serde(rename = "d")]
+    pub demand: Rate,
+}
+
+/// Reply to a [`PermitRequest`].
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Requests that may be sent soon.
+    #[serde(rename = "p")]
+    pub permits: u32,
+    /// Rate at which further requests may be sent until some time after the next request for
+    /// permits is due.
+    #[serde(rename = "r")]
+    pub rate: Rate,
+    /// Rate that the instance can expect over a longer time.
+    #[serde(rename = "e")]
+    pub expected: Rate,
+    /// Milliseconds until the next request for permits is due.
+    #[serde(rename = "i")]
+    pub interval_ms: u32,
+}
+
 /// A limit as known to an instance, or its absence, and the time for which that is known.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Known {
@@ -28,3 +81,69 @@
     /// of one when the request was sent, so that neither is taken for newer than it is.
     pub at: Instant,
 }
+
+/// Tokens that accrue at a rate up to a cap; a request takes one.
+#[derive(Debug, Clone, Copy)]
+struct Bucket {
+    tokens: f64,
+    updated: Instant,
+}
+
+impl Bucket {
+    /// Difference up to which a number of tokens counts as whole.
+    const ROUNDING: f64 = 1e-6;
+
+    fn empty(now: Instant) -> Self {
+        Bucket { tokens: 0.0, updated: now }
+    }
+
+    fn advance(&mut self, now: Instant, rate: Rate, cap: f64) {
+        let elapsed = now.saturating_duration_since(self.updated);
+        self.tokens = (self.tokens + rate.over(elapsed)).min(cap);
+        self.updated = self.updated.max(now);
+    }
+
+    /// Returns the number of whole tokens.
+    fn whole(&self) -> u32 {
+        (self.tokens + Self::ROUNDING) as u32
+    }
+
+    fn take(&mut self, n: u32) {
+        self.tokens -= f64::from(n);
+    }
+}
+
+/// Holds the requests to an endpoint to its limit where all of them pass through this process.
+#[derive(Debug)]
+pub struct Throttle {
+    rate: Rate,
+    bucket: Bucket,
+}
+
+impl Throttle {
+    /// Starts without any request in hand.
+    pub fn new(now: Instant, rate: Rate) -> Self {
+        Throttle { rate, bucket: Bucket::empty(now) }
+    }
+
+    /// Changes the rate from now on.
+    pub fn set_rate(&mut self, now: Instant, rate: Rate) {
+        self.bucket.advance(now, self.rate, 1.0);
+        self.rate = rate;
+    }
+
+    /// Returns when the next request may be sent.
+    pub fn next_time(&self) -> Instant {
+        self.bucket.updated + self.rate.time_for(1.0 - self.bucket.tokens)
+    }
+
+    /// Takes the permission for one request; returns whether there is one.
+    pub fn take(&mut self, now: Instant) -> bool {
+        self.bucket.advance(now, self.rate, 1.0);
+        let is_granted = self.bucket.whole() > 0;
+        if is_granted {
+            self.bucket.take(1);
+        }
+        is_granted
+    }
+}
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -5,14 +5,15 @@
 //! leaving or refuses connections, takes precedence over the listing.
 
 mod departure;
+mod notice;
 mod speed;
 
+pub use notice::{Availability, Hold, Notices, Purpose};
 pub use speed::{TokenTime, TokenTimer};
 
 use crate::board::{FAILURE_LIMIT, Health};
 use crate::gossip::{PeerLoads, Tag, Work};
 use crate::id::{DataCentre, EndpointId, ServiceName};
-use crate::limit::Known;
 use departure::Departures;
 use slotmap::{SlotMap, new_key_type};
 use std::collections::HashMap;
@@ -31,8 +32,6 @@
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(1000);
 /// Upper bound of that time. Network partitions between an instance and its endpoints last seconds.
 const MAX_UNREACHABLE_BACKOFF: Duration = Duration::from_secs(8);
-/// Longest pause that an endpoint may ask for.
-const MAX_PAUSE: Duration = Duration::from_secs(600);
 /// Most concurrent requests to an endpoint that is on trial after an ejection.
 const MAX_TRIAL_REQUESTS: u32 = 1;
 
@@ -116,10 +115,8 @@
     pub warmup_end: Instant,
     /// Time until which it is not used because it refused a connection.
     pub unreachable_until: Option<Instant>,
-    /// Time until which it is not used because it asked for a pause.
-    pub paused_until: Option<Instant>,
-    /// Limit that it states for the rate of its requests, if it has stated anything.
-    pub limit: Option<Known>,
+    /// What it states of itself.
+    pub notices: Notices,
     /// Failed connection attempts in a row, not counting those while it was not used.
     connect_failures: u32,
     /// Notifies the generations that run on it when it starts to leave.
@@ -142,8 +139,7 @@
             own_token_time: TokenTime::default(),
             warmup_end,
             unreachable_until: None,
-            paused_until: None,
-            limit: None,
+            notices: Notices::default(),
             connect_failures: 0,
             leave_signal: Rc::new(Notify::new()),
         };
@@ -170,15 +166,26 @@
         }
     }
 
-    /// Returns whether it may get a new request now.
-    pub fn is_usable(&self) -> bool {
+    /// Returns whether it may get a new request now, apart from what it states of itself.
+    pub fn is_open(&self) -> bool {
         let is_ejected = self.health.ejected_until.is_some();
         let is_trial_full = self.health.on_trial && self.own.open >= MAX_TRIAL_REQUESTS;
         self.standing == Standing::Serving
             && !is_ejected
             && !is_trial_full
             && self.unreachable_until.is_none()
-            && self.paused_until.is_none()
+    }
+
+    /// Returns whether it may get a new request now.
+    pub fn is_usable(&self) -> bool {
+        self.is_open() && self.hold(Purpose::Request).is_none()
+    }
+
+    /// Returns whether running generations of a service may move to it. They may wait there for a
+    /// permit.
+    pub fn accepts_moves(&self, service: &ServiceName) -> bool {
+        let hold = self.hold(Purpose::Request).filter(|hold| *hold != Hold::Limited);
+        self.listing.service == *service && self.is_open() && hold.is_none()
     }
 
     /// Returns whether it may get a new request for a service now.
@@ -207,17 +214,6 @@
     }
 }
 
-/// Whether a service has an endpoint that may get requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Availability {
-    /// It has one, or one that may be usable again at any time.
-    Now,
-    /// All that are not leaving have asked for a pause; the first of these ends at this time.
-    At(Instant),
-    /// All its endpoints are leaving, or none is listed.
-    Never,
-}
-
 /// Change to the pool that is published as an event.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Change {
@@ -383,38 +379,6 @@
         }
     }
 
-    /// Returns whether a service has an endpoint that may get requests.
-    pub fn availability(&self, service: &ServiceName) -> Availability {
-        let all = self.endpoints.values().filter(|e| e.listing.service == *service);
-        let staying = all.filter(|e| !e.is_leaving()).map(|e| e.paused_until);
-        match staying.min() {
-            None => Availability::Never,
-            // An endpoint that is not paused comes first.
-            Some(None) => Availability::Now,
-            Some(Some(end)) => Availability::At(end),
-        }
-    }
-
-    /// Records that an endpoint asked for a pause. Of several pauses, the latest end
-    /// counts. It is neither a failure nor a departure. Returns whether it was not paused before.
-    pub fn pause(&mut self, now: Instant, key: PoolKey, time: Duration) -> bool {
-        let Some(e) = self.endpoints.get_mut(key) else { return false };
-        let was_paused = e.paused_until.is_some();
-        e.paused_until = e.paused_until.max(Some(now + time.min(MAX_PAUSE)));
-        !was_paused
-    }
-
-    /// Records the limit that an endpoint states, or that it states none. What is older than the
-    /// known statement is ignored. Returns whether the limit changed.
-    pub fn record_limit(&mut self, key: PoolKey, stated: Known) -> bool {
-        let Some(e) = self.endpoints.get_mut(key) else { return false };
-        if e.limit.is_some_and(|known| known.at > stated.at) {
-            return false;
-        }
-        let previous = e.limit.replace(stated).and_then(|known| known.limit);
-        previous != stated.limit
-    }
-
     /// Returns the mean time per output token over the engines of a service; `None` if no engine
     /// has a recent one.
     pub fn mean_token_time(&self, now: Instant, service: &ServiceName) -> Option<Duration> {
@@ -475,7 +439,7 @@
         let mut lapsed = Vec::new();
         let mut failing = Vec::new();
         for (key, e) in &mut self.endpoints {
-            e.paused_until.take_if(|t| *t <= now);
+            e.notices.paused_until.take_if(|t| *t <= now);
             let is_backoff_over = e.unreachable_until.is_some_and(|t| t <= now);
             if is_backoff_over {
                 e.unreachable_until = None;
--- a/tests/decisions/admit.rs
+++ b/tests/decisions/admit.rs
@@ -27,6 +27,7 @@
         deadline: since + timeout,
         urgency: Urgency(1),
         queue_len,
+        ahead: 0,
     }
 }
 
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod evacuate;
 mod fixture;
 mod gossip;
+mod limits;
 mod links;
 mod platform;
 mod pool;
