Keep the requests of a sidecar to the limit that its endpoint states

Callers of the form with sidecars met the same fault: 79 calls in 4 s reached an endpoint that states a limit of 4 a second, where 29 are allowed. All requests to an endpoint pass through its sidecar, so that sidecar keeps the limit: calls wait in order while there is time and are refused at once otherwise, generations begin and continue, and broken streams are reopened, only with the permission of the throttle. Load reports and health checks state limits too, so a sidecar that starts again knows them before it serves. Entries prefer endpoints whose limit leaves room, and no longer count a refusal for a limit as a failure of the endpoint.

--- a/src/board/sidecar.rs
+++ b/src/board/sidecar.rs
@@ -4,8 +4,9 @@
 use crate::frame::{Crash, Finish, Start};
 use crate::id::Nonce;
 use crate::length::Lengths;
+use crate::limit::Throttle;
 use slotmap::{SlotMap, new_key_type};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -116,6 +117,10 @@
     pub leaving: bool,
     /// Calls on a plain service in progress.
     pub calls: u32,
+    /// Calls on a plain service that wait to be sent, in order.
+    pub waiting_calls: VecDeque<u64>,
+    /// Limit of the endpoint for the rate of its requests.
+    pub throttle: Throttle,
     /// Crashes of the engine since the sidecar started, with their times.
     pub crashes: Vec<(Instant, Crash)>,
 }
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -211,14 +211,20 @@
         // endpoint leaves time for the next one.
         let share = if n + 1 < MAX_ATTEMPTS { left / 2 } else { left };
         call.left = share.as_millis() as u64;
-        match send_call(e, key, call.clone()).await {
-            Some(CallReply::Done(answer)) => return Ok(to_response(answer)),
-            Some(CallReply::NotRun(_)) => {}
+        let reply = send_call(e, key, call.clone()).await;
+        match &reply {
+            Some(CallReply::Done(_)) | Some(CallReply::NotRun(_)) => {}
             _ => maybe_ran = true,
         }
+        if let Some(CallReply::Done(answer)) = reply {
+            return Ok(to_response(answer));
+        }
         let board = &mut *e.board.borrow_mut();
         let endpoint = &mut board.endpoints[key];
-        crate::eject::note_failure(endpoint);
+        // An endpoint that limits its requests is no failing one.
+        if reply != Some(CallReply::NotRun(Refusal::Busy)) {
+            crate::eject::note_failure(endpoint);
+        }
         tried.push(endpoint.instance.clone());
     }
     let kind = if maybe_ran { ProblemKind::Unknown } else { ProblemKind::Refused(Refusal::Down) };
--- a/src/frame/mod.rs
+++ b/src/frame/mod.rs
@@ -258,6 +258,9 @@
     pub prefixes: Vec<u32>,
     /// Latest crashes since the sidecar started.
     pub crashes: Vec<Crash>,
+    /// Whether the endpoint limits its requests and another one has to wait.
+    #[serde(default)]
+    pub limited: bool,
 }
 
 /// One crash of an endpoint.
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -66,7 +66,12 @@
     /// # Errors
     ///
     /// Returns the reason for the refusal and the delay before a retry.
-    pub fn admit(&self, board: &SidecarBoard, start: &Start) -> Result<(), (Refusal, Duration)> {
+    pub fn admit(
+        &self,
+        now: Instant,
+        board: &SidecarBoard,
+        start: &Start,
+    ) -> Result<(), (Refusal, Duration)> {
         if board.leaving {
             return Err((Refusal::Leaving, MIN_RETRY_DELAY));
         }
@@ -76,6 +81,11 @@
         if !board.engine.loaded.contains(&start.spec) {
             return Err((Refusal::NotLoaded, MIN_RETRY_DELAY));
         }
+        let left = Duration::from_millis(start.left);
+        let wait = board.throttle.wait(now, board.count(Phase::Queued) as usize);
+        if wait > left {
+            return Err((Refusal::Busy, (wait - left).max(MIN_RETRY_DELAY)));
+        }
         if self.open {
             return Ok(());
         }
@@ -83,8 +93,7 @@
         if start.input.0 + start.limit.0.min(1) > usable {
             return Err((Refusal::TooLarge, Duration::ZERO));
         }
-        let wait = expected_wait(board, start);
-        let left = Duration::from_millis(start.left);
+        let wait = expected_wait(board, start).max(wait);
         if wait > left || board.count(Phase::Queued) as usize >= MAX_QUEUE_LEN {
             return Err((Refusal::Busy, (wait - left.min(wait)).max(MIN_RETRY_DELAY)));
         }
@@ -98,7 +107,9 @@
             return actions;
         }
         if self.open {
-            actions.extend(board.in_phase(Phase::Queued).map(|(k, _)| Action::Begin(k)));
+            let queued: Vec<_> = board.in_phase(Phase::Queued).map(|(k, _)| k).collect();
+            let permitted = queued.into_iter().take_while(|_| board.throttle.take(now));
+            actions.extend(permitted.map(Action::Begin));
             return actions;
         }
         if let Some(key) = overflow_victim(board) {
@@ -109,7 +120,9 @@
         let mut workspaces = Vec::new();
         workspaces.extend(waiting.iter().map(|k| board.jobs[*k].start.workspace.clone()));
         board.fair.raise_floor(workspaces.iter());
-        if let Some(action) = next_action(now, board) {
+        if let Some(action) = next_action(now, board)
+            && board.throttle.take(now)
+        {
             actions.push(action);
         }
         actions
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -51,11 +51,7 @@
 /// Records what an endpoint states in the response to a request sent at `sent`, and tells its
 /// coordinator of a change.
 pub fn record_response(gw: &Gateway, key: PoolKey, sent: Instant, stated: Stated) {
-    let known = match stated {
-        Stated::Limited(rate) => Known { limit: Some(rate), at: clock::now() },
-        Stated::Unlimited => Known { limit: None, at: sent },
-        Stated::Unreadable => return,
-    };
+    let Some(known) = Known::of_response(clock::now(), sent, stated) else { return };
     let Some(tag) = record(gw, key, known, "from=response") else { return };
     match peers::coordinator(gw, tag) {
         None => publish(gw, vec![tag]),
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -82,6 +82,27 @@
     pub at: Instant,
 }
 
+/// Lowest limit that is kept to. Only a response can state that a limit has changed, so some
+/// request has to be sent.
+const MIN_LIMIT_PER_SECOND: f64 = 0.1;
+
+impl Known {
+    /// Raises a limit to the lowest one that is kept to.
+    pub fn at_least_minimum(self) -> Known {
+        let least = Rate::per_second(MIN_LIMIT_PER_SECOND);
+        Known { limit: self.limit.map(|rate| if rate < least { least } else { rate }), ..self }
+    }
+
+    /// Returns what the response to a request sent at `sent` states; `None` if it says nothing.
+    pub fn of_response(now: Instant, sent: Instant, stated: Stated) -> Option<Known> {
+        match stated {
+            Stated::Limited(rate) => Some(Known { limit: Some(rate), at: now }),
+            Stated::Unlimited => Some(Known { limit: None, at: sent }),
+            Stated::Unreadable => None,
+        }
+    }
+}
+
 /// Tokens that accrue at a rate up to a cap; a request takes one.
 #[derive(Debug, Clone, Copy)]
 struct Bucket {
@@ -114,35 +135,58 @@
 }
 
 /// Holds the requests to an endpoint to its limit where all of them pass through this process.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Throttle {
-    rate: Rate,
-    bucket: Bucket,
+    known: Option<Known>,
+    /// Requests that may be sent now; `None` without a limit.
+    bucket: Option<Bucket>,
 }
 
 impl Throttle {
-    /// Starts without any request in hand.
-    pub fn new(now: Instant, rate: Rate) -> Self {
-        Throttle { rate, bucket: Bucket::empty(now) }
+    /// Most requests that are saved up.
+    const CAP: f64 = 1.0;
+
+    /// Records the limit that the endpoint states, or that it states none. What is older than the
+    /// known statement is ignored. Returns whether the limit changed.
+    pub fn record(&mut self, now: Instant, stated: Known) -> bool {
+        if self.known.is_some_and(|known| known.at > stated.at) {
+            return false;
+        }
+        self.advance(now);
+        let stated = stated.at_least_minimum();
+        let previous = self.known.replace(stated).and_then(|known| known.limit);
+        match stated.limit {
+            Some(_) => drop(self.bucket.get_or_insert(Bucket::empty(now))),
+            None => self.bucket = None,
+        }
+        previous != stated.limit
     }
 
-    /// Changes the rate from now on.
-    pub fn set_rate(&mut self, now: Instant, rate: Rate) {
-        self.bucket.advance(now, self.rate, 1.0);
-        self.rate = rate;
+    /// Returns the limit.
+    pub fn limit(&self) -> Option<Rate> {
+        self.known?.limit
+    }
+
+    fn advance(&mut self, now: Instant) {
+        if let (Some(rate), Some(bucket)) = (self.limit(), &mut self.bucket) {
+            bucket.advance(now, rate, Self::CAP);
+        }
     }
 
-    /// Returns when the next request may be sent.
-    pub fn next_time(&self) -> Instant {
-        self.bucket.updated + self.rate.time_for(1.0 - self.bucket.tokens)
+    /// Returns the time until a request before which `ahead` others wait may be sent.
+    pub fn wait(&self, now: Instant, ahead: usize) -> Duration {
+        let (Some(rate), Some(bucket)) = (self.limit(), self.bucket) else { return Duration::ZERO };
+        let next = bucket.updated + rate.time_for(ahead as f64 + 1.0 - bucket.tokens);
+        next.saturating_duration_since(now)
     }
 
-    /// Takes the permission for one request; returns whether there is one.
+    /// Takes the permission to send a request now; returns whether there is one.
     pub fn take(&mut self, now: Instant) -> bool {
-        self.bucket.advance(now, self.rate, 1.0);
-        let is_granted = self.bucket.whole() > 0;
+        self.advance(now);
+        let Some(bucket) = &mut self.bucket else { return true };
+        let is_granted = bucket.whole() > 0;
         if is_granted {
-            self.bucket.take(1);
+            bucket.take(1);
         }
         is_granted
     }
--- a/src/place/mod.rs
+++ b/src/place/mod.rs
@@ -100,6 +100,11 @@
             return Err(Refusal::Down);
         }
         self.retain_subset(&mut ready);
+        // At a limited endpoint the request would wait for others, or be refused.
+        let is_limited = |e: &Endpoint| e.latest.as_ref().is_some_and(|k| k.report.limited);
+        if ready.iter().any(|(_, e)| !is_limited(e)) {
+            ready.retain(|(_, e)| !is_limited(e));
+        }
         Ok(self.pick(&ready, need, rng))
     }
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -248,7 +248,8 @@
     }
 }
 
-fn parse_limit(headers: &HeaderMap) -> Stated {
+/// Returns what the headers of a response state about the limit of its sender.
+pub fn parse_limit(headers: &HeaderMap) -> Stated {
     if !headers.contains_key(LIMIT) {
         return Stated::Unlimited;
     }
--- a/src/pool/notice.rs
+++ b/src/pool/notice.rs
@@ -8,9 +8,6 @@
 
 /// Longest pause that an endpoint may ask for.
 const MAX_PAUSE: Duration = Duration::from_secs(600);
-/// Lowest limit that is kept to. Only a response can state that a limit has changed, so some
-/// request has to be sent.
-const MIN_LIMIT_PER_SECOND: f64 = 0.1;
 
 /// What is sent to an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -131,15 +128,14 @@
         if notices.limit.is_some_and(|known| known.at > stated.at) {
             return false;
         }
-        let least = Rate::per_second(MIN_LIMIT_PER_SECOND);
-        let limit = stated.limit.map(|rate| if rate < least { least } else { rate });
-        let previous = notices.limit.replace(Known { limit, ..stated });
-        match (limit, &mut notices.share) {
+        let stated = stated.at_least_minimum();
+        let previous = notices.limit.replace(stated);
+        match (stated.limit, &mut notices.share) {
             (None, share) => *share = None,
             (Some(rate), Some(share)) => share.set_limit(now, rate),
             (Some(rate), share) => *share = Some(Share::new(now, rate)),
         }
-        previous.and_then(|known| known.limit) != limit
+        previous.and_then(|known| known.limit) != stated.limit
     }
 
     /// Returns whether a service has an endpoint that may get requests.
--- a/src/sidecar/calls.rs
+++ b/src/sidecar/calls.rs
@@ -1,11 +1,12 @@
 //! Calls to a plain service.
 
-use super::{CONNECT_TIMEOUT, Sidecar};
+use super::{CONNECT_TIMEOUT, Sidecar, limits};
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::{Answer, Call, CallKey, CallReply, Refusal};
 use crate::h1::{self, Outbound};
 use crate::once::Verdict;
+use crate::platform;
 use actix_http::header::CONTENT_TYPE;
 use bytes::Bytes;
 use std::sync::Arc;
@@ -75,12 +76,19 @@
     let method = call.method.parse().ok();
     let head = method.and_then(|m| h1::request_head(s.engine.address, m, &call.path, content));
     let Some(head) = head else { return CallReply::NotRun(Refusal::NoEndpoint) };
+    let arrived = clock::now();
+    let left = Duration::from_millis(call.left);
+    if !limits::wait_for_turn(s, left).await {
+        return CallReply::NotRun(Refusal::Busy);
+    }
+    let sent_at = clock::now();
     let exchange = async {
         let body = Bytes::from(call.body.clone());
         let sent = Outbound::connect(s.engine.address, CONNECT_TIMEOUT, &s.codec, head, body).await;
         // Nothing has been sent after an error here; after a later one, the call may have run.
         let mut out = sent.map_err(|_| CallReply::NotRun(Refusal::Down))?;
         let head = out.read_head().await.map_err(|_| CallReply::Unknown)?;
+        limits::record_response(s, sent_at, platform::parse_limit(head.headers()));
         let body = out.read_body(MAX_RESPONSE_BYTES).await.map_err(|_| CallReply::Unknown)?;
         let content = head.headers().get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
         Ok(Answer {
@@ -89,7 +97,8 @@
             body: body.to_vec(),
         })
     };
-    match tokio::time::timeout(Duration::from_millis(call.left), exchange).await {
+    let left = left.saturating_sub(sent_at.saturating_duration_since(arrived));
+    match tokio::time::timeout(left, exchange).await {
         Ok(Ok(answer)) => CallReply::Done(answer),
         Ok(Err(reply)) => reply,
         Err(_) => CallReply::Unknown,
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -2,13 +2,14 @@
 //! and health checks of a plain service.
 
 use super::status::{self, StreamStatus};
-use super::{CONNECT_TIMEOUT, Sidecar, Submission, finish};
+use super::{CONNECT_TIMEOUT, Sidecar, Submission, finish, limits};
 use crate::board::{Engine, Job, JobKey, Phase, SidecarBoard};
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::{Crash, Finish, Order, OrderAction, Refusal};
 use crate::h1::{self, Outbound};
 use crate::id::{Nonce, PartId};
+use crate::platform;
 use crate::quarantine::SOUND_TIME;
 use crate::settings::EndpointKind;
 use actix_http::{Method, RequestHead};
@@ -117,6 +118,13 @@
             StreamEnd::Unknown => return finish(&s, submission.key, Finish::Lost),
         }
         tokio::time::sleep(REOPEN_DELAY).await;
+        // The gate took the permission for the first attempt.
+        while !s.board.borrow_mut().throttle.take(clock::now()) {
+            if submission.job(&s.board.borrow()).is_none() {
+                return;
+            }
+            tokio::time::sleep(REOPEN_DELAY).await;
+        }
     }
 }
 
@@ -131,6 +139,7 @@
         return StreamEnd::Superseded;
     };
     let address = s.engine.address;
+    let sent_at = clock::now();
     let sent = Outbound::connect(address, CONNECT_TIMEOUT, &s.codec, request.head, request.body);
     let Ok(mut out) = sent.await else { return StreamEnd::Unreachable };
     // Once a connection was made, the engine may have the generation even without a response.
@@ -138,6 +147,7 @@
         *is_known = true;
         return StreamEnd::Broken;
     };
+    limits::record_response(s, sent_at, platform::parse_limit(head.headers()));
     let status = status::classify(head.status.as_u16(), *is_known);
     if status == StreamStatus::NotRun {
         return StreamEnd::Done(Finish::NotRun(Refusal::Down));
@@ -318,6 +328,7 @@
         match tokio::time::timeout(CALL_TIMEOUT, sent).await {
             Ok(Ok(res)) if res.status().is_success() => {
                 self.misses = 0;
+                limits::record_check(s, platform::parse_limit(res.headers()));
                 s.board.borrow_mut().engine.alive = true;
             }
             Ok(Err(SendRequestError::Connect(_))) => self.record_miss(s, true),
@@ -394,6 +405,7 @@
         Ok(Err(SendRequestError::Connect(_))) => return Err(true),
         Ok(Err(_)) | Err(_) => return Err(false),
     };
+    limits::record_check(s, platform::parse_limit(res.headers()));
     res.json().await.map_err(|_| false)
 }
 
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod engine;
+mod limits;
 mod peers;
 mod polls;
 pub mod status;
@@ -275,8 +276,10 @@
         alive: engine.alive,
         pool,
         loaded: engine.loaded.clone(),
-        running: running + board.calls,
-        waiting: board.count(Phase::Queued) + board.count(Phase::Held),
+        running: running + board.calls - board.waiting_calls.len() as u32,
+        waiting: board.count(Phase::Queued)
+            + board.count(Phase::Held)
+            + board.waiting_calls.len() as u32,
         backlog: gate::backlog(&board),
         capacity: engine.capacity,
         forecast: gate::forecast(&board) as u32,
@@ -284,6 +287,7 @@
         epoch: s.ledger.borrow().epoch(),
         prefixes: engine.prefixes.clone(),
         crashes: board.crashes[skip..].iter().map(|(at, c)| with_age(now, *at, c)).collect(),
+        limited: !board.throttle.wait(now, board.waiting_calls.len()).is_zero(),
     }
 }
 
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -87,7 +87,7 @@
     if s.board.borrow().by_nonce.contains_key(&generation.nonce) {
         return Reply::Accepted;
     }
-    let admitted = s.gate.borrow().admit(&s.board.borrow(), &start);
+    let admitted = s.gate.borrow().admit(clock::now(), &s.board.borrow(), &start);
     if let Err((refusal, wait)) = admitted {
         metrics::counter!("generations_refused_total").increment(1);
         return Reply::Refused(refusal, retry_millis(wait));
--- a/standin/src/plain/mod.rs
+++ b/standin/src/plain/mod.rs
@@ -1,39 +1,61 @@
 //! A stand-in for a plain service, which counts how often each call ran.
 
 use crate::host::{ServerThread, free_address, unframe};
+use actix_http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
 use skylarkthread::http;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
-/// Number of executions by call (method, path and body), shared by the replicas of a service.
+/// Executions by call (method, path and body), shared by the replicas of a service.
 #[derive(Debug, Clone, Default)]
-pub struct CallLog(Arc<Mutex<BTreeMap<String, u32>>>);
+pub struct CallLog(Arc<Mutex<Record>>);
+
+#[derive(Debug, Default)]
+struct Record {
+    /// Number of executions of each call.
+    counts: BTreeMap<String, u32>,
+    /// When each call arrived.
+    arrivals: Vec<Instant>,
+    /// Limit that the replicas state for the rate of their requests.
+    limit: Option<f64>,
+}
 
 impl CallLog {
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, u32>> {
+    fn lock(&self) -> MutexGuard<'_, Record> {
         self.0.lock().expect("no holder of the lock panics")
     }
 
+    /// Lets the replicas state a limit for the rate of their requests in all responses.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        self.lock().limit = limit;
+    }
+
+    /// Returns when each call arrived.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.lock().arrivals.clone()
+    }
+
     /// Counts an execution; returns the count including this one.
     fn record(&self, call: &str) -> u32 {
-        let mut all = self.lock();
-        let n = all.entry(call.to_string()).or_default();
+        let mut record = self.lock();
+        record.arrivals.push(Instant::now());
+        let n = record.counts.entry(call.to_string()).or_default();
         *n += 1;
         *n
     }
 
     /// Returns how often a call ran, given as `METHOD path body`.
     pub fn count(&self, call: &str) -> u32 {
-        self.lock().get(call).copied().unwrap_or(0)
+        self.lock().counts.get(call).copied().unwrap_or(0)
     }
 
     /// Returns the number of executions of each call.
     pub fn counts(&self) -> BTreeMap<String, u32> {
-        self.lock().clone()
+        self.lock().counts.clone()
     }
 }
 
@@ -72,6 +94,15 @@
 }
 
 async fn answer(call_log: CallLog, req: actix_http::Request) -> actix_http::Response<http::Body> {
+    let limit = call_log.lock().limit;
+    let mut res = perform(call_log, req).await;
+    if let Some(limit) = limit.and_then(|n| HeaderValue::from_str(&n.to_string()).ok()) {
+        res.headers_mut().insert(HeaderName::from_static("server-limit"), limit);
+    }
+    res
+}
+
+async fn perform(call_log: CallLog, req: actix_http::Request) -> actix_http::Response<http::Body> {
     let Ok(incoming) = http::read_request(req, http::MAX_BODY_BYTES).await else {
         return http::full_response(400, "text/plain", "");
     };
--- a/tests/deployment/calls.rs
+++ b/tests/deployment/calls.rs
@@ -233,3 +233,36 @@
     };
     assert!(wait_until(5, answered).await);
 }
+
+/// Calls that may be repeated are sent through all entries, and the sidecar is restarted meanwhile.
+#[actix_rt::test]
+async fn limit_of_an_endpoint_holds_for_calls_of_all_entries_and_a_restarted_sidecar() {
+    let plan = Plan { entries: 2, pools: vec![booking_pool(1)], ..Plan::default() };
+    let mut fleet = start_deployment(plan).await;
+    fleet.call_log.set_limit(Some(4.0));
+    sleep_ms(600).await;
+    let started = std::time::Instant::now();
+    let mut sends = Vec::new();
+    for n in 0..240 {
+        let (entry, body) = (fleet.entry_address(n % 2), format!("n{n}"));
+        sends.push(actix_rt::spawn(async move {
+            Caller::new("key-1").call(entry, "GET", CALL_PATH, None, &body).await.is_ok()
+        }));
+        if n == 120 {
+            fleet.restart_sidecar(0);
+        }
+        sleep_ms(50).await;
+    }
+    let answered = futures_util::future::join_all(sends).await;
+    let answered = answered.into_iter().filter(|a| matches!(a, Ok(true))).count();
+    let window = Duration::from_secs(4);
+    let arrivals = fleet.call_log.arrivals();
+    let count = |from: &std::time::Instant| {
+        arrivals.iter().filter(|at| *at >= from && **at < *from + window).count()
+    };
+    let busiest = arrivals.iter().map(count).max().unwrap_or(0);
+    assert!(busiest <= 29, "{busiest} calls in 4 s at a limit of 4/s");
+    let secs = started.elapsed().as_secs_f64();
+    // Half of what the limit allows: the restarted sidecar is away for a while.
+    assert!(answered as f64 >= 2.0 * secs, "{answered} calls answered in {secs:.1} s");
+}
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -114,7 +114,7 @@
             alone: false,
             left: QUEUE_TIMEOUT.as_millis() as u64,
         };
-        if self.gate.admit(&self.board, &start).is_err() {
+        if self.gate.admit(self.start + a.at, &self.board, &start).is_err() {
             self.outcome.refused += 1;
             return;
         }
--- a/tests/scenario/gate.rs
+++ b/tests/scenario/gate.rs
@@ -7,6 +7,7 @@
 use skylarkthread::frame::{Finish, Start};
 use skylarkthread::gate::{Action, Gate};
 use skylarkthread::id::{Fingerprint, GenerationId, Incarnation, Nonce, Tokens};
+use skylarkthread::limit::Known;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -56,6 +57,7 @@
         match case.directive.as_str() {
             "engine" => self.engine(case),
             "lengths" => self.lengths(case),
+            "limit" => self.limit(case),
             "start" => self.begin(case),
             "tokens" => self.tokens(case),
             "end" => self.end(case),
@@ -78,6 +80,14 @@
         "ok\n".into()
     }
 
+    fn limit(&mut self, case: &TestCase) -> String {
+        let known = Known { limit: arg(case, "rate"), at: at(self.start, case) };
+        match self.board.throttle.record(known.at, known) {
+            true => "changed\n".into(),
+            false => "unchanged\n".into(),
+        }
+    }
+
     fn lengths(&mut self, case: &TestCase) -> String {
         let service = arg(case, "service").unwrap_or("s".parse().unwrap());
         for _ in 0..need::<u32>(case, "times") {
@@ -90,7 +100,7 @@
     fn begin(&mut self, case: &TestCase) -> String {
         let start = start(case);
         let now = at(self.start, case);
-        if let Err((refusal, wait)) = self.gate.admit(&self.board, &start) {
+        if let Err((refusal, wait)) = self.gate.admit(now, &self.board, &start) {
             return format!("refused {refusal:?}, again in {}s\n", wait.as_secs_f32().ceil());
         }
         let nonce = start.generation.nonce;
