Play limits of endpoints in the soak

Seeds from 3000 let four endpoints state limits of 0.5 to 20 requests a second, while gateways are killed, paused and stopped, links disturbed and the store away. The checker counts at the endpoint over 4 s and leaves out gateways that were stopped, paused or restarted meanwhile; an injected violation is found. Earlier seeds keep their faults.

--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -245,6 +245,14 @@
         *self.state.extra_headers.lock().expect("no holder panics") = headers.to_owned();
     }
 
+    /// Returns a function that sets these header lines, for another thread.
+    pub fn header_setter(&self) -> impl Fn(&str) + Send + 'static {
+        let state = self.state.clone();
+        move |headers| {
+            *state.extra_headers.lock().expect("no holder panics") = headers.to_owned();
+        }
+    }
+
     /// Crashes, for this time, whenever the endpoint begins to answer a request whose prompt has
     /// this part.
     pub fn crash_on_part(&self, part: &str, down: Duration) {
--- a/standin/src/soak/checker.rs
+++ b/standin/src/soak/checker.rs
@@ -22,6 +22,15 @@
 /// Share of requests that may be retried, and the number of retries allowed in addition.
 const RETRY_BUDGET: (f64, f64) = (0.2, 56.0);
 
+/// Time within which all instances keep to a limit that an endpoint states.
+const LIMIT_DELAY: Duration = Duration::from_millis(3000);
+/// Time over which the requests to a limited endpoint are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Requests that may reach it in that time, as a multiple of its limit, and in addition.
+const LIMIT_ALLOWANCE: (f64, f64) = (1.5, 5.0);
+/// Time after a fault of a link in which requests may arrive that it held up.
+const LINK_MARGIN: Duration = Duration::from_millis(500);
+
 /// Kind of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestKind {
@@ -86,11 +95,40 @@
     pub breaks: Vec<(usize, Instant, Instant)>,
     /// When a part of prompts began to crash engines.
     pub crash_part: Option<Instant>,
+    /// Limits that endpoints stated.
+    pub limits: Vec<LimitPeriod>,
+    /// Endpoints whose connections were disturbed, with the start and the end.
+    pub links: Vec<(String, Instant, Instant)>,
     /// Versions of the configuration with their times; each replaces the API key.
     pub versions: Vec<(u64, Instant)>,
 }
 
+/// Time in which an endpoint stated a limit.
+#[derive(Debug, Clone)]
+pub struct LimitPeriod {
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// Requests per second from all gateways.
+    pub limit: f64,
+    /// When it was first stated.
+    pub from: Instant,
+    /// When it ended.
+    pub to: Instant,
+}
+
 impl History {
+    /// Ends the limits that an endpoint states at this time.
+    pub fn end_limit(&mut self, endpoint: &str, at: Instant) {
+        for l in self.limits.iter_mut().filter(|l| l.endpoint == endpoint && l.to > at) {
+            l.to = at;
+        }
+    }
+
+    /// Returns whether gateway `g` was stopped, paused or restarted in the interval.
+    fn has_break(&self, g: usize, from: Instant, to: Instant) -> bool {
+        self.breaks.iter().any(|(n, a, b)| *n == g && *a < to && *b > from)
+    }
+
     /// Returns whether no fault was within [`FAULT_MARGIN`] of the interval.
     fn is_fault_free(&self, from: Instant, to: Instant) -> bool {
         self.faults.iter().all(|(a, b)| *b + FAULT_MARGIN < from || *a > to + FAULT_MARGIN)
@@ -154,6 +192,7 @@
     let by_call: HashMap<&str, &CallRecord> = calls.iter().map(|c| (c.id.as_str(), c)).collect();
     violations.extend(check_announced(arrivals, &by_call, history));
     violations.extend(check_pauses(arrivals, &by_call, history));
+    violations.extend(check_limits(arrivals, &by_call, history));
     violations.extend(check_crash_part(arrivals, &by_call, history));
     violations.extend(check_retries(calls, &by_id));
     violations
@@ -321,6 +360,45 @@
     violations
 }
 
+/// Checks that the requests of all gateways together keep to the limit that an endpoint states,
+/// apart from those of gateways that were stopped, paused or restarted meanwhile.
+fn check_limits(
+    arrivals: &[Arrival],
+    calls: &HashMap<&str, &CallRecord>,
+    history: &History,
+) -> Vec<Violation> {
+    let (factor, extra) = LIMIT_ALLOWANCE;
+    let mut violations = Vec::new();
+    for l in &history.limits {
+        let reached = arrivals.iter().filter(|a| a.endpoint == l.endpoint);
+        let starts = reached.clone().map(|a| a.at).filter(|at| *at >= l.from + LIMIT_DELAY);
+        let count = |from: Instant| {
+            let to = from + LIMIT_WINDOW;
+            let is_held_up = |(e, a, b): &(String, Instant, Instant)| {
+                *e == l.endpoint && *a < to && *b + LINK_MARGIN > from
+            };
+            if to > l.to || history.links.iter().any(is_held_up) {
+                return 0;
+            }
+            let is_counted = |a: &&Arrival| {
+                let gateway = calls.get(a.id.as_str()).map(|c| c.gateway);
+                a.at >= from
+                    && a.at < to
+                    && gateway.is_some_and(|g| !history.has_break(g, from, to))
+            };
+            reached.clone().filter(is_counted).count()
+        };
+        let most = starts.map(count).max().unwrap_or(0);
+        let allowed = (factor * l.limit * LIMIT_WINDOW.as_secs_f64() + extra) as usize;
+        if most > allowed {
+            let observed = format!("{most} requests in 4 s at {}/s, {allowed} allowed", l.limit);
+            let subject = l.endpoint.clone();
+            violations.push(Violation { promise: "limit", subject, observed });
+        }
+    }
+    violations
+}
+
 /// Checks that a request is not refused for a part of its prompt that crashes no engine.
 fn check_sound(c: &CallRecord) -> Option<String> {
     let is_refused = c.reply.status == 503 && c.reply.body.contains("of the prompt has crashed");
--- a/standin/src/soak/cluster.rs
+++ b/standin/src/soak/cluster.rs
@@ -1,7 +1,7 @@
 //! Cluster of a run: its processes and callers, and the injection of faults.
 
 use super::RunReport;
-use super::checker::{self, Arrival, CallRecord, History, RequestKind};
+use super::checker::{self, Arrival, CallRecord, History, LimitPeriod, RequestKind};
 use super::faults::{self, Fault, Sizes};
 use crate::platform::{
     Action, Connection, Endpoint, Gateway, Outage, Proxy, ProxyMode, Reply, Store, StreamEnd,
@@ -317,6 +317,12 @@
             }
             Fault::EndpointLink(e, mode, time) => {
                 self.record_fault(*time);
+                let link = (
+                    self.endpoints[*e].endpoint.id.clone(),
+                    Instant::now(),
+                    Instant::now() + *time,
+                );
+                lock(&self.history).links.push(link);
                 self.endpoints[*e].proxy.set_mode(*mode);
                 self.restore_link(&self.endpoints[*e].proxy.shared_mode(), *time);
             }
@@ -328,9 +334,37 @@
                 self.endpoints.iter().for_each(|e| self.arm(e));
                 lock(&self.history).crash_part = Some(Instant::now());
             }
+            Fault::Limit(e, limit, time) => self.state_limit(*e, *limit, *time),
         }
     }
 
+    /// Lets an endpoint state a limit for some time.
+    fn state_limit(&mut self, e: usize, limit: f64, time: Duration) {
+        let id = self.endpoints[e].endpoint.id.clone();
+        self.endpoints[e].endpoint.set_headers(&format!("Server-Limit: {limit}\r\n"));
+        let now = Instant::now();
+        lock(&self.history).end_limit(&id, now);
+        lock(&self.history).limits.push(LimitPeriod {
+            endpoint: id,
+            limit,
+            from: now,
+            to: now + time,
+        });
+        let end = self.endpoints[e].endpoint.header_setter();
+        let (history, id) = (self.history.clone(), self.endpoints[e].endpoint.id.clone());
+        self.fault_threads.push(std::thread::spawn(move || {
+            std::thread::sleep(time);
+            // Another limit or notice may have taken its place.
+            if lock(&history)
+                .limits
+                .iter()
+                .any(|l| l.endpoint == id && l.from == now && l.to == now + time)
+            {
+                end("");
+            }
+        }));
+    }
+
     /// Calls a function on gateway `g` after `time`, in another thread.
     fn run_later(
         &mut self,
@@ -405,6 +439,7 @@
         let new = self.add_endpoint(self.endpoints[e].service);
         let old = std::mem::replace(&mut self.endpoints[e], new);
         self.unlist(&old.endpoint.id);
+        lock(&self.history).end_limit(&old.endpoint.id, Instant::now());
         old.endpoint.set_headers("Server-Leaving: 1\r\n");
         lock(&self.history).announced.push((old.endpoint.id.clone(), Instant::now()));
         self.replaced.push(old);
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -34,6 +34,11 @@
 /// First seed of a run in which a part of prompts crashes engines.
 const FIRST_CRASH_PART_SEED: u64 = 2000;
 
+/// The same for limits that endpoints state.
+const LIMIT_SEED: u64 = 0x6c69_6d69_7473;
+/// First seed of a run in which endpoints state limits.
+const FIRST_LIMIT_SEED: u64 = 3000;
+
 /// Returns whether a part of prompts crashes engines in the run of a seed.
 pub fn has_crash_part(seed: u64) -> bool {
     seed >= FIRST_CRASH_PART_SEED
@@ -75,6 +80,9 @@
     /// From now on, engines crash when they begin to answer a request with a certain part in its
     /// prompt, and are down for this time.
     CrashPart(Duration),
+    /// An endpoint states this limit for the requests per second that it takes from all gateways,
+    /// for this time.
+    Limit(usize, f64, Duration),
 }
 
 /// Draws the faults of a run with their times since the start, in order of time.
@@ -89,11 +97,27 @@
         let at = length.mul_f64(rng.random_range(0.1..0.3));
         (at, Fault::CrashPart(Duration::from_millis(rng.random_range(200..1500))))
     });
-    let mut all: Vec<_> = faults.into_iter().chain(notices).chain(crash).collect();
+    let limits = draw_limits(seed, length, sizes);
+    let mut all: Vec<_> = faults.into_iter().chain(notices).chain(crash).chain(limits).collect();
     all.sort_by_key(|(at, _)| *at);
     all
 }
 
+/// Draws the limits that endpoints state, one after the other and some at the same time.
+fn draw_limits(seed: u64, length: Duration, sizes: Sizes) -> Vec<(Duration, Fault)> {
+    if seed < FIRST_LIMIT_SEED {
+        return Vec::new();
+    }
+    let mut rng = SmallRng::seed_from_u64(seed ^ LIMIT_SEED);
+    let mut draw = || {
+        let endpoint = rng.random_range(0..2 * sizes.endpoints);
+        let limit = [0.5, 1.0, 2.0, 5.0, 20.0][rng.random_range(0..5)];
+        let time = length.mul_f64(rng.random_range(0.4..1.0));
+        (length.mul_f64(rng.random_range(0.05..0.6)), Fault::Limit(endpoint, limit, time))
+    };
+    (0..4).map(|_| draw()).collect()
+}
+
 fn draw_series(
     seed: u64,
     length: Duration,
--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 use standin::platform::Reply;
-use standin::soak::checker::{Arrival, CallRecord, History, RequestKind, check};
+use standin::soak::checker::{Arrival, CallRecord, History, LimitPeriod, RequestKind, check};
 use std::time::{Duration, Instant};
 
 const fn secs(n: u64) -> Duration {
@@ -106,6 +106,19 @@
     run.arrivals[0].at = run.start + secs(9);
     run.arrivals[0].pause = Some(secs(2));
 })]
+#[case::more_requests_than_the_limit_allows("limit", |run: &mut Run| {
+    let (from, to) = (run.start, run.start + secs(30));
+    run.history.limits.push(LimitPeriod { endpoint: "i-1".into(), limit: 1.0, from, to });
+    // One gateway that was restarted sends four of them.
+    run.history.breaks.push((1, run.start + secs(11), run.start + secs(12)));
+    for n in 0..16 {
+        let (mut call, mut arrival) = (run.calls[0].clone(), run.arrivals[0].clone());
+        (call.id, call.gateway) = (format!("l{n}"), usize::from(n % 4 == 0));
+        (arrival.id, arrival.at) = (call.id.clone(), run.start + secs(10) + Duration::from_millis(n * 200));
+        run.calls.push(call);
+        run.arrivals.push(arrival);
+    }
+})]
 #[case::requests_with_a_part_that_crashed_five_engines("crash-part", |run: &mut Run| {
     run.history.crash_part = Some(run.start);
     for n in 0..9 {
