Shorten the decision on requests for permits

Read as a newcomer: the part that is shared out and the number of askers are computed before the grant. No behaviour changes; the tests of the decision pass as before.

--- a/src/limit/allocator.rs
+++ b/src/limit/allocator.rs
@@ -3,8 +3,8 @@
 //! Answers the load of an endpoint in need before which any number of instances stand. An instance
 //! whose part is worth a request or more until it asks again gets a rate. With a low limit, it gets
 //! single requests as its part adds up to them. With many instances that takes too long, and what
-//! is left over goes to the next instance that asks. All instances together ask at a bounded rate, so that the messages to a coordinator do
-//! not grow with their number.
+//! is left over goes to the next instance that asks. All instances together ask at a bounded rate,
+//! so that the messages to a coordinator do not grow with their number.
 
 use super::{Bucket, Grant, PermitRequest, Rate};
 use crate::gossip::Tag;
@@ -12,7 +12,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// Requests for permits per second that a coordinator is asked for by all instances together.
+/// Rate at which all instances together ask a coordinator for permits.
 const REQUESTS_PER_SECOND: u32 = 10;
 /// Shortest interval between two requests for permits of one instance to an endpoint.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
@@ -20,8 +20,7 @@
 const ASKER_TIMEOUT_INTERVALS: u32 = 2;
 /// Time added to this timeout.
 const ASKER_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
-/// Time until the next request for permits by which a lease outlasts it, as a divisor of the
-/// interval.
+/// Part of the interval between two requests for permits by which a lease outlasts it, as a divisor.
 const LEASE_MARGIN_DIVISOR: u32 = 2;
 /// Requests of an endpoint that are kept for instances whose part adds up to one.
 const KEPT_REQUESTS: u32 = 1;
@@ -118,51 +117,47 @@
         self.askers.values().map(|a| a.leased(now)).sum()
     }
 
+    /// Grants an instance its part of the limit, of which `owned` is shared out here.
     fn grant(
         &mut self,
         now: Instant,
-        fleet: Fleet,
         from: &InstanceId,
         request: &PermitRequest,
-        owners: usize,
+        owned: Rate,
         interval: Duration,
     ) -> Grant {
         let cap = f64::from(KEPT_REQUESTS + 1) + request.limit.over(SAVING_TIME);
         self.bucket.advance(now, self.unleased, cap);
-        let demand = request.demand.as_f64().max(MIN_DEMAND);
-        let expires = now + interval * ASKER_TIMEOUT_INTERVALS + ASKER_TIMEOUT_MARGIN;
         let known = self.askers.remove(from);
-        let (credit, asked) = known.map_or((0.0, now), |a| (a.credit, a.asked));
+        let demand = request.demand.as_f64().max(MIN_DEMAND);
         let others: f64 = self.askers.values().map(|a| a.demand).sum();
-        let limit = fleet.part(request.limit, owners.max(self.askers.len() + 1));
-        let expected = limit.times(demand / (demand + others));
-        let free = limit.as_f64() - request.limit.times(self.leased(now)).as_f64();
-        let rate = Rate::per_second(free.min(expected.as_f64()));
-        let earned = expected.over(now.saturating_duration_since(asked));
-        let mut asker = Asker {
-            demand,
-            credit: (credit + earned).min(MAX_CREDIT),
-            asked: now,
-            lease: None,
-            expires,
-        };
+        let expected = owned.times(demand / (demand + others));
+        let credit = known.map_or(0.0, |a| {
+            let earned = expected.over(now.saturating_duration_since(a.asked));
+            (a.credit + earned).min(MAX_CREDIT)
+        });
+        let expires = now + interval * ASKER_TIMEOUT_INTERVALS + ASKER_TIMEOUT_MARGIN;
+        let mut asker = Asker { demand, credit, asked: now, lease: None, expires };
+        let free = owned.as_f64() - request.limit.times(self.leased(now)).as_f64();
+        let mut rate = Rate::per_second(free.min(expected.as_f64()));
         let mut permits = 0;
-        let is_lease = rate.over(interval) >= 1.0;
-        if is_lease {
+        if rate.over(interval) >= 1.0 {
             let part = rate.as_f64() / request.limit.as_f64();
             asker.lease = Some((part, now + lease_time(interval)));
         } else {
+            rate = Rate::ZERO;
             let wanted = (request.demand.over(interval).ceil() as u32).max(1);
             let left_over = self.bucket.whole().saturating_sub(KEPT_REQUESTS);
-            permits = left_over.max(self.bucket.whole().min(asker.credit as u32)).min(wanted);
+            let earned = self.bucket.whole().min(credit as u32);
+            permits = left_over.max(earned).min(wanted);
             self.bucket.take(permits);
             asker.credit -= f64::from(permits);
         }
         self.askers.insert(from.clone(), asker);
         let leased = request.limit.times(self.leased(now));
-        self.unleased = Rate::per_second(limit.as_f64() - leased.as_f64());
+        self.unleased = Rate::per_second(owned.as_f64() - leased.as_f64());
         let interval_ms = u32::try_from(interval.as_millis()).unwrap_or(u32::MAX);
-        Grant { permits, rate: if is_lease { rate } else { Rate::ZERO }, expected, interval_ms }
+        Grant { permits, rate, expected, interval_ms }
     }
 }
 
@@ -199,12 +194,13 @@
         request: &PermitRequest,
     ) -> Grant {
         self.step(now);
-        let owners = if self.is_alone(now, fleet, request.tag) { fleet.heard } else { 0 };
-        let known = self.endpoints.get(&request.tag).is_some_and(|a| a.askers.contains_key(from));
+        let heard = if self.is_alone(now, fleet, request.tag) { fleet.heard } else { 0 };
         let pairs: usize = self.endpoints.values().map(|a| a.askers.len()).sum();
-        let interval = interval(pairs + usize::from(!known));
         let allocation = self.endpoints.entry(request.tag).or_insert_with(|| Allocation::new(now));
-        allocation.grant(now, fleet, from, request, owners, interval)
+        let is_new = !allocation.askers.contains_key(from);
+        let asking = allocation.askers.len() + usize::from(is_new);
+        let owned = fleet.part(request.limit, heard.max(asking));
+        allocation.grant(now, from, request, owned, interval(pairs + usize::from(is_new)))
     }
 
     /// Returns whether instances that do not ask here have no permits of another coordinator, so
