Log each charge of the retry budget

The log told that a request is retried, but not whether the retry was charged and what the instance had left, so it could not tell budgets that instances keep alone from retries that are not charged. Events 706 and 707 and the counter retries_total do.

--- a/src/budget/mod.rs
+++ b/src/budget/mod.rs
@@ -46,6 +46,11 @@
         *remaining = (*remaining + u64::from(cost.0) * a.percent).min(a.max * 100);
     }
 
+    /// Returns what is left of the budget of a service, rounded down.
+    pub fn remaining(&self, service: &ServiceName) -> u64 {
+        self.remaining.get(service).map_or(self.allowance.initial, |hundredths| hundredths / 100)
+    }
+
     /// Deducts the cost of a retry; returns `false` and deducts nothing if the budget is too small.
     pub fn spend(&mut self, service: &ServiceName, cost: Tokens) -> bool {
         let remaining =
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -162,6 +162,10 @@
     MoveBegun = 710,
     /// An endpoint did not begin to answer a request by its deadline.
     Unanswered = 705,
+    /// A request was not sent to another endpoint because the retry budget is used up.
+    RetryDenied = 707,
+    /// The retry budget was charged for sending a request to another endpoint.
+    Retried = 706,
     /// A request is retried after an endpoint did not serve it.
     Reoffered = 704,
     /// A caller disconnected before its response was complete.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -219,10 +219,20 @@
 /// Returns whether a request that was sent to `tried` endpoints and reached `reached` of them may
 /// be sent once more. Charges the retry budget once an endpoint has been reached.
 pub fn permit_attempt(gw: &Gateway, job: &Job, tried: usize, reached: usize) -> bool {
-    let is_free = reached == 0;
     let is_allowed =
         tried < MAX_ATTEMPTS && reached < MAX_REACHED && !job.time_left(clock::now()).is_zero();
-    is_allowed && (is_free || gw.budget.borrow_mut().spend(&job.service, RETRY_COST))
+    is_allowed && (reached == 0 || spend_retry(gw, job, reached))
+}
+
+/// Charges the retry budget; returns whether it allows the retry.
+fn spend_retry(gw: &Gateway, job: &Job, reached: usize) -> bool {
+    let is_allowed = gw.budget.borrow_mut().spend(&job.service, RETRY_COST);
+    metrics::counter!("retries_total", "allowed" => is_allowed.to_string()).increment(1);
+    let left = gw.budget.borrow().remaining(&job.service);
+    let kind = if is_allowed { Kind::Retried } else { Kind::RetryDenied };
+    let detail = format!("service={} reached={reached} left={left}", job.service);
+    gw.event(kind, log_id(job.meta.id.as_ref()), detail);
+    is_allowed
 }
 
 /// Records a failed attempt. An unreachable endpoint is taken out of rotation; other failures of
