Add a failing test for retries that all gateways have saved up

The stand-in's settings carry the platform's bounds for retries, and say whether a gateway starts for the first time.

--- a/standin/src/platform/gateway.rs
+++ b/standin/src/platform/gateway.rs
@@ -12,6 +12,23 @@
 /// Number in the name of the next gateway of this process.
 static NEXT_NUMBER: AtomicU32 = AtomicU32::new(0);
 
+/// Bounds that the platform sets for the retries of all gateways together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryTerms {
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Time over which retries and requests are counted.
+    pub window: Duration,
+    /// Retries beyond the ratio.
+    pub slack: f64,
+}
+
+impl RetryTerms {
+    /// Bounds of gateways that are started without any.
+    pub const DEFAULT: RetryTerms =
+        RetryTerms { ratio: 0.2, window: Duration::from_secs(10), slack: 56.0 };
+}
+
 /// Gateway process, killed on drop.
 #[derive(Debug)]
 pub struct Gateway {
@@ -47,22 +64,27 @@
 impl Gateway {
     /// Starts a gateway that uses the store and logs to a file.
     pub fn start(binary: &Path, store: SocketAddr) -> Gateway {
-        Gateway::launch(binary, store, false)
+        Gateway::launch(binary, store, false, &RetryTerms::DEFAULT)
+    }
+
+    /// Starts a gateway with these bounds of retries.
+    pub fn start_with(binary: &Path, store: SocketAddr, terms: &RetryTerms) -> Gateway {
+        Gateway::launch(binary, store, false, terms)
     }
 
     /// Starts a gateway whose log goes to a pipe that nothing reads.
     pub fn start_piped(binary: &Path, store: SocketAddr) -> Gateway {
-        Gateway::launch(binary, store, true)
+        Gateway::launch(binary, store, true, &RetryTerms::DEFAULT)
     }
 
-    fn launch(binary: &Path, store: SocketAddr, piped: bool) -> Gateway {
+    fn launch(binary: &Path, store: SocketAddr, piped: bool, terms: &RetryTerms) -> Gateway {
         let (front, ready, internal) = (free_address(), free_address(), free_address());
         let name = format!("g-{}", NEXT_NUMBER.fetch_add(1, Ordering::Relaxed));
         let dir = std::env::temp_dir().join(format!("gateway-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("cannot create the directory for the settings");
         let settings_file = dir.join(format!("{name}.conf"));
-        std::fs::write(&settings_file, settings(&name, [front, ready, internal], store))
-            .expect("cannot write the settings file");
+        let text = settings(&name, [front, ready, internal], store, terms);
+        std::fs::write(&settings_file, text + FIRST_START).expect("cannot write the settings file");
         let child = spawn(binary, &settings_file, piped);
         let gateway = Gateway {
             front,
@@ -84,6 +106,9 @@
     pub fn restart(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let text = std::fs::read_to_string(&self.settings_file);
+        let text = text.expect("cannot read the settings file").replace(FIRST_START, "");
+        std::fs::write(&self.settings_file, text).expect("cannot write the settings file");
         self.child = spawn(&self.binary, &self.settings_file, self.piped);
         assert!(
             self.accepts_connections(),
@@ -166,14 +191,19 @@
         .expect("cannot start the gateway binary")
 }
 
+/// Line of the settings file that is there only at the first start.
+const FIRST_START: &str = "bootstrap=true\n";
+
 /// Returns a settings file, with one key that the gateway does not know.
-fn settings(name: &str, listen: [SocketAddr; 3], store: SocketAddr) -> String {
+fn settings(name: &str, listen: [SocketAddr; 3], store: SocketAddr, terms: &RetryTerms) -> String {
     let [front, ready, internal] = listen;
     let (ip, port) = (internal.ip(), internal.port());
+    let (ratio, window, slack) = (terms.ratio, terms.window.as_secs_f64(), terms.slack);
     format!(
         "node={name}\nclass=front\nip={ip}\nzone=z-a\nlisten.front={front}\nlisten.ready={ready}\n\
         internal_port_range={port},{port}\nlimits.memory_mb=110\nlimits.max_fds=4100\n\
-        bounds.grace_s=4\nbounds.retry_budget_ratio=0.2\nbounds.pass_ms=120\n\
+        bounds.grace_s=4\nbounds.retry_budget_ratio={ratio}\nbounds.budget_window_s={window}\n\
+        bounds.budget_slack={slack}\nbounds.pass_ms=120\n\
         platform.address={store}\nnew.field=1\n"
     )
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,5 +13,6 @@
 mod limits;
 mod notices;
 mod polls;
+mod retries;
 mod store_return;
 mod streams;
