Keep the retries of all instances within what is allowed in any window

Cause: each process kept a budget of its own that saved up to ten retries, whatever the number of instances; the sum grew with it, and all was spent in one window. Generations that resume on another engine were not charged at all. Class: a promise on a sum over all instances in a window of time, kept by each of them alone.

Each instance now keeps to a part that it owns, for the requests of two windows and an equal part of the slack while it is registered, and lends what it does not need (docs/design/retries.md). Why it holds: the parts add up to at most what is allowed whoever reaches whom; an instance that registers waits until the others count it.

Evidence: retries_saved_up_by_all_gateways_are_not_spent_in_one_window failed before (66 retries, 28 allowed) and passes.

Two tests relied on the three retries that each process had at its start. retries_stay_within_the_budget keeps its bound, n / 5 + 4, and now states the slack of 4 in the settings. pause_all in crashing_parts sent requests that were refused once these three were used up; now such a request would wait for the pauses, so its caller leaves; all engines are paused as before and what the tests check is unchanged.

--- a/src/budget/mod.rs
+++ b/src/budget/mod.rs
@@ -1,9 +1,16 @@
 //! Retry budgets, which limit the load that retries add when attempts fail.
+//!
+//! Entries keep a [`Budget`] of tokens each. Gateways keep the retries of all instances within what
+//! the platform allows in any window of time ([`SharedBudget`]).
+
+mod window;
+
+pub use window::{Charge, Hundredths, LOAN_TTL, SharedBudget, Terms};
 
 use crate::id::{ServiceName, Tokens};
 use std::collections::HashMap;
 
-/// Limits of a retry budget, in the unit of the costs (tokens or requests).
+/// Limits of a retry budget, in tokens.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Allowance {
     /// Share of the cost of each first attempt that is added to the budget, in percent.
@@ -15,7 +22,7 @@
 }
 
 impl Allowance {
-    /// Allows retries of a tenth of the tokens; used by entries for generations and calls.
+    /// Allows retries of a tenth of the tokens, for generations and calls.
     pub const TOKENS: Allowance = Allowance { percent: 10, initial: 20_000, max: 200_000 };
 }
 
@@ -23,7 +30,7 @@
 #[derive(Debug)]
 pub struct Budget {
     allowance: Allowance,
-    /// Remaining budget, in hundredths of the unit of the costs.
+    /// Remaining budget, in hundredths of a token.
     remaining: HashMap<ServiceName, u64>,
 }
 
@@ -46,11 +53,6 @@
         *remaining = (*remaining + u64::from(cost.0) * a.percent).min(a.max * 100);
     }
 
-    /// Returns what is left of the budget of a service, rounded down.
-    pub fn remaining(&self, service: &ServiceName) -> u64 {
-        self.remaining.get(service).map_or(self.allowance.initial, |hundredths| hundredths / 100)
-    }
-
     /// Deducts the cost of a retry; returns `false` and deducts nothing if the budget is too small.
     pub fn spend(&mut self, service: &ServiceName, cost: Tokens) -> bool {
         let remaining =
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,11 +1,12 @@
 //! One attempt to send a request to an endpoint, and how its result is recorded.
 
 use super::job::{Job, log_id};
+use super::retries::{self, Permit};
 use super::{Gateway, limits, outage};
 use crate::clock;
 use crate::event::Kind;
 use crate::h1::{Outbound, SendError};
-use crate::id::{EndpointId, Tokens};
+use crate::id::EndpointId;
 use crate::platform::{self, ForwardParams, ResponseInfo};
 use crate::pool::{Hold, PoolKey, Purpose};
 use crate::problem::{Problem, ProblemKind};
@@ -21,8 +22,6 @@
 /// Attempts for one request in all. Attempts that fail to connect put no load on the endpoint, so
 /// more of them are allowed than of those that reach one.
 const MAX_ATTEMPTS: usize = 10;
-/// Cost of a retry: the retry budget of the gateway counts requests, not tokens.
-pub const RETRY_COST: Tokens = Tokens(1);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Upper bound of the random extension of a pause that an endpoint asked for, as a share of it.
 const MAX_PAUSE_EXTENSION: f64 = 0.2;
@@ -216,23 +215,24 @@
     Ok(e.listing.address)
 }
 
-/// Returns whether a request that was sent to `tried` endpoints and reached `reached` of them may
-/// be sent once more. Charges the retry budget once an endpoint has been reached.
-pub fn permit_attempt(gw: &Gateway, job: &Job, tried: usize, reached: usize) -> bool {
+/// Returns the permission to send a request once more that was sent to `tried` endpoints and reached
+/// `reached` of them; `None` if it may not be sent. A retry is charged once an endpoint has been
+/// reached.
+pub async fn permit_attempt(
+    gw: &Rc<Gateway>,
+    job: &Job,
+    tried: usize,
+    reached: usize,
+) -> Option<Permit> {
     let is_allowed =
         tried < MAX_ATTEMPTS && reached < MAX_REACHED && !job.time_left(clock::now()).is_zero();
-    is_allowed && (reached == 0 || spend_retry(gw, job, reached))
-}
-
-/// Charges the retry budget; returns whether it allows the retry.
-fn spend_retry(gw: &Gateway, job: &Job, reached: usize) -> bool {
-    let is_allowed = gw.budget.borrow_mut().spend(&job.service, RETRY_COST);
-    metrics::counter!("retries_total", "allowed" => is_allowed.to_string()).increment(1);
-    let left = gw.budget.borrow().remaining(&job.service);
-    let kind = if is_allowed { Kind::Retried } else { Kind::RetryDenied };
-    let detail = format!("service={} reached={reached} left={left}", job.service);
-    gw.event(kind, log_id(job.meta.id.as_ref()), detail);
-    is_allowed
+    if !is_allowed {
+        return None;
+    }
+    if reached == 0 {
+        return Some(Permit::First);
+    }
+    retries::permit(gw, &job.service, job.meta.id.as_ref()).await.map(Permit::Retry)
 }
 
 /// Records a failed attempt. An unreachable endpoint is taken out of rotation; other failures of
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -3,6 +3,7 @@
 use super::attempt::{self, AttemptError, EndpointResponse};
 use super::job::{Job, log_id};
 use super::quarantine::{self, RunGuard};
+use super::retries;
 use super::{Gateway, WorkGuard, admission};
 use crate::admit::{self, Decision, Place, Ticket};
 use crate::clock;
@@ -251,12 +252,12 @@
 /// Returns a problem if the generation was not admitted in time, the attempts are used up, or an
 /// attempt may have run and the generation is not idempotent.
 pub async fn dispatch(gw: &Rc<Gateway>, job: &Job) -> Result<Segment, Problem> {
-    gw.budget.borrow_mut().earn(&job.service, attempt::RETRY_COST);
+    retries::note_request(gw, &job.service);
     gw.pool.borrow_mut().note_demand(&job.service);
     let mut tried: Vec<PoolKey> = Vec::new();
     let (mut reached, mut runs) = (0, 0);
     loop {
-        if !attempt::permit_attempt(gw, job, tried.len(), reached) {
+        let Some(permit) = attempt::permit_attempt(gw, job, tried.len(), reached).await else {
             if runs > 0 {
                 return Err(attempt::unknown_outcome(job, AttemptError::Broken));
             }
@@ -264,21 +265,35 @@
             let detail =
                 format!("none of the {} engines tried accepted the generation", tried.len());
             return Err(job.refusal(clock::now(), kind, &detail));
-        }
-        let Admission { key, denials, passed } = wait_for_engine(gw, job, &tried).await?;
+        };
+        let Admission { key, denials, passed } = match wait_for_engine(gw, job, &tried).await {
+            Ok(admission) => admission,
+            Err(problem) => {
+                permit.release();
+                return Err(problem);
+            }
+        };
         let guard = WorkGuard::new(gw, key, job.expected_work());
         let error = match open_segment(gw, job, guard, None, None).await {
             Ok(segment) => return Ok(Segment { runs: runs + 1, denials, passed, ..segment }),
             // Another request took the permit meanwhile.
-            Err(AttemptError::Limited) => continue,
+            Err(AttemptError::Limited) => {
+                permit.release();
+                continue;
+            }
             Err(error) => error,
         };
+        if error.is_undelivered() {
+            permit.release();
+        } else {
+            reached += 1;
+            drop(permit);
+        }
         tried.push(key);
         attempt::record_error(gw, key, error);
         if error == AttemptError::Quarantined {
             return Err(attempt::unknown_outcome(job, error));
         }
-        reached += usize::from(!error.is_undelivered());
         if error == AttemptError::Broken {
             quarantine::check_crash(gw, job, key);
         }
@@ -356,11 +371,11 @@
     }
     // The stream has begun, so it does not wait for admission a second time.
     let key = job.choose_endpoint(gw, clock::now(), &tried).ok_or(AttemptError::Gone)?;
-    if !attempt::permit_attempt(gw, job, tried.len(), tried.len()) {
-        return Err(AttemptError::Broken);
-    }
+    let permit = attempt::permit_attempt(gw, job, tried.len(), tried.len()).await;
+    let permit = permit.ok_or(AttemptError::Broken)?;
     let guard = WorkGuard::new(gw, key, job.expected_work());
     let opened = open_segment(gw, job, guard, None, last).await;
+    permit.settle(opened.as_ref().err());
     let segment = opened.inspect_err(|error| {
         attempt::record_error(gw, key, *error);
         if *error == AttemptError::Broken {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -4,6 +4,7 @@
 use super::begin::QueueEntry;
 use super::job::{self, Job, log_id};
 use super::respond::{Disposition, disposition};
+use super::retries::{self, Permit};
 use super::unread::{self, Holder};
 use super::{Gateway, MAINTENANCE_INTERVAL, WorkGuard, limits, quarantine};
 use crate::admit;
@@ -162,17 +163,19 @@
 /// Sends a request to endpoints until one responds without a server error, or no further attempt
 /// is allowed.
 async fn send_with_retries(gw: &Rc<Gateway>, job: &Job) -> Result<CallResponse, Problem> {
-    gw.budget.borrow_mut().earn(&job.service, attempt::RETRY_COST);
+    retries::note_request(gw, &job.service);
     gw.pool.borrow_mut().note_demand(&job.service);
     let mut attempts = Attempts::default();
     loop {
+        let Some(permit) = permit_attempt(gw, job, &attempts).await else { break };
         let Some(key) = next_endpoint(gw, job, &attempts) else {
+            permit.release();
             if attempts.runs > 0 || !wait_for_endpoint(gw, job, &mut attempts).await {
                 break;
             }
             continue;
         };
-        let error = match attempt_call(gw, job, key, &mut attempts).await {
+        let error = match attempt_call(gw, job, key, permit, &mut attempts).await {
             Ok(response) => return Ok(response),
             Err(error) => error,
         };
@@ -194,6 +197,7 @@
     gw: &Rc<Gateway>,
     job: &Job,
     key: PoolKey,
+    permit: Permit,
     attempts: &mut Attempts,
 ) -> Result<CallResponse, AttemptError> {
     attempts.tried.push(key);
@@ -211,7 +215,11 @@
         Err(error) => error,
     };
     attempt::record_error(gw, key, error);
-    attempts.reached += usize::from(!error.is_undelivered());
+    if error.is_undelivered() {
+        permit.release();
+    } else {
+        attempts.reached += 1;
+    }
     if error == AttemptError::Broken {
         quarantine::check_crash(gw, job, key);
     }
@@ -252,11 +260,13 @@
     job.refusal(now, ProblemKind::Refused(Refusal::Busy), &detail)
 }
 
-/// Returns the next endpoint to try; `None` if no attempt is allowed or no endpoint is left.
+/// Returns the permission for the next attempt; `None` if none is allowed.
+async fn permit_attempt(gw: &Rc<Gateway>, job: &Job, attempts: &Attempts) -> Option<Permit> {
+    attempt::permit_attempt(gw, job, attempts.tried.len(), attempts.reached).await
+}
+
+/// Returns the next endpoint to try; `None` if no endpoint is left.
 fn next_endpoint(gw: &Gateway, job: &Job, attempts: &Attempts) -> Option<PoolKey> {
-    if !attempt::permit_attempt(gw, job, attempts.tried.len(), attempts.reached) {
-        return None;
-    }
     let key = job.choose_endpoint(gw, clock::now(), &attempts.tried)?;
     let is_limited = gw.pool.borrow().endpoints.get(key).is_some_and(Endpoint::is_limited);
     let has_waiters = gw.queue.borrow().len(&job.service) > 0;
--- a/src/gateway/inbox.rs
+++ b/src/gateway/inbox.rs
@@ -2,7 +2,7 @@
 
 use super::membership::{self, Registration};
 use super::peers::{self, Reply, SigningKey};
-use super::{Gateway, admission, digests, follow, limits, outage, quarantine, transfer};
+use super::{Gateway, admission, digests, follow, limits, outage, quarantine, retries, transfer};
 use crate::clock;
 use crate::frame::Envelope;
 use crate::gossip::PeerMessage;
@@ -54,6 +54,11 @@
             let granted = admission::decide(gw, &request);
             peers::send(gw, &[from], PeerMessage::AdmissionReply(request.number, granted));
         }
+        PeerMessage::LoanRequest(number, request) => {
+            let lent = retries::lend(gw, &request);
+            peers::send(gw, &[from], PeerMessage::LoanReply(number, lent));
+        }
+        PeerMessage::LoanReply(number, lent) => peers::receive_reply(gw, number, Reply::Loan(lent)),
         PeerMessage::PermitRequest(number, request) => {
             let grant = limits::decide(gw, &envelope.from, from, &request);
             peers::send(gw, &[from], PeerMessage::PermitReply(number, grant));
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -176,6 +176,7 @@
     log::warn!("the machine was suspended for {} ms: permits are dropped", time.as_millis());
     let now = clock::now();
     gw.pool.borrow_mut().drop_permits(now, time);
+    gw.retries.borrow_mut().record_suspension(time);
     *gw.allocator.borrow_mut() = Allocator::new(now);
 }
 
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -6,6 +6,7 @@
 
 use super::peers::{Peer, SigningKey};
 use super::{Gateway, jitter, limits, quarantine};
+use crate::clock;
 use crate::event::Kind;
 use crate::id::{InstanceId, MilliCores};
 use crate::store::{KeyValue, LeaseId, Leases, StoreError};
@@ -44,6 +45,7 @@
     let value = serde_json::to_vec(&registration).unwrap_or_default();
     let (mut lease, mut era) = (None, gw.store_position.borrow().era());
     loop {
+        let sent = clock::now();
         let newest = gw.store_position.borrow().era();
         if newest > std::mem::replace(&mut era, newest) {
             // The lease is gone, and its number may have been given to another instance.
@@ -52,6 +54,9 @@
         match renew_or_register(&gw, &key, &value, lease).await {
             Ok(renewed) => {
                 lease = renewed;
+                if lease.is_some() {
+                    gw.retries.borrow_mut().record_registration(sent, LEASE_TTL);
+                }
                 let wait = if renewed.is_some() { RENEW_INTERVAL } else { Duration::ZERO };
                 let _ = tokio::time::timeout(jitter(wait), gw.store_returned.notified()).await;
             }
--- a/src/gateway/migrate.rs
+++ b/src/gateway/migrate.rs
@@ -3,6 +3,7 @@
 //! The memory is copied once while the generation runs. A second copy, of what has been added
 //! since, stops the generation, which then resumes on the target engine.
 
+use super::retries::{self, Permit};
 use super::transfer::{Answer, Grant, RunningGeneration, TransferClient};
 use super::{Gateway, WorkGuard};
 use crate::clock;
@@ -54,7 +55,7 @@
 #[derive(Debug)]
 pub enum MoveOutcome {
     /// The generation has stopped and can be resumed on this engine, from this memory.
-    To(WorkGuard, Handoff),
+    To(WorkGuard, Handoff, Permit),
     /// The generation ended on its source before it was stopped.
     Ended,
     /// The generation was not migrated, for the reason in the text.
@@ -86,7 +87,7 @@
     fn record(&self, outcome: &MoveOutcome) {
         let (generation, times) = (&self.generation, self.times);
         let (kind, result) = match outcome {
-            MoveOutcome::To(guard, handoff) => {
+            MoveOutcome::To(guard, handoff, _) => {
                 let pool = self.gw.pool.borrow();
                 let to = pool.endpoints.get(guard.key).map(|e| e.listing.address);
                 (Kind::MoveDone, format!("to={to:?} handle={}", handoff.handle))
@@ -134,7 +135,7 @@
                         actix_rt::spawn(free_copy(self.gw.clone(), first));
                         continue;
                     }
-                    let outcome = self.final_copy(grant, first).await;
+                    let outcome = self.final_copy(grant, first, deadline).await;
                     self.times.last = clock::now().saturating_duration_since(now);
                     return outcome;
                 }
@@ -198,15 +199,37 @@
         evacuate::last_copy_deadline(&self.notice)
     }
 
+    /// Waits until the generation may be sent to another engine, which counts as a retry; `None` if
+    /// that is not before the deadline. Until then it goes on where it is.
+    async fn wait_for_permit(&self, deadline: Instant) -> Option<Permit> {
+        let generation = &self.generation;
+        loop {
+            let permit = retries::try_permit(&self.gw, &generation.service).await;
+            let is_over = generation.ended.get() || clock::now() >= deadline;
+            if permit.is_some() || is_over {
+                let id = Some(&generation.id);
+                retries::record(&self.gw, &generation.service, id, permit.as_ref());
+                return permit.map(Permit::Retry);
+            }
+            tokio::time::sleep(super::jitter(RETRY_INTERVAL)).await;
+        }
+    }
+
     /// Makes the last copy, of what was added since the first one. The generation pauses for it.
-    async fn final_copy(&self, grant: Grant, first: Handoff) -> MoveOutcome {
+    async fn final_copy(&self, grant: Grant, first: Handoff, deadline: Instant) -> MoveOutcome {
+        let Some(permit) = self.wait_for_permit(deadline).await else {
+            actix_rt::spawn(free_copy(self.gw.clone(), first));
+            return MoveOutcome::Stay("no retry is allowed in time");
+        };
         let outcome = loop {
             if self.generation.ended.get() {
                 break MoveOutcome::Ended;
             }
             self.generation.stopping.set(true);
             match self.copy(grant.to, true).await {
-                Ok(CopyOutcome::Done(handoff)) => return MoveOutcome::To(grant.guard, handoff),
+                Ok(CopyOutcome::Done(handoff)) => {
+                    return MoveOutcome::To(grant.guard, handoff, permit);
+                }
                 Ok(CopyOutcome::Busy) => tokio::time::sleep(RETRY_INTERVAL).await,
                 Ok(CopyOutcome::Absent) => break MoveOutcome::Ended,
                 Ok(CopyOutcome::NoRoom(_)) if self.is_evacuated(self.generation.source) => {
@@ -218,7 +241,7 @@
                 Ok(CopyOutcome::NoRoom(Some(handoff))) => {
                     let guard =
                         WorkGuard::new(&self.gw, self.generation.source, self.generation.work());
-                    return MoveOutcome::To(guard, handoff);
+                    return MoveOutcome::To(guard, handoff, permit);
                 }
                 Ok(CopyOutcome::NoRoom(None)) => {
                     break MoveOutcome::Stay("no memory on the target for the last copy");
@@ -229,6 +252,7 @@
                 }
             }
         };
+        permit.release();
         // The first copy holds memory on the target for seconds if it is not freed.
         actix_rt::spawn(free_copy(self.gw.clone(), first));
         outcome
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod peers;
 mod quarantine;
 mod respond;
+mod retries;
 mod serve;
 mod stats;
 mod stream;
@@ -32,7 +33,7 @@
 
 use crate::admit::{PrefillRate, WaitQueue};
 use crate::backlog::{Backlog, HeldKey};
-use crate::budget::{Allowance, Budget};
+use crate::budget::SharedBudget;
 use crate::clock;
 use crate::evacuate::LinkScheduler;
 use crate::event::{EventRing, Kind, WaveLog};
@@ -67,13 +68,6 @@
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(2600);
 /// Part of the grace period before SIGKILL that a stopping instance leaves unused.
 const GRACE_RESERVE: Duration = Duration::from_millis(600);
-/// Maximum number of retries that the budget of a service can accumulate in one instance.
-const MAX_SAVED_RETRIES: u64 = 10;
-/// Retries in the budget of a service before any request has earned more, per instance.
-const INITIAL_RETRIES: u64 = 3;
-/// Percentage of the platform's retry ratio that an instance earns per request. The rest is a
-/// reserve, since another instance may see a larger part of the failures than of the requests.
-const RETRY_SHARE_PERCENT: f64 = 70.0;
 
 /// The reason why an instance cannot start.
 #[derive(Debug)]
@@ -118,7 +112,8 @@
     /// Decides when to pull a newer configuration from a peer.
     config_pull: RefCell<ConfigPull>,
     pool: RefCell<Pool>,
-    budget: RefCell<Budget>,
+    /// Part of this instance in the retries of all.
+    retries: RefCell<SharedBudget>,
     /// Bytes held for callers and endpoints.
     backlog: RefCell<Backlog>,
     /// Notified when the backlog has decided anew on a response.
@@ -246,11 +241,6 @@
     ServiceConfig::new(idle, Duration::ZERO, Duration::ZERO, false, None)
 }
 
-fn allowance(settings: &GatewaySettings) -> Allowance {
-    let share = (settings.retry_ratio * RETRY_SHARE_PERCENT) as u64;
-    Allowance { percent: share, initial: INITIAL_RETRIES, max: MAX_SAVED_RETRIES }
-}
-
 impl Gateway {
     fn new(settings: &GatewaySettings, metrics: Metrics) -> Self {
         Gateway {
@@ -261,7 +251,11 @@
             table_text: RefCell::default(),
             config_pull: RefCell::default(),
             pool: RefCell::new(Pool::default()),
-            budget: RefCell::new(Budget::new(allowance(settings))),
+            retries: RefCell::new(SharedBudget::new(
+                clock::now(),
+                settings.retry_terms,
+                settings.is_first_start,
+            )),
             backlog: RefCell::new(Backlog::new(settings.memory_bytes())),
             unread: RefCell::default(),
             connections: Cell::new(0),
@@ -387,6 +381,7 @@
         quarantine::step(&gw);
         unread::step(&gw);
         limits::step(&gw, now);
+        retries::step(&gw, now);
         evacuation::step(&gw, now);
         copy::fetch_newer(&gw);
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -2,6 +2,7 @@
 //! decided by the modules that `inbox` hands them to.
 
 use super::Gateway;
+use crate::budget::Hundredths;
 use crate::clock;
 use crate::evacuate::Verdict;
 use crate::frame::{Envelope, Gossip, Keyring};
@@ -69,6 +70,8 @@
     Transfer(Verdict),
     /// Permits for a limited endpoint.
     Permits(Grant),
+    /// Retries that are lent.
+    Loan(Hundredths),
 }
 
 impl Messenger {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -429,8 +429,8 @@
             outcome = timeout(MOVE_OUTCOME_TIMEOUT, migration) => outcome,
             () = conn.closed() => return Err(Failure::Unread),
         };
-        let (guard, handoff) = match outcome {
-            Ok(Ok(MoveOutcome::To(guard, handoff))) => (guard, handoff),
+        let (guard, handoff, permit) = match outcome {
+            Ok(Ok(MoveOutcome::To(guard, handoff, permit))) => (guard, handoff, permit),
             Ok(Ok(MoveOutcome::Ended)) => return Ok(Resumption::Ended),
             Ok(Ok(MoveOutcome::Stay(why))) => return Err(Failure::Unmoved(why)),
             Ok(Err(_)) => return Err(Failure::Unmoved("migration task aborted")),
@@ -439,6 +439,7 @@
         self.drain(conn).await?;
         let opened =
             begin::open_segment(self.gw, self.job, guard, Some(&handoff), self.last_id).await;
+        permit.settle(opened.as_ref().err());
         let segment = opened.map_err(Failure::Refused)?;
         if !segment.response.info.status.is_success() {
             return Err(Failure::Failed(segment.response.info.status.as_u16()));
--- a/src/gateway/transfer.rs
+++ b/src/gateway/transfer.rs
@@ -185,7 +185,7 @@
                     peers::request_reply(&self.gw, address, self.number, message, REPLY_TIMEOUT);
                 match reply.await? {
                     Reply::Transfer(verdict) => Some(verdict),
-                    Reply::Admission(_) | Reply::Permits(_) => None,
+                    Reply::Admission(_) | Reply::Permits(_) | Reply::Loan(_) => None,
                 }
             }
         }
--- a/src/gossip/message.rs
+++ b/src/gossip/message.rs
@@ -1,6 +1,7 @@
 //! Messages between the instances of a fleet.
 
 use super::{Tag, Work};
+use crate::budget::Hundredths;
 use crate::evacuate::Verdict;
 use crate::frame::Gossip;
 use crate::id::{DataCentre, InstanceId, ServiceName};
@@ -200,6 +201,12 @@
     /// Limits that endpoints state.
     #[serde(rename = "l")]
     Limits(LimitNotice),
+    /// Asks for retries of the receiver's part, with a number that the reply repeats.
+    #[serde(rename = "o")]
+    LoanRequest(u64, LoanRequest),
+    /// Retries that the sender lends in reply to the request with this number.
+    #[serde(rename = "u")]
+    LoanReply(u64, Hundredths),
     /// Changes that a reader received from the store.
     #[serde(rename = "n")]
     StoreChanges(StoreChanges),
@@ -212,6 +219,17 @@
     Config(Vec<u8>),
 }
 
+/// A request of an instance that has used up its part in the retries of all instances.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LoanRequest {
+    /// Service of the requests that are to be retried.
+    #[serde(rename = "s")]
+    pub service: ServiceName,
+    /// What is missing for one.
+    #[serde(rename = "n")]
+    pub wanted: Hundredths,
+}
+
 /// What an instance knows of the limit of an endpoint.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LimitRow {
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -16,8 +16,8 @@
 mod relay;
 
 pub use message::{
-    AdmissionRequest, Digest, EvacuationRow, LimitNotice, LimitRow, PeerMessage, Row, SpeedRow,
-    StatementRow, StoreChanges, TransferMessage, decode_row, decode_speed, encode_row,
+    AdmissionRequest, Digest, EvacuationRow, LimitNotice, LimitRow, LoanRequest, PeerMessage, Row,
+    SpeedRow, StatementRow, StoreChanges, TransferMessage, decode_row, decode_speed, encode_row,
     encode_speed,
 };
 pub use outage::Outages;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,6 +1,7 @@
 //! The settings file that the platform provides for a process: lines of `a.b=value`, with the items
 //! of lists separated by commas.
 
+use crate::budget::Terms;
 use crate::id::{DataCentre, InstanceId, MilliCores};
 use std::collections::HashMap;
 use std::fmt;
@@ -63,10 +64,16 @@
     pub max_sockets: u32,
     /// Time between SIGTERM and SIGKILL.
     pub stop_grace: Duration,
-    /// Retries allowed per request, over all instances together.
-    pub retry_ratio: f64,
+    /// Retries that are allowed over all instances together.
+    pub retry_terms: Terms,
+    /// Whether the whole system starts for the first time, so that no process of this instance ran
+    /// before.
+    pub is_first_start: bool,
 }
 
+/// Window of the retry budget where the settings name none.
+const DEFAULT_RETRY_WINDOW: Duration = Duration::from_secs(10);
+
 /// Number of descriptors that are left for files out of `limits.max_fds`.
 const RESERVED_FDS: u32 = 200;
 
@@ -95,7 +102,8 @@
             memory_mb: required::<f64>(&fields, "limits.memory_mb")? as u32,
             max_sockets: max_fds.saturating_sub(RESERVED_FDS),
             stop_grace: required_duration(&fields, "bounds.grace_s")?,
-            retry_ratio: required(&fields, "bounds.retry_budget_ratio")?,
+            retry_terms: retry_terms(&fields)?,
+            is_first_start: optional(&fields, "bootstrap")?.unwrap_or(false),
         })
     }
 }
@@ -119,6 +127,18 @@
     Ok(Some(SocketAddr::new(ip, port)))
 }
 
+/// Returns the retries that are allowed; without a slack where the platform states none.
+fn retry_terms(fields: &HashMap<&str, &str>) -> Result<Terms, SettingsError> {
+    const WINDOW: &str = "bounds.budget_window_s";
+    let window = match fields.get(WINDOW) {
+        Some(_) => required_duration(fields, WINDOW)?,
+        None => DEFAULT_RETRY_WINDOW,
+    };
+    let ratio = required(fields, "bounds.retry_budget_ratio")?;
+    let slack = optional(fields, "bounds.budget_slack")?.unwrap_or(0.0);
+    Ok(Terms { ratio, window, slack })
+}
+
 /// Returns the processing power; zero if the platform states no share of a core.
 fn power(fields: &HashMap<&str, &str>) -> Result<MilliCores, SettingsError> {
     let share: f64 = optional(fields, "limits.cpu_share")?.unwrap_or(0.0);
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -22,6 +22,7 @@
 mod pool;
 mod prompts;
 mod quarantine;
+mod retries;
 mod sidecar;
 mod sim;
 mod speed;
--- a/tests/gateway/calls.rs
+++ b/tests/gateway/calls.rs
@@ -2,7 +2,8 @@
 
 use crate::common::{request_bytes, send_request, start_platform, wait_for};
 use rstest::rstest;
-use standin::platform::{Action, Endpoint, send};
+use standin::platform::{Action, Endpoint, Gateway, RetryTerms, send};
+use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -213,13 +214,17 @@
 fn retries_stay_within_the_budget() {
     let e = Endpoint::start("i-1", Action::Reset);
     let f = Endpoint::start("i-2", Action::Reset);
-    let (_store, gateway) = start_platform(&[(&e, "plain"), (&f, "plain")]);
+    let (store, _) = start_platform(&[(&e, "plain"), (&f, "plain")]);
+    let terms = RetryTerms { slack: 4.0, ..RetryTerms::DEFAULT };
+    let binary = Path::new(env!("CARGO_BIN_EXE_skylarkthread"));
+    let gateway = Gateway::start_with(binary, store.address, &terms);
+    assert!(wait_for(5, || gateway.readiness() == 200));
     let n = 60;
     for ix in 0..n {
         send_request(&gateway, "GET", "/safe/x", &format!("id-{ix}"));
     }
     let retries = e.run_count() + f.run_count() - n;
-    // The budget is a fifth of the requests, plus the retries available at the start.
+    // The budget is a fifth of the requests, and a slack of four.
     assert!(retries <= n / 5 + 4, "{retries} retries for {n} requests");
 }
 
--- a/tests/gateway/crashing_parts.rs
+++ b/tests/gateway/crashing_parts.rs
@@ -121,7 +121,9 @@
     engines.iter().for_each(|e| e.push_action(Action::Pause(pause)));
     let is_paused = || engines.iter().all(|e| e.received().iter().any(|r| r.pause.is_some()));
     for n in (0..engines.len()).take_while(|_| !is_paused()) {
-        send_sound(gateway, &format!("{n}d"));
+        // One that finds all engines paused would wait for them, so its caller leaves.
+        let _request = start_with_parts(gateway, &format!("{n}d"), &[FIRST, "b2"]);
+        std::thread::sleep(Duration::from_millis(200));
     }
     assert!(is_paused());
 }
--- a/tests/gateway/retries.rs
+++ b/tests/gateway/retries.rs
@@ -1,6 +1,6 @@
 //! Retries of all instances together, counted at the endpoints.
 
-use crate::common::{CONFIG, list_endpoint, send_request, wait_for};
+use crate::common::{CONFIG, list_endpoint, send_request, start_long_stream, wait_for};
 use standin::platform::{Action, Endpoint, Gateway, Reply, RetryTerms, Store};
 use std::collections::HashSet;
 use std::path::Path;
@@ -13,7 +13,7 @@
 /// Requests that each endpoint serves before it rejects all.
 const SERVED: usize = 1000;
 
-/// Starts endpoints that reject all requests once their actions are cleared.
+/// Starts endpoints of the plain service that reject all requests once their actions are cleared.
 fn endpoints(n: usize) -> Vec<Endpoint> {
     let endpoint = |i| {
         let e = Endpoint::start(&format!("i-{i}"), Action::NotExecuted);
@@ -23,10 +23,10 @@
     (1..=n).map(endpoint).collect()
 }
 
-fn start_gateways(n: usize, endpoints: &[Endpoint]) -> (Store, Vec<Gateway>) {
+fn start_gateways(n: usize, endpoints: &[Endpoint], service: &str) -> (Store, Vec<Gateway>) {
     let store = Store::start();
     store.set("op/config", Some(CONFIG.as_bytes()));
-    endpoints.iter().for_each(|e| list_endpoint(&store, e, "plain", "ready"));
+    endpoints.iter().for_each(|e| list_endpoint(&store, e, service, "ready"));
     let binary = Path::new(env!("CARGO_BIN_EXE_skylarkthread"));
     let start = |_| Gateway::start_with(binary, store.address, &TERMS);
     let gateways: Vec<Gateway> = (0..n).map(start).collect();
@@ -119,7 +119,7 @@
 #[test]
 fn retries_saved_up_by_all_gateways_are_not_spent_in_one_window() {
     let endpoints = endpoints(4);
-    let (_store, g) = start_gateways(6, &endpoints);
+    let (_store, g) = start_gateways(6, &endpoints, "plain");
     let callers = Callers::default();
     let load = |interval| g.iter().map(|g| (g, interval)).collect::<Vec<_>>();
     callers.call_all(&load(millis(40)), "calm", millis(4000));
@@ -127,8 +127,66 @@
     callers.call_all(&load(millis(500)), "quiet", TERMS.window);
     endpoints.iter().for_each(Endpoint::clear_actions);
     callers.call_all(&load(millis(150)), "shed", millis(1500));
-    let retries = retries(&endpoints);
-    let most = check_windows(&callers, &retries);
-    // Half of what the smallest window of the outage allows.
-    assert!(most >= 5, "{most} retries in a window");
+    let most = check_windows(&callers, &retries(&endpoints));
+    // Half of what is allowed for the requests of the outage.
+    assert!(most >= 10, "{most} retries in a window");
+}
+
+#[test]
+fn busy_gateway_uses_the_retries_of_idle_ones_within_the_sum() {
+    let endpoints = endpoints(4);
+    let (_store, g) = start_gateways(6, &endpoints, "plain");
+    let callers = Callers::default();
+    endpoints.iter().for_each(Endpoint::clear_actions);
+    callers.call_all(&[(&g[0], millis(100))], "shed", millis(4000));
+    let most = check_windows(&callers, &retries(&endpoints));
+    // 12 are allowed; without the others, the busy gateway has 1.2 and a tenth of its requests.
+    assert!(most >= 6, "{most} retries in a window");
+}
+
+#[test]
+fn retries_keep_to_the_sum_while_all_gateways_are_killed_and_paused() {
+    let endpoints = endpoints(4);
+    let (_store, mut g) = start_gateways(6, &endpoints, "plain");
+    let callers = Callers::default();
+    endpoints.iter().for_each(Endpoint::clear_actions);
+    for round in 0..4 {
+        let load: Vec<_> = g.iter().map(|g| (g, millis(200))).collect();
+        callers.call_all(&load, &format!("before-{round}"), millis(700));
+        g.iter().skip(round % 2).step_by(2).for_each(|g| g.signal(libc::SIGSTOP));
+        let load: Vec<_> =
+            g.iter().skip(1 - round % 2).step_by(2).map(|g| (g, millis(200))).collect();
+        callers.call_all(&load, &format!("paused-{round}"), millis(1200));
+        g.iter().for_each(|g| g.signal(libc::SIGCONT));
+        g.iter_mut().for_each(Gateway::restart);
+        assert!(wait_for(5, || g.iter().all(|g| g.readiness() == 200)));
+    }
+    let most = check_windows(&callers, &retries(&endpoints));
+    assert!(most > 0, "no retry was made");
+}
+
+#[test]
+fn generations_that_move_count_as_retries() {
+    let engines: Vec<Endpoint> = (1..=5)
+        .map(|i| Endpoint::start(&format!("i-{i}"), Action::Stream(80, millis(50))))
+        .collect();
+    let (store, g) = start_gateways(2, &engines, "model");
+    let callers = Callers::default();
+    let n = 30;
+    let streams: Vec<_> = (0..n)
+        .map(|n| {
+            callers.sent.lock().unwrap().push(Instant::now());
+            start_long_stream(&g[n % 2], &format!("s-{n}"))
+        })
+        .collect();
+    let begun = || engines.iter().map(|e| e.received().len()).sum::<usize>();
+    assert!(wait_for(5, || begun() == n), "{} of {n} streams began", begun());
+    // Three engines are emptied, which stop only once their streams have ended.
+    engines[..3].iter().for_each(|e| list_endpoint(&store, e, "model", "draining"));
+    let complete =
+        streams.into_iter().map(|mut s| s.reply()).filter(|r| r.body.contains("token-80"));
+    assert_eq!(complete.count(), n, "a stream was cut");
+    let retries = retries(&engines);
+    assert!(!retries.is_empty(), "no generation was moved");
+    check_windows(&callers, &retries);
 }
