Take no refusal of another request for an answer to this one

It can happen here: a response that states not-run, or 421, was believed before its request id was compared.

Cause: the check of the id came after the check of the refusal. Class: a statement is believed before it is known whom it is about; what an endpoint states of limits and pauses was already compared. A response with another id is now that of another request, whatever it says; the outcome of this one is unknown (502). A refusal without an id still counts: each request has a connection of its own, on which nothing else was sent.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -141,6 +141,9 @@
     let head = head.map_err(|_| AttemptError::Broken)?;
     let info = platform::parse_response(&head);
     gw.pool.borrow_mut().record_reachable(key);
+    if is_foreign(job, &info) {
+        return Err(AttemptError::Foreign);
+    }
     record_response(gw, key, &info);
     if is_own_response(job, &info) {
         if info.leaving {
@@ -154,7 +157,7 @@
             gw.pool.borrow_mut().record_cold(clock::now(), key, left);
         }
     }
-    check_response(job, &info)?;
+    check_response(&info)?;
     Ok(EndpointResponse { head, info, out, endpoint: params.endpoint.clone() })
 }
 
@@ -247,18 +250,20 @@
     }
 }
 
-/// Checks that the endpoint accepted the request, and that its response belongs to this request and
-/// has a seal header.
-fn check_response(job: &Job, info: &ResponseInfo) -> Result<(), AttemptError> {
+/// Returns whether a response carries the id of another request. It says nothing of this one then,
+/// even if it is a refusal.
+fn is_foreign(job: &Job, info: &ResponseInfo) -> bool {
+    job.meta.id.is_some() && info.id.is_some() && info.id != job.meta.id
+}
+
+/// Checks that the endpoint accepted the request, and that its response has a seal header.
+fn check_response(info: &ResponseInfo) -> Result<(), AttemptError> {
     if info.misdirected {
         return Err(AttemptError::Misdirected);
     }
     if info.not_run {
         return Err(AttemptError::Full);
     }
-    if job.meta.id.is_some() && info.id.is_some() && info.id != job.meta.id {
-        return Err(AttemptError::Foreign);
-    }
     if info.sealed { Ok(()) } else { Err(AttemptError::Unsealed) }
 }
 
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -36,6 +36,10 @@
     ExtraResponse(String),
     /// Responds with the id and the seal of another request.
     WrongId,
+    /// Runs the request and sends the refusal of an earlier one, with this status.
+    StaleRefusal(u16),
+    /// Runs the request and closes the connection after this many bytes of the response's head.
+    TruncatedHead(usize),
     /// Responds without the seal.
     Unsealed,
     /// Responds with 413, after the whole request has been read.
@@ -525,6 +529,15 @@
             let headers = format!("X-Attempt-Id: other\r\nX-Replica-Seal: s.other\r\n{extra}");
             respond(writer, &headers, 200, "stray")
         }
+        Action::StaleRefusal(status) => {
+            let headers = "X-Attempt-Id: earlier\r\nX-Not-Executed: 1\r\nRetry-After: 1\r\n";
+            respond(writer, headers, status, "")
+        }
+        Action::TruncatedHead(n) => {
+            let text = format!("HTTP/1.1 200 X\r\n{sealed_headers}Content-Length: 0\r\n\r\n");
+            writer.write_all(&text.as_bytes()[..n.min(text.len() - 1)]).ok()?;
+            None
+        }
         Action::Unsealed => respond(writer, &id_header, 200, "forged"),
         Action::ContentTooLarge => respond(writer, &sealed_headers, 413, "too long"),
         Action::Hang => wait_for_close(writer, &closed),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod endless;
 mod evacuation;
 mod explain;
+mod faulty;
 mod intent;
 mod lifecycle;
 mod limits;
