Read the instance list entry by entry

Entries, in a deployment of its own, read the whole instance list at once: one entry with a port out of range, another state or a deep nesting made it malformed, so an entry stopped following the list for as long as it was there. Six of six cases of the new test failed with the old reading. Each entry is now read alone, and one that cannot be read is logged and left out.

--- a/src/store/list.rs
+++ b/src/store/list.rs
@@ -3,6 +3,7 @@
 use super::StoreError;
 use crate::id::{DataCentre, InstanceId};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -75,6 +76,24 @@
         let url = format!("http://{}/instances", self.address);
         let mut res = self.client.get(url).send().await.map_err(|_| StoreError::Unreached)?;
         let body = res.body().limit(MAX_RESPONSE_BYTES).await.map_err(|_| StoreError::Lost)?;
-        serde_json::from_slice(&body).map_err(|_| StoreError::Malformed)
+        parse_instances(&body)
     }
 }
+
+/// Parses a list. Entries that cannot be read are left out.
+///
+/// # Errors
+///
+/// Returns [`StoreError::Malformed`] if the body is no list.
+pub fn parse_instances(body: &[u8]) -> Result<Vec<ListedInstance>, StoreError> {
+    let entries: Vec<&RawValue> =
+        serde_json::from_slice(body).map_err(|_| StoreError::Malformed)?;
+    let parse = |entry: &&RawValue| match serde_json::from_str(entry.get()) {
+        Ok(instance) => Some(instance),
+        Err(e) => {
+            log::warn!("an entry of the instance list cannot be read: {e}");
+            None
+        }
+    };
+    Ok(entries.iter().filter_map(parse).collect())
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -10,7 +10,7 @@
 
 pub use etcd::Etcd;
 pub use history::{History, MARKER_KEY, Marker, Standing};
-pub use list::{InstanceList, ListedInstance, ListedState, Role};
+pub use list::{InstanceList, ListedInstance, ListedState, Role, parse_instances};
 pub use position::{Era, Position, PositionError};
 
 use serde::{Deserialize, Serialize};
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -11,6 +11,7 @@
 mod fixture;
 mod fleet;
 mod gossip;
+mod instances;
 mod lag;
 mod limits;
 mod links;
