Check the retries of all gateways in each window in the soak

The soak compared the retries of a whole run with the requests of a whole run, and left out generations that resume on another engine, so it could not find retries that are spent in one window. It now checks each window, for generations and plain requests apart, by the platform's rule.

--- a/standin/src/soak/checker.rs
+++ b/standin/src/soak/checker.rs
@@ -1,6 +1,6 @@
 //! Checks the promises against what callers and endpoints observed.
 
-use crate::platform::Reply;
+use crate::platform::{Reply, RetryTerms};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
@@ -19,9 +19,6 @@
 const CRASH_PART_DELAY: Duration = Duration::from_millis(3000);
 /// Requests with that part that may reach engines later.
 const MAX_LATE_CRASHES: usize = 3;
-/// Share of requests that may be retried, and the number of retries allowed in addition.
-const RETRY_BUDGET: (f64, f64) = (0.2, 56.0);
-
 /// Time within which all instances keep to a limit that an endpoint states.
 const LIMIT_DELAY: Duration = Duration::from_millis(3000);
 /// Time over which the requests to a limited endpoint are counted.
@@ -480,16 +477,36 @@
     })
 }
 
-/// Checks that retries stay within the budget.
-fn check_retries(calls: &[CallRecord], by_id: &HashMap<&str, Vec<&Arrival>>) -> Option<Violation> {
-    let sends = |v: &Vec<&Arrival>| v.iter().filter(|a| !a.resumed).count();
-    let retries: usize = by_id.values().map(|v| sends(v).saturating_sub(1)).sum();
-    let limit = RETRY_BUDGET.0 * calls.len() as f64 + RETRY_BUDGET.1;
-    let observed = format!("{retries} retries of {} requests", calls.len());
-    (retries as f64 > limit).then(|| Violation {
-        promise: "budget",
-        subject: "all".into(),
-        observed,
+/// Checks that in each window the retries of all gateways keep to what is allowed for each service.
+/// Generations that resume on another engine count too.
+fn check_retries(calls: &[CallRecord], by_id: &HashMap<&str, Vec<&Arrival>>) -> Vec<Violation> {
+    let is_stream = |c: &&CallRecord| matches!(c.kind, RequestKind::Stream(_));
+    let (streams, plain): (Vec<_>, Vec<_>) = calls.iter().partition(is_stream);
+    let of_service = [("generations", streams), ("plain requests", plain)].into_iter();
+    let exceeded = of_service.filter_map(|(name, calls)| {
+        let observed = find_excess(&calls, by_id)?;
+        Some(Violation { promise: "budget", subject: name.into(), observed })
+    });
+    exceeded.collect()
+}
+
+/// Describes the first window with more retries of these requests than allowed.
+fn find_excess(calls: &[&CallRecord], by_id: &HashMap<&str, Vec<&Arrival>>) -> Option<String> {
+    let RetryTerms { ratio, window, slack } = RetryTerms::DEFAULT;
+    let mut retries = Vec::new();
+    for arrivals in calls.iter().filter_map(|c| by_id.get(c.id.as_str())) {
+        let mut times: Vec<Instant> = arrivals.iter().map(|a| a.at).collect();
+        times.sort();
+        retries.extend(times.into_iter().skip(1));
+    }
+    let is_within = |at: Instant, from: Instant| at >= from && at < from + window;
+    retries.iter().find_map(|from| {
+        let n = retries.iter().filter(|at| is_within(**at, *from)).count();
+        let starts = [Some(*from), from.checked_sub(window / 2), from.checked_sub(window)];
+        let sent = |start| calls.iter().filter(|c| is_within(c.sent, start)).count();
+        let most = starts.into_iter().flatten().map(sent).max().unwrap_or(0);
+        let limit = ratio * most as f64 + slack;
+        (n as f64 > limit).then(|| format!("{n} retries in {window:?}, {limit} allowed"))
     })
 }
 
