--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -283,12 +283,8 @@
             }
             Err(error) => error,
         };
-        if error.is_undelivered() {
-            permit.release();
-        } else {
-            reached += 1;
-            drop(permit);
-        }
+        permit.settle(Some(&error));
+        reached += usize::from(!error.is_undelivered());
         tried.push(key);
         attempt::record_error(gw, key, error);
         if error == AttemptError::Quarantined {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -215,11 +215,8 @@
         Err(error) => error,
     };
     attempt::record_error(gw, key, error);
-    if error.is_undelivered() {
-        permit.release();
-    } else {
-        attempts.reached += 1;
-    }
+    permit.settle(Some(&error));
+    attempts.reached += usize::from(!error.is_undelivered());
     if error == AttemptError::Broken {
         quarantine::check_crash(gw, job, key);
     }
