--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -258,13 +258,7 @@
     let (mut reached, mut runs) = (0, 0);
     loop {
         let Some(permit) = attempt::permit_attempt(gw, job, tried.len(), reached).await else {
-            if runs > 0 {
-                return Err(attempt::unknown_outcome(job, AttemptError::Broken));
-            }
-            let kind = ProblemKind::Refused(Refusal::Busy);
-            let detail =
-                format!("none of the {} engines tried accepted the generation", tried.len());
-            return Err(job.refusal(clock::now(), kind, &detail));
+            return Err(exhausted(job, tried.len(), runs));
         };
         let Admission { key, denials, passed } = match wait_for_engine(gw, job, &tried).await {
             Ok(admission) => admission,
@@ -304,6 +298,15 @@
     }
 }
 
+/// Builds the problem for a generation that may not be sent to another engine.
+fn exhausted(job: &Job, tried: usize, runs: u32) -> Problem {
+    if runs > 0 {
+        return attempt::unknown_outcome(job, AttemptError::Broken);
+    }
+    let detail = format!("none of the {tried} engines tried accepted the generation");
+    job.refusal(clock::now(), ProblemKind::Refused(Refusal::Busy), &detail)
+}
+
 /// Sends a generation to one engine and waits for the head of the response.
 ///
 /// `handoff` and `last` are set to resume a migrated generation: they name the memory to continue
--- a/tests/decisions/retries.rs
+++ b/tests/decisions/retries.rs
@@ -179,8 +179,8 @@
         m.renewal = self.now;
     }
 
-    /// Rejects all requests for some time, and returns the retries of that time and those allowed
-    /// in it by the rule that counts in the first window.
+    /// Rejects all requests for some time, and returns the number of retries that reached endpoints
+    /// until a second later.
     fn reject(&mut self, time: Duration) -> usize {
         let before = self.arrivals.len();
         self.rejects = true;
@@ -235,7 +235,7 @@
 #[case::unequal_28(unequal(28, 50.0))]
 #[case::unequal_410(unequal(410, 50.0))]
 #[case::unequal_410_busy(unequal(410, 3400.0))]
-fn retries_after_a_calm_hour_keep_to_the_sum_and_use_most_of_it(#[case] load: Vec<f64>) {
+fn retries_after_a_calm_time_keep_to_the_sum_and_use_most_of_it(#[case] load: Vec<f64>) {
     let mut sim = Sim::new(terms(load.len()), load);
     sim.run(secs(40));
     let used = sim.reject(secs(10)) as f64;
