Check that each generation that moves is charged

generations_that_move_count_as_retries passed with moves that are let through without a charge once the part is used up: in its play the sum was not reached. Passes on the fixed code; a run with uncharged moves was made only before this check (passed), not with it.

--- a/tests/gateway/retries.rs
+++ b/tests/gateway/retries.rs
@@ -189,4 +189,6 @@
     let retries = retries(&engines);
     assert!(!retries.is_empty(), "no generation was moved");
     check_windows(&callers, &retries);
+    let charged = g.into_iter().map(|g| g.into_log().matches("kind=Retried").count());
+    assert!(charged.sum::<usize>() >= retries.len(), "{} generations moved", retries.len());
 }
