--- a/review/standins/gateway.rs
+++ b/review/standins/gateway.rs
@@ -11,6 +11,18 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// All processes that were started.
+static PROCESSES: Mutex<Vec<Arc<Mutex<Child>>>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started and still run.
+pub fn end_all() {
+    for process in PROCESSES.lock().expect("no holder panics").iter() {
+        let mut child = process.lock().expect("no holder panics");
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
 /// A front machine, on which one process runs.
 pub struct Machine {
     pub name: String,
@@ -22,7 +34,7 @@
     settings: PathBuf,
     binary: String,
     metrics: u16,
-    child: Mutex<Option<Child>>,
+    child: Mutex<Option<Arc<Mutex<Child>>>>,
 }
 
 fn free_port() -> std::io::Result<u16> {
@@ -36,7 +48,13 @@
 
 impl Machine {
     /// Writes the settings of a machine, with the bounds of the small site.
-    pub fn new(binary: &str, dir: &Path, name: &str, zone: &str, store: SocketAddr) -> std::io::Result<Machine> {
+    pub fn new(
+        binary: &str,
+        dir: &Path,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+    ) -> std::io::Result<Machine> {
         let ports = [free_port()?, free_port()?, free_port()?, free_port()?];
         let at = |i: usize| SocketAddr::from(([127, 0, 0, 1], ports[i]));
         let settings = dir.join(format!("{name}.conf"));
@@ -48,7 +66,10 @@
             bounds.loss_slack_ms=200\nbounds.config_apply_ms=2000\nbounds.retry_budget_ratio=0.2\n\
             bounds.budget_window_s=10\nbounds.budget_slack=52\nbounds.recover_s=12\nbounds.pass_ms=120\n\
             platform.address={store}\nplatform.form=kv\n",
-            at(0), at(1), ports[2], ports[2]
+            at(0),
+            at(1),
+            ports[2],
+            ports[2]
         );
         std::fs::write(&settings, text)?;
         let m = Machine {
@@ -68,7 +89,8 @@
 
     /// Starts the process with the command of the deploy file.
     pub fn start(&self) -> std::io::Result<()> {
-        let log = File::options().create(true).append(true).open(self.settings.with_extension("log"))?;
+        let log =
+            File::options().create(true).append(true).open(self.settings.with_extension("log"))?;
         let child = Command::new(&self.binary)
             .args(["gateway", "--metrics", &self.metrics.to_string()])
             .env("SKYLARKTHREAD_BOOT", &self.settings)
@@ -76,6 +98,8 @@
             .stdout(log)
             .stderr(Stdio::null())
             .spawn()?;
+        let child = Arc::new(Mutex::new(child));
+        PROCESSES.lock().expect("no holder panics").push(child.clone());
         *self.child.lock().expect("no holder panics") = Some(child);
         Ok(())
     }
@@ -83,15 +107,17 @@
     /// Sends a signal to the process by its id.
     pub fn signal(&self, name: &str) {
         if let Some(c) = &*self.child.lock().expect("no holder panics") {
-            let _ = Command::new("kill").args([&format!("-{name}"), &c.id().to_string()]).status();
+            let id = c.lock().expect("no holder panics").id();
+            let _ = Command::new("kill").args([&format!("-{name}"), &id.to_string()]).status();
         }
     }
 
     /// Waits until the process has ended; kills it after `grace`, as the platform does.
     pub fn wait(&self, grace: Duration) -> String {
         let end = Instant::now() + grace;
-        let mut child = self.child.lock().expect("no holder panics");
-        let Some(c) = child.as_mut() else { return "not running".into() };
+        let child = self.child.lock().expect("no holder panics");
+        let Some(c) = child.as_ref() else { return "not running".into() };
+        let mut c = c.lock().expect("no holder panics");
         while Instant::now() < end {
             if let Ok(Some(status)) = c.try_wait() {
                 return status.to_string();
@@ -103,14 +129,6 @@
         "killed at the end of grace_s".into()
     }
 
-    /// Ends the process.
-    pub fn kill(&self) {
-        if let Some(c) = self.child.lock().expect("no holder panics").as_mut() {
-            let _ = c.kill();
-            let _ = c.wait();
-        }
-    }
-
     fn is_ready(&self) -> bool {
         let ask = || -> std::io::Result<u16> {
             let mut io = http::connect(self.ready)?;
--- a/review/standins/poison.rs
+++ b/review/standins/poison.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::io::{BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::process::ExitCode;
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
@@ -116,26 +116,13 @@
     sound: Mutex<HashMap<String, u16>>,
 }
 
-/// Runs a case; returns 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-pub fn run(binary: &str, record: &str, plan: Plan) -> ExitCode {
-    match play(binary, record, plan) {
-        Ok(broken) => ExitCode::from(u8::from(broken)),
-        Err(e) => {
-            eprintln!("the case could not run: {e}");
-            ExitCode::from(2)
-        }
-    }
-}
-
-fn play(binary: &str, path: &str, plan: Plan) -> std::io::Result<bool> {
-    let record = Record::create(path)?;
-    let dir = std::env::temp_dir().join(format!("review-{}", std::process::id()));
-    std::fs::create_dir_all(&dir)?;
+/// Plays the case; returns whether the rule was broken.
+pub fn play(binary: &str, dir: &Path, record: &Record, plan: Plan) -> std::io::Result<bool> {
     let store = Store::start()?;
     store.set("op/config", Some(CONFIG));
     let mut machines = Vec::new();
     for (name, zone) in FRONTS {
-        machines.push(Arc::new(Machine::new(binary, &dir, name, zone, store.address)?));
+        machines.push(Arc::new(Machine::new(binary, dir, name, zone, store.address)?));
     }
     let world = Arc::new(World {
         plan,
@@ -154,12 +141,8 @@
     }
     let result = play_day(&world);
     world.is_over.store(true, Ordering::SeqCst);
-    world.machines.iter().for_each(|m| m.kill());
     result?;
-    let broken = judge(&world);
-    record.flush();
-    std::fs::remove_dir_all(&dir)?;
-    Ok(broken)
+    Ok(judge(&world))
 }
 
 fn play_day(w: &Arc<World>) -> std::io::Result<()> {
@@ -255,7 +238,9 @@
 
 /// Writes the entry of a replica at each heartbeat. It is removed after three of them without a beat.
 fn send_beats(w: &World, r: &Replica, address: SocketAddr, zone: &str) {
-    let born = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_millis());
+    let born = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis());
     for sequence in 1.. {
         let entry = format!(
             "{{\"service\":\"hire\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
@@ -280,7 +265,10 @@
         while let Ok(req) = http::read(&mut reader) {
             let id = req.header("x-attempt-id").unwrap_or("").to_owned();
             if req.header("x-expect-replica").is_some_and(|e| e != self.id) {
-                let head = format!("HTTP/1.1 421 X\r\nX-Replica-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+                let head = format!(
+                    "HTTP/1.1 421 X\r\nX-Replica-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.id
+                );
                 let _ = out.write_all(head.as_bytes());
                 continue;
             }
@@ -288,7 +276,9 @@
             let mut load = lock.lock().expect("no holder panics");
             if load.1 >= QUEUE {
                 drop(load);
-                let head = format!("HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+                let head = format!(
+                    "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+                );
                 let _ = out.write_all(head.as_bytes());
                 continue;
             }
@@ -338,14 +328,24 @@
             let _ = io.shutdown(Shutdown::Both);
         }
         let others = self.running.lock().expect("no holder panics").clone();
-        w.record.line(&format!("replica {} crashes with {request}; {} other requests ran there", self.id, others.len()));
+        w.record.line(&format!(
+            "replica {} crashes with {request}; {} other requests ran there",
+            self.id,
+            others.len()
+        ));
         let (replica, request) = (self.id.clone(), request.to_owned());
-        w.crashes.lock().expect("no holder panics").push(Crash { at: w.record.now(), replica, request, others });
+        w.crashes.lock().expect("no holder panics").push(Crash {
+            at: w.record.now(),
+            replica,
+            request,
+            others,
+        });
     }
 }
 
 fn request_text(method: &str, path: &str, id: &str, key: &str, body: &str) -> String {
-    let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    let length =
+        if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
     format!(
         "{method} {path} HTTP/1.1\r\nHost: ficu95.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n\
         Authorization: Bearer {key}\r\n{length}\r\n{body}"
@@ -367,7 +367,9 @@
         w.record.line(&format!("client of the crashing request sends {id} to {}", m.name));
         let answer = http::connect(m.front).and_then(|mut io| {
             io.set_read_timeout(Some(Duration::from_secs(3)))?;
-            io.write_all(request_text(w.plan.method, w.plan.target, &id, w.plan.key, w.plan.body).as_bytes())?;
+            io.write_all(
+                request_text(w.plan.method, w.plan.target, &id, w.plan.key, w.plan.body).as_bytes(),
+            )?;
             http::read(&mut BufReader::new(io))
         });
         let status = answer.map_or(0, |m| m.status());
@@ -387,7 +389,9 @@
         }
         std::thread::sleep(Duration::from_secs_f64(0.5 + random.unit()));
         let m = choose(&w.machines, zone, n / ZONES.len());
-        let Some(mut io) = kept.take().filter(is_open).or_else(|| http::connect(m.front).ok().map(BufReader::new)) else {
+        let Some(mut io) =
+            kept.take().filter(is_open).or_else(|| http::connect(m.front).ok().map(BufReader::new))
+        else {
             continue;
         };
         let id = format!("{n:08x}{count:08x}");
@@ -407,7 +411,9 @@
             w.record.line(&format!("client {n} gets {status} for {id}"));
         }
         w.sound.lock().expect("no holder panics").insert(id, status);
-        if answer.is_ok_and(|m| !m.header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"))) {
+        if answer
+            .is_ok_and(|m| !m.header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close")))
+        {
             kept = Some(io);
         }
     }
@@ -425,15 +431,22 @@
 /// machines in touch. Returns whether there are more than the rule allows.
 fn judge(w: &World) -> bool {
     let crashes = w.crashes.lock().expect("no holder panics");
-    let (sent_to, touched) = (w.sent_to.lock().expect("no holder panics"), w.touched.lock().expect("no holder panics"));
+    let (sent_to, touched) =
+        (w.sent_to.lock().expect("no holder panics"), w.touched.lock().expect("no holder panics"));
     let sound = w.sound.lock().expect("no holder panics");
     let third = crashes.get(2).map_or(f64::INFINITY, |c| c.at);
     let (mut late, mut lost) = (std::collections::BTreeSet::new(), 0);
     for c in crashes.iter().filter(|c| c.at > third + STABLE_WINDOW) {
         let machine = sent_to.get(&c.request).map_or("", String::as_str);
-        let last = touched.get(machine).into_iter().flatten().filter(|t| **t <= c.at).fold(0.0f64, |a, b| a.max(*b));
+        let last = touched
+            .get(machine)
+            .into_iter()
+            .flatten()
+            .filter(|t| **t <= c.at)
+            .fold(0.0f64, |a, b| a.max(*b));
         let is_touched = last > 0.0 && c.at - last < STABLE_WINDOW;
-        let broken: Vec<&String> = c.others.iter().filter(|id| sound.get(*id) != Some(&200)).collect();
+        let broken: Vec<&String> =
+            c.others.iter().filter(|id| sound.get(*id) != Some(&200)).collect();
         lost += broken.len();
         if !is_touched {
             late.insert(c.request.as_str());
@@ -445,9 +458,12 @@
             c.request, c.replica, c.at, c.at - third
         ));
     }
+    let mut statuses: std::collections::BTreeMap<u16, usize> = std::collections::BTreeMap::new();
+    sound.values().for_each(|status| *statuses.entry(*status).or_default() += 1);
     let summary = format!(
         "summary: {} crashes, the third at {third:.3} s; later than {STABLE_WINDOW} s after it, from machines in touch: {} requests \
-        reached replicas (the rule allows {ALLOWED}); sound requests broken off by the later crashes and not served: {lost} of {}",
+        reached replicas (the rule allows {ALLOWED}); sound requests broken off by the later crashes and not served: {lost} of {}; \
+        answers to sound requests by status {statuses:?}",
         crashes.len(),
         late.len(),
         sound.len()
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -64,7 +64,11 @@
             let id = req.header("x-attempt-id").unwrap_or("").to_owned();
             if req.header("x-expect-replica").is_some_and(|e| e != self.id) {
                 let _ = out.write_all(
-                    format!("HTTP/1.1 421 X\r\nX-Replica-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id).as_bytes(),
+                    format!(
+                        "HTTP/1.1 421 X\r\nX-Replica-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                        self.id
+                    )
+                    .as_bytes(),
                 );
                 continue;
             }
@@ -73,7 +77,9 @@
             if load.1 >= QUEUE {
                 drop(load);
                 self.record.line(&format!("replica {} rejects {id}: full", self.id));
-                let head = format!("HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+                let head = format!(
+                    "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+                );
                 let _ = out.write_all(head.as_bytes());
                 continue;
             }
@@ -85,7 +91,12 @@
             drop(load);
             let at = self.record.now();
             self.record.line(&format!("replica {} runs {id}: {}", self.id, req.first));
-            self.runs.lock().expect("no holder panics").entry(id.clone()).or_default().push((self.id.clone(), at));
+            self.runs
+                .lock()
+                .expect("no holder panics")
+                .entry(id.clone())
+                .or_default()
+                .push((self.id.clone(), at));
             // Mean 60 ms, as on the sheet.
             std::thread::sleep(Duration::from_secs_f64(0.03 + 0.06 * random.unit()));
             let load = {
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -2,7 +2,7 @@
 
 use super::http::{self, Message};
 use std::collections::{BTreeMap, HashMap};
-use std::io::{BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
@@ -23,8 +23,6 @@
     history: Vec<(u64, String, Option<Item>)>,
     leases: HashMap<u64, (Instant, Duration)>,
     next_lease: u64,
-    /// Whether the store is down: it accepts connections and answers no call. Leases go on.
-    is_down: bool,
 }
 
 impl State {
@@ -85,10 +83,12 @@
                 std::thread::spawn(move || s.serve(io));
             }
         });
-        std::thread::spawn(move || loop {
-            std::thread::sleep(Duration::from_millis(100));
-            b.shared.0.lock().expect("no holder panics").expire(Instant::now());
-            b.shared.1.notify_all();
+        std::thread::spawn(move || {
+            loop {
+                std::thread::sleep(Duration::from_millis(100));
+                b.shared.0.lock().expect("no holder panics").expire(Instant::now());
+                b.shared.1.notify_all();
+            }
         });
         Ok(store)
     }
@@ -100,34 +100,12 @@
         self.shared.1.notify_all();
     }
 
-    /// Whether the store is down.
-    pub fn is_down(&self) -> bool {
-        self.shared.0.lock().expect("no holder panics").is_down
-    }
-
-    /// Number of keys with a prefix.
-    pub fn count(&self, prefix: &str) -> usize {
-        let state = self.shared.0.lock().expect("no holder panics");
-        state.items.keys().filter(|k| k.starts_with(prefix)).count()
-    }
-
-    /// Begins or ends an outage. Calls that arrive in it, and watches that wait as it begins, get no
-    /// response.
-    pub fn set_down(&self, is_down: bool) {
-        self.shared.0.lock().expect("no holder panics").is_down = is_down;
-        self.shared.1.notify_all();
-    }
-
     fn serve(&self, io: TcpStream) {
         let Ok(mut out) = io.try_clone() else { return };
         let _ = out.set_nodelay(true);
         let mut reader = BufReader::new(io);
         while let Ok(req) = http::read(&mut reader) {
-            let Some((status, body)) = self.answer(&req) else {
-                // Nothing more comes on this connection.
-                let _ = reader.read_to_end(&mut Vec::new());
-                return;
-            };
+            let (status, body) = self.answer(&req);
             let head = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
@@ -138,20 +116,17 @@
         }
     }
 
-/// Returns the response to a call; `None` if the store is down.
-    fn answer(&self, req: &Message) -> Option<(u16, String)> {
+    fn answer(&self, req: &Message) -> (u16, String) {
         let (method, target) = req.request();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let query: HashMap<&str, &str> = query.split('&').filter_map(|p| p.split_once('=')).collect();
+        let query: HashMap<&str, &str> =
+            query.split('&').filter_map(|p| p.split_once('=')).collect();
         let arg = |n: &str| query.get(n).copied().unwrap_or("");
         let number = |n: &str| arg(n).parse::<u64>().unwrap_or(0);
         let body = String::from_utf8_lossy(&req.body).into_owned();
         let (lock, changed) = &*self.shared;
         let mut state = lock.lock().expect("no holder panics");
-        if state.is_down {
-            return None;
-        }
-        let response = match (method, path) {
+        match (method, path) {
             ("GET", "/kv-key") => match state.items.get(arg("key")) {
                 Some(i) => {
                     let item = item_text(arg("key"), i);
@@ -162,7 +137,8 @@
             },
             ("GET", "/kv-range") => {
                 let items = state.items.iter().filter(|(k, _)| {
-                    k.starts_with(arg("prefix")) && (arg("after").is_empty() || k.as_str() > arg("after"))
+                    k.starts_with(arg("prefix"))
+                        && (arg("after").is_empty() || k.as_str() > arg("after"))
                 });
                 let items: Vec<String> = items.map(|(k, i)| item_text(k, i)).collect();
                 let (items, rev) = (items.join(","), state.revision);
@@ -171,15 +147,17 @@
             ("GET", "/kv-watch") => {
                 let end = Instant::now() + Duration::from_millis(number("wait_ms"));
                 loop {
-                    if state.is_down {
-                        return None;
-                    }
                     let after = number("after");
-                    let news = state.history.iter().filter(|(r, k, _)| *r > after && k.starts_with(arg("prefix")));
+                    let news = state
+                        .history
+                        .iter()
+                        .filter(|(r, k, _)| *r > after && k.starts_with(arg("prefix")));
                     let events: Vec<String> = news
                         .map(|(r, k, i)| match i {
                             Some(i) => item_text(k, i),
-                            None => format!("{{\"key\":\"{k}\",\"revision\":{r},\"tombstone\":true}}"),
+                            None => {
+                                format!("{{\"key\":\"{k}\",\"revision\":{r},\"tombstone\":true}}")
+                            }
                         })
                         .collect();
                     let now = Instant::now();
@@ -218,18 +196,17 @@
                 let key = field(&body, "key");
                 let lease: u64 = field(&body, "lease").parse().unwrap_or(0);
                 if key.starts_with("op/") || key.starts_with("servers/") {
-                    return Some((403, "{}".into()));
+                    return (403, "{}".into());
                 }
                 if lease != 0 && !state.leases.contains_key(&lease) {
-                    return Some((404, "{}".into()));
+                    return (404, "{}".into());
                 }
                 state.write(&key, Some((field(&body, "value"), lease)));
                 changed.notify_all();
                 (200, format!("{{\"revision\":{}}}", state.revision))
             }
             _ => (400, "{}".into()),
-        };
-        Some(response)
+        }
     }
 }
 
