Close the connections of a stopping instance before it exits

Cause: the decision to exit and the tasks that read requests knew nothing of each other. `stop` found no active request, waited 20 ms for the log thread and returned; meanwhile kept connections were read as before, requests were sent on, and all tasks were dropped with the runtime. The same at the end of the grace period: a generation without a response was dropped, not answered.

Ruled out: the end of the grace period (the requests came 2.6 s to 6.3 s after SIGTERM, grace is 8 s), the refusal of late requests (their deadlines were within the grace), replicas and links (the runs ended with the connection).

Change: `shutdown::Drain` takes the instance through phases, from the present time and what is open. Closing: the listener and idle connections are closed unread, and what was read is answered; the process exits once no connection is open. Expiring, 600 ms before the kill: requests without a response are refused as not run if they were not sent, and get an unknown outcome otherwise. Stopped: nothing is read. What could outlast the instance is refused from a third of a short grace period on. Related: signal handlers are installed before the first address is bound, since a signal in between ended the process with requests read; requests do not wait for a first configuration at an instance that stops; probes are not read once it exits.

Why it works: an instance exits only when no connection is open, and a connection that is read counts as open until it is answered, so there is no moment between the decision and the exit at which a request can be taken.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -27,7 +27,7 @@
 use crate::problem::{Problem, ProblemKind};
 use crate::process::Process;
 use crate::quarantine::{Quarantine, Runs};
-use crate::shutdown;
+use crate::shutdown::StopSignals;
 use crate::store::{Etcd, InstanceList};
 use crate::text::Text;
 use actix_http::{Method, Request, Response};
@@ -52,6 +52,8 @@
     Peer(PeerError),
     /// The HTTP address could not be bound.
     Http(std::io::Error),
+    /// A signal handler could not be installed.
+    Signal(std::io::Error),
 }
 
 /// State shared by the request handlers and background tasks of an entry.
@@ -82,6 +84,7 @@
 ///
 /// Returns [`EntryError`] if the peer or the HTTP address cannot be bound.
 pub async fn run(process: Process, metrics: http::Metrics) -> Result<(), EntryError> {
+    let mut stop_signals = StopSignals::install().map_err(EntryError::Signal)?;
     let settings = process.settings.clone();
     let listener = Listener::bind(settings.peer).map_err(EntryError::Peer)?;
     let web = http::bind(settings.http).await.map_err(EntryError::Http)?;
@@ -116,7 +119,7 @@
     actix_rt::spawn(history::run(entry.clone()));
     let handler = entry.clone();
     actix_rt::spawn(http::serve(web, move |req| handle(handler.clone(), req)));
-    shutdown::wait_for_signal().await;
+    stop_signals.wait().await;
     stop(&entry).await;
     Ok(())
 }
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -42,6 +42,10 @@
     LinesDropped = 104,
     /// A process has reloaded its settings.
     Reloaded = 103,
+    /// A stopping process closes idle connections and accepts no new ones.
+    Closing = 105,
+    /// A stopping process answers the requests that its endpoints have not answered.
+    Expiring = 106,
     /// A frame had an invalid length, signature or body and was dropped.
     FrameDropped = 110,
     /// A link to a peer came up, for the first time or after an outage.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -65,6 +65,8 @@
     Overloaded,
     /// The request was quarantined while the endpoint had not answered it yet.
     Quarantined,
+    /// This instance stops before the response was complete.
+    Stopping,
 }
 
 impl AttemptError {
@@ -83,10 +85,10 @@
     /// Returns whether the error counts against the endpoint's health. A full endpoint is healthy.
     pub fn is_endpoint_failure(self) -> bool {
         use AttemptError::{
-            Evacuated, Full, Gone, Leaving, Limited, Overloaded, Paused, Quarantined,
+            Evacuated, Full, Gone, Leaving, Limited, Overloaded, Paused, Quarantined, Stopping,
         };
         let is_held = matches!(self, Leaving | Evacuated | Paused | Limited);
-        !is_held && !matches!(self, Full | Gone | Overloaded | Quarantined)
+        !is_held && !matches!(self, Full | Gone | Overloaded | Quarantined | Stopping)
     }
 }
 
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -17,6 +17,7 @@
 use crate::route::Route;
 use crate::speed::{Slowness, Speed};
 use crate::sse::EventId;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -245,13 +246,18 @@
     Problem::new(kind, detail).retry_after(super::jitter(retry_after))
 }
 
-/// Sends a generation to engines until one responds.
+/// Sends a generation to engines until one responds. `may_run` tells the caller of a dispatch that is
+/// cut short whether the generation may have run.
 ///
 /// # Errors
 ///
 /// Returns a problem if the generation was not admitted in time, the attempts are used up, or an
 /// attempt may have run and the generation is not idempotent.
-pub async fn dispatch(gw: &Rc<Gateway>, job: &Job) -> Result<Segment, Problem> {
+pub async fn dispatch(
+    gw: &Rc<Gateway>,
+    job: &Job,
+    may_run: &Cell<bool>,
+) -> Result<Segment, Problem> {
     retries::note_request(gw, &job.service);
     gw.pool.borrow_mut().note_demand(&job.service);
     let mut tried: Vec<PoolKey> = Vec::new();
@@ -268,7 +274,10 @@
             }
         };
         let guard = WorkGuard::new(gw, key, job.expected_work());
-        let error = match open_segment(gw, job, guard, None, None).await {
+        may_run.set(true);
+        let opened = open_segment(gw, job, guard, None, None).await;
+        may_run.set(runs > 0);
+        let error = match opened {
             Ok(segment) => return Ok(Segment { runs: runs + 1, denials, passed, ..segment }),
             // Another request took the permit meanwhile.
             Err(AttemptError::Limited) => {
@@ -288,6 +297,7 @@
             quarantine::check_crash(gw, job, key);
         }
         runs += u32::from(!error.is_not_executed());
+        may_run.set(runs > 0);
         let may_rerun =
             job.is_idempotent() && runs < job.route.max_attempts && quarantine::may_rerun(gw, job);
         if runs > 0 && !may_rerun {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -16,6 +16,7 @@
 use crate::platform::{self, ForwardParams};
 use crate::pool::{Availability, Endpoint, PoolKey};
 use crate::problem::{Problem, ProblemKind};
+use crate::shutdown::Phase;
 use actix_http::body::BodySize;
 use bytes::{Bytes, BytesMut};
 use std::rc::Rc;
@@ -40,14 +41,17 @@
 /// Serves a plain request. Dropping the attempt when the caller disconnects closes the connection
 /// to the endpoint, which cancels the request there.
 pub async fn answer(gw: &Rc<Gateway>, conn: &mut Inbound, job: &Job) -> Disposition {
-    let result = tokio::select! {
-        result = send_with_retries(gw, job) => result,
+    let mut attempts = Attempts::default();
+    let sent = tokio::select! {
+        result = send_with_retries(gw, job, &mut attempts) => Some(result),
+        () = gw.reached(Phase::Expiring) => None,
         () = conn.closed() => {
             gw.event(Kind::Abandoned, log_id(job.meta.id.as_ref()), "");
             return Disposition::Abort;
         }
     };
-    let close = gw.stopping_since.get().is_some();
+    let result = sent.unwrap_or_else(|| expire(job, &mut attempts));
+    let close = gw.is_stopping();
     match result {
         Ok(CallResponse::Complete(response, body)) => {
             record_answer(gw, job, &response);
@@ -154,6 +158,8 @@
     reached: usize,
     /// Endpoints that may have run the request.
     runs: u32,
+    /// Whether an attempt is under way.
+    is_sending: bool,
     /// Whether the request has waited for its turn at a limited endpoint.
     has_waited: bool,
     /// Latest server error from an endpoint, passed on if no attempt succeeds.
@@ -162,20 +168,23 @@
 
 /// Sends a request to endpoints until one responds without a server error, or no further attempt
 /// is allowed.
-async fn send_with_retries(gw: &Rc<Gateway>, job: &Job) -> Result<CallResponse, Problem> {
+async fn send_with_retries(
+    gw: &Rc<Gateway>,
+    job: &Job,
+    attempts: &mut Attempts,
+) -> Result<CallResponse, Problem> {
     retries::note_request(gw, &job.service);
     gw.pool.borrow_mut().note_demand(&job.service);
-    let mut attempts = Attempts::default();
     loop {
-        let Some(permit) = permit_attempt(gw, job, &attempts).await else { break };
-        let Some(key) = next_endpoint(gw, job, &attempts) else {
+        let Some(permit) = permit_attempt(gw, job, attempts).await else { break };
+        let Some(key) = next_endpoint(gw, job, attempts) else {
             permit.release();
-            if attempts.runs > 0 || !wait_for_endpoint(gw, job, &mut attempts).await {
+            if attempts.runs > 0 || !wait_for_endpoint(gw, job, attempts).await {
                 break;
             }
             continue;
         };
-        let error = match attempt_call(gw, job, key, permit, &mut attempts).await {
+        let error = match attempt_call(gw, job, key, permit, attempts).await {
             Ok(response) => return Ok(response),
             Err(error) => error,
         };
@@ -201,7 +210,10 @@
     attempts: &mut Attempts,
 ) -> Result<CallResponse, AttemptError> {
     attempts.tried.push(key);
-    let error = match try_endpoint(gw, job, key).await {
+    attempts.is_sending = true;
+    let result = try_endpoint(gw, job, key).await;
+    attempts.is_sending = false;
+    let error = match result {
         Ok(CallResponse::Complete(response, body)) if response.info.status.is_server_error() => {
             let is_paused = response.info.pause.is_some();
             attempts.error_response = Some((response, body));
@@ -311,15 +323,23 @@
 /// Returns the final result for a request that may have run and must not be sent again.
 fn final_response(
     job: &Job,
-    attempts: Attempts,
+    attempts: &mut Attempts,
     error: AttemptError,
 ) -> Result<CallResponse, Problem> {
-    match attempts.error_response {
+    match attempts.error_response.take() {
         Some((response, body)) => Ok(CallResponse::Complete(response, body)),
         None => Err(attempt::unknown_outcome(job, error)),
     }
 }
 
+/// Builds the final result for a request that is not finished when this instance has to exit.
+fn expire(job: &Job, attempts: &mut Attempts) -> Result<CallResponse, Problem> {
+    if attempts.is_sending || attempts.runs > 0 {
+        return final_response(job, attempts, AttemptError::Stopping);
+    }
+    Err(job.stop_refusal())
+}
+
 /// Sends a request to one endpoint and reads up to [`RETRY_BUFFER_BYTES`] of the response.
 async fn try_endpoint(
     gw: &Rc<Gateway>,
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -23,6 +23,8 @@
 
 /// Retry delay suggested to a refused caller when no better estimate exists.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Retry delay suggested to the callers of a stopping instance, who can reach another one at once.
+const STOP_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// A suggested retry delay is at most the caller's remaining time divided by this. Callers do not
 /// retry after longer delays.
 const RETRY_AFTER_DIVISOR: u32 = 4;
@@ -302,6 +304,13 @@
         Problem::new(kind, detail).retry_after(after)
     }
 
+    /// Builds a refusal for a request that could not finish before this instance stops. Callers reach
+    /// a stopping instance if it is the only one in their data centre, or over a kept connection.
+    pub fn stop_refusal(&self) -> Problem {
+        let problem = Problem::new(ProblemKind::Draining, "this instance is shutting down");
+        problem.retry_after(STOP_RETRY_AFTER)
+    }
+
     /// Builds a refusal with a retry delay, for a request that has not run.
     pub fn refusal(&self, now: Instant, kind: ProblemKind, detail: &str) -> Problem {
         Problem::new(kind, detail).retry_after(self.retry_after(now))
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -46,6 +46,7 @@
 use crate::prompts::Pauses;
 use crate::quarantine::{Quarantine, Runs};
 use crate::route::Table;
+use crate::shutdown::{Drain, OpenWork, Phase, StopSignals};
 use crate::store::Position;
 use actix_http::{KeepAlive, ServiceConfig};
 use slotmap::SecondaryMap;
@@ -63,11 +64,10 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which the settings file is read again, since it may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
-/// Minimum time for which a stopping instance keeps accepting connections: the platform probes
-/// readiness once a second and needs up to two probes to notice that the instance is not ready.
-const MIN_DRAIN_TIME: Duration = Duration::from_millis(2600);
-/// Part of the grace period before SIGKILL that a stopping instance leaves unused.
-const GRACE_RESERVE: Duration = Duration::from_millis(600);
+/// Interval at which a stopping instance checks what is open.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for the log thread to write the last lines.
+const LOG_FLUSH_TIME: Duration = Duration::from_millis(20);
 
 /// The reason why an instance cannot start.
 #[derive(Debug)]
@@ -80,7 +80,7 @@
     NoFront,
     /// Listening on an address failed.
     Bind(SocketAddr, std::io::Error),
-    /// The SIGHUP handler cannot be installed.
+    /// A signal handler cannot be installed.
     Signal(std::io::Error),
 }
 
@@ -91,7 +91,7 @@
             GatewayError::Settings(e) => write!(f, "{e}"),
             GatewayError::NoFront => f.write_str("listen.front is missing"),
             GatewayError::Bind(a, e) => write!(f, "cannot listen on {a}: {e}"),
-            GatewayError::Signal(e) => write!(f, "cannot install the SIGHUP handler: {e}"),
+            GatewayError::Signal(e) => write!(f, "cannot install a signal handler: {e}"),
         }
     }
 }
@@ -122,8 +122,12 @@
     connections: Cell<u32>,
     /// Number of requests in progress.
     active_requests: Cell<u32>,
-    /// When this instance was asked to stop; `None` while it runs normally.
-    stopping_since: Cell<Option<Instant>>,
+    /// Stop under way; `None` while this instance runs normally.
+    drain: Cell<Option<Drain>>,
+    /// How far the stop has come.
+    phase: Cell<Phase>,
+    /// Notified when `phase` changes.
+    phase_changed: Notify,
     /// Configuration of the HTTP/1 codecs.
     codec: ServiceConfig,
     store: KvClient,
@@ -204,6 +208,8 @@
     metrics: Metrics,
     port: Option<u16>,
 ) -> Result<(), GatewayError> {
+    let mut stop_signals = StopSignals::install().map_err(GatewayError::Signal)?;
+    let hangups = signal(SignalKind::hangup()).map_err(GatewayError::Signal)?;
     let front = settings.caller_address.ok_or(GatewayError::NoFront)?;
     let gw = Rc::new(Gateway::new(&settings, metrics));
     gw.event(Kind::Started, &settings.instance, format_args!("data_centre={}", settings.centre));
@@ -224,9 +230,8 @@
         copy::start(&gw, address).await?;
         actix_rt::spawn(quarantine::run_gossip(gw.clone()));
     }
-    let hangups = signal(SignalKind::hangup()).map_err(GatewayError::Signal)?;
     actix_rt::spawn(reload(gw.clone(), file, hangups));
-    crate::shutdown::wait_for_signal().await;
+    stop_signals.wait().await;
     stop(&gw).await;
     Ok(())
 }
@@ -260,7 +265,9 @@
             unread: RefCell::default(),
             connections: Cell::new(0),
             active_requests: Cell::new(0),
-            stopping_since: Cell::new(None),
+            drain: Cell::default(),
+            phase: Cell::default(),
+            phase_changed: Notify::new(),
             codec: codec(),
             store: KvClient::new(settings.store_address),
             metrics,
@@ -322,15 +329,25 @@
         self.table.borrow().as_ref().map_or(0, |t| t.version.0)
     }
 
-    /// Returns when a stopping instance exits even if requests are still in progress.
-    fn stop_deadline(&self) -> Option<Instant> {
-        let grace = self.settings.borrow().stop_grace.saturating_sub(GRACE_RESERVE);
-        self.stopping_since.get().map(|begun| begun + grace)
+    /// Returns whether this instance has been asked to stop.
+    fn is_stopping(&self) -> bool {
+        self.phase.get() > Phase::Serving
+    }
+
+    /// Waits until the stop of this instance has reached a phase.
+    async fn reached(&self, phase: Phase) {
+        loop {
+            let changed = self.phase_changed.notified();
+            if self.phase.get() >= phase {
+                return;
+            }
+            changed.await;
+        }
     }
 
     /// Returns whether new connections should be sent to this instance.
     fn is_ready(&self) -> bool {
-        self.stopping_since.get().is_none() && self.table.borrow().is_some()
+        !self.is_stopping() && self.table.borrow().is_some()
     }
 }
 
@@ -409,32 +426,38 @@
     }
 }
 
-/// Returns once the platform has stopped sending connections and every request is finished, or at
-/// the stop deadline. Requests that could outlast the deadline are refused by [`serve`].
+/// Takes this instance through the phases of its stop, and returns once the process can exit.
 async fn stop(gw: &Gateway) {
-    let begun = clock::now();
-    gw.stopping_since.set(Some(begun));
     let settings = gw.settings.borrow().clone();
-    gw.event(
-        Kind::Draining,
-        &settings.instance,
-        format_args!("active={}", gw.active_requests.get()),
-    );
+    let mut drain = Drain::new(clock::now(), settings.stop_grace);
+    gw.drain.set(Some(drain));
+    let mut phase = Phase::Draining;
     loop {
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        let now = clock::now();
-        let is_done = now >= begun + MIN_DRAIN_TIME && gw.active_requests.get() == 0;
-        if is_done || gw.stop_deadline().is_some_and(|end| now >= end) {
+        if gw.phase.replace(phase) != phase {
+            log_phase(gw, &settings.instance, phase);
+            gw.phase_changed.notify_waiters();
+        }
+        if phase == Phase::Stopped {
             break;
         }
+        tokio::time::sleep(STOP_CHECK_INTERVAL).await;
+        let open =
+            OpenWork { connections: gw.connections.get(), requests: gw.active_requests.get() };
+        phase = drain.step(clock::now(), open);
     }
-    gw.event(
-        Kind::Stopped,
-        &settings.instance,
-        format_args!("active={}", gw.active_requests.get()),
-    );
-    // Leave the log thread time to write the last lines.
-    tokio::time::sleep(Duration::from_millis(20)).await;
+    tokio::time::sleep(LOG_FLUSH_TIME).await;
+}
+
+fn log_phase(gw: &Gateway, instance: &InstanceId, phase: Phase) {
+    let kind = match phase {
+        Phase::Serving => return,
+        Phase::Draining => Kind::Draining,
+        Phase::Closing => Kind::Closing,
+        Phase::Expiring => Kind::Expiring,
+        Phase::Stopped => Kind::Stopped,
+    };
+    let (active, connections) = (gw.active_requests.get(), gw.connections.get());
+    gw.event(kind, instance, format_args!("active={active} connections={connections}"));
 }
 
 /// Varies a duration randomly by up to a quarter either way, so that instances do not act in
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -6,8 +6,9 @@
 use crate::clock;
 use crate::h1::{Inbound, ReadError, RequestLimits};
 use crate::platform;
-use crate::problem::{Problem, ProblemKind};
+use crate::problem::Problem;
 use crate::route::RouteKind;
+use crate::shutdown::Phase;
 use crate::startup;
 use actix_http::{Response, StatusCode};
 use actix_rt::net::{TcpListener, TcpStream};
@@ -20,15 +21,17 @@
 const CALLER_FD_SHARE: f64 = 0.45;
 /// Time after which a caller may send a body again for which there was no memory.
 const BODY_RETRY_TIME: Duration = Duration::from_millis(500);
-/// Time after the stop signal from which no new generation starts: it would not end in time.
-const DRAIN_START_CUTOFF: Duration = Duration::from_millis(2500);
 /// Time that an idle connection stays open beyond the timeout that callers are told.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
-/// Accepts callers for as long as the process runs.
+/// Accepts callers until this instance closes.
 pub async fn accept_callers(gw: Rc<Gateway>, listener: TcpListener) {
     loop {
-        let io = accept(&listener).await;
+        let io = tokio::select! {
+            biased;
+            () = gw.reached(Phase::Closing) => return,
+            io = accept(&listener) => io,
+        };
         let limit = f64::from(gw.settings.borrow().max_sockets) * CALLER_FD_SHARE;
         if f64::from(gw.connections.get()) >= limit {
             // Reading the request only to refuse it would hold the same descriptor.
@@ -71,14 +74,30 @@
 
 async fn serve_connection(gw: Rc<Gateway>, io: TcpStream) {
     let _open = CountGuard::new(&gw.connections);
-    let mut conn = Inbound::new(io, &gw.codec);
+    let conn = Inbound::new(io, &gw.codec);
+    tokio::select! {
+        biased;
+        () = gw.reached(Phase::Stopped) => {}
+        () = serve_requests(&gw, conn) => {}
+    }
+}
+
+async fn serve_requests(gw: &Rc<Gateway>, mut conn: Inbound) {
     loop {
         let limits = gw.table.borrow().as_ref().map_or_else(RequestLimits::default, |t| t.limits);
-        if conn.wait_readable(limits.idle_timeout + IDLE_MARGIN).await.is_err() {
+        let is_readable = tokio::select! {
+            // A request that is there when the instance closes is read and answered.
+            biased;
+            readable = conn.wait_readable(limits.idle_timeout + IDLE_MARGIN) => readable.is_ok(),
+            () = gw.reached(Phase::Closing) => false,
+        };
+        if !is_readable {
             return;
         }
-        let _active = CountGuard::new(&gw.active_requests);
-        match serve_request(&gw, &mut conn, &limits).await {
+        let active = CountGuard::new(&gw.active_requests);
+        let disposition = serve_request(gw, &mut conn, &limits).await;
+        drop(active);
+        match disposition {
             Disposition::Keep => {}
             Disposition::Close => return conn.close().await,
             Disposition::Abort => return,
@@ -97,7 +116,7 @@
         Err(e) => return answer_read_error(gw, conn, &e).await,
     };
     let now = clock::now();
-    let close = gw.stopping_since.get().is_some();
+    let close = gw.is_stopping();
     let meta = platform::parse_request(&req);
     let id = meta.id.clone();
     if !wait_for_table(gw, conn, now, meta.timeout).await {
@@ -128,7 +147,7 @@
     since: Instant,
     timeout: Option<Duration>,
 ) -> bool {
-    if gw.table.borrow().is_some() {
+    if gw.table.borrow().is_some() || gw.is_stopping() {
         return true;
     }
     let has_peers = !gw.peers.borrow().is_empty();
@@ -145,11 +164,9 @@
 /// Refuses a request that could not finish before this instance stops. Callers reach a stopping
 /// instance if it is the only one in their data centre, or over a kept-alive connection.
 fn check_draining(gw: &Gateway, job: Job) -> Result<Job, Problem> {
-    let is_late = gw.stopping_since.get().is_some_and(|t| job.received >= t + DRAIN_START_CUTOFF);
-    let outlasts = gw.stop_deadline().is_some_and(|end| job.deadline > end);
-    if is_late && (outlasts || job.route.kind == RouteKind::Streaming) {
-        let problem = Problem::new(ProblemKind::Draining, "this instance is shutting down");
-        return Err(problem.retry_after(Duration::from_millis(100)));
+    let is_generation = job.route.kind == RouteKind::Streaming;
+    if gw.drain.get().is_some_and(|d| d.refuses(job.received, job.deadline, is_generation)) {
+        return Err(job.stop_refusal());
     }
     Ok(job)
 }
@@ -200,7 +217,11 @@
 /// Accepts connections that ask for readiness or metrics.
 pub async fn accept_probes(gw: Rc<Gateway>, listener: TcpListener) {
     loop {
-        let io = accept(&listener).await;
+        let io = tokio::select! {
+            biased;
+            () = gw.reached(Phase::Stopped) => return,
+            io = accept(&listener) => io,
+        };
         actix_rt::spawn(serve_probes(gw.clone(), io));
     }
 }
@@ -208,7 +229,15 @@
 async fn serve_probes(gw: Rc<Gateway>, io: TcpStream) {
     let mut conn = Inbound::new(io, &gw.codec);
     let limits = RequestLimits::default();
-    while conn.wait_readable(limits.idle_timeout).await.is_ok() {
+    loop {
+        let is_readable = tokio::select! {
+            biased;
+            () = gw.reached(Phase::Stopped) => false,
+            readable = conn.wait_readable(limits.idle_timeout) => readable.is_ok(),
+        };
+        if !is_readable {
+            return;
+        }
         let Ok((req, _)) = conn.read_request(&limits, |_| true).await else { return };
         if let Some(path) = platform::explained_path(&req) {
             let (head, body) = explain::answer(&gw, req, &path);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -15,6 +15,7 @@
 use crate::h1::{Broken, Framing, Inbound};
 use crate::platform;
 use crate::pool::TokenTimer;
+use crate::shutdown::Phase;
 use crate::sse::{self, EventId, EventOrder, EventScanner};
 use actix_http::body::BodySize;
 use bytes::{Bytes, BytesMut};
@@ -88,14 +89,19 @@
 /// Serves a generation. Dropping the segment when the caller disconnects closes the connection to
 /// the engine, which cancels the generation there.
 pub async fn answer(gw: &Rc<Gateway>, conn: &mut Inbound, job: &Job) -> Disposition {
+    let may_run = Cell::new(false);
     let dispatched = tokio::select! {
-        dispatched = begin::dispatch(gw, job) => dispatched,
+        dispatched = begin::dispatch(gw, job, &may_run) => dispatched,
+        () = gw.reached(Phase::Expiring) => Err(match may_run.get() {
+            true => attempt::unknown_outcome(job, AttemptError::Stopping),
+            false => job.stop_refusal(),
+        }),
         () = conn.closed() => {
             gw.event(Kind::Abandoned, log_id(job.meta.id.as_ref()), "events=0");
             return Disposition::Abort;
         }
     };
-    let close = gw.stopping_since.get().is_some();
+    let close = gw.is_stopping();
     match dispatched {
         Ok(segment) if segment.response.info.status.is_success() => {
             let holder = Rc::new(Holder::new(gw, log_id(job.meta.id.as_ref())));
@@ -128,17 +134,20 @@
     close: bool,
 ) -> Disposition {
     let mut response = segment.response;
-    let read =
-        tokio::time::timeout_at(job.deadline.into(), response.out.read_body(MAX_BODY_BYTES)).await;
+    let read = tokio::select! {
+        body = response.out.read_body(MAX_BODY_BYTES) => body.ok(),
+        () = gw.reached(Phase::Expiring) => None,
+        () = tokio::time::sleep_until(job.deadline.into()) => None,
+    };
     match read {
-        Ok(Ok(body)) => {
+        Some(body) => {
             let detail = format!("endpoint={} status={}", response.endpoint, response.info.status);
             let id = log_id(job.meta.id.as_ref());
             gw.event(Kind::Answered, id, detail);
             let head = platform::response_head(&response.head);
             unread::respond(gw, conn, id, head, body, close).await
         }
-        _ => {
+        None => {
             let problem = attempt::unknown_outcome(job, AttemptError::Broken);
             let sent = job::refuse(gw, conn, job.meta.id.as_ref(), &problem, close).await;
             disposition(conn, sent, close)
--- a/src/shutdown/mod.rs
+++ b/src/shutdown/mod.rs
@@ -1,16 +1,38 @@
-//! Shutdown on request by signal.
+//! Shutdown on request by signal, and the phases of an instance that stops.
 
-use tokio::signal::unix::{SignalKind, signal};
+mod drain;
 
-/// Waits for SIGTERM or SIGINT; never returns if the signal handlers cannot be installed.
-pub async fn wait_for_signal() {
-    let (Ok(mut term), Ok(mut int)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+pub use drain::{Drain, OpenWork, Phase};
+
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Handlers of the signals that ask a process to stop. The process is not ended by these signals
+/// from then on.
+#[derive(Debug)]
+pub struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Installs the handlers of SIGTERM and SIGINT. Called before a process accepts requests, which
+    /// an unhandled signal would cut off.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a handler cannot be installed.
+    pub fn install() -> std::io::Result<StopSignals> {
+        Ok(StopSignals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for one of the signals.
+    pub async fn wait(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
 }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -22,7 +22,7 @@
 use crate::peer::{Listener, PeerError};
 use crate::process::Process;
 use crate::settings::{Admission, EndpointKind, EndpointSettings};
-use crate::shutdown;
+use crate::shutdown::StopSignals;
 use crate::store::{Era, Etcd, MARKER_KEY, Op, Position, Store};
 use actix_http::ServiceConfig;
 use polls::Polls;
@@ -55,6 +55,8 @@
     Peer(PeerError),
     /// The HTTP address could not be bound.
     Http(std::io::Error),
+    /// A signal handler could not be installed.
+    Signal(std::io::Error),
 }
 
 /// State shared by the tasks of the sidecar.
@@ -81,6 +83,7 @@
 ///
 /// Returns [`SidecarError`] if the settings name no endpoint or an address cannot be bound.
 pub async fn run(process: Process, metrics: http::Metrics) -> Result<(), SidecarError> {
+    let mut stop_signals = StopSignals::install().map_err(SidecarError::Signal)?;
     let endpoint = process.settings.endpoint.clone().ok_or(SidecarError::NoEndpoint)?;
     // A sidecar keeps the configuration for entries that start while the store is unavailable.
     process.intent.replace(Intent::relay());
@@ -109,7 +112,7 @@
         let metrics = metrics.clone();
         async move { handle_http(req, &metrics) }
     }));
-    shutdown::wait_for_signal().await;
+    stop_signals.wait().await;
     drain(&sidecar).await;
     Ok(())
 }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod balance;
 mod cold;
 mod coordinators;
+mod drain;
 mod evacuate;
 mod evacuation;
 mod explain;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,5 +15,6 @@
 mod notices;
 mod polls;
 mod retries;
+mod shutdown;
 mod store_return;
 mod streams;
