Identify a crashing request by its method, host, query and workspace

Callers saw: a look-up that crashes each replica was never refused, and went on crashing them for as long as it was sent; sound requests there ended with 502.

Cause: the fingerprint of a content had the path, the API key and the body. Sound look-ups that differ in the query shared it, so their success cleared the crashes of the other one, and its refusal was theirs. The method and the host were left out as well, and callers of one workspace with two keys were told apart, though an endpoint is given the workspace and not the key.

Ruled out: the count of crashes (a crashing request with a path of its own is refused after three), messages between instances (one instance alone shows it).

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -8,6 +8,7 @@
 use crate::frame::{Crash, Gossip, PartsGossip, Refusal};
 use crate::gossip::PeerMessage;
 use crate::id::{EndpointId, Fingerprint, Incarnation, PartId};
+use crate::platform;
 use crate::pool::PoolKey;
 use crate::problem::{Problem, ProblemKind};
 use crate::quarantine::{MAX_CRASHES, RefusedParts, RunKey, Scope, Standing};
@@ -106,11 +107,19 @@
     }
 }
 
-/// Identifies the content of a request: repeats of it have the same path, API key and body.
+/// Identifies the content of a request by what its endpoint is given: repeats of it have the same
+/// method, host, path, query, workspace and body. A workspace may have several API keys, of which
+/// endpoints learn nothing; without a workspace the key tells callers apart.
 fn fingerprint(job: &Job) -> Fingerprint {
-    let path = job.req.uri().path().as_bytes();
-    let key = job.meta.key.as_deref().unwrap_or("").as_bytes();
-    Fingerprint::of(&[path, key, &job.body])
+    let target = job.req.uri().path_and_query().map_or("", |target| target.as_str());
+    let host = platform::host(&job.req).to_ascii_lowercase();
+    let (kind, caller) = match &job.workspace {
+        Some(owner) => ("workspace", owner.workspace.as_str()),
+        None => ("key", job.meta.key.as_deref().unwrap_or("")),
+    };
+    let head = [job.req.method().as_str(), &host, target, kind, caller].map(str::as_bytes);
+    let [method, host, target, kind, caller] = head;
+    Fingerprint::of(&[method, host, target, kind, caller, &job.body])
 }
 
 /// Refuses a request whose content or whose part has crashed too many endpoints.
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -169,6 +169,8 @@
     down_until: Mutex<Option<Instant>>,
     /// Part of a prompt that crashes the endpoint, and how long it is down then.
     crash_part: Mutex<Option<(String, Duration)>>,
+    /// Target of a request that crashes the endpoint, and how long it is down then.
+    crash_target: Mutex<Option<(String, Duration)>>,
     /// Number of crashes after which the endpoint serves again.
     restarts: Arc<AtomicU32>,
     /// Connections accepted since the last crash.
@@ -177,7 +179,7 @@
 
 /// Time after which an endpoint breaks off a stream that is not read.
 pub const UNREAD_TIMEOUT: Duration = Duration::from_secs(4);
-/// Time from the head of a response to the crash of an endpoint by a part of the prompt.
+/// Time from a request, or the head of its response, to the crash of an endpoint.
 const CRASH_DELAY: Duration = Duration::from_millis(60);
 
 impl State {
@@ -229,6 +231,13 @@
         let mut parts = req.header("x-prompt-prefix")?.split(',');
         parts.any(|p| p.split(':').next() == Some(&part)).then_some(down)
     }
+
+    /// Returns how long the endpoint is down after it has received the request; `None` if the
+    /// request does not crash it.
+    fn target_crash_time(&self, req: &Request) -> Option<Duration> {
+        let (target, down) = self.crash_target.lock().ok()?.clone()?;
+        (req.target == target).then_some(down)
+    }
 }
 
 /// Running endpoint.
@@ -262,6 +271,7 @@
             listener: Mutex::new(Arc::new(listener)),
             down_until: Mutex::default(),
             crash_part: Mutex::default(),
+            crash_target: Mutex::default(),
             restarts: Arc::default(),
             connections: Mutex::default(),
         });
@@ -304,6 +314,12 @@
         *self.state.crash_part.lock().expect("no holder panics") = crash;
     }
 
+    /// Crashes, for this time, whenever the endpoint receives a request with this path and query.
+    pub fn crash_on_target(&self, target: &str, down: Duration) {
+        let crash = Some((target.to_owned(), down));
+        *self.state.crash_target.lock().expect("no holder panics") = crash;
+    }
+
     /// Crashes: breaks off all responses, and refuses connections for this time.
     pub fn crash(&self, down: Duration) {
         self.state.crash(down);
@@ -475,7 +491,7 @@
     let ran = !matches!(action, Action::NotExecuted | Action::Misdirected | Action::Pause(_));
     let pause = if let Action::Pause(time) = action { Some(time) } else { None };
     let closed = Arc::new(AtomicBool::new(false));
-    let crash_time = state.crash_time(&req);
+    let (crash_time, target_crash) = (state.crash_time(&req), state.target_crash_time(&req));
     let continued =
         req.header("kv-from").and_then(|v| v.rsplit_once('/')).map(|(_, tag)| tag.to_owned());
     let last = req.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
@@ -489,6 +505,10 @@
     let extra = state.extra_headers.lock().ok()?.clone();
     let id_header = format!("X-Attempt-Id: {id}\r\n{extra}");
     let sealed_headers = format!("{id_header}X-Replica-Seal: s.{id}\r\nX-Replica-Load: 1,0,8\r\n");
+    if let Some(down) = target_crash {
+        std::thread::sleep(CRASH_DELAY);
+        return state.crash(down);
+    }
     if let Some(down) = crash_time {
         stream::begin_stream(writer, &sealed_headers)?;
         std::thread::sleep(CRASH_DELAY);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod cold;
 mod common;
+mod crashing_contents;
 mod crashing_parts;
 mod endless;
 mod evacuation;
