Keep what is known of crashing requests over restarts, and end refusals in time

A refused content, on the other hand, was refused for good.

Cause: an instance was told of contents only when they changed, for 3 s. One that starts, comes back from a pause or lost the messages knew nothing of them until it had seen three crashes itself; what crashed endpoints was in memory alone, so a restart of all instances lost it. Parts of prompts were told, repeated and stored; contents were not. Crashes of contents had no time, so nothing could end.

Ruled out: the count in one instance (TROUBLE=0 holds), lost datagrams (each restarted instance was missing it), the scope of the message to a started instance (it applies to parts only).

Change: instances that follow the store tell one that starts all suspected contents, in messages of the size of a datagram; they repeat refused ones each second as they do for parts, and write them to the store, with the wall time of writing. A crash has its time, which messages carry as an age; it is forgotten after ten minutes, as for parts. A refusal states when it ends. Related, for parts: a value read from the store counted its crashes as of the reading, so each restart began the ten minutes anew; its lease now ends with the refusal.

Why it works: what others still hold to reaches a new process from the store, from its peers when it registers, and again each second, whichever comes first, and it ends at all of them at the same time.

--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -71,7 +71,7 @@
     pub fn record_completion(&self) {
         let Some(request) = &self.request else { return };
         self.is_whole.set(true);
-        if self.entry.quarantine.borrow_mut().clear(clock::now(), &request.content) {
+        if self.entry.quarantine.borrow_mut().clear(clock::now(), &request.content, None) {
             self.entry.process.event(Kind::Cleared, request.content, "");
         }
         if let Some(e) = self.entry.board.borrow_mut().endpoints.get_mut(self.endpoint) {
--- a/src/frame/mod.rs
+++ b/src/frame/mod.rs
@@ -372,6 +372,29 @@
     pub content: Fingerprint,
     /// The crashes, each as the incarnation of the sidecar and [`Crash::number`].
     pub crashes: Vec<(Incarnation, u32)>,
+    /// The runs that the crashes ended. Absent in messages of older versions.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub runs: Vec<CrashedRun>,
+}
+
+/// Run of a content that ended with the crash of its endpoint.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CrashedRun {
+    /// Run of the endpoint or of its sidecar.
+    #[serde(rename = "e")]
+    pub endpoint: Incarnation,
+    /// [`Crash::number`].
+    #[serde(rename = "n")]
+    pub number: u32,
+    /// Time since the crash, in milliseconds.
+    #[serde(rename = "a")]
+    pub age: u64,
+    /// Time from the request until the crash, in milliseconds.
+    #[serde(rename = "r")]
+    pub ran: u64,
+    /// Fingerprint of the service's name, if it is known.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<Fingerprint>,
 }
 
 /// A version of the configuration in chunks. Chunks that the receiver has are left out.
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -275,6 +275,7 @@
         };
         let guard = WorkGuard::new(gw, key, job.expected_work());
         may_run.set(true);
+        let sent = clock::now();
         let opened = open_segment(gw, job, guard, None, None).await;
         may_run.set(runs > 0);
         let error = match opened {
@@ -294,7 +295,7 @@
             return Err(attempt::unknown_outcome(job, error));
         }
         if error == AttemptError::Broken {
-            quarantine::check_crash(gw, job, key);
+            quarantine::check_crash(gw, job, key, sent);
         }
         runs += u32::from(!error.is_not_executed());
         may_run.set(runs > 0);
@@ -383,12 +384,13 @@
     let permit = attempt::permit_attempt(gw, job, tried.len(), tried.len()).await;
     let permit = permit.ok_or(AttemptError::Broken)?;
     let guard = WorkGuard::new(gw, key, job.expected_work());
+    let sent = clock::now();
     let opened = open_segment(gw, job, guard, None, last).await;
     permit.settle(opened.as_ref().err());
     let segment = opened.inspect_err(|error| {
         attempt::record_error(gw, key, *error);
         if *error == AttemptError::Broken {
-            quarantine::check_crash(gw, job, key);
+            quarantine::check_crash(gw, job, key, sent);
         }
     })?;
     if !segment.response.info.status.is_success() {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -211,6 +211,7 @@
 ) -> Result<CallResponse, AttemptError> {
     attempts.tried.push(key);
     attempts.is_sending = true;
+    let sent = clock::now();
     let result = try_endpoint(gw, job, key).await;
     attempts.is_sending = false;
     let error = match result {
@@ -230,7 +231,7 @@
     permit.settle(Some(&error));
     attempts.reached += usize::from(!error.is_undelivered());
     if error == AttemptError::Broken {
-        quarantine::check_crash(gw, job, key);
+        quarantine::check_crash(gw, job, key, sent);
     }
     attempts.runs += u32::from(!error.is_not_executed());
     Err(error)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,7 +39,7 @@
 use crate::event::{EventRing, Kind, WaveLog};
 use crate::gossip::{ConfigPull, Outages, PeerLoads, StorePosition, Work};
 use crate::http::{self, Metrics};
-use crate::id::{InstanceId, PartId, ServiceName};
+use crate::id::{InstanceId, ServiceName};
 use crate::limit::Allocator;
 use crate::platform::{GatewaySettings, KvClient, SettingsError};
 use crate::pool::{Change, Pool, PoolKey};
@@ -158,12 +158,12 @@
     runs: RefCell<Runs<PoolKey>>,
     /// Endpoints that are checked for a crash.
     crash_checks: RefCell<quarantine::CrashChecks>,
-    /// Notified when a part of a prompt is refused, to write it to the store.
-    parts_refused: Notify,
-    /// Notified at the same time, to stop generations that wait for their first event.
+    /// Notified when a part of a prompt or a content is refused, to write it to the store.
+    refusal_added: Notify,
+    /// Notified when a part is refused, to stop generations that wait for their first event.
     parts_changed: Notify,
-    /// Refused parts that the store holds.
-    published_parts: RefCell<HashSet<PartId>>,
+    /// Refused parts and contents that the store holds.
+    published: RefCell<HashSet<quarantine::Refused>>,
     /// Other instances registered in the store.
     peers: RefCell<HashMap<InstanceId, peers::Peer>>,
     /// Sends messages to peers and matches their replies with requests.
@@ -283,9 +283,9 @@
             quarantine: RefCell::new(Quarantine::default()),
             runs: RefCell::default(),
             crash_checks: RefCell::default(),
-            parts_refused: Notify::new(),
+            refusal_added: Notify::new(),
             parts_changed: Notify::new(),
-            published_parts: RefCell::default(),
+            published: RefCell::default(),
             messenger: peers::Messenger::default(),
             revisions: RefCell::new(HashMap::new()),
             store_position: RefCell::default(),
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -5,21 +5,24 @@
 use super::{Gateway, jitter, peers};
 use crate::clock;
 use crate::event::Kind;
-use crate::frame::{Crash, Gossip, PartsGossip, Refusal};
+use crate::frame::{Gossip, PartsGossip, Refusal, Suspect};
 use crate::gossip::PeerMessage;
-use crate::id::{EndpointId, Fingerprint, Incarnation, PartId};
+use crate::id::{EndpointId, Fingerprint, IdError, Incarnation, PartId};
 use crate::platform;
 use crate::pool::PoolKey;
 use crate::problem::{Problem, ProblemKind};
-use crate::quarantine::{MAX_CRASHES, RefusedParts, RunKey, Scope, Standing};
+use crate::quarantine::{LostRun, MAX_CRASHES, RefusedParts, RunKey, Scope, Standing, service_tag};
 use crate::store::{KeyValue, Leases, StoreError};
 use actix_rt::net::TcpStream;
+use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::collections::HashMap;
+use std::fmt;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::str::FromStr;
+use std::time::{Duration, Instant};
 use tokio::io::AsyncReadExt;
 use tokio::time::timeout;
 
@@ -33,8 +36,8 @@
 const PEER_START_TIME: Duration = Duration::from_millis(700);
 /// Interval between two messages about accused and refused parts.
 const GOSSIP_INTERVAL: Duration = Duration::from_secs(1);
-/// Time to live of a refused part in the store, as long as its crashes count.
-const STORE_TTL: Duration = Duration::from_secs(600);
+/// Shortest time to live of a refusal in the store; otherwise it lives for as long as it holds.
+const MIN_STORE_TTL: Duration = Duration::from_secs(1);
 /// Interval between two checks for refused parts that the store lacks.
 const PUBLISH_CHECK_INTERVAL: Duration = Duration::from_secs(10);
 /// Longest delay before a refused part is written to the store.
@@ -52,7 +55,68 @@
 const MAX_LOGGED_PARTS: usize = 8;
 
 /// Contents of the requests whose connections to an endpoint broke, until it has been checked.
-pub type CrashChecks = HashMap<PoolKey, Vec<Fingerprint>>;
+pub type CrashChecks = HashMap<PoolKey, Vec<(Fingerprint, LostRun)>>;
+
+/// Prefix of the names of contents in the keys of the store; parts have none.
+const CONTENT_PREFIX: &str = "content-";
+
+/// Names what is refused in a key of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Refused {
+    /// A part of prompts.
+    Part(PartId),
+    /// A content.
+    Content(Fingerprint),
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refused::Part(part) => write!(f, "{part}"),
+            Refused::Content(content) => write!(f, "{CONTENT_PREFIX}{content}"),
+        }
+    }
+}
+
+impl FromStr for Refused {
+    type Err = IdError;
+
+    /// Reads the name of a part, or that of a content with its prefix.
+    fn from_str(s: &str) -> Result<Self, IdError> {
+        match s.strip_prefix(CONTENT_PREFIX) {
+            Some(content) => content.parse().map(Refused::Content),
+            None => s.parse().map(Refused::Part),
+        }
+    }
+}
+
+/// Value of a key of the store that names what is refused.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredRefusal {
+    /// Crashes of a part.
+    #[serde(flatten)]
+    parts: PartsGossip,
+    /// Crashes of a content.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    contents: Vec<Suspect>,
+    /// Unix time of writing in milliseconds, from which the ages of the crashes count. Absent in
+    /// values of older versions.
+    #[serde(default)]
+    written_ms: Option<u64>,
+}
+
+impl StoredRefusal {
+    /// Adds the time since the value was written to the ages of its crashes, so that a refusal ends
+    /// at all instances when it would have ended at the writer.
+    fn grow_old(&mut self, wall: Duration) {
+        let wall = wall.as_millis() as u64;
+        let passed = self.written_ms.map_or(0, |written| wall.saturating_sub(written));
+        for row in &mut self.parts.rows {
+            row.crashes.iter_mut().chain(&mut row.cleared).for_each(|c| c.age += passed);
+        }
+        self.contents.iter_mut().flat_map(|s| &mut s.runs).for_each(|run| run.age += passed);
+    }
+}
 
 /// Tracks a run at an endpoint until dropped.
 #[derive(Debug)]
@@ -129,10 +193,11 @@
 /// Returns a problem if the request is quarantined. It has not run.
 pub fn check(gw: &Gateway, job: &Job) -> Result<(), Problem> {
     let quarantine = gw.quarantine.borrow();
-    if quarantine.has_suspects() && quarantine.standing(&fingerprint(job)) == Standing::Refused {
+    let until = quarantine.has_suspects().then(|| quarantine.refused_until(&fingerprint(job)));
+    if let Some(until) = until.flatten() {
         let detail =
             format!("the request has crashed {MAX_CRASHES} endpoints, the limit is {MAX_CRASHES}");
-        return Err(Problem::new(ProblemKind::Quarantined, detail));
+        return Err(Problem::new(ProblemKind::Quarantined, detail).retry_after(time_left(until)));
     }
     match quarantine.parts.find_refused(&job.meta.shared_parts) {
         Some(refused) => Err(refusal(refused)),
@@ -140,6 +205,12 @@
     }
 }
 
+/// Returns the jittered time until a refusal ends.
+fn time_left(until: Instant) -> Duration {
+    let left = until.saturating_duration_since(clock::now());
+    left.mul_f64(1.0 + rand::random::<f64>() * MAX_RETRY_EXTENSION)
+}
+
 /// Returns whether a request has to wait because one of its parts is tried.
 pub fn must_wait(gw: &Gateway, job: &Job) -> bool {
     let (quarantine, parts) = (gw.quarantine.borrow(), &job.meta.shared_parts);
@@ -178,14 +249,12 @@
 }
 
 fn refusal(refused: &RefusedParts) -> Problem {
-    let left = refused.until.saturating_duration_since(clock::now());
     let detail = format!(
         "part {} of the prompt has crashed {} engines, the limit is {MAX_CRASHES}",
         join(refused.parts.iter()),
         refused.crashes,
     );
-    let after = left.mul_f64(1.0 + rand::random::<f64>() * MAX_RETRY_EXTENSION);
-    Problem::new(ProblemKind::Quarantined, detail).retry_after(after)
+    Problem::new(ProblemKind::Quarantined, detail).retry_after(time_left(refused.until))
 }
 
 fn join<'a>(parts: impl Iterator<Item = &'a PartId>) -> String {
@@ -193,9 +262,9 @@
     parts.join("+")
 }
 
-/// Checks in the background whether an endpoint whose connection broke during a request has
-/// crashed, and if so accuses the requests that may have caused it.
-pub fn check_crash(gw: &Rc<Gateway>, job: &Job, key: PoolKey) {
+/// Checks in the background whether an endpoint whose connection broke during a request that was
+/// sent at `sent` has crashed, and if so accuses the requests that may have caused it.
+pub fn check_crash(gw: &Rc<Gateway>, job: &Job, key: PoolKey, sent: Instant) {
     let found = gw.pool.borrow().endpoints.get(key).map(|e| {
         let started = e.listing.started_ms.unwrap_or(0).to_le_bytes();
         let incarnation = Fingerprint::of(&[e.listing.id.as_str().as_bytes(), &started]).0;
@@ -209,7 +278,8 @@
     let Some((endpoint, false)) = found else { return };
     let mut checks = gw.crash_checks.borrow_mut();
     let is_under_way = checks.contains_key(&key);
-    checks.entry(key).or_default().push(fingerprint(job));
+    let run = LostRun { sent, ended: clock::now(), service: Some(service_tag(&job.service)) };
+    checks.entry(key).or_default().push((fingerprint(job), run));
     if !is_under_way {
         actix_rt::spawn(check_endpoint(gw.clone(), key, endpoint));
     }
@@ -233,10 +303,9 @@
     let (contents, mut parts) = {
         let (now, mut quarantine) = (clock::now(), gw.quarantine.borrow_mut());
         let number = quarantine.parts.crash_number(endpoint.run, crashed.answered);
-        let crash = Crash { number, running: contents, parts: Vec::new(), age: 0 };
         let parts = quarantine.parts.record_crash(now, (endpoint.run, number), &crashed.parts);
         crashed.requests.iter().for_each(|parts| quarantine.parts.record_request(parts));
-        (quarantine.record_crash(now, endpoint.run, &crash), parts)
+        (quarantine.record_lost(now, (endpoint.run, number), &contents), parts)
     };
     for (content, standing) in contents {
         let kind = if standing == Standing::Refused { Kind::Convicted } else { Kind::Suspected };
@@ -273,6 +342,7 @@
 /// Brings what is accused and refused up to date; called at short intervals.
 pub fn step(gw: &Gateway) {
     let sound = gw.runs.borrow_mut().step(clock::now());
+    gw.quarantine.borrow_mut().forget(clock::now());
     sound.iter().for_each(|parts| record_sound(gw, parts));
     update(gw);
 }
@@ -296,9 +366,11 @@
     let count = gw.quarantine.borrow().parts.refused().len();
     metrics::gauge!("refused_parts").set(count as f64);
     if !new.is_empty() {
-        gw.parts_refused.notify_one();
         gw.parts_changed.notify_waiters();
     }
+    if next_unpublished(gw).is_some() {
+        gw.refusal_added.notify_one();
+    }
 }
 
 /// Returns once a request is quarantined. Does not return before.
@@ -327,18 +399,19 @@
     let gw = gw.clone();
     actix_rt::spawn(async move {
         tokio::time::sleep(PEER_START_TIME).await;
-        let gossip = gw.quarantine.borrow_mut().recent_gossip(clock::now(), Scope::All);
-        if peers::is_reader(&gw) && gossip != Gossip::default() {
+        if !peers::is_reader(&gw) {
+            return;
+        }
+        let messages = gw.quarantine.borrow_mut().messages(clock::now(), Scope::All);
+        for gossip in messages {
             peers::send(&gw, &[to], PeerMessage::Quarantine(gossip));
         }
     });
 }
 
 fn send_gossip(gw: &Gateway, scope: Scope) {
-    let gossip = gw.quarantine.borrow_mut().recent_gossip(clock::now(), scope);
-    if gossip != Gossip::default() {
-        peers::send_suspects(gw, gossip);
-    }
+    let messages = gw.quarantine.borrow_mut().messages(clock::now(), scope);
+    messages.into_iter().for_each(|gossip| peers::send_suspects(gw, gossip));
 }
 
 /// Merges the suspects and cleared contents reported by another instance.
@@ -347,53 +420,58 @@
     update(gw);
 }
 
-/// Clears the content of a request that ran to completion.
+/// Clears the content of a request that ran to completion of the crashes at its service.
 pub fn clear(gw: &Gateway, job: &Job) {
     let mut quarantine = gw.quarantine.borrow_mut();
     if quarantine.has_suspects() {
-        quarantine.clear(clock::now(), &fingerprint(job));
+        quarantine.clear(clock::now(), &fingerprint(job), Some(service_tag(&job.service)));
     }
 }
 
-/// Adopts a refused part that an instance wrote to the store.
+/// Adopts what an instance that refuses it wrote to the store.
 pub fn apply_kv(gw: &Gateway, kv: &KeyValue) {
-    let Some(part) = kv.key.strip_prefix(KEY_PREFIX).and_then(|p| p.parse().ok()) else { return };
+    let Some(name) = kv.key.strip_prefix(KEY_PREFIX) else { return };
+    let Ok(refused) = name.parse::<Refused>() else {
+        return log::warn!("key {} of the store ignored: it names no part or content", kv.key);
+    };
     let Some(value) = &kv.value else {
-        gw.published_parts.borrow_mut().remove(&part);
-        gw.parts_refused.notify_one();
+        gw.published.borrow_mut().remove(&refused);
+        gw.refusal_added.notify_one();
         return;
     };
-    match serde_json::from_slice::<PartsGossip>(value) {
-        Ok(gossip) => {
-            gw.published_parts.borrow_mut().insert(part);
-            gw.quarantine.borrow_mut().parts.merge(clock::now(), &gossip);
-            update(gw);
+    match serde_json::from_slice::<StoredRefusal>(value) {
+        Ok(mut stored) => {
+            stored.grow_old(clock::wall());
+            gw.published.borrow_mut().insert(refused);
+            let gossip =
+                Gossip { suspects: stored.contents, parts: stored.parts, ..Gossip::default() };
+            merge(gw, &gossip);
         }
         Err(e) => log::warn!("key {} of the store ignored, its value is not valid: {e}", kv.key),
     }
 }
 
-/// Forgets which refused parts the store holds, after it has come back from a copy.
+/// Forgets what of it the store holds, after it has come back from a copy.
 pub fn forget_published(gw: &Gateway) {
-    gw.published_parts.borrow_mut().clear();
-    gw.parts_refused.notify_one();
+    gw.published.borrow_mut().clear();
+    gw.refusal_added.notify_one();
 }
 
-/// Writes refused parts to the store, from which instances learn of them when they start. Does not
-/// return.
+/// Writes refused parts and contents to the store, from which instances learn of them when they
+/// start. Does not return.
 pub async fn publish_refused(gw: Rc<Gateway>) {
     loop {
-        let _ = timeout(PUBLISH_CHECK_INTERVAL, gw.parts_refused.notified()).await;
+        let _ = timeout(PUBLISH_CHECK_INTERVAL, gw.refusal_added.notified()).await;
         // The instances that follow the store write; the first of them spares the others a call.
         tokio::time::sleep(MAX_PUBLISH_DELAY.mul_f64(rand::random())).await;
-        while let Some(part) = next_unpublished(&gw) {
-            match publish(&gw, part).await {
-                Ok(true) => drop(gw.published_parts.borrow_mut().insert(part)),
+        while let Some((refused, until)) = next_unpublished(&gw) {
+            match publish(&gw, refused, until).await {
+                Ok(true) => drop(gw.published.borrow_mut().insert(refused)),
                 Ok(false) => {
-                    log::warn!("part {part} not written to the store: its lease has ended")
+                    log::warn!("refusal of {refused} not written to the store: its lease has ended")
                 }
                 Err(e) => {
-                    log::debug!("part {part} not written to the store: {e:?}");
+                    log::debug!("refusal of {refused} not written to the store: {e:?}");
                     tokio::time::sleep(jitter(STORE_RETRY_INTERVAL)).await;
                 }
             }
@@ -401,19 +479,34 @@
     }
 }
 
-/// Returns a refused part that this instance has to write to the store.
-fn next_unpublished(gw: &Gateway) -> Option<PartId> {
-    let published = gw.published_parts.borrow();
-    let quarantine = gw.quarantine.borrow();
-    let refused = quarantine.parts.refused().iter().filter(|r| r.parts.len() == 1);
-    let part = refused.flat_map(|r| r.parts.iter()).find(|p| !published.contains(p));
-    part.copied().filter(|_| peers::is_reader(gw))
+/// Returns what this instance refuses and has to write to the store, and until when it is refused.
+fn next_unpublished(gw: &Gateway) -> Option<(Refused, Instant)> {
+    if !peers::is_reader(gw) {
+        return None;
+    }
+    let (published, quarantine) = (gw.published.borrow(), gw.quarantine.borrow());
+    let alone = quarantine.parts.refused().iter().filter(|r| r.parts.len() == 1);
+    let parts = alone.flat_map(|r| r.parts.iter().map(|p| (Refused::Part(*p), r.until)));
+    let contents = quarantine
+        .refused()
+        .filter_map(|f| Some((Refused::Content(f), quarantine.refused_until(&f)?)));
+    parts.chain(contents).find(|(refused, _)| !published.contains(refused))
 }
 
-async fn publish(gw: &Gateway, part: PartId) -> Result<bool, StoreError> {
-    let gossip = gw.quarantine.borrow().parts.gossip_of(clock::now(), part);
+async fn publish(gw: &Gateway, refused: Refused, until: Instant) -> Result<bool, StoreError> {
+    let now = clock::now();
+    let (parts, contents) = {
+        let quarantine = gw.quarantine.borrow();
+        match refused {
+            Refused::Part(part) => (quarantine.parts.gossip_of(now, part), Vec::new()),
+            Refused::Content(f) => (PartsGossip::default(), quarantine.gossip_of(now, f)),
+        }
+    };
+    let written_ms = Some(clock::wall().as_millis() as u64);
     // Serializing numbers cannot fail.
-    let value = serde_json::to_vec(&gossip).unwrap_or_default();
-    let lease = gw.store.grant(STORE_TTL).await?;
-    gw.store.put(&format!("{KEY_PREFIX}{part}"), &value, lease).await
+    let value = serde_json::to_vec(&StoredRefusal { parts, contents, written_ms });
+    let value = value.unwrap_or_default();
+    let left = until.saturating_duration_since(now).max(MIN_STORE_TTL);
+    let lease = gw.store.grant(left).await?;
+    gw.store.put(&format!("{KEY_PREFIX}{refused}"), &value, lease).await
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -233,7 +233,8 @@
             return;
         }
         attempt::record_health(self.gw, self.segment.guard.key, false);
-        quarantine::check_crash(self.gw, self.job, self.segment.guard.key);
+        let (key, sent) = (self.segment.guard.key, self.segment.sent);
+        quarantine::check_crash(self.gw, self.job, key, sent);
     }
 
     fn log_id(&self) -> &str {
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -4,23 +4,26 @@
 //! crash. A content present at one crash may run again, one copy at a time per entry. After two
 //! crashes it runs alone on its endpoint; after three it is refused. A content that runs to its
 //! end is cleared of the crashes recorded so far, unless it is already refused: it has then crashed
-//! an endpoint on which it ran alone.
+//! an endpoint on which it ran alone. A crash is forgotten after some minutes, and with it a refusal
+//! that rests on it.
 //!
 //! Requests with different contents may share a part of their prompts that crashes endpoints; see
 //! [`PartSuspects`].
 
 mod companions;
+mod contents;
 mod parts;
 mod runs;
 mod trial;
 
+pub use contents::{CRASH_MEMORY, CrashSet, LostRun, service_tag};
 pub use parts::{AccusedPart, CrashId, MAX_CRASHES, PartSuspects, RefusedParts, Scope};
 pub use runs::{CrashedRuns, RunKey, Runs, SOUND_TIME};
 pub use trial::Trial;
 
 use crate::frame::{Crash, Gossip, Suspect};
 use crate::id::{Fingerprint, Incarnation};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 /// Number of crashes from which a content runs alone.
@@ -30,7 +33,9 @@
 /// Time for which a change is sent to other instances, since messages may be lost.
 const GOSSIP_TIME: Duration = Duration::from_secs(3);
 /// Most contents of each kind in one message.
-const MAX_GOSSIP_ROWS: usize = 40;
+const MAX_GOSSIP_ROWS: usize = 20;
+/// Most messages about contents to an instance that has started.
+const MAX_GOSSIP_PAGES: usize = 10;
 /// Most suspects kept, and most cleared contents.
 const MAX_CONTENTS: usize = 4096;
 
@@ -47,9 +52,6 @@
     Refused,
 }
 
-/// Crashes by run of the endpoint's sidecar and number of the crash in that run.
-type CrashSet = HashSet<CrashId>;
-
 /// Contents that were running when endpoints crashed.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -63,17 +65,31 @@
 }
 
 impl Quarantine {
-    /// Records a crash; returns the contents to which it was added, with their new standing.
+    /// Records a crash reported by a sidecar; returns the contents to which it was added, with their
+    /// new standing.
     pub fn record_crash(
         &mut self,
         now: Instant,
         endpoint: Incarnation,
         crash: &Crash,
     ) -> Vec<(Fingerprint, Standing)> {
-        let id = (endpoint, crash.number);
+        let run = LostRun { sent: now, ended: now, service: None };
+        let runs: Vec<(Fingerprint, LostRun)> = crash.running.iter().map(|f| (*f, run)).collect();
+        self.record_lost(now, (endpoint, crash.number), &runs)
+    }
+
+    /// Records the runs that a crash has ended; returns the contents to which it was added, with their
+    /// new standing.
+    pub fn record_lost(
+        &mut self,
+        now: Instant,
+        id: CrashId,
+        runs: &[(Fingerprint, LostRun)],
+    ) -> Vec<(Fingerprint, Standing)> {
+        self.forget(now);
         let mut changed = Vec::new();
-        for f in &crash.running {
-            if self.add(*f, id) {
+        for (f, run) in runs {
+            if self.add(*f, id, *run) {
                 self.changed.insert(*f, now);
                 changed.push((*f, self.standing(f)));
             }
@@ -83,28 +99,36 @@
 
     /// Adds a crash to a content unless it was cleared of that crash; returns whether the crash is
     /// new for the content.
-    fn add(&mut self, f: Fingerprint, crash: CrashId) -> bool {
-        if self.cleared.get(&f).is_some_and(|c| c.contains(&crash)) {
+    fn add(&mut self, f: Fingerprint, id: CrashId, run: LostRun) -> bool {
+        if self.cleared.get(&f).is_some_and(|c| c.contains(&id)) {
             return false;
         }
         if self.suspects.len() >= MAX_CONTENTS && !self.suspects.contains_key(&f) {
             // The content present at the fewest crashes is the least likely cause.
-            let least_suspect = self.suspects.iter().min_by_key(|(_, c)| c.len()).map(|(f, _)| *f);
-            if let Some(least) = least_suspect {
+            let least_suspect = self.suspects.iter().min_by_key(|(_, c)| c.count());
+            if let Some(least) = least_suspect.map(|(f, _)| *f) {
                 self.suspects.remove(&least);
             }
         }
-        self.suspects.entry(f).or_default().insert(crash)
+        self.suspects.entry(f).or_default().insert(id, run)
     }
 
-    /// Clears a content that ran to its end; returns whether it was a suspect. A refused content
-    /// stays refused.
-    pub fn clear(&mut self, now: Instant, f: &Fingerprint) -> bool {
+    /// Clears a content that ran to its end, at a service if that is known, of its crashes there;
+    /// returns whether it was a suspect. A refused content stays refused.
+    pub fn clear(&mut self, now: Instant, f: &Fingerprint, service: Option<Fingerprint>) -> bool {
+        self.forget(now);
         if matches!(self.standing(f), Standing::Free | Standing::Refused) {
             return false;
         }
+        let Some(known) = self.suspects.get_mut(f) else { return false };
+        let crashes = known.take_cleared(service);
+        if known.is_empty() {
+            self.suspects.remove(f);
+        }
+        if crashes.is_empty() {
+            return false;
+        }
         self.changed.insert(*f, now);
-        let crashes = self.suspects.remove(f).unwrap_or_default();
         if self.cleared.len() >= MAX_CONTENTS {
             self.cleared.clear();
         }
@@ -112,6 +136,16 @@
         true
     }
 
+    /// Forgets the crashes that no longer count, and the refusals that rest on them.
+    pub fn forget(&mut self, now: Instant) {
+        for all in [&mut self.suspects, &mut self.cleared] {
+            all.retain(|_, crashes| {
+                crashes.forget(now);
+                !crashes.is_empty()
+            });
+        }
+    }
+
     /// Returns whether there is any suspect. Callers check this first, since a look-up requires
     /// hashing the content.
     pub fn has_suspects(&self) -> bool {
@@ -120,7 +154,7 @@
 
     /// Returns how a content may be run.
     pub fn standing(&self, f: &Fingerprint) -> Standing {
-        match self.suspects.get(f).map_or(0, HashSet::len) {
+        match self.suspects.get(f).map_or(0, CrashSet::count) {
             0 => Standing::Free,
             n if n < ALONE_THRESHOLD => Standing::Single,
             n if n < REFUSE_THRESHOLD => Standing::Alone,
@@ -152,55 +186,85 @@
         }
     }
 
+    /// Returns the contents that are refused.
+    pub fn refused(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        self.suspects.keys().copied().filter(|f| self.standing(f) == Standing::Refused)
+    }
+
+    /// Returns until when a content is refused unless it crashes another endpoint; `None` if it is
+    /// not refused.
+    pub fn refused_until(&self, f: &Fingerprint) -> Option<Instant> {
+        let moments = self.suspects.get(f)?.moments();
+        let oldest = moments.len().checked_sub(REFUSE_THRESHOLD)?;
+        Some(moments[oldest] + CRASH_MEMORY)
+    }
+
     /// Returns all suspects and cleared contents, to be merged by other instances.
     pub fn gossip(&self, now: Instant) -> Gossip {
         Gossip {
-            suspects: to_rows(self.suspects.iter()),
-            cleared: to_rows(self.cleared.iter()),
+            suspects: to_rows(now, self.suspects.iter()),
+            cleared: to_rows(now, self.cleared.iter()),
             parts: self.parts.gossip(now, Scope::All),
             store: None,
         }
     }
 
-    /// Returns the contents that changed of late, and the parts in a scope.
-    pub fn recent_gossip(&mut self, now: Instant, scope: Scope) -> Gossip {
+    /// Returns what another instance needs to know to refuse a content.
+    pub fn gossip_of(&self, now: Instant, f: Fingerprint) -> Vec<Suspect> {
+        to_rows(now, self.suspects.get(&f).map(|crashes| (&f, crashes)).into_iter())
+    }
+
+    /// Returns messages about the contents and parts in a scope, each of the size of a datagram.
+    pub fn messages(&mut self, now: Instant, scope: Scope) -> Vec<Gossip> {
         self.changed.retain(|_, at| now.saturating_duration_since(*at) < GOSSIP_TIME);
-        let pick = |all: &HashMap<Fingerprint, CrashSet>| {
-            let recent = self.changed.keys().filter_map(|f| Some((f, all.get(f)?)));
-            to_rows(recent.take(MAX_GOSSIP_ROWS))
+        let is_named = |f: &Fingerprint| match scope {
+            Scope::Changed => self.changed.contains_key(f),
+            Scope::Refused => self.changed.contains_key(f) || self.standing(f) == Standing::Refused,
+            Scope::All => true,
         };
-        Gossip {
-            suspects: pick(&self.suspects),
-            cleared: pick(&self.cleared),
-            parts: self.parts.gossip(now, scope),
-            store: None,
-        }
+        let suspects = to_rows(now, self.suspects.iter().filter(|(f, _)| is_named(f)));
+        let is_new = |f: &Fingerprint| self.changed.contains_key(f);
+        let cleared = to_rows(now, self.cleared.iter().filter(|(f, _)| is_new(f)));
+        let parts = self.parts.gossip(now, scope);
+        let pages = if scope == Scope::All { MAX_GOSSIP_PAGES } else { 1 };
+        let rows = suspects.chunks(MAX_GOSSIP_ROWS).take(pages);
+        let of_suspects = rows.map(|rows| Gossip { suspects: rows.to_vec(), ..Gossip::default() });
+        let rows = cleared.chunks(MAX_GOSSIP_ROWS).take(pages);
+        let of_cleared = rows.map(|rows| Gossip { cleared: rows.to_vec(), ..Gossip::default() });
+        let of_parts = Gossip { parts, ..Gossip::default() };
+        let mut messages: Vec<Gossip> = of_suspects.chain(of_cleared).collect();
+        messages.extend(Some(of_parts).filter(|gossip| *gossip != Gossip::default()));
+        messages
     }
 
     /// Merges the state of another instance; the order of merges does not matter.
     pub fn merge(&mut self, now: Instant, gossip: &Gossip) {
         self.parts.merge(now, &gossip.parts);
         for s in &gossip.cleared {
-            self.cleared.entry(s.content).or_default().extend(s.crashes.iter().copied());
+            let cleared = CrashSet::of_suspect(now, s);
             if let Some(known) = self.suspects.get_mut(&s.content) {
-                known.retain(|c| !s.crashes.contains(c));
+                known.subtract(&cleared);
                 if known.is_empty() {
                     self.suspects.remove(&s.content);
                 }
             }
+            self.cleared.entry(s.content).or_default().extend(cleared);
         }
         for s in &gossip.suspects {
-            for crash in &s.crashes {
-                self.add(s.content, *crash);
+            for (id, run) in CrashSet::of_suspect(now, s) {
+                self.add(s.content, id, run);
             }
         }
+        self.forget(now);
     }
 }
 
-fn to_rows<'a>(all: impl Iterator<Item = (&'a Fingerprint, &'a CrashSet)>) -> Vec<Suspect> {
-    let mut rows: Vec<Suspect> = all
-        .map(|(f, crashes)| Suspect { content: *f, crashes: crashes.iter().copied().collect() })
-        .collect();
-    rows.sort_by_key(|s| s.content);
+/// Returns rows for a message, those first that were present at the most crashes.
+fn to_rows<'a>(
+    now: Instant,
+    all: impl Iterator<Item = (&'a Fingerprint, &'a CrashSet)>,
+) -> Vec<Suspect> {
+    let mut rows: Vec<Suspect> = all.map(|(f, crashes)| crashes.to_suspect(now, *f)).collect();
+    rows.sort_by_key(|s| (std::cmp::Reverse(s.crashes.len()), s.content));
     rows
 }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod backlog;
 mod balance;
 mod cold;
+mod contents;
 mod coordinators;
 mod drain;
 mod evacuate;
--- a/tests/gateway/crashing_contents.rs
+++ b/tests/gateway/crashing_contents.rs
@@ -1,6 +1,9 @@
 //! Requests that crash each endpoint that runs them, and are sent again.
 
-use crate::common::{CONFIG, request_bytes, send_request, start_gateway, start_platform, wait_for};
+use crate::common::{
+    CONFIG, list_endpoint, request_bytes, send_request, start_gateway, start_platform, wait_for,
+};
+use rstest::rstest;
 use standin::platform::{Action, Endpoint, Gateway, Store, send};
 use std::time::Duration;
 
@@ -61,7 +64,7 @@
     for (n, gateway) in gateways.iter().enumerate() {
         let reply = send_request(gateway, "GET", BAD, &format!("{round}-bad-{n}"));
         assert_eq!(reply.status, 503, "{}", reply.body);
-        assert!(reply.body.contains("not-run"));
+        assert!(reply.body.contains("not-run") && reply.header("retry-after").is_some());
         let sound = format!("/safe/stock?kit={round}{n}");
         let id = format!("{round}-sound-{n}");
         assert_eq!(send_request(gateway, "GET", &sound, &id).status, 200);
@@ -103,3 +106,45 @@
     assert_eq!(status("POST", "key-2", "other-workspace"), 502);
     assert_eq!(status("PUT", "key-1", "other-method"), 502);
 }
+
+/// Gateways that were started again let a request through that the others had refused.
+#[rstest]
+#[case::in_turn(false)]
+#[case::at_once(true)]
+fn crashing_request_stays_refused_after_restarts_of_all_gateways(#[case] at_once: bool) {
+    let endpoints = start_endpoints(10);
+    let (store, mut gateways) = start_fleet(&endpoints, 4);
+    crash_until_refused(&gateways, &endpoints);
+    // Longer than changes are told.
+    std::thread::sleep(Duration::from_secs(5));
+    if at_once {
+        gateways.iter().for_each(|g| g.signal(libc::SIGKILL));
+    }
+    for g in &mut gateways {
+        g.restart();
+        assert!(wait_for(5, || g.readiness() == 200));
+        if !at_once {
+            std::thread::sleep(2 * SETTLE_TIME);
+        }
+    }
+    assert_only_sound_served(&gateways, &endpoints, "1");
+    drop(store);
+}
+
+/// The store has lost what was written to it; those that know write it again.
+#[test]
+fn refused_request_is_written_again_after_the_store_returns_from_a_copy() {
+    let endpoints = start_endpoints(8);
+    let (store, mut gateways) = start_fleet(&endpoints, 2);
+    let copy = store.copy();
+    crash_until_refused(&gateways, &endpoints);
+    let is_written = || store.keys("quarantine/").len() == 1;
+    assert!(wait_for(3, is_written));
+    store.restore(copy);
+    assert!(wait_for(5, is_written), "not written again");
+    gateways.iter().for_each(|g| g.signal(libc::SIGKILL));
+    gateways.iter_mut().for_each(Gateway::restart);
+    assert!(gateways.iter().all(|g| wait_for(5, || g.readiness() == 200)));
+    list_endpoint(&store, &endpoints[0], "plain", "ready");
+    assert_only_sound_served(&gateways, &endpoints, "1");
+}
--- a/tests/scenario/quarantine.rs
+++ b/tests/scenario/quarantine.rs
@@ -65,7 +65,7 @@
             "end" => {
                 let f = content(&need::<String>(case, "content"));
                 quarantine.finish(&f);
-                format!("cleared {}\n", quarantine.clear(now, &f))
+                format!("cleared {}\n", quarantine.clear(now, &f, None))
             }
             "lost" => {
                 quarantine.finish(&content(&need::<String>(case, "content")));
