Count crashes at one moment once against a content

Callers would see: a popular sound look-up is refused for ten minutes after three replicas that ran it lost power at the same moment.

Cause: each crash counted, whether or not the runs there overlapped. Endpoints that crash together say nothing about a content that was at several of them.

Change: of runs that overlap one counts. Attempts of one request follow each other and count each, so a crashing request is still refused after three. Messages carry the time of a run beside that of its crash. What was weighed: to count crashes within 700 ms once, as for parts; attempts of one request would then count once, and it would crash nine.

Before: copies_that_end_with_crashes_at_one_moment_count_once fails (Refused in place of Single). After: it passes, as does content_is_refused_after_three_crashes_in_a_row.

Limit: copies of a crashing request that several instances run at the same time count once as well, so it may crash more than three endpoints before it is refused.

--- a/src/quarantine/contents.rs
+++ b/src/quarantine/contents.rs
@@ -1,4 +1,7 @@
 //! Contents of requests that were running when endpoints crashed.
+//!
+//! Crashes at the same moment, as of all endpoints of a data centre that loses power, say nothing
+//! about a content that ran on several of them: of runs that overlap, one counts.
 
 use super::parts::CrashId;
 use crate::frame::{CrashedRun, Suspect};
@@ -12,6 +15,8 @@
 const MAX_CRASHES: usize = 16;
 /// Most crashes of one content in a message, the latest ones.
 const MAX_ROW_CRASHES: usize = 6;
+/// Time by which the ends of runs that other instances report may be wrong.
+const CLOCK_ERROR: Duration = Duration::from_millis(10);
 
 /// Run of a content that ended with the crash of its endpoint.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -59,16 +64,22 @@
         self.0.is_empty()
     }
 
-    /// Returns the times of the crashes, in order.
+    /// Returns the times of the crashes whose runs did not overlap, in order.
     pub fn moments(&self) -> Vec<Instant> {
-        let mut moments: Vec<Instant> = self.0.values().map(|run| run.ended).collect();
-        moments.sort_unstable();
+        let mut runs: Vec<&LostRun> = self.0.values().collect();
+        runs.sort_by_key(|run| run.ended);
+        let mut moments: Vec<Instant> = Vec::new();
+        for run in runs {
+            if moments.last().is_none_or(|last| run.sent + CLOCK_ERROR >= *last) {
+                moments.push(run.ended);
+            }
+        }
         moments
     }
 
-    /// Counts the crashes.
+    /// Counts the crashes whose runs did not overlap.
     pub fn count(&self) -> usize {
-        self.0.len()
+        self.moments().len()
     }
 
     /// Forgets the crashes of another set.
--- a/tests/decisions/contents.rs
+++ b/tests/decisions/contents.rs
@@ -62,6 +62,16 @@
     assert_eq!(seen.quarantine.standing(&BAD), Standing::Refused);
 }
 
+/// All endpoints of a data centre lose power while copies of a sound request run there.
+#[test]
+fn copies_that_end_with_crashes_at_one_moment_count_once() {
+    let mut seen = Seen::new();
+    for n in 0..5 {
+        seen.crash(BAD, millis(5 * n), millis(60 + n), SERVICE);
+    }
+    assert_eq!(seen.quarantine.standing(&BAD), Standing::Single);
+}
+
 #[test]
 fn refusal_ends_when_its_crashes_are_forgotten_and_returns_with_the_next_one() {
     let mut seen = Seen::new();
