Let a success clear only the crashes that it speaks for

Callers would see: a request that crashes the replicas of one service of a route is let through again after each success at the other service.

Cause: a success cleared a content of all its crashes, wherever they were: also those at the other service that a route is divided between, and as soon as 256 KB of a response had arrived, before the endpoint had ended it.

Change: a crash names its service, and a success clears those at its own; a relayed response clears its content once it is complete. Crashes of all services count together.

Before: success_clears_the_crashes_at_its_service_only fails. After: it passes.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -117,6 +117,7 @@
         }
     }
     record_answer(gw, job, &response);
+    quarantine::clear(gw, job);
     drop(response);
     let sent = match conn.queue_end() {
         Ok(()) => holder.send_rest(conn).await,
@@ -222,7 +223,9 @@
         }
         Ok(response) => {
             attempt::record_health(gw, key, true);
-            quarantine::clear(gw, job);
+            if matches!(response, CallResponse::Complete(..)) {
+                quarantine::clear(gw, job);
+            }
             return Ok(response);
         }
         Err(error) => error,
--- a/src/quarantine/contents.rs
+++ b/src/quarantine/contents.rs
@@ -87,9 +87,12 @@
         self.0.retain(|id, _| !other.contains(id));
     }
 
-    /// Removes the crashes that a run shows not to be due to the content.
-    pub fn take_cleared(&mut self, _service: Option<Fingerprint>) -> CrashSet {
-        std::mem::take(self)
+    /// Removes the crashes that a run at a service shows not to be due to the content.
+    pub fn take_cleared(&mut self, service: Option<Fingerprint>) -> CrashSet {
+        let is_tested = |run: &LostRun| {
+            run.service.zip(service).is_none_or(|(crashed, tested)| crashed == tested)
+        };
+        CrashSet(self.0.extract_if(|_, run| is_tested(run)).collect())
     }
 
     /// Forgets the crashes that no longer count.
--- a/tests/decisions/contents.rs
+++ b/tests/decisions/contents.rs
@@ -11,6 +11,7 @@
 /// Content that crashes endpoints.
 const BAD: Fingerprint = Fingerprint(7);
 const SERVICE: Fingerprint = Fingerprint(100);
+const OTHER_SERVICE: Fingerprint = Fingerprint(101);
 
 const fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -94,6 +95,17 @@
     assert_eq!(told.quarantine.refused_until(&BAD), seen.quarantine.refused_until(&BAD));
 }
 
+#[test]
+fn success_clears_the_crashes_at_its_service_only() {
+    let mut seen = Seen::new();
+    seen.crash(BAD, millis(0), millis(60), SERVICE);
+    let now = seen.start + millis(500);
+    assert!(!seen.quarantine.clear(now, &BAD, Some(OTHER_SERVICE)));
+    assert_eq!(seen.quarantine.standing(&BAD), Standing::Single);
+    assert!(seen.quarantine.clear(now, &BAD, Some(SERVICE)));
+    assert_eq!(seen.quarantine.standing(&BAD), Standing::Free);
+}
+
 /// An instance starts long after the crashes, and changes are no longer told.
 #[test]
 fn instance_that_starts_is_told_all_suspects_in_messages_that_fit_datagrams() {
