Tell instances that start which endpoints have stated that they leave

Callers saw: new work on an endpoint that had said that it leaves, from an instance that had started after that; found by walking through what instances tell each other.

Cause: the notice of an endpoint that leaves was sent once, when it was first seen. One that started later, was paused or had lost the message learned it only from a response of its own, and the store may not tell at all.

Change: full digests name the endpoints that have stated it to the sender, as they do for the times until which endpoints are cold. Rows name the incarnation of the endpoint: what it stated before a restart under the same id is not held against it, which held for the other statements too. An instance names only what it was told itself, so a mark does not go round.

Before: instance_that_starts_learns_which_endpoints_have_stated_that_they_leave fails, and statement_of_an_earlier_incarnation_is_not_applied has nothing to test. After: both pass.

--- a/src/gateway/digests.rs
+++ b/src/gateway/digests.rs
@@ -1,6 +1,6 @@
 //! Digests of the work that this instance has at endpoints, and those of its peers.
 
-use super::{Gateway, evacuation, peers};
+use super::{Gateway, evacuation, outage, peers};
 use crate::clock;
 use crate::gossip::{Digest, DigestScheduler, FULL_DIGEST_INTERVAL, PeerMessage, Tag};
 use crate::id::{InstanceId, ServiceName};
@@ -96,5 +96,9 @@
         }
     }
     digest.speeds.into_iter().for_each(|row| pool.apply_speed(now, row));
+    let leaving = digest.statements.iter().filter(|row| row.leaving && pool.is_current(row));
+    let leaving: Vec<Tag> = leaving.map(|row| row.tag).collect();
     digest.statements.into_iter().for_each(|row| pool.apply_statement(now, row));
+    drop(pool);
+    leaving.into_iter().for_each(|tag| outage::record_leaving(gw, tag, &from));
 }
--- a/src/gateway/outage.rs
+++ b/src/gateway/outage.rs
@@ -106,6 +106,7 @@
     match result {
         Ok(report) if report.leaving => {
             record_departure(&gw, key, report.leaves_in);
+            gw.pool.borrow_mut().record_leaving(key);
             let left = report.leaves_in.map(|d| d.as_millis());
             if let Some(tag) =
                 mark_leaving(&gw, key, format_args!("from=report leaves_ms={left:?}"))
@@ -132,6 +133,7 @@
 
 /// Records that an endpoint states in a response that it is leaving, and tells the other instances.
 pub fn record_notice(gw: &Gateway, key: PoolKey) {
+    gw.pool.borrow_mut().record_leaving(key);
     if let Some(tag) = mark_leaving(gw, key, "from=response") {
         peers::send_leaving(gw, tag);
     }
--- a/src/gossip/message.rs
+++ b/src/gossip/message.rs
@@ -81,6 +81,12 @@
     /// Milliseconds after which it will be gone.
     #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
     pub gone_ms: Option<u32>,
+    /// Whether it is leaving.
+    #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
+    /// Incarnation of the endpoint that stated this. Absent in messages of older versions.
+    #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<u16>,
 }
 
 /// Newest change of the evacuation of a data centre.
--- a/src/pool/statement.rs
+++ b/src/pool/statement.rs
@@ -5,7 +5,7 @@
 //! sending it more than it can serve.
 
 use super::{Pool, PoolKey};
-use crate::gossip::StatementRow;
+use crate::gossip::{StatementRow, Tag};
 use std::time::{Duration, Instant};
 
 /// Age that a report of an engine may have when it is read; deducted from the remaining time.
@@ -18,18 +18,22 @@
     cold_until: Option<Instant>,
     /// When it will be gone.
     gone_at: Option<Instant>,
+    /// Whether it is leaving.
+    leaving: bool,
     /// Whether the other instances have not been told yet.
     is_new: bool,
 }
 
 impl Statements {
-    fn row(&self, now: Instant, tag: crate::gossip::Tag) -> Option<StatementRow> {
+    fn row(&self, now: Instant, tag: Tag, incarnation: u16) -> Option<StatementRow> {
         let left = |end: Option<Instant>| {
             let left = end?.checked_duration_since(now).filter(|left| !left.is_zero())?;
             Some(u32::try_from(left.as_millis()).unwrap_or(u32::MAX))
         };
         let (cold_ms, gone_ms) = (left(self.cold_until), left(self.gone_at));
-        (cold_ms.is_some() || gone_ms.is_some()).then_some(StatementRow { tag, cold_ms, gone_ms })
+        let holds = cold_ms.is_some() || gone_ms.is_some() || self.leaving;
+        let (leaving, incarnation) = (self.leaving, Some(incarnation));
+        holds.then_some(StatementRow { tag, cold_ms, gone_ms, leaving, incarnation })
     }
 }
 
@@ -51,6 +55,14 @@
         e.notices.gone_at = Some(gone_at);
     }
 
+    /// Records that an endpoint states to this instance that it is leaving, which instances that start
+    /// later are told.
+    pub fn record_leaving(&mut self, key: PoolKey) {
+        if let Some(e) = self.endpoints.get_mut(key) {
+            e.statements.leaving = true;
+        }
+    }
+
     /// Returns whether there is a statement that the other instances have not been told.
     pub fn has_new_statements(&self) -> bool {
         self.endpoints.values().any(|e| e.statements.is_new)
@@ -62,14 +74,23 @@
         let endpoints = self.endpoints.values_mut();
         let told = endpoints.filter_map(|e| {
             let is_new = std::mem::take(&mut e.statements.is_new);
-            e.statements.row(now, e.tag).filter(|_| all || is_new)
+            e.statements.row(now, e.tag, e.listing.incarnation()).filter(|_| all || is_new)
         });
         told.collect()
     }
 
-    /// Applies what an endpoint has stated to another instance.
+    /// Returns whether a row is about the incarnation of an endpoint that this instance knows. One that
+    /// has started again under its id does not hold to what it stated before.
+    pub fn is_current(&self, row: &StatementRow) -> bool {
+        let e = self.find_key_by_tag(row.tag).map(|key| &self.endpoints[key]);
+        e.is_some_and(|e| row.incarnation.is_none_or(|i| i == e.listing.incarnation()))
+    }
+
+    /// Applies what an endpoint has stated to another instance, except that it is leaving.
     pub fn apply_statement(&mut self, now: Instant, row: StatementRow) {
-        let Some(key) = self.find_key_by_tag(row.tag) else { return };
+        let Some(key) = self.find_key_by_tag(row.tag).filter(|_| self.is_current(&row)) else {
+            return;
+        };
         let millis = |ms: u32| Duration::from_millis(u64::from(ms));
         if let Some(ms) = row.cold_ms {
             self.extend_cold(now, key, millis(ms));
--- a/tests/decisions/statement.rs
+++ b/tests/decisions/statement.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use skylarkthread::admit::{self, AdmissionRequest, Decision, PrefillRate};
 use skylarkthread::balance::Need;
-use skylarkthread::gossip::Tag;
+use skylarkthread::gossip::{StatementRow, Tag};
 use skylarkthread::id::Tokens;
 use skylarkthread::limit::{Rate, Stated};
 use skylarkthread::route::Urgency;
@@ -74,6 +74,22 @@
     assert!(own.has_new_statements());
 }
 
+/// An endpoint that has started again under its id holds to nothing that it stated before.
+#[test]
+fn statement_of_an_earlier_incarnation_is_not_applied() {
+    let now = Instant::now();
+    let (mut own, keys) = pool(now, 1);
+    let (mut other, other_keys) = pool(now, 1);
+    own.record_departure(now, keys[0], millis(2600));
+    own.record_leaving(keys[0]);
+    let row = own.take_statements(now, true)[0];
+    assert!(row.leaving && other.is_current(&row));
+    let earlier = StatementRow { incarnation: row.incarnation.map(|i| i.wrapping_add(1)), ..row };
+    assert!(!other.is_current(&earlier));
+    other.apply_statement(now, earlier);
+    assert_eq!(other.endpoints[other_keys[0]].notices.gone_at, None);
+}
+
 #[test]
 fn engine_that_leaves_after_its_listing_lapsed_is_removed() {
     let now = Instant::now();
--- a/tests/gateway/notices.rs
+++ b/tests/gateway/notices.rs
@@ -37,6 +37,24 @@
     assert_eq!(e.run_count(), reached);
 }
 
+/// Instances were told only once that an endpoint leaves, so that one which started later sent it
+/// requests.
+#[test]
+fn instance_that_starts_learns_which_endpoints_have_stated_that_they_leave() {
+    let (e, f) = (endpoint("i-1"), endpoint("i-2"));
+    let (store, gateway) = start_platform(&[(&e, "plain"), (&f, "plain")]);
+    e.set_headers(LEAVING);
+    bodies(&gateway, 20);
+    let reached = e.run_count();
+    assert!(wait_for(4, || store.keys("gateways/").len() == 1));
+    let started = start_gateway(&store);
+    assert!(wait_for(5, || started.readiness() == 200 && store.keys("gateways/").len() == 2));
+    // Longer than the interval of full digests.
+    std::thread::sleep(Duration::from_millis(2500));
+    assert!(bodies(&started, 20).iter().all(|b| b == "i-2"));
+    assert_eq!(e.run_count(), reached);
+}
+
 #[test]
 fn last_endpoint_that_leaves_is_not_used_and_callers_are_refused_at_once() {
     let e = endpoint("i-1");
