Write the registration of an instance again when the store has lost it

Callers would see: an instance whose peers drop all its messages until it restarts, so that work, limits, crashes and configurations are not shared with it.

Cause: an instance renewed its lease and took its registration for granted. A write that the store executes late, after the one under a newer lease, leaves the key under the older lease; it ends with that lease, and nobody wrote it again.

Change: an instance that sees its own key removed, or missing in a full read, registers under a new lease.

Before: registration_that_ends_with_an_older_lease_is_written_again fails. After: it passes.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -186,13 +186,14 @@
     if source == Source::Copy {
         quarantine::forget_published(gw);
     }
+    membership::check_registered(gw, &all.kvs);
     for kv in &all.kvs {
         membership::update_peer(gw, kv);
         quarantine::apply_kv(gw, kv);
     }
     gw.store_position.borrow_mut().set(all.at);
     if source == Source::Copy {
-        gw.store_returned.notify_one();
+        gw.registration_due.notify_one();
     }
     Ok(())
 }
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -47,8 +47,10 @@
     loop {
         let sent = clock::now();
         let newest = gw.store_position.borrow().era();
-        if newest > std::mem::replace(&mut era, newest) {
-            // The lease is gone, and its number may have been given to another instance.
+        let is_copy = newest > std::mem::replace(&mut era, newest);
+        if gw.registration_lost.take() || is_copy {
+            // The lease is gone or holds another key. After a return from a copy its number may have
+            // been given to another instance.
             lease = None;
         }
         match renew_or_register(&gw, &key, &value, lease).await {
@@ -58,7 +60,7 @@
                     gw.retries.borrow_mut().record_registration(sent, LEASE_TTL);
                 }
                 let wait = if renewed.is_some() { RENEW_INTERVAL } else { Duration::ZERO };
-                let _ = tokio::time::timeout(jitter(wait), gw.store_returned.notified()).await;
+                let _ = tokio::time::timeout(jitter(wait), gw.registration_due.notified()).await;
             }
             Err(e) => {
                 log::debug!("registration of this instance in the store failed: {e:?}");
@@ -83,11 +85,29 @@
     Ok(gw.store.put(key, value, lease).await?.then_some(lease))
 }
 
+/// Checks that a full read of the store has the registration of this instance.
+pub fn check_registered(gw: &Gateway, kvs: &[KeyValue]) {
+    let own = format!("{KEY_PREFIX}{}", gw.settings.borrow().instance);
+    if !kvs.iter().any(|kv| *kv.key == *own) {
+        record_lost(gw);
+    }
+}
+
+/// Has the registration written again: a write that the store executes late can leave it under a lease
+/// that is not renewed, and peers accept no messages of an instance that is not registered.
+fn record_lost(gw: &Gateway) {
+    gw.registration_lost.set(true);
+    gw.registration_due.notify_one();
+}
+
 /// Adds, updates or removes a peer after a change of its registration.
 pub fn update_peer(gw: &Rc<Gateway>, kv: &KeyValue) {
     let Some(name) = kv.key.strip_prefix(KEY_PREFIX) else { return };
     let Ok(instance) = name.parse::<InstanceId>() else { return };
     if instance == gw.settings.borrow().instance {
+        if kv.value.is_none() {
+            record_lost(gw);
+        }
         return;
     }
     let registration =
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -172,8 +172,10 @@
     store_position: RefCell<StorePosition>,
     /// Latest applied change of each store key, to discard changes that arrive late.
     revisions: RefCell<HashMap<Box<str>, Position>>,
-    /// Notified when the store has come back from a copy, which may lack the registration.
-    store_returned: Notify,
+    /// Whether the store was found without the registration of this instance.
+    registration_lost: Cell<bool>,
+    /// Notified when the store may lack the registration, as after a return from a copy.
+    registration_due: Notify,
     /// Outages of the store that this instance or another one has noticed.
     outages: RefCell<Outages>,
     /// Whether the last check found the store unreachable.
@@ -291,7 +293,8 @@
             store_position: RefCell::default(),
             outages: RefCell::default(),
             store_lost: Cell::new(false),
-            store_returned: Notify::new(),
+            registration_lost: Cell::default(),
+            registration_due: Notify::new(),
             poll_hint: Notify::new(),
             prefill_rates: RefCell::new(HashMap::new()),
             pauses: RefCell::new(HashMap::new()),
--- a/tests/gateway/lifecycle.rs
+++ b/tests/gateway/lifecycle.rs
@@ -70,6 +70,18 @@
     assert!(gateway.into_log().contains("kind=LinkUp"));
 }
 
+/// A write that the store executes late leaves the registration under a lease that is not renewed.
+#[test]
+fn registration_that_ends_with_an_older_lease_is_written_again() {
+    let e = Endpoint::start("i-1", Action::Respond(200, "fine".into()));
+    let (store, _gateway) = start_platform(&[(&e, "plain")]);
+    let is_registered = || store.keys("gateways/").len() == 1;
+    assert!(wait_for(4, is_registered));
+    store.set(&store.keys("gateways/")[0], None);
+    assert!(!is_registered());
+    assert!(wait_for(4, is_registered), "not registered again");
+}
+
 #[test]
 fn unread_log_pipe_does_not_block_requests() {
     let e = Endpoint::start("i-1", Action::Respond(200, "fine".into()));
