Read all keys when the changes of the store do not fit a response

Callers would see: an instance that was cut off from the store goes on with an old configuration after the store is back, while many versions of a large configuration were written.

Cause: a watch returns all changes since the known revision.

Change: a response that is too large is told from one that is lost, and all keys are read anew, page by page, as after a compaction.

Before: instance_adopts_the_newest_of_many_large_versions_after_an_outage fails. After: it passes.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -44,7 +44,9 @@
     loop {
         match poll_store(&gw, &mut connection).await {
             Ok(()) => wait_for_poll(&gw).await,
-            Err(StoreError::Compacted) => gw.store_position.borrow_mut().reset(),
+            Err(e) if e.requires_full_read() && gw.store_position.borrow().get().is_some() => {
+                gw.store_position.borrow_mut().reset();
+            }
             Err(e) => {
                 if !connection.is_lost {
                     connection.is_lost = true;
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -155,7 +155,10 @@
 {
     let read = res.body().limit(MAX_RESPONSE_BYTES);
     let body = match tokio::time::timeout(wait, read).await {
-        Ok(body) => body.map_err(|_| StoreError::Lost)?,
+        Ok(body) => body.map_err(|e| match e {
+            PayloadError::Overflow => StoreError::TooLarge,
+            _ => StoreError::Lost,
+        })?,
         Err(_) => return Err(StoreError::Lost),
     };
     serde_json::from_slice(&body).map_err(|_| StoreError::Malformed)
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -32,6 +32,16 @@
     Refused,
     /// The store has come back from an older copy, which lacks what was written since.
     Behind,
+    /// The response is larger than a client accepts.
+    TooLarge,
+}
+
+impl StoreError {
+    /// Returns whether changes can't be followed from the known revision, so that all keys have to be
+    /// read. Many versions of a large value may be too large for one response, over and over.
+    pub fn requires_full_read(self) -> bool {
+        matches!(self, StoreError::Compacted | StoreError::TooLarge)
+    }
 }
 
 /// A value in the store.
--- a/tests/gateway/intent.rs
+++ b/tests/gateway/intent.rs
@@ -252,3 +252,20 @@
     assert_eq!(send(gateway.front, &bytes).reply().status, 200);
     assert_eq!(e.received()[0].req.body, b"abcde");
 }
+
+/// Versions that were written while an instance did not reach the store are larger together than a
+/// response that it accepts.
+#[test]
+fn instance_adopts_the_newest_of_many_large_versions_after_an_outage() {
+    let e = Endpoint::start("i-1", Action::Respond(200, "fine".into()));
+    let (store, gateway) = start_platform(&[(&e, "plain")]);
+    store.set_outage(Some(Outage::Busy));
+    let padding = format!(r#"{{"padding":"{}","version":"#, "x".repeat(500_000));
+    for version in 8..24 {
+        let text = CONFIG.replacen(r#"{"version":7"#, &format!("{padding}{version}"), 1);
+        store.set("op/config", Some(text.replace("/safe/", &format!("/v{version}/")).as_bytes()));
+    }
+    store.set_outage(None);
+    let is_adopted = || send_request(&gateway, "GET", "/v23/x", "id-1").status == 200;
+    assert!(wait_for(5, is_adopted), "the newest version is not in force");
+}
