Check the registration only in reads that began after it was written

Cause: an instance that starts reads all keys while it registers; the read may have been answered before the write, and the instance registered twice, at the cost of two writes.

Change: a full read counts if it began after the registration was written.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -164,6 +164,7 @@
 
 /// Reads all keys: the configuration, the endpoints and the peers.
 async fn read_all(gw: &Rc<Gateway>, connection: &mut Connection) -> Result<(), StoreError> {
+    let asked = clock::now();
     let all = gw.store.list(ALL_KEYS).await?;
     log_store_back(gw, connection);
     let known = gw.store_position.borrow().era();
@@ -188,7 +189,7 @@
     if source == Source::Copy {
         quarantine::forget_published(gw);
     }
-    membership::check_registered(gw, &all.kvs);
+    membership::check_registered(gw, asked, &all.kvs);
     for kv in &all.kvs {
         membership::update_peer(gw, kv);
         quarantine::apply_kv(gw, kv);
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Prefix of the store keys under which instances are registered.
 pub const KEY_PREFIX: &str = "gateways/";
@@ -82,13 +82,17 @@
         return Ok(gw.store.renew(lease).await?.then_some(lease));
     }
     let lease = gw.store.grant(LEASE_TTL).await?;
-    Ok(gw.store.put(key, value, lease).await?.then_some(lease))
+    let is_written = gw.store.put(key, value, lease).await?;
+    gw.registered_at.set(Some(clock::now()));
+    Ok(is_written.then_some(lease))
 }
 
-/// Checks that a full read of the store has the registration of this instance.
-pub fn check_registered(gw: &Gateway, kvs: &[KeyValue]) {
+/// Checks that a full read of the store, begun at `asked`, has the registration of this instance if it
+/// was written before.
+pub fn check_registered(gw: &Gateway, asked: Instant, kvs: &[KeyValue]) {
     let own = format!("{KEY_PREFIX}{}", gw.settings.borrow().instance);
-    if !kvs.iter().any(|kv| *kv.key == *own) {
+    let is_written = gw.registered_at.get().is_some_and(|at| at <= asked);
+    if is_written && !kvs.iter().any(|kv| *kv.key == *own) {
         record_lost(gw);
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -172,7 +172,9 @@
     store_position: RefCell<StorePosition>,
     /// Latest applied change of each store key, to discard changes that arrive late.
     revisions: RefCell<HashMap<Box<str>, Position>>,
-    /// Whether the store was found without the registration of this instance.
+    /// When the registration of this instance was last written.
+    registered_at: Cell<Option<Instant>>,
+    /// Whether the store was found without it.
     registration_lost: Cell<bool>,
     /// Notified when the store may lack the registration, as after a return from a copy.
     registration_due: Notify,
@@ -293,6 +295,7 @@
             store_position: RefCell::default(),
             outages: RefCell::default(),
             store_lost: Cell::new(false),
+            registered_at: Cell::default(),
             registration_lost: Cell::default(),
             registration_due: Notify::new(),
             poll_hint: Notify::new(),
