Bound what is kept of error bodies, for all requests of a service at once

Cause: a response to a generation that is no stream is read whole before it is passed on, up to 4 MB for each request. The tests had one request at a time; 96 at once, fewer than 12 engines of 24 slots take, exceed the memory of an instance.

Change: 256 KB, as much as is read ahead of a response to a plain request. Longer error bodies of engines end with 502.

Before: endless_responses_to_many_requests_leave_the_memory_within_its_limit fails in 3 of 3 runs (113,852 to 115,712 KiB, the limit is 112,640). After: it passes, 3 of 3, with the other tests of endless responses.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -32,8 +32,9 @@
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(25);
 /// Longest wait for the outcome of a migration after it has interrupted the stream.
 const MOVE_OUTCOME_TIMEOUT: Duration = Duration::from_secs(4);
-/// Largest body of a response that is not a stream, such as an error.
-const MAX_BODY_BYTES: usize = 4 << 20;
+/// Largest body of a response that is not a stream, such as an error. It is kept whole, possibly for
+/// all requests of a service at once.
+const MAX_BODY_BYTES: usize = 256 << 10;
 
 /// A generation whose response has started.
 struct Stream<'a> {
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -83,6 +83,8 @@
     Body,
     /// A body that would end with the connection.
     UnframedBody,
+    /// The body of a server error, of a stated length.
+    ErrorBody,
     /// The extension of a chunk.
     ChunkExtension,
     /// An event of a stream.
@@ -102,6 +104,10 @@
             EndlessPart::HeaderLine => (format!("{ok}X-Filler: "), "filler filler filler "),
             EndlessPart::Interim => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
             EndlessPart::Body => (format!("{chunked}\r\n"), "10\r\nfiller filler fi\r\n"),
+            EndlessPart::ErrorBody => (
+                format!("HTTP/1.1 500 X\r\n{sealed_headers}Content-Length: 999999999\r\n\r\n"),
+                "filler filler filler ",
+            ),
             EndlessPart::UnframedBody => {
                 (format!("{ok}{sealed_headers}Connection: close\r\n\r\n"), "filler filler filler ")
             }
--- a/tests/gateway/endless.rs
+++ b/tests/gateway/endless.rs
@@ -9,6 +9,9 @@
 /// Growth of the gateway's memory that buffers may take: twice the largest of them.
 const MAX_GROWTH_KIB: u64 = 8 << 10;
 
+/// Memory beyond which the platform kills the gateway.
+const MEMORY_LIMIT_KIB: u64 = 110 << 10;
+
 /// Checks that the caller got its response in time and the endpoint was cut off, and that the
 /// memory of the gateway did not grow.
 fn check(gateway: &Gateway, e: &Endpoint, before: u64, started: Instant, limit: Duration) {
@@ -61,6 +64,25 @@
     assert_eq!(e.run_count(), 1);
 }
 
+/// An instance kept what faulty engines sent to many requests at once and ran out of memory, and the
+/// requests of others ended with it.
+#[test]
+fn endless_responses_to_many_requests_leave_the_memory_within_its_limit() {
+    let start = |n| Endpoint::start(&format!("i-{n}"), Action::Endless(EndlessPart::ErrorBody));
+    let engines: Vec<Endpoint> = (0..12).map(start).collect();
+    let listed: Vec<(&Endpoint, &str)> = engines.iter().map(|e| (e, "model")).collect();
+    let (_store, gateway) = start_platform(&listed);
+    let _sent: Vec<_> = (0..96).map(|n| start_stream(&gateway, &format!("id-{n}"))).collect();
+    let received = || engines.iter().map(|e| e.received().len()).sum::<usize>();
+    assert!(wait_for(3, || received() >= 80), "{} requests reached engines", received());
+    let end = Instant::now() + Duration::from_secs(3);
+    while Instant::now() < end {
+        let used = gateway.memory_kib();
+        assert!(used < MEMORY_LIMIT_KIB, "{used} KiB");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
 #[test]
 fn safe_call_is_answered_by_another_endpoint_than_an_endless_one() {
     let e = Endpoint::start("i-1", Action::Endless(EndlessPart::Head));
