Give the stop of an instance and the stored refusals modules of their own

`stop` leads the instance through its phases, `refusals` writes to the store and reads what is refused, and the state of a registration stands in `membership`. A permission for a retry is told whether the attempt reached an endpoint, so `retries` no longer needs `attempt`, which undoes the circle of the two.

Behaviour is meant to be the same.

--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -263,6 +263,7 @@
     let mut tried: Vec<PoolKey> = Vec::new();
     let (mut reached, mut runs) = (0, 0);
     loop {
+        may_run.set(runs > 0);
         let Some(permit) = attempt::permit_attempt(gw, job, tried.len(), reached).await else {
             return Err(exhausted(job, tried.len(), runs));
         };
@@ -276,9 +277,7 @@
         let guard = WorkGuard::new(gw, key, job.expected_work());
         may_run.set(true);
         let sent = clock::now();
-        let opened = open_segment(gw, job, guard, None, None).await;
-        may_run.set(runs > 0);
-        let error = match opened {
+        let error = match open_segment(gw, job, guard, None, None).await {
             Ok(segment) => return Ok(Segment { runs: runs + 1, denials, passed, ..segment }),
             // Another request took the permit meanwhile.
             Err(AttemptError::Limited) => {
@@ -287,18 +286,14 @@
             }
             Err(error) => error,
         };
-        permit.settle(Some(&error));
+        permit.settle(error.is_undelivered());
         reached += usize::from(!error.is_undelivered());
         tried.push(key);
-        attempt::record_error(gw, key, error);
+        record_failure(gw, job, key, error, sent);
         if error == AttemptError::Quarantined {
             return Err(attempt::unknown_outcome(job, error));
         }
-        if error == AttemptError::Broken {
-            quarantine::check_crash(gw, job, key, sent);
-        }
         runs += u32::from(!error.is_not_executed());
-        may_run.set(runs > 0);
         let may_rerun =
             job.is_idempotent() && runs < job.route.max_attempts && quarantine::may_rerun(gw, job);
         if runs > 0 && !may_rerun {
@@ -309,6 +304,14 @@
     }
 }
 
+/// Records an attempt at `sent` that failed, and has the engine checked if it may have crashed.
+fn record_failure(gw: &Rc<Gateway>, job: &Job, key: PoolKey, error: AttemptError, sent: Instant) {
+    attempt::record_error(gw, key, error);
+    if error == AttemptError::Broken {
+        quarantine::check_crash(gw, job, key, sent);
+    }
+}
+
 /// Builds the problem for a generation that may not be sent to another engine.
 fn exhausted(job: &Job, tried: usize, runs: u32) -> Problem {
     if runs > 0 {
@@ -386,12 +389,9 @@
     let guard = WorkGuard::new(gw, key, job.expected_work());
     let sent = clock::now();
     let opened = open_segment(gw, job, guard, None, last).await;
-    permit.settle(opened.as_ref().err());
+    permit.settle(opened.as_ref().is_err_and(|e| e.is_undelivered()));
     let segment = opened.inspect_err(|error| {
-        attempt::record_error(gw, key, *error);
-        if *error == AttemptError::Broken {
-            quarantine::check_crash(gw, job, key, sent);
-        }
+        record_failure(gw, job, key, *error, sent);
     })?;
     if !segment.response.info.status.is_success() {
         return Err(AttemptError::Failed);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -42,16 +42,16 @@
 /// to the endpoint, which cancels the request there.
 pub async fn answer(gw: &Rc<Gateway>, conn: &mut Inbound, job: &Job) -> Disposition {
     let mut attempts = Attempts::default();
-    let sent = tokio::select! {
+    let finished = tokio::select! {
         result = send_with_retries(gw, job, &mut attempts) => Some(result),
-        () = gw.reached(Phase::Expiring) => None,
+        () = gw.stop.reached(Phase::Expiring) => None,
         () = conn.closed() => {
             gw.event(Kind::Abandoned, log_id(job.meta.id.as_ref()), "");
             return Disposition::Abort;
         }
     };
-    let result = sent.unwrap_or_else(|| expire(job, &mut attempts));
-    let close = gw.is_stopping();
+    let result = finished.unwrap_or_else(|| expire(job, &mut attempts));
+    let close = gw.stop.is_requested();
     match result {
         Ok(CallResponse::Complete(response, body)) => {
             record_answer(gw, job, &response);
@@ -231,7 +231,7 @@
         Err(error) => error,
     };
     attempt::record_error(gw, key, error);
-    permit.settle(Some(&error));
+    permit.settle(error.is_undelivered());
     attempts.reached += usize::from(!error.is_undelivered());
     if error == AttemptError::Broken {
         quarantine::check_crash(gw, job, key, sent);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the store: the operators' configuration, the list of endpoints and the list of peers.
 
-use super::{Gateway, evacuation, jitter, membership, peers, quarantine};
+use super::{Gateway, evacuation, jitter, membership, peers, refusals};
 use crate::clock;
 use crate::event::Kind;
 use crate::gossip::{StoreChanges, Succession};
@@ -123,7 +123,7 @@
     evacuation::apply_kv(gw, kv, at.era);
     apply_listing(gw, kv, may_expire);
     membership::update_peer(gw, kv);
-    quarantine::apply_kv(gw, kv);
+    refusals::apply_kv(gw, kv);
 }
 
 async fn poll_store(gw: &Rc<Gateway>, connection: &mut Connection) -> Result<(), StoreError> {
@@ -187,16 +187,16 @@
     replace_listings(gw, &all, source);
     evacuation::replace(gw, &all, source);
     if source == Source::Copy {
-        quarantine::forget_published(gw);
+        refusals::forget_published(gw);
     }
     membership::check_registered(gw, asked, &all.kvs);
     for kv in &all.kvs {
         membership::update_peer(gw, kv);
-        quarantine::apply_kv(gw, kv);
+        refusals::apply_kv(gw, kv);
     }
     gw.store_position.borrow_mut().set(all.at);
     if source == Source::Copy {
-        gw.registration_due.notify_one();
+        gw.registration.due.notify_one();
     }
     Ok(())
 }
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -11,9 +11,11 @@
 use crate::id::{InstanceId, MilliCores};
 use crate::store::{KeyValue, LeaseId, Leases, StoreError};
 use serde::{Deserialize, Serialize};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// Prefix of the store keys under which instances are registered.
 pub const KEY_PREFIX: &str = "gateways/";
@@ -37,6 +39,17 @@
     pub power: MilliCores,
 }
 
+/// Whether the store has the registration of this instance.
+#[derive(Debug, Default)]
+pub struct RegistrationState {
+    /// When it was last written.
+    written_at: Cell<Option<Instant>>,
+    /// Whether the store was found without it.
+    is_lost: Cell<bool>,
+    /// Notified when the store may lack it, as after a return from a copy.
+    pub due: Notify,
+}
+
 /// Keeps this instance registered in the store. Does not return.
 pub async fn keep_registered(gw: Rc<Gateway>, registration: Registration) {
     let instance = gw.settings.borrow().instance.clone();
@@ -48,7 +61,7 @@
         let sent = clock::now();
         let newest = gw.store_position.borrow().era();
         let is_copy = newest > std::mem::replace(&mut era, newest);
-        if gw.registration_lost.take() || is_copy {
+        if gw.registration.is_lost.take() || is_copy {
             // The lease is gone or holds another key. After a return from a copy its number may have
             // been given to another instance.
             lease = None;
@@ -60,7 +73,7 @@
                     gw.retries.borrow_mut().record_registration(sent, LEASE_TTL);
                 }
                 let wait = if renewed.is_some() { RENEW_INTERVAL } else { Duration::ZERO };
-                let _ = tokio::time::timeout(jitter(wait), gw.registration_due.notified()).await;
+                let _ = tokio::time::timeout(jitter(wait), gw.registration.due.notified()).await;
             }
             Err(e) => {
                 log::debug!("registration of this instance in the store failed: {e:?}");
@@ -83,7 +96,7 @@
     }
     let lease = gw.store.grant(LEASE_TTL).await?;
     let is_written = gw.store.put(key, value, lease).await?;
-    gw.registered_at.set(Some(clock::now()));
+    gw.registration.written_at.set(Some(clock::now()));
     Ok(is_written.then_some(lease))
 }
 
@@ -91,7 +104,7 @@
 /// was written before.
 pub fn check_registered(gw: &Gateway, asked: Instant, kvs: &[KeyValue]) {
     let own = format!("{KEY_PREFIX}{}", gw.settings.borrow().instance);
-    let is_written = gw.registered_at.get().is_some_and(|at| at <= asked);
+    let is_written = gw.registration.written_at.get().is_some_and(|at| at <= asked);
     if is_written && !kvs.iter().any(|kv| *kv.key == *own) {
         record_lost(gw);
     }
@@ -100,8 +113,8 @@
 /// Has the registration written again: a write that the store executes late can leave it under a lease
 /// that is not renewed, and peers accept no messages of an instance that is not registered.
 fn record_lost(gw: &Gateway) {
-    gw.registration_lost.set(true);
-    gw.registration_due.notify_one();
+    gw.registration.is_lost.set(true);
+    gw.registration.due.notify_one();
 }
 
 /// Adds, updates or removes a peer after a change of its registration.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,10 +23,12 @@
 mod pauses;
 mod peers;
 mod quarantine;
+mod refusals;
 mod respond;
 mod retries;
 mod serve;
 mod stats;
+mod stop;
 mod stream;
 mod transfer;
 mod unread;
@@ -46,7 +48,7 @@
 use crate::prompts::Pauses;
 use crate::quarantine::{Quarantine, Runs};
 use crate::route::Table;
-use crate::shutdown::{Drain, OpenWork, Phase, StopSignals};
+use crate::shutdown::StopSignals;
 use crate::store::Position;
 use actix_http::{KeepAlive, ServiceConfig};
 use slotmap::SecondaryMap;
@@ -64,10 +66,6 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which the settings file is read again, since it may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
-/// Interval at which a stopping instance checks what is open.
-const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time for the log thread to write the last lines.
-const LOG_FLUSH_TIME: Duration = Duration::from_millis(20);
 
 /// The reason why an instance cannot start.
 #[derive(Debug)]
@@ -122,12 +120,8 @@
     connections: Cell<u32>,
     /// Number of requests in progress.
     active_requests: Cell<u32>,
-    /// Stop under way; `None` while this instance runs normally.
-    drain: Cell<Option<Drain>>,
-    /// How far the stop has come.
-    phase: Cell<Phase>,
-    /// Notified when `phase` changes.
-    phase_changed: Notify,
+    /// How far the stop of this instance has come.
+    stop: stop::StopState,
     /// Configuration of the HTTP/1 codecs.
     codec: ServiceConfig,
     store: KvClient,
@@ -163,7 +157,7 @@
     /// Notified when a part is refused, to stop generations that wait for their first event.
     parts_changed: Notify,
     /// Refused parts and contents that the store holds.
-    published: RefCell<HashSet<quarantine::Refused>>,
+    published: RefCell<HashSet<refusals::Refused>>,
     /// Other instances registered in the store.
     peers: RefCell<HashMap<InstanceId, peers::Peer>>,
     /// Sends messages to peers and matches their replies with requests.
@@ -172,12 +166,8 @@
     store_position: RefCell<StorePosition>,
     /// Latest applied change of each store key, to discard changes that arrive late.
     revisions: RefCell<HashMap<Box<str>, Position>>,
-    /// When the registration of this instance was last written.
-    registered_at: Cell<Option<Instant>>,
-    /// Whether the store was found without it.
-    registration_lost: Cell<bool>,
-    /// Notified when the store may lack the registration, as after a return from a copy.
-    registration_due: Notify,
+    /// Whether the store has the registration of this instance.
+    registration: membership::RegistrationState,
     /// Outages of the store that this instance or another one has noticed.
     outages: RefCell<Outages>,
     /// Whether the last check found the store unreachable.
@@ -227,7 +217,7 @@
     actix_rt::spawn(follow::follow_store(gw.clone()));
     actix_rt::spawn(run_maintenance(gw.clone()));
     actix_rt::spawn(outage::poll_engines(gw.clone()));
-    actix_rt::spawn(quarantine::publish_refused(gw.clone()));
+    actix_rt::spawn(refusals::publish_refused(gw.clone()));
     actix_rt::spawn(limits::request_permits(gw.clone()));
     if let Some(address) = settings.peer_address {
         inbox::start(&gw, address).await.map_err(|e| GatewayError::Bind(address, e))?;
@@ -236,7 +226,7 @@
     }
     actix_rt::spawn(reload(gw.clone(), file, hangups));
     stop_signals.wait().await;
-    stop(&gw).await;
+    stop::run(&gw).await;
     Ok(())
 }
 
@@ -269,9 +259,7 @@
             unread: RefCell::default(),
             connections: Cell::new(0),
             active_requests: Cell::new(0),
-            drain: Cell::default(),
-            phase: Cell::default(),
-            phase_changed: Notify::new(),
+            stop: stop::StopState::default(),
             codec: codec(),
             store: KvClient::new(settings.store_address),
             metrics,
@@ -295,9 +283,7 @@
             store_position: RefCell::default(),
             outages: RefCell::default(),
             store_lost: Cell::new(false),
-            registered_at: Cell::default(),
-            registration_lost: Cell::default(),
-            registration_due: Notify::new(),
+            registration: membership::RegistrationState::default(),
             poll_hint: Notify::new(),
             prefill_rates: RefCell::new(HashMap::new()),
             pauses: RefCell::new(HashMap::new()),
@@ -335,25 +321,9 @@
         self.table.borrow().as_ref().map_or(0, |t| t.version.0)
     }
 
-    /// Returns whether this instance has been asked to stop.
-    fn is_stopping(&self) -> bool {
-        self.phase.get() > Phase::Serving
-    }
-
-    /// Waits until the stop of this instance has reached a phase.
-    async fn reached(&self, phase: Phase) {
-        loop {
-            let changed = self.phase_changed.notified();
-            if self.phase.get() >= phase {
-                return;
-            }
-            changed.await;
-        }
-    }
-
     /// Returns whether new connections should be sent to this instance.
     fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.table.borrow().is_some()
+        !self.stop.is_requested() && self.table.borrow().is_some()
     }
 }
 
@@ -432,40 +402,6 @@
     }
 }
 
-/// Takes this instance through the phases of its stop, and returns once the process can exit.
-async fn stop(gw: &Gateway) {
-    let settings = gw.settings.borrow().clone();
-    let mut drain = Drain::new(clock::now(), settings.stop_grace);
-    gw.drain.set(Some(drain));
-    let mut phase = Phase::Draining;
-    loop {
-        if gw.phase.replace(phase) != phase {
-            log_phase(gw, &settings.instance, phase);
-            gw.phase_changed.notify_waiters();
-        }
-        if phase == Phase::Stopped {
-            break;
-        }
-        tokio::time::sleep(STOP_CHECK_INTERVAL).await;
-        let open =
-            OpenWork { connections: gw.connections.get(), requests: gw.active_requests.get() };
-        phase = drain.step(clock::now(), open);
-    }
-    tokio::time::sleep(LOG_FLUSH_TIME).await;
-}
-
-fn log_phase(gw: &Gateway, instance: &InstanceId, phase: Phase) {
-    let kind = match phase {
-        Phase::Serving => return,
-        Phase::Draining => Kind::Draining,
-        Phase::Closing => Kind::Closing,
-        Phase::Expiring => Kind::Expiring,
-        Phase::Stopped => Kind::Stopped,
-    };
-    let (active, connections) = (gw.active_requests.get(), gw.connections.get());
-    gw.event(kind, instance, format_args!("active={active} connections={connections}"));
-}
-
 /// Varies a duration randomly by up to a quarter either way, so that instances do not act in
 /// lockstep.
 fn jitter(duration: Duration) -> Duration {
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -1,7 +1,6 @@
 //! Permissions for retries, from the part of this instance in the retries of all, or borrowed from
 //! other instances.
 
-use super::attempt::AttemptError;
 use super::job::log_id;
 use super::peers::{self, Reply};
 use super::{Gateway, limits};
@@ -36,9 +35,9 @@
         }
     }
 
-    /// Ends the permission after an attempt, and gives it back if no endpoint was reached.
-    pub fn settle(self, error: Option<&AttemptError>) {
-        if error.is_some_and(|e| e.is_undelivered()) {
+    /// Ends the permission after an attempt, and gives it back if that reached no endpoint.
+    pub fn settle(self, is_undelivered: bool) {
+        if is_undelivered {
             self.release();
         }
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -29,7 +29,7 @@
     loop {
         let io = tokio::select! {
             biased;
-            () = gw.reached(Phase::Closing) => return,
+            () = gw.stop.reached(Phase::Closing) => return,
             io = accept(&listener) => io,
         };
         let limit = f64::from(gw.settings.borrow().max_sockets) * CALLER_FD_SHARE;
@@ -77,7 +77,7 @@
     let conn = Inbound::new(io, &gw.codec);
     tokio::select! {
         biased;
-        () = gw.reached(Phase::Stopped) => {}
+        () = gw.stop.reached(Phase::Stopped) => {}
         () = serve_requests(&gw, conn) => {}
     }
 }
@@ -89,7 +89,7 @@
             // A request that is there when the instance closes is read and answered.
             biased;
             readable = conn.wait_readable(limits.idle_timeout + IDLE_MARGIN) => readable.is_ok(),
-            () = gw.reached(Phase::Closing) => false,
+            () = gw.stop.reached(Phase::Closing) => false,
         };
         if !is_readable {
             return;
@@ -116,7 +116,7 @@
         Err(e) => return answer_read_error(gw, conn, &e).await,
     };
     let now = clock::now();
-    let close = gw.is_stopping();
+    let close = gw.stop.is_requested();
     let meta = platform::parse_request(&req);
     let id = meta.id.clone();
     if !wait_for_table(gw, conn, now, meta.timeout).await {
@@ -147,7 +147,7 @@
     since: Instant,
     timeout: Option<Duration>,
 ) -> bool {
-    if gw.table.borrow().is_some() || gw.is_stopping() {
+    if gw.table.borrow().is_some() || gw.stop.is_requested() {
         return true;
     }
     let has_peers = !gw.peers.borrow().is_empty();
@@ -165,7 +165,7 @@
 /// instance if it is the only one in their data centre, or over a kept-alive connection.
 fn check_draining(gw: &Gateway, job: Job) -> Result<Job, Problem> {
     let is_generation = job.route.kind == RouteKind::Streaming;
-    if gw.drain.get().is_some_and(|d| d.refuses(job.received, job.deadline, is_generation)) {
+    if gw.stop.refuses(job.received, job.deadline, is_generation) {
         return Err(job.stop_refusal());
     }
     Ok(job)
@@ -219,7 +219,7 @@
     loop {
         let io = tokio::select! {
             biased;
-            () = gw.reached(Phase::Stopped) => return,
+            () = gw.stop.reached(Phase::Stopped) => return,
             io = accept(&listener) => io,
         };
         actix_rt::spawn(serve_probes(gw.clone(), io));
@@ -232,7 +232,7 @@
     loop {
         let is_readable = tokio::select! {
             biased;
-            () = gw.reached(Phase::Stopped) => false,
+            () = gw.stop.reached(Phase::Stopped) => false,
             readable = conn.wait_readable(limits.idle_timeout) => readable.is_ok(),
         };
         if !is_readable {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -93,7 +93,7 @@
     let may_run = Cell::new(false);
     let dispatched = tokio::select! {
         dispatched = begin::dispatch(gw, job, &may_run) => dispatched,
-        () = gw.reached(Phase::Expiring) => Err(match may_run.get() {
+        () = gw.stop.reached(Phase::Expiring) => Err(match may_run.get() {
             true => attempt::unknown_outcome(job, AttemptError::Stopping),
             false => job.stop_refusal(),
         }),
@@ -102,7 +102,7 @@
             return Disposition::Abort;
         }
     };
-    let close = gw.is_stopping();
+    let close = gw.stop.is_requested();
     match dispatched {
         Ok(segment) if segment.response.info.status.is_success() => {
             let holder = Rc::new(Holder::new(gw, log_id(job.meta.id.as_ref())));
@@ -137,7 +137,7 @@
     let mut response = segment.response;
     let read = tokio::select! {
         body = response.out.read_body(MAX_BODY_BYTES) => body.ok(),
-        () = gw.reached(Phase::Expiring) => None,
+        () = gw.stop.reached(Phase::Expiring) => None,
         () = tokio::time::sleep_until(job.deadline.into()) => None,
     };
     match read {
@@ -450,7 +450,7 @@
         self.drain(conn).await?;
         let opened =
             begin::open_segment(self.gw, self.job, guard, Some(&handoff), self.last_id).await;
-        permit.settle(opened.as_ref().err());
+        permit.settle(opened.as_ref().is_err_and(|e| e.is_undelivered()));
         let segment = opened.map_err(Failure::Refused)?;
         if !segment.response.info.status.is_success() {
             return Err(Failure::Failed(segment.response.info.status.as_u16()));
