--- a/tests/decisions/contents.rs
+++ b/tests/decisions/contents.rs
@@ -1,6 +1,7 @@
 //! Which contents of requests are refused after crashes, for how long, and what instances tell each
 //! other of them.
 
+use rstest::rstest;
 use skylarkthread::frame::Gossip;
 use skylarkthread::id::{Fingerprint, Incarnation};
 use skylarkthread::quarantine::{CRASH_MEMORY, LostRun, Quarantine, Scope, Standing};
@@ -133,3 +134,23 @@
     assert_eq!(paused.quarantine.standing(&BAD), Standing::Refused);
     assert_eq!(paused.quarantine.standing(&Fingerprint(8)), Standing::Free);
 }
+
+/// All instances are stopped and started in turn, after the time in which changes are told.
+#[rstest]
+#[case::small(4)]
+#[case::large(410)]
+fn content_stays_refused_when_all_instances_start_in_turn(#[case] instances: usize) {
+    let mut first = Seen::new();
+    first.crash_each_second(BAD, 3);
+    let start = first.start;
+    let mut fleet: Vec<Quarantine> = (0..instances).map(|_| Quarantine::default()).collect();
+    let messages = first.quarantine.messages(start + millis(3000), Scope::Changed);
+    fleet.iter_mut().for_each(|q| messages.iter().for_each(|m| q.merge(start + millis(3000), m)));
+    for ix in 0..instances {
+        let now = start + millis(10_000 + 300 * ix as u64);
+        let told = fleet[(ix + 1) % instances].messages(now, Scope::All);
+        fleet[ix] = Quarantine::default();
+        told.iter().for_each(|m| fleet[ix].merge(now, m));
+    }
+    assert!(fleet.iter().all(|q| q.standing(&BAD) == Standing::Refused));
+}
