--- a/src/gateway/refusals.rs
+++ b/src/gateway/refusals.rs
@@ -106,7 +106,7 @@
     }
 }
 
-/// Forgets which refusals the store holds, after it has come back from a copy.
+/// Forgets which refusals the store holds, so that they are written again after its return from a copy.
 pub fn forget_published(gw: &Gateway) {
     gw.published.borrow_mut().clear();
     gw.refusal_added.notify_one();
--- a/tests/gateway/shutdown.rs
+++ b/tests/gateway/shutdown.rs
@@ -16,7 +16,7 @@
     [Duration::from_millis(6), Duration::from_millis(12), Duration::from_millis(18)];
 /// Deadline of a call, short enough that the instance accepts it until shortly before it exits.
 const DEADLINE: &str = "X-Deadline-Ms: 200\r\n";
-/// Grace period of the tests' gateways, and time for the process to end.
+/// Grace period of the gateways that tests start.
 const GRACE: Duration = Duration::from_millis(4000);
 
 /// Opens connections and has a request served on each.
