Log what an examined endpoint is found to be, and why a part is not refused

Event 325 gives the outcome of each look at an endpoint after a broken connection, 326 the reason that tells against a refusal. No decision changes.

--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -108,6 +108,10 @@
     Accused = 323,
     /// Requests with a part of their prompts wait, to find out whether it crashes engines.
     Tried = 324,
+    /// An endpoint whose connection broke during a request was examined for a crash.
+    Examined = 325,
+    /// A part of prompts has crashed enough engines, but something tells against refusing it.
+    Undecided = 326,
     /// A non-idempotent call was recorded and then started.
     CallStarted = 400,
     /// A non-idempotent call finished and its result was recorded.
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -220,6 +220,9 @@
 
 async fn check_endpoint(gw: Rc<Gateway>, key: PoolKey, endpoint: Suspected) {
     let is_crashed = is_down(endpoint.address).await;
+    let outcome = if is_crashed { "crashed" } else { "serving" };
+    gw.event(Kind::Examined, &endpoint.id, format_args!("outcome={outcome}"));
+    metrics::counter!("examinations_total", "outcome" => outcome).increment(1);
     let contents = gw.crash_checks.borrow_mut().remove(&key).unwrap_or_default();
     if !is_crashed {
         return;
@@ -274,6 +277,7 @@
 
 fn update(gw: &Gateway) {
     let before = gw.quarantine.borrow().parts.held();
+    let undecided = gw.quarantine.borrow().parts.undecided();
     let new = gw.quarantine.borrow_mut().parts.step(clock::now());
     let held = gw.quarantine.borrow().parts.held();
     if let Some((part, released)) = held.filter(|_| held != before) {
@@ -288,6 +292,10 @@
         let detail = format_args!("crashes={}", refused.crashes);
         gw.event(Kind::Convicted, join(refused.parts.iter()), detail);
     }
+    let doubt = gw.quarantine.borrow().parts.undecided().filter(|now| Some(*now) != undecided);
+    if let Some((part, crashes, why)) = doubt {
+        gw.event(Kind::Undecided, part, format_args!("crashes={crashes} why={why}"));
+    }
     let count = gw.quarantine.borrow().parts.refused().len();
     metrics::gauge!("refused_parts").set(count as f64);
     if !new.is_empty() {
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -17,7 +17,7 @@
 mod trial;
 
 pub use contents::{CRASH_MEMORY, CrashSet, LostRun, service_tag};
-pub use parts::{AccusedPart, CrashId, MAX_CRASHES, PartSuspects, RefusedParts, Scope};
+pub use parts::{AccusedPart, CrashId, Doubt, MAX_CRASHES, PartSuspects, RefusedParts, Scope};
 pub use runs::{CrashedRuns, RunKey, Runs, SOUND_TIME};
 pub use trial::Trial;
 
--- a/src/quarantine/parts.rs
+++ b/src/quarantine/parts.rs
@@ -15,6 +15,7 @@
 use crate::frame::{PartRow, PartsGossip, SeenCrash};
 use crate::id::{Incarnation, PartId};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::fmt;
 use std::time::{Duration, Instant};
 
 /// Number of crashes, at different moments, from which a part is refused.
@@ -127,6 +128,8 @@
     pub(super) pending: Vec<RefusedParts>,
     /// Parts that may be tried, the most suspect one first.
     pub(super) next_trials: Vec<PartId>,
+    /// Parts with enough crashes that are not refused, and why.
+    pub(super) open: Vec<(PartId, Doubt)>,
 }
 
 /// What the crashes of a part show.
@@ -135,11 +138,32 @@
     /// Too few crashes.
     None,
     /// Enough of them, but nothing sound tells the part from the engines or from other parts.
-    Open,
+    Open(Doubt),
     /// The part causes them.
     Enough,
 }
 
+/// Why a part with enough crashes is not refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Doubt {
+    /// No run has been sound since its first crash, so the engines may be at fault.
+    Engines,
+    /// Requests without it have another part that was present at all of its crashes.
+    OtherPart,
+    /// It was tried, and has not been present at a crash since.
+    Trial,
+}
+
+impl fmt::Display for Doubt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Doubt::Engines => "no-sound-run",
+            Doubt::OtherPart => "other-part",
+            Doubt::Trial => "trial",
+        })
+    }
+}
+
 impl PartSuspects {
     /// Returns the number of a crash of an endpoint whose restarts are not numbered, in the run that
     /// its listing names. The listing may not show yet that it has restarted since the last known
@@ -326,11 +350,29 @@
         if moments < limit && !is_frequent {
             return Evidence::None;
         }
+        match self.doubt(part, &crashes) {
+            None => Evidence::Enough,
+            Some(doubt) => Evidence::Open(doubt),
+        }
+    }
+
+    /// Returns why these crashes do not show that a part causes them; `None` if they do.
+    fn doubt(&self, part: PartId, crashes: &[Instant]) -> Option<Doubt> {
         let is_later = |sound: Instant| crashes.first().is_some_and(|first| sound > *first);
-        let is_shown = self.sound_at.is_some_and(is_later)
-            && !self.is_contested(part, &crashes)
-            && !self.awaits_crash(part, &crashes);
-        if is_shown { Evidence::Enough } else { Evidence::Open }
+        if !self.sound_at.is_some_and(is_later) {
+            return Some(Doubt::Engines);
+        }
+        if self.is_contested(part, crashes) {
+            return Some(Doubt::OtherPart);
+        }
+        self.awaits_crash(part, crashes).then_some(Doubt::Trial)
+    }
+
+    /// Returns the part with the most crashes among those that have enough of them and are not
+    /// refused, with the number of its crashes and the reason.
+    pub fn undecided(&self) -> Option<(PartId, usize, Doubt)> {
+        let open = self.open.iter().map(|(p, doubt)| (*p, self.accused[p].len(), *doubt));
+        open.max_by_key(|(p, crashes, _)| (*crashes, *p))
     }
 
     /// Returns whether requests without a part have one that was present at all of its crashes too,
--- a/src/quarantine/trial.rs
+++ b/src/quarantine/trial.rs
@@ -6,7 +6,7 @@
 //! run is sound, requests with the part run again, and its next crash shows that it is the cause.
 //! Requests with parts that were or may be tried run one at a time.
 
-use super::parts::{Crashes, Evidence, MAX_CRASHES, OpenCrashes, SETTLE_TIME, WAVE};
+use super::parts::{Crashes, Doubt, Evidence, MAX_CRASHES, OpenCrashes, SETTLE_TIME, WAVE};
 use super::{PartSuspects, RefusedParts, SOUND_TIME};
 use crate::id::PartId;
 use std::time::{Duration, Instant};
@@ -80,7 +80,8 @@
 
     /// Chooses the part to try, and decides whether requests with it wait.
     pub(super) fn update_trial(&mut self, now: Instant) {
-        let candidates = self.candidates(now);
+        self.open = self.candidates(now);
+        let candidates: Vec<PartId> = self.open.iter().map(|(p, _)| *p).collect();
         let waves = if candidates.is_empty() { Vec::new() } else { self.waves(now) };
         self.next_trials = self.rank(&candidates, &waves);
         let is_sound = |t: &Trial| self.sound_at.is_some_and(|sound| sound > t.since);
@@ -120,15 +121,19 @@
         alone.flat_map(|r| r.parts.iter()).find(|p| is_mistaken(p)).copied()
     }
 
-    /// Returns the parts that may cause all of their crashes, as far as is known.
-    fn candidates(&self, now: Instant) -> Vec<PartId> {
+    /// Returns the parts that may cause all of their crashes, as far as is known, and what tells
+    /// against it.
+    fn candidates(&self, now: Instant) -> Vec<(PartId, Doubt)> {
         let is_refused = |p: &PartId| self.refused.iter().any(|r| r.parts.contains(p));
-        let is_open = |part: PartId| {
+        let to_open = |part: PartId| {
             let crashes = self.accused[&part].iter().filter(|(_, c)| c.begun);
             let open: OpenCrashes = crashes.map(|(id, c)| (*id, c.at)).collect();
-            self.evidence(now, part, &open, MAX_CRASHES) == Evidence::Open
+            match self.evidence(now, part, &open, MAX_CRASHES) {
+                Evidence::Open(doubt) => Some((part, doubt)),
+                Evidence::None | Evidence::Enough => None,
+            }
         };
-        self.accused.keys().copied().filter(|p| !is_refused(p) && is_open(*p)).collect()
+        self.accused.keys().copied().filter(|p| !is_refused(p)).filter_map(to_open).collect()
     }
 
     /// Returns the starts of the waves of crashes that have settled, in the order of time.
