--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -118,6 +118,32 @@
     }
 }
 
+/// How far the response to a request is that crashes an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum CrashPoint {
+    /// Nothing has been sent.
+    Start,
+    /// The head has been sent.
+    #[default]
+    Head,
+    /// All of it has been sent.
+    End,
+    /// The head and an event have been sent, of a response that ends with its connection.
+    UnframedEvent,
+}
+
+/// What becomes of connections to the address of an endpoint that has crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum DownMode {
+    /// They are refused.
+    #[default]
+    Refuse,
+    /// They are closed after this time.
+    Close(Duration),
+    /// They stay open without a response.
+    Silent,
+}
+
 /// Request that reached an endpoint.
 #[derive(Debug, Clone)]
 pub struct ReceivedRequest {
@@ -175,6 +201,12 @@
     down_until: Mutex<Option<Instant>>,
     /// Part of a prompt that crashes the endpoint, and how long it is down then.
     crash_part: Mutex<Option<(String, Duration)>>,
+    /// How far the response to a request with that part is at the crash.
+    crash_point: Mutex<CrashPoint>,
+    /// What becomes of connections while the endpoint is down.
+    down_mode: Mutex<DownMode>,
+    /// Connections accepted while it is down that stay open.
+    held: Mutex<Vec<TcpStream>>,
     /// Target of a request that crashes the endpoint, and how long it is down then.
     crash_target: Mutex<Option<(String, Duration)>>,
     /// Number of crashes after which the endpoint serves again.
@@ -195,11 +227,13 @@
         Some(until.saturating_duration_since(Instant::now())).filter(|d| !d.is_zero())
     }
 
-    /// Breaks off all responses, and refuses connections for this time.
+    /// Breaks off all responses, and takes no connections for this time.
     fn crash(&self, down: Duration) -> Option<()> {
         *self.down_until.lock().ok()? = Some(Instant::now() + down);
-        // Ends the waits for a connection; it fails if the endpoint is down already.
-        let _ = SockRef::from(&**self.listener.lock().ok()?).shutdown(Shutdown::Both);
+        if *self.down_mode.lock().ok()? == DownMode::Refuse {
+            // Ends the waits for a connection; it fails if the endpoint is down already.
+            let _ = SockRef::from(&**self.listener.lock().ok()?).shutdown(Shutdown::Both);
+        }
         for io in self.connections.lock().ok()?.drain(..) {
             // A connection that has ended is closed already.
             let _ = io.shutdown(Shutdown::Both);
@@ -230,6 +264,20 @@
         is_up
     }
 
+    /// Treats a connection that was accepted while the endpoint is down.
+    fn turn_away(&self, io: TcpStream) {
+        match *self.down_mode.lock().expect("no holder panics") {
+            DownMode::Refuse => {}
+            DownMode::Close(delay) => {
+                std::thread::spawn(move || {
+                    std::thread::sleep(delay);
+                    drop(io);
+                });
+            }
+            DownMode::Silent => self.held.lock().expect("no holder panics").push(io),
+        }
+    }
+
     /// Returns how long the endpoint is down after it has begun to answer the request; `None` if
     /// the request does not crash it.
     fn crash_time(&self, req: &Request) -> Option<Duration> {
@@ -277,6 +325,9 @@
             listener: Mutex::new(Arc::new(listener)),
             down_until: Mutex::default(),
             crash_part: Mutex::default(),
+            crash_point: Mutex::default(),
+            down_mode: Mutex::default(),
+            held: Mutex::default(),
             crash_target: Mutex::default(),
             restarts: Arc::default(),
             connections: Mutex::default(),
@@ -320,6 +371,13 @@
         *self.state.crash_part.lock().expect("no holder panics") = crash;
     }
 
+    /// Sets how far the response to a request that crashes the endpoint is then, and what becomes of
+    /// connections to its address while it is down.
+    pub fn set_crash_form(&self, point: CrashPoint, mode: DownMode) {
+        *self.state.crash_point.lock().expect("no holder panics") = point;
+        *self.state.down_mode.lock().expect("no holder panics") = mode;
+    }
+
     /// Crashes, for this time, whenever the endpoint receives a request with this path and query.
     pub fn crash_on_target(&self, target: &str, down: Duration) {
         let crash = Some((target.to_owned(), down));
@@ -414,7 +472,7 @@
             let listener = self.listener.lock().expect("no holder panics").clone();
             match workers::accept(&listener) {
                 Ok(io) if self.record_connection(&io) => return io,
-                Ok(_) => {}
+                Ok(io) => self.turn_away(io),
                 Err(_) => self.restart(&listener),
             }
         }
@@ -516,7 +574,8 @@
         return state.crash(down);
     }
     if let Some(down) = crash_time {
-        stream::begin_stream(writer, &sealed_headers)?;
+        let point = *state.crash_point.lock().ok()?;
+        stream::write_until(writer, &sealed_headers, point)?;
         std::thread::sleep(CRASH_DELAY);
         return state.crash(down);
     }
--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -11,7 +11,7 @@
 mod workers;
 
 pub use caller::{Connection, Reply, send, try_send};
-pub use endpoint::{Action, EndlessPart, Endpoint, ReceivedRequest};
+pub use endpoint::{Action, CrashPoint, DownMode, EndlessPart, Endpoint, ReceivedRequest};
 pub use gateway::{Gateway, RetryTerms, wait_until};
 pub use proxy::{Proxy, ProxyMode};
 pub use store::{Outage, Store, StoreCopy};
--- a/standin/src/platform/stream.rs
+++ b/standin/src/platform/stream.rs
@@ -1,5 +1,6 @@
 //! Streams of events as an engine of the platform writes them, complete or broken off.
 
+use super::endpoint::CrashPoint;
 use socket2::SockRef;
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
@@ -92,9 +93,22 @@
     None
 }
 
-/// Writes the head of a response in chunks, before its first event.
-pub fn begin_stream(writer: &mut TcpStream, headers: &str) -> Option<()> {
-    write_head(writer, headers, &framing(StreamEnd::Chunked, 0))
+/// Writes the response to a request that crashes the endpoint, as far as it comes.
+pub fn write_until(writer: &mut TcpStream, headers: &str, point: CrashPoint) -> Option<()> {
+    let end =
+        if point == CrashPoint::UnframedEvent { StreamEnd::Close } else { StreamEnd::Chunked };
+    if point != CrashPoint::Start {
+        write_head(writer, headers, &framing(end, 0))?;
+    }
+    let event = events("token", 0..1);
+    match point {
+        CrashPoint::Start | CrashPoint::Head => Some(()),
+        CrashPoint::UnframedEvent => writer.write_all(event.as_bytes()).ok(),
+        CrashPoint::End => {
+            write_chunk(writer, &event)?;
+            writer.write_all(b"0\r\n\r\n").ok()
+        }
+    }
 }
 
 /// Writes `n` events and the beginning of another in chunks, without the last chunk.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod common;
 mod crashing_contents;
+mod crashing_fleet;
 mod crashing_parts;
 mod endless;
 mod evacuation;
