--- a/src/quarantine/parts.rs
+++ b/src/quarantine/parts.rs
@@ -371,7 +371,9 @@
     /// Returns the part with the most crashes among those that have enough of them and are not
     /// refused, with the number of its crashes and the reason.
     pub fn undecided(&self) -> Option<(PartId, usize, Doubt)> {
-        let open = self.open.iter().map(|(p, doubt)| (*p, self.accused[p].len(), *doubt));
+        // A part may have been cleared since the last step.
+        let crashes = |p: &PartId| self.accused.get(p).map(HashMap::len);
+        let open = self.open.iter().filter_map(|(p, doubt)| Some((*p, crashes(p)?, *doubt)));
         open.max_by_key(|(p, crashes, _)| (*crashes, *p))
     }
 
