Tell, repeat and store parts that are refused only together

Where all crashing requests have a second part that no sound one has, both are refused only together. Such a set was not told as refused, not repeated, not written to the store and not remembered: each instance had to find it anew, with a sound run of its own since the first crash.

Now a set travels and is stored like a single part; one that is told refuses it without evidence of its own, and a sound run of one of its parts leaves the others. The module told takes over what instances tell each other of parts.

--- a/src/frame/mod.rs
+++ b/src/frame/mod.rs
@@ -352,6 +352,9 @@
     pub rows: Vec<PartRow>,
     /// Parts that are refused.
     pub refused: Vec<PartId>,
+    /// Parts that are refused only together. Absent in messages of older versions.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub together: Vec<Vec<PartId>>,
 }
 
 /// A part and the crashes at which it was present.
--- a/src/gateway/refusals.rs
+++ b/src/gateway/refusals.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::frame::{Gossip, PartsGossip, Suspect};
 use crate::id::{Fingerprint, IdError, PartId};
+use crate::quarantine::PartSet;
 use crate::store::{KeyValue, Leases, StoreError};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -24,12 +25,16 @@
 const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Prefix of the names of contents in the keys of the store; parts have none.
 const CONTENT_PREFIX: &str = "content-";
+/// Between the names of parts that are refused together.
+const JOINT: &str = "+";
+/// Most parts of a set that is written to the store, whose keys hold 200 bytes.
+const MAX_STORED_PARTS: usize = 8;
 
 /// Names what is refused in a key of the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Refused {
-    /// A part of prompts.
-    Part(PartId),
+    /// Parts of prompts, one or several together.
+    Parts(PartSet),
     /// A content.
     Content(Fingerprint),
 }
@@ -37,7 +42,10 @@
 impl fmt::Display for Refused {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Refused::Part(part) => write!(f, "{part}"),
+            Refused::Parts(parts) => {
+                let names: Vec<String> = parts.iter().map(PartId::to_string).collect();
+                f.write_str(&names.join(JOINT))
+            }
             Refused::Content(content) => write!(f, "{CONTENT_PREFIX}{content}"),
         }
     }
@@ -46,11 +54,11 @@
 impl FromStr for Refused {
     type Err = IdError;
 
-    /// Reads the name of a part, or that of a content with its prefix.
+    /// Reads the names of parts, or that of a content with its prefix.
     fn from_str(s: &str) -> Result<Self, IdError> {
         match s.strip_prefix(CONTENT_PREFIX) {
             Some(content) => content.parse().map(Refused::Content),
-            None => s.parse().map(Refused::Part),
+            None => s.split(JOINT).map(str::parse).collect::<Result<_, _>>().map(Refused::Parts),
         }
     }
 }
@@ -126,7 +134,7 @@
         // The instances that follow the store write; the first of them spares the others a call.
         tokio::time::sleep(MAX_PUBLISH_DELAY.mul_f64(rand::random())).await;
         while let Some((refused, until)) = next_unpublished(&gw) {
-            match publish(&gw, refused, until).await {
+            match publish(&gw, &refused, until).await {
                 Ok(true) => drop(gw.published.borrow_mut().insert(refused)),
                 Ok(false) => {
                     log::warn!("refusal of {refused} not written to the store: its lease has ended")
@@ -146,21 +154,21 @@
         return None;
     }
     let (published, quarantine) = (gw.published.borrow(), gw.quarantine.borrow());
-    let alone = quarantine.parts.refused().iter().filter(|r| r.parts.len() == 1);
-    let parts = alone.flat_map(|r| r.parts.iter().map(|p| (Refused::Part(*p), r.until)));
+    let short = quarantine.parts.refused().iter().filter(|r| r.parts.len() <= MAX_STORED_PARTS);
+    let parts = short.map(|r| (Refused::Parts(r.parts.clone()), r.until));
     let contents = quarantine
         .refused()
         .filter_map(|f| Some((Refused::Content(f), quarantine.refused_until(&f)?)));
     parts.chain(contents).find(|(refused, _)| !published.contains(refused))
 }
 
-async fn publish(gw: &Gateway, refused: Refused, until: Instant) -> Result<bool, StoreError> {
+async fn publish(gw: &Gateway, refused: &Refused, until: Instant) -> Result<bool, StoreError> {
     let now = clock::now();
     let (parts, contents) = {
         let quarantine = gw.quarantine.borrow();
         match refused {
-            Refused::Part(part) => (quarantine.parts.gossip_of(now, part), Vec::new()),
-            Refused::Content(f) => (PartsGossip::default(), quarantine.gossip_of(now, f)),
+            Refused::Parts(parts) => (quarantine.parts.gossip_of(now, parts), Vec::new()),
+            Refused::Content(f) => (PartsGossip::default(), quarantine.gossip_of(now, *f)),
         }
     };
     let written_ms = Some(clock::wall().as_millis() as u64);
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -14,11 +14,13 @@
 mod contents;
 mod parts;
 mod runs;
+mod told;
 mod trial;
 
 pub use contents::{CRASH_MEMORY, CrashSet, LostRun, service_tag};
-pub use parts::{AccusedPart, CrashId, Doubt, MAX_CRASHES, PartSuspects, RefusedParts, Scope};
+pub use parts::{AccusedPart, CrashId, Doubt, MAX_CRASHES, PartSet, PartSuspects, RefusedParts};
 pub use runs::{CrashedRuns, RunKey, Runs, SOUND_TIME};
+pub use told::Scope;
 pub use trial::Trial;
 
 use crate::frame::{Crash, Gossip, Suspect};
--- a/src/quarantine/parts.rs
+++ b/src/quarantine/parts.rs
@@ -11,8 +11,8 @@
 //! its engine had not begun to answer counts less.
 
 use super::companions::Companions;
+use super::told::KnownRefusals;
 use super::trial::Trial;
-use crate::frame::{PartRow, PartsGossip, SeenCrash};
 use crate::id::{Incarnation, PartId};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::fmt;
@@ -33,31 +33,21 @@
 /// Time until a crash counts, in which others of the same wave become known.
 pub(super) const SETTLE_TIME: Duration = Duration::from_millis(300);
 /// Time for which a crash counts, and for which a part is cleared of it.
-const CRASH_MEMORY: Duration = Duration::from_secs(600);
-/// Time for which a part that was refused is refused again at its first crash.
-const RELAPSE_MEMORY: Duration = Duration::from_secs(3600);
+pub(super) const CRASH_MEMORY: Duration = Duration::from_secs(600);
 /// Time for which a change is sent to other instances, since messages may be lost.
-const GOSSIP_TIME: Duration = Duration::from_secs(3);
-/// A part with a sound run within this time is not named to other instances, which have sound runs
-/// of such a common part too.
-const COMMON_TIME: Duration = Duration::from_secs(1);
+pub(super) const GOSSIP_TIME: Duration = Duration::from_secs(3);
 /// Time for which a sound run is remembered, longer than messages are late.
 const SOUND_MEMORY: Duration = Duration::from_secs(30);
 /// Most parts that are accused, and most that are cleared.
 const MAX_PARTS: usize = 4096;
-/// Most crashes of one part in a message, the latest ones.
-const MAX_ROW_CRASHES: usize = 32;
-/// Most parts in one message.
-const MAX_GOSSIP_ROWS: usize = 60;
-/// Most crashes in one message, which has to fit into a datagram.
-const MAX_GOSSIP_CRASHES: usize = 300;
 
 /// Crash of an endpoint: the run of the endpoint or its sidecar, and the number in that run.
 pub type CrashId = (Incarnation, u32);
 pub(super) type Crashes = HashMap<CrashId, Presence>;
 /// Crashes that no other part explains, with their times.
 pub(super) type OpenCrashes = BTreeMap<CrashId, Instant>;
-type PartSet = BTreeSet<PartId>;
+/// Parts that occur together.
+pub type PartSet = BTreeSet<PartId>;
 
 /// Presence of a part at a crash.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -88,17 +78,6 @@
     pub until: Instant,
 }
 
-/// Parts that a message to other instances names.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Scope {
-    /// Those that changed at this instance of late.
-    Changed,
-    /// Also those that are refused.
-    Refused,
-    /// All, those with the most crashes first.
-    All,
-}
-
 /// Parts accused of crashes, cleared of them, and refused.
 #[derive(Debug, Default)]
 pub struct PartSuspects {
@@ -107,17 +86,17 @@
     /// Times of all known crashes.
     pub(super) times: HashMap<CrashId, Instant>,
     /// Crashes of which sound runs have cleared each part.
-    cleared: HashMap<PartId, Crashes>,
+    pub(super) cleared: HashMap<PartId, Crashes>,
     /// Parts that this instance accused of late, and when.
-    accusations: HashMap<PartId, Instant>,
+    pub(super) accusations: HashMap<PartId, Instant>,
     /// Parts that this instance cleared of late, or that another instance still accuses, and when.
-    clearances: HashMap<PartId, Instant>,
+    pub(super) clearances: HashMap<PartId, Instant>,
     /// Parts refused at present.
     pub(super) refused: Vec<RefusedParts>,
-    /// Parts that are or were refused by themselves, and when last.
-    known: HashMap<PartId, Instant>,
+    /// Parts that are or were refused.
+    pub(super) known: KnownRefusals,
     /// Latest sound run of each part.
-    last_sound: HashMap<PartId, Instant>,
+    pub(super) last_sound: HashMap<PartId, Instant>,
     /// When any run was last found sound.
     pub(super) sound_at: Option<Instant>,
     /// Which of the accused parts occur without each other.
@@ -199,14 +178,19 @@
 
     /// Returns whether a part is cleared of a crash at `at`, of which this instance may learn only
     /// after the sound run.
-    fn is_cleared(&self, at: Instant, part: PartId, id: CrashId) -> bool {
+    pub(super) fn is_cleared(&self, at: Instant, part: PartId, id: CrashId) -> bool {
         self.cleared.get(&part).is_some_and(|c| c.contains_key(&id))
             || self.last_sound.get(&part).is_some_and(|sound| *sound >= at)
     }
 
     /// Returns the part's number of crashes; `None` if this one is known or the part is cleared of
     /// it.
-    fn accuse(&mut self, id: CrashId, presence: Presence, part: PartId) -> Option<usize> {
+    pub(super) fn accuse(
+        &mut self,
+        id: CrashId,
+        presence: Presence,
+        part: PartId,
+    ) -> Option<usize> {
         self.times.entry(id).or_insert(presence.at);
         if self.is_cleared(presence.at, part, id) {
             return None;
@@ -233,7 +217,7 @@
         let mut changed = Vec::new();
         for p in parts {
             self.last_sound.insert(*p, now);
-            self.known.remove(p);
+            self.known.narrow(*p);
             let Some(crashes) = self.accused.remove(p) else { continue };
             changed.push((*p, crashes.len()));
             self.clearances.insert(*p, now);
@@ -242,7 +226,7 @@
         changed
     }
 
-    fn clear(&mut self, part: PartId, crashes: Crashes) {
+    pub(super) fn clear(&mut self, part: PartId, crashes: Crashes) {
         if self.cleared.len() >= MAX_PARTS {
             self.cleared.clear();
         }
@@ -256,9 +240,7 @@
         let refused = self.find_causes(now);
         let is_new = |r: &&RefusedParts| self.refused.iter().all(|old| old.parts != r.parts);
         let new: Vec<RefusedParts> = refused.iter().filter(is_new).cloned().collect();
-        for r in refused.iter().filter(|r| r.parts.len() == 1) {
-            self.known.extend(r.parts.iter().map(|p| (*p, now)));
-        }
+        refused.iter().for_each(|r| self.known.record(now, &r.parts));
         self.refused = refused;
         self.pending = self.find_causes(now + SETTLE_TIME);
         self.update_trial(now);
@@ -277,7 +259,7 @@
         self.accusations.retain(|_, at| is_recent(*at, GOSSIP_TIME));
         self.clearances.retain(|_, at| is_recent(*at, GOSSIP_TIME));
         self.last_sound.retain(|_, at| is_recent(*at, SOUND_MEMORY));
-        self.known.retain(|_, at| is_recent(*at, RELAPSE_MEMORY));
+        self.known.forget(now);
         self.companions.retain(|p| self.accused.contains_key(p));
     }
 
@@ -297,9 +279,23 @@
                 causes.push(cause);
             }
         }
+        causes.extend(self.told_together(&causes));
         causes
     }
 
+    /// Returns the parts that are known to be refused together, where these causes do not say more.
+    fn told_together(&self, causes: &[RefusedParts]) -> Vec<RefusedParts> {
+        let is_refined = |set: &&PartSet| causes.iter().any(|c| c.parts.is_subset(set));
+        let sets = self.known.together().filter(|set| !is_refined(set));
+        let to_refused = |set: &PartSet| {
+            let crashes: Option<Vec<&Crashes>> = set.iter().map(|p| self.accused.get(p)).collect();
+            let crashes = crashes?.into_iter().min_by_key(|c| c.len())?;
+            let until = crashes.values().map(|c| c.at).max()? + CRASH_MEMORY;
+            Some(RefusedParts { parts: set.clone(), crashes: crashes.len(), until })
+        };
+        sets.filter_map(to_refused).collect()
+    }
+
     /// Returns the part that explains the most open crashes, with the parts that were present at
     /// the same ones, and these crashes. `None` if no part has crashes at `limit` moments.
     fn find_cause(
@@ -314,7 +310,7 @@
             counted.map(|(id, c)| (*id, c.at)).collect()
         };
         let all: Vec<_> = self.accused.iter().map(|(p, crashes)| (*p, open(crashes))).collect();
-        let is_known = |p: &PartId| self.known.contains_key(p);
+        let is_known = |p: &PartId| self.known.has(*p);
         let suffices = |(part, open): &&(PartId, OpenCrashes)| {
             !open.is_empty()
                 && (is_known(part) || self.evidence(now, *part, open, limit) == Evidence::Enough)
@@ -422,78 +418,6 @@
     pub fn refused(&self) -> &[RefusedParts] {
         &self.refused
     }
-
-    /// Returns what other instances need to know of the parts in a scope.
-    pub fn gossip(&self, now: Instant, scope: Scope) -> PartsGossip {
-        let is_recent = |changes: &HashMap<PartId, Instant>, p: &PartId, time| {
-            changes.get(p).is_some_and(|at| now.saturating_duration_since(*at) < time)
-        };
-        let is_changed = |p: &PartId| {
-            is_recent(&self.clearances, p, GOSSIP_TIME)
-                || is_recent(&self.accusations, p, GOSSIP_TIME)
-                    && !is_recent(&self.last_sound, p, COMMON_TIME)
-        };
-        let is_refused = |p: &PartId| self.refused.iter().any(|r| r.parts.contains(p));
-        let is_named = |p: &PartId| match scope {
-            Scope::Changed => is_changed(p),
-            Scope::Refused => is_changed(p) || is_refused(p),
-            Scope::All => true,
-        };
-        let parts: HashSet<PartId> =
-            self.accused.keys().chain(self.clearances.keys()).copied().collect();
-        let mut rows: Vec<PartRow> =
-            parts.into_iter().filter(is_named).map(|p| self.row(now, p)).collect();
-        rows.sort_by_key(|r| (std::cmp::Reverse(r.crashes.len()), r.part));
-        rows.truncate(MAX_GOSSIP_ROWS);
-        let mut left = MAX_GOSSIP_CRASHES;
-        rows.retain(|r| {
-            left = left.saturating_sub(r.crashes.len() + r.cleared.len());
-            left > 0
-        });
-        let is_alone = |r: &&RefusedParts| r.parts.len() == 1;
-        let refused = self.refused.iter().filter(is_alone).flat_map(|r| r.parts.iter().copied());
-        let refused = refused.filter(|p| rows.iter().any(|r| r.part == *p)).collect();
-        PartsGossip { rows, refused }
-    }
-
-    fn row(&self, now: Instant, part: PartId) -> PartRow {
-        let seen = |all: &HashMap<PartId, Crashes>| {
-            all.get(&part).map_or_else(Vec::new, |crashes| to_seen(now, crashes))
-        };
-        PartRow { part, crashes: seen(&self.accused), cleared: seen(&self.cleared) }
-    }
-
-    /// Returns what another instance needs to know to refuse a part.
-    pub fn gossip_of(&self, now: Instant, part: PartId) -> PartsGossip {
-        PartsGossip { rows: vec![self.row(now, part)], refused: vec![part] }
-    }
-
-    /// Merges what another instance knows; the order of merges does not matter.
-    pub fn merge(&mut self, now: Instant, gossip: &PartsGossip) {
-        for row in &gossip.rows {
-            let cleared: Crashes = from_seen(now, &row.cleared).collect();
-            if let Some(known) = self.accused.get_mut(&row.part) {
-                known.retain(|id, _| !cleared.contains_key(id));
-                if known.is_empty() {
-                    self.accused.remove(&row.part);
-                    self.known.remove(&row.part);
-                }
-            }
-            if !cleared.is_empty() {
-                self.clear(row.part, cleared);
-            }
-            for (id, presence) in from_seen(now, &row.crashes) {
-                if self.is_cleared(presence.at, row.part, id) {
-                    self.clearances.insert(row.part, now);
-                } else {
-                    self.accuse(id, presence, row.part);
-                }
-            }
-        }
-        for part in gossip.refused.iter().filter(|p| self.accused.contains_key(p)) {
-            self.known.entry(*part).or_insert(now);
-        }
-    }
 }
 
 /// Counts the crashes of the same wave as one at `at`.
@@ -518,25 +442,3 @@
     }
     count
 }
-
-fn to_seen(now: Instant, crashes: &Crashes) -> Vec<SeenCrash> {
-    let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
-    let row = |(id, c): (&CrashId, &Presence)| SeenCrash {
-        endpoint: id.0,
-        number: id.1,
-        age: age(c.at),
-        begun: c.begun,
-    };
-    let mut seen: Vec<SeenCrash> = crashes.iter().map(row).collect();
-    seen.sort_by_key(|c| (c.age, c.endpoint, c.number));
-    seen.truncate(MAX_ROW_CRASHES);
-    seen
-}
-
-fn from_seen(now: Instant, seen: &[SeenCrash]) -> impl Iterator<Item = (CrashId, Presence)> + '_ {
-    seen.iter().filter_map(move |c| {
-        let age = Duration::from_millis(c.age);
-        let at = if age < CRASH_MEMORY { now.checked_sub(age) } else { None };
-        Some(((c.endpoint, c.number), Presence { at: at?, begun: c.begun }))
-    })
-}
--- a/tests/decisions/quarantine.rs
+++ b/tests/decisions/quarantine.rs
@@ -1,7 +1,7 @@
 //! Which crashes of an engine are the same one, while the list of endpoints may be out of date.
 
 use skylarkthread::id::{Incarnation, PartId};
-use skylarkthread::quarantine::{PartSuspects, Runs};
+use skylarkthread::quarantine::{PartSet, PartSuspects, Runs};
 use std::time::{Duration, Instant};
 
 /// Start of the engine that its listing names throughout.
@@ -10,6 +10,10 @@
 /// Part that crashes engines.
 const BAD: &str = "dead";
 
+fn bad() -> PartSet {
+    PartSet::from([PartId::of(BAD)])
+}
+
 /// Instance that sends requests to the engine.
 #[derive(Default)]
 struct Sender {
@@ -33,7 +37,7 @@
 
     /// Returns at how many crashes the part was present.
     fn crashes(&self, now: Instant) -> usize {
-        self.suspects.gossip_of(now, PartId::of(BAD)).rows[0].crashes.len()
+        self.suspects.gossip_of(now, &bad()).rows[0].crashes.len()
     }
 }
 
@@ -67,9 +71,7 @@
         if n == 0 {
             second.notice_crash(at + millis(70));
         }
-        second
-            .suspects
-            .merge(at + millis(80), &first.suspects.gossip_of(at + millis(80), PartId::of(BAD)));
+        second.suspects.merge(at + millis(80), &first.suspects.gossip_of(at + millis(80), &bad()));
         second.notice_crash(at + millis(90));
     }
     assert_eq!(second.crashes(start + millis(2000)), 2);
