Examine an endpoint until it is known whether it has crashed

A crash was missed where the address went on taking connections (a listener that outlives the crash, a proxy, a busy host), or took them again by then (an instance that was late). An endpoint that was full and closed a new connection counted as crashed.

Now the endpoint is asked who it is, and looked at again for up to 1.2 s where it closes connections or does not respond; another start, in its answer or in the list, is a crash; one that is cut off is not, as it closes nothing. A request that was sent after the crash has found the endpoint down and is not accused; an instance that notices a crash late joins the one that others have told of. The start of an endpoint identifies it, so that a change of its listing meanwhile loses nothing. Gateway examine takes over the examination, suspects the messages.

--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -14,7 +14,7 @@
 use crate::id::{GenerationId, InstanceId, Nonce, TokenId, Workspace};
 use crate::place;
 use crate::problem::{Problem, ProblemKind};
-use crate::quarantine::{RunKey, Standing};
+use crate::quarantine::{RunEnd, RunKey, Standing};
 use actix_http::{Method, Response};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -64,7 +64,7 @@
     pub fn record_tokens(&self) {
         let Some(key) = self.run else { return };
         let sound = self.entry.runs.borrow_mut().record_event(clock::now(), key);
-        sound.iter().for_each(|parts| quarantine::record_sound(&self.entry, parts));
+        sound.iter().for_each(|run| quarantine::record_sound(&self.entry, run));
     }
 
     /// Records that the generation finished without a crash.
@@ -83,7 +83,8 @@
 impl Drop for GenerationGuard {
     fn drop(&mut self) {
         if let Some(key) = self.run {
-            self.entry.runs.borrow_mut().end(clock::now(), key, self.is_whole.get());
+            let end = if self.is_whole.get() { RunEnd::Whole } else { RunEnd::Broken };
+            self.entry.runs.borrow_mut().end(clock::now(), key, end);
         }
         if let Some(request) = &self.request {
             self.entry.quarantine.borrow_mut().finish(&request.content);
--- a/src/entry/quarantine.rs
+++ b/src/entry/quarantine.rs
@@ -6,7 +6,7 @@
 use crate::event::Kind;
 use crate::frame::{Crash, Gossip, Refusal};
 use crate::id::{Incarnation, PartId};
-use crate::quarantine::{AccusedPart, Standing};
+use crate::quarantine::{AccusedPart, SoundRun, Standing};
 use std::time::Duration;
 
 /// Records the crashes that a sidecar reports, known ones included.
@@ -47,8 +47,8 @@
 }
 
 /// Clears the parts of a sound run.
-pub fn record_sound(e: &Entry, parts: &[PartId]) {
-    let cleared = e.quarantine.borrow_mut().parts.record_sound(clock::now(), parts);
+pub fn record_sound(e: &Entry, run: &SoundRun) {
+    let cleared = e.quarantine.borrow_mut().parts.record_sound(clock::now(), run);
     for (part, crashes) in cleared {
         e.process.event(Kind::Cleared, part, format_args!("crashes={crashes}"));
     }
@@ -57,8 +57,11 @@
 /// Brings what is accused and refused up to date; called at short intervals.
 pub fn step(e: &Entry) {
     let now = clock::now();
+    // Sidecars report the crashes of their endpoints.
+    let unproven = e.runs.borrow().unproven(now, |_| true);
+    unproven.into_iter().for_each(|(key, _)| e.runs.borrow_mut().record_life(now, key));
     let sound = e.runs.borrow_mut().step(now);
-    sound.iter().for_each(|parts| record_sound(e, parts));
+    sound.iter().for_each(|run| record_sound(e, run));
     let new = e.quarantine.borrow_mut().parts.step(now);
     for refused in new {
         let parts: Vec<String> = refused.parts.iter().map(PartId::to_string).collect();
--- a/src/frame/mod.rs
+++ b/src/frame/mod.rs
@@ -355,6 +355,10 @@
     /// Parts that are refused only together. Absent in messages of older versions.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub together: Vec<Vec<PartId>>,
+    /// Crashes that the sender has seen of late, whatever was running there. Absent in messages of
+    /// older versions.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<SeenCrash>,
 }
 
 /// A part and the crashes at which it was present.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -2,14 +2,15 @@
 
 use super::job::{Job, log_id};
 use super::retries::{self, Permit};
-use super::{Gateway, limits, outage};
+use super::{Gateway, examine, limits, outage};
 use crate::clock;
 use crate::event::Kind;
-use crate::h1::{Outbound, SendError};
+use crate::h1::{Broken, Outbound, SendError};
 use crate::id::EndpointId;
 use crate::platform::{self, ForwardParams, ResponseInfo};
 use crate::pool::{Hold, PoolKey, Purpose};
 use crate::problem::{Problem, ProblemKind};
+use crate::quarantine::Break;
 use actix_http::ResponseHead;
 use std::fmt;
 use std::net::SocketAddr;
@@ -51,8 +52,10 @@
     Full,
     /// Another endpoint now has this address.
     Misdirected,
-    /// The connection failed before the response was complete.
+    /// The endpoint closed the connection before the response was complete.
     Broken,
+    /// The connection was lost before the response was complete: the endpoint may be cut off.
+    Lost,
     /// The deadline passed before the response was complete.
     Late,
     /// The response carries the id of another request.
@@ -70,6 +73,23 @@
 }
 
 impl AttemptError {
+    /// Returns the error for a response that is incomplete.
+    pub fn of_break(broken: &Broken) -> Self {
+        match examine::cause(broken) {
+            Break::Unreachable => AttemptError::Lost,
+            Break::Closed | Break::Ended => AttemptError::Broken,
+        }
+    }
+
+    /// Returns how the connection broke; `None` if it did not.
+    pub fn cause(self) -> Option<Break> {
+        match self {
+            AttemptError::Broken => Some(Break::Closed),
+            AttemptError::Lost => Some(Break::Unreachable),
+            _ => None,
+        }
+    }
+
     /// Returns whether the request has not run on the endpoint and never will.
     pub fn is_not_executed(self) -> bool {
         use AttemptError::{Full, Misdirected};
@@ -140,7 +160,7 @@
         log_unanswered(gw, job, params.endpoint, &progress);
         return Err(AttemptError::Late);
     };
-    let head = head.map_err(|_| AttemptError::Broken)?;
+    let head = head.map_err(|broken| AttemptError::of_break(&broken))?;
     let info = platform::parse_response(&head);
     gw.pool.borrow_mut().record_reachable(key);
     if is_foreign(job, &info) {
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -1,10 +1,10 @@
 //! Dispatch of new generations: waits for admission and sends the request to an engine.
 
 use super::attempt::{self, AttemptError, EndpointResponse};
+use super::examine::{self, Host, RunGuard};
 use super::job::{Job, log_id};
-use super::quarantine::{self, RunGuard};
 use super::retries;
-use super::{Gateway, WorkGuard, admission};
+use super::{Gateway, WorkGuard, admission, quarantine};
 use crate::admit::{self, Decision, Place, Ticket};
 use crate::clock;
 use crate::event::Kind;
@@ -276,7 +276,7 @@
         };
         let guard = WorkGuard::new(gw, key, job.expected_work());
         may_run.set(true);
-        let sent = clock::now();
+        let (sent, host) = (clock::now(), Host::find(gw, job, key));
         let error = match open_segment(gw, job, guard, None, None).await {
             Ok(segment) => return Ok(Segment { runs: runs + 1, denials, passed, ..segment }),
             // Another request took the permit meanwhile.
@@ -289,7 +289,7 @@
         permit.settle(error.is_undelivered());
         reached += usize::from(!error.is_undelivered());
         tried.push(key);
-        record_failure(gw, job, key, error, sent);
+        record_failure(gw, job, key, host.as_ref(), error, sent);
         if error == AttemptError::Quarantined {
             return Err(attempt::unknown_outcome(job, error));
         }
@@ -304,11 +304,18 @@
     }
 }
 
-/// Records an attempt at `sent` that failed, and has the engine checked if it may have crashed.
-fn record_failure(gw: &Rc<Gateway>, job: &Job, key: PoolKey, error: AttemptError, sent: Instant) {
+/// Records an attempt at `sent` that failed, and has the engine examined if it may have crashed.
+fn record_failure(
+    gw: &Rc<Gateway>,
+    job: &Job,
+    key: PoolKey,
+    host: Option<&Host>,
+    error: AttemptError,
+    sent: Instant,
+) {
     attempt::record_error(gw, key, error);
-    if error == AttemptError::Broken {
-        quarantine::check_crash(gw, job, key, sent);
+    if let Some((host, cause)) = host.zip(error.cause()) {
+        examine::check_crash(gw, job, host, sent, cause);
     }
 }
 
@@ -340,7 +347,8 @@
         .map(|e| (e.listing.id.clone(), e.leave_signal.clone(), e.work()));
     let sent = clock::now();
     let Some((endpoint, leaving, load)) = found else { return Err(AttemptError::Gone) };
-    let mut run = RunGuard::new(gw, job, guard.key);
+    let host = Host::find(gw, job, guard.key).ok_or(AttemptError::Gone)?;
+    let mut run = RunGuard::new(gw, job, host);
     let params = ForwardParams {
         endpoint: &endpoint,
         key_owner: job.workspace.as_deref(),
@@ -387,11 +395,11 @@
     let permit = attempt::permit_attempt(gw, job, tried.len(), tried.len()).await;
     let permit = permit.ok_or(AttemptError::Broken)?;
     let guard = WorkGuard::new(gw, key, job.expected_work());
-    let sent = clock::now();
+    let (sent, host) = (clock::now(), Host::find(gw, job, key));
     let opened = open_segment(gw, job, guard, None, last).await;
     permit.settle(opened.as_ref().is_err_and(|e| e.is_undelivered()));
     let segment = opened.inspect_err(|error| {
-        record_failure(gw, job, key, *error, sent);
+        record_failure(gw, job, key, host.as_ref(), *error, sent);
     })?;
     if !segment.response.info.status.is_success() {
         return Err(AttemptError::Failed);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::{self, AttemptError, EndpointResponse};
 use super::begin::QueueEntry;
+use super::examine::{self, Host};
 use super::job::{self, Job, log_id};
 use super::respond::{Disposition, disposition};
 use super::retries::{self, Permit};
@@ -212,7 +213,7 @@
 ) -> Result<CallResponse, AttemptError> {
     attempts.tried.push(key);
     attempts.is_sending = true;
-    let sent = clock::now();
+    let (sent, host) = (clock::now(), Host::find(gw, job, key));
     let result = try_endpoint(gw, job, key).await;
     attempts.is_sending = false;
     let error = match result {
@@ -233,8 +234,8 @@
     attempt::record_error(gw, key, error);
     permit.settle(error.is_undelivered());
     attempts.reached += usize::from(!error.is_undelivered());
-    if error == AttemptError::Broken {
-        quarantine::check_crash(gw, job, key, sent);
+    if let Some((host, cause)) = host.zip(error.cause()) {
+        examine::check_crash(gw, job, &host, sent, cause);
     }
     attempts.runs += u32::from(!error.is_not_executed());
     Err(error)
@@ -368,7 +369,7 @@
         match timeout_at(deadline, response.out.read_chunk()).await {
             Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
             Ok(Ok(None)) => return Ok(CallResponse::Complete(response, body.freeze())),
-            Ok(Err(_)) => return Err(AttemptError::Broken),
+            Ok(Err(broken)) => return Err(AttemptError::of_break(&broken)),
             Err(_) => return Err(AttemptError::Late),
         }
     }
--- a/src/gateway/inbox.rs
+++ b/src/gateway/inbox.rs
@@ -2,7 +2,7 @@
 
 use super::membership::{self, Registration};
 use super::peers::{self, Reply, SigningKey};
-use super::{Gateway, admission, digests, follow, limits, outage, quarantine, retries, transfer};
+use super::{Gateway, admission, digests, follow, limits, outage, retries, suspects, transfer};
 use crate::clock;
 use crate::frame::Envelope;
 use crate::gossip::PeerMessage;
@@ -67,7 +67,7 @@
             peers::receive_reply(gw, number, Reply::Permits(grant));
         }
         PeerMessage::Limits(notice) => limits::merge(gw, &envelope.from, &notice),
-        PeerMessage::Quarantine(gossip) => quarantine::merge(gw, &gossip),
+        PeerMessage::Quarantine(gossip) => suspects::merge(gw, &gossip),
         PeerMessage::StoreChanges(changes) => follow::apply_changes(gw, &changes),
         PeerMessage::PullConfig | PeerMessage::Config(_) => {
             log::debug!(
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -5,7 +5,7 @@
 //! trusted.
 
 use super::peers::{Peer, SigningKey};
-use super::{Gateway, jitter, limits, quarantine};
+use super::{Gateway, jitter, limits, suspects};
 use crate::clock;
 use crate::event::Kind;
 use crate::id::{InstanceId, MilliCores};
@@ -134,7 +134,7 @@
             let peer = Peer::new(r.address, r.power, r.key);
             let known = gw.peers.borrow_mut().insert(instance.clone(), peer);
             if known.as_ref().is_none_or(|k| !k.has_key(&r.key)) {
-                quarantine::inform_started(gw, r.address);
+                suspects::inform_started(gw, r.address);
                 limits::inform_started(gw, r.address);
             }
             if known.is_none() {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod copy;
 mod digests;
 mod evacuation;
+mod examine;
 mod explain;
 mod follow;
 mod inbox;
@@ -30,6 +31,7 @@
 mod stats;
 mod stop;
 mod stream;
+mod suspects;
 mod transfer;
 mod unread;
 
@@ -149,9 +151,11 @@
     /// Contents of requests and parts of prompts that have crashed endpoints.
     quarantine: RefCell<Quarantine>,
     /// Runs that may still crash their endpoints.
-    runs: RefCell<Runs<PoolKey>>,
+    runs: RefCell<Runs<examine::Host>>,
     /// Endpoints that are checked for a crash.
-    crash_checks: RefCell<quarantine::CrashChecks>,
+    crash_checks: RefCell<examine::Checks>,
+    /// Endpoints that were found down of late.
+    downs: RefCell<examine::Downs>,
     /// Notified when a part of a prompt or a content is refused, to write it to the store.
     refusal_added: Notify,
     /// Notified when a part is refused, to stop generations that wait for their first event.
@@ -222,7 +226,7 @@
     if let Some(address) = settings.peer_address {
         inbox::start(&gw, address).await.map_err(|e| GatewayError::Bind(address, e))?;
         copy::start(&gw, address).await?;
-        actix_rt::spawn(quarantine::run_gossip(gw.clone()));
+        actix_rt::spawn(suspects::run_gossip(gw.clone()));
     }
     actix_rt::spawn(reload(gw.clone(), file, hangups));
     stop_signals.wait().await;
@@ -275,6 +279,7 @@
             quarantine: RefCell::new(Quarantine::default()),
             runs: RefCell::default(),
             crash_checks: RefCell::default(),
+            downs: RefCell::default(),
             refusal_added: Notify::new(),
             parts_changed: Notify::new(),
             published: RefCell::default(),
--- a/src/gateway/refusals.rs
+++ b/src/gateway/refusals.rs
@@ -1,6 +1,6 @@
 //! Refusals of contents and parts in the store, from which instances learn of them when they start.
 
-use super::{Gateway, jitter, peers, quarantine};
+use super::{Gateway, jitter, peers, suspects};
 use crate::clock;
 use crate::frame::{Gossip, PartsGossip, Suspect};
 use crate::id::{Fingerprint, IdError, PartId};
@@ -108,7 +108,7 @@
             gw.published.borrow_mut().insert(refused);
             let gossip =
                 Gossip { suspects: stored.contents, parts: stored.parts, ..Gossip::default() };
-            quarantine::merge(gw, &gossip);
+            suspects::merge(gw, &gossip);
         }
         Err(e) => log::warn!("key {} of the store ignored, its value is not valid: {e}", kv.key),
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -124,6 +124,7 @@
     }
     let job = Job::new(gw, now, req, body, meta);
     let checked = job
+        .inspect(|job| quarantine::note_request(gw, job))
         .and_then(|job| check_draining(gw, job))
         .and_then(|job| quarantine::check(gw, &job).map(|()| job));
     let job = match checked {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -8,7 +8,7 @@
 use super::stats::{Failure, StreamStats};
 use super::transfer::RunningGeneration;
 use super::unread::{self, Holder};
-use super::{Gateway, pauses, quarantine};
+use super::{Gateway, examine, pauses, quarantine};
 use crate::backlog::Flow;
 use crate::clock;
 use crate::event::Kind;
@@ -199,7 +199,7 @@
                 }
                 SegmentEnd::Failed(failure) => break failure,
                 SegmentEnd::Interrupted(why) if self.migration.is_none() => {
-                    self.record_broken();
+                    self.record_broken(&why);
                     match begin::rerun(self.gw, self.job, &self.segment, self.last_id).await {
                         Ok(segment) => self.continue_on(segment),
                         Err(_) => break Failure::Cut(why),
@@ -228,14 +228,14 @@
 
     /// Records that the engine has broken off the stream. One that did so because the stream was
     /// unread is sound.
-    fn record_broken(&self) {
+    fn record_broken(&self, why: &Broken) {
         let now = clock::now();
         if self.last_hold.is_some_and(|t| now.saturating_duration_since(t) < HOLD_MEMORY) {
             return;
         }
         attempt::record_health(self.gw, self.segment.guard.key, false);
-        let (key, sent) = (self.segment.guard.key, self.segment.sent);
-        quarantine::check_crash(self.gw, self.job, key, sent);
+        let (host, cause) = (self.segment.run.host(), examine::cause(why));
+        examine::check_crash(self.gw, self.job, host, self.segment.sent, cause);
     }
 
     fn log_id(&self) -> &str {
@@ -257,7 +257,8 @@
     fn record_completed(&self) {
         attempt::record_health(self.gw, self.segment.guard.key, true);
         quarantine::clear(self.gw, self.job);
-        self.segment.run.complete();
+        let is_framed = self.segment.response.out.framing() != Framing::Close;
+        self.segment.run.complete(is_framed);
         let ms = clock::now().saturating_duration_since(self.job.received).as_millis();
         metrics::counter!("streams_total", "end" => "whole").increment(1);
         metrics::histogram!("stream_seconds").record(ms as f64 / 1e3);
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -72,6 +72,9 @@
     name: Box<str>,
     /// Connections that one endpoint accepts from all callers together.
     max_connections: u32,
+    /// Path at which an endpoint answers with its id.
+    #[serde(default)]
+    health_path: Option<Arc<str>>,
     /// Absent for a service that does not run generations.
     #[serde(default)]
     engine: Option<EngineText>,
@@ -201,7 +204,13 @@
         can_migrate: e.moves,
         event_tokens: e.stride.unwrap_or(1),
     });
-    Service { max_connections: s.max_connections, engine, cold_limit: parse_cold_limit(s) }
+    let health_path = s.health_path.clone();
+    Service {
+        max_connections: s.max_connections,
+        health_path,
+        engine,
+        cold_limit: parse_cold_limit(s),
+    }
 }
 
 fn parse_cold_limit(s: &ServiceText) -> Stated {
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -1,15 +1,18 @@
 //! Control calls to engines: their reports, and the transfer of a generation's KV memory.
 
-use super::headers::{cold_time, states_leaving};
+use super::headers::{cold_time, endpoint_id, states_leaving};
 use crate::h1::{self, Broken, Outbound, SendError};
-use crate::id::RequestId;
+use crate::id::{EndpointId, RequestId};
 use actix_http::{Method, ResponseHead, ServiceConfig};
+use actix_rt::net::TcpStream;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 use tokio::time::timeout;
 
 /// Timeout of connecting to an engine.
@@ -107,6 +110,33 @@
     leaves_ms: Option<f64>,
 }
 
+/// How an endpoint is asked who it is.
+#[derive(Debug, Clone)]
+pub enum Probe {
+    /// An engine is asked for its report, which needs no slot.
+    Report,
+    /// A plain service is asked at its health path, where it may answer that it is full.
+    Health(Arc<str>),
+    /// Nothing is asked; a connection that stays open counts as an answer.
+    Connection,
+}
+
+/// What an endpoint says of itself.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Identity {
+    /// Its id.
+    pub id: Option<EndpointId>,
+    /// Start time in milliseconds since the Unix epoch.
+    pub started_ms: Option<u64>,
+}
+
+/// Start time in a report.
+#[derive(Debug, Default, Deserialize)]
+struct StartBody {
+    #[serde(default)]
+    born: Option<u64>,
+}
+
 async fn send_request(
     to: SocketAddr,
     config: &ServiceConfig,
@@ -179,6 +209,41 @@
     send_request(handoff.source, config, Method::DELETE, &path, Bytes::new(), wait).await.map(drop)
 }
 
+/// Asks an endpoint who it is.
+///
+/// # Errors
+///
+/// Returns [`CallError`] if there is no response within `wait`.
+pub async fn probe(
+    to: SocketAddr,
+    probe: &Probe,
+    config: &ServiceConfig,
+    wait: Duration,
+) -> Result<Identity, CallError> {
+    let path = match probe {
+        Probe::Report => "/report",
+        Probe::Health(path) => path,
+        Probe::Connection => return watch_connection(to, wait).await,
+    };
+    let (head, body) = send_request(to, config, Method::GET, path, Bytes::new(), wait).await?;
+    // Only a report has a body that says more.
+    let start: StartBody = serde_json::from_slice(&body).unwrap_or_default();
+    Ok(Identity { id: endpoint_id(head.headers()), started_ms: start.born })
+}
+
+/// Opens a connection, and waits whether it is closed.
+async fn watch_connection(to: SocketAddr, wait: Duration) -> Result<Identity, CallError> {
+    let unreached = |e| CallError::Unreached(SendError::Unreached(e));
+    let timed_out = || unreached(ErrorKind::TimedOut.into());
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await;
+    let mut io = connected.map_err(|_| timed_out())?.map_err(unreached)?;
+    match timeout(wait, io.read(&mut [0])).await {
+        Ok(Ok(0)) => Err(CallError::Broken(Broken::Early)),
+        Ok(Err(e)) => Err(CallError::Broken(Broken::Io(e))),
+        Ok(Ok(_)) | Err(_) => Ok(Identity::default()),
+    }
+}
+
 /// Fetches the report of an engine.
 ///
 /// # Errors
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -105,6 +105,11 @@
     find(headers, name)?.trim().parse().ok()
 }
 
+/// Returns the id that an endpoint states in a response.
+pub(super) fn endpoint_id(headers: &HeaderMap) -> Option<EndpointId> {
+    parse(headers, ENDPOINT)
+}
+
 /// Returns the host that a request is addressed to, or an empty string.
 pub fn host(req: &Request) -> &str {
     find(req.headers(), "host").or_else(|| req.uri().host()).unwrap_or("")
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -14,7 +14,10 @@
 
 pub use config::parse_table;
 pub use deploy::{Deploy, DeployError, Role};
-pub use engine::{CallError, CopyOutcome, Handoff, Report, copy_memory, fetch_report, free_copy};
+pub use engine::{
+    CallError, CopyOutcome, Handoff, Identity, Probe, Report, copy_memory, fetch_report, free_copy,
+    probe,
+};
 pub use headers::{
     ForwardParams, Question, RequestInfo, ResponseInfo, TokenCounts, asked_workspace,
     explained_path, forward_head, host, parse_limit, parse_request, parse_response, refusal_head,
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -12,14 +12,16 @@
 
 mod companions;
 mod contents;
+mod examination;
 mod parts;
 mod runs;
 mod told;
 mod trial;
 
 pub use contents::{CRASH_MEMORY, CrashSet, LostRun, service_tag};
+pub use examination::{Break, Examination, LIFE_MARGIN, Listed, Look, Next, Sight, Verdict};
 pub use parts::{AccusedPart, CrashId, Doubt, MAX_CRASHES, PartSet, PartSuspects, RefusedParts};
-pub use runs::{CrashedRuns, RunKey, Runs, SOUND_TIME};
+pub use runs::{CrashedRuns, RunEnd, RunKey, Runs, SOUND_TIME, SoundRun};
 pub use told::Scope;
 pub use trial::Trial;
 
@@ -239,9 +241,10 @@
         messages
     }
 
-    /// Merges the state of another instance; the order of merges does not matter.
-    pub fn merge(&mut self, now: Instant, gossip: &Gossip) {
-        self.parts.merge(now, &gossip.parts);
+    /// Merges the state of another instance; the order of merges does not matter. Returns the crashes
+    /// with shared parts that were not known, and their times.
+    pub fn merge(&mut self, now: Instant, gossip: &Gossip) -> Vec<(CrashId, Instant)> {
+        let new = self.parts.merge(now, &gossip.parts);
         for s in &gossip.cleared {
             let cleared = CrashSet::of_suspect(now, s);
             if let Some(known) = self.suspects.get_mut(&s.content) {
@@ -258,6 +261,7 @@
             }
         }
         self.forget(now);
+        new
     }
 }
 
--- a/src/quarantine/parts.rs
+++ b/src/quarantine/parts.rs
@@ -10,6 +10,7 @@
 //! therefore count once, and only if the part was present at half of them or more; a request that
 //! its engine had not begun to answer counts less.
 
+use super::SoundRun;
 use super::companions::Companions;
 use super::told::KnownRefusals;
 use super::trial::Trial;
@@ -87,6 +88,8 @@
     pub(super) times: HashMap<CrashId, Instant>,
     /// Crashes of which sound runs have cleared each part.
     pub(super) cleared: HashMap<PartId, Crashes>,
+    /// Crashes that this instance has seen of late, and when.
+    pub(super) seen: HashMap<CrashId, Instant>,
     /// Parts that this instance accused of late, and when.
     pub(super) accusations: HashMap<PartId, Instant>,
     /// Parts that this instance cleared of late, or that another instance still accuses, and when.
@@ -95,9 +98,9 @@
     pub(super) refused: Vec<RefusedParts>,
     /// Parts that are or were refused.
     pub(super) known: KnownRefusals,
-    /// Latest sound run of each part.
+    /// When the latest sound run of each part began.
     pub(super) last_sound: HashMap<PartId, Instant>,
-    /// When any run was last found sound.
+    /// When the latest run began that was found sound.
     pub(super) sound_at: Option<Instant>,
     /// Which of the accused parts occur without each other.
     pub(super) companions: Companions,
@@ -144,18 +147,36 @@
 }
 
 impl PartSuspects {
-    /// Returns the number of a crash of an endpoint whose restarts are not numbered, in the run that
-    /// its listing names. The listing may not show yet that it has restarted since the last known
-    /// crash; if it has `answered` since then, this is another crash.
-    pub fn crash_number(&self, run: Incarnation, answered: Option<Instant>) -> u32 {
+    /// Identifies a crash at `at` of an endpoint whose restarts are not numbered, in the run that its
+    /// listing names, and returns it with its time. The listing may not show yet that it has
+    /// restarted since the last known crash; if it has begun to answer a request that was sent since
+    /// then, the latest of them at `answered`, this is another crash.
+    pub fn identify_crash(
+        &self,
+        run: Incarnation,
+        at: Instant,
+        answered: Option<Instant>,
+    ) -> (CrashId, Instant) {
         let known = self.times.iter().filter(|((crashed, _), _)| *crashed == run);
         match known.map(|((_, number), at)| (*number, *at)).max() {
-            Some((number, at)) if answered.is_some_and(|answered| answered > at) => number + 1,
-            Some((number, _)) => number,
-            None => 0,
+            Some((number, last)) if answered.is_some_and(|answered| answered > last) => {
+                ((run, number + 1), at)
+            }
+            Some((number, last)) => ((run, number), last),
+            None => ((run, 0), at),
         }
     }
 
+    /// Records a crash that this instance has seen itself.
+    pub fn record_seen(&mut self, now: Instant, id: CrashId) {
+        self.seen.insert(id, now);
+    }
+
+    /// Returns whether a part is accused of any crash.
+    pub fn is_accused(&self, part: &PartId) -> bool {
+        self.accused.contains_key(part)
+    }
+
     /// Accuses parts of a crash at `at`. Returns those that are accused of it for the first time,
     /// with their numbers of crashes.
     pub fn record_crash(
@@ -164,7 +185,7 @@
         id: CrashId,
         parts: &[AccusedPart],
     ) -> Vec<(PartId, usize)> {
-        self.times.entry(id).or_insert(at);
+        let at = *self.times.entry(id).or_insert(at);
         let accused: Vec<(PartId, usize)> = parts
             .iter()
             .filter_map(|p| {
@@ -209,19 +230,29 @@
         Some(crashes.len())
     }
 
-    /// Clears the parts of a sound run of all known crashes. Returns the parts that were accused,
-    /// with their numbers of crashes.
-    pub fn record_sound(&mut self, now: Instant, parts: &[PartId]) -> Vec<(PartId, usize)> {
-        self.sound_at = Some(now);
-        self.trial.take_if(|t| parts.contains(&t.part) || !t.affects_run(now));
+    /// Clears the parts of a sound run of the known crashes before it began. Returns the parts that
+    /// were accused of some, with the number of these.
+    pub fn record_sound(&mut self, now: Instant, run: &SoundRun) -> Vec<(PartId, usize)> {
+        self.sound_at = self.sound_at.max(Some(run.begun));
+        self.trial.take_if(|t| run.parts.contains(&t.part) || !t.affects_run(run.begun));
         let mut changed = Vec::new();
-        for p in parts {
-            self.last_sound.insert(*p, now);
-            self.known.narrow(*p);
-            let Some(crashes) = self.accused.remove(p) else { continue };
-            changed.push((*p, crashes.len()));
-            self.clearances.insert(*p, now);
-            self.clear(*p, crashes);
+        for p in run.parts.iter() {
+            let last = self.last_sound.entry(*p).or_insert(run.begun);
+            *last = run.begun.max(*last);
+            let Some(crashes) = self.accused.get_mut(p) else {
+                self.known.narrow(*p);
+                continue;
+            };
+            let cleared: Crashes = crashes.extract_if(|_, c| c.at <= run.begun).collect();
+            if crashes.is_empty() {
+                self.accused.remove(p);
+                self.known.narrow(*p);
+            }
+            if !cleared.is_empty() {
+                changed.push((*p, cleared.len()));
+                self.clearances.insert(*p, now);
+                self.clear(*p, cleared);
+            }
         }
         changed
     }
@@ -256,6 +287,7 @@
             });
         }
         self.times.retain(|_, at| is_recent(*at, CRASH_MEMORY));
+        self.seen.retain(|_, at| is_recent(*at, GOSSIP_TIME));
         self.accusations.retain(|_, at| is_recent(*at, GOSSIP_TIME));
         self.clearances.retain(|_, at| is_recent(*at, GOSSIP_TIME));
         self.last_sound.retain(|_, at| is_recent(*at, SOUND_MEMORY));
--- a/src/quarantine/runs.rs
+++ b/src/quarantine/runs.rs
@@ -1,9 +1,14 @@
 //! Runs of generations at endpoints, as far as they may have caused a crash there.
+//!
+//! A run is sound once its engine has outlived its first event by [`SOUND_TIME`]. Its own events show
+//! that; for one that ends before, whatever else the engine sends does. The end of a response does
+//! not: an engine may crash right after it, and one without framing also ends with a crash.
 
-use super::AccusedPart;
+use super::{AccusedPart, CrashId};
 use crate::id::PartId;
 use slotmap::{SlotMap, new_key_type};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+use std::hash::Hash;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,12 +17,25 @@
 const MAX_SILENCE: Duration = Duration::from_secs(2);
 /// Time after its first event for which a run may still crash its endpoint.
 pub const SOUND_TIME: Duration = Duration::from_millis(500);
+/// Time for which a run that has ended is kept, in which other instances tell of a crash.
+const ENDED_MEMORY: Duration = Duration::from_secs(4);
 
 new_key_type! {
     /// Key of a run until it is sound.
     pub struct RunKey;
 }
 
+/// How a run has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The response broke off, or its caller left.
+    Broken,
+    /// The response is complete.
+    Whole,
+    /// The response ended with its connection, which a crash does too.
+    Unframed,
+}
+
 #[derive(Debug)]
 struct Run<K> {
     endpoint: K,
@@ -28,10 +46,31 @@
     head: Option<Instant>,
     /// Time of the first event.
     begun: Option<Instant>,
-    /// When it ended.
-    ended: Option<Instant>,
-    /// Whether it ended with a complete response.
-    is_whole: bool,
+    /// When and how it ended.
+    ended: Option<(Instant, RunEnd)>,
+    /// Crash that it is accused of.
+    crash: Option<CrashId>,
+}
+
+impl<K> Run<K> {
+    /// Returns whether the run may have caused a crash of its endpoint at `at`. A request that was
+    /// sent later has found the endpoint down.
+    fn may_cause(&self, at: Instant, id: CrashId) -> bool {
+        let is_within = |since: Instant| at <= since + SOUND_TIME;
+        self.started <= at
+            && self.begun.is_none_or(is_within)
+            && self.ended.is_none_or(|(ended, _)| is_within(ended))
+            && self.crash.is_none_or(|known| known == id)
+    }
+}
+
+/// A run that its endpoint has outlived.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SoundRun {
+    /// Shared parts of its prompt.
+    pub parts: Rc<[PartId]>,
+    /// Time of its first event. It tells nothing of crashes after that.
+    pub begun: Instant,
 }
 
 /// What the runs at an endpoint that has crashed show.
@@ -41,27 +80,37 @@
     pub parts: Vec<AccusedPart>,
     /// Their parts, run by run.
     pub requests: Vec<Rc<[PartId]>>,
-    /// When the endpoint last began to answer one of them.
-    pub answered: Option<Instant>,
 }
 
 /// Runs that are not known to be sound, at endpoints with keys of type `K`.
 #[derive(Debug)]
 pub struct Runs<K> {
     runs: SlotMap<RunKey, Run<K>>,
+    /// When each endpoint last sent anything.
+    lives: HashMap<K, Instant>,
 }
 
 impl<K> Default for Runs<K> {
     fn default() -> Self {
-        Runs { runs: SlotMap::with_key() }
+        Runs { runs: SlotMap::with_key(), lives: HashMap::new() }
     }
 }
 
-impl<K: Copy + PartialEq> Runs<K> {
+impl<K: Clone + Eq + Hash> Runs<K> {
     /// Adds a run that is sent to an endpoint.
     pub fn start(&mut self, now: Instant, endpoint: K, parts: Rc<[PartId]>) -> RunKey {
-        let (started, head, begun, ended, is_whole) = (now, None, None, None, false);
-        self.runs.insert(Run { endpoint, parts, started, head, begun, ended, is_whole })
+        let (started, head, begun, ended, crash) = (now, None, None, None, None);
+        self.runs.insert(Run { endpoint, parts, started, head, begun, ended, crash })
+    }
+
+    /// Records that an endpoint has sent something.
+    pub fn record_life(&mut self, now: Instant, endpoint: K) {
+        self.lives.insert(endpoint, now);
+    }
+
+    /// Returns whether an endpoint has sent anything since `since`.
+    pub fn has_lived(&self, endpoint: &K, since: Instant) -> bool {
+        self.lives.get(endpoint).is_some_and(|at| *at >= since)
     }
 
     /// Records that the endpoint has begun to answer.
@@ -71,14 +120,14 @@
         }
     }
 
-    /// Records an event of a run. Returns the parts of the run once it is sound.
-    pub fn record_event(&mut self, now: Instant, key: RunKey) -> Option<Rc<[PartId]>> {
+    /// Records an event of a run. Returns the run once it is sound.
+    pub fn record_event(&mut self, now: Instant, key: RunKey) -> Option<SoundRun> {
         let run = self.runs.get_mut(key)?;
         let begun = *run.begun.get_or_insert(now);
         if now < begun + SOUND_TIME {
             return None;
         }
-        self.runs.remove(key).map(|run| run.parts)
+        self.runs.remove(key).map(|run| SoundRun { parts: run.parts, begun })
     }
 
     /// Returns whether a run with a part is under way that is not known to be sound and has made
@@ -91,11 +140,10 @@
         self.runs.values().any(|run| is_active(run) && run.parts.contains(&part))
     }
 
-    /// Records the end of a run; `is_whole` if its response is complete.
-    pub fn end(&mut self, now: Instant, key: RunKey, is_whole: bool) {
+    /// Records the end of a run.
+    pub fn end(&mut self, now: Instant, key: RunKey, end: RunEnd) {
         if let Some(run) = self.runs.get_mut(key) {
-            run.ended.get_or_insert(now);
-            run.is_whole |= is_whole;
+            run.ended.get_or_insert((now, end));
         }
     }
 
@@ -104,39 +152,72 @@
         self.runs.remove(key);
     }
 
-    /// Removes the runs at an endpoint that has crashed, and returns what they show.
-    pub fn take_crashed(&mut self, endpoint: K) -> CrashedRuns {
+    /// Returns when the latest of the runs at an endpoint was sent that may have caused a crash at
+    /// `at` and that the endpoint had begun to answer.
+    pub fn last_answered(&self, endpoint: &K, at: Instant) -> Option<Instant> {
+        let at_endpoint = self.runs.values().filter(|run| run.endpoint == *endpoint);
+        let answered = at_endpoint.filter(|run| run.head.is_some() && run.crash.is_none());
+        answered.map(|run| run.started).filter(|started| *started <= at).max()
+    }
+
+    /// Accuses the runs at an endpoint that may have caused its crash at `at`, and returns what they
+    /// show.
+    pub fn accuse(&mut self, endpoint: &K, at: Instant, id: CrashId) -> CrashedRuns {
         let mut parts: BTreeMap<PartId, bool> = BTreeMap::new();
-        let (mut requests, mut answered) = (Vec::new(), None);
-        self.runs.retain(|_, run| {
-            if run.endpoint != endpoint {
-                return true;
-            }
+        let mut requests = Vec::new();
+        let at_endpoint = self.runs.values_mut().filter(|run| run.endpoint == *endpoint);
+        for run in at_endpoint.filter(|run| run.may_cause(at, id)) {
             for part in run.parts.iter() {
                 *parts.entry(*part).or_default() |= run.head.is_some();
             }
+            run.crash = Some(id);
             requests.push(run.parts.clone());
-            answered = answered.max(run.head);
-            false
-        });
+        }
         let parts = parts.into_iter().map(|(part, begun)| AccusedPart { part, begun }).collect();
-        CrashedRuns { parts, requests, answered }
+        CrashedRuns { parts, requests }
+    }
+
+    /// Returns an endpoint with runs for which `is_meant` holds.
+    pub fn find(&self, is_meant: impl Fn(&K) -> bool) -> Option<K> {
+        self.runs.values().map(|run| &run.endpoint).find(|k| is_meant(k)).cloned()
+    }
+
+    /// Returns the endpoints that have to be examined, each with the end of its first run that nothing
+    /// shows it to have outlived: one without framing, or one with a part for which `is_accused` holds.
+    pub fn unproven(
+        &self,
+        now: Instant,
+        is_accused: impl Fn(&PartId) -> bool,
+    ) -> Vec<(K, Instant)> {
+        let to_unproven = |run: &Run<K>| {
+            let (proven, (ended, end)) = (run.begun? + SOUND_TIME, run.ended?);
+            let is_doubtful = end == RunEnd::Unframed || run.parts.iter().any(&is_accused);
+            let is_due = end != RunEnd::Broken && run.crash.is_none() && now >= proven;
+            (is_due && is_doubtful && !self.has_lived(&run.endpoint, proven)).then_some(ended)
+        };
+        let mut endpoints: HashMap<&K, Instant> = HashMap::new();
+        for run in self.runs.values() {
+            let Some(ended) = to_unproven(run) else { continue };
+            let first = endpoints.entry(&run.endpoint).or_insert(ended);
+            *first = ended.min(*first);
+        }
+        endpoints.into_iter().map(|(k, ended)| (k.clone(), ended)).collect()
     }
 
-    /// Removes the runs that ended long enough ago. Returns the parts of each that is sound.
-    pub fn step(&mut self, now: Instant) -> Vec<Rc<[PartId]>> {
+    /// Removes the runs that ended long enough ago. Returns those that are sound.
+    pub fn step(&mut self, now: Instant) -> Vec<SoundRun> {
         let mut sound = Vec::new();
         self.runs.retain(|_, run| {
-            let Some(ended) = run.ended else { return true };
-            match run.begun.filter(|_| run.is_whole) {
-                Some(begun) if now >= begun + SOUND_TIME => {
-                    sound.push(run.parts.clone());
-                    false
-                }
-                Some(_) => true,
-                None => now < ended + SOUND_TIME,
+            let Some((ended, end)) = run.ended else { return true };
+            let begun = run.begun.filter(|_| end != RunEnd::Broken && run.crash.is_none());
+            let is_proven = |begun: &Instant| now >= *begun + SOUND_TIME;
+            if let Some(begun) = begun.filter(is_proven) {
+                sound.push(SoundRun { parts: run.parts.clone(), begun });
+                return false;
             }
+            now < ended + ENDED_MEMORY
         });
+        self.lives.retain(|_, at| now < *at + ENDED_MEMORY);
         sound
     }
 }
--- a/src/quarantine/told.rs
+++ b/src/quarantine/told.rs
@@ -9,9 +9,9 @@
 
 /// Time for which a part that was refused is refused again at its first crash.
 const RELAPSE_MEMORY: Duration = Duration::from_secs(3600);
-/// A part with a sound run within this time is not named to other instances, which have sound runs
-/// of such a common part too.
-const COMMON_TIME: Duration = Duration::from_secs(1);
+/// A part with a sound run that began within this time is not named to other instances, which have
+/// sound runs of such a common part too.
+const COMMON_TIME: Duration = Duration::from_millis(1500);
 /// Most crashes of one part in a message, the latest ones.
 const MAX_ROW_CRASHES: usize = 32;
 /// Most parts in one message.
@@ -117,7 +117,19 @@
         let is_told = |p: &PartId| rows.iter().any(|r| r.part == *p);
         let told = self.refused.iter().map(|r| &r.parts).filter(|set| set.iter().all(is_told));
         let (refused, together) = split(told);
-        PartsGossip { rows, refused, together }
+        PartsGossip { rows, refused, together, crashes: self.seen_crashes(now) }
+    }
+
+    /// Returns the crashes that this instance has seen of late, for those that have lost requests to
+    /// them unnoticed.
+    fn seen_crashes(&self, now: Instant) -> Vec<SeenCrash> {
+        let at = |id: &CrashId| self.times.get(id).copied();
+        let seen: Crashes = self
+            .seen
+            .keys()
+            .filter_map(|id| Some((*id, Presence { at: at(id)?, begun: false })))
+            .collect();
+        to_seen(now, &seen)
     }
 
     fn row(&self, now: Instant, part: PartId) -> PartRow {
@@ -131,11 +143,21 @@
     pub fn gossip_of(&self, now: Instant, parts: &PartSet) -> PartsGossip {
         let rows = parts.iter().map(|p| self.row(now, *p)).collect();
         let (refused, together) = split(std::iter::once(parts));
-        PartsGossip { rows, refused, together }
+        PartsGossip { rows, refused, together, crashes: Vec::new() }
     }
 
-    /// Merges what another instance knows; the order of merges does not matter.
-    pub fn merge(&mut self, now: Instant, gossip: &PartsGossip) {
+    /// Merges what another instance knows; the order of merges does not matter. Returns the crashes
+    /// that were not known.
+    pub fn merge(&mut self, now: Instant, gossip: &PartsGossip) -> Vec<(CrashId, Instant)> {
+        let told = gossip.rows.iter().map(|row| &row.crashes).chain([&gossip.crashes]);
+        let told = told.flat_map(|crashes| from_seen(now, crashes));
+        let mut new: Vec<(CrashId, Instant)> = Vec::new();
+        for (id, presence) in told {
+            if !self.times.contains_key(&id) {
+                self.times.insert(id, presence.at);
+                new.push((id, presence.at));
+            }
+        }
         for row in &gossip.rows {
             let cleared: Crashes = from_seen(now, &row.cleared).collect();
             if let Some(known) = self.accused.get_mut(&row.part) {
@@ -163,6 +185,7 @@
                 self.known.adopt(now, set);
             }
         }
+        new
     }
 }
 
--- a/src/quarantine/trial.rs
+++ b/src/quarantine/trial.rs
@@ -7,7 +7,7 @@
 //! Requests with parts that were or may be tried run one at a time.
 
 use super::parts::{Crashes, Doubt, Evidence, MAX_CRASHES, OpenCrashes, SETTLE_TIME, WAVE};
-use super::{PartSuspects, RefusedParts, SOUND_TIME};
+use super::{PartSuspects, RefusedParts};
 use crate::id::PartId;
 use std::time::{Duration, Instant};
 
@@ -31,10 +31,10 @@
 }
 
 impl Trial {
-    /// Returns whether a run that is found sound now began during the trial, which keeps requests
-    /// with the part from being sound first. One that began before shows as much as without it.
-    pub(super) fn affects_run(&self, now: Instant) -> bool {
-        now >= self.since + SOUND_TIME
+    /// Returns whether a sound run began during the trial, which keeps requests with the part from
+    /// being sound first. One that began before shows as much as without it.
+    pub(super) fn affects_run(&self, begun: Instant) -> bool {
+        begun >= self.since
     }
 }
 
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -117,6 +117,8 @@
 pub struct Service {
     /// Connections that one endpoint accepts from all callers together.
     pub max_connections: u32,
+    /// Path at which an endpoint says who it is.
+    pub health_path: Option<Arc<str>>,
     /// Properties of its engines; absent for a plain service.
     pub engine: Option<Engine>,
     /// Rate of requests from all instances together that an endpoint tolerates while it is cold.
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -490,6 +490,7 @@
         let result = match req.target.as_str() {
             "/kv-move" => copy_memory(state, &req, &mut writer),
             "/report" => send_report(state, &mut writer),
+            "/healthz" => respond(&mut writer, "", 200, ""),
             t if t.starts_with("/kv-handle/") => free_copy(state, &req, &mut writer),
             _ => perform_action(state, req, &mut writer),
         };
--- a/tests/decisions/contents.rs
+++ b/tests/decisions/contents.rs
@@ -49,7 +49,7 @@
     /// Merges the messages of another instance about what is in a scope.
     fn merge(&mut self, other: &mut Seen, at: Duration, scope: Scope) {
         let messages = other.quarantine.messages(other.start + at, scope);
-        messages.iter().for_each(|m| self.quarantine.merge(other.start + at, m));
+        messages.iter().for_each(|m| drop(self.quarantine.merge(other.start + at, m)));
     }
 }
 
@@ -145,12 +145,14 @@
     let start = first.start;
     let mut fleet: Vec<Quarantine> = (0..instances).map(|_| Quarantine::default()).collect();
     let messages = first.quarantine.messages(start + millis(3000), Scope::Changed);
-    fleet.iter_mut().for_each(|q| messages.iter().for_each(|m| q.merge(start + millis(3000), m)));
+    fleet.iter_mut().for_each(|q| {
+        messages.iter().for_each(|m| drop(q.merge(start + millis(3000), m)));
+    });
     for ix in 0..instances {
         let now = start + millis(10_000 + 300 * ix as u64);
         let told = fleet[(ix + 1) % instances].messages(now, Scope::All);
         fleet[ix] = Quarantine::default();
-        told.iter().for_each(|m| fleet[ix].merge(now, m));
+        told.iter().for_each(|m| drop(fleet[ix].merge(now, m)));
     }
     assert!(fleet.iter().all(|q| q.standing(&BAD) == Standing::Refused));
 }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -9,6 +9,7 @@
 mod drain;
 mod evacuate;
 mod evacuation;
+mod examination;
 mod explain;
 mod fixture;
 mod fleet;
--- a/tests/scenario/quarantine.rs
+++ b/tests/scenario/quarantine.rs
@@ -5,7 +5,7 @@
 use datadriven::TestCase;
 use skylarkthread::frame::{Crash, Gossip};
 use skylarkthread::id::{Fingerprint, Incarnation, PartId};
-use skylarkthread::quarantine::{AccusedPart, Quarantine, RefusedParts};
+use skylarkthread::quarantine::{AccusedPart, Quarantine, RefusedParts, SoundRun};
 use std::collections::BTreeMap;
 use std::time::Instant;
 
@@ -107,8 +107,10 @@
                 lines(quarantine.parts.step(settled).iter().map(refused_line).collect())
             }
             "sound" => {
-                let parts: Vec<PartId> = names(case, "parts").iter().map(|n| part(n)).collect();
-                quarantine.parts.record_sound(now, &parts);
+                let parts = names(case, "parts").iter().map(|n| part(n)).collect();
+                let begun = arg(case, "begun")
+                    .map_or(now, |ms| self.start + std::time::Duration::from_millis(ms));
+                quarantine.parts.record_sound(now, &SoundRun { parts, begun });
                 lines(quarantine.parts.step(now).iter().map(refused_line).collect())
             }
             // The state at the time of a crash, which may be one of several.
