Accuse also the runs that others show to have ended with a crash

Each instance accused what it had lost itself and knew to be lost. What it had on an engine that it knew to be leaving, or lost in a migration, or had not noticed yet, was left out, so that the crash spoke against the sound parts of the others alone.

--- a/src/gateway/examine.rs
+++ b/src/gateway/examine.rs
@@ -326,3 +326,14 @@
     let (count, most) = (parts.len(), counts.join(","));
     gw.event(Kind::Accused, &host.id, format_args!("parts={count} crashes={most}"));
 }
+
+/// Accuses the runs of this instance that may have caused crashes of which others tell. It may have
+/// lost them for another reason, or not know yet that it has.
+pub fn record_told(gw: &Gateway, crashes: &[(CrashId, Instant)]) {
+    for (id, at) in crashes {
+        let host = gw.runs.borrow().find(|host| host.run == id.0);
+        if let Some(host) = host {
+            accuse_runs(gw, &host, *at, *id);
+        }
+    }
+}
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -1,6 +1,6 @@
 //! Exchanges what is known of crashing contents and parts with other instances.
 
-use super::{Gateway, jitter, peers, quarantine};
+use super::{Gateway, examine, jitter, peers, quarantine};
 use crate::clock;
 use crate::frame::Gossip;
 use crate::gossip::PeerMessage;
@@ -47,6 +47,7 @@
 
 /// Merges what another instance or the store tells of.
 pub fn merge(gw: &Gateway, gossip: &Gossip) {
-    gw.quarantine.borrow_mut().merge(clock::now(), gossip);
+    let crashes = gw.quarantine.borrow_mut().merge(clock::now(), gossip);
+    examine::record_told(gw, &crashes);
     quarantine::update(gw);
 }
