Take a run for sound only once its engine has outlived it

Cause: a run that ended in order counted as sound half a second after its first event, without anything having come from the engine since; it cleared its parts of all crashes, and told others so. A crash of a process ends a connection in order where nothing of the request is unread, so an unframed response looks complete. Class: a success clears what it did not test; so did one that had begun before the crash that it cleared.

Now such a run is sound if the engine sends anything half a second after its first event. Where one of its parts is accused, or its response has no framing, the engine is examined then; otherwise it shows nothing, and costs nothing.

--- a/src/gateway/examine.rs
+++ b/src/gateway/examine.rs
@@ -217,6 +217,19 @@
     add_check(gw, host, cause, ended, vec![(quarantine::fingerprint(job), run)]);
 }
 
+/// Has the endpoints examined that nothing shows to have outlived a run.
+pub fn check_unproven(gw: &Rc<Gateway>) {
+    let unproven = {
+        let quarantine = gw.quarantine.borrow();
+        gw.runs.borrow().unproven(clock::now(), |p| quarantine.parts.is_accused(p))
+    };
+    for (host, ended) in unproven {
+        if !host.is_leaving(gw) {
+            add_check(gw, &host, Break::Ended, ended, Vec::new());
+        }
+    }
+}
+
 /// Adds runs that an endpoint has lost to its examination, and begins one if there is none.
 fn add_check(
     gw: &Rc<Gateway>,
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -2,7 +2,7 @@
 //! cause.
 
 use super::job::Job;
-use super::{Gateway, jitter, refusals};
+use super::{Gateway, examine, jitter, refusals};
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::Refusal;
@@ -129,6 +129,7 @@
 /// Brings what is accused and refused up to date; called at short intervals.
 pub fn step(gw: &Rc<Gateway>) {
     let sound = gw.runs.borrow_mut().step(clock::now());
+    examine::check_unproven(gw);
     gw.quarantine.borrow_mut().forget(clock::now());
     sound.iter().for_each(|run| record_sound(gw, run));
     update(gw);
--- a/src/quarantine/runs.rs
+++ b/src/quarantine/runs.rs
@@ -207,10 +207,13 @@
     /// Removes the runs that ended long enough ago. Returns those that are sound.
     pub fn step(&mut self, now: Instant) -> Vec<SoundRun> {
         let mut sound = Vec::new();
+        let lives = &self.lives;
         self.runs.retain(|_, run| {
             let Some((ended, end)) = run.ended else { return true };
             let begun = run.begun.filter(|_| end != RunEnd::Broken && run.crash.is_none());
-            let is_proven = |begun: &Instant| now >= *begun + SOUND_TIME;
+            let is_proven = |begun: &Instant| {
+                lives.get(&run.endpoint).is_some_and(|at| *at >= *begun + SOUND_TIME)
+            };
             if let Some(begun) = begun.filter(is_proven) {
                 sound.push(SoundRun { parts: run.parts.clone(), begun });
                 return false;
--- a/src/quarantine/told.rs
+++ b/src/quarantine/told.rs
@@ -4,6 +4,7 @@
 use super::{CrashId, PartSuspects};
 use crate::frame::{PartRow, PartsGossip, SeenCrash};
 use crate::id::PartId;
+use std::collections::hash_map::Entry;
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
@@ -153,8 +154,8 @@
         let told = told.flat_map(|crashes| from_seen(now, crashes));
         let mut new: Vec<(CrashId, Instant)> = Vec::new();
         for (id, presence) in told {
-            if !self.times.contains_key(&id) {
-                self.times.insert(id, presence.at);
+            if let Entry::Vacant(entry) = self.times.entry(id) {
+                entry.insert(presence.at);
                 new.push((id, presence.at));
             }
         }
