Count crashes at one moment after many sound runs

Cause: crashes within 700 ms count once, so that a loss of power accuses no part, and two moments were asked for however many engines had crashed.

Now five crashes at one moment suffice if the part was present at all crashes around them and eight runs that began after them are sound: a common part is among these by then and cleared. After as many sound runs four moments, or two with five crashes, suffice where nothing had been answered. Tried first and reverted: requests with such a part wait until then.

Module evidence takes over what crashes show.

--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -12,6 +12,7 @@
 
 mod companions;
 mod contents;
+mod evidence;
 mod examination;
 mod parts;
 mod runs;
@@ -19,8 +20,9 @@
 mod trial;
 
 pub use contents::{CRASH_MEMORY, CrashSet, LostRun, service_tag};
+pub use evidence::{Doubt, MAX_CRASHES};
 pub use examination::{Break, Examination, LIFE_MARGIN, Listed, Look, Next, Sight, Verdict};
-pub use parts::{AccusedPart, CrashId, Doubt, MAX_CRASHES, PartSet, PartSuspects, RefusedParts};
+pub use parts::{AccusedPart, CrashId, PartSet, PartSuspects, RefusedParts};
 pub use runs::{CrashedRuns, RunEnd, RunKey, Runs, SOUND_TIME, SoundRun};
 pub use told::Scope;
 pub use trial::Trial;
--- a/src/quarantine/parts.rs
+++ b/src/quarantine/parts.rs
@@ -12,25 +12,15 @@
 
 use super::SoundRun;
 use super::companions::Companions;
+use super::evidence::{Counted, Doubt, Evidence, MANY_SOUND_RUNS};
 use super::told::KnownRefusals;
 use super::trial::Trial;
 use crate::id::{Incarnation, PartId};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
-use std::fmt;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
-/// Number of crashes, at different moments, from which a part is refused.
-pub const MAX_CRASHES: usize = 3;
-/// Number of crashes from which two moments suffice.
-const MANY_CRASHES: usize = 5;
 /// Number of crashes from which a request with the part is not sent to another engine.
 const MAX_RERUN_CRASHES: usize = 2;
-/// Like [`MAX_CRASHES`], for crashes of engines that had not begun to answer a request with the part.
-const MAX_WAITING_CRASHES: usize = 6;
-/// Least time between two crashes at different moments.
-const MOMENT: Duration = Duration::from_millis(700);
-/// Crashes within this time of each other may have the same cause.
-pub(super) const WAVE: Duration = Duration::from_millis(250);
 /// Time until a crash counts, in which others of the same wave become known.
 pub(super) const SETTLE_TIME: Duration = Duration::from_millis(300);
 /// Time for which a crash counts, and for which a part is cleared of it.
@@ -86,6 +76,8 @@
     pub(super) accused: HashMap<PartId, Crashes>,
     /// Times of all known crashes.
     pub(super) times: HashMap<CrashId, Instant>,
+    /// The same times in order, as of the last step.
+    pub(super) timeline: Vec<Instant>,
     /// Crashes of which sound runs have cleared each part.
     pub(super) cleared: HashMap<PartId, Crashes>,
     /// Crashes that this instance has seen of late, and when.
@@ -102,6 +94,8 @@
     pub(super) last_sound: HashMap<PartId, Instant>,
     /// When the latest run began that was found sound.
     pub(super) sound_at: Option<Instant>,
+    /// When the latest sound runs began.
+    pub(super) sounds: VecDeque<Instant>,
     /// Which of the accused parts occur without each other.
     pub(super) companions: Companions,
     /// Part that is tried because nothing sound tells it from others.
@@ -114,38 +108,6 @@
     pub(super) open: Vec<(PartId, Doubt)>,
 }
 
-/// What the crashes of a part show.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Evidence {
-    /// Too few crashes.
-    None,
-    /// Enough of them, but nothing sound tells the part from the engines or from other parts.
-    Open(Doubt),
-    /// The part causes them.
-    Enough,
-}
-
-/// Why a part with enough crashes is not refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Doubt {
-    /// No run has been sound since its first crash, so the engines may be at fault.
-    Engines,
-    /// Requests without it have another part that was present at all of its crashes.
-    OtherPart,
-    /// It was tried, and has not been present at a crash since.
-    Trial,
-}
-
-impl fmt::Display for Doubt {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Doubt::Engines => "no-sound-run",
-            Doubt::OtherPart => "other-part",
-            Doubt::Trial => "trial",
-        })
-    }
-}
-
 impl PartSuspects {
     /// Identifies a crash at `at` of an endpoint whose restarts are not numbered, in the run that its
     /// listing names, and returns it with its time. The listing may not show yet that it has
@@ -234,6 +196,10 @@
     /// were accused of some, with the number of these.
     pub fn record_sound(&mut self, now: Instant, run: &SoundRun) -> Vec<(PartId, usize)> {
         self.sound_at = self.sound_at.max(Some(run.begun));
+        self.sounds.push_back(run.begun);
+        if self.sounds.len() > MANY_SOUND_RUNS {
+            self.sounds.pop_front();
+        }
         self.trial.take_if(|t| run.parts.contains(&t.part) || !t.affects_run(run.begun));
         let mut changed = Vec::new();
         for p in run.parts.iter() {
@@ -268,6 +234,8 @@
     /// refused before.
     pub fn step(&mut self, now: Instant) -> Vec<RefusedParts> {
         self.forget(now);
+        self.timeline = self.times.values().copied().collect();
+        self.timeline.sort_unstable();
         let refused = self.find_causes(now);
         let is_new = |r: &&RefusedParts| self.refused.iter().all(|old| old.parts != r.parts);
         let new: Vec<RefusedParts> = refused.iter().filter(is_new).cloned().collect();
@@ -302,11 +270,8 @@
         if self.accused.is_empty() {
             return causes;
         }
-        for (is_counted, limit) in [
-            ((|c: &Presence| c.begun) as fn(&Presence) -> bool, MAX_CRASHES),
-            (|_| true, MAX_WAITING_CRASHES),
-        ] {
-            while let Some((cause, crashes)) = self.find_cause(now, is_counted, limit, &explained) {
+        for counted in [Counted::Begun, Counted::All] {
+            while let Some((cause, crashes)) = self.find_cause(now, counted, &explained) {
                 explained.extend(crashes.into_keys());
                 causes.push(cause);
             }
@@ -329,23 +294,23 @@
     }
 
     /// Returns the part that explains the most open crashes, with the parts that were present at
-    /// the same ones, and these crashes. `None` if no part has crashes at `limit` moments.
+    /// the same ones, and these crashes. `None` if no part has enough of them.
     fn find_cause(
         &self,
         now: Instant,
-        is_counted: fn(&Presence) -> bool,
-        limit: usize,
+        counted: Counted,
         explained: &HashSet<CrashId>,
     ) -> Option<(RefusedParts, OpenCrashes)> {
         let open = |crashes: &Crashes| -> OpenCrashes {
-            let counted = crashes.iter().filter(|(id, c)| is_counted(c) && !explained.contains(id));
+            let counted =
+                crashes.iter().filter(|(id, c)| counted.includes(c) && !explained.contains(id));
             counted.map(|(id, c)| (*id, c.at)).collect()
         };
         let all: Vec<_> = self.accused.iter().map(|(p, crashes)| (*p, open(crashes))).collect();
         let is_known = |p: &PartId| self.known.has(*p);
         let suffices = |(part, open): &&(PartId, OpenCrashes)| {
             !open.is_empty()
-                && (is_known(part) || self.evidence(now, *part, open, limit) == Evidence::Enough)
+                && (is_known(part) || self.evidence(now, *part, open, counted) == Evidence::Enough)
         };
         let rank = |(part, open): &&(PartId, OpenCrashes)| (is_known(part), open.len(), *part);
         let (part, crashes) = all.iter().filter(suffices).max_by_key(rank)?;
@@ -358,44 +323,6 @@
         Some((RefusedParts { parts, crashes: crashes.len(), until }, crashes.clone()))
     }
 
-    /// Returns what the open crashes of a part show. Without a sound run since the first, the
-    /// engines rather than the part may be at fault.
-    pub(super) fn evidence(
-        &self,
-        now: Instant,
-        part: PartId,
-        open: &OpenCrashes,
-        limit: usize,
-    ) -> Evidence {
-        if open.len() < limit {
-            return Evidence::None;
-        }
-        let mut crashes = self.attributed(open.values().copied().collect());
-        crashes.retain(|at| now.saturating_duration_since(*at) >= SETTLE_TIME);
-        crashes.sort_unstable();
-        let moments = count_moments(&crashes);
-        let is_frequent = limit == MAX_CRASHES && moments > 1 && crashes.len() >= MANY_CRASHES;
-        if moments < limit && !is_frequent {
-            return Evidence::None;
-        }
-        match self.doubt(part, &crashes) {
-            None => Evidence::Enough,
-            Some(doubt) => Evidence::Open(doubt),
-        }
-    }
-
-    /// Returns why these crashes do not show that a part causes them; `None` if they do.
-    fn doubt(&self, part: PartId, crashes: &[Instant]) -> Option<Doubt> {
-        let is_later = |sound: Instant| crashes.first().is_some_and(|first| sound > *first);
-        if !self.sound_at.is_some_and(is_later) {
-            return Some(Doubt::Engines);
-        }
-        if self.is_contested(part, crashes) {
-            return Some(Doubt::OtherPart);
-        }
-        self.awaits_crash(part, crashes).then_some(Doubt::Trial)
-    }
-
     /// Returns the part with the most crashes among those that have enough of them and are not
     /// refused, with the number of its crashes and the reason.
     pub fn undecided(&self) -> Option<(PartId, usize, Doubt)> {
@@ -405,29 +332,6 @@
         open.max_by_key(|(p, crashes, _)| (*crashes, *p))
     }
 
-    /// Returns whether requests without a part have one that was present at all of its crashes too,
-    /// and no run has been sound since the second moment of these.
-    fn is_contested(&self, part: PartId, crashes: &[Instant]) -> bool {
-        let Some(first) = crashes.first() else { return false };
-        let second = crashes.iter().find(|at| **at >= *first + MOMENT);
-        if second.is_some_and(|second| self.sound_at.is_some_and(|sound| sound > *second)) {
-            return false;
-        }
-        let is_near = |at: &Instant, c: &Presence| c.begun && distance(*at, c.at) < MOMENT;
-        self.accused.iter().any(|(other, of_other)| {
-            self.companions.are_separate(part, *other)
-                && crashes.iter().all(|at| of_other.values().any(|c| is_near(at, c)))
-        })
-    }
-
-    /// Returns those of the crashes of a part around which it was present at half of all or more.
-    fn attributed(&self, crashes: Vec<Instant>) -> Vec<Instant> {
-        let is_attributed = |at: &Instant| {
-            2 * count_near(*at, crashes.iter()) >= count_near(*at, self.times.values())
-        };
-        crashes.iter().filter(|at| is_attributed(at)).copied().collect()
-    }
-
     /// Returns whether a part is accused of enough crashes that a request with it should not be
     /// sent to another engine after a crash.
     pub fn is_suspect(&self, parts: &[PartId]) -> bool {
@@ -451,26 +355,3 @@
         &self.refused
     }
 }
-
-/// Counts the crashes of the same wave as one at `at`.
-fn count_near<'a>(at: Instant, times: impl Iterator<Item = &'a Instant>) -> usize {
-    times.filter(|t| distance(**t, at) <= WAVE).count()
-}
-
-/// Returns the time between two instants in any order.
-fn distance(a: Instant, b: Instant) -> Duration {
-    a.max(b).saturating_duration_since(a.min(b))
-}
-
-/// Counts the moments of crashes in the order of time; those within [`MOMENT`] of the first are one.
-fn count_moments(times: &[Instant]) -> usize {
-    let mut count = 0;
-    let mut last = None;
-    for t in times {
-        if last.is_none_or(|last| *t >= last + MOMENT) {
-            count += 1;
-            last = Some(*t);
-        }
-    }
-    count
-}
--- a/src/quarantine/trial.rs
+++ b/src/quarantine/trial.rs
@@ -6,7 +6,8 @@
 //! run is sound, requests with the part run again, and its next crash shows that it is the cause.
 //! Requests with parts that were or may be tried run one at a time.
 
-use super::parts::{Crashes, Doubt, Evidence, MAX_CRASHES, OpenCrashes, SETTLE_TIME, WAVE};
+use super::evidence::{Counted, Doubt, Evidence, MAX_CRASHES, WAVE};
+use super::parts::{Crashes, OpenCrashes, SETTLE_TIME};
 use super::{PartSuspects, RefusedParts};
 use crate::id::PartId;
 use std::time::{Duration, Instant};
@@ -128,7 +129,7 @@
         let to_open = |part: PartId| {
             let crashes = self.accused[&part].iter().filter(|(_, c)| c.begun);
             let open: OpenCrashes = crashes.map(|(id, c)| (*id, c.at)).collect();
-            match self.evidence(now, part, &open, MAX_CRASHES) {
+            match self.evidence(now, part, &open, Counted::Begun) {
                 Evidence::Open(doubt) => Some((part, doubt)),
                 Evidence::None | Evidence::Enough => None,
             }
@@ -138,9 +139,8 @@
 
     /// Returns the starts of the waves of crashes that have settled, in the order of time.
     fn waves(&self, now: Instant) -> Vec<Instant> {
-        let mut times: Vec<Instant> = self.times.values().copied().collect();
+        let mut times = self.timeline.clone();
         times.retain(|at| now.saturating_duration_since(*at) >= SETTLE_TIME);
-        times.sort_unstable();
         times.dedup_by(|at, first| *at <= *first + WAVE);
         times
     }
