Free the descriptor of a connection to a stand-in endpoint when it ends

Cause: an endpoint keeps a copy of each connection, to break it off in a crash, and kept it when the connection had ended. The tests of crashing parts added enough to reach the 20,000 descriptors that the test process may open (19,995 in use from the 194th second on, two runs); then nothing connected any more. Ruled out: the gateways, which had ended; load (1 to 4 on 8 cores); single tests, which pass alone.

Now a connection is forgotten when it has been served. The suite: 204 passed in 149 s, with at most a few hundred descriptors in the first half where there were 5,000; before, ended after 560 s with 27 failures.

--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -264,6 +264,13 @@
         is_up
     }
 
+    /// Forgets a recorded connection that has ended, and frees its descriptor.
+    fn forget_connection(&self, peer: SocketAddr) {
+        let mut connections = self.connections.lock().expect("no holder panics");
+        // One without a peer has been reset.
+        connections.retain(|io| io.peer_addr().is_ok_and(|p| p != peer));
+    }
+
     /// Treats a connection that was accepted while the endpoint is down.
     fn turn_away(&self, io: TcpStream) {
         match *self.down_mode.lock().expect("no holder panics") {
@@ -479,7 +486,11 @@
     }
 
     fn serve(&self, io: TcpStream) {
+        let peer = io.peer_addr();
         serve(self, io);
+        if let Ok(peer) = peer {
+            self.forget_connection(peer);
+        }
     }
 }
 
