Count the runs of plain requests at crashes too

Cause: only generations were tracked as runs, so a crash under a plain request accused no part. Class: evidence for a single kind of request.

Now a plain request is checked before each attempt, waits while one of its parts is tried, is not sent again with a part that is suspect, and its run is tracked like a generation's. One that is on its way is not cut off: it may be running, and its caller would be told less than the endpoint can say.

Test: part_of_plain_requests_that_crashes_endpoints_is_refused fails before (2 of 2 runs, a sound request gets 503) and passes.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -2,7 +2,7 @@
 
 use super::attempt::{self, AttemptError, EndpointResponse};
 use super::begin::QueueEntry;
-use super::examine::{self, Host};
+use super::examine::{self, Host, RunGuard};
 use super::job::{self, Job, log_id};
 use super::respond::{Disposition, disposition};
 use super::retries::{self, Permit};
@@ -13,7 +13,7 @@
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::Refusal;
-use crate::h1::{Broken, Inbound};
+use crate::h1::{Broken, Framing, Inbound};
 use crate::platform::{self, ForwardParams};
 use crate::pool::{Availability, Endpoint, PoolKey};
 use crate::problem::{Problem, ProblemKind};
@@ -177,7 +177,11 @@
 ) -> Result<CallResponse, Problem> {
     retries::note_request(gw, &job.service);
     gw.pool.borrow_mut().note_demand(&job.service);
+    quarantine::wait_for_trial(gw, job).await?;
     loop {
+        if attempts.runs == 0 {
+            quarantine::check(gw, job)?;
+        }
         let Some(permit) = permit_attempt(gw, job, attempts).await else { break };
         let Some(key) = next_endpoint(gw, job, attempts) else {
             permit.release();
@@ -190,7 +194,12 @@
             Ok(response) => return Ok(response),
             Err(error) => error,
         };
-        if attempts.runs > 0 && (!job.is_idempotent() || attempts.runs >= job.route.max_attempts) {
+        let may_rerun = || {
+            job.is_idempotent()
+                && attempts.runs < job.route.max_attempts
+                && quarantine::may_rerun(gw, job)
+        };
+        if attempts.runs > 0 && !may_rerun() {
             return final_response(job, attempts, error);
         }
         let detail = format!("why={error} tried={} runs={}", attempts.tried.len(), attempts.runs);
@@ -214,7 +223,7 @@
     attempts.tried.push(key);
     attempts.is_sending = true;
     let (sent, host) = (clock::now(), Host::find(gw, job, key));
-    let result = try_endpoint(gw, job, key).await;
+    let result = try_endpoint(gw, job, key, host.clone()).await;
     attempts.is_sending = false;
     let error = match result {
         Ok(CallResponse::Complete(response, body)) if response.info.status.is_server_error() => {
@@ -350,10 +359,12 @@
     gw: &Rc<Gateway>,
     job: &Job,
     key: PoolKey,
+    host: Option<Host>,
 ) -> Result<CallResponse, AttemptError> {
     let _guard = WorkGuard::new(gw, key, job.expected_work());
     let endpoint = gw.pool.borrow().endpoints.get(key).map(|e| e.listing.id.clone());
     let endpoint = endpoint.ok_or(AttemptError::Gone)?;
+    let mut run = RunGuard::new(gw, job, host.ok_or(AttemptError::Gone)?);
     let params = ForwardParams {
         endpoint: &endpoint,
         key_owner: job.workspace.as_deref(),
@@ -362,13 +373,24 @@
         last_event: None,
         resumable: false,
     };
-    let mut response = attempt::send(gw, job, key, &params).await?;
+    let mut response = attempt::send(gw, job, key, &params).await.inspect_err(|e| {
+        if e.is_not_executed() {
+            run.discard();
+        }
+    })?;
+    run.record_head();
     let deadline = TokioInstant::from_std(job.deadline);
     let mut body = BytesMut::new();
     while body.len() <= RETRY_BUFFER_BYTES {
         match timeout_at(deadline, response.out.read_chunk()).await {
-            Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
-            Ok(Ok(None)) => return Ok(CallResponse::Complete(response, body.freeze())),
+            Ok(Ok(Some(chunk))) => {
+                run.record_event();
+                body.extend_from_slice(&chunk);
+            }
+            Ok(Ok(None)) => {
+                run.complete(response.out.framing() != Framing::Close);
+                return Ok(CallResponse::Complete(response, body.freeze()));
+            }
             Ok(Err(broken)) => return Err(AttemptError::of_break(&broken)),
             Err(_) => return Err(AttemptError::Late),
         }
--- a/tests/gateway/crashing_parts.rs
+++ b/tests/gateway/crashing_parts.rs
@@ -315,3 +315,30 @@
         assert!(!log.contains("kind=Convicted"), "{log}");
     }
 }
+
+/// Requests that are no generations may have prompts as well.
+#[test]
+fn part_of_plain_requests_that_crashes_endpoints_is_refused() {
+    let start = |ix| Endpoint::start(&format!("i-{ix}"), Action::Respond(200, "fine".into()));
+    let endpoints: Vec<Endpoint> = (0..8).map(start).collect();
+    endpoints.iter().for_each(|e| e.crash_on_part(BAD, DOWN));
+    let listed: Vec<(&Endpoint, &str)> = endpoints.iter().map(|e| (e, "plain")).collect();
+    let (store, gateway) = start_platform(&listed);
+    let send = |id: &str, part: &str| {
+        let extra = format!("X-Prompt-Prefix: {FIRST}:40,{part}:40,{id}:20\r\n");
+        send(gateway.front, &request_bytes("POST", "/safe/x", id, &extra, id)).reply()
+    };
+    for n in 0..MAX_CRASHES {
+        assert_eq!(send(&format!("{n}f"), "b2").status, 200);
+        if send(&format!("{n}e"), BAD).status == 503 {
+            break;
+        }
+        std::thread::sleep(PAUSE);
+    }
+    let runs = bad_runs(&endpoints);
+    assert!(runs <= MAX_CRASHES, "{runs} requests reached endpoints");
+    assert_eq!(send("9e", BAD).status, 503);
+    assert_eq!(send("9f", "b2").status, 200);
+    assert_eq!(bad_runs(&endpoints), runs);
+    drop(store);
+}
