--- a/standin/src/platform/gateway.rs
+++ b/standin/src/platform/gateway.rs
@@ -29,6 +29,20 @@
         RetryTerms { ratio: 0.2, window: Duration::from_secs(10), slack: 56.0 };
 }
 
+/// Memory and descriptors that a gateway may use.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limits {
+    /// Memory in units of 1,000,000 bytes.
+    pub memory_mb: u32,
+    /// File descriptors.
+    pub max_fds: u32,
+}
+
+impl Limits {
+    /// Limits of gateways that are started without any.
+    pub const DEFAULT: Limits = Limits { memory_mb: 110, max_fds: 4100 };
+}
+
 /// Gateway process, killed on drop.
 #[derive(Debug)]
 pub struct Gateway {
@@ -64,26 +78,37 @@
 impl Gateway {
     /// Starts a gateway that uses the store and logs to a file.
     pub fn start(binary: &Path, store: SocketAddr) -> Gateway {
-        Gateway::launch(binary, store, false, &RetryTerms::DEFAULT)
+        Gateway::launch(binary, store, false, &RetryTerms::DEFAULT, Limits::DEFAULT)
     }
 
     /// Starts a gateway with these bounds of retries.
     pub fn start_with(binary: &Path, store: SocketAddr, terms: &RetryTerms) -> Gateway {
-        Gateway::launch(binary, store, false, terms)
+        Gateway::launch(binary, store, false, terms, Limits::DEFAULT)
     }
 
     /// Starts a gateway whose log goes to a pipe that nothing reads.
     pub fn start_piped(binary: &Path, store: SocketAddr) -> Gateway {
-        Gateway::launch(binary, store, true, &RetryTerms::DEFAULT)
+        Gateway::launch(binary, store, true, &RetryTerms::DEFAULT, Limits::DEFAULT)
+    }
+
+    /// Starts a gateway with these limits; `piped` as for [`Gateway::start_piped`].
+    pub fn start_limited(binary: &Path, store: SocketAddr, limits: Limits, piped: bool) -> Gateway {
+        Gateway::launch(binary, store, piped, &RetryTerms::DEFAULT, limits)
     }
 
-    fn launch(binary: &Path, store: SocketAddr, piped: bool, terms: &RetryTerms) -> Gateway {
+    fn launch(
+        binary: &Path,
+        store: SocketAddr,
+        piped: bool,
+        terms: &RetryTerms,
+        limits: Limits,
+    ) -> Gateway {
         let (front, ready, internal) = (free_address(), free_address(), free_address());
         let name = format!("g-{}", NEXT_NUMBER.fetch_add(1, Ordering::Relaxed));
         let dir = std::env::temp_dir().join(format!("gateway-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("cannot create the directory for the settings");
         let settings_file = dir.join(format!("{name}.conf"));
-        let text = settings(&name, [front, ready, internal], store, terms);
+        let text = settings(&name, [front, ready, internal], store, terms, limits);
         std::fs::write(&settings_file, text + FIRST_START).expect("cannot write the settings file");
         let child = spawn(binary, &settings_file, piped);
         let gateway = Gateway {
@@ -143,6 +168,29 @@
         number.and_then(|n| n.parse().ok()).expect("the kernel reports the resident memory")
     }
 
+    /// Returns the number of open descriptors of the process.
+    pub fn descriptors(&self) -> usize {
+        let dir = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        dir.expect("the process runs").count()
+    }
+
+    /// Returns the bytes in KiB that the kernel holds for connections to the gateway's addresses for
+    /// callers and probes: received and unread, or sent and not taken.
+    pub fn queued_kib(&self) -> u64 {
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("the kernel lists sockets");
+        let ports = [self.front.port(), self.ready.port()];
+        let queued = |line: &str| {
+            let mut fields = line.split_whitespace().skip(1);
+            let (_, port) = fields.next()?.split_once(':')?;
+            let (sent, received) = fields.nth(2)?.split_once(':')?;
+            // A listener has the number of its connections there.
+            let hex = |s| u64::from_str_radix(s, 16).ok();
+            let is_own = ports.map(u64::from).contains(&hex(port)?);
+            is_own.then_some(hex(sent)? + hex(received)?)
+        };
+        table.lines().skip(1).filter_map(queued).sum::<u64>() / 1024
+    }
+
     /// Returns the status of the readiness check; 0 if it gets no response.
     pub fn readiness(&self) -> u16 {
         send(self.ready, b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
@@ -195,13 +243,21 @@
 const FIRST_START: &str = "bootstrap=true\n";
 
 /// Returns a settings file, with one key that the gateway does not know.
-fn settings(name: &str, listen: [SocketAddr; 3], store: SocketAddr, terms: &RetryTerms) -> String {
+fn settings(
+    name: &str,
+    listen: [SocketAddr; 3],
+    store: SocketAddr,
+    terms: &RetryTerms,
+    limits: Limits,
+) -> String {
+    let Limits { memory_mb, max_fds } = limits;
     let [front, ready, internal] = listen;
     let (ip, port) = (internal.ip(), internal.port());
     let (ratio, window, slack) = (terms.ratio, terms.window.as_secs_f64(), terms.slack);
     format!(
         "node={name}\nclass=front\nip={ip}\nzone=z-a\nlisten.front={front}\nlisten.ready={ready}\n\
-        internal_port_range={port},{port}\nlimits.memory_mb=110\nlimits.max_fds=4100\n\
+        internal_port_range={port},{port}\nlimits.memory_mb={memory_mb}\n\
+        limits.max_fds={max_fds}\n\
         bounds.grace_s=4\nbounds.retry_budget_ratio={ratio}\nbounds.budget_window_s={window}\n\
         bounds.budget_slack={slack}\nbounds.pass_ms=120\n\
         platform.address={store}\nnew.field=1\n"
--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -12,7 +12,7 @@
 
 pub use caller::{Connection, Reply, send, try_send};
 pub use endpoint::{Action, CrashPoint, DownMode, EndlessPart, Endpoint, ReceivedRequest};
-pub use gateway::{Gateway, RetryTerms, wait_until};
+pub use gateway::{Gateway, Limits, RetryTerms, wait_until};
 pub use proxy::{Proxy, ProxyMode};
 pub use store::{Outage, Store, StoreCopy};
 pub use stream::StreamEnd;
