Bound the parts of prompts that callers can make an instance remember

Class: a map keyed by what a caller sends, without a bound.

Now the first 64 shared parts of a prompt are told apart, and sound runs are remembered for 16,384 parts; beyond these, earlier ones are forgotten, so that a crash told late may accuse a part that had been sound. Looked at besides, and bounded already: ids in log lines (200 characters), the queue of log lines, accused and cleared parts, suspected contents.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -31,6 +31,8 @@
 const TOKEN_COUNTS: &str = "x-token-counts";
 const LENGTH_HINT: &str = "x-length-hint";
 const PROMPT_PARTS: &str = "x-prompt-prefix";
+/// Shared parts of a prompt that are told apart; callers choose how many there are.
+const MAX_SHARED_PARTS: usize = 64;
 const LAST_EVENT: &str = "last-event-id";
 const RESUME_FROM: &str = "kv-from";
 
@@ -182,12 +184,11 @@
 }
 
 /// Parses `id:tokens` entries separated by commas, and leaves out the last, which belongs to the
-/// request itself.
+/// request itself, and those beyond [`MAX_SHARED_PARTS`].
 fn parse_shared_parts(s: &str) -> Rc<[PartId]> {
     let names = s.split(',').map(|p| p.split_once(':').map_or(p, |(name, _)| name).trim());
-    let mut parts: Vec<PartId> = names.map(PartId::of).collect();
-    parts.pop();
-    parts.into()
+    let count = names.clone().count().saturating_sub(1);
+    names.take(count.min(MAX_SHARED_PARTS)).map(PartId::of).collect()
 }
 
 /// Parses `input,max_output`, both in tokens.
--- a/src/quarantine/parts.rs
+++ b/src/quarantine/parts.rs
@@ -31,6 +31,8 @@
 const SOUND_MEMORY: Duration = Duration::from_secs(30);
 /// Most parts that are accused, and most that are cleared.
 const MAX_PARTS: usize = 4096;
+/// Parts whose latest sound run is remembered.
+const MAX_SOUND_PARTS: usize = 16_384;
 
 /// Crash of an endpoint: the run of the endpoint or its sidecar, and the number in that run.
 pub type CrashId = (Incarnation, u32);
@@ -202,6 +204,7 @@
         }
         self.trial.take_if(|t| run.parts.contains(&t.part) || !t.affects_run(run.begun));
         let mut changed = Vec::new();
+        self.bound_sound(now);
         for p in run.parts.iter() {
             let last = self.last_sound.entry(*p).or_insert(run.begun);
             *last = run.begun.max(*last);
@@ -223,6 +226,17 @@
         changed
     }
 
+    /// Forgets sound runs earlier than usual when callers name very many parts.
+    fn bound_sound(&mut self, now: Instant) {
+        if self.last_sound.len() < MAX_SOUND_PARTS {
+            return;
+        }
+        self.last_sound.retain(|_, at| now.saturating_duration_since(*at) < SOUND_MEMORY / 10);
+        if self.last_sound.len() >= MAX_SOUND_PARTS {
+            self.last_sound.clear();
+        }
+    }
+
     pub(super) fn clear(&mut self, part: PartId, crashes: Crashes) {
         if self.cleared.len() >= MAX_PARTS {
             self.cleared.clear();
