Count the head of a request, and free what it kept when it has ended

Found on reading: the head of a request in progress counted nothing while it ran (16 KB for each connection), what a request kept was freed in two places, and an instance with 20 MB or less closed every connection, as its limit was zero. Now the head is a part, Callers::end frees all parts of a request, and a quarter of the memory is the least that is left.

Two more cases without a network.

--- a/src/callers/mod.rs
+++ b/src/callers/mod.rs
@@ -20,6 +20,8 @@
 const TASK_BYTES: usize = 8 << 10;
 /// Memory that the instance takes without connections of callers: code, tables, endpoints.
 const OWN_BYTES: usize = 20_000_000;
+/// Least part of the memory that is left for connections, as a divisor.
+const MIN_REST_DIVISOR: usize = 4;
 /// Share of the rest of the memory that tasks and receive buffers of all connections may take.
 const CONNECTION_SHARE: f64 = 0.4;
 /// Share of the file descriptors that connections of callers may use; the rest is for endpoints and
@@ -46,9 +48,11 @@
     Received,
     /// Encoded bytes that the caller has not taken.
     Unsent,
-    /// The request in progress.
-    Request,
-    /// The part of its response that is not encoded.
+    /// The head of the request in progress.
+    Head,
+    /// Its body.
+    Body,
+    /// Its response, until the last byte has been sent: buffers keep their size until then.
     Response,
     /// Its task and its socket.
     Task,
@@ -56,8 +60,10 @@
 
 impl Part {
     /// All parts.
-    pub const ALL: [Part; 5] =
-        [Part::Received, Part::Unsent, Part::Request, Part::Response, Part::Task];
+    pub const ALL: [Part; 6] =
+        [Part::Received, Part::Unsent, Part::Head, Part::Body, Part::Response, Part::Task];
+    /// Parts that are freed when a request ends.
+    const OF_REQUEST: [Part; 3] = [Part::Head, Part::Body, Part::Response];
 }
 
 /// Sum over all connections.
@@ -92,7 +98,7 @@
         self.sum.bytes.get() + bytes + self.bytes() <= self.sum.limit.get()
     }
 
-    /// Waits until the sum keeps to its limit, which connections that keep more are closed for.
+    /// Waits until the sum keeps to its limit. Connections that keep most are closed for that.
     pub async fn wait_for_room(&self) {
         while self.sum.bytes.get() > self.sum.limit.get() {
             self.sum.exceeded.notify_one();
@@ -148,7 +154,7 @@
 impl Callers {
     /// Sets the memory of the instance in bytes, and its descriptors for sockets.
     pub fn set_limits(&mut self, memory: usize, sockets: u32) {
-        let rest = memory.saturating_sub(OWN_BYTES) as f64;
+        let rest = memory.saturating_sub(OWN_BYTES).max(memory / MIN_REST_DIVISOR) as f64;
         self.sum.limit.set((rest * MEMORY_SHARE) as usize);
         let by_memory = rest * CONNECTION_SHARE / (TASK_BYTES + RECEIVE_BUFFER_BYTES) as f64;
         self.max_front = by_memory.min(f64::from(sockets) * DESCRIPTOR_SHARE) as usize;
@@ -202,9 +208,10 @@
         }
     }
 
-    /// Records that the request in progress has ended.
+    /// Records that the request in progress has ended, or could not be read.
     pub fn end(&mut self, now: Instant, key: CallerKey) {
         if let Some(caller) = self.all.get_mut(key) {
+            Part::OF_REQUEST.iter().for_each(|part| caller.load.set(*part, 0));
             caller.has_served |= caller.is_busy;
             (caller.is_busy, caller.since) = (false, now);
         }
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -47,7 +47,7 @@
         self.gw.callers.borrow_mut().begin(self.key);
     }
 
-    /// Records that the request in progress has ended.
+    /// Records that the request in progress has ended, or could not be read.
     pub fn end(&self) {
         self.gw.callers.borrow_mut().end(clock::now(), self.key);
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -186,15 +186,13 @@
         let has_room =
             self.load.has_room(2 * bytes) && self.gw.backlog.borrow_mut().reserve_body(bytes);
         self.bytes += if has_room { bytes } else { 0 };
-        self.load.set(Part::Request, 2 * self.bytes);
+        self.load.set(Part::Body, 2 * self.bytes);
         has_room
     }
 }
 
 impl Drop for BodyReservation<'_> {
     fn drop(&mut self) {
-        self.load.set(Part::Request, 0);
-        self.load.set(Part::Response, 0);
         self.gw.backlog.borrow_mut().release_body(self.bytes);
     }
 }
--- a/src/h1/inbound.rs
+++ b/src/h1/inbound.rs
@@ -177,7 +177,10 @@
                 Ok(Some(Message::Item(_))) if before - self.buf.len() > max => {
                     return Err(ReadError::HeadTooLarge);
                 }
-                Ok(Some(Message::Item(req))) => return Ok(req),
+                Ok(Some(Message::Item(req))) => {
+                    self.load.set(Part::Head, before - self.buf.len());
+                    return Ok(req);
+                }
                 Ok(Some(Message::Chunk(_))) => {
                     return Err(ReadError::Malformed("body chunk without a head"));
                 }
--- a/tests/decisions/callers.rs
+++ b/tests/decisions/callers.rs
@@ -60,7 +60,7 @@
     while large.iter().any(|load| load.has_room(8_000)) {
         bytes += 8_000;
         let growing = large.iter().filter(|load| load.has_room(8_000));
-        growing.for_each(|load| load.set(Part::Request, bytes));
+        growing.for_each(|load| load.set(Part::Body, bytes));
     }
     assert!(small.has_room(500_000), "{} of {LIMIT} bytes", callers.bytes());
     assert!(callers.relieve().is_empty());
@@ -71,7 +71,7 @@
     let mut callers = callers();
     let start = Instant::now();
     let all: Vec<_> = (0..3).map(|_| callers.join(start, Door::Front)).collect();
-    all.iter().for_each(|(_, load)| load.set(Part::Request, 5_000_000));
+    all.iter().for_each(|(_, load)| load.set(Part::Body, 5_000_000));
     assert_eq!(callers.relieve().len(), 1);
     assert!(callers.relieve().is_empty());
 }
@@ -86,7 +86,7 @@
     all.iter().for_each(|(key, _)| callers.leave(*key));
     assert_eq!(callers.bytes(), 0);
     // A clone that outlives its connection counts no more.
-    all[0].1.set(Part::Request, 0);
+    all[0].1.set(Part::Body, 0);
     assert_eq!((callers.bytes(), callers.count(Door::Front)), (0, 0));
 }
 
@@ -117,6 +117,29 @@
     assert_eq!(callers.room(at(start, 5_001), Door::Front), Room::Instead(all[7].0));
 }
 
+#[test]
+fn request_that_has_ended_counts_no_more() {
+    let mut callers = callers();
+    let start = Instant::now();
+    let (key, load) = callers.join(start, Door::Front);
+    let before = callers.bytes();
+    callers.begin(key);
+    [Part::Head, Part::Body, Part::Response].iter().for_each(|part| load.set(*part, 9_000));
+    load.set(Part::Received, 500);
+    callers.end(start, key);
+    assert_eq!(callers.bytes(), before + 500);
+}
+
+/// An instance with less memory than it takes itself.
+#[test]
+fn connection_of_an_instance_with_little_memory_stays() {
+    let mut callers = Callers::default();
+    callers.set_limits(16_000_000, SOCKETS);
+    let (_, load) = callers.join(Instant::now(), Door::Front);
+    load.set(Part::Received, 16_000);
+    assert!(callers.relieve().is_empty());
+}
+
 /// The smallest and the largest memory of an instance, with the most descriptors of both.
 #[rstest]
 #[case::small(88_000_000, 7_992)]
