Name listeners plainly, and take the wait out of the sum of connections

Read as a newcomer: `Door` was a figure of speech for the listener that accepted a connection, and the module that decides which connections are closed also slept. The enum is `Listener` now; the connection waits, and asks whether the sum is exceeded. No decision changes.

--- a/src/callers/mod.rs
+++ b/src/callers/mod.rs
@@ -9,7 +9,7 @@
 use slotmap::SlotMap;
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::sync::Notify;
 
 /// Size of the kernel's buffer for bytes that a caller sends.
@@ -31,8 +31,6 @@
 const MAX_PROBES: usize = 128;
 /// Share of the rest of the memory that the sum may take; freed memory is not all used again.
 const MEMORY_SHARE: f64 = 0.55;
-/// Interval at which a connection checks whether it may read again.
-const ROOM_INTERVAL: Duration = Duration::from_millis(10);
 /// Share of the limit of the sum down to which connections are closed.
 const LOW_WATER: f64 = 0.9;
 
@@ -98,12 +96,13 @@
         self.sum.bytes.get() + bytes + self.bytes() <= self.sum.limit.get()
     }
 
-    /// Waits until the sum keeps to its limit. Connections that keep most are closed for that.
-    pub async fn wait_for_room(&self) {
-        while self.sum.bytes.get() > self.sum.limit.get() {
+    /// Returns whether the sum exceeds its limit. Connections that keep most are closed then.
+    pub fn is_sum_exceeded(&self) -> bool {
+        let is_exceeded = self.sum.bytes.get() > self.sum.limit.get();
+        if is_exceeded {
             self.sum.exceeded.notify_one();
-            tokio::time::sleep(ROOM_INTERVAL).await;
         }
+        is_exceeded
     }
 
     /// Returns the bytes of all parts.
@@ -112,18 +111,18 @@
     }
 }
 
-/// Address that a connection was made to.
+/// Listener that accepted a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Door {
+pub enum Listener {
     /// The one for callers.
     Front,
-    /// The one for the readiness check.
+    /// The one for readiness checks, metrics and questions.
     Probes,
 }
 
 #[derive(Debug)]
 struct Caller {
-    door: Door,
+    listener: Listener,
     load: Load,
     /// When it was accepted, or its last request ended.
     since: Instant,
@@ -166,14 +165,14 @@
     }
 
     /// Returns the number of connections to an address, those included that are being closed.
-    pub fn count(&self, door: Door) -> usize {
-        self.all.values().filter(|c| c.door == door).count()
+    pub fn count(&self, listener: Listener) -> usize {
+        self.all.values().filter(|c| c.listener == listener).count()
     }
 
     /// Returns whether there is room for a new connection to an address.
-    pub fn room(&self, now: Instant, door: Door) -> Room {
-        let max = if door == Door::Front { self.max_front } else { MAX_PROBES };
-        let open = || self.all.iter().filter(|(_, c)| c.door == door && !c.is_closed);
+    pub fn room(&self, now: Instant, listener: Listener) -> Room {
+        let max = if listener == Listener::Front { self.max_front } else { MAX_PROBES };
+        let open = || self.all.iter().filter(|(_, c)| c.listener == listener && !c.is_closed);
         if open().count() < max {
             return Room::Free;
         }
@@ -184,12 +183,12 @@
     }
 
     /// Adds a connection.
-    pub fn join(&mut self, now: Instant, door: Door) -> (CallerKey, Load) {
+    pub fn join(&mut self, now: Instant, listener: Listener) -> (CallerKey, Load) {
         let load = Load { parts: Rc::default(), sum: self.sum.clone() };
         load.set(Part::Task, TASK_BYTES);
         let (is_busy, has_served, is_closed) = (false, false, false);
         let caller =
-            Caller { door, load: load.clone(), since: now, is_busy, has_served, is_closed };
+            Caller { listener, load: load.clone(), since: now, is_busy, has_served, is_closed };
         (self.all.insert(caller), load)
     }
 
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -1,7 +1,9 @@
 //! Admits connections of callers, and closes those that keep too much.
 
 use super::Gateway;
-use crate::callers::{CallerKey, Door, Load, RECEIVE_BUFFER_BYTES, RESPONSE_BUFFER_BYTES, Room};
+use crate::callers::{
+    CallerKey, Listener, Load, RECEIVE_BUFFER_BYTES, RESPONSE_BUFFER_BYTES, Room,
+};
 use crate::clock;
 use crate::event::Kind;
 use actix_rt::net::TcpListener;
@@ -20,9 +22,9 @@
 
 impl CallerGuard {
     /// Admits a connection; `None` if there are too many.
-    pub fn admit(gw: &Rc<Gateway>, door: Door) -> Option<CallerGuard> {
+    pub fn admit(gw: &Rc<Gateway>, listener: Listener) -> Option<CallerGuard> {
         let now = clock::now();
-        let room = gw.callers.borrow().room(now, door);
+        let room = gw.callers.borrow().room(now, listener);
         match room {
             Room::Free => {}
             Room::Instead(other) => close(gw, other),
@@ -31,7 +33,7 @@
                 return None;
             }
         }
-        let (key, load) = gw.callers.borrow_mut().join(now, door);
+        let (key, load) = gw.callers.borrow_mut().join(now, listener);
         let closed = Rc::new(Notify::new());
         gw.closing.borrow_mut().insert(key, closed.clone());
         Some(CallerGuard { gw: gw.clone(), key, load, closed })
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -4,7 +4,7 @@
 use super::job::{self, Job};
 use super::respond::{Disposition, disposition};
 use super::{Gateway, call, explain, quarantine, stream};
-use crate::callers::{Door, Load, Part};
+use crate::callers::{Listener, Load, Part};
 use crate::clock;
 use crate::h1::{Inbound, ReadError, RequestLimits};
 use crate::platform;
@@ -33,7 +33,7 @@
             io = accept(&listener) => io,
         };
         // Reading a request only to refuse it would hold the same descriptor.
-        if let Some(caller) = CallerGuard::admit(&gw, Door::Front) {
+        if let Some(caller) = CallerGuard::admit(&gw, Listener::Front) {
             actix_rt::spawn(serve_connection(gw.clone(), io, caller));
         }
     }
@@ -228,7 +228,7 @@
             () = gw.stop.reached(Phase::Stopped) => return,
             io = accept(&listener) => io,
         };
-        if let Some(caller) = CallerGuard::admit(&gw, Door::Probes) {
+        if let Some(caller) = CallerGuard::admit(&gw, Listener::Probes) {
             actix_rt::spawn(serve_probes(gw.clone(), io, caller));
         }
     }
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -1,7 +1,7 @@
 //! Stop of this instance: leads it through the phases that [`crate::shutdown::Drain`] decides on.
 
 use super::Gateway;
-use crate::callers::Door;
+use crate::callers::Listener;
 use crate::clock;
 use crate::event::Kind;
 use crate::id::InstanceId;
@@ -83,5 +83,5 @@
 
 /// Returns the number of open connections of callers.
 fn connections(gw: &Gateway) -> u32 {
-    gw.callers.borrow().count(Door::Front) as u32
+    gw.callers.borrow().count(Listener::Front) as u32
 }
--- a/src/h1/inbound.rs
+++ b/src/h1/inbound.rs
@@ -24,6 +24,9 @@
 /// Bytes of pipelined requests that are buffered while a response is pending.
 const MAX_PIPELINED_BYTES: usize = 64 << 10;
 
+/// Interval at which a connection checks whether it may read again.
+const ROOM_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Limits on requests from callers.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RequestLimits {
@@ -221,7 +224,7 @@
 
     /// Reads more bytes into the buffer; an error or the end of the stream counts as closed.
     async fn read_more(&mut self) -> Result<(), ReadError> {
-        self.load.wait_for_room().await;
+        wait_for_room(&self.load).await;
         let read = read_available(&mut self.io.split().0, &mut self.buf).await;
         self.record_received();
         match read {
@@ -428,6 +431,13 @@
     }
 }
 
+/// Waits until the sum over all connections keeps to its limit.
+async fn wait_for_room(load: &Load) {
+    while load.is_sum_exceeded() {
+        tokio::time::sleep(ROOM_INTERVAL).await;
+    }
+}
+
 /// Records the bytes in the buffer, and those that the kernel may hold once it is full.
 fn record_received(load: &Load, buf: &BytesMut) {
     let bytes = match buf.len() {
@@ -445,7 +455,7 @@
 async fn closed(io: &mut ReadHalf<'_>, buf: &mut BytesMut, load: &Load) {
     while buf.len() < MAX_PIPELINED_BYTES {
         if !buf.is_empty() {
-            load.wait_for_room().await;
+            wait_for_room(load).await;
         }
         match read_available(io, buf).await {
             Ok(n) if n > 0 => record_received(load, buf),
--- a/tests/decisions/callers.rs
+++ b/tests/decisions/callers.rs
@@ -1,7 +1,7 @@
 //! Callers that take more than their part of an instance, and the ordinary ones beside them.
 
 use rstest::rstest;
-use skylarkthread::callers::{CallerKey, Callers, Door, Load, Part, Room};
+use skylarkthread::callers::{CallerKey, Callers, Listener, Load, Part, Room};
 use std::time::{Duration, Instant};
 
 const MEMORY: usize = 44_000_000;
@@ -20,10 +20,10 @@
 }
 
 /// Adds connections until there is no free room; returns them in order.
-fn fill(callers: &mut Callers, start: Instant, door: Door) -> Vec<(CallerKey, Load)> {
+fn fill(callers: &mut Callers, start: Instant, listener: Listener) -> Vec<(CallerKey, Load)> {
     let mut all = Vec::new();
-    while callers.room(start, door) == Room::Free {
-        all.push(callers.join(at(start, all.len() as u64), door));
+    while callers.room(start, listener) == Room::Free {
+        all.push(callers.join(at(start, all.len() as u64), listener));
         assert!(all.len() <= SOCKETS as usize);
     }
     all
@@ -33,7 +33,7 @@
 fn heaviest_connections_are_closed_first_and_ordinary_ones_stay() {
     let mut callers = callers();
     let start = Instant::now();
-    let all: Vec<_> = (0..300).map(|_| callers.join(start, Door::Front)).collect();
+    let all: Vec<_> = (0..300).map(|_| callers.join(start, Listener::Front)).collect();
     for (n, (_, load)) in all.iter().enumerate() {
         // One in ten keeps 600 KB, the others 4 KB in two parts.
         let bytes = if n % 10 == 0 { 600_000 } else { 2_000 };
@@ -54,8 +54,8 @@
 fn small_bodies_find_room_beside_large_ones_that_do_not() {
     let mut callers = callers();
     let start = Instant::now();
-    let large: Vec<_> = (0..12).map(|_| callers.join(start, Door::Front).1).collect();
-    let (_, small) = callers.join(start, Door::Front);
+    let large: Vec<_> = (0..12).map(|_| callers.join(start, Listener::Front).1).collect();
+    let (_, small) = callers.join(start, Listener::Front);
     let mut bytes = 0;
     while large.iter().any(|load| load.has_room(8_000)) {
         bytes += 8_000;
@@ -70,7 +70,7 @@
 fn connections_that_are_being_closed_are_not_counted_twice() {
     let mut callers = callers();
     let start = Instant::now();
-    let all: Vec<_> = (0..3).map(|_| callers.join(start, Door::Front)).collect();
+    let all: Vec<_> = (0..3).map(|_| callers.join(start, Listener::Front)).collect();
     all.iter().for_each(|(_, load)| load.set(Part::Body, 5_000_000));
     assert_eq!(callers.relieve().len(), 1);
     assert!(callers.relieve().is_empty());
@@ -79,7 +79,7 @@
 #[test]
 fn sum_returns_to_nothing_when_all_have_left() {
     let mut callers = callers();
-    let all = fill(&mut callers, Instant::now(), Door::Front);
+    let all = fill(&mut callers, Instant::now(), Listener::Front);
     for (n, (_, load)) in all.iter().enumerate() {
         Part::ALL.iter().for_each(|part| load.set(*part, 1_000 + n));
     }
@@ -87,41 +87,41 @@
     assert_eq!(callers.bytes(), 0);
     // A clone that outlives its connection counts no more.
     all[0].1.set(Part::Body, 0);
-    assert_eq!((callers.bytes(), callers.count(Door::Front)), (0, 0));
+    assert_eq!((callers.bytes(), callers.count(Listener::Front)), (0, 0));
 }
 
 #[rstest]
-#[case::front(Door::Front)]
-#[case::probes(Door::Probes)]
-fn new_connection_takes_the_place_of_one_that_never_had_a_request(#[case] door: Door) {
+#[case::front(Listener::Front)]
+#[case::probes(Listener::Probes)]
+fn new_connection_takes_the_place_of_one_that_never_had_a_request(#[case] listener: Listener) {
     let mut callers = callers();
     let start = Instant::now();
-    let all = fill(&mut callers, start, door);
+    let all = fill(&mut callers, start, listener);
     // The first has a request in progress, the second has had one.
     callers.begin(all[0].0);
     callers.begin(all[1].0);
     callers.end(at(start, 2_000), all[1].0);
-    assert_eq!(callers.room(at(start, 3_000), door), Room::Instead(all[2].0));
+    assert_eq!(callers.room(at(start, 3_000), listener), Room::Instead(all[2].0));
     callers.close(all[2].0);
-    assert_eq!(callers.room(at(start, 3_000), door), Room::Free);
+    assert_eq!(callers.room(at(start, 3_000), listener), Room::Free);
 }
 
 #[test]
 fn connections_with_requests_in_progress_keep_their_places() {
     let mut callers = callers();
     let start = Instant::now();
-    let all = fill(&mut callers, start, Door::Front);
+    let all = fill(&mut callers, start, Listener::Front);
     all.iter().for_each(|(key, _)| callers.begin(*key));
-    assert_eq!(callers.room(at(start, 5_000), Door::Front), Room::Full);
+    assert_eq!(callers.room(at(start, 5_000), Listener::Front), Room::Full);
     callers.end(at(start, 5_000), all[7].0);
-    assert_eq!(callers.room(at(start, 5_001), Door::Front), Room::Instead(all[7].0));
+    assert_eq!(callers.room(at(start, 5_001), Listener::Front), Room::Instead(all[7].0));
 }
 
 #[test]
 fn request_that_has_ended_counts_no_more() {
     let mut callers = callers();
     let start = Instant::now();
-    let (key, load) = callers.join(start, Door::Front);
+    let (key, load) = callers.join(start, Listener::Front);
     let before = callers.bytes();
     callers.begin(key);
     [Part::Head, Part::Body, Part::Response].iter().for_each(|part| load.set(*part, 9_000));
@@ -135,7 +135,7 @@
 fn connection_of_an_instance_with_little_memory_stays() {
     let mut callers = Callers::default();
     callers.set_limits(16_000_000, SOCKETS);
-    let (_, load) = callers.join(Instant::now(), Door::Front);
+    let (_, load) = callers.join(Instant::now(), Listener::Front);
     load.set(Part::Received, 16_000);
     assert!(callers.relieve().is_empty());
 }
@@ -150,8 +150,8 @@
     callers.set_limits(memory, sockets);
     let start = Instant::now();
     let mut count = 0;
-    while callers.room(start, Door::Front) == Room::Free {
-        callers.join(start, Door::Front);
+    while callers.room(start, Listener::Front) == Room::Free {
+        callers.join(start, Listener::Front);
         count += 1;
     }
     assert!(count >= 1_000, "{count} connections");
