Review case 8: a changed address of the store is not applied

SIGHUP with another address of the store in the settings is logged as a reload, but the client of the store keeps the old one: versions of the configuration are missed for ever. The cases of the late full read and of requests sent ahead become 9 and 10.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 
 mod crowd;
 mod listed;
+mod moved;
 mod platform;
 
 use platform::Record;
@@ -40,6 +41,7 @@
         "listed" => listed::play(&stage),
         "busy" => crowd::play_busy(&stage),
         "headers" => crowd::play_headers(&stage),
+        "moved" => moved::play(&stage),
         "ahead" => crowd::play_ahead(&stage),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -198,6 +198,25 @@
         store
     }
 
+    /// Serves the same content at one more address, until it is closed.
+    pub fn open(&self, ip: &str) -> Door {
+        let listener = TcpListener::bind((ip, 0)).expect("the store can listen");
+        let address = listener.local_addr().expect("bound");
+        let door = Door { address, is_closed: Arc::default(), open: Arc::default() };
+        let (store, served) = (self.clone(), door.clone());
+        std::thread::spawn(move || {
+            for io in listener.incoming().flatten() {
+                if served.is_closed.load(Ordering::SeqCst) {
+                    return;
+                }
+                served.open.lock().expect("no holder panics").extend(io.try_clone());
+                let store = store.clone();
+                std::thread::spawn(move || store.serve(io));
+            }
+        });
+        door
+    }
+
     /// Writes a key as the operator or a replica does; `None` removes it.
     pub fn set(&self, key: &str, value: Option<&str>) {
         let value = value.map(|v| base64(v.as_bytes()));
@@ -340,6 +359,26 @@
     }
 }
 
+/// Address at which the store is served.
+#[derive(Clone)]
+pub struct Door {
+    pub address: SocketAddr,
+    is_closed: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Door {
+    /// Ends the service at this address: connections are closed, and new ones are refused.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::SeqCst);
+        // Ends the wait for a connection.
+        let _ = TcpStream::connect(self.address);
+        for io in self.open.lock().expect("no holder panics").drain(..) {
+            let _ = io.shutdown(Shutdown::Both);
+        }
+    }
+}
+
 fn to_json(c: &Change) -> String {
     let Change { key, revision, created, lease, .. } = c;
     match &c.value {
@@ -584,6 +623,18 @@
         Gateway { front, ready, dir: dir.into(), name: name.into(), metrics, child }
     }
 
+    /// Changes the address of the store in the settings, and signals that they have changed.
+    pub fn move_store(&self, from: SocketAddr, to: SocketAddr) {
+        let file = self.dir.join(format!("{}.conf", self.name));
+        let settings = std::fs::read_to_string(&file).expect("the settings can be read");
+        let named = |a: SocketAddr| format!("platform.address={a}\n");
+        assert!(settings.contains(&named(from)), "the settings name the store");
+        let next = file.with_extension("next");
+        std::fs::write(&next, settings.replace(&named(from), &named(to))).expect("it is written");
+        std::fs::rename(&next, &file).expect("the settings are replaced");
+        self.signal("HUP");
+    }
+
     /// Kills the process, and starts it again after a short delay, as the platform does.
     pub fn kill_and_restart(&mut self) {
         let _ = self.child.kill();
