--- a/review/standins-2/crowd.rs
+++ b/review/standins-2/crowd.rs
@@ -118,7 +118,7 @@
         store.set(&format!("servers/{}", r.id), Some(&r.entry("desk", "ready")));
     }
     let gateway = Gateway::start(&stage.dir, "front-uks-a-1", "127.0.1.1", store.address);
-    match gateway.wait_ready() {
+    match gateway.wait_ready(&stage.record) {
         true => Ok(Site { store, replicas, gateway }),
         false => Err(Verdict::NotRun("the gateway is not ready".into())),
     }
@@ -246,7 +246,7 @@
         Err(verdict) => return verdict,
     };
     let second = Gateway::start(&stage.dir, "front-uks-a-2", "127.0.1.2", site.store.address);
-    if !second.wait_ready() {
+    if !second.wait_ready(&stage.record) {
         return Verdict::NotRun("the second gateway is not ready".into());
     }
     let count = if stage.trouble { CROWD } else { 50 };
--- a/review/standins-2/listed.rs
+++ b/review/standins-2/listed.rs
@@ -37,7 +37,7 @@
     let proxy = Proxy::start("127.0.0.1", store.address);
     let near = Gateway::start(&stage.dir, "front-uks-a-1", "127.0.1.1", store.address);
     let far = Gateway::start(&stage.dir, "front-uks-a-2", "127.0.1.2", proxy.address);
-    if !near.wait_ready() || !far.wait_ready() {
+    if !near.wait_ready(&stage.record) || !far.wait_ready(&stage.record) {
         return Verdict::NotRun("a gateway is not ready".into());
     }
     if !wait_until(Duration::from_secs(10), || store.keys("gateways/").len() == 2) {
--- a/review/standins-2/moved.rs
+++ b/review/standins-2/moved.rs
@@ -24,7 +24,7 @@
         Gateway::start(&stage.dir, &name, &format!("127.0.1.{n}"), old.address)
     };
     let gateways = [start(1), start(2)];
-    if !gateways.iter().all(Gateway::wait_ready) {
+    if !gateways.iter().all(|g| g.wait_ready(&stage.record)) {
         return Verdict::NotRun("a gateway is not ready".into());
     }
     if !wait_until(Duration::from_secs(10), || store.keys("gateways/").len() == 2) {
--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -31,9 +31,11 @@
     }
 }
 
-/// Returns an address of this IP that nothing listens on.
-pub fn free_address(ip: &str) -> SocketAddr {
-    TcpListener::bind((ip, 0)).and_then(|l| l.local_addr()).expect("a free port")
+/// Returns addresses of this IP that nothing listens on, no two alike.
+fn free_addresses<const N: usize>(ip: &str) -> [SocketAddr; N] {
+    // All are held until the last has been found.
+    let held = [(); N].map(|()| TcpListener::bind((ip, 0)).expect("a free port"));
+    held.each_ref().map(|l| l.local_addr().expect("bound"))
 }
 
 const ALPHABET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -597,8 +599,8 @@
 impl Gateway {
     /// Starts a gateway on an IP of its own with the settings of `vigilwell-live`.
     pub fn start(dir: &Path, name: &str, ip: &str, store: SocketAddr) -> Gateway {
-        let (front, ready, internal) = (free_address(ip), free_address(ip), free_address(ip));
-        let metrics = free_address(ip).port();
+        let [front, ready, internal, metrics] = free_addresses(ip);
+        let metrics = metrics.port();
         let port = internal.port();
         let settings = format!(
             "node={name}\nrole=entry\nclass=front\nserves=front\nip={ip}\nzone=uks-a\nregion=uk-south\n\
@@ -646,9 +648,20 @@
         self.child = spawn(&self.dir, &self.name, self.metrics);
     }
 
-    /// Waits until the gateway says that it is ready.
-    pub fn wait_ready(&self) -> bool {
-        wait_until(Duration::from_secs(10), || self.is_ready())
+    /// Waits until the gateway says that it is ready. The last line of its log is recorded if it does
+    /// not.
+    pub fn wait_ready(&self, record: &Record) -> bool {
+        let is_ready = wait_until(Duration::from_secs(10), || self.is_ready());
+        if !is_ready {
+            let log = std::fs::read_to_string(self.dir.join(format!("{}.log", self.name)));
+            let log = log.unwrap_or_default();
+            record.note(format!(
+                "{} is not ready: {}",
+                self.name,
+                log.lines().last().unwrap_or("-")
+            ));
+        }
+        is_ready
     }
 
     pub fn is_ready(&self) -> bool {
