--- a/src/board/sidecar.rs
+++ b/src/board/sidecar.rs
@@ -60,7 +60,7 @@
 impl Job {
     /// Returns the KV cache that the generation takes on the engine, in tokens.
     pub fn size(&self) -> u32 {
-        self.start.input.0 + self.tokens.len() as u32
+        self.start.input.0.saturating_add(self.tokens.len() as u32)
     }
 }
 
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -1,9 +1,11 @@
 //! The operators' client, which sends requests to an entry.
 
-use super::{
-    EXIT_FAILED, EXIT_REFUSED, EXIT_UNKNOWN, ShowArgs, StatusArgs, SubmitArgs, TimelineArgs,
-    read_file,
-};
+use super::args::{ShowArgs, StatusArgs, SubmitArgs, TimelineArgs};
+use super::{EXIT_FAILED, EXIT_REFUSED, EXIT_UNKNOWN, read_file};
+use crate::h1::{self, CallLimits, FetchError};
+use actix_http::header::{AUTHORIZATION, HeaderValue};
+use actix_http::{Method, ServiceConfig};
+use bytes::Bytes;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -11,9 +13,12 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-/// Time within which an entry must respond.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(15);
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Bounds of a request to an entry.
+const LIMITS: CallLimits = CallLimits {
+    connect: Duration::from_secs(5),
+    wait: Duration::from_secs(15),
+    max_body: 64 << 20,
+};
 
 /// Why there is no response from an entry.
 #[derive(Debug)]
@@ -50,21 +55,23 @@
     body: Option<String>,
 ) -> Result<(u16, Value), AskError> {
     let key = read_file(key).map_err(AskError::Key)?;
-    let url = format!("http://{entry}/admin/{path}");
+    let (method, body) = match body {
+        Some(text) => (Method::POST, Bytes::from(text)),
+        None => (Method::GET, Bytes::new()),
+    };
+    let content = (method == Method::POST).then_some("text/plain; charset=utf-8");
+    let auth = HeaderValue::from_str(&format!("Bearer {}", key.trim()));
+    let head = h1::request_head(entry, method, &format!("/admin/{path}"), content);
+    let (mut head, auth) = head.zip(auth.ok()).ok_or(AskError::Unreached)?;
+    head.headers.insert(AUTHORIZATION, auth);
     actix_rt::System::new().block_on(async move {
-        let client = awc::Client::builder().timeout(RESPONSE_TIMEOUT).finish();
-        let auth = ("authorization", format!("Bearer {}", key.trim()));
-        let sent = match body {
-            Some(text) => client.post(url).insert_header(auth).send_body(text).await,
-            None => client.get(url).insert_header(auth).send().await,
-        };
-        let mut res = sent.map_err(|e| match e {
-            awc::error::SendRequestError::Connect(_) => AskError::Unreached,
-            _ => AskError::Lost,
+        let fetched = h1::fetch(entry, &LIMITS, &ServiceConfig::default(), head, body).await;
+        let (head, bytes) = fetched.map_err(|e| match e {
+            FetchError::Unsent(_) => AskError::Unreached,
+            FetchError::Broken(_) | FetchError::Slow => AskError::Lost,
         })?;
-        let bytes = res.body().limit(MAX_RESPONSE_BYTES).await.map_err(|_| AskError::Lost)?;
         let value = serde_json::from_slice(&bytes).map_err(|_| AskError::Lost)?;
-        Ok((res.status().as_u16(), value))
+        Ok((head.status.as_u16(), value))
     })
 }
 
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -1,22 +1,28 @@
 //! Asks a gateway instance what would happen to a request, without sending it.
 
-use super::{EXIT_FAILED, EXIT_REFUSED, ExplainArgs};
+use super::args::ExplainArgs;
+use super::{EXIT_FAILED, EXIT_REFUSED};
 use crate::explain::{Explanation, Outcome};
+use crate::h1::{self, CallLimits, FetchError};
 use crate::id::Tokens;
 use crate::platform::{Question, TokenCounts};
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{Method, RequestHead, ServiceConfig};
+use bytes::Bytes;
 use serde_json::Value;
 use std::process::ExitCode;
 use std::time::Duration;
 
-/// Time within which an instance must respond.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Bounds of a question to an instance.
+const LIMITS: CallLimits =
+    CallLimits { connect: Duration::from_secs(5), wait: Duration::from_secs(5), max_body: 4 << 20 };
 
 /// Why there is no explanation.
 #[derive(Debug)]
 enum AskError {
-    /// The instance did not answer.
-    Unreached(awc::error::SendRequestError),
-    /// The response is incomplete or has an unexpected form.
+    /// There is no whole answer from the instance.
+    Unreached(FetchError),
+    /// The response has an unexpected form.
     Lost,
     /// The instance cannot tell: no such route or key, or no configuration yet.
     Denied(Box<str>),
@@ -68,19 +74,25 @@
         tokens,
     };
     let (path, headers) = question.to_parts();
-    let url = format!("http://{}{path}", args.instance.0);
+    let to = args.instance.0;
+    let unsendable = || AskError::Denied("the question cannot be sent as a request".into());
+    let mut head = h1::request_head(to, Method::GET, &path, None).ok_or_else(unsendable)?;
+    insert_headers(&mut head, headers).ok_or_else(unsendable)?;
     actix_rt::System::new().block_on(async move {
-        let client = awc::Client::builder().timeout(RESPONSE_TIMEOUT).finish();
-        let mut request = client.get(url);
-        for header in headers {
-            request = request.insert_header(header);
-        }
-        let mut response = request.send().await.map_err(AskError::Unreached)?;
-        let body = response.body().await.map_err(|_| AskError::Lost)?;
-        if response.status().is_success() {
+        let config = ServiceConfig::default();
+        let fetched = h1::fetch(to, &LIMITS, &config, head, Bytes::new()).await;
+        let (head, body) = fetched.map_err(AskError::Unreached)?;
+        if head.status.is_success() {
             return serde_json::from_slice(&body).map_err(|_| AskError::Lost);
         }
         let problem: Value = serde_json::from_slice(&body).map_err(|_| AskError::Lost)?;
         Err(AskError::Denied(problem["detail"].as_str().unwrap_or("no detail given").into()))
     })
 }
+
+fn insert_headers(head: &mut RequestHead, headers: Vec<(&'static str, String)>) -> Option<()> {
+    for (name, value) in headers {
+        head.headers.insert(HeaderName::from_static(name), HeaderValue::from_str(&value).ok()?);
+    }
+    Some(())
+}
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -4,11 +4,13 @@
 //! the call are sent to the same sidecar run and get the recorded outcome, so the call never runs
 //! twice; if that run has ended, the outcome is reported as unknown.
 
-use super::{Entry, claims, elapsed_since, links, request};
+use super::{Entry, claims, elapsed_since, generate, links, request};
 use crate::board::EndpointKey;
 use crate::clock;
 use crate::event::Kind;
-use crate::frame::{Answer, Call, CallKey, CallReply, ClaimStamp, Refusal, Reply, Request};
+use crate::frame::{
+    Answer, Call, CallKey, CallReply, ClaimStamp, Refusal, Reply, Request, StatedLength,
+};
 use crate::http::{self, Body, Incoming};
 use crate::id::{
     Epoch, Fingerprint, IdError, Incarnation, InstanceId, Nonce, ServiceName, Tokens, Workspace,
@@ -215,6 +217,8 @@
         // endpoint leaves time for the next one.
         let share = if n + 1 < MAX_ATTEMPTS { left / 2 } else { left };
         call.left = share.as_millis() as u64;
+        // The endpoint may have been removed by the time of the reply.
+        tried.extend(e.board.borrow().endpoints.get(key).map(|x| x.instance.clone()));
         let reply = send_call(e, key, call.clone()).await;
         match &reply {
             Some(CallReply::Done(_)) | Some(CallReply::NotRun(_)) => {}
@@ -223,13 +227,10 @@
         if let Some(CallReply::Done(answer)) = reply {
             return Ok(to_response(answer));
         }
-        let board = &mut *e.board.borrow_mut();
-        let endpoint = &mut board.endpoints[key];
         // An endpoint that limits its requests is no failing one.
         if reply != Some(CallReply::NotRun(Refusal::Busy)) {
-            crate::eject::note_failure(endpoint);
+            generate::record_failure(e, key);
         }
-        tried.push(endpoint.instance.clone());
     }
     let kind = if maybe_ran { ProblemKind::Unknown } else { ProblemKind::Refused(Refusal::Down) };
     Err(Problem::new(kind, format!("no endpoint completed the call; {} attempted", tried.len()))
@@ -354,5 +355,11 @@
 }
 
 fn to_response(answer: Answer) -> Response<Body> {
-    http::full_response(answer.status, &answer.content, answer.body)
+    match answer.omitted {
+        None => http::full_response(answer.status, &answer.content, answer.body),
+        Some(StatedLength::Bytes(n)) => {
+            http::head_response(answer.status, &answer.content, Some(n))
+        }
+        Some(StatedLength::Unknown) => http::head_response(answer.status, &answer.content, None),
+    }
 }
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -109,7 +109,8 @@
     let request = request::read(e, req, workspace, chat)?;
     if let Some(last) = req.header("last-event-id") {
         let id: TokenId = last.parse().map_err(malformed)?;
-        return resume(e, &request.service.to_string(), chat, id.generation, id.ix + 1).await;
+        let next = id.next_ix();
+        return resume(e, &request.service.to_string(), chat, id.generation, next).await;
     }
     let open = e.open_request(&request.workspace)?;
     e.process.event(Kind::Admitted, request.content, format_args!("service={}", request.service));
@@ -244,7 +245,7 @@
     if let Some(endpoint) = e.board.borrow_mut().endpoints.get_mut(key) {
         endpoint.open_requests += 1;
         endpoint.sent_requests += 1;
-        endpoint.sent_tokens += request.need.input.0;
+        endpoint.sent_tokens = endpoint.sent_tokens.saturating_add(request.need.input.0);
     }
     let parts = request.parts.clone();
     let run = (!parts.is_empty()).then(|| e.runs.borrow_mut().start(clock::now(), key, parts));
@@ -400,7 +401,8 @@
     }
 }
 
-fn record_failure(e: &Entry, key: EndpointKey) {
+/// Counts a failure of an endpoint, unless it has been removed.
+pub fn record_failure(e: &Entry, key: EndpointKey) {
     if let Some(endpoint) = e.board.borrow_mut().endpoints.get_mut(key) {
         eject::note_failure(endpoint);
     }
@@ -430,7 +432,7 @@
     match *method {
         Method::GET => {
             let last = req.header("last-event-id").map(str::parse::<TokenId>).transpose();
-            let next = last.map_err(malformed)?.map_or(0, |t| t.ix + 1);
+            let next = last.map_err(malformed)?.map_or(0, |t| t.next_ix());
             let chat = req.query_param("form").as_deref() == Some("chat");
             let model = req.query_param("model").unwrap_or_default();
             resume(e, &model, chat, generation, next).await
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -10,6 +10,7 @@
 use crate::frame::{Batch, Crash, Cursor, Envelope, Finish, Poll, Reply, Report, Request};
 use crate::id::{Fingerprint, Incarnation, InstanceId, IntentVersion, Nonce};
 use crate::peer::{Link, PeerError};
+use crate::task;
 use slotmap::{SlotMap, new_key_type};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -226,7 +227,8 @@
         closed: Cell::new(false),
     });
     links.insert(instance, link.clone());
-    actix_rt::spawn(run_polls(e.clone(), link.clone()));
+    let (entry, polled) = (e.clone(), link.clone());
+    task::keep("link", move || run_polls(entry.clone(), polled.clone()));
     Some(link)
 }
 
@@ -244,6 +246,7 @@
         let hold = if cursors.is_empty() { IDLE_POLL_HOLD } else { BUSY_POLL_HOLD };
         let store = e.history.known();
         let poll = Poll { link: link.nonce, cursors, hold: hold.as_millis() as u64, store };
+        let sent = clock::now();
         let reply = tokio::select! {
             reply = link.request(&e, Request::Poll(poll), hold + POLL_MARGIN) => reply,
             // A new poll replaces this one; tokens in a reply that is missed here are sent again.
@@ -253,7 +256,9 @@
             Ok(envelope) => handle_reply(&e, &link, envelope),
             Err(error) => {
                 handle_silence(&e, &link);
-                if error != PeerError::Silent {
+                // Without a connection, or with all calls in use, silence is reported at once.
+                let took = clock::now().saturating_duration_since(sent);
+                if error != PeerError::Silent || took < RECONNECT_DELAY {
                     tokio::time::sleep(RECONNECT_DELAY).await;
                 }
             }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -19,16 +19,18 @@
 use crate::board::{EndpointKey, EntryBoard};
 use crate::budget::Budget;
 use crate::clock;
-use crate::event::Kind;
+use crate::event::{self, Kind};
 use crate::http::{self, Body, Incoming};
 use crate::id::{InstanceId, IntentVersion, Workspace};
-use crate::peer::{Listener, PeerError};
+use crate::net::{Acceptor, Purpose};
+use crate::peer::Listener;
 use crate::place::Placer;
 use crate::problem::{Problem, ProblemKind};
 use crate::process::Process;
 use crate::quarantine::{Quarantine, Runs};
-use crate::shutdown::StopSignals;
+use crate::shutdown::{Drain, StopSignals, run_stop};
 use crate::store::{Etcd, InstanceList};
+use crate::task::{self, Unfinished};
 use crate::text::Text;
 use actix_http::{Method, Request, Response};
 use claims::Claims;
@@ -38,6 +40,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::sync::Mutex;
 
 /// Maximum number of concurrent requests of one workspace at this entry.
 const MAX_WORKSPACE_REQUESTS: u32 = 512;
@@ -45,17 +48,6 @@
 /// the workspace. The delay gives callers time to reach another entry.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Reason why an entry could not start.
-#[derive(Debug)]
-pub enum EntryError {
-    /// The peer address could not be bound.
-    Peer(PeerError),
-    /// The HTTP address could not be bound.
-    Http(std::io::Error),
-    /// A signal handler could not be installed.
-    Signal(std::io::Error),
-}
-
 /// State shared by the request handlers and background tasks of an entry.
 #[derive(Debug)]
 struct Entry {
@@ -82,12 +74,15 @@
 ///
 /// # Errors
 ///
-/// Returns [`EntryError`] if the peer or the HTTP address cannot be bound.
-pub async fn run(process: Process, metrics: http::Metrics) -> Result<(), EntryError> {
-    let mut stop_signals = StopSignals::install().map_err(EntryError::Signal)?;
+/// Returns [`Unfinished`] if they have not finished in the time of the settings.
+pub async fn run(
+    process: Process,
+    metrics: http::Metrics,
+    mut stop_signals: StopSignals,
+) -> Result<(), Unfinished> {
     let settings = process.settings.clone();
-    let listener = Listener::bind(settings.peer).map_err(EntryError::Peer)?;
-    let web = http::bind(settings.http).await.map_err(EntryError::Http)?;
+    let peers = Listener::open(settings.peer);
+    let web = http::open(settings.http, Purpose::Callers);
     let placer =
         Placer::new(settings.placement, settings.instance.clone(), settings.centre.clone());
     let entry = Rc::new(Entry {
@@ -109,19 +104,35 @@
         process,
     });
     entry.process.event(Kind::Started, &settings.instance, "entry");
-    actix_rt::spawn(peers::serve(entry.clone(), listener));
-    actix_rt::spawn(background::follow_list(entry.clone()));
-    actix_rt::spawn(background::run_gossip(entry.clone()));
-    actix_rt::spawn(background::run_election(entry.clone()));
-    actix_rt::spawn(background::run_ejection(entry.clone()));
-    actix_rt::spawn(sync::watch_store(entry.clone()));
-    actix_rt::spawn(claims::flush(entry.clone()));
-    actix_rt::spawn(history::run(entry.clone()));
-    let handler = entry.clone();
-    actix_rt::spawn(http::serve(web, move |req| handle(handler.clone(), req)));
+    task::spawn("peers", peers::serve(entry.clone(), peers));
+    keep(&entry, "list", background::follow_list);
+    keep(&entry, "gossip", background::run_gossip);
+    keep(&entry, "election", background::run_election);
+    keep(&entry, "ejection", background::run_ejection);
+    keep(&entry, "store", sync::watch_store);
+    keep(&entry, "claims", claims::flush);
+    keep(&entry, "history", history::run);
+    let acceptor = Rc::new(Mutex::new(Acceptor::new(web, event::log)));
+    keep(&entry, "callers", move |e| {
+        let acceptor = acceptor.clone();
+        async move {
+            let mut acceptor = acceptor.lock().await;
+            http::serve(&mut *acceptor, move |req| handle(e.clone(), req)).await;
+        }
+    });
     stop_signals.wait().await;
-    stop(&entry).await;
-    Ok(())
+    let drain = Drain::new(clock::now(), entry.process.settings.stop_grace);
+    run_stop(drain, || stop(&entry)).await
+}
+
+/// Starts a task that serves as long as the process runs.
+fn keep<F: Future<Output = ()>>(
+    entry: &Rc<Entry>,
+    name: &'static str,
+    run: impl Fn(Rc<Entry>) -> F + 'static,
+) {
+    let entry = entry.clone();
+    task::keep(name, move || run(entry.clone()));
 }
 
 /// Refuses new requests and waits for the open ones to finish.
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -1,8 +1,11 @@
 //! Serves requests from other entries.
 
 use super::{Entry, background, sync};
+use crate::event;
 use crate::frame::{Envelope, Reply, Request};
-use crate::peer::Listener;
+use crate::net::Opening;
+use crate::peer::{Listener, PeerError};
+use crate::task;
 use std::rc::Rc;
 
 /// Maximum number of events in one reply.
@@ -11,12 +14,17 @@
 /// Answers requests from peers until the listener closes.
 ///
 /// Frames that cannot be verified or decoded are dropped without a reply.
-pub async fn serve(e: Rc<Entry>, mut listener: Listener) {
+pub async fn serve(e: Rc<Entry>, mut opening: Opening<Listener, PeerError>) {
+    // Not stored, since older processes could not read the events.
+    let mut listener = opening.finish(&event::log).await;
     while let Some((message, responder)) = listener.next().await {
-        if let Some(envelope) = e.process.decode::<Request>(&message) {
-            let reply = answer(&e, envelope);
-            responder.reply(&e.process.encode(reply));
-        }
+        // After a panic the peer gets no reply.
+        let _ = task::step("peers", || {
+            if let Some(envelope) = e.process.decode::<Request>(&message) {
+                let reply = answer(&e, envelope);
+                responder.reply(&e.process.encode(reply));
+            }
+        });
     }
 }
 
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -4,7 +4,7 @@
 use super::generate::StartedGeneration;
 use crate::event::Kind;
 use crate::frame::{Batch, Finish};
-use crate::http::{self, Body};
+use crate::http::{self, Body, Chunk};
 use crate::id::{GenerationId, TokenId};
 use crate::problem::{Problem, ProblemKind};
 use actix_http::Response;
@@ -18,7 +18,7 @@
 
 /// Time without tokens after which an SSE comment shows the caller that the connection is alive.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
-/// Time after which a stream whose caller does not read is closed.
+/// Time after which a stream whose caller does not read is cut off.
 const SEND_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of batches and heartbeats that wait to be sent to a caller.
 const MAX_QUEUED_BATCHES: usize = 32;
@@ -113,7 +113,7 @@
     e: Rc<Entry>,
     mut started: StartedGeneration,
     format: ResponseFormat,
-    tx: mpsc::Sender<Bytes>,
+    tx: mpsc::Sender<Chunk>,
 ) {
     let generation = started.generation.clone();
     let mut batch = Some(std::mem::replace(&mut started.first, empty_batch(&generation)));
@@ -125,7 +125,8 @@
             }
             None => (Bytes::from_static(b": heartbeat\n\n"), None),
         };
-        match tokio::time::timeout(SEND_TIMEOUT, tx.send(bytes)).await {
+        let chunk = if finish.is_some() { Chunk::Last(bytes) } else { Chunk::More(bytes) };
+        match tokio::time::timeout(SEND_TIMEOUT, tx.send(chunk)).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => return e.process.event(Kind::Cancelled, &generation, "by=disconnect"),
             Err(_) => {
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -14,6 +14,7 @@
 use crate::peer::Link;
 use crate::place;
 use crate::store::{Store, StoreError};
+use crate::task;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -186,7 +187,8 @@
     let (e, link) = (e.clone(), link.clone());
     actix_rt::spawn(async move {
         if let Some(connection) = link.connection() {
-            exchange_intent(&e, &connection, peer_version).await;
+            let exchange = exchange_intent(&e, &connection, peer_version);
+            let _ = task::run("transfer", exchange).await;
         }
         TRANSFERS.set(TRANSFERS.get() - 1);
     });
--- a/src/evacuate/mod.rs
+++ b/src/evacuate/mod.rs
@@ -96,7 +96,7 @@
     if queued > MAX_QUEUED_TOKENS {
         return false;
     }
-    copy_time(engine, queued + own) <= deadline.saturating_duration_since(now)
+    copy_time(engine, queued.saturating_add(own)) <= deadline.saturating_duration_since(now)
 }
 
 /// Returns the time to copy `tokens` tokens over a link.
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -14,6 +14,13 @@
 
 /// Number of events stored by a process.
 const MAX_EVENTS: usize = 8192;
+/// Most bytes of the subject, and of the detail, of an event.
+const MAX_TEXT_BYTES: usize = 512;
+
+/// Returns the start of a text from outside, for the log.
+pub fn shorten(text: &str) -> &str {
+    &text[..text.floor_char_boundary(MAX_TEXT_BYTES)]
+}
 
 macro_rules! kinds {
     ($($(#[doc = $doc:literal])* $name:ident = $number:literal,)*) => {
@@ -46,12 +53,24 @@
     Closing = 105,
     /// A stopping process answers the requests that its endpoints have not answered.
     Expiring = 106,
+    /// An address is listened on.
+    Listening = 107,
+    /// An address cannot be listened on yet, most likely as it is in use.
+    PortBusy = 108,
+    /// A settings file cannot be used as it is; the process waits, or replaces faulty fields.
+    SettingsUnusable = 109,
+    /// A process ends because of an error.
+    Exiting = 113,
     /// A frame had an invalid length, signature or body and was dropped.
     FrameDropped = 110,
     /// A link to a peer came up, for the first time or after an outage.
     LinkUp = 111,
     /// A peer did not answer over its link in time, or is no longer registered.
     LinkSilent = 112,
+    /// A task has panicked. A task that serves as long as the process runs starts again.
+    Panicked = 114,
+    /// The resident memory of a process is near the limit at which the platform kills it.
+    MemoryHigh = 115,
     /// A request was admitted by an entry.
     Admitted = 200,
     /// A request was refused before it had any effect.
@@ -140,6 +159,8 @@
     StoreBack = 511,
     /// The store has come back from an older copy of itself.
     StoreReturned = 512,
+    /// The store names an older era than the one that counted, and steadily; it counts from now on.
+    EraCorrected = 513,
     /// A process became the leader.
     Elected = 520,
     /// A process is no longer the leader.
@@ -156,6 +177,8 @@
     Left = 602,
     /// A configuration in the store is invalid and was not adopted.
     TableRefused = 504,
+    /// Parts of the adopted configuration cannot be read; they are left out or have defaults.
+    TableFaulty = 505,
     /// An endpoint is no longer listed after a store outage; it is kept for a grace period.
     Lapsed = 603,
     /// A data centre is evacuated: its endpoints are sent no new requests.
@@ -240,6 +263,7 @@
 
     /// Stamps, stores and logs an event, evicting the oldest one if the buffer is full.
     pub fn push(&mut self, wall: Duration, kind: Kind, subject: &str, detail: &str) {
+        let (subject, detail) = (shorten(subject), shorten(detail));
         let at = self.clock.tick(wall);
         let event = Event {
             at,
@@ -248,7 +272,7 @@
             subject: Arc::from(subject),
             detail: Arc::from(detail),
         };
-        log::info!("event={} kind={kind:?} subject={subject} {detail}", kind.number());
+        log(kind, subject, detail);
         if self.events.len() == MAX_EVENTS {
             self.events.pop_front();
         }
@@ -264,6 +288,11 @@
     }
 }
 
+/// Logs an event without storing it, for a process that has no ring buffer yet.
+pub fn log(kind: Kind, subject: &str, detail: &str) {
+    log::info!("event={} kind={kind:?} subject={subject} {detail}", kind.number());
+}
+
 /// Criteria for the events in a timeline; an absent criterion matches every event.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Filter {
--- a/src/frame/call.rs
+++ b/src/frame/call.rs
@@ -76,4 +76,16 @@
     /// Response body.
     #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
+    /// Length of the body that the response to a HEAD request leaves out.
+    #[serde(default)]
+    pub omitted: Option<StatedLength>,
+}
+
+/// Length that the head of a response states.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub enum StatedLength {
+    /// Number of bytes.
+    Bytes(u64),
+    /// It states none.
+    Unknown,
 }
--- a/src/frame/mod.rs
+++ b/src/frame/mod.rs
@@ -7,7 +7,7 @@
 
 mod call;
 
-pub use call::{Answer, Call, CallKey, CallReply, ClaimStamp};
+pub use call::{Answer, Call, CallKey, CallReply, ClaimStamp, StatedLength};
 
 use crate::event::{Event, Filter};
 use crate::hlc::Stamp;
--- a/src/gate/forecast.rs
+++ b/src/gate/forecast.rs
@@ -46,7 +46,7 @@
 pub fn load(board: &SidecarBoard, job: &Job) -> Load {
     Load {
         // The last block of a generation is half full on average.
-        size: Tokens(job.size() + board.engine.block / 2),
+        size: Tokens(job.size().saturating_add(board.engine.block / 2)),
         done: Tokens(job.tokens.len() as u32),
         limit: job.start.limit,
         curve: board.lengths.curve(&job.start.service, &job.start.workspace),
@@ -63,11 +63,11 @@
 fn memory_need(loads: &[Load], n: u32, reserve: f64) -> f64 {
     let (mut mean, mut variance) = (0.0, 0.0);
     for l in loads {
-        if l.done.0 + n > l.limit.0 {
+        if l.done.0.saturating_add(n) > l.limit.0 {
             continue;
         }
         let p = f64::from(l.curve.survives(l.done, Tokens(n)));
-        let size = f64::from(l.size.0 + n);
+        let size = f64::from(l.size.0) + f64::from(n);
         mean += p * size;
         variance += p * (1.0 - p) * size * size;
     }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -16,7 +16,7 @@
 /// Share of the engine's memory that the forecast may fill.
 const MAX_MEMORY_FILL: f64 = 0.98;
 /// Growth of each running generation that must still fit; otherwise one of them is held.
-const OVERFLOW_LOOKAHEAD_TOKENS: u32 = 2;
+const OVERFLOW_LOOKAHEAD_TOKENS: u64 = 2;
 /// Growth of each generation that must fit before a held one continues.
 const CONTINUE_HEADROOM_TOKENS: u32 = 64;
 /// Prompt tokens that may be in prefill at one time while other generations run.
@@ -90,7 +90,7 @@
             return Ok(());
         }
         let usable = (f64::from(board.engine.capacity) * MAX_MEMORY_FILL) as u32;
-        if start.input.0 + start.limit.0.min(1) > usable {
+        if start.input.0.saturating_add(start.limit.0.min(1)) > usable {
             return Err((Refusal::TooLarge, Duration::ZERO));
         }
         let wait = expected_wait(board, start).max(wait);
@@ -159,11 +159,11 @@
 /// the smallest one, which is the cheapest to recompute.
 fn overflow_victim(board: &SidecarBoard) -> Option<JobKey> {
     let running = || board.in_phase(Phase::Running);
-    let block = board.engine.block;
-    let needed: u32 = running()
-        .map(|(_, j)| (j.size() + OVERFLOW_LOOKAHEAD_TOKENS).next_multiple_of(block))
+    let block = u64::from(board.engine.block);
+    let needed: u64 = running()
+        .map(|(_, j)| (u64::from(j.size()) + OVERFLOW_LOOKAHEAD_TOKENS).next_multiple_of(block))
         .sum();
-    if needed <= board.engine.capacity || running().count() < 2 {
+    if needed <= u64::from(board.engine.capacity) || running().count() < 2 {
         return None;
     }
     running().min_by_key(|(_, j)| (j.start.rank, j.size())).map(|(k, _)| k)
@@ -225,9 +225,9 @@
     if job.start.alone {
         return false;
     }
-    let prefilling: u32 =
-        board.in_phase(Phase::Running).filter(|(_, j)| !j.prefilled).map(|(_, j)| j.size()).sum();
-    if prefilling > 0 && prefilling + job.size() > MAX_PREFILL_TOKENS {
+    let in_prefill = board.in_phase(Phase::Running).filter(|(_, j)| !j.prefilled);
+    let prefilling = sum_sizes(in_prefill.map(|(_, j)| j));
+    if prefilling > 0 && prefilling.saturating_add(job.size()) > MAX_PREFILL_TOKENS {
         return false;
     }
     let usable = f64::from(board.engine.capacity) * MAX_MEMORY_FILL;
@@ -235,8 +235,8 @@
     all.push(forecast::load(board, job));
     if job.phase == Phase::Held {
         // A reader waits in the middle of an answer, so a small headroom is enough.
-        return all.iter().map(|l| f64::from(l.size.0 + CONTINUE_HEADROOM_TOKENS)).sum::<f64>()
-            <= usable;
+        let need = |l: &Load| f64::from(l.size.0) + f64::from(CONTINUE_HEADROOM_TOKENS);
+        return all.iter().map(need).sum::<f64>() <= usable;
     }
     let waited = now.saturating_duration_since(job.arrived);
     peak(&all, reserve(waited)) <= usable
@@ -244,7 +244,8 @@
 
 /// Estimates the time until the first token of a new generation.
 pub fn expected_wait(board: &SidecarBoard, start: &Start) -> Duration {
-    let prefill = board.engine.prefill.saturating_mul(start.input.0 + backlog(board));
+    let unread = start.input.0.saturating_add(backlog(board));
+    let prefill = board.engine.prefill.saturating_mul(unread).min(MAX_EXPECTED_WAIT);
     let curve = board.lengths.curve(&start.service, &start.workspace);
     let mut loads = all_loads(board);
     loads.push(Load { size: start.input, done: Tokens(0), limit: start.limit, curve });
@@ -285,5 +286,10 @@
         Phase::Running => !j.prefilled,
         Phase::Held | Phase::Ended(_) => false,
     };
-    board.jobs.values().filter(|j| is_pending(j)).map(|j| j.size()).sum()
+    sum_sizes(board.jobs.values().filter(|j| is_pending(j)))
+}
+
+/// Adds up the tokens of generations; a sum beyond the highest count is that count.
+fn sum_sizes<'a>(jobs: impl Iterator<Item = &'a Job>) -> u32 {
+    jobs.map(Job::size).fold(0, u32::saturating_add)
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -11,7 +11,7 @@
 use crate::pool::{Hold, PoolKey, Purpose};
 use crate::problem::{Problem, ProblemKind};
 use crate::quarantine::Break;
-use actix_http::ResponseHead;
+use actix_http::{ResponseHead, StatusCode};
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,6 +26,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Upper bound of the random extension of a pause that an endpoint asked for, as a share of it.
 const MAX_PAUSE_EXTENSION: f64 = 0.2;
+/// Largest body of a refusal.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
 /// Longest wait of a stopped generation for the permit to resume on its new engine.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
 /// Interval at which it checks for one.
@@ -52,13 +54,16 @@
     Full,
     /// Another endpoint now has this address.
     Misdirected,
-    /// The endpoint closed the connection before the response was complete.
-    Broken,
+    /// The endpoint closed the connection before the response was complete, or the response is
+    /// malformed.
+    Broken(Broken),
     /// The connection was lost before the response was complete: the endpoint may be cut off.
-    Lost,
+    Lost(Broken),
+    /// There is no memory for the response.
+    NoMemory,
     /// The deadline passed before the response was complete.
     Late,
-    /// The response carries the id of another request.
+    /// The response carries the id of another request, or several ids or seals.
     Foreign,
     /// The response lacks the endpoint's seal header.
     Unsealed,
@@ -74,18 +79,34 @@
 
 impl AttemptError {
     /// Returns the error for a response that is incomplete.
-    pub fn of_break(broken: &Broken) -> Self {
+    pub fn of_break(broken: Broken) -> Self {
+        if broken == Broken::NoMemory {
+            return AttemptError::NoMemory;
+        }
         match examine::cause(broken) {
-            Break::Unreachable => AttemptError::Lost,
-            Break::Closed | Break::Ended => AttemptError::Broken,
+            Break::Unreachable => AttemptError::Lost(broken),
+            Break::Closed | Break::Ended => AttemptError::Broken(broken),
         }
     }
 
+    /// Returns why the response is incomplete; `None` for other errors.
+    pub fn reason(self) -> Option<Broken> {
+        match self {
+            AttemptError::Broken(why) | AttemptError::Lost(why) => Some(why),
+            _ => None,
+        }
+    }
+
+    /// Returns the end of a log line that tells why the response is incomplete.
+    pub fn reason_suffix(self) -> String {
+        self.reason().map_or_else(String::new, |why| format!(" reason=\"{why}\""))
+    }
+
     /// Returns how the connection broke; `None` if it did not.
     pub fn cause(self) -> Option<Break> {
         match self {
-            AttemptError::Broken => Some(Break::Closed),
-            AttemptError::Lost => Some(Break::Unreachable),
+            AttemptError::Broken(_) => Some(Break::Closed),
+            AttemptError::Lost(_) => Some(Break::Unreachable),
             _ => None,
         }
     }
@@ -105,16 +126,21 @@
     /// Returns whether the error counts against the endpoint's health. A full endpoint is healthy.
     pub fn is_endpoint_failure(self) -> bool {
         use AttemptError::{
-            Evacuated, Full, Gone, Leaving, Limited, Overloaded, Paused, Quarantined, Stopping,
+            Evacuated, Full, Gone, Leaving, Limited, NoMemory, Overloaded, Paused, Quarantined,
+            Stopping,
         };
         let is_held = matches!(self, Leaving | Evacuated | Paused | Limited);
-        !is_held && !matches!(self, Full | Gone | Overloaded | Quarantined | Stopping)
+        !is_held && !matches!(self, Full | Gone | NoMemory | Overloaded | Quarantined | Stopping)
     }
 }
 
 impl fmt::Display for AttemptError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", format!("{self:?}").to_ascii_lowercase())
+        match self {
+            AttemptError::Broken(_) => f.write_str("broken"),
+            AttemptError::Lost(_) => f.write_str("lost"),
+            _ => write!(f, "{}", format!("{self:?}").to_ascii_lowercase()),
+        }
     }
 }
 
@@ -131,6 +157,14 @@
     pub endpoint: EndpointId,
 }
 
+impl EndpointResponse {
+    /// Returns whether the events of a generation may follow. After 204 there is no body, not even one
+    /// without events.
+    pub fn is_stream(&self) -> bool {
+        self.info.status.is_success() && self.info.status != StatusCode::NO_CONTENT
+    }
+}
+
 /// Sends a request to an endpoint and waits for the head of its response.
 ///
 /// A leaving, evacuated or paused endpoint is sent no new requests, but may resume a migrated
@@ -147,8 +181,9 @@
     };
     let head = job.forward_head(params);
     let sent = clock::now();
+    let body = job.body.clone();
     let opened =
-        Outbound::connect(address, CONNECT_TIMEOUT, &gw.codec, head, job.body.clone()).await;
+        Outbound::connect_for(&job.load, address, CONNECT_TIMEOUT, &gw.codec, head, body).await;
     let mut out = opened.map_err(|e| match e {
         SendError::Unreached(_) => AttemptError::Unreached,
         SendError::Head(_) => AttemptError::Head,
@@ -160,29 +195,31 @@
         log_unanswered(gw, job, params.endpoint, &progress);
         return Err(AttemptError::Late);
     };
-    let head = head.map_err(|broken| AttemptError::of_break(&broken))?;
+    let head = head.map_err(AttemptError::of_break)?;
     let info = platform::parse_response(&head);
     gw.pool.borrow_mut().record_reachable(key);
     if is_foreign(job, &info) {
         return Err(AttemptError::Foreign);
     }
+    if info.not_run {
+        read_refusal(&mut out, deadline).await?;
+    }
     record_response(gw, key, &info);
     if is_own_response(job, &info) {
-        if info.leaving {
-            outage::record_notice(gw, key);
-        }
-        if let Some(time) = info.pause {
-            record_pause(gw, key, time);
-        }
-        limits::record_response(gw, key, sent, info.limit);
-        if let Some(left) = info.cold {
-            gw.pool.borrow_mut().record_cold(clock::now(), key, left);
-        }
+        record_statements(gw, key, sent, &info);
     }
     check_response(&info)?;
     Ok(EndpointResponse { head, info, out, endpoint: params.endpoint.clone() })
 }
 
+/// Reads the body of a refusal: one that is cut off says nothing of the request or of its endpoint.
+async fn read_refusal(out: &mut Outbound, deadline: TokioInstant) -> Result<(), AttemptError> {
+    match timeout_at(deadline, out.skip_body(MAX_REFUSAL_BYTES)).await {
+        Ok(read) => read.map_err(AttemptError::of_break),
+        Err(_) => Err(AttemptError::Late),
+    }
+}
+
 /// How far a request came that was not answered by its deadline.
 struct Progress {
     /// When the connection was requested.
@@ -272,10 +309,11 @@
     }
 }
 
-/// Returns whether a response carries the id of another request. It says nothing of this one then,
-/// even if it is a refusal.
+/// Returns whether a response carries the id of another request, or does not tell which one it
+/// belongs to. It says nothing of this one then, even if it is a refusal.
 fn is_foreign(job: &Job, info: &ResponseInfo) -> bool {
-    job.meta.id.is_some() && info.id.is_some() && info.id != job.meta.id
+    let is_other = job.meta.id.is_some() && info.has_id && info.id != job.meta.id;
+    info.ambiguous || is_other
 }
 
 /// Checks that the endpoint accepted the request, and that its response has a seal header.
@@ -306,6 +344,20 @@
     }
 }
 
+/// Records what an endpoint states of itself in a response to a request that was sent at `sent`.
+fn record_statements(gw: &Rc<Gateway>, key: PoolKey, sent: Instant, info: &ResponseInfo) {
+    if info.leaving {
+        outage::record_notice(gw, key);
+    }
+    if let Some(time) = info.pause {
+        record_pause(gw, key, time);
+    }
+    limits::record_response(gw, key, sent, info.limit);
+    if let Some(left) = info.cold {
+        gw.pool.borrow_mut().record_cold(clock::now(), key, left);
+    }
+}
+
 /// Stops using an endpoint for the time that it asked for, and a little longer, so that its callers
 /// do not all return at the same moment.
 fn record_pause(gw: &Gateway, key: PoolKey, time: Duration) {
@@ -328,6 +380,8 @@
     if job.time_left(clock::now()).is_zero() {
         Problem::new(ProblemKind::Late, "deadline exceeded before the response was complete")
     } else {
-        Problem::new(ProblemKind::Unknown, format!("outcome of the request is unknown: {error}"))
+        let why = error.reason().map_or_else(String::new, |why| format!(", {why}"));
+        let detail = format!("outcome of the request is unknown: {error}{why}");
+        Problem::new(ProblemKind::Unknown, detail)
     }
 }
--- a/src/gateway/begin.rs
+++ b/src/gateway/begin.rs
@@ -299,7 +299,7 @@
         if runs > 0 && !may_rerun {
             return Err(attempt::unknown_outcome(job, error));
         }
-        let detail = format!("why={error} tried={}", tried.len());
+        let detail = format!("why={error} tried={}{}", tried.len(), error.reason_suffix());
         gw.event(Kind::Reoffered, log_id(job.meta.id.as_ref()), detail);
     }
 }
@@ -322,7 +322,7 @@
 /// Builds the problem for a generation that may not be sent to another engine.
 fn exhausted(job: &Job, tried: usize, runs: u32) -> Problem {
     if runs > 0 {
-        return attempt::unknown_outcome(job, AttemptError::Broken);
+        return attempt::unknown_outcome(job, AttemptError::Failed);
     }
     let detail = format!("none of the {tried} engines tried accepted the generation");
     job.refusal(clock::now(), ProblemKind::Refused(Refusal::Busy), &detail)
@@ -385,7 +385,7 @@
 ) -> Result<Segment, AttemptError> {
     let tried = [broken.guard.key];
     if !job.is_idempotent() || broken.runs >= job.route.max_attempts {
-        return Err(AttemptError::Broken);
+        return Err(AttemptError::Failed);
     }
     if !quarantine::may_rerun(gw, job) {
         return Err(AttemptError::Quarantined);
@@ -393,7 +393,7 @@
     // The stream has begun, so it does not wait for admission a second time.
     let key = job.choose_endpoint(gw, clock::now(), &tried).ok_or(AttemptError::Gone)?;
     let permit = attempt::permit_attempt(gw, job, tried.len(), tried.len()).await;
-    let permit = permit.ok_or(AttemptError::Broken)?;
+    let permit = permit.ok_or(AttemptError::Failed)?;
     let guard = WorkGuard::new(gw, key, job.expected_work());
     let (sent, host) = (clock::now(), Host::find(gw, job, key));
     let opened = open_segment(gw, job, guard, None, last).await;
@@ -401,7 +401,7 @@
     let segment = opened.inspect_err(|error| {
         record_failure(gw, job, key, host.as_ref(), *error, sent);
     })?;
-    if !segment.response.info.status.is_success() {
+    if !segment.response.is_stream() {
         return Err(AttemptError::Failed);
     }
     let detail = format!("why=broken tried=1 after={}", last.map_or(0, |id| id.0));
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -9,8 +9,7 @@
 use super::unread::{self, Holder};
 use super::{Gateway, MAINTENANCE_INTERVAL, WorkGuard, limits, quarantine};
 use crate::admit;
-use crate::backlog::Flow;
-use crate::callers::Part;
+use crate::backlog::{Flow, READ_BYTES};
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::Refusal;
@@ -22,7 +21,7 @@
 use actix_http::body::BodySize;
 use bytes::{Bytes, BytesMut};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
 /// Bytes of a response that are buffered before any are passed on. If the response breaks off
@@ -57,8 +56,7 @@
     match result {
         Ok(CallResponse::Complete(response, body)) => {
             record_answer(gw, job, &response);
-            let head = platform::response_head(&response.head);
-            unread::respond(gw, conn, log_id(job.meta.id.as_ref()), head, body, close).await
+            unread::respond(gw, conn, log_id(job.meta.id.as_ref()), &response, body, close).await
         }
         Ok(CallResponse::Partial(response, body)) => {
             relay(gw, conn, job, response, body, close).await
@@ -97,9 +95,10 @@
     {
         return Disposition::Abort;
     }
+    response.out.keep_body(0);
     holder.update(conn, 0, 0);
     loop {
-        let Some(part) = read_ahead(conn, &holder, &mut response, job.deadline).await else {
+        let Some(part) = read_ahead(conn, &holder, &mut response, job).await else {
             return Disposition::Abort;
         };
         match part {
@@ -112,7 +111,7 @@
             },
             Ok(None) => break,
             Err(e) => {
-                let detail = format!("endpoint={} why={e:?}", response.endpoint);
+                let detail = format!("endpoint={} why=\"{e}\"", response.endpoint);
                 gw.event(Kind::Failed, log_id(job.meta.id.as_ref()), detail);
                 return Disposition::Abort;
             }
@@ -134,20 +133,23 @@
     conn: &mut Inbound,
     holder: &Holder,
     response: &mut EndpointResponse,
-    deadline: Instant,
+    job: &Job,
 ) -> Option<Result<Option<Bytes>, Broken>> {
     loop {
-        let flow = holder.flow();
+        // Read ahead only while no connection has to be closed for it.
+        let flow = match holder.flow() {
+            Flow::Read if conn.unsent() > 0 && !job.load.may_keep(READ_BYTES) => Flow::Hold,
+            flow => flow,
+        };
         match flow {
-            Flow::Read => {}
-            Flow::Hold => response.out.bound_buffer(),
+            Flow::Read | Flow::Hold => {}
             Flow::Drop => return None,
         }
         tokio::select! {
             part = response.out.read_chunk(), if flow == Flow::Read => return Some(part),
             () = holder.changed() => {}
             sent = conn.send_until_closed() => holder.update(conn, 0, sent.ok()?),
-            () = tokio::time::sleep_until(deadline.into()) => return None,
+            () = tokio::time::sleep_until(job.deadline.into()) => return None,
         }
     }
 }
@@ -203,7 +205,8 @@
         if attempts.runs > 0 && !may_rerun() {
             return final_response(job, attempts, error);
         }
-        let detail = format!("why={error} tried={} runs={}", attempts.tried.len(), attempts.runs);
+        let (tried, runs, reason) = (attempts.tried.len(), attempts.runs, error.reason_suffix());
+        let detail = format!("why={error} tried={tried} runs={runs}{reason}");
         gw.event(Kind::Reoffered, log_id(job.meta.id.as_ref()), detail);
     }
     if attempts.runs > 0 {
@@ -355,7 +358,15 @@
     Err(job.stop_refusal())
 }
 
-/// Sends a request to one endpoint and reads up to [`RETRY_BUFFER_BYTES`] of the response.
+/// Returns whether there is memory for more of a response; the first bytes are always read. A buffer
+/// that is full doubles its size, and there is a copy of it meanwhile.
+fn may_grow(job: &Job, body: &BytesMut) -> bool {
+    let has_room = body.len() + READ_BYTES <= body.capacity();
+    body.len() < READ_BYTES || has_room || job.load.may_keep(body.capacity() * 2)
+}
+
+/// Sends a request to one endpoint and reads up to [`RETRY_BUFFER_BYTES`] of the response, or less if
+/// memory is short.
 async fn try_endpoint(
     gw: &Rc<Gateway>,
     job: &Job,
@@ -382,18 +393,18 @@
     run.record_head();
     let deadline = TokioInstant::from_std(job.deadline);
     let mut body = BytesMut::new();
-    while body.len() <= RETRY_BUFFER_BYTES {
+    while body.len() <= RETRY_BUFFER_BYTES && may_grow(job, &body) {
         match timeout_at(deadline, response.out.read_chunk()).await {
             Ok(Ok(Some(chunk))) => {
                 run.record_event();
                 body.extend_from_slice(&chunk);
-                job.load.set(Part::Response, body.len());
+                response.out.keep_body(body.capacity());
             }
             Ok(Ok(None)) => {
                 run.complete(response.out.framing() != Framing::Close);
                 return Ok(CallResponse::Complete(response, body.freeze()));
             }
-            Ok(Err(broken)) => return Err(AttemptError::of_break(&broken)),
+            Ok(Err(broken)) => return Err(AttemptError::of_break(broken)),
             Err(_) => return Err(AttemptError::Late),
         }
     }
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -1,16 +1,16 @@
 //! Admits connections of callers, and closes those that keep too much.
 
 use super::Gateway;
-use crate::callers::{
-    CallerKey, Listener, Load, RECEIVE_BUFFER_BYTES, RESPONSE_BUFFER_BYTES, Room,
-};
+use crate::callers::{CallerKey, Listener, Load, Room};
 use crate::clock;
 use crate::event::Kind;
-use actix_rt::net::TcpListener;
-use socket2::SockRef;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 
+/// Interval between looks for connections to close after there were none.
+const RELIEF_INTERVAL: Duration = Duration::from_millis(10);
+
 /// A connection of a caller, counted until dropped.
 pub struct CallerGuard {
     gw: Rc<Gateway>,
@@ -44,6 +44,11 @@
         self.closed.notified().await;
     }
 
+    /// Records that the first bytes of a request have arrived.
+    pub fn arrive(&self) {
+        self.gw.callers.borrow_mut().arrive(clock::now(), self.key);
+    }
+
     /// Records that a request has been read in full.
     pub fn begin(&self) {
         self.gw.callers.borrow_mut().begin(self.key);
@@ -63,27 +68,30 @@
 }
 
 fn close(gw: &Gateway, key: CallerKey) {
-    gw.callers.borrow_mut().close(key);
+    gw.callers.borrow_mut().close(clock::now(), key);
     if let Some(closed) = gw.closing.borrow().get(key) {
         closed.notify_one();
     }
     metrics::counter!("connections_closed_total").increment(1);
 }
 
-/// Closes the connections that keep most whenever all together keep too much.
+/// Closes connections whenever all together keep too much.
 pub async fn relieve(gw: Rc<Gateway>) {
     loop {
         let exceeded = gw.callers.borrow().exceeded();
         exceeded.await;
         let (sum, chosen) = {
             let mut callers = gw.callers.borrow_mut();
-            (callers.bytes(), callers.relieve())
+            (callers.bytes(), callers.relieve(clock::now()))
         };
         if let Some((_, most)) = chosen.first() {
             let detail = format_args!("closed={} most={most} sum={sum}", chosen.len());
             gw.event(Kind::Overfull, "-", detail);
         }
         chosen.iter().for_each(|(key, _)| close(&gw, *key));
+        if chosen.is_empty() {
+            tokio::time::sleep(RELIEF_INTERVAL).await;
+        }
     }
 }
 
@@ -94,14 +102,3 @@
     callers.set_limits(settings.memory_bytes(), settings.max_sockets);
     metrics::gauge!("caller_bytes").set(callers.bytes() as f64);
 }
-
-/// Bounds what the kernel holds for each connection that is accepted.
-pub fn bound_buffers(listener: &TcpListener) {
-    let socket = SockRef::from(listener);
-    let bounded = socket
-        .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
-        .and_then(|()| socket.set_send_buffer_size(RESPONSE_BUFFER_BYTES));
-    if let Err(e) = bounded {
-        log::warn!("the kernel's buffers for callers could not be bounded: {e}");
-    }
-}
--- a/src/gateway/copy.rs
+++ b/src/gateway/copy.rs
@@ -4,11 +4,13 @@
 //! signed frame with the request, one with the response. `nng` would keep threads and a socket per
 //! pair of instances for a message that is sent only while some instances cannot reach the store.
 
-use super::{Gateway, GatewayError, bind, follow, peers, serve};
+use super::{Gateway, follow, peers};
 use crate::clock;
 use crate::gossip::PeerMessage;
 use crate::id::InstanceId;
-use actix_rt::net::{TcpListener, TcpStream};
+use crate::net::{self, Accept};
+use crate::task;
+use actix_rt::net::TcpStream;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use std::fmt::{self, Display};
@@ -16,7 +18,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::Semaphore;
+use tokio::sync::{Mutex, Semaphore};
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -62,17 +64,6 @@
     }
 }
 
-/// Starts serving copies of the configuration on an address.
-///
-/// # Errors
-///
-/// Returns [`GatewayError::Bind`] if the address cannot be bound.
-pub async fn start(gw: &Rc<Gateway>, address: SocketAddr) -> Result<(), GatewayError> {
-    let listener = bind(address).await?;
-    actix_rt::spawn(accept(gw.clone(), listener));
-    Ok(())
-}
-
 /// Starts to fetch the configuration from another instance, if one is known to have a newer one.
 pub fn fetch_newer(gw: &Rc<Gateway>) {
     let Some(from) = gw.config_pull.borrow_mut().step(clock::now(), gw.table_version()) else {
@@ -80,7 +71,7 @@
     };
     let address = gw.peers.borrow().get(&from).map(|p| p.address);
     if let Some(address) = address {
-        actix_rt::spawn(pull_config(gw.clone(), from, address));
+        task::spawn("pull", pull_config(gw.clone(), from, address));
     }
 }
 
@@ -93,7 +84,7 @@
 }
 
 async fn fetch_config(gw: &Gateway, address: SocketAddr) -> Result<Vec<u8>, CopyError> {
-    let mut framed = Framed::new(TcpStream::connect(address).await?, codec());
+    let mut framed = Framed::new(net::connect(address).await?, codec());
     send_message(gw, &mut framed, PeerMessage::PullConfig).await?;
     let frame = framed.next().await.ok_or(CopyError::Closed)??;
     match peers::open_message(gw, &frame, |a| *a == address) {
@@ -105,14 +96,16 @@
     }
 }
 
-async fn accept(gw: Rc<Gateway>, listener: TcpListener) {
+/// Serves copies of the configuration. Does not return.
+pub async fn serve(gw: Rc<Gateway>, acceptor: Rc<Mutex<impl Accept>>) {
+    let mut acceptor = acceptor.lock().await;
     let permits = Arc::new(Semaphore::new(MAX_SERVED_EXCHANGES));
     loop {
-        let stream = serve::accept(&listener).await;
+        let stream = acceptor.accept().await;
         // A rejected instance asks another one next.
         let Ok(permit) = permits.clone().try_acquire_owned() else { continue };
         let gw = gw.clone();
-        actix_rt::spawn(async move {
+        task::spawn("copy", async move {
             let served = timeout(EXCHANGE_TIMEOUT, serve_exchange(&gw, stream)).await;
             if let Err(e) = served.unwrap_or(Err(CopyError::Timeout)) {
                 log::debug!("serving the configuration to a peer failed: {e}");
--- a/src/gateway/digests.rs
+++ b/src/gateway/digests.rs
@@ -23,7 +23,11 @@
             let pool = gw.pool.borrow();
             let work = pool.endpoints.values().map(|e| (e.tag, e.own));
             scheduler.store_down = gw.store_lost.get();
-            let position = gw.store_position.borrow().get().filter(|_| peers::is_reader(&gw));
+            // The others read for themselves while the era of this instance may be wrong.
+            let position = {
+                let known = gw.store_position.borrow();
+                known.get().filter(|_| peers::is_reader(&gw) && !known.is_disputed())
+            };
             scheduler.position = position.unwrap_or_default();
             let outage = peers::is_reader(&gw) && gw.outages.borrow().is_told(now);
             let is_news = std::mem::replace(&mut scheduler.outage, outage) != outage;
--- a/src/gateway/evacuation.rs
+++ b/src/gateway/evacuation.rs
@@ -24,9 +24,12 @@
     changes.iter().for_each(|change| log_change(gw, change, "store"));
 }
 
-/// Applies the changes that another instance knows.
+/// Applies the changes that another instance knows, except for those of an era that this instance has
+/// not read, which may be wrong. A change is repeated with each digest.
 pub fn merge(gw: &Gateway, rows: Vec<EvacuationRow>) {
-    rows.into_iter().for_each(|row| apply(gw, row.into(), "peer"));
+    let era = gw.store_position.borrow().era();
+    let changes = rows.into_iter().map(Evacuation::from).filter(|change| change.at.era <= era);
+    changes.for_each(|change| apply(gw, change, "peer"));
 }
 
 /// Returns the newest changes that this instance knows.
--- a/src/gateway/examine.rs
+++ b/src/gateway/examine.rs
@@ -13,6 +13,7 @@
     AccusedPart, Break, CrashId, Examination, LIFE_MARGIN, Listed, Look, LostRun, Next, RunEnd,
     RunKey, Scope, Sight, Standing, Verdict, service_tag,
 };
+use crate::task;
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::hash::{Hash, Hasher};
@@ -108,7 +109,7 @@
 
 /// Returns what a probe without a valid response shows.
 fn sight(e: &CallError) -> Sight {
-    use ErrorKind::{ConnectionRefused, ConnectionReset, TimedOut};
+    use ErrorKind::{ConnectionRefused, ConnectionReset};
     match e {
         CallError::Unreached(SendError::Unreached(e)) if e.kind() == ConnectionRefused => {
             Sight::Refused
@@ -117,9 +118,11 @@
             Sight::Closed
         }
         CallError::Unreached(_) | CallError::Slow => Sight::Silent,
-        CallError::Broken(Broken::Io(e)) if e.kind() == TimedOut => Sight::Silent,
-        CallError::Broken(Broken::Io(_) | Broken::Early) => Sight::Closed,
-        CallError::Broken(Broken::Malformed) | CallError::Malformed => Sight::Responding,
+        CallError::Broken(broken) if broken.is_timeout() => Sight::Silent,
+        CallError::Broken(Broken::Read(_) | Broken::Write(_) | Broken::Early) => Sight::Closed,
+        CallError::Broken(Broken::Malformed(_) | Broken::NoMemory) | CallError::Malformed => {
+            Sight::Responding
+        }
     }
 }
 
@@ -199,11 +202,8 @@
 pub type Checks = HashMap<Host, Check>;
 
 /// Returns how a connection broke.
-pub fn cause(broken: &Broken) -> Break {
-    match broken {
-        Broken::Io(e) if e.kind() == ErrorKind::TimedOut => Break::Unreachable,
-        _ => Break::Closed,
-    }
+pub fn cause(broken: Broken) -> Break {
+    if broken.is_timeout() { Break::Unreachable } else { Break::Closed }
 }
 
 /// Has an endpoint examined in the background whose connection broke during a request that was sent
@@ -247,7 +247,14 @@
         return;
     }
     checks.insert(host.clone(), Check { cause, lost });
-    actix_rt::spawn(examine(gw.clone(), host.clone(), broken));
+    let (gw, host) = (gw.clone(), host.clone());
+    actix_rt::spawn(async move {
+        let examined = task::run("examination", examine(gw.clone(), host.clone(), broken)).await;
+        if examined.is_err() {
+            // Another look at the endpoint would not begin otherwise.
+            gw.crash_checks.borrow_mut().remove(&host);
+        }
+    });
 }
 
 /// Looks at an endpoint until it is known whether it has crashed.
--- a/src/gateway/explain.rs
+++ b/src/gateway/explain.rs
@@ -5,16 +5,17 @@
 use crate::admit::Place;
 use crate::clock;
 use crate::explain::{self, Admission, Explanation, Outcome};
+use crate::h1::Head;
 use crate::platform;
 use crate::pool::Availability;
 use crate::problem::{Problem, ProblemKind};
 use crate::speed::Slowness;
-use actix_http::{Request, Response, StatusCode};
+use actix_http::{Response, StatusCode};
 use bytes::Bytes;
 
 /// Returns the response to a question about a request, which has the request's own headers, and its
 /// path after the prefix for questions.
-pub fn answer(gw: &Gateway, req: Request, path: &str) -> (Response<()>, Bytes) {
+pub fn answer(gw: &Gateway, req: Head, path: &str) -> (Response<()>, Bytes) {
     let (status, body) = match explain(gw, req, path) {
         // Serialization of numbers and text cannot fail.
         Ok(explanation) => {
@@ -28,11 +29,12 @@
     (Response::with_body(status, ()), body)
 }
 
-fn explain(gw: &Gateway, mut req: Request, path: &str) -> Result<Explanation, Problem> {
+fn explain(gw: &Gateway, req: Head, path: &str) -> Result<Explanation, Problem> {
     let now = clock::now();
-    let uri = path.parse();
-    req.head_mut().uri = uri
+    let uri = path
+        .parse()
         .map_err(|e| Problem::new(ProblemKind::Malformed, format!("the path is not valid: {e}")))?;
+    let req = req.with_uri(uri);
     let mut meta = platform::parse_request(&req);
     if let Some(workspace) = platform::asked_workspace(&req) {
         let table = gw.table.borrow();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -6,7 +6,7 @@
 use crate::gossip::{StoreChanges, Succession};
 use crate::platform;
 use crate::pool::Source;
-use crate::store::{ChangeFeed, KeyValue, Position, StoreError, StoreUpdate};
+use crate::store::{ChangeFeed, KeyValue, Position, Rereads, StoreError, StoreUpdate};
 use std::fmt::Display;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -17,6 +17,14 @@
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(50);
 /// Interval between two calls of a reader while the store is unreachable.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
+/// Time for each answer of a full read while there is no configuration.
+const FIRST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for each answer of a read that is made beside those, from a store that is slow.
+const SLOW_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after the start until the slow read begins.
+const SLOW_DELAY: Duration = Duration::from_millis(500);
+/// Interval between two slow reads.
+const SLOW_INTERVAL: Duration = Duration::from_secs(2);
 /// Time after the store has come back from a copy until all keys are read once more. By then
 /// entries that live owners did not write again are gone from the store.
 const SETTLE_TIME: Duration = Duration::from_secs(10);
@@ -34,6 +42,8 @@
 struct Connection {
     /// Whether the last call failed.
     is_lost: bool,
+    /// Full reads since the last watch that was answered with changes, or with none.
+    rereads: Rereads,
     /// When all keys are read once more after the store came back from a copy.
     settled_at: Option<Instant>,
 }
@@ -43,9 +53,13 @@
     let mut connection = Connection::default();
     loop {
         match poll_store(&gw, &mut connection).await {
+            Ok(()) if gw.store_position.borrow().is_disputed() => {
+                tokio::time::sleep(jitter(connection.rereads.delay())).await;
+            }
             Ok(()) => wait_for_poll(&gw).await,
             Err(e) if e.requires_full_read() && gw.store_position.borrow().get().is_some() => {
                 gw.store_position.borrow_mut().reset();
+                tokio::time::sleep(jitter(connection.rereads.delay())).await;
             }
             Err(e) => {
                 if !connection.is_lost {
@@ -96,7 +110,8 @@
 pub fn apply_changes(gw: &Rc<Gateway>, changes: &StoreChanges) {
     let end = changes.end();
     if gw.store_position.borrow().compare(end) == Succession::Outdated {
-        return log::debug!("dropped changes up to {end}: the store has come back from a copy");
+        log::debug!("dropped changes up to {end}: the store has come back from a copy");
+        return gw.poll_hint.notify_one();
     }
     let may_expire = changes.recovering || gw.outages.borrow().may_expire(clock::now());
     changes.kvs.iter().for_each(|kv| apply_kv(gw, kv, end, may_expire));
@@ -136,12 +151,16 @@
     let wait = if peers::is_reader(gw) { WATCH_TIMEOUT } else { CATCH_UP_TIMEOUT };
     let update = gw.store.watch(ALL_KEYS, after.revision, wait).await?;
     log_store_back(gw, connection);
-    match gw.store_position.borrow().compare(update.at) {
-        Succession::Same => {}
+    let succession = gw.store_position.borrow().compare(update.at);
+    match succession {
+        Succession::Same => connection.rereads.reset(),
         // Its revisions were given out anew, so the changes after one of them are incomplete.
-        Succession::Returned => return Err(StoreError::Compacted),
+        Succession::Returned => {
+            connection.rereads.reset();
+            return Err(StoreError::Compacted);
+        }
         Succession::Outdated => {
-            log_outdated(update.at);
+            drop_outdated(gw, update.at);
             return Ok(());
         }
     }
@@ -165,14 +184,22 @@
 /// Reads all keys: the configuration, the endpoints and the peers.
 async fn read_all(gw: &Rc<Gateway>, connection: &mut Connection) -> Result<(), StoreError> {
     let asked = clock::now();
-    let all = gw.store.list(ALL_KEYS).await?;
+    let is_first = gw.table.borrow().is_none();
+    let all = match is_first {
+        true => gw.store.list_within(ALL_KEYS, FIRST_TIMEOUT).await?,
+        false => gw.store.list(ALL_KEYS).await?,
+    };
     log_store_back(gw, connection);
+    if gw.store_position.borrow().get().is_some() {
+        return Ok(());
+    }
     let known = gw.store_position.borrow().era();
-    let source = match gw.store_position.borrow().compare(all.at) {
+    let succession = gw.store_position.borrow().compare(all.at);
+    let source = match succession {
         Succession::Same => Source::Current,
         Succession::Returned => Source::Copy,
         Succession::Outdated => {
-            log_outdated(all.at);
+            drop_outdated(gw, all.at);
             return Ok(());
         }
     };
@@ -183,9 +210,37 @@
         let detail = format!("era={} before={known} revision={}", all.at.era, all.at.revision);
         gw.event(Kind::StoreReturned, "store", detail);
     }
-    apply_config(gw, &all);
-    replace_listings(gw, &all, source);
-    evacuation::replace(gw, &all, source);
+    apply_all(gw, asked, &all, source);
+    Ok(())
+}
+
+/// Reads all keys once from a store that answers later than [`FIRST_TIMEOUT`]. A read with that limit
+/// goes on beside it, as an answer that is lost would take the longer one.
+pub async fn read_slowly(gw: Rc<Gateway>) {
+    tokio::time::sleep(SLOW_DELAY).await;
+    while gw.table.borrow().is_none() {
+        if gw.store_position.borrow().get().is_none() {
+            let asked = clock::now();
+            let read = gw.store.list_within(ALL_KEYS, SLOW_TIMEOUT).await;
+            let known = gw.store_position.borrow();
+            let is_first = |all: &StoreUpdate| {
+                known.get().is_none() && known.compare(all.at) == Succession::Same
+            };
+            let first = read.ok().filter(is_first);
+            drop(known);
+            if let Some(all) = first {
+                apply_all(&gw, asked, &all, Source::Current);
+            }
+        }
+        tokio::time::sleep(jitter(SLOW_INTERVAL)).await;
+    }
+}
+
+/// Applies a read of all keys that was sent at `asked`.
+fn apply_all(gw: &Rc<Gateway>, asked: Instant, all: &StoreUpdate, source: Source) {
+    apply_config(gw, all);
+    replace_listings(gw, all, source);
+    evacuation::replace(gw, all, source);
     if source == Source::Copy {
         refusals::forget_published(gw);
     }
@@ -198,11 +253,23 @@
     if source == Source::Copy {
         gw.registration.due.notify_one();
     }
-    Ok(())
 }
 
-fn log_outdated(at: Position) {
+/// Drops a response of an era before the newest one, unless the store names its era steadily. The
+/// newest one was wrong then, in all responses for a while.
+fn drop_outdated(gw: &Gateway, at: Position) {
     log::debug!("dropped a response of the store at {at}: the store has come back from a copy");
+    let mut position = gw.store_position.borrow_mut();
+    if !position.is_refuted(clock::now(), at) {
+        return;
+    }
+    let detail = format!("era={} before={}", at.era, position.era());
+    position.forget_era();
+    drop(position);
+    gw.store.set_era(at.era);
+    gw.revisions.borrow_mut().clear();
+    gw.pool.borrow_mut().forget_evacuation_positions();
+    gw.event(Kind::EraCorrected, "store", detail);
 }
 
 fn log_store_back(gw: &Gateway, connection: &mut Connection) {
@@ -226,12 +293,17 @@
         Ok(table) => table,
         Err(e) => return gw.event(Kind::TableRefused, "table", format_args!("from={from} {e}")),
     };
-    if gw.table_version() >= table.version.0 {
+    if gw.table.borrow().as_ref().is_some_and(|known| known.version >= table.version) {
         return;
     }
     let (routes, keys) = (table.hosts.len(), table.keys.len());
     gw.event(Kind::Adopted, table.version, format_args!("from={from} routes={routes} keys={keys}"));
     metrics::gauge!("table_version").set(table.version.0 as f64);
+    metrics::gauge!("table_faults").set(table.faults.len() as f64);
+    if let Some(first) = table.faults.first() {
+        let detail = format_args!("from={from} faults={} first={first}", table.faults.len());
+        gw.event(Kind::TableFaulty, table.version, detail);
+    }
     let cold = table.services.iter().map(|(name, s)| (name.clone(), s.cold_limit));
     gw.pool.borrow_mut().set_cold_limits(clock::now(), cold);
     *gw.table_text.borrow_mut() = text.into();
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -8,7 +8,7 @@
 use crate::event::Kind;
 use crate::frame::Refusal;
 use crate::gossip::Work;
-use crate::h1::Inbound;
+use crate::h1::{Head, Inbound};
 use crate::id::{DataCentre, PartId, RequestId, ServiceName, Tokens};
 use crate::platform::{self, ForwardParams, RequestInfo};
 use crate::pool::PoolKey;
@@ -17,7 +17,7 @@
 use crate::route::{Denied, Engine, KeyOwner, Route, RouteKind, Service, Urgency};
 use crate::speed::Slowness;
 use crate::startup;
-use actix_http::{Request, RequestHead};
+use actix_http::RequestHead;
 use bytes::Bytes;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -36,7 +36,7 @@
 #[derive(Debug)]
 pub struct Job {
     /// The request as the caller sent it.
-    pub req: Request,
+    pub req: Head,
     /// Whole request body.
     pub body: Bytes,
     /// Parsed headers of the request.
@@ -67,7 +67,7 @@
     pub fn new(
         gw: &Gateway,
         now: Instant,
-        req: Request,
+        req: Head,
         body: Bytes,
         meta: RequestInfo,
     ) -> Result<Job, Problem> {
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -11,6 +11,7 @@
     Allocator, Grant, Known, NOTICE_INTERVAL, PermitRequest, REPLY_TIMEOUT, Rate, Stated,
 };
 use crate::pool::{Endpoint, PoolKey};
+use crate::task;
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -206,29 +207,31 @@
         let waiting = |service: &ServiceName| gw.queue.borrow().len(service);
         let due = gw.pool.borrow_mut().due_permit_requests(now, waiting);
         for (key, request) in due {
-            actix_rt::spawn(request_grant(gw.clone(), key, request));
+            task::spawn("permit", request_grant(gw.clone(), key, request));
         }
     }
 }
 
+/// Returns the reply of an endpoint's coordinator to a request for permits.
+async fn ask_coordinator(gw: &Gateway, sent: Instant, request: PermitRequest) -> Option<Grant> {
+    let Some((coordinator, address)) = peers::coordinator(gw, request.tag) else {
+        let own = gw.settings.borrow().instance.clone();
+        return Some(grant(gw, sent, &own, &request));
+    };
+    let number = gw.messenger.number();
+    let message = PeerMessage::PermitRequest(number, request);
+    let reply = peers::request_reply(gw, address, number, message, REPLY_TIMEOUT).await;
+    peers::record_reply(gw, coordinator, reply.is_some());
+    match reply {
+        Some(Reply::Permits(grant)) => Some(grant),
+        _ => None,
+    }
+}
+
 async fn request_grant(gw: Rc<Gateway>, key: PoolKey, request: PermitRequest) {
     let sent = clock::now();
-    let grant = match peers::coordinator(&gw, request.tag) {
-        None => {
-            let own = gw.settings.borrow().instance.clone();
-            Some(grant(&gw, sent, &own, &request))
-        }
-        Some((coordinator, address)) => {
-            let number = gw.messenger.number();
-            let message = PeerMessage::PermitRequest(number, request);
-            let reply = peers::request_reply(&gw, address, number, message, REPLY_TIMEOUT).await;
-            peers::record_reply(&gw, coordinator, reply.is_some());
-            match reply {
-                Some(Reply::Permits(grant)) => Some(grant),
-                _ => None,
-            }
-        }
-    };
+    // After a panic the request counts as unanswered, since no other is sent before its end.
+    let grant = task::run("permit", ask_coordinator(&gw, sent, request)).await.unwrap_or(None);
     metrics::counter!("permit_requests_total", "answered" => grant.is_some().to_string())
         .increment(1);
     let fleet = peers::fleet(&gw);
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -51,11 +51,11 @@
 }
 
 /// Keeps this instance registered in the store. Does not return.
-pub async fn keep_registered(gw: Rc<Gateway>, registration: Registration) {
+pub async fn keep_registered(gw: Rc<Gateway>, registration: Rc<Registration>) {
     let instance = gw.settings.borrow().instance.clone();
     let key = format!("{KEY_PREFIX}{instance}");
     // Serializing an address and a byte array cannot fail.
-    let value = serde_json::to_vec(&registration).unwrap_or_default();
+    let value = serde_json::to_vec(&*registration).unwrap_or_default();
     let (mut lease, mut era) = (None, gw.store_position.borrow().era());
     loop {
         let sent = clock::now();
@@ -72,7 +72,7 @@
                 if lease.is_some() {
                     gw.retries.borrow_mut().record_registration(sent, LEASE_TTL);
                 }
-                let wait = if renewed.is_some() { RENEW_INTERVAL } else { Duration::ZERO };
+                let wait = if renewed.is_some() { RENEW_INTERVAL } else { RETRY_INTERVAL };
                 let _ = tokio::time::timeout(jitter(wait), gw.registration.due.notified()).await;
             }
             Err(e) => {
@@ -83,16 +83,18 @@
     }
 }
 
-/// Renews the lease of the registration, or writes the registration under a new lease. Returns
-/// `None` if the lease has expired, so that the next call registers again.
+/// Renews the lease of the registration, or writes the registration under a new lease if it has
+/// expired. Returns `None` if the new lease has expired too.
 async fn renew_or_register(
     gw: &Gateway,
     key: &str,
     value: &[u8],
     lease: Option<LeaseId>,
 ) -> Result<Option<LeaseId>, StoreError> {
-    if let Some(lease) = lease {
-        return Ok(gw.store.renew(lease).await?.then_some(lease));
+    if let Some(lease) = lease
+        && gw.store.renew(lease).await?
+    {
+        return Ok(Some(lease));
     }
     let lease = gw.store.grant(LEASE_TTL).await?;
     let is_written = gw.store.put(key, value, lease).await?;
--- a/src/gateway/migrate.rs
+++ b/src/gateway/migrate.rs
@@ -11,6 +11,7 @@
 use crate::event::Kind;
 use crate::platform::{self, CopyOutcome, Handoff};
 use crate::pool::{Endpoint, PoolKey};
+use crate::task;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -132,7 +133,7 @@
                     self.times.first = now.saturating_duration_since(since);
                     if self.is_evacuated(grant.guard.key) {
                         tried.push(grant.guard.key);
-                        actix_rt::spawn(free_copy(self.gw.clone(), first));
+                        task::spawn("free", free_copy(self.gw.clone(), first));
                         continue;
                     }
                     let outcome = self.final_copy(grant, first, deadline).await;
@@ -218,7 +219,7 @@
     /// Makes the last copy, of what was added since the first one. The generation pauses for it.
     async fn final_copy(&self, grant: Grant, first: Handoff, deadline: Instant) -> MoveOutcome {
         let Some(permit) = self.wait_for_permit(deadline).await else {
-            actix_rt::spawn(free_copy(self.gw.clone(), first));
+            task::spawn("free", free_copy(self.gw.clone(), first));
             return MoveOutcome::Stay("no retry is allowed in time");
         };
         let outcome = loop {
@@ -254,7 +255,7 @@
         };
         permit.release();
         // The first copy holds memory on the target for seconds if it is not freed.
-        actix_rt::spawn(free_copy(self.gw.clone(), first));
+        task::spawn("free", free_copy(self.gw.clone(), first));
         outcome
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,13 +19,16 @@
 mod inbox;
 mod job;
 mod limits;
+mod listeners;
 mod membership;
+mod memory;
 mod migrate;
 mod outage;
 mod pauses;
 mod peers;
 mod quarantine;
 mod refusals;
+mod reload;
 mod respond;
 mod retries;
 mod serve;
@@ -44,56 +47,47 @@
 use crate::evacuate::LinkScheduler;
 use crate::event::{EventRing, Kind, WaveLog};
 use crate::gossip::{ConfigPull, Outages, PeerLoads, StorePosition, Work};
-use crate::http::{self, Metrics};
+use crate::http::Metrics;
 use crate::id::{InstanceId, ServiceName};
 use crate::limit::Allocator;
-use crate::platform::{GatewaySettings, KvClient, SettingsError};
+use crate::platform::{GatewaySettings, KvClient};
 use crate::pool::{Change, Pool, PoolKey};
 use crate::prompts::Pauses;
 use crate::quarantine::{Quarantine, Runs};
+use crate::reload::SettingsFile;
 use crate::route::Table;
-use crate::shutdown::StopSignals;
+use crate::shutdown::{StopSignals, run_stop};
 use crate::store::Position;
+use crate::task::{self, Unfinished};
 use actix_http::{KeepAlive, ServiceConfig};
+use listeners::Listeners;
 use slotmap::SecondaryMap;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::fmt::{self, Display};
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 
 /// Interval at which peer loads, endpoint states and configuration pulls are brought up to date.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval at which the settings file is read again, since it may change without a signal.
-const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 
-/// The reason why an instance cannot start.
+/// The reason why an instance cannot start, or has not stopped in order.
 #[derive(Debug)]
 pub enum GatewayError {
-    /// The settings file cannot be read.
-    File(std::io::Error),
-    /// The settings file is not valid.
-    Settings(SettingsError),
-    /// The settings do not contain `listen.front`, the address for callers.
-    NoFront,
-    /// Listening on an address failed.
-    Bind(SocketAddr, std::io::Error),
     /// A signal handler cannot be installed.
     Signal(std::io::Error),
+    /// The stop has not come to its end before the process would be killed.
+    Stop(Unfinished),
 }
 
 impl fmt::Display for GatewayError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            GatewayError::File(e) => write!(f, "cannot read the settings file: {e}"),
-            GatewayError::Settings(e) => write!(f, "{e}"),
-            GatewayError::NoFront => f.write_str("listen.front is missing"),
-            GatewayError::Bind(a, e) => write!(f, "cannot listen on {a}: {e}"),
             GatewayError::Signal(e) => write!(f, "cannot install a signal handler: {e}"),
+            GatewayError::Stop(e) => write!(f, "the stop has {e}"),
         }
     }
 }
@@ -103,6 +97,7 @@
 struct Gateway {
     settings: RefCell<GatewaySettings>,
     ring: RefCell<EventRing>,
+    memory: RefCell<memory::MemoryState>,
     /// Changes of the fleet that are not in the log yet.
     waves: RefCell<WaveLog>,
     /// Operators' configuration in force; `None` until the first one is known.
@@ -120,6 +115,8 @@
     backlog: RefCell<Backlog>,
     /// Notified when the backlog has decided anew on a response.
     unread: RefCell<SecondaryMap<HeldKey, Rc<Notify>>>,
+    /// Whether connections of callers are accepted.
+    callers_accepted: Rc<Cell<bool>>,
     /// Open connections from callers.
     callers: RefCell<Callers>,
     /// Notified when a connection has to be closed.
@@ -186,62 +183,63 @@
     work_changed: Notify,
 }
 
-/// Reads and parses a settings file.
-///
-/// # Errors
-///
-/// Returns [`GatewayError`] if the file cannot be read or is not valid.
-pub fn read_settings(file: &Path) -> Result<GatewaySettings, GatewayError> {
-    let text = std::fs::read_to_string(file).map_err(GatewayError::File)?;
-    GatewaySettings::parse(&text).map_err(GatewayError::Settings)
-}
-
 /// Runs an instance until it is asked to stop and has finished its requests.
 ///
-/// `file` is read again when it changes. If `port` is set, readiness and metrics are also served on
-/// this port of the address for callers.
+/// The settings in `file` are waited for, and read again when they change; `name_log` is called with
+/// the name of the instance once it is known. If `port` is set, readiness and metrics are also served
+/// on this port of the address for callers.
 ///
 /// # Errors
 ///
-/// Returns [`GatewayError`] if the instance cannot start.
+/// Returns [`GatewayError`] if the instance cannot start, or does not come to the end of its stop in time.
 pub async fn run(
     file: PathBuf,
-    settings: GatewaySettings,
     metrics: Metrics,
     port: Option<u16>,
+    name_log: impl FnOnce(&InstanceId),
 ) -> Result<(), GatewayError> {
+    crate::memory::map_buffers();
     let mut stop_signals = StopSignals::install().map_err(GatewayError::Signal)?;
-    let hangups = signal(SignalKind::hangup()).map_err(GatewayError::Signal)?;
-    let front = settings.caller_address.ok_or(GatewayError::NoFront)?;
+    // A hang-up from here on makes the file be read again.
+    let hangups = Rc::new(Mutex::new(signal(SignalKind::hangup()).map_err(GatewayError::Signal)?));
+    let mut file = SettingsFile::new(file);
+    let usable = file.wait_usable(&mut stop_signals, reload::parse_first).await;
+    let Some((settings, front)) = usable else { return Ok(()) };
+    name_log(&settings.instance);
+    let listeners = Listeners::open(&settings, front, port);
     let gw = Rc::new(Gateway::new(&settings, metrics));
     callers::step(&gw);
     gw.event(Kind::Started, &settings.instance, format_args!("data_centre={}", settings.centre));
-    for address in
-        [settings.probe_address, port.map(|p| SocketAddr::new(front.ip(), p))].into_iter().flatten()
-    {
-        let listener = bind(address).await?;
-        actix_rt::spawn(serve::accept_probes(gw.clone(), listener));
+    for opening in listeners.probes {
+        serve::start_probes(&gw, opening);
     }
-    actix_rt::spawn(serve::accept_callers(gw.clone(), bind(front).await?));
-    actix_rt::spawn(follow::follow_store(gw.clone()));
-    actix_rt::spawn(run_maintenance(gw.clone()));
-    actix_rt::spawn(callers::relieve(gw.clone()));
-    actix_rt::spawn(outage::poll_engines(gw.clone()));
-    actix_rt::spawn(refusals::publish_refused(gw.clone()));
-    actix_rt::spawn(limits::request_permits(gw.clone()));
-    if let Some(address) = settings.peer_address {
-        inbox::start(&gw, address).await.map_err(|e| GatewayError::Bind(address, e))?;
-        copy::start(&gw, address).await?;
-        actix_rt::spawn(suspects::run_gossip(gw.clone()));
+    serve::start_callers(&gw, listeners.callers);
+    keep(&gw, "store", follow::follow_store);
+    keep(&gw, "slow store", follow::read_slowly);
+    keep(&gw, "maintenance", run_maintenance);
+    keep(&gw, "relief", callers::relieve);
+    keep(&gw, "outages", outage::poll_engines);
+    keep(&gw, "refusals", refusals::publish_refused);
+    keep(&gw, "permits", limits::request_permits);
+    if let Some(peers) = listeners.peers {
+        inbox::start(&gw, peers);
     }
-    actix_rt::spawn(reload(gw.clone(), file, hangups));
+    let file = Rc::new(Mutex::new(file));
+    keep(&gw, "reload", move |gw| reload::run(gw, file.clone(), hangups.clone()));
     stop_signals.wait().await;
-    stop::run(&gw).await;
-    Ok(())
+    let grace = gw.settings.borrow().stop_grace;
+    let drain = gw.stop.begin(clock::now(), grace);
+    run_stop(drain, || stop::run(&gw)).await.map_err(GatewayError::Stop)
 }
 
-async fn bind(address: SocketAddr) -> Result<actix_rt::net::TcpListener, GatewayError> {
-    http::bind(address).await.map_err(|e| GatewayError::Bind(address, e))
+/// Starts a task that serves as long as the process runs.
+fn keep<F: Future<Output = ()>>(
+    gw: &Rc<Gateway>,
+    name: &'static str,
+    run: impl Fn(Rc<Gateway>) -> F + 'static,
+) {
+    let gw = gw.clone();
+    task::keep(name, move || run(gw.clone()));
 }
 
 fn codec() -> ServiceConfig {
@@ -267,8 +265,10 @@
             )),
             backlog: RefCell::new(Backlog::new(settings.memory_bytes())),
             unread: RefCell::default(),
+            callers_accepted: Rc::default(),
             callers: RefCell::default(),
             closing: RefCell::default(),
+            memory: RefCell::default(),
             active_requests: Cell::new(0),
             stop: stop::StopState::default(),
             codec: codec(),
@@ -304,6 +304,12 @@
         }
     }
 
+    /// Returns a function that records events of listening sockets.
+    fn recorder(self: &Rc<Self>) -> impl Fn(Kind, &str, &str) + use<> {
+        let gw = self.clone();
+        move |kind, subject, detail| gw.event(kind, subject, detail)
+    }
+
     fn event(&self, kind: Kind, subject: impl Display, detail: impl Display) {
         let (subject, detail) = (subject.to_string(), detail.to_string());
         self.ring.borrow_mut().push(clock::wall(), kind, &subject, &detail);
@@ -335,7 +341,8 @@
 
     /// Returns whether new connections should be sent to this instance.
     fn is_ready(&self) -> bool {
-        !self.stop.is_requested() && self.table.borrow().is_some()
+        let is_serving = self.callers_accepted.get() && !self.stop.is_requested();
+        is_serving && self.table.borrow().is_some()
     }
 }
 
@@ -371,48 +378,43 @@
     }
 }
 
+/// Step of the maintenance.
+type Step = fn(&Rc<Gateway>, Instant);
+
+/// Steps of the maintenance by name. A panic of one leaves the others as they are.
+const MAINTENANCE_STEPS: [(&str, Step); 9] = [
+    ("pool", step_pool),
+    ("quarantine", |gw, _| quarantine::step(gw)),
+    ("backlog", |gw, _| unread::step(gw)),
+    ("connections", |gw, _| callers::step(gw)),
+    ("memory", |gw, now| memory::step(gw, now)),
+    ("limits", |gw, now| limits::step(gw, now)),
+    ("retries", |gw, now| retries::step(gw, now)),
+    ("evacuations", |gw, now| evacuation::step(gw, now)),
+    ("configuration", |gw, _| copy::fetch_newer(gw)),
+];
+
 async fn run_maintenance(gw: Rc<Gateway>) {
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
         let now = clock::now();
         let delay = gw.lag.borrow_mut().record(now, MAINTENANCE_INTERVAL);
         metrics::histogram!("lag_seconds").record(delay.as_secs_f64());
-        gw.peer_loads.borrow_mut().step(now);
-        gw.pool.borrow_mut().update_all_peer_work(&mut gw.peer_loads.borrow_mut());
-        let changes = gw.pool.borrow_mut().step(now);
-        changes.into_iter().for_each(|c| gw.log_change(c));
-        let waves = gw.waves.borrow_mut().step(now);
-        waves.into_iter().for_each(|w| gw.event(w.kind, w.subject, w.detail));
-        quarantine::step(&gw);
-        unread::step(&gw);
-        callers::step(&gw);
-        limits::step(&gw, now);
-        retries::step(&gw, now);
-        evacuation::step(&gw, now);
-        copy::fetch_newer(&gw);
+        for (name, step) in MAINTENANCE_STEPS {
+            // A panic has been logged, and the step is due again after the interval.
+            let _ = task::step(name, || step(&gw, now));
+        }
     }
 }
 
-/// Applies changed settings, on SIGHUP and when a periodic check finds the file changed.
-async fn reload(gw: Rc<Gateway>, file: PathBuf, mut hangups: tokio::signal::unix::Signal) {
-    loop {
-        let is_requested = tokio::select! {
-            received = hangups.recv() => received.is_some(),
-            () = tokio::time::sleep(RELOAD_INTERVAL) => false,
-        };
-        match read_settings(&file) {
-            Ok(settings) if settings == *gw.settings.borrow() => {
-                if is_requested {
-                    gw.event(Kind::Reloaded, &settings.instance, "changed=false");
-                }
-            }
-            Ok(settings) => {
-                gw.event(Kind::Reloaded, &settings.instance, "changed=true");
-                *gw.settings.borrow_mut() = settings;
-            }
-            Err(e) => log::warn!("settings not reloaded, the previous ones stay in force: {e}"),
-        }
-    }
+/// Brings the endpoints and the work of other instances up to date, and logs what has changed.
+fn step_pool(gw: &Rc<Gateway>, now: Instant) {
+    gw.peer_loads.borrow_mut().step(now);
+    gw.pool.borrow_mut().update_all_peer_work(&mut gw.peer_loads.borrow_mut());
+    let changes = gw.pool.borrow_mut().step(now);
+    changes.into_iter().for_each(|c| gw.log_change(c));
+    let waves = gw.waves.borrow_mut().step(now);
+    waves.into_iter().for_each(|w| gw.event(w.kind, w.subject, w.detail));
 }
 
 /// Varies a duration randomly by up to a quarter either way, so that instances do not act in
--- a/src/gateway/outage.rs
+++ b/src/gateway/outage.rs
@@ -11,6 +11,7 @@
 use crate::platform;
 use crate::pool::{Closure, Endpoint, PoolKey, Purpose};
 use crate::store::{ChangeFeed, StoreError};
+use crate::task;
 use std::fmt::Display;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -52,7 +53,7 @@
         };
         gw.store_lost.set(!is_reachable);
         for (key, address) in due_polls(&gw, clock::now(), &mut schedule) {
-            actix_rt::spawn(poll_engine(gw.clone(), key, address));
+            task::spawn("poll", poll_engine(gw.clone(), key, address));
         }
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -24,6 +24,21 @@
 /// Key with which an instance signs its messages.
 pub type SigningKey = [u8; KEY_BYTES];
 
+/// What peers know this run of the process by.
+#[derive(Debug)]
+pub struct Identity {
+    /// Signs its messages.
+    pub key: SigningKey,
+    incarnation: Incarnation,
+}
+
+impl Identity {
+    /// Returns an identity that no other run has.
+    pub fn random() -> Self {
+        Identity { key: rand::random(), incarnation: Incarnation::random() }
+    }
+}
+
 /// Another instance.
 #[derive(Debug)]
 pub struct Peer {
@@ -51,7 +66,7 @@
 /// Sends messages to peers and matches admission replies with requests.
 #[derive(Debug, Default)]
 pub struct Messenger {
-    /// `None` where the settings name no address for peers.
+    /// `None` where the settings name no address for peers, or its socket is not open.
     sender: RefCell<Option<Sender>>,
     /// Requests without a reply yet, by their numbers.
     pending: RefCell<HashMap<u64, oneshot::Sender<Reply>>>,
@@ -75,13 +90,18 @@
 }
 
 impl Messenger {
-    /// Sends from now on, from this socket and signed with this key.
-    pub fn open(&self, socket: Rc<UdpSocket>, key: &SigningKey) {
-        let keys = Keyring::new(&[Arc::from(&key[..])]);
-        let sender = Sender { socket, keys, incarnation: Incarnation::random() };
+    /// Sends from now on, from this socket and with this identity.
+    pub fn open(&self, socket: Rc<UdpSocket>, identity: &Identity) {
+        let keys = Keyring::new(&[Arc::from(&identity.key[..])]);
+        let sender = Sender { socket, keys, incarnation: identity.incarnation };
         *self.sender.borrow_mut() = Some(sender);
     }
 
+    /// Sends nothing until it is opened again.
+    pub fn close(&self) {
+        *self.sender.borrow_mut() = None;
+    }
+
     /// Returns a number that no other request of this instance has.
     pub fn number(&self) -> u64 {
         let number = self.next_number.get();
--- a/src/gateway/refusals.rs
+++ b/src/gateway/refusals.rs
@@ -85,9 +85,11 @@
         let wall = wall.as_millis() as u64;
         let passed = self.written_ms.map_or(0, |written| wall.saturating_sub(written));
         for row in &mut self.parts.rows {
-            row.crashes.iter_mut().chain(&mut row.cleared).for_each(|c| c.age += passed);
+            let crashes = row.crashes.iter_mut().chain(&mut row.cleared);
+            crashes.for_each(|c| c.age = c.age.saturating_add(passed));
         }
-        self.contents.iter_mut().flat_map(|s| &mut s.runs).for_each(|run| run.age += passed);
+        let runs = self.contents.iter_mut().flat_map(|s| &mut s.runs);
+        runs.for_each(|run| run.age = run.age.saturating_add(passed));
     }
 }
 
@@ -137,7 +139,10 @@
             match publish(&gw, &refused, until).await {
                 Ok(true) => drop(gw.published.borrow_mut().insert(refused)),
                 Ok(false) => {
-                    log::warn!("refusal of {refused} not written to the store: its lease has ended")
+                    log::warn!(
+                        "refusal of {refused} not written to the store: its lease has ended"
+                    );
+                    tokio::time::sleep(jitter(STORE_RETRY_INTERVAL)).await;
                 }
                 Err(e) => {
                     log::debug!("refusal of {refused} not written to the store: {e:?}");
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -1,54 +1,50 @@
 //! Accepts and serves connections of callers, and probes for readiness and metrics.
 
-use super::callers::{self, CallerGuard};
+use super::callers::CallerGuard;
 use super::job::{self, Job};
+use super::listeners::BoundedOpening;
 use super::respond::{Disposition, disposition};
-use super::{Gateway, call, explain, quarantine, stream};
+use super::{Gateway, call, explain, keep, quarantine, stream};
 use crate::callers::{Listener, Load, Part};
 use crate::clock;
-use crate::h1::{Inbound, ReadError, RequestLimits};
+use crate::h1::{Head, Inbound, ReadError, RequestLimits};
+use crate::net::{Accept, Acceptor};
 use crate::platform;
 use crate::problem::Problem;
 use crate::route::RouteKind;
 use crate::shutdown::Phase;
 use crate::startup;
-use actix_http::{Request, Response, StatusCode};
-use actix_rt::net::{TcpListener, TcpStream};
+use crate::task;
+use actix_http::{Response, StatusCode};
+use actix_rt::net::TcpStream;
 use bytes::Bytes;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::sync::Mutex;
 
-/// Time after which a caller may send a body again for which there was no memory.
+/// Time after which a caller may send a request again for which there was no memory.
 const BODY_RETRY_TIME: Duration = Duration::from_millis(500);
 /// Time that an idle connection stays open beyond the timeout that callers are told.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
 /// Accepts callers until this instance closes.
-pub async fn accept_callers(gw: Rc<Gateway>, listener: TcpListener) {
-    callers::bound_buffers(&listener);
+pub fn start_callers(gw: &Rc<Gateway>, opening: BoundedOpening) {
+    let acceptor = Acceptor::new(opening, gw.recorder()).show_in(gw.callers_accepted.clone());
+    let acceptor = Rc::new(Mutex::new(acceptor));
+    keep(gw, "callers", move |gw| accept_callers(gw, acceptor.clone()));
+}
+
+async fn accept_callers(gw: Rc<Gateway>, acceptor: Rc<Mutex<impl Accept>>) {
+    let mut acceptor = acceptor.lock().await;
     loop {
         let io = tokio::select! {
             biased;
             () = gw.stop.reached(Phase::Closing) => return,
-            io = accept(&listener) => io,
+            io = acceptor.accept() => io,
         };
         // Reading a request only to refuse it would hold the same descriptor.
         if let Some(caller) = CallerGuard::admit(&gw, Listener::Front) {
-            actix_rt::spawn(serve_connection(gw.clone(), io, caller));
-        }
-    }
-}
-
-/// Accepts a connection, retrying after errors.
-pub async fn accept(listener: &TcpListener) -> TcpStream {
-    loop {
-        match listener.accept().await {
-            Ok((io, _)) => return io,
-            Err(e) => {
-                // Most likely out of file descriptors, which are freed as connections end.
-                log::warn!("accepting a connection failed: {e}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
+            task::spawn("connection", serve_connection(gw.clone(), io, caller));
         }
     }
 }
@@ -91,6 +87,7 @@
         if !is_readable {
             return;
         }
+        caller.arrive();
         let active = CountGuard::new(&gw.active_requests);
         let disposition = serve_request(gw, &mut conn, &limits, caller).await;
         drop(active);
@@ -110,7 +107,7 @@
     caller: &CallerGuard,
 ) -> Disposition {
     let mut reserved = BodyReservation { gw, load: &caller.load, bytes: 0 };
-    let (req, body) = match conn.read_request(limits, |n| reserved.grow(n)).await {
+    let (req, body) = match conn.read_request(limits, |part, n| reserved.admit(part, n)).await {
         Ok(read) => read,
         Err(e) => return answer_read_error(gw, conn, &e).await,
     };
@@ -180,7 +177,14 @@
 }
 
 impl BodyReservation<'_> {
-    /// Reserves memory for a part of a body; returns `false` if there is none.
+    /// Reserves memory for a part of a request; returns `false` if there is none.
+    fn admit(&mut self, part: Part, bytes: usize) -> bool {
+        match part {
+            Part::Body => self.grow(bytes),
+            _ => self.load.has_room(bytes),
+        }
+    }
+
     fn grow(&mut self, bytes: usize) -> bool {
         // While a buffer grows, there is a copy of it.
         let has_room =
@@ -220,16 +224,22 @@
 }
 
 /// Accepts connections that ask for readiness or metrics.
-pub async fn accept_probes(gw: Rc<Gateway>, listener: TcpListener) {
-    callers::bound_buffers(&listener);
+pub fn start_probes(gw: &Rc<Gateway>, opening: BoundedOpening) {
+    let acceptor = Acceptor::new(opening, gw.recorder());
+    let acceptor = Rc::new(Mutex::new(acceptor));
+    keep(gw, "probes", move |gw| accept_probes(gw, acceptor.clone()));
+}
+
+async fn accept_probes(gw: Rc<Gateway>, acceptor: Rc<Mutex<impl Accept>>) {
+    let mut acceptor = acceptor.lock().await;
     loop {
         let io = tokio::select! {
             biased;
             () = gw.stop.reached(Phase::Stopped) => return,
-            io = accept(&listener) => io,
+            io = acceptor.accept() => io,
         };
         if let Some(caller) = CallerGuard::admit(&gw, Listener::Probes) {
-            actix_rt::spawn(serve_probes(gw.clone(), io, caller));
+            task::spawn("probe", serve_probes(gw.clone(), io, caller));
         }
     }
 }
@@ -250,7 +260,7 @@
         if conn.wait_readable(limits.idle_timeout).await.is_err() {
             return;
         }
-        let Ok((req, _)) = conn.read_request(&limits, |_| true).await else { return };
+        let Ok((req, _)) = conn.read_request(&limits, |_, _| true).await else { return };
         caller.begin();
         let (head, body) = answer_probe(gw, req);
         let sent = conn.send_response(head, body, false).await;
@@ -261,7 +271,7 @@
     }
 }
 
-fn answer_probe(gw: &Gateway, req: Request) -> (Response<()>, Bytes) {
+fn answer_probe(gw: &Gateway, req: Head) -> (Response<()>, Bytes) {
     if let Some(path) = platform::explained_path(&req) {
         return explain::answer(gw, req, &path);
     }
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -1,4 +1,4 @@
-//! Timing of a stream, and why it failed.
+//! Timing of a stream, and how it ends.
 
 use super::attempt::AttemptError;
 use crate::h1::Broken;
@@ -79,11 +79,7 @@
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Failure::Cut(Broken::Io(e)) => write!(f, "connection to the engine lost: {e}"),
-            Failure::Cut(Broken::Early) => {
-                f.write_str("engine closed the connection before the end of the stream")
-            }
-            Failure::Cut(Broken::Malformed) => f.write_str("malformed"),
+            Failure::Cut(why) => write!(f, "{why}"),
             Failure::Unread => f.write_str("unread"),
             Failure::Late => f.write_str("late"),
             Failure::Gap => f.write_str("gap in the event ids"),
@@ -93,3 +89,19 @@
         }
     }
 }
+
+/// How a segment ended.
+#[derive(Debug)]
+pub enum SegmentEnd {
+    /// The response is complete.
+    Complete,
+    /// The connection ended after an event, at the end of the response or because a migration has
+    /// stopped the generation.
+    Closed,
+    /// The engine stopped the generation for a migration, or the connection broke.
+    Interrupted(Broken),
+    /// The caller has disconnected.
+    CallerGone,
+    /// The stream cannot be completed.
+    Failed(Failure),
+}
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -26,6 +26,21 @@
 }
 
 impl StopState {
+    /// Begins the stop of an instance that is killed `grace` after `now`.
+    pub fn begin(&self, now: Instant, grace: Duration) -> Drain {
+        let drain = Drain::new(now, grace);
+        self.drain.set(Some(drain));
+        drain
+    }
+
+    /// Returns the phase that the instance is in now; the first one if the stop has not begun.
+    fn step(&self, now: Instant, open: OpenWork) -> Phase {
+        let mut drain = self.drain.get();
+        let phase = drain.as_mut().map_or(Phase::Serving, |drain| drain.step(now, open));
+        self.drain.set(drain);
+        phase
+    }
+
     /// Returns whether the instance has been asked to stop.
     pub fn is_requested(&self) -> bool {
         self.phase.get() > Phase::Serving
@@ -48,23 +63,22 @@
     }
 }
 
-/// Takes this instance through the phases of its stop, and returns once the process can exit.
+/// Takes this instance through the phases of a stop that has begun, and returns once the process can
+/// exit. Called again after a panic, it goes on in the phase that was reached.
 pub async fn run(gw: &Gateway) {
-    let settings = gw.settings.borrow().clone();
-    let mut drain = Drain::new(clock::now(), settings.stop_grace);
-    gw.stop.drain.set(Some(drain));
-    let mut phase = Phase::Draining;
+    let instance = gw.settings.borrow().instance.clone();
+    let mut phase = gw.stop.phase.get().max(Phase::Draining);
     loop {
         if gw.stop.phase.replace(phase) != phase {
-            log_phase(gw, &settings.instance, phase);
             gw.stop.changed.notify_waiters();
+            log_phase(gw, &instance, phase);
         }
         if phase == Phase::Stopped {
             break;
         }
         tokio::time::sleep(CHECK_INTERVAL).await;
         let open = OpenWork { connections: connections(gw), requests: gw.active_requests.get() };
-        phase = drain.step(clock::now(), open);
+        phase = gw.stop.step(clock::now(), open);
     }
     tokio::time::sleep(LOG_FLUSH_TIME).await;
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -5,18 +5,19 @@
 use super::job::{self, Job, log_id};
 use super::migrate::{self, MoveOutcome};
 use super::respond::{Disposition, disposition};
-use super::stats::{Failure, StreamStats};
+use super::stats::{Failure, SegmentEnd, StreamStats};
 use super::transfer::RunningGeneration;
 use super::unread::{self, Holder};
 use super::{Gateway, examine, pauses, quarantine};
 use crate::backlog::Flow;
 use crate::clock;
 use crate::event::Kind;
-use crate::h1::{Broken, Framing, Inbound};
+use crate::h1::{Broken, Fault, Framing, Inbound};
 use crate::platform;
 use crate::pool::TokenTimer;
 use crate::shutdown::Phase;
-use crate::sse::{self, EventId, EventOrder, EventScanner};
+use crate::sse::{self, EventOrder, EventScanner, Sequence};
+use crate::task;
 use actix_http::body::BodySize;
 use bytes::{Bytes, BytesMut};
 use std::cell::Cell;
@@ -45,8 +46,10 @@
     buf: BytesMut,
     /// Finds the events in `buf`.
     scanner: EventScanner,
-    /// Id of the last event sent to the caller.
-    last_id: Option<EventId>,
+    /// Events sent to the caller.
+    sequence: Sequence,
+    /// Whether the present segment has had an event that was sent to the caller.
+    has_events: bool,
     stats: StreamStats,
     /// Set when the stream has ended, to stop a migration under way.
     ended: Rc<Cell<bool>>,
@@ -62,22 +65,6 @@
     last_hold: Option<Instant>,
 }
 
-/// How a segment ended.
-#[derive(Debug)]
-enum SegmentEnd {
-    /// The response is complete.
-    Complete,
-    /// The connection ended after an event, at the end of the response or because a migration has
-    /// stopped the generation.
-    Closed,
-    /// The engine stopped the generation for a migration, or the connection broke.
-    Interrupted(Broken),
-    /// The caller has disconnected.
-    CallerGone,
-    /// The stream cannot be completed.
-    Failed(Failure),
-}
-
 /// How a stream goes on after the end of a segment during a migration.
 #[derive(Debug)]
 enum Resumption {
@@ -104,7 +91,7 @@
     };
     let close = gw.stop.is_requested();
     match dispatched {
-        Ok(segment) if segment.response.info.status.is_success() => {
+        Ok(segment) if segment.response.is_stream() => {
             let holder = Rc::new(Holder::new(gw, log_id(job.meta.id.as_ref())));
             let mut stream = Stream::new(gw, job, segment, holder.clone());
             let ended = stream.ended.clone();
@@ -136,20 +123,22 @@
 ) -> Disposition {
     let mut response = segment.response;
     let read = tokio::select! {
-        body = response.out.read_body(MAX_BODY_BYTES) => body.ok(),
-        () = gw.stop.reached(Phase::Expiring) => None,
-        () = tokio::time::sleep_until(job.deadline.into()) => None,
+        body = response.out.read_body(MAX_BODY_BYTES) => body.map_err(AttemptError::of_break),
+        () = gw.stop.reached(Phase::Expiring) => Err(AttemptError::Stopping),
+        () = tokio::time::sleep_until(job.deadline.into()) => Err(AttemptError::Late),
     };
+    let id = log_id(job.meta.id.as_ref());
     match read {
-        Some(body) => {
+        Ok(body) => {
             let detail = format!("endpoint={} status={}", response.endpoint, response.info.status);
-            let id = log_id(job.meta.id.as_ref());
             gw.event(Kind::Answered, id, detail);
-            let head = platform::response_head(&response.head);
-            unread::respond(gw, conn, id, head, body, close).await
+            unread::respond(gw, conn, id, &response, body, close).await
         }
-        None => {
-            let problem = attempt::unknown_outcome(job, AttemptError::Broken);
+        Err(error) => {
+            if error.reason().is_some() {
+                attempt::record_error(gw, segment.guard.key, error);
+            }
+            let problem = attempt::unknown_outcome(job, error);
             let sent = job::refuse(gw, conn, job.meta.id.as_ref(), &problem, close).await;
             disposition(conn, sent, close)
         }
@@ -171,7 +160,8 @@
             segment,
             buf: BytesMut::new(),
             scanner: EventScanner::default(),
-            last_id: None,
+            sequence: Sequence::default(),
+            has_events: false,
             stats,
             ended: Rc::default(),
             stopping: Rc::default(),
@@ -200,7 +190,11 @@
                 SegmentEnd::Failed(failure) => break failure,
                 SegmentEnd::Interrupted(why) if self.migration.is_none() => {
                     self.record_broken(&why);
-                    match begin::rerun(self.gw, self.job, &self.segment, self.last_id).await {
+                    if !self.sequence.can_continue() {
+                        break Failure::Cut(why);
+                    }
+                    let last = self.sequence.last_id();
+                    match begin::rerun(self.gw, self.job, &self.segment, last).await {
                         Ok(segment) => self.continue_on(segment),
                         Err(_) => break Failure::Cut(why),
                     }
@@ -234,7 +228,7 @@
             return;
         }
         attempt::record_health(self.gw, self.segment.guard.key, false);
-        let (host, cause) = (self.segment.run.host(), examine::cause(why));
+        let (host, cause) = (self.segment.run.host(), examine::cause(*why));
         examine::check_crash(self.gw, self.job, host, self.segment.sent, cause);
     }
 
@@ -317,7 +311,6 @@
     fn next_flow(&mut self) -> Flow {
         let flow = self.holder.flow();
         if flow == Flow::Hold {
-            self.segment.response.out.bound_buffer();
             self.last_hold = Some(clock::now());
         }
         flow
@@ -348,10 +341,10 @@
         SegmentEnd::Complete
     }
 
-    /// Returns whether a response that ended was cut before its first event: a generation has at
-    /// least one, and an end of the connection alone does not show that there was none.
+    /// Returns whether a response that ended was cut before its first event: a generation, and the rest
+    /// of one, has at least one, and an end of the connection alone does not show that there was none.
     fn is_cut_at_start(&self, framing: Framing) -> bool {
-        framing == Framing::Close && self.stats.events == 0
+        framing == Framing::Close && !self.has_events
     }
 
     /// Sends the complete events in the buffer to the caller, skipping repeated ones.
@@ -360,9 +353,8 @@
         let mut events = 0;
         while let Some(event) = self.scanner.scan(&self.buf) {
             let bytes = self.buf.split_to(event.len);
-            match sse::check_order(self.last_id, event.id) {
+            match self.sequence.add(&event) {
                 EventOrder::Next => {
-                    self.last_id = event.id.or(self.last_id);
                     events += u32::from(!event.is_comment);
                     out.unsplit(bytes);
                 }
@@ -371,7 +363,7 @@
             }
         }
         if self.buf.len() > MAX_EVENT_BYTES {
-            return Err(Failure::Cut(Broken::Malformed));
+            return Err(Failure::Cut(Broken::Malformed(Fault::EventSize)));
         }
         if events > 0 {
             self.record_events(events);
@@ -387,6 +379,7 @@
     /// Records that the engine has sent events.
     fn record_events(&mut self, events: u32) {
         let now = clock::now();
+        self.has_events = true;
         self.segment.guard.finish_prefill();
         self.segment.run.record_event();
         if self.stats.events == 0 {
@@ -399,7 +392,7 @@
         }
         pauses::record_pause(self.gw, now, self.job, &self.segment, self.stats.last_event);
         self.stats.record(self.job.received, now, events);
-        let tokens = events * self.job.engine().map_or(1, |e| e.event_tokens);
+        let tokens = events.saturating_mul(self.job.engine().map_or(1, |e| e.event_tokens));
         self.used_tokens.set(self.used_tokens.get().saturating_add(tokens));
         if let Some(time) = self.timer.record(now, tokens) {
             self.gw.pool.borrow_mut().observe_token_time(now, self.segment.guard.key, time);
@@ -409,7 +402,8 @@
     /// Starts a migration if the engine is leaving and its service supports migration.
     fn start_migration(&mut self) {
         let (Some(id), Some(spec)) = (&self.job.meta.id, &self.job.spec) else { return };
-        if !spec.engine.as_ref().is_some_and(|e| e.can_migrate) {
+        let can_migrate = spec.engine.as_ref().is_some_and(|e| e.can_migrate);
+        if !can_migrate || !self.sequence.can_continue() {
             return;
         }
         let source = self.segment.guard.key;
@@ -428,8 +422,11 @@
             ended: self.ended.clone(),
             stopping: self.stopping.clone(),
         };
-        self.migration =
-            Some(actix_rt::spawn(migrate::migrate_generation(self.gw.clone(), generation)));
+        let migration = migrate::migrate_generation(self.gw.clone(), generation);
+        self.migration = Some(actix_rt::spawn(async move {
+            let moved = task::run("migration", migration).await;
+            moved.unwrap_or(MoveOutcome::Stay("migration task panicked"))
+        }));
     }
 
     /// Continues the stream on the engine that the generation has migrated to.
@@ -449,11 +446,15 @@
             Err(_) => return Err(Failure::Unmoved("migration timed out")),
         };
         self.drain(conn).await?;
-        let opened =
-            begin::open_segment(self.gw, self.job, guard, Some(&handoff), self.last_id).await;
+        if !self.sequence.can_continue() {
+            permit.release();
+            return Err(Failure::Unmoved("the last event has no number"));
+        }
+        let last = self.sequence.last_id();
+        let opened = begin::open_segment(self.gw, self.job, guard, Some(&handoff), last).await;
         permit.settle(opened.as_ref().is_err_and(|e| e.is_undelivered()));
         let segment = opened.map_err(Failure::Refused)?;
-        if !segment.response.info.status.is_success() {
+        if !segment.response.is_stream() {
             return Err(Failure::Failed(segment.response.info.status.as_u16()));
         }
         let runs = self.segment.runs;
@@ -468,6 +469,8 @@
     fn continue_on(&mut self, segment: Segment) {
         self.buf.clear();
         self.scanner = EventScanner::default();
+        self.has_events = false;
+        self.sequence.continue_elsewhere();
         self.stopping = Rc::default();
         self.segment = segment;
         self.timer = TokenTimer::default();
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -5,6 +5,7 @@
 use crate::frame::Gossip;
 use crate::gossip::PeerMessage;
 use crate::quarantine::Scope;
+use crate::task;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,7 +28,7 @@
 /// Tells an instance that has started what this one knows, if it follows the store.
 pub fn inform_started(gw: &Rc<Gateway>, to: SocketAddr) {
     let gw = gw.clone();
-    actix_rt::spawn(async move {
+    task::spawn("greeting", async move {
         tokio::time::sleep(PEER_START_TIME).await;
         if !peers::is_reader(&gw) {
             return;
--- a/src/gateway/unread.rs
+++ b/src/gateway/unread.rs
@@ -1,12 +1,14 @@
 //! Responses to callers that read slowly.
 
 use super::Gateway;
+use super::attempt::EndpointResponse;
 use super::respond::{Disposition, disposition};
 use crate::backlog::{Flow, HeldKey};
 use crate::clock;
 use crate::event::Kind;
 use crate::h1::Inbound;
-use actix_http::Response;
+use crate::platform;
+use actix_http::body::BodySize;
 use bytes::Bytes;
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -82,16 +84,18 @@
     }
 }
 
-/// Sends a whole response, which is held for as long as the caller reads it.
+/// Sends the whole response of an endpoint, which is held for as long as the caller reads it.
 pub async fn respond(
     gw: &Rc<Gateway>,
     conn: &mut Inbound,
     id: &str,
-    head: Response<()>,
+    response: &EndpointResponse,
     body: Bytes,
     close: bool,
 ) -> Disposition {
-    let mut sent = conn.queue_response(head, body, close);
+    let head = platform::response_head(&response.head);
+    let size = response.out.stated_size().unwrap_or(BodySize::Sized(body.len() as u64));
+    let mut sent = conn.queue_response(head, size, body, close);
     if sent.is_ok() && conn.unsent() > 0 {
         sent = Holder::new(gw, id).send_rest(conn).await;
     }
--- a/src/gossip/message.rs
+++ b/src/gossip/message.rs
@@ -317,8 +317,12 @@
     }
 }
 
+/// Largest count of a row that is told from larger ones. The sum over 4,000 instances fits.
+const MAX_ROW_COUNT: u32 = 1 << 20;
+
 /// Converts a row to the work at its endpoint.
 pub fn decode_row((tag, open, held, unread, copies): Row) -> (Tag, Work) {
+    let (open, copies) = (open.min(MAX_ROW_COUNT), copies.min(MAX_ROW_COUNT));
     (tag, Work { open, held: u64::from(held), unread: u64::from(unread), copies })
 }
 
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -177,7 +177,7 @@
 ) -> [Option<&'i InstanceId>; 2] {
     let strongest = instances.clone().map(|(_, power)| power.0).max().unwrap_or(0);
     let mut best = [None, None];
-    for (i, _) in instances.filter(|(_, power)| power.0 * 2 >= strongest) {
+    for (i, _) in instances.filter(|(_, power)| power.0.saturating_mul(2) >= strongest) {
         let entry = Some((rendezvous_weight(centre, i), i));
         if entry > best[0] {
             best = [entry, best[0]];
--- a/src/gossip/relay.rs
+++ b/src/gossip/relay.rs
@@ -66,6 +66,19 @@
     Outdated,
 }
 
+/// Responses in a row that name an older era before it counts.
+const MIN_REFUTATIONS: u32 = 5;
+/// Time over which they have to come. A response of before a return of the store takes less.
+const REFUTATION_TIME: Duration = Duration::from_secs(5);
+
+/// Responses in a row that name one era before the newest one.
+#[derive(Debug)]
+struct Refutation {
+    era: Era,
+    since: Instant,
+    count: u32,
+}
+
 /// Position in the store up to which an instance has all changes.
 #[derive(Debug, Default)]
 pub struct StorePosition {
@@ -74,6 +87,8 @@
     era: Option<Era>,
     /// Since when a reader has reported a newer position, and that position.
     behind: Option<(Instant, Position)>,
+    /// Whether the newest era may be wrong.
+    refutation: Option<Refutation>,
 }
 
 impl StorePosition {
@@ -101,6 +116,28 @@
         self.era = self.era.max(Some(at.era));
         self.position = Some(at);
         self.behind = None;
+        self.refutation = None;
+    }
+
+    /// Records a response of an era before the newest one, to a call that was sent after the last
+    /// response. Returns whether an era was named so steadily that the newest one was wrong.
+    pub fn is_refuted(&mut self, now: Instant, at: Position) -> bool {
+        let known = self.refutation.take().filter(|r| r.era == at.era);
+        let first = Refutation { era: at.era, since: now, count: 0 };
+        let refutation = self.refutation.insert(known.unwrap_or(first));
+        refutation.count = refutation.count.saturating_add(1);
+        let time = now.saturating_duration_since(refutation.since);
+        refutation.count >= MIN_REFUTATIONS && time >= REFUTATION_TIME
+    }
+
+    /// Returns whether the last response was of an era before the newest one.
+    pub fn is_disputed(&self) -> bool {
+        self.refutation.is_some()
+    }
+
+    /// Makes the next read a full one, whose era counts whatever it is.
+    pub fn forget_era(&mut self) {
+        *self = StorePosition::default();
     }
 
     /// Makes the next read a full one.
--- a/src/h1/inbound.rs
+++ b/src/h1/inbound.rs
@@ -1,10 +1,14 @@
 //! Connections from callers.
 
+use super::request::{ReadError, RequestLimits};
 use super::{
-    FULL_TIMEOUT, SEND_BUFFER_BYTES, read_available, set_socket_options, try_write, write_some,
+    FULL_TIMEOUT, Head, SEND_BUFFER_BYTES, grow, read_available, set_socket_options, try_write,
+    write_some,
 };
 use crate::backlog::READ_TIMEOUT;
-use crate::callers::{Load, Part, RECEIVE_BUFFER_BYTES};
+use crate::callers::{
+    ENDPOINT_BUFFER_BYTES, Load, Part, RECEIVE_BUFFER_BYTES, RESPONSE_BUFFER_BYTES,
+};
 use actix_http::body::BodySize;
 use actix_http::error::ParseError;
 use actix_http::h1::{Codec, Message};
@@ -21,53 +25,16 @@
 
 /// Time to wait for the caller to close its side after the last response of a connection.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Copies of the head of a request: the one received, and the one that an endpoint has not taken yet.
+const HEAD_COPIES: usize = 2;
+/// Multiple of the size of a send buffer that the kernel reserves.
+const KERNEL_MULTIPLE: usize = 2;
 /// Bytes of pipelined requests that are buffered while a response is pending.
 const MAX_PIPELINED_BYTES: usize = 64 << 10;
 
 /// Interval at which a connection checks whether it may read again.
 const ROOM_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Limits on requests from callers.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct RequestLimits {
-    /// Largest request head in bytes.
-    pub max_head: usize,
-    /// Largest request body in bytes.
-    pub max_body: usize,
-    /// Time limit for the head to arrive, and again for the body.
-    pub arrival_timeout: Duration,
-    /// Time that a connection may be idle between requests.
-    pub idle_timeout: Duration,
-}
-
-impl Default for RequestLimits {
-    fn default() -> Self {
-        RequestLimits {
-            max_head: 16 << 10,
-            max_body: 4 << 20,
-            arrival_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        }
-    }
-}
-
-/// Reason why no request was read.
-#[derive(Debug)]
-pub enum ReadError {
-    /// The caller closed the connection, or left it idle.
-    Closed,
-    /// The head or the body did not arrive in time.
-    Slow,
-    /// The bytes are not a request that can be forwarded safely; holds the reason.
-    Malformed(&'static str),
-    /// The head exceeds [`RequestLimits::max_head`].
-    HeadTooLarge,
-    /// The body exceeds [`RequestLimits::max_body`].
-    BodyTooLarge,
-    /// There is no memory for the body.
-    NoMemory,
-}
-
 /// Interval between checks of whether a caller with many pipelined bytes has disconnected.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -84,6 +51,8 @@
     version: Version,
     /// Whether the end of the connection marks the end of the response.
     is_unframed: bool,
+    /// Bytes that the kernel may hold of a response that the caller does not take.
+    kernel_bytes: usize,
     /// What the connection keeps.
     load: Load,
 }
@@ -100,6 +69,7 @@
             out: BytesMut::new(),
             version: Version::HTTP_11,
             is_unframed: false,
+            kernel_bytes: KERNEL_MULTIPLE * RESPONSE_BUFFER_BYTES,
             load,
         }
     }
@@ -125,17 +95,18 @@
         record_received(&self.load, &self.buf);
     }
 
-    /// The kernel may hold received bytes while some of the response cannot be sent.
+    /// While some of the response cannot be sent, the kernel may hold received bytes, and its buffer for
+    /// sent ones is full.
     fn record_unsent(&self) {
         let bytes = match self.out.len() {
             0 => 0,
-            n => n + RECEIVE_BUFFER_BYTES,
+            _ => self.out.capacity() + self.kernel_bytes + RECEIVE_BUFFER_BYTES,
         };
         self.load.set(Part::Unsent, bytes);
     }
 
-    /// Reads a request with its complete body. `reserve` is called with the size of each part of the
-    /// body, and states whether there is memory for it.
+    /// Reads a request with its complete body. `reserve` is called with the size of the head and of
+    /// each part of the body, and states whether there is memory for it.
     ///
     /// # Errors
     ///
@@ -143,8 +114,8 @@
     pub async fn read_request(
         &mut self,
         limits: &RequestLimits,
-        reserve: impl FnMut(usize) -> bool,
-    ) -> Result<(Request, Bytes), ReadError> {
+        mut reserve: impl FnMut(Part, usize) -> bool,
+    ) -> Result<(Head, Bytes), ReadError> {
         let req = match timeout(limits.arrival_timeout, self.read_head(limits.max_head)).await {
             Ok(done) => done?,
             Err(_) => return Err(ReadError::Slow),
@@ -157,17 +128,28 @@
         if headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING) {
             return Err(ReadError::Malformed("head has both Content-Length and Transfer-Encoding"));
         }
+        let is_expecting = req.head().expect();
+        let head = Head::new(&req);
+        drop(req);
+        // The rest of the buffer would keep the memory of the received head.
+        self.buf = BytesMut::from(&self.buf[..]);
+        self.record_received();
+        if !reserve(Part::Head, HEAD_COPIES * head.bytes() + ENDPOINT_BUFFER_BYTES) {
+            return Err(ReadError::NoMemory);
+        }
+        self.load.set(Part::Response, ENDPOINT_BUFFER_BYTES);
+        self.load.set(Part::Head, HEAD_COPIES * head.bytes());
         if self.codec.message_type() == actix_http::h1::MessageType::None {
-            return Ok((req, Bytes::new()));
+            return Ok((head, Bytes::new()));
         }
-        if req.head().expect() {
+        if is_expecting {
             self.out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
             self.flush().await.map_err(|_| ReadError::Closed)?;
         }
         let read = timeout(limits.arrival_timeout, self.read_body(limits.max_body, reserve)).await;
         self.record_received();
         match read {
-            Ok(done) => Ok((req, done?)),
+            Ok(done) => Ok((head, done?)),
             Err(_) => Err(ReadError::Slow),
         }
     }
@@ -180,10 +162,7 @@
                 Ok(Some(Message::Item(_))) if before - self.buf.len() > max => {
                     return Err(ReadError::HeadTooLarge);
                 }
-                Ok(Some(Message::Item(req))) => {
-                    self.load.set(Part::Head, before - self.buf.len());
-                    return Ok(req);
-                }
+                Ok(Some(Message::Item(req))) => return Ok(req),
                 Ok(Some(Message::Chunk(_))) => {
                     return Err(ReadError::Malformed("body chunk without a head"));
                 }
@@ -198,7 +177,7 @@
     async fn read_body(
         &mut self,
         max: usize,
-        mut reserve: impl FnMut(usize) -> bool,
+        mut reserve: impl FnMut(Part, usize) -> bool,
     ) -> Result<Bytes, ReadError> {
         let mut body = BytesMut::new();
         loop {
@@ -207,7 +186,7 @@
                     if body.len() + chunk.len() > max {
                         return Err(ReadError::BodyTooLarge);
                     }
-                    if !reserve(chunk.len()) {
+                    if !reserve(Part::Body, chunk.len()) {
                         return Err(ReadError::NoMemory);
                     }
                     body.extend_from_slice(&chunk);
@@ -297,7 +276,8 @@
         self.flush().await
     }
 
-    /// Encodes a complete response, and sends of it what the socket takes at once.
+    /// Encodes a complete response, and sends of it what the socket takes at once. `size` is that of
+    /// the body, or what the response to a HEAD request states in place of one.
     ///
     /// # Errors
     ///
@@ -305,10 +285,11 @@
     pub fn queue_response(
         &mut self,
         head: Response<()>,
+        size: BodySize,
         body: Bytes,
         close: bool,
     ) -> std::io::Result<()> {
-        self.encode_head(head, BodySize::Sized(body.len() as u64), close)?;
+        self.encode_head(head, size, close)?;
         if body.is_empty() {
             return self.write_queued().map(|_| ());
         }
@@ -322,6 +303,7 @@
     ///
     /// Returns an error if the caller has disconnected.
     pub fn queue_chunk(&mut self, chunk: Bytes) -> std::io::Result<usize> {
+        grow(&mut self.out, chunk.len());
         self.codec.encode(Message::Chunk(Some(chunk)), &mut self.out)?;
         self.write_queued()
     }
@@ -388,11 +370,12 @@
 
     /// Bounds the kernel's buffer for a stream, and lets the caller read in long intervals: the
     /// time that it takes is limited by the sender of the stream.
-    pub fn bound_buffer(&self) {
+    pub fn bound_buffer(&mut self) {
         let socket = SockRef::from(&self.io);
         if let Err(e) = socket.set_send_buffer_size(SEND_BUFFER_BYTES) {
             log::debug!("setting SO_SNDBUF failed: {e}");
         }
+        self.kernel_bytes = KERNEL_MULTIPLE * SEND_BUFFER_BYTES;
         if let Err(e) = socket.set_tcp_user_timeout(Some(FULL_TIMEOUT)) {
             log::debug!("setting TCP_USER_TIMEOUT failed: {e}");
         }
@@ -431,6 +414,19 @@
     }
 }
 
+impl Drop for Inbound {
+    /// Resets the connection if bytes of a response are unsent, or its response is given up. The kernel
+    /// would keep what the caller has not taken otherwise, after the connection has left the sum.
+    fn drop(&mut self) {
+        if self.out.is_empty() && !self.load.is_revoked() {
+            return;
+        }
+        if let Err(e) = SockRef::from(&self.io).set_linger(Some(Duration::ZERO)) {
+            log::debug!("setting SO_LINGER failed: {e}");
+        }
+    }
+}
+
 /// Waits until the sum over all connections keeps to its limit.
 async fn wait_for_room(load: &Load) {
     while load.is_sum_exceeded() {
--- a/src/h1/mod.rs
+++ b/src/h1/mod.rs
@@ -5,11 +5,21 @@
 //! response does not count, and work for a caller that has disconnected is cancelled at once. Both
 //! sides therefore own their socket and run the codec on it.
 
+mod broken;
+mod fetch;
+mod head;
 mod inbound;
 mod outbound;
+mod request;
+mod scan;
 
-pub use inbound::{Inbound, ReadError, RequestLimits};
-pub use outbound::{Broken, Framing, Outbound, SendError, request_head};
+pub use broken::Broken;
+pub use fetch::{CallLimits, FetchError, fetch};
+pub use head::Head;
+pub use inbound::Inbound;
+pub use outbound::{Framing, Outbound, SendError, request_head};
+pub use request::{ReadError, RequestLimits};
+pub use scan::{BodyLength, ChunkScanner, ChunkStep, Fault, ScannedHead, scan_head};
 
 use crate::backlog::READ_BYTES;
 use actix_rt::net::TcpStream;
@@ -28,15 +38,31 @@
 const FULL_TIMEOUT: Duration = Duration::from_secs(20);
 /// Size of the kernel's buffer for a stream to a caller; the kernel reserves twice as much.
 const SEND_BUFFER_BYTES: usize = 32 << 10;
-/// Size of the kernel's buffer for a response that is held. With one that is smaller than a segment,
-/// the sender waits for its persist timer each time, also when the response is read again.
-const HELD_BUFFER_BYTES: usize = 64 << 10;
+
+/// Most bytes that the encoding adds to a chunk of a body.
+const CHUNK_FRAME_BYTES: usize = 32;
+/// Part of the bytes in a buffer for which it has room beyond them when it grows, as a divisor.
+const GROWTH_DIVISOR: usize = 4;
+
+/// Makes room for a chunk in a buffer of unsent bytes. Left to itself, it would double.
+fn grow(out: &mut BytesMut, bytes: usize) {
+    let len = out.len();
+    if out.capacity() - len < bytes + CHUNK_FRAME_BYTES {
+        let mut grown =
+            BytesMut::with_capacity(len + bytes + CHUNK_FRAME_BYTES + len / GROWTH_DIVISOR);
+        grown.extend_from_slice(out);
+        *out = grown;
+    }
+}
 
 /// Appends the bytes that are available to `buf`, waiting for the first ones; returns their number,
-/// 0 at the end of the stream. Cancel safe. While it waits, an empty buffer takes no memory.
+/// 0 at the end of the stream. Cancel safe. While it waits, an empty buffer takes no memory, and no
+/// other grows.
 async fn read_available(io: &mut ReadHalf<'_>, buf: &mut BytesMut) -> std::io::Result<usize> {
     if buf.is_empty() {
         *buf = BytesMut::new();
+    }
+    if buf.capacity() - buf.len() < READ_BYTES {
         io.readable().await?;
     }
     // A head with a small body fits. `try_read_buf` would not yield to timers of the task when an
--- a/src/h1/outbound.rs
+++ b/src/h1/outbound.rs
@@ -1,24 +1,29 @@
 //! Requests to endpoints, each on its own connection.
 
-use super::{HELD_BUFFER_BYTES, read_available, set_socket_options, write_some};
-use actix_http::body::BodySize;
-use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
-use actix_http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, TRANSFER_ENCODING};
-use actix_http::{
-    Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, Version,
+use super::scan::{
+    BodyLength, ChunkScanner, ChunkStep, Fault, MAX_HEAD_BYTES, ScannedHead, scan_head,
 };
+use super::{Broken, read_available, set_socket_options, write_some};
+use crate::callers::{Charge, ENDPOINT_BUFFER_BYTES, Load};
+use crate::net;
+use actix_http::body::BodySize;
+use actix_http::h1::{ClientCodec, Message};
+use actix_http::header::{CONTENT_ENCODING, CONTENT_TYPE, HOST, HeaderValue};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use actix_rt::net::TcpStream;
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use futures_util::stream::{self, Stream};
-use socket2::SockRef;
 use std::fmt;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::WriteHalf;
 use tokio::time::timeout;
-use tokio_util::codec::{Decoder, Encoder};
+use tokio_util::codec::Encoder;
 
+/// Bytes that a decoded field takes beside its name and its value.
+const FIELD_BYTES: usize = 256;
 /// Largest body that is copied behind its head, to be sent with it.
 const MAX_JOINED_BYTES: usize = 8 << 10;
 
@@ -49,17 +54,6 @@
     Head(std::io::Error),
 }
 
-/// Reason why a response is incomplete.
-#[derive(Debug)]
-pub enum Broken {
-    /// Reading from the connection failed.
-    Io(std::io::Error),
-    /// The connection was closed before the end of the response.
-    Early,
-    /// The bytes are not a valid response, or the response is too large.
-    Malformed,
-}
-
 /// How a response marks the end of its body.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Framing {
@@ -67,7 +61,8 @@
     Length,
     /// By the last chunk.
     Chunked,
-    /// By the end of the connection, which cannot be told from an interruption.
+    /// By the end of the connection, if it is in order: a reset or a failed write leaves the body
+    /// incomplete. An endpoint that crashes may end it in order, too.
     Close,
 }
 
@@ -81,26 +76,22 @@
     }
 }
 
+/// Maximum number of interim responses before the final one.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
 /// Part of the response that is read next.
+#[derive(Debug)]
 enum Phase {
-    Head(ClientCodec),
-    Body(ClientPayloadCodec),
+    /// Head, after this many interim responses.
+    Head(usize),
+    /// This many bytes of the body.
+    Bytes(u64),
+    Chunks(ChunkScanner),
     /// Body that ends with the connection.
     Rest,
     Done,
 }
 
-impl fmt::Debug for Phase {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Phase::Head(_) => "Head",
-            Phase::Body(_) => "Body",
-            Phase::Rest => "Rest",
-            Phase::Done => "Done",
-        })
-    }
-}
-
 /// Request to an endpoint and its response. Dropping it closes the connection, which cancels the
 /// request.
 #[derive(Debug)]
@@ -115,6 +106,16 @@
     phase: Phase,
     method: Method,
     framing: Framing,
+    /// Size of the body that the response to a HEAD request leaves out.
+    omitted: Option<BodySize>,
+    /// Why the rest of the request was not sent.
+    write_error: Option<ErrorKind>,
+    /// Bytes of the decoded head of the response.
+    head_bytes: usize,
+    /// Bytes of its body that the reader keeps.
+    body_bytes: usize,
+    /// Where the bytes that are kept of the response are counted.
+    charge: Option<Charge>,
 }
 
 impl Outbound {
@@ -130,6 +131,36 @@
         config: &ServiceConfig,
         head: RequestHead,
         body: Bytes,
+    ) -> Result<Outbound, SendError> {
+        Outbound::begin(net::connect(to), wait, config, head, body).await
+    }
+
+    /// Connects like [`Outbound::connect`] for a caller. What is kept of the response is counted in what
+    /// the connection of the caller keeps, and the kernel keeps at most [`ENDPOINT_BUFFER_BYTES`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError`] as [`Outbound::connect`] does.
+    pub async fn connect_for(
+        load: &Load,
+        to: SocketAddr,
+        wait: Duration,
+        config: &ServiceConfig,
+        head: RequestHead,
+        body: Bytes,
+    ) -> Result<Outbound, SendError> {
+        let connecting = net::connect_bounded(to, ENDPOINT_BUFFER_BYTES as u32);
+        let mut out = Outbound::begin(connecting, wait, config, head, body).await?;
+        out.charge = Some(Charge::new(load));
+        Ok(out)
+    }
+
+    async fn begin(
+        connecting: impl Future<Output = std::io::Result<TcpStream>>,
+        wait: Duration,
+        config: &ServiceConfig,
+        head: RequestHead,
+        body: Bytes,
     ) -> Result<Outbound, SendError> {
         let mut codec = ClientCodec::new(config.clone());
         let mut out = BytesMut::new();
@@ -145,7 +176,7 @@
         if body.len() <= MAX_JOINED_BYTES {
             out.extend_from_slice(&std::mem::take(&mut body));
         }
-        let io = match timeout(wait, TcpStream::connect(to)).await {
+        let io = match timeout(wait, connecting).await {
             Ok(io) => io.map_err(SendError::Unreached)?,
             Err(_) => return Err(SendError::Unreached(std::io::ErrorKind::TimedOut.into())),
         };
@@ -155,12 +186,36 @@
             buf: BytesMut::new(),
             out,
             body,
-            phase: Phase::Head(codec),
+            phase: Phase::Head(0),
             method,
             framing: Framing::Length,
+            omitted: None,
+            write_error: None,
+            head_bytes: 0,
+            body_bytes: 0,
+            charge: None,
         })
     }
 
+    /// Records that the reader keeps this many bytes of the body.
+    pub fn keep_body(&mut self, bytes: usize) {
+        self.body_bytes = bytes;
+        self.record_kept();
+    }
+
+    fn record_kept(&mut self) {
+        let undecoded = if self.buf.is_empty() { 0 } else { self.buf.capacity() };
+        if let Some(charge) = &mut self.charge {
+            charge.set(self.head_bytes + undecoded + self.body_bytes);
+        }
+    }
+
+    /// Checks that there is memory for a read into a buffer.
+    fn check_room(&self, buf: &BytesMut) -> Result<(), Broken> {
+        let may_read = |c: &Charge| c.may_read(buf.len(), buf.capacity());
+        if self.charge.as_ref().is_none_or(may_read) { Ok(()) } else { Err(Broken::NoMemory) }
+    }
+
     /// Returns the number of bytes of the request that are not sent yet.
     pub fn unsent(&self) -> usize {
         self.out.len() + self.body.len()
@@ -171,80 +226,106 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Broken`] if no valid head arrives.
+    /// Returns [`Broken`] if no valid head arrives, or there is no memory for it.
     pub async fn read_head(&mut self) -> Result<ResponseHead, Broken> {
+        let mut scanned = 0;
         loop {
-            let Phase::Head(codec) = &mut self.phase else { return Err(Broken::Malformed) };
-            match codec.decode(&mut self.buf).map_err(|_| Broken::Malformed)? {
-                Some(head) if head.status.is_informational() => continue,
-                Some(head) => {
-                    self.begin_body(&head)?;
-                    return Ok(head);
+            // The lines of a head are scanned once they are complete.
+            let is_due = self.buf.len() > MAX_HEAD_BYTES || self.buf[scanned..].contains(&b'\n');
+            if (scanned == 0 || is_due)
+                && let Some(head) = scan_head(&self.buf)?
+            {
+                self.buf.advance(head.size);
+                scanned = 0;
+                if head.status.is_informational() {
+                    self.count_interim()?;
+                    continue;
                 }
-                None => {}
+                // Requests ask for no encoding, and nothing here decodes one.
+                if head.headers.contains_key(CONTENT_ENCODING) {
+                    return Err(Fault::Encoding.into());
+                }
+                return Ok(self.begin_body(head));
             }
-            if self.exchange_bytes().await? == 0 {
+            scanned = self.buf.len();
+            self.record_kept();
+            self.check_room(&self.buf)?;
+            if !self.exchange_bytes().await? {
                 return Err(Broken::Early);
             }
         }
     }
 
-    /// Chooses how the body of the response is read.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Broken::Malformed`] if the length of the body is unknown.
-    fn begin_body(&mut self, head: &ResponseHead) -> Result<(), Broken> {
-        let phase = std::mem::replace(&mut self.phase, Phase::Done);
-        let Phase::Head(codec) = phase else { return Err(Broken::Malformed) };
-        if self.method == Method::HEAD
-            || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
-        {
-            return Ok(());
-        }
-        let encoding = head.headers().get(TRANSFER_ENCODING).map(HeaderValue::as_bytes);
-        let is_chunked = encoding.is_some_and(|e| e.eq_ignore_ascii_case(b"chunked"));
-        let length = head.headers().get(CONTENT_LENGTH).map(HeaderValue::as_bytes);
-        let has_body = codec.message_type() != MessageType::None;
-        (self.framing, self.phase) = match (is_chunked, length) {
-            (true, _) if head.version == Version::HTTP_10 => return Err(Broken::Malformed),
-            (true, _) => (Framing::Chunked, Phase::Body(codec.into_payload_codec())),
-            (false, Some(_)) if has_body => {
-                (Framing::Length, Phase::Body(codec.into_payload_codec()))
+    fn count_interim(&mut self) -> Result<(), Fault> {
+        match &mut self.phase {
+            Phase::Head(n) if *n < MAX_INTERIM_RESPONSES => {
+                *n += 1;
+                Ok(())
             }
-            (false, Some(n)) if n.trim_ascii().iter().all(|b| *b == b'0') => {
-                (Framing::Length, Phase::Done)
-            }
-            // The codec ignores the length beside some `Upgrade` headers.
-            (false, Some(_)) => return Err(Broken::Malformed),
-            // The codec takes such a body for an empty or an endless one.
-            (false, None) => (Framing::Close, Phase::Rest),
+            _ => Err(Fault::Interim),
+        }
+    }
+
+    /// Chooses how the body of the response is read.
+    fn begin_body(&mut self, head: ScannedHead) -> ResponseHead {
+        let has_body = self.method != Method::HEAD
+            && !matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        (self.framing, self.phase) = match head.length {
+            _ if !has_body => (Framing::Length, Phase::Done),
+            BodyLength::Bytes(n) => (Framing::Length, Phase::Bytes(n)),
+            BodyLength::Chunked => (Framing::Chunked, Phase::Chunks(ChunkScanner::default())),
+            BodyLength::Close => (Framing::Close, Phase::Rest),
         };
-        Ok(())
+        self.omitted = (self.method == Method::HEAD).then_some(match head.length {
+            BodyLength::Bytes(n) => BodySize::Sized(n),
+            BodyLength::Chunked | BodyLength::Close => BodySize::None,
+        });
+        self.head_bytes = head.size + head.headers.len() * FIELD_BYTES;
+        // The rest of the buffer would keep the memory of the received head.
+        self.buf = BytesMut::from(&self.buf[..]);
+        self.record_kept();
+        let mut response = ResponseHead::new(head.status);
+        response.version = head.version;
+        response.headers = head.headers;
+        response
     }
 
-    /// Sends bytes of the request until some bytes of the response have been read; returns the
-    /// number of bytes read, 0 at the end of the stream.
-    async fn exchange_bytes(&mut self) -> Result<usize, Broken> {
-        let Outbound { io, buf, out, body, .. } = self;
-        let (mut reader, mut writer) = io.split();
+    /// Sends bytes of the request until some bytes of the response have been read; returns `false` if
+    /// the endpoint has closed the connection in order instead. Cancel safe.
+    async fn exchange_bytes(&mut self) -> Result<bool, Broken> {
         loop {
-            if out.is_empty() && body.is_empty() {
-                return read_available(&mut reader, buf).await.map_err(Broken::Io);
-            }
-            tokio::select! {
-                read = read_available(&mut reader, buf) => return read.map_err(Broken::Io),
-                sent = send_part(&mut writer, out, body) => {
-                    // An endpoint may respond early and stop reading; its response still counts.
-                    if sent.is_err() {
-                        out.clear();
-                        body.clear();
-                    }
+            let Outbound { io, buf, out, body, .. } = self;
+            let (mut reader, mut writer) = io.split();
+            let has_unsent = !out.is_empty() || !body.is_empty();
+            let sent = tokio::select! {
+                read = read_available(&mut reader, buf) => {
+                    let n = read.map_err(|e| Broken::Read(e.kind()))?;
+                    return self.check_end(n);
                 }
+                sent = send_part(&mut writer, out, body), if has_unsent => sent,
+            };
+            if let Err(e) = sent {
+                self.give_up_request(e.kind());
             }
         }
     }
 
+    /// Gives up the rest of the request. An endpoint may respond early and stop reading; a response
+    /// that states its end still counts.
+    fn give_up_request(&mut self, error: ErrorKind) {
+        self.write_error = Some(error);
+        self.out.clear();
+        self.body.clear();
+    }
+
+    /// Returns whether `n` bytes read are not the end of the stream.
+    fn check_end(&self, n: usize) -> Result<bool, Broken> {
+        match self.write_error {
+            Some(e) if n == 0 => Err(Broken::Write(e)),
+            _ => Ok(n > 0),
+        }
+    }
+
     /// Returns the next chunk of the body, `None` at its end. Cancel safe.
     ///
     /// # Errors
@@ -252,34 +333,51 @@
     /// Returns [`Broken`] if the body is incomplete or malformed.
     pub async fn read_chunk(&mut self) -> Result<Option<Bytes>, Broken> {
         loop {
-            match &mut self.phase {
-                Phase::Body(codec) => match codec.decode(&mut self.buf) {
-                    Ok(Some(Some(chunk))) => return Ok(Some(chunk)),
-                    Ok(Some(None)) => {
-                        self.phase = Phase::Done;
-                        return Ok(None);
-                    }
-                    Ok(None) => {}
-                    Err(_) => return Err(Broken::Malformed),
-                },
-                Phase::Rest if !self.buf.is_empty() => return Ok(Some(self.buf.split().freeze())),
-                Phase::Rest => {}
-                Phase::Head(_) | Phase::Done => return Ok(None),
+            if let Some(chunk) = self.take_chunk()? {
+                return Ok(Some(chunk));
             }
-            if self.exchange_bytes().await? == 0 {
-                if matches!(self.phase, Phase::Rest) {
-                    self.phase = Phase::Done;
-                    return Ok(None);
+            if matches!(self.phase, Phase::Done) {
+                return Ok(None);
+            }
+            self.record_kept();
+            if !self.exchange_bytes().await? {
+                match self.phase {
+                    Phase::Rest => self.phase = Phase::Done,
+                    _ => return Err(Broken::Early),
                 }
-                return Err(Broken::Early);
             }
         }
     }
 
-    /// Bounds the kernel's buffer for a response that is not read for a while.
-    pub fn bound_buffer(&self) {
-        if let Err(e) = SockRef::from(&self.io).set_recv_buffer_size(HELD_BUFFER_BYTES) {
-            log::debug!("setting SO_RCVBUF failed: {e}");
+    /// Returns the part of the body that has arrived; `None` if there is none, or the body has ended.
+    fn take_chunk(&mut self) -> Result<Option<Bytes>, Fault> {
+        loop {
+            let n = match &mut self.phase {
+                Phase::Bytes(0) => {
+                    self.phase = Phase::Done;
+                    return Ok(None);
+                }
+                Phase::Bytes(left) => {
+                    let n = usize::try_from(*left).unwrap_or(usize::MAX).min(self.buf.len());
+                    *left -= n as u64;
+                    n
+                }
+                Phase::Chunks(scanner) => match scanner.scan(&self.buf)? {
+                    ChunkStep::More => 0,
+                    ChunkStep::Data(n) => n,
+                    ChunkStep::Mark(n) => {
+                        self.buf.advance(n);
+                        continue;
+                    }
+                    ChunkStep::End(_) => {
+                        self.phase = Phase::Done;
+                        return Ok(None);
+                    }
+                },
+                Phase::Rest => self.buf.len(),
+                Phase::Head(_) | Phase::Done => return Ok(None),
+            };
+            return Ok((n > 0).then(|| self.buf.split_to(n).freeze()));
         }
     }
 
@@ -288,22 +386,46 @@
         self.framing
     }
 
+    /// Returns the size that the response to a HEAD request states of the body that it leaves out;
+    /// `None` after another request.
+    pub fn stated_size(&self) -> Option<BodySize> {
+        self.omitted
+    }
+
     /// Reads a complete body of at most `max` bytes.
     ///
     /// # Errors
     ///
-    /// Returns [`Broken`] if the body is incomplete, malformed or longer.
+    /// Returns [`Broken`] if the body is incomplete, malformed or longer, or there is no memory for it.
     pub async fn read_body(&mut self, max: usize) -> Result<Bytes, Broken> {
         let mut body = BytesMut::new();
         while let Some(chunk) = self.read_chunk().await? {
             if body.len() + chunk.len() > max {
-                return Err(Broken::Malformed);
+                return Err(Fault::BodySize.into());
             }
             body.extend_from_slice(&chunk);
+            self.keep_body(body.capacity());
+            self.check_room(&body)?;
         }
         Ok(body.freeze())
     }
 
+    /// Reads a complete body of at most `max` bytes, and keeps none of them.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Broken`] if the body is incomplete, malformed or longer.
+    pub async fn skip_body(&mut self, max: usize) -> Result<(), Broken> {
+        let mut bytes = 0;
+        while let Some(chunk) = self.read_chunk().await? {
+            bytes += chunk.len();
+            if bytes > max {
+                return Err(Fault::BodySize.into());
+            }
+        }
+        Ok(())
+    }
+
     /// Converts into a stream of the chunks of the body, which ends after an error.
     pub fn into_chunks(self) -> impl Stream<Item = Result<Bytes, Broken>> {
         stream::unfold(Some(self), async |out| {
@@ -326,5 +448,8 @@
     if !out.is_empty() {
         return write_some(io, out).await.map(|_| ());
     }
-    io.write_buf(body).await.map(|_| ())
+    match io.write_buf(body).await? {
+        0 => Err(ErrorKind::WriteZero.into()),
+        _ => Ok(()),
+    }
 }
--- a/src/hlc/mod.rs
+++ b/src/hlc/mod.rs
@@ -36,10 +36,10 @@
     /// It is greater than all previous stamps, even if the wall clock was set back.
     pub fn tick(&mut self, wall: Duration) -> Stamp {
         let micros = wall.as_micros() as u64;
-        self.last = if micros > self.last.micros {
-            Stamp { micros, count: 0 }
-        } else {
-            Stamp { micros: self.last.micros, count: self.last.count + 1 }
+        self.last = match self.last.count.checked_add(1) {
+            _ if micros > self.last.micros => Stamp { micros, count: 0 },
+            Some(count) => Stamp { micros: self.last.micros, count },
+            None => Stamp { micros: self.last.micros.saturating_add(1), count: 0 },
         };
         self.last
     }
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -297,6 +297,13 @@
     pub ix: u32,
 }
 
+impl TokenId {
+    /// Returns the index of the next token; the highest index, which no token has, follows itself.
+    pub fn next_ix(&self) -> u32 {
+        self.ix.saturating_add(1)
+    }
+}
+
 impl fmt::Display for TokenId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}:{}", self.generation, self.ix)
--- a/src/intent/mod.rs
+++ b/src/intent/mod.rs
@@ -9,6 +9,7 @@
 
 use crate::frame::IntentCopy;
 use crate::id::IntentVersion;
+use crate::memory;
 use crate::text::Text;
 use sha2::{Digest, Sha256};
 use std::collections::HashMap;
@@ -115,19 +116,12 @@
         }
         self.version = copy.version;
         self.chunks = chunks;
-        release_memory();
+        // The allocator would keep what parsing needed for a while.
+        memory::release();
         Ok(())
     }
 }
 
-/// Returns the memory that parsing needed temporarily to the system; the allocator would keep it.
-fn release_memory() {
-    // SAFETY: `malloc_trim` has no preconditions; it only returns free pages to the system.
-    unsafe {
-        libc::malloc_trim(0);
-    }
-}
-
 /// Returns the hash that identifies a chunk: the first 16 bytes of its SHA-256 in hexadecimal.
 pub fn chunk_hash(chunk: &str) -> Arc<str> {
     let digest = Sha256::digest(chunk.as_bytes());
--- a/src/length/mod.rs
+++ b/src/length/mod.rs
@@ -112,7 +112,7 @@
         if now <= f32::EPSILON {
             return 0.0;
         }
-        (self.longer_than(done.0 + more.0) / now).clamp(0.0, 1.0)
+        (self.longer_than(done.0.saturating_add(more.0)) / now).clamp(0.0, 1.0)
     }
 
     /// Returns the expected number of tokens after `done`, for at most `limit` tokens in total.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -3,9 +3,11 @@
 //! All requests are idempotent, since nng may resend a request after it reconnects. A request whose
 //! reply is delayed occupies an nng context at the listener, but no connection of its own.
 
+use crate::net::{self, Opening, Purpose};
 use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize};
-use nng::{Aio, AioResult, Context, Message, Protocol, Socket};
+use nng::{Aio, AioResult, Context, Message, PipeEvent, Protocol, Socket};
 use std::cell::Cell;
+use std::fmt::{self, Display};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -34,6 +36,15 @@
     Silent,
 }
 
+impl Display for PeerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PeerError::Socket(e) => write!(f, "{e}"),
+            PeerError::Silent => f.write_str("no reply arrived in time"),
+        }
+    }
+}
+
 impl From<nng::Error> for PeerError {
     fn from(e: nng::Error) -> Self {
         PeerError::Socket(e)
@@ -122,11 +133,14 @@
     fn drop(&mut self) {
         let socket = self.socket.take();
         let calls = self.calls.lock().map(|mut c| std::mem::take(&mut *c)).unwrap_or_default();
-        std::thread::spawn(move || {
+        let close = move || {
             calls.iter().for_each(|c| c.ctx.close());
             drop(socket);
             drop(calls);
-        });
+        };
+        if let Err(e) = std::thread::Builder::new().spawn(close) {
+            log::warn!("no thread to close a link to a peer, which was closed here: {e}");
+        }
     }
 }
 
@@ -147,6 +161,11 @@
         socket.set_opt::<ReconnectMinTime>(Some(MIN_RECONNECT_DELAY))?;
         socket.set_opt::<ReconnectMaxTime>(Some(MAX_RECONNECT_DELAY))?;
         socket.set_opt::<RecvMaxSize>(crate::frame::MAX_FRAME_BYTES)?;
+        socket.pipe_notify(move |_, event| {
+            if event == PipeEvent::AddPost {
+                net::share_ports(address);
+            }
+        })?;
         socket.dial_async(&format!("tcp://{address}"))?;
         let client = ClientSocket { socket: Some(socket), calls: Mutex::new(Vec::new()) };
         Ok(Link { client: Arc::new(client) })
@@ -204,6 +223,11 @@
 }
 
 impl Listener {
+    /// Starts to listen on an address.
+    pub fn open(address: SocketAddr) -> Opening<Listener, PeerError> {
+        Opening::start(address, Purpose::PeerConnections, Listener::bind)
+    }
+
     /// Listens on an address.
     ///
     /// # Errors
--- a/src/place/mod.rs
+++ b/src/place/mod.rs
@@ -167,14 +167,15 @@
     fn cost(&self, e: &Endpoint, need: &Need) -> f64 {
         let Some(r) = e.latest.as_ref().map(|k| &k.report) else { return f64::INFINITY };
         let cached = if r.prefixes.contains(&need.prefix) { CACHED_PREFIX_TOKENS } else { 0 };
-        let prefill = need.input.0.saturating_sub(cached) + r.backlog + e.sent_tokens;
+        let unread = [need.input.0.saturating_sub(cached), r.backlog, e.sent_tokens];
+        let prefill: f64 = unread.into_iter().map(f64::from).sum();
         let remote = if e.centre == self.centre { 0.0 } else { REMOTE_COST_US };
-        let others = f64::from(r.running + r.waiting + e.sent_requests);
+        let others = f64::from(request_count(e));
         let decode = others * STEP_COST_US * ASSUMED_OUTPUT_TOKENS;
         let memory = FULL_MEMORY_COST_US * memory_fill(r, e, need).powi(4);
         let queue = f64::from(r.waiting) * QUEUE_COST_US;
         let alone = if need.alone { others * QUEUE_COST_US } else { 0.0 };
-        f64::from(prefill) * PREFILL_TOKEN_COST_US + remote + decode + memory + queue + alone + 1.0
+        prefill * PREFILL_TOKEN_COST_US + remote + decode + memory + queue + alone + 1.0
     }
 }
 
@@ -194,7 +195,7 @@
         let Some(r) = e.latest.as_ref().map(|k| &k.report) else { return false };
         let fits = memory_fill(r, e, need) <= MAX_MEMORY_FILL;
         let is_ready = in_pool(e, need) && has_loaded(e, need) && e.is_serving();
-        is_ready && eject::allows(e) && r.waiting + e.sent_requests == 0 && fits
+        is_ready && eject::allows(e) && r.waiting == 0 && e.sent_requests == 0 && fits
     })
 }
 
@@ -209,7 +210,8 @@
 
 /// Returns the requests running or waiting according to the last report, plus those sent since.
 fn request_count(e: &Endpoint) -> u32 {
-    e.latest.as_ref().map_or(0, |k| k.report.running + k.report.waiting) + e.sent_requests
+    let reported = |r: &Report| r.running.saturating_add(r.waiting);
+    e.latest.as_ref().map_or(0, |k| reported(&k.report)).saturating_add(e.sent_requests)
 }
 
 /// Returns the rendezvous weight of instance `other` for `own`; the highest weights are chosen.
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -1,10 +1,11 @@
 //! Control calls to engines: their reports, and the transfer of a generation's KV memory.
 
 use super::headers::{cold_time, endpoint_id, states_leaving};
-use crate::h1::{self, Broken, Outbound, SendError};
+use super::time;
+use crate::h1::{self, Broken, CallLimits, FetchError, SendError};
 use crate::id::{EndpointId, RequestId};
+use crate::net;
 use actix_http::{Method, ResponseHead, ServiceConfig};
-use actix_rt::net::TcpStream;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -147,14 +148,13 @@
 ) -> Result<(ResponseHead, Bytes), CallError> {
     let content = (!body.is_empty()).then_some("application/json");
     let head = h1::request_head(to, method, path, content).ok_or(CallError::Malformed)?;
-    let exchange = async {
-        let sent = Outbound::connect(to, CONNECT_TIMEOUT, config, head, body).await;
-        let mut out = sent.map_err(CallError::Unreached)?;
-        let head = out.read_head().await.map_err(CallError::Broken)?;
-        let body = out.read_body(MAX_RESPONSE_BYTES).await.map_err(CallError::Broken)?;
-        Ok((head, body))
-    };
-    timeout(wait, exchange).await.unwrap_or(Err(CallError::Slow))
+    let limits = CallLimits { connect: CONNECT_TIMEOUT, wait, max_body: MAX_RESPONSE_BYTES };
+    let called = timeout(wait, h1::fetch(to, &limits, config, head, body)).await;
+    called.unwrap_or(Err(FetchError::Slow)).map_err(|e| match e {
+        FetchError::Unsent(e) => CallError::Unreached(e),
+        FetchError::Broken(e) => CallError::Broken(e),
+        FetchError::Slow => CallError::Slow,
+    })
 }
 
 /// Copies the KV memory of a generation from engine `source` to engine `to`. With `last`, the
@@ -235,11 +235,11 @@
 async fn watch_connection(to: SocketAddr, wait: Duration) -> Result<Identity, CallError> {
     let unreached = |e| CallError::Unreached(SendError::Unreached(e));
     let timed_out = || unreached(ErrorKind::TimedOut.into());
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await;
+    let connected = timeout(CONNECT_TIMEOUT, net::connect(to)).await;
     let mut io = connected.map_err(|_| timed_out())?.map_err(unreached)?;
     match timeout(wait, io.read(&mut [0])).await {
         Ok(Ok(0)) => Err(CallError::Broken(Broken::Early)),
-        Ok(Err(e)) => Err(CallError::Broken(Broken::Io(e))),
+        Ok(Err(e)) => Err(CallError::Broken(Broken::Read(e.kind()))),
         Ok(Ok(_)) | Err(_) => Ok(Identity::default()),
     }
 }
@@ -255,12 +255,15 @@
     wait: Duration,
 ) -> Result<Report, CallError> {
     let (head, body) = send_request(to, config, Method::GET, "/report", Bytes::new(), wait).await?;
+    if !head.status.is_success() {
+        return Err(CallError::Malformed);
+    }
     let report: ReportBody = serde_json::from_slice(&body).map_err(|_| CallError::Malformed)?;
     Ok(Report {
         leaving: report.leaves_ms.is_some()
             || report.state.as_deref() == Some("draining")
             || states_leaving(head.headers()),
-        leaves_in: report.leaves_ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok()),
+        leaves_in: report.leaves_ms.and_then(time::millis),
         cold: cold_time(head.headers()),
     })
 }
--- /dev/null
+++ b/src/platform/fields.rs
@@ -0,0 +1,112 @@
+//! Reads JSON objects of which single fields may be missing or of another type.
+
+use super::time;
+use crate::route::TableFault;
+use serde_json::value::RawValue;
+use serde_json::{Map, Value};
+use std::time::Duration;
+
+/// Number up to which each whole one has a float of its own.
+const MAX_WHOLE_FLOAT: f64 = 9_007_199_254_740_992.0;
+
+/// Reads the entries of a list; `None` if it is none. Entries that are no objects are faults.
+pub fn entries(
+    list: Option<&RawValue>,
+    place: &'static str,
+    faults: &mut Vec<TableFault>,
+) -> Option<Vec<Map<String, Value>>> {
+    let Some(list) = list else { return Some(Vec::new()) };
+    let all: Vec<&RawValue> = serde_json::from_str(list.get()).ok()?;
+    let mut read = Vec::new();
+    for (ix, entry) in all.into_iter().enumerate() {
+        match serde_json::from_str(entry.get()) {
+            Ok(object) => read.push(object),
+            Err(_) => {
+                faults.push(TableFault { place, entry: ix.to_string().into(), field: "" });
+            }
+        }
+    }
+    Some(read)
+}
+
+/// Reads the fields of one object. What cannot be read counts as absent, and as a fault.
+#[derive(Debug)]
+pub struct Fields<'a> {
+    object: &'a Map<String, Value>,
+    place: &'static str,
+    entry: String,
+    faults: &'a mut Vec<TableFault>,
+}
+
+impl<'a> Fields<'a> {
+    /// Creates a reader of an object in `place`, where `entry` names it.
+    pub fn new(
+        object: &'a Map<String, Value>,
+        place: &'static str,
+        entry: &str,
+        faults: &'a mut Vec<TableFault>,
+    ) -> Self {
+        Fields { object, place, entry: entry.into(), faults }
+    }
+
+    /// Records that a field cannot be read.
+    pub fn fault(&mut self, field: &'static str) {
+        self.faults.push(TableFault {
+            place: self.place,
+            entry: self.entry.as_str().into(),
+            field,
+        });
+    }
+
+    /// Returns a field that is there and not null.
+    pub fn value(&self, field: &str) -> Option<&'a Value> {
+        self.object.get(field).filter(|v| !v.is_null())
+    }
+
+    /// Returns what `read` makes of an optional field.
+    pub fn optional<T>(
+        &mut self,
+        field: &'static str,
+        read: impl FnOnce(&'a Value) -> Option<T>,
+    ) -> Option<T> {
+        let found = read(self.value(field)?);
+        if found.is_none() {
+            self.fault(field);
+        }
+        found
+    }
+
+    /// Returns what `read` makes of a field that has to be there.
+    pub fn required<T>(
+        &mut self,
+        field: &'static str,
+        read: impl FnOnce(&'a Value) -> Option<T>,
+    ) -> Option<T> {
+        if self.value(field).is_none() {
+            self.fault(field);
+        }
+        self.optional(field, read)
+    }
+
+    /// Returns an optional field that is true or false; false if it is absent.
+    pub fn flag(&mut self, field: &'static str) -> bool {
+        self.optional(field, Value::as_bool).unwrap_or_default()
+    }
+}
+
+/// Returns a whole number, also one that is written with a point.
+pub fn whole<N: TryFrom<u64>>(value: &Value) -> Option<N> {
+    let is_whole = |n: &f64| n.fract() == 0.0 && (0.0..=MAX_WHOLE_FLOAT).contains(n);
+    let number = value.as_u64().or_else(|| value.as_f64().filter(is_whole).map(|n| n as u64));
+    number?.try_into().ok()
+}
+
+/// Returns a number of milliseconds as a time.
+pub fn millis(value: &Value) -> Option<Duration> {
+    value.as_f64().and_then(time::millis)
+}
+
+/// Returns a value that is read from text, such as a name.
+pub fn parsed<T: std::str::FromStr>(value: &Value) -> Option<T> {
+    value.as_str()?.parse().ok()
+}
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -2,6 +2,9 @@
 
 use super::engine::Handoff;
 use super::servers::parse_cold_time;
+use super::time;
+use crate::event::shorten;
+use crate::h1::Head;
 use crate::id::{EndpointId, PartId, RequestId, Tokens};
 use crate::limit::Stated;
 use crate::pool::Load;
@@ -10,7 +13,7 @@
 use actix_http::header::{
     AUTHORIZATION, CONNECTION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER,
 };
-use actix_http::{HttpMessage, Request, RequestHead, Response, ResponseHead, StatusCode};
+use actix_http::{RequestHead, Response, ResponseHead, StatusCode};
 use std::fmt::{self, Display};
 use std::rc::Rc;
 use std::str::FromStr;
@@ -65,6 +68,9 @@
     "kv-fetch",
 ];
 
+/// Most headers that an instance sets itself in a request to an endpoint.
+const MAX_OWN_HEADERS: usize = 5;
+
 /// Prompt and output sizes of a generation.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TokenCounts {
@@ -107,14 +113,18 @@
     find(headers, name)?.trim().parse().ok()
 }
 
+fn parse_field<T: FromStr>(req: &Head, name: &str) -> Option<T> {
+    req.find(name)?.trim().parse().ok()
+}
+
 /// Returns the id that an endpoint states in a response.
 pub(super) fn endpoint_id(headers: &HeaderMap) -> Option<EndpointId> {
     parse(headers, ENDPOINT)
 }
 
 /// Returns the host that a request is addressed to, or an empty string.
-pub fn host(req: &Request) -> &str {
-    find(req.headers(), "host").or_else(|| req.uri().host()).unwrap_or("")
+pub fn host(req: &Head) -> &str {
+    req.find("host").or_else(|| req.uri().host()).unwrap_or("")
 }
 
 /// Prefix of the paths with which operators ask what would happen to a request.
@@ -123,7 +133,7 @@
 const ASKED_WORKSPACE: &str = "x-asked-workspace";
 
 /// Returns the path of the request that a question is about; `None` if it is no such question.
-pub fn explained_path(req: &Request) -> Option<String> {
+pub fn explained_path(req: &Head) -> Option<String> {
     let path = req.path().strip_prefix(EXPLAIN_PREFIX)?;
     path.starts_with('/').then(|| path.to_owned())
 }
@@ -164,22 +174,20 @@
 }
 
 /// Returns the workspace that a question is about, if it names one.
-pub fn asked_workspace(req: &Request) -> Option<&str> {
-    find(req.headers(), ASKED_WORKSPACE)
+pub fn asked_workspace(req: &Head) -> Option<&str> {
+    req.find(ASKED_WORKSPACE)
 }
 
 /// Extracts the information in the headers of a request. Invalid headers count as absent.
-pub fn parse_request(req: &Request) -> RequestInfo {
-    let headers = req.headers();
-    let key = find(headers, AUTHORIZATION.as_str()).and_then(|v| v.strip_prefix("Bearer "));
-    let ms: Option<f64> = parse(headers, DEADLINE);
+pub fn parse_request(req: &Head) -> RequestInfo {
+    let key = req.find(AUTHORIZATION.as_str()).and_then(|v| v.strip_prefix("Bearer "));
+    let ms: Option<f64> = parse_field(req, DEADLINE);
     RequestInfo {
-        id: parse(headers, REQUEST_ID),
+        id: parse_field(req, REQUEST_ID),
         key: key.map(Box::from),
-        timeout: ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok()),
-        tokens: find(headers, TOKEN_COUNTS)
-            .and_then(|v| parse_counts(v, parse(headers, LENGTH_HINT))),
-        shared_parts: find(headers, PROMPT_PARTS).map_or_else(Rc::default, parse_shared_parts),
+        timeout: ms.and_then(time::millis),
+        tokens: req.find(TOKEN_COUNTS).and_then(|v| parse_counts(v, parse_field(req, LENGTH_HINT))),
+        shared_parts: req.find(PROMPT_PARTS).map_or_else(Rc::default, parse_shared_parts),
     }
 }
 
@@ -226,28 +234,30 @@
 }
 
 /// Returns the names of headers that the `Connection` header declares as hop-by-hop.
-fn connection_headers(headers: &HeaderMap) -> Vec<Box<str>> {
-    let values = headers.get_all(CONNECTION).filter_map(|v| v.to_str().ok());
+fn connection_headers<'h>(values: impl Iterator<Item = &'h [u8]>) -> Vec<Box<str>> {
+    let values = values.filter_map(|v| std::str::from_utf8(v).ok());
     let names = values.flat_map(|v| v.split(','));
     names.map(|n| Box::from(n.trim().to_ascii_lowercase())).collect()
 }
 
 /// Builds the head of a request to an endpoint from the caller's request.
-pub fn forward_head(req: &Request, to: &ForwardParams<'_>) -> RequestHead {
+pub fn forward_head(req: &Head, to: &ForwardParams<'_>) -> RequestHead {
     let mut head = RequestHead::default();
     head.method = req.method().clone();
     head.uri = req.uri().clone();
-    let hop_by_hop = connection_headers(req.headers());
-    for (name, value) in req.headers() {
-        let n = name.as_str();
+    head.headers = HeaderMap::with_capacity(req.count() + MAX_OWN_HEADERS);
+    let named = req.fields().filter(|(n, _)| *n == CONNECTION.as_str());
+    let hop_by_hop = connection_headers(named.map(|(_, value)| value));
+    for (n, value) in req.fields() {
         let is_dropped = HOP_BY_HOP_HEADERS.contains(&n)
             || INTERNAL_HEADERS.contains(&n)
             || n == AUTHORIZATION.as_str()
             || n == LAST_EVENT && !to.resumable
             // A `Connection` header must not remove the identifier of the request or its host.
             || n != REQUEST_ID && n != "host" && hop_by_hop.iter().any(|h| **h == *n);
-        if !is_dropped {
-            head.headers.append(name.clone(), value.clone());
+        let field = (HeaderName::from_bytes(n.as_bytes()), HeaderValue::from_bytes(value));
+        if let (Ok(name), Ok(value), false) = (field.0, field.1, is_dropped) {
+            head.headers.append(name, value);
         }
     }
     let h = &mut head.headers;
@@ -272,6 +282,10 @@
     pub status: StatusCode,
     /// Identifier of the request that the response belongs to.
     pub id: Option<RequestId>,
+    /// Whether the response names a request, even in a form that is no identifier.
+    pub has_id: bool,
+    /// Whether the response has several ids of requests or several seals.
+    pub ambiguous: bool,
     /// Whether the response has the seal header of an endpoint, whose value is not verified.
     pub sealed: bool,
     /// Whether the endpoint states that it did not run the request.
@@ -297,6 +311,8 @@
     ResponseInfo {
         status: head.status,
         id: parse(h, REQUEST_ID),
+        has_id: h.contains_key(REQUEST_ID),
+        ambiguous: has_several(h, REQUEST_ID) || has_several(h, SEAL),
         sealed: h.contains_key(SEAL),
         not_run: h.contains_key(NOT_RUN) || misdirected,
         misdirected,
@@ -310,6 +326,12 @@
     }
 }
 
+/// Returns whether a header is given with different values.
+fn has_several(headers: &HeaderMap, name: &str) -> bool {
+    let mut values = headers.get_all(name);
+    values.next().is_some_and(|first| values.any(|value| value != first))
+}
+
 /// Returns what the headers of a response state about the limit of its sender.
 pub fn parse_limit(headers: &HeaderMap) -> Stated {
     if !headers.contains_key(LIMIT) {
@@ -319,6 +341,7 @@
     match text.parse() {
         Ok(rate) => Stated::Limited(rate),
         Err(e) => {
+            let text = shorten(text);
             log::warn!("header {LIMIT} is {text:?}, not a rate of requests: ignored: {e}");
             Stated::Unreadable
         }
@@ -331,6 +354,7 @@
     match s.trim().parse() {
         Ok(ms) => parse_cold_time(ms),
         Err(e) => {
+            let s = shorten(s);
             log::warn!("header {COLD} is {s:?}, not a number of milliseconds: ignored: {e}");
             None
         }
@@ -339,8 +363,9 @@
 
 /// Parses a number of seconds, which may have a fraction.
 fn parse_seconds(s: &str) -> Option<Duration> {
-    let time = s.trim().parse().ok().and_then(|secs| Duration::try_from_secs_f64(secs).ok());
+    let time = s.trim().parse().ok().and_then(time::seconds);
     if time.is_none() {
+        let s = shorten(s);
         log::warn!("header {RETRY_AFTER} is {s:?}, not a number of seconds: ignored");
     }
     time
@@ -357,7 +382,7 @@
     let mut parts = s.split(',').map(str::trim);
     let (running, waiting) = (parts.next()?.parse().ok()?, parts.next()?.parse().ok()?);
     let slowness = parts.nth(1).and_then(|text| {
-        let parsed = text.parse();
+        let (parsed, text) = (text.parse(), shorten(text));
         parsed.inspect_err(|e| log::warn!("header {LOAD} states {text:?} percent: {e}")).ok()
     });
     Some(Load { running, waiting, slowness })
@@ -366,12 +391,15 @@
 /// Builds the head of a response to a caller from an endpoint's response.
 pub fn response_head(head: &ResponseHead) -> Response<()> {
     let mut res = Response::with_body(head.status, ());
-    let hop_by_hop = connection_headers(head.headers());
+    let hop_by_hop =
+        connection_headers(head.headers().get_all(CONNECTION).map(HeaderValue::as_bytes));
     for (name, value) in head.headers() {
         let n = name.as_str();
-        let is_internal = matches!(n, LOAD | ENDPOINT | NOT_RUN | LEAVING);
-        if !HOP_BY_HOP_HEADERS.contains(&n) && !is_internal && !hop_by_hop.iter().any(|h| **h == *n)
-        {
+        let is_dropped = HOP_BY_HOP_HEADERS.contains(&n)
+            || matches!(n, LOAD | ENDPOINT | NOT_RUN | LEAVING)
+            // A `Connection` header must not remove what shows whose response it is.
+            || !matches!(n, SEAL | REQUEST_ID) && hop_by_hop.iter().any(|h| **h == *n);
+        if !is_dropped {
             res.headers_mut().append(name.clone(), value.clone());
         }
     }
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -1,11 +1,12 @@
 //! Client of the platform's metadata store, a key-value store over HTTP.
 
+use crate::event::shorten;
+use crate::h1::{self, Broken, CallLimits, Fault, FetchError};
 use crate::store::{ChangeFeed, Era, KeyValue, LeaseId, Leases, Position, StoreError, StoreUpdate};
-use awc::error::{PayloadError, SendRequestError};
+use actix_http::{Method, ResponseHead, ServiceConfig};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use futures_util::Stream;
 use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
@@ -28,15 +29,15 @@
 /// Client of the platform's metadata store.
 #[derive(Clone)]
 pub struct KvClient {
-    client: awc::Client,
-    address: SocketAddr,
-    /// Newest era that a response has named.
+    config: ServiceConfig,
+    address: Rc<Cell<SocketAddr>>,
+    /// Newest era that two reads in a row have named.
     era: Rc<Cell<Era>>,
 }
 
 impl std::fmt::Debug for KvClient {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "KvClient({})", self.address)
+        write!(f, "KvClient({})", self.address.get())
     }
 }
 
@@ -92,36 +93,101 @@
 }
 
 impl KvClient {
-    /// Creates a client, which connects on its first call.
+    /// Creates a client, which connects for each call.
     pub fn new(address: SocketAddr) -> Self {
-        let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT);
-        let client = awc::Client::builder().connector(connector).disable_timeout().finish();
-        KvClient { client, address, era: Rc::default() }
+        let address = Rc::new(Cell::new(address));
+        KvClient { config: ServiceConfig::default(), address, era: Rc::default() }
+    }
+
+    /// Sends all further calls to another address of the store.
+    pub fn set_address(&self, address: SocketAddr) {
+        self.address.set(address);
+    }
+
+    /// Takes an era for the newest one, after it was found that a newer one was wrong.
+    pub fn set_era(&self, era: Era) {
+        self.era.set(era);
     }
 
     /// Returns the era that a response names, or else the newest known.
-    fn read_era<S>(&self, response: &awc::ClientResponse<S>) -> Era {
+    fn read_era(&self, response: &ResponseHead) -> Era {
         let newest = self.era.get();
         let Some(value) = response.headers().get(ERA) else { return newest };
         let Some(era) = value.to_str().ok().and_then(|v| v.trim().parse().ok()) else {
             log::warn!("header {ERA} is {value:?}, not an unsigned number: ignored");
             return newest;
         };
-        self.era.set(newest.max(era));
         era
     }
 
+    /// Reads the first page of the keys with `prefix`. One that names a newer era is read again, since
+    /// an era that is wrong in a single response would outdate all later ones.
+    async fn first_page(
+        &self,
+        prefix: &str,
+        wait: Duration,
+    ) -> Result<(Era, RangeResponse), StoreError> {
+        let path = format!("kv-range?prefix={prefix}");
+        let (named, page) = self.get_json(&path, wait).await?;
+        if named <= self.era.get() {
+            return Ok((named, page));
+        }
+        let (again, page) = self.get_json(&path, wait).await?;
+        if again != named {
+            log::warn!("the store named era {named} and then {again}: read again later");
+            return Err(StoreError::Malformed);
+        }
+        self.era.set(again);
+        Ok((again, page))
+    }
+
+    /// Lists the keys with `prefix`, as [`ChangeFeed::list`]; each page has `wait` for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] if a call fails.
+    pub async fn list_within(
+        &self,
+        prefix: &str,
+        wait: Duration,
+    ) -> Result<StoreUpdate, StoreError> {
+        let mut kvs = Vec::new();
+        let mut after = String::new();
+        let (mut era, mut page) = self.first_page(prefix, wait).await?;
+        // Pages are not a snapshot. Continuing from the revision of the first page makes the next
+        // watch return whatever changed while the later pages were read.
+        let at = Position::new(era, page.current_rev);
+        loop {
+            if at.era != era {
+                return Err(StoreError::Compacted);
+            }
+            let before = std::mem::take(&mut after);
+            after = page.items.last().map_or(String::new(), |i| format!("&after={}", i.key));
+            // A page that begins after the last one ends with another key.
+            if page.truncated && !after.is_empty() && after == before {
+                return Err(StoreError::Malformed);
+            }
+            kvs.extend(page.items.into_iter().filter_map(decode_item));
+            if !page.truncated || after.is_empty() {
+                return Ok(StoreUpdate { kvs, at });
+            }
+            let path = format!("kv-range?prefix={prefix}{after}");
+            (era, page) = self.get_json(&path, wait).await?;
+        }
+    }
+
     /// Reads a JSON document; returns it with the era in which it was read.
     async fn get_json<T: DeserializeOwned>(
         &self,
         path: &str,
         wait: Duration,
     ) -> Result<(Era, T), StoreError> {
-        let request = self.client.get(self.url(path)).timeout(wait);
-        let res = request.send().await.map_err(|e| classify_error(&e))?;
-        let era = self.read_era(&res);
-        match res.status().as_u16() {
-            200 => Ok((era, read_json(res, wait).await?)),
+        let (head, body) = self.call(Method::GET, path, Bytes::new(), wait).await?;
+        match head.status.as_u16() {
+            200 => {
+                let value = serde_json::from_slice(&body).map_err(|_| StoreError::Malformed)?;
+                Ok((self.read_era(&head), value))
+            }
             410 => Err(StoreError::Compacted),
             _ => Err(StoreError::Refused),
         }
@@ -133,90 +199,77 @@
         path: &str,
         body: &B,
     ) -> Result<Option<T>, StoreError> {
-        let request = self.client.post(self.url(path)).timeout(CALL_TIMEOUT);
-        let res = request.send_json(body).await.map_err(|e| classify_error(&e))?;
-        match res.status().as_u16() {
-            200 => read_json(res, CALL_TIMEOUT).await.map(Some),
+        let body = serde_json::to_vec(body).map_err(|_| StoreError::Malformed)?;
+        let (head, body) = self.call(Method::POST, path, body.into(), CALL_TIMEOUT).await?;
+        match head.status.as_u16() {
+            200 => serde_json::from_slice(&body).map(Some).map_err(|_| StoreError::Lost),
             404 => Ok(None),
             status => Err(classify_status(status)),
         }
     }
 
-    fn url(&self, path: &str) -> String {
+    /// Makes a call and reads its whole response.
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        wait: Duration,
+    ) -> Result<(ResponseHead, Bytes), StoreError> {
         metrics::counter!("store_calls_total").increment(1);
-        format!("http://{}/{path}", self.address)
+        let address = self.address.get();
+        let content = (!body.is_empty()).then_some("application/json");
+        let head = h1::request_head(address, method, &format!("/{path}"), content);
+        let head = head.ok_or(StoreError::Unreached)?;
+        let limits = CallLimits { connect: CONNECT_TIMEOUT, wait, max_body: MAX_RESPONSE_BYTES };
+        let called = h1::fetch(address, &limits, &self.config, head, body).await;
+        called.map_err(|e| classify_error(&e))
     }
 }
 
-async fn read_json<S, T>(mut res: awc::ClientResponse<S>, wait: Duration) -> Result<T, StoreError>
-where
-    S: Stream<Item = Result<Bytes, PayloadError>>,
-    T: DeserializeOwned,
-{
-    let read = res.body().limit(MAX_RESPONSE_BYTES);
-    let body = match tokio::time::timeout(wait, read).await {
-        Ok(body) => body.map_err(|e| match e {
-            PayloadError::Overflow => StoreError::TooLarge,
-            _ => StoreError::Lost,
-        })?,
-        Err(_) => return Err(StoreError::Lost),
-    };
-    serde_json::from_slice(&body).map_err(|_| StoreError::Malformed)
-}
-
-fn classify_error(e: &SendRequestError) -> StoreError {
+fn classify_error(e: &FetchError) -> StoreError {
     match e {
-        SendRequestError::Connect(_) => StoreError::Unreached,
-        _ => StoreError::Lost,
+        FetchError::Unsent(_) => StoreError::Unreached,
+        FetchError::Broken(Broken::Malformed(Fault::BodySize)) => StoreError::TooLarge,
+        FetchError::Broken(_) | FetchError::Slow => StoreError::Lost,
     }
 }
 
-/// Returns the error for the status of a write. The store promises for 503 that nothing was done;
-/// after another server error the write may have taken effect.
+/// Returns the error for the status of a write. The store promises for 503, and for an error of the
+/// client, that nothing was done; after another status the write may have taken effect.
 fn classify_status(status: u16) -> StoreError {
     match status {
-        503 => StoreError::Refused,
-        500.. => StoreError::Lost,
-        _ => StoreError::Refused,
+        503 | 400..500 => StoreError::Refused,
+        _ => StoreError::Lost,
     }
 }
 
+/// Decodes an item; `None` if its value is invalid: it says nothing of its key then.
 fn decode_item(item: Item) -> Option<KeyValue> {
     let value = match item.value {
-        Some(_) if item.tombstone => None,
-        Some(v) => Some(STANDARD.decode(&*v).ok()?),
-        None => None,
+        Some(v) if !item.tombstone => Some(decode_value(&item.key, item.revision, &v)?),
+        _ => None,
     };
     Some(KeyValue { key: item.key, value, revision: item.revision })
 }
 
+fn decode_value(key: &str, revision: u64, value: &str) -> Option<Vec<u8>> {
+    let decoded = STANDARD.decode(value).inspect_err(|e| {
+        let key = shorten(key);
+        log::warn!("skipped the value of {key:?} at revision {revision}, which is not base64: {e}");
+    });
+    decoded.ok()
+}
+
 impl ChangeFeed for KvClient {
     async fn list(&self, prefix: &str) -> Result<StoreUpdate, StoreError> {
-        let mut kvs = Vec::new();
-        let mut after = String::new();
-        let mut start = None;
-        loop {
-            let path = format!("kv-range?prefix={prefix}{after}");
-            let (era, page): (Era, RangeResponse) = self.get_json(&path, CALL_TIMEOUT).await?;
-            // Pages are not a snapshot. Continuing from the revision of the first page makes the
-            // next watch return whatever changed while the later pages were read.
-            let at = *start.get_or_insert(Position::new(era, page.current_rev));
-            if at.era != era {
-                return Err(StoreError::Compacted);
-            }
-            after = page.items.last().map_or(String::new(), |i| format!("&after={}", i.key));
-            kvs.extend(page.items.into_iter().filter_map(decode_item));
-            if !page.truncated || after.is_empty() {
-                return Ok(StoreUpdate { kvs, at });
-            }
-        }
+        self.list_within(prefix, CALL_TIMEOUT).await
     }
 
     async fn ping(&self, key: &str, wait: Duration) -> Result<(), StoreError> {
-        let url = self.url(&format!("kv-key?key={key}&allow_stale=1"));
-        let res =
-            self.client.get(url).timeout(wait).send().await.map_err(|e| classify_error(&e))?;
-        match res.status().as_u16() {
+        let path = format!("kv-key?key={key}&allow_stale=1");
+        let (head, _) = self.call(Method::GET, &path, Bytes::new(), wait).await?;
+        match head.status.as_u16() {
             // A missing key also shows that the store is reachable.
             200 | 404 => Ok(()),
             _ => Err(StoreError::Refused),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,12 +7,14 @@
 mod config;
 mod deploy;
 mod engine;
+mod fields;
 mod headers;
 mod kv;
 mod servers;
 mod settings;
+mod time;
 
-pub use config::parse_table;
+pub use config::{ConfigError, parse_table};
 pub use deploy::{Deploy, DeployError, Role};
 pub use engine::{
     CallError, CopyOutcome, Handoff, Identity, Probe, Report, copy_memory, fetch_report, free_copy,
@@ -25,7 +27,7 @@
 };
 pub use kv::KvClient;
 pub use servers::parse_listing;
-pub use settings::{GatewaySettings, SettingsError, settings_path};
+pub use settings::{GatewaySettings, Reading, SettingsError, settings_path};
 
 /// Store key of the operators' configuration.
 pub const CONFIG_KEY: &str = "op/config";
--- a/src/pool/endpoint.rs
+++ b/src/pool/endpoint.rs
@@ -190,6 +190,6 @@
     pub fn open_requests(&self, now: Instant) -> u32 {
         let reported =
             self.load.filter(|(_, at)| now.saturating_duration_since(*at) < MAX_LOAD_AGE);
-        reported.map_or(0, |(l, _)| l.running + l.waiting).max(self.work().open)
+        reported.map_or(0, |(l, _)| l.running.saturating_add(l.waiting)).max(self.work().open)
     }
 }
--- a/src/pool/evacuation.rs
+++ b/src/pool/evacuation.rs
@@ -61,6 +61,12 @@
         self.newest.values()
     }
 
+    /// Lets the next full read replace all changes, whatever their positions.
+    fn forget_positions(&mut self) {
+        self.read_at = Position::default();
+        self.newest.values_mut().for_each(|e| e.at = Position::default());
+    }
+
     /// Records a change unless the same or a newer one is known. Returns whether the data centre
     /// begins or ceases to be evacuated.
     fn record(&mut self, change: Evacuation) -> bool {
@@ -124,6 +130,12 @@
         changes
     }
 
+    /// Lets the next full read replace all evacuations, whatever their positions, which were of an
+    /// era that was wrong.
+    pub fn forget_evacuation_positions(&mut self) {
+        self.evacuations.forget_positions();
+    }
+
     /// Returns the number of endpoints in a data centre.
     pub fn count_in(&self, centre: &DataCentre) -> usize {
         self.endpoints.values().filter(|e| e.listing.centre == *centre).count()
--- a/src/pool/speed.rs
+++ b/src/pool/speed.rs
@@ -53,7 +53,7 @@
     pub fn record(&mut self, now: Instant, tokens: u32) -> Option<Duration> {
         let (since, before) = *self.interval.get_or_insert((now, 0));
         // The first tokens arrive at the start of the interval.
-        let tokens = if since == now { 0 } else { before + tokens };
+        let tokens = if since == now { 0 } else { before.saturating_add(tokens) };
         if tokens < Self::TOKENS {
             self.interval = Some((since, tokens));
             return None;
--- a/src/quarantine/parts.rs
+++ b/src/quarantine/parts.rs
@@ -122,12 +122,13 @@
         answered: Option<Instant>,
     ) -> (CrashId, Instant) {
         let known = self.times.iter().filter(|((crashed, _), _)| *crashed == run);
-        match known.map(|((_, number), at)| (*number, *at)).max() {
-            Some((number, last)) if answered.is_some_and(|answered| answered > last) => {
-                ((run, number + 1), at)
-            }
-            Some((number, last)) => ((run, number), last),
-            None => ((run, 0), at),
+        let Some((number, last)) = known.map(|((_, number), at)| (*number, *at)).max() else {
+            return ((run, 0), at);
+        };
+        let is_next = answered.is_some_and(|answered| answered > last);
+        match number.checked_add(1).filter(|_| is_next) {
+            Some(next) => ((run, next), at),
+            None => ((run, number), last),
         }
     }
 
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -83,13 +83,13 @@
 impl Route {
     /// Picks a service at random by weight; `None` if all weights are 0.
     pub fn pick_service<R: Rng>(&self, rng: &mut R) -> Option<&ServiceName> {
-        let total: u32 = self.services.iter().map(|s| s.weight).sum();
+        let total: u64 = self.services.iter().map(|s| u64::from(s.weight)).sum();
         let mut n = if total == 0 { return None } else { rng.random_range(0..total) };
         for s in &self.services {
-            if n < s.weight {
+            if n < u64::from(s.weight) {
                 return Some(&s.service);
             }
-            n -= s.weight;
+            n -= u64::from(s.weight);
         }
         None
     }
@@ -144,6 +144,29 @@
     }
 }
 
+/// Number of characters of the name of an entry in the log.
+const MAX_ENTRY_CHARS: usize = 60;
+
+/// A part of the operators' configuration that cannot be read. What it belongs to is left out, or has
+/// a default.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TableFault {
+    /// List or object that the part is in.
+    pub place: &'static str,
+    /// Name or number of its entry in a list.
+    pub entry: Box<str>,
+    /// Field; empty if the whole entry cannot be read.
+    pub field: &'static str,
+}
+
+impl std::fmt::Display for TableFault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let TableFault { place, entry, field } = self;
+        let entry: String = entry.chars().take(MAX_ENTRY_CHARS).collect();
+        write!(f, "{place}[{entry:?}].{field}")
+    }
+}
+
 /// Routing table, built from the operators' configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Table {
@@ -159,6 +182,8 @@
     pub requires_key: bool,
     /// Limits on requests from callers.
     pub limits: RequestLimits,
+    /// What could not be read.
+    pub faults: Vec<TableFault>,
 }
 
 impl Table {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -7,10 +7,16 @@
 use jsonc_parser::common::Ranged;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Minimum length of a key that signs frames between processes.
 const MIN_KEY_BYTES: usize = 16;
 
+/// Seconds between the signal to stop and the end of the process where the settings state none.
+const DEFAULT_GRACE_S: u64 = 300;
+/// Longest such time, in seconds.
+const MAX_GRACE_S: u64 = 86_400;
+
 /// Commented example, printed by `skylarkthread settings`.
 pub const EXAMPLE: &str = include_str!("example.jsonc");
 
@@ -90,6 +96,8 @@
     pub operators: Vec<Operator>,
     /// Maximum number of model loads per minute that the weight store can serve.
     pub load_rate: u32,
+    /// Time from the signal to stop within which the process ends, whatever is still open.
+    pub stop_grace: Duration,
 }
 
 const SETTINGS_FIELDS: &[&str] = &[
@@ -104,6 +112,7 @@
     "endpoint",
     "operators",
     "loads_per_minute",
+    "stop_grace_s",
 ];
 
 impl Settings {
@@ -130,7 +139,9 @@
         Some(p) => Some(read_endpoint(r, &p.value)?),
         None => None,
     };
+    let grace_s = r.number_or(o, "stop_grace_s", DEFAULT_GRACE_S, 1..=MAX_GRACE_S);
     Some(Settings {
+        stop_grace: Duration::from_secs(grace_s),
         placement: read_placement(r, o),
         operators: read_operators(r, o),
         load_rate: r.number_or(o, "loads_per_minute", 6, 1..=10_000) as u32,
--- a/src/shutdown/drain.rs
+++ b/src/shutdown/drain.rs
@@ -14,6 +14,10 @@
 const EXPIRY_RESERVE: Duration = Duration::from_millis(600);
 /// Time before the end of the grace period at which the process exits in any case.
 const EXIT_RESERVE: Duration = Duration::from_millis(200);
+/// Time before the end of the grace period at which a stop is given up that has not come to its end.
+const ABORT_RESERVE: Duration = Duration::from_millis(50);
+/// Time that each stop has at least, however short the grace period.
+const MIN_STOP_TIME: Duration = Duration::from_millis(1000);
 /// Time from which no new generation starts: it would not end in time.
 const MAX_START_TIME: Duration = Duration::from_millis(2500);
 /// Part of the grace period after which no work starts that could outlast it.
@@ -82,6 +86,11 @@
         self.begun + self.grace.saturating_sub(EXPIRY_RESERVE)
     }
 
+    /// Returns when the stop is given up if it has not come to its end.
+    pub fn abort(&self) -> Instant {
+        self.begun + self.grace.saturating_sub(ABORT_RESERVE).max(MIN_STOP_TIME)
+    }
+
     /// Returns whether a request that was read at `now` is refused since it may not end in time: one
     /// whose deadline is after the expiry, or a generation, which callers await for longer.
     pub fn refuses(&self, now: Instant, deadline: Instant, is_generation: bool) -> bool {
--- a/src/sidecar/calls.rs
+++ b/src/sidecar/calls.rs
@@ -3,10 +3,11 @@
 use super::{CONNECT_TIMEOUT, Sidecar, limits};
 use crate::clock;
 use crate::event::Kind;
-use crate::frame::{Answer, Call, CallKey, CallReply, Refusal};
+use crate::frame::{Answer, Call, CallKey, CallReply, Refusal, StatedLength};
 use crate::h1::{self, Outbound};
 use crate::once::Verdict;
 use crate::platform;
+use actix_http::body::BodySize;
 use actix_http::header::CONTENT_TYPE;
 use bytes::Bytes;
 use std::sync::Arc;
@@ -74,7 +75,7 @@
 async fn send(s: &Sidecar, call: &Call) -> CallReply {
     let content = (!call.content.is_empty()).then_some(&*call.content);
     let method = call.method.parse().ok();
-    let head = method.and_then(|m| h1::request_head(s.engine.address, m, &call.path, content));
+    let head = method.and_then(|m| h1::request_head(s.engine, m, &call.path, content));
     let Some(head) = head else { return CallReply::NotRun(Refusal::NoEndpoint) };
     let arrived = clock::now();
     let left = Duration::from_millis(call.left);
@@ -84,7 +85,7 @@
     let sent_at = clock::now();
     let exchange = async {
         let body = Bytes::from(call.body.clone());
-        let sent = Outbound::connect(s.engine.address, CONNECT_TIMEOUT, &s.codec, head, body).await;
+        let sent = Outbound::connect(s.engine, CONNECT_TIMEOUT, &s.codec, head, body).await;
         // Nothing has been sent after an error here; after a later one, the call may have run.
         let mut out = sent.map_err(|_| CallReply::NotRun(Refusal::Down))?;
         let head = out.read_head().await.map_err(|_| CallReply::Unknown)?;
@@ -95,6 +96,10 @@
             status: head.status.as_u16(),
             content: Arc::from(content.unwrap_or("application/octet-stream")),
             body: body.to_vec(),
+            omitted: out.stated_size().map(|size| match size {
+                BodySize::Sized(n) => StatedLength::Bytes(n),
+                _ => StatedLength::Unknown,
+            }),
         })
     };
     let left = left.saturating_sub(sent_at.saturating_duration_since(arrived));
--- a/src/sidecar/limits.rs
+++ b/src/sidecar/limits.rs
@@ -29,7 +29,7 @@
 fn record(s: &Sidecar, now: Instant, known: Known) {
     if s.board.borrow_mut().throttle.record(now, known) {
         let limit = known.limit.map_or("none".to_owned(), |rate| rate.to_string());
-        s.process.event(Kind::Limited, s.engine.address, format_args!("limit={limit}"));
+        s.process.event(Kind::Limited, s.engine, format_args!("limit={limit}"));
         s.wake.notify_one();
     }
 }
