--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod engine;
 mod limits;
+mod monitor;
 mod peers;
 mod polls;
 mod restore;
@@ -11,27 +12,30 @@
 
 use crate::board::{Job, JobKey, Phase, SidecarBoard};
 use crate::clock;
-use crate::event::Kind;
+use crate::event::{self, Kind};
 use crate::frame::{Crash, Finish, Refusal, Report};
 use crate::gate::{self, Action, Gate};
-use crate::http::{self, Body, UnpooledClient};
+use crate::http::{self, Body};
 use crate::id::Tokens;
 use crate::intent::Intent;
 use crate::lead::{FENCE_KEY, Guard, fence_at};
+use crate::net::{Acceptor, Purpose};
 use crate::once::{Ledger, Limits};
-use crate::peer::{Listener, PeerError};
+use crate::peer::Listener;
 use crate::process::Process;
 use crate::settings::{Admission, EndpointKind, EndpointSettings};
-use crate::shutdown::StopSignals;
+use crate::shutdown::{Drain, StopSignals, run_stop};
 use crate::store::{Era, Etcd, MARKER_KEY, Op, Position, Store};
+use crate::task::{self, Unfinished};
 use actix_http::ServiceConfig;
 use polls::Polls;
 use restore::Restore;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 
 /// Time limit for connecting to the endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -46,19 +50,6 @@
 /// Mean delay before the fencing number is read again after a failure.
 const FENCE_RETRY_DELAY: Duration = Duration::from_secs(2);
 
-/// Reason why a sidecar could not start.
-#[derive(Debug)]
-pub enum SidecarError {
-    /// The settings name no endpoint.
-    NoEndpoint,
-    /// The peer address could not be bound.
-    Peer(PeerError),
-    /// The HTTP address could not be bound.
-    Http(std::io::Error),
-    /// A signal handler could not be installed.
-    Signal(std::io::Error),
-}
-
 /// State shared by the tasks of the sidecar.
 #[derive(Debug)]
 struct Sidecar {
@@ -72,23 +63,27 @@
     polls: Polls,
     /// Wakes the scheduler before its next interval.
     wake: Notify,
-    engine: UnpooledClient,
+    /// Address of the engine or the plain service.
+    engine: SocketAddr,
     /// Configuration of the HTTP/1 codecs for calls and streams.
     codec: ServiceConfig,
 }
 
-/// Runs a sidecar until it has received a stop signal and finished its work.
+/// Runs the sidecar of an endpoint until it has received a stop signal and finished its work.
 ///
 /// # Errors
 ///
-/// Returns [`SidecarError`] if the settings name no endpoint or an address cannot be bound.
-pub async fn run(process: Process, metrics: http::Metrics) -> Result<(), SidecarError> {
-    let mut stop_signals = StopSignals::install().map_err(SidecarError::Signal)?;
-    let endpoint = process.settings.endpoint.clone().ok_or(SidecarError::NoEndpoint)?;
+/// Returns [`Unfinished`] if the work has not finished in the time of the settings.
+pub async fn run(
+    process: Process,
+    endpoint: EndpointSettings,
+    metrics: http::Metrics,
+    mut stop_signals: StopSignals,
+) -> Result<(), Unfinished> {
     // A sidecar keeps the configuration for entries that start while the store is unavailable.
     process.intent.replace(Intent::relay());
-    let listener = Listener::bind(process.settings.peer).map_err(SidecarError::Peer)?;
-    let web = http::bind(process.settings.http).await.map_err(SidecarError::Http)?;
+    let peers = Listener::open(process.settings.peer);
+    let web = http::open(process.settings.http, Purpose::Probes);
     let sidecar = Rc::new(Sidecar {
         board: RefCell::new(SidecarBoard::default()),
         gate: RefCell::new(Gate { open: endpoint.admission == Admission::Open }),
@@ -97,24 +92,39 @@
         restore: Restore::default(),
         polls: Polls::default(),
         wake: Notify::new(),
-        engine: UnpooledClient::new(endpoint.address, CONNECT_TIMEOUT),
+        engine: endpoint.address,
         codec: ServiceConfig::default(),
         endpoint,
         process,
     });
     sidecar.process.event(Kind::Started, &sidecar.process.settings.instance, "sidecar");
-    actix_rt::spawn(peers::serve(sidecar.clone(), listener));
-    actix_rt::spawn(polls::run_flush(sidecar.clone()));
-    actix_rt::spawn(engine::monitor_endpoint(sidecar.clone()));
-    actix_rt::spawn(learn_fence(sidecar.clone()));
-    actix_rt::spawn(run_scheduler(sidecar.clone()));
-    actix_rt::spawn(http::serve(web, move |req| {
-        let metrics = metrics.clone();
-        async move { handle_http(req, &metrics) }
-    }));
+    task::spawn("peers", peers::serve(sidecar.clone(), peers));
+    keep(&sidecar, "polls", polls::run_flush);
+    keep(&sidecar, "endpoint", monitor::run);
+    keep(&sidecar, "fence", learn_fence);
+    keep(&sidecar, "scheduler", run_scheduler);
+    let acceptor = Rc::new(Mutex::new(Acceptor::new(web, event::log)));
+    task::keep("http", move || {
+        let (acceptor, metrics) = (acceptor.clone(), metrics.clone());
+        async move {
+            let mut acceptor = acceptor.lock().await;
+            let handler = move |req| std::future::ready(handle_http(req, &metrics));
+            http::serve(&mut *acceptor, handler).await;
+        }
+    });
     stop_signals.wait().await;
-    drain(&sidecar).await;
-    Ok(())
+    let stop = Drain::new(clock::now(), sidecar.process.settings.stop_grace);
+    run_stop(stop, || drain(&sidecar)).await
+}
+
+/// Starts a task that serves as long as the process runs.
+fn keep<F: Future<Output = ()>>(
+    sidecar: &Rc<Sidecar>,
+    name: &'static str,
+    run: impl Fn(Rc<Sidecar>) -> F + 'static,
+) {
+    let sidecar = sidecar.clone();
+    task::keep(name, move || run(sidecar.clone()));
 }
 
 fn handle_http(req: actix_http::Request, metrics: &http::Metrics) -> actix_http::Response<Body> {
@@ -312,8 +322,8 @@
 }
 
 /// Returns a retry delay in milliseconds, as in [`Reply::Refused`](crate::frame::Reply::Refused).
-fn retry_millis(wait: Duration) -> u64 {
-    wait.as_millis() as u64
+pub fn retry_millis(wait: Duration) -> u64 {
+    u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// Refusal of a request that names another incarnation of this sidecar.
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -5,11 +5,13 @@
 };
 use crate::board::{Job, Phase};
 use crate::clock;
-use crate::event::Kind;
+use crate::event::{self, Kind};
 use crate::frame::{Envelope, Finish, Order, Refusal, Reply, Request, Start};
 use crate::id::{Fence, Nonce};
 use crate::intent::AdoptError;
-use crate::peer::{Listener, Responder};
+use crate::net::Opening;
+use crate::peer::{Listener, PeerError, Responder};
+use crate::task;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,11 +19,16 @@
 const MAX_EVENTS: usize = 2000;
 
 /// Handles requests for as long as the process runs.
-pub async fn serve(s: Rc<Sidecar>, mut listener: Listener) {
+pub async fn serve(s: Rc<Sidecar>, mut opening: Opening<Listener, PeerError>) {
+    // Not stored, since older processes could not read the events.
+    let mut listener = opening.finish(&event::log).await;
     while let Some((message, responder)) = listener.next().await {
-        if let Some(envelope) = s.process.decode::<Request>(&message) {
-            handle(&s, envelope, responder);
-        }
+        // After a panic the entry gets no reply.
+        let _ = task::step("peers", || {
+            if let Some(envelope) = s.process.decode::<Request>(&message) {
+                handle(&s, envelope, responder);
+            }
+        });
     }
 }
 
--- a/src/sse/mod.rs
+++ b/src/sse/mod.rs
@@ -1,5 +1,9 @@
 //! Splits a byte stream into server-sent events, without changing their bytes.
 
+mod sequence;
+
+pub use sequence::Sequence;
+
 /// Id of an event: its number within the stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EventId(pub u64);
--- a/src/store/etcd.rs
+++ b/src/store/etcd.rs
@@ -1,16 +1,20 @@
 //! Client of etcd v3 through its JSON gateway over HTTP.
 
 use super::{Compare, LeaseId, Leases, Op, Origin, Store, StoreError, StoredValue, TxnOutcome};
-use awc::error::SendRequestError;
+use crate::h1::{self, CallLimits, FetchError, Outbound};
+use actix_http::{Method, RequestHead, ServiceConfig, StatusCode};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use futures_util::StreamExt;
+use bytes::Bytes;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::time::timeout;
 
 /// Time limit of a call; for a watch, of the call that opens it.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time limit of connecting.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest response, or line of a watch response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
@@ -20,7 +24,7 @@
 /// Client of an etcd server.
 #[derive(Clone)]
 pub struct Etcd {
-    client: awc::Client,
+    config: ServiceConfig,
     address: SocketAddr,
 }
 
@@ -31,11 +35,17 @@
 }
 
 impl Etcd {
-    /// Creates a client. It connects at the first call.
+    /// Creates a client, which connects for each call.
     pub fn new(address: SocketAddr) -> Self {
-        let connector = awc::Connector::new().timeout(Duration::from_millis(500));
-        let client = awc::Client::builder().connector(connector).timeout(CALL_TIMEOUT).finish();
-        Etcd { client, address }
+        Etcd { config: ServiceConfig::default(), address }
+    }
+
+    /// Builds a request with a JSON body.
+    fn request(&self, path: &str, body: &Value) -> Result<(RequestHead, Bytes), StoreError> {
+        metrics::counter!("store_calls_total").increment(1);
+        let path = format!("/v3/{path}");
+        let head = h1::request_head(self.address, Method::POST, &path, Some("application/json"));
+        Ok((head.ok_or(StoreError::Unreached)?, body.to_string().into()))
     }
 
     async fn call(&self, path: &str, body: &Value) -> Result<Value, StoreError> {
@@ -45,14 +55,26 @@
         }
     }
 
+    /// Opens a watch, whose response has no end.
+    async fn open_watch(&self, body: &Value) -> Result<Outbound, StoreError> {
+        let (head, body) = self.request("watch", body)?;
+        let sent = Outbound::connect(self.address, CONNECT_TIMEOUT, &self.config, head, body).await;
+        let mut out = sent.map_err(|_| StoreError::Unreached)?;
+        let head = out.read_head().await.map_err(|_| StoreError::Lost)?;
+        if head.status == StatusCode::OK { Ok(out) } else { Err(StoreError::Lost) }
+    }
+
     async fn send(&self, path: &str, body: &Value) -> Result<Reply, StoreError> {
-        metrics::counter!("store_calls_total").increment(1);
-        let url = format!("http://{}/v3/{path}", self.address);
-        let sent = self.client.post(url).send_json(body).await;
-        let mut res = sent.map_err(|e| classify_error(&e))?;
-        let body = res.body().limit(MAX_RESPONSE_BYTES).await.map_err(|_| StoreError::Lost)?;
+        let (head, body) = self.request(path, body)?;
+        let limits = CallLimits {
+            connect: CONNECT_TIMEOUT,
+            wait: CALL_TIMEOUT,
+            max_body: MAX_RESPONSE_BYTES,
+        };
+        let called = h1::fetch(self.address, &limits, &self.config, head, body).await;
+        let (head, body) = called.map_err(|e| classify_error(&e))?;
         let parsed = serde_json::from_slice::<Value>(&body);
-        if res.status().is_success() {
+        if head.status.is_success() {
             return parsed.map(Reply::Done).map_err(|_| StoreError::Malformed);
         }
         Ok(Reply::Failed(parsed.ok().and_then(|v| v["code"].as_u64())))
@@ -67,10 +89,10 @@
     Failed(Option<u64>),
 }
 
-fn classify_error(e: &SendRequestError) -> StoreError {
+fn classify_error(e: &FetchError) -> StoreError {
     match e {
-        SendRequestError::Connect(_) => StoreError::Unreached,
-        _ => StoreError::Lost,
+        FetchError::Unsent(_) => StoreError::Unreached,
+        FetchError::Broken(_) | FetchError::Slow => StoreError::Lost,
     }
 }
 
@@ -83,9 +105,16 @@
     v.as_u64().or_else(|| v.as_str()?.parse().ok())
 }
 
-fn parse_value(kv: &Value) -> Option<StoredValue> {
-    let value = STANDARD.decode(kv["value"].as_str().unwrap_or("")).ok()?;
-    Some(StoredValue { value, revision: parse_number(&kv["mod_revision"])? })
+fn parse_value(kv: &Value) -> Result<StoredValue, StoreError> {
+    let value = STANDARD.decode(kv["value"].as_str().unwrap_or(""));
+    let value = value.map_err(|_| StoreError::Malformed)?;
+    let revision = parse_number(&kv["mod_revision"]).ok_or(StoreError::Malformed)?;
+    Ok(StoredValue { value, revision })
+}
+
+/// Returns the value that a read has found; `None` if its key does not exist.
+fn parse_range(range: &Value) -> Result<Option<StoredValue>, StoreError> {
+    range["kvs"].get(0).map(parse_value).transpose()
 }
 
 fn encode_compare(c: &Compare) -> Value {
@@ -125,26 +154,31 @@
 }
 
 /// Returns the result of a read or a claim, as in [`TxnOutcome::found`]; `None` for a write.
-fn parse_found(response: &Value) -> Option<Option<StoredValue>> {
+fn parse_found(response: &Value) -> Option<Result<Option<StoredValue>, StoreError>> {
     if let Some(range) = response.get("response_range") {
-        return Some(range["kvs"].get(0).and_then(parse_value));
+        return Some(parse_range(range));
     }
     let claim = response.get("response_txn")?;
     if claim["succeeded"].as_bool().unwrap_or(false) {
-        return Some(None);
+        return Some(Ok(None));
     }
-    Some(claim["responses"].get(0).and_then(parse_found).flatten())
+    // A claim fails only if its key exists, so a value has to be there.
+    let found = claim["responses"].get(0).map(|read| parse_range(&read["response_range"]));
+    Some(match found {
+        Some(Ok(Some(value))) => Ok(Some(value)),
+        _ => Err(StoreError::Malformed),
+    })
 }
 
-fn parse_outcome(v: &Value) -> Option<TxnOutcome> {
+fn parse_outcome(v: &Value) -> Result<TxnOutcome, StoreError> {
     let empty = Vec::new();
     let responses = v["responses"].as_array().unwrap_or(&empty);
-    let found = responses.iter().filter_map(parse_found).collect();
+    let found = responses.iter().filter_map(parse_found).collect::<Result<_, _>>()?;
     let succeeded = v["succeeded"].as_bool().unwrap_or(false);
-    let revision = parse_number(&v["header"]["revision"])?;
+    let revision = parse_number(&v["header"]["revision"]).ok_or(StoreError::Malformed)?;
     let part = |name: &str| parse_number(&v["header"][name]).unwrap_or(0);
     let origin = Origin { cluster: part("cluster_id"), term: part("raft_term") };
-    Some(TxnOutcome { succeeded, revision, origin, found })
+    Ok(TxnOutcome { succeeded, revision, origin, found })
 }
 
 impl Leases for Etcd {
@@ -161,7 +195,7 @@
     async fn put(&self, key: &str, value: &[u8], lease: LeaseId) -> Result<bool, StoreError> {
         let op = Op::Put(key.to_owned(), value.to_vec(), Some(lease));
         match self.send("kv/txn", &encode_txn(&[], &[op], &[])).await? {
-            Reply::Done(v) => parse_outcome(&v).map(|o| o.succeeded).ok_or(StoreError::Malformed),
+            Reply::Done(v) => parse_outcome(&v).map(|o| o.succeeded).map_err(|_| StoreError::Lost),
             Reply::Failed(Some(NOT_FOUND)) => Ok(false),
             Reply::Failed(_) => Err(StoreError::Lost),
         }
@@ -172,7 +206,7 @@
     async fn get(&self, key: &str) -> Result<Option<StoredValue>, StoreError> {
         let v = self.call("kv/range", &json!({ "key": encode_base64(key.as_bytes()) })).await?;
         parse_number(&v["header"]["revision"]).ok_or(StoreError::Malformed)?;
-        Ok(v["kvs"].get(0).and_then(parse_value))
+        parse_range(&v)
     }
 
     async fn txn(
@@ -182,7 +216,10 @@
         otherwise: &[Op],
     ) -> Result<TxnOutcome, StoreError> {
         let v = self.call("kv/txn", &encode_txn(compares, then, otherwise)).await?;
-        parse_outcome(&v).ok_or(StoreError::Malformed)
+        let outcome = parse_outcome(&v)?;
+        let run = if outcome.succeeded { then } else { otherwise };
+        let reads = run.iter().filter(|op| !matches!(op, Op::Put(..))).count();
+        if outcome.found.len() == reads { Ok(outcome) } else { Err(StoreError::Malformed) }
     }
 
     async fn wait_for_change(
@@ -191,22 +228,20 @@
         revision: u64,
         wait: Duration,
     ) -> Result<Option<StoredValue>, StoreError> {
-        metrics::counter!("store_calls_total").increment(1);
-        let url = format!("http://{}/v3/watch", self.address);
         let body = json!({ "create_request": {
             "key": encode_base64(key.as_bytes()), "start_revision": (revision + 1).to_string()
         } });
-        let sent = self.client.post(url).timeout(CALL_TIMEOUT).send_json(&body).await;
-        let mut res = sent.map_err(|e| classify_error(&e))?;
+        let opened = timeout(CALL_TIMEOUT, self.open_watch(&body)).await;
+        let mut watch = opened.map_err(|_| StoreError::Lost)??;
         let mut line = Vec::new();
         let end = tokio::time::sleep(wait);
         tokio::pin!(end);
         loop {
             let chunk = tokio::select! {
                 () = &mut end => return Ok(None),
-                chunk = res.next() => chunk,
+                chunk = watch.read_chunk() => chunk,
             };
-            let chunk = chunk.ok_or(StoreError::Lost)?.map_err(|_| StoreError::Lost)?;
+            let chunk = chunk.map_err(|_| StoreError::Lost)?.ok_or(StoreError::Lost)?;
             for byte in chunk {
                 if byte != b'\n' {
                     line.push(byte);
@@ -233,7 +268,7 @@
     let empty = Vec::new();
     let events = v["result"]["events"].as_array().unwrap_or(&empty);
     let puts = events.iter().filter(|e| e["type"].as_str().unwrap_or("PUT") == "PUT");
-    Ok(puts.filter_map(|e| parse_value(&e["kv"])).next_back())
+    puts.map(|e| parse_value(&e["kv"])).next_back().transpose()
 }
 
 #[cfg(test)]
--- a/src/store/list.rs
+++ b/src/store/list.rs
@@ -1,16 +1,18 @@
 //! Client of the platform's instance list over HTTP. The list lags behind the instances' state.
 
 use super::StoreError;
+use crate::h1::{self, CallLimits, FetchError};
 use crate::id::{DataCentre, InstanceId};
+use actix_http::{Method, ServiceConfig, StatusCode};
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Time limit of a request for the list.
-const CALL_TIMEOUT: Duration = Duration::from_secs(2);
-/// Largest response in bytes.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// Bounds of a request for the list.
+const LIMITS: CallLimits =
+    CallLimits { connect: Duration::from_secs(2), wait: Duration::from_secs(2), max_body: 4 << 20 };
 
 /// Process that runs on an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,7 +52,7 @@
 /// Client of the instance list.
 #[derive(Clone)]
 pub struct InstanceList {
-    client: awc::Client,
+    config: ServiceConfig,
     address: SocketAddr,
 }
 
@@ -61,9 +63,9 @@
 }
 
 impl InstanceList {
-    /// Creates a client. It connects at the first request.
+    /// Creates a client, which connects for each request.
     pub fn new(address: SocketAddr) -> Self {
-        InstanceList { client: awc::Client::builder().timeout(CALL_TIMEOUT).finish(), address }
+        InstanceList { config: ServiceConfig::default(), address }
     }
 
     /// Fetches the current list.
@@ -73,9 +75,16 @@
     /// Returns [`StoreError`] if the request fails or the response is not a valid list.
     pub async fn read(&self) -> Result<Vec<ListedInstance>, StoreError> {
         metrics::counter!("list_calls_total").increment(1);
-        let url = format!("http://{}/instances", self.address);
-        let mut res = self.client.get(url).send().await.map_err(|_| StoreError::Unreached)?;
-        let body = res.body().limit(MAX_RESPONSE_BYTES).await.map_err(|_| StoreError::Lost)?;
+        let head = h1::request_head(self.address, Method::GET, "/instances", None);
+        let head = head.ok_or(StoreError::Unreached)?;
+        let fetched = h1::fetch(self.address, &LIMITS, &self.config, head, Bytes::new()).await;
+        let (head, body) = fetched.map_err(|e| match e {
+            FetchError::Unsent(_) => StoreError::Unreached,
+            FetchError::Broken(_) | FetchError::Slow => StoreError::Lost,
+        })?;
+        if head.status != StatusCode::OK {
+            return Err(StoreError::Refused);
+        }
         parse_instances(&body)
     }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -7,11 +7,13 @@
 mod history;
 mod list;
 mod position;
+mod rereads;
 
 pub use etcd::Etcd;
 pub use history::{History, MARKER_KEY, Marker, Standing};
 pub use list::{InstanceList, ListedInstance, ListedState, Role, parse_instances};
 pub use position::{Era, Position, PositionError};
+pub use rereads::Rereads;
 
 use serde::{Deserialize, Serialize};
 use std::future::Future;
--- a/standin/src/bench/run.rs
+++ b/standin/src/bench/run.rs
@@ -215,6 +215,10 @@
                     let Some(wait) = r.retry_after.filter(|_| retry < MAX_RETRIES) else { break };
                     tokio::time::sleep(Duration::from_secs(wait)).await;
                 }
+                Err(RequestError::Invalid(_)) => {
+                    totals.mixed += 1;
+                    break;
+                }
                 Err(RequestError::Unreached) => {
                     tokio::time::sleep(Duration::from_millis(300)).await
                 }
@@ -235,6 +239,7 @@
             match caller.resume(entry, stream).await {
                 Ok(rest) => *stream = rest,
                 Err(RequestError::Refused(r)) => return StreamEnd::Broken(r.outcome.to_string()),
+                Err(RequestError::Invalid(what)) => return StreamEnd::Invalid(what),
                 Err(RequestError::Unreached) => {
                     tokio::time::sleep(Duration::from_millis(300)).await
                 }
@@ -260,6 +265,7 @@
                 TokenFault::Mixed => totals.mixed += 1,
             }
         }
+        totals.mixed += u64::from(matches!(end, StreamEnd::Invalid(_)));
         let is_complete =
             matches!(end, StreamEnd::Done(_)) && stream.tokens.len() == a.output as usize;
         if matches!(end, StreamEnd::Done(_)) && !is_complete {
--- a/standin/src/caller/mod.rs
+++ b/standin/src/caller/mod.rs
@@ -1,12 +1,15 @@
 //! A client of the entries, which reads streams token by token and checks their order and origin.
 
-use awc::http::StatusCode;
+use actix_http::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, ResponseHead, ServiceConfig, StatusCode};
 use bytes::Bytes;
 use eventsource_stream::{Event, EventStreamError, Eventsource};
 use futures_util::stream::{LocalBoxStream, StreamExt};
 use serde_json::{Value, json};
 use skylarkthread::clock;
+use skylarkthread::h1::{self, Broken, Outbound};
 use std::cell::Cell;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -17,6 +20,10 @@
 /// Time without received bytes after which a connection counts as dead. Entries send comments more
 /// often than this.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time limit of a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(20);
+/// Largest body of a response that is no stream.
+const MAX_BODY_BYTES: usize = 8 << 20;
 /// Interval at which a stream without events is checked for [`SILENCE_TIMEOUT`].
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -40,6 +47,9 @@
     Broken(String),
     /// The connection was closed early, or no bytes arrived within the silence timeout.
     Dropped,
+    /// The response is malformed, or ended as whole without its last event or after it; holds what
+    /// is wrong.
+    Invalid(Arc<str>),
 }
 
 /// A violation of the delivery guarantee: each token once, in order, of one generation.
@@ -71,40 +81,68 @@
 pub enum RequestError {
     /// The entry answered with an error.
     Refused(Refusal),
-    /// The entry could not be reached, or gave no readable response.
+    /// The entry could not be reached, or its response was cut off.
     Unreached,
+    /// The response is malformed, or a success without JSON; holds what is wrong.
+    Invalid(Arc<str>),
 }
 
 impl RequestError {
-    /// Returns the outcome stated by the entry, or `unreached`.
+    /// Returns the outcome stated by the entry, `unreached` or `invalid`.
     pub fn outcome(&self) -> &str {
         match self {
             RequestError::Refused(r) => &r.outcome,
             RequestError::Unreached => "unreached",
+            RequestError::Invalid(_) => "invalid",
         }
     }
+
+    fn of_break(broken: Broken) -> RequestError {
+        match broken {
+            Broken::Malformed(rule) => RequestError::invalid(rule),
+            _ => RequestError::Unreached,
+        }
+    }
+
+    fn invalid(what: impl Display) -> RequestError {
+        RequestError::Invalid(Arc::from(what.to_string()))
+    }
 }
 
 /// A client with an API key.
 #[derive(Clone)]
 pub struct Caller {
-    client: awc::Client,
+    codec: ServiceConfig,
     key: String,
 }
 
 impl Caller {
     /// Creates a client that sends `key` as its bearer token.
     pub fn new(key: &str) -> Caller {
-        let connector =
-            awc::Connector::new().timeout(CONNECT_TIMEOUT).limit(0).conn_keep_alive(Duration::ZERO);
-        let client = awc::Client::builder().connector(connector).disable_timeout().finish();
-        Caller { client, key: key.to_string() }
+        Caller { codec: ServiceConfig::default(), key: key.to_string() }
     }
 
-    fn request(&self, method: &str, url: &str) -> awc::ClientRequest {
-        let method = method.parse().unwrap_or(awc::http::Method::GET);
-        let auth = ("authorization", format!("Bearer {}", self.key));
-        self.client.request(method, url).insert_header(auth)
+    /// Sends a request on a connection of its own, and reads the head of the response.
+    async fn send(
+        &self,
+        entry: SocketAddr,
+        method: Method,
+        path: &str,
+        header: Option<(HeaderName, &str)>,
+        body: Bytes,
+    ) -> Result<(Outbound, ResponseHead), RequestError> {
+        let content = (!body.is_empty()).then_some("application/json");
+        let head = h1::request_head(entry, method, path, content);
+        let mut head = head.ok_or_else(|| RequestError::invalid("path of the request"))?;
+        let bearer = format!("Bearer {}", self.key);
+        for (name, value) in [(AUTHORIZATION, &*bearer)].into_iter().chain(header) {
+            let value = HeaderValue::from_str(value).map_err(RequestError::invalid)?;
+            head.headers.insert(name, value);
+        }
+        let sent = Outbound::connect(entry, CONNECT_TIMEOUT, &self.codec, head, body).await;
+        let mut out = sent.map_err(|_| RequestError::Unreached)?;
+        let head = out.read_head().await.map_err(RequestError::of_break)?;
+        Ok((out, head))
     }
 
     /// Requests a generation of at most `limit` tokens; returns once the response has begun.
@@ -122,8 +160,8 @@
         let body = json!({
             "model": service, "prompt": prompt, "max_tokens": limit, "stream": true
         });
-        let req = self.request("POST", &format!("http://{entry}/v1/completions"));
-        self.read_response(req.send_json(&body).await).await
+        let body = body.to_string().into();
+        read_stream(self.send(entry, Method::POST, "/v1/completions", None, body).await?).await
     }
 
     /// Requests a generation for a conversation of messages; returns once the response has begun.
@@ -143,8 +181,8 @@
         let body = json!({
             "model": service, "messages": messages, "max_tokens": limit, "stream": true
         });
-        let req = self.request("POST", &format!("http://{entry}/v1/chat/completions"));
-        self.read_response(req.send_json(&body).await).await
+        let body = body.to_string().into();
+        read_stream(self.send(entry, Method::POST, "/v1/chat/completions", None, body).await?).await
     }
 
     /// Resumes a generation after the last token of `previous`, through any entry. The new stream
@@ -158,47 +196,16 @@
         entry: SocketAddr,
         previous: &TokenStream,
     ) -> Result<TokenStream, RequestError> {
-        let url = format!("http://{entry}/v1/generations/{}", previous.generation);
-        let mut req = self.request("GET", &url);
-        if let Some(last) = previous.tokens.last() {
-            let id = format!("{}:{}", previous.generation, last.ix);
-            req = req.insert_header(("last-event-id", id));
-        }
-        let mut next = self.read_response(req.send().await).await?;
+        let path = format!("/v1/generations/{}", previous.generation);
+        let last = previous.tokens.last().map(|t| format!("{}:{}", previous.generation, t.ix));
+        let header = last.as_deref().map(|id| (HeaderName::from_static("last-event-id"), id));
+        let sent = self.send(entry, Method::GET, &path, header, Bytes::new()).await;
+        let mut next = read_stream(sent?).await?;
         next.tokens = previous.tokens.clone();
         next.generation = previous.generation.clone();
         Ok(next)
     }
 
-    async fn read_response<S>(
-        &self,
-        sent: Result<awc::ClientResponse<S>, awc::error::SendRequestError>,
-    ) -> Result<TokenStream, RequestError>
-    where
-        S: futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + 'static,
-    {
-        let mut res = sent.map_err(|_| RequestError::Unreached)?;
-        if res.status() != StatusCode::OK {
-            let retry = res.headers().get("retry-after").and_then(|v| v.to_str().ok());
-            let retry = retry.and_then(|v| v.parse().ok());
-            let status = res.status().as_u16();
-            let body = res.body().await.map_err(|_| RequestError::Unreached)?;
-            return Err(RequestError::Refused(parse_refusal(status, retry, &body)));
-        }
-        let received = Rc::new(Cell::new(clock::now()));
-        let shared = received.clone();
-        // Recorded for bytes rather than events, since comments show that a connection is alive.
-        let bytes = res.inspect(move |_| shared.set(clock::now()));
-        let events = bytes.eventsource().boxed_local();
-        Ok(TokenStream {
-            generation: Arc::from(""),
-            tokens: Vec::new(),
-            end: None,
-            received,
-            events,
-        })
-    }
-
     /// Calls a plain service through an entry, with `key` as the idempotency key.
     ///
     /// # Errors
@@ -212,23 +219,21 @@
         key: Option<&str>,
         body: &str,
     ) -> Result<Value, RequestError> {
-        let mut req = self.request(method, &format!("http://{entry}{path}"));
-        if let Some(key) = key {
-            req = req.insert_header(("idempotency-key", format!("\"{key}\"")));
+        let method = method.parse().map_err(RequestError::invalid)?;
+        let key = key.map(|key| format!("\"{key}\""));
+        let header = key.as_deref().map(|key| (HeaderName::from_static("idempotency-key"), key));
+        let call = async {
+            let body = Bytes::from(body.to_string());
+            let (mut out, head) = self.send(entry, method, path, header, body).await?;
+            let body = out.read_body(MAX_BODY_BYTES).await.map_err(RequestError::of_break)?;
+            Ok((head, body))
+        };
+        let called = tokio::time::timeout(CALL_TIMEOUT, call).await;
+        let (head, body) = called.map_err(|_| RequestError::Unreached)??;
+        if head.status.is_success() {
+            return serde_json::from_slice(&body).map_err(RequestError::invalid);
         }
-        let sent = tokio::time::timeout(Duration::from_secs(20), req.send_body(body.to_string()));
-        let mut res = sent
-            .await
-            .map_err(|_| RequestError::Unreached)?
-            .map_err(|_| RequestError::Unreached)?;
-        let retry = res.headers().get("retry-after").and_then(|v| v.to_str().ok());
-        let retry = retry.and_then(|v| v.parse().ok());
-        let status = res.status();
-        let body = res.body().await.map_err(|_| RequestError::Unreached)?;
-        if status.is_success() {
-            return serde_json::from_slice(&body).map_err(|_| RequestError::Unreached);
-        }
-        Err(RequestError::Refused(parse_refusal(status.as_u16(), retry, &body)))
+        Err(RequestError::Refused(parse_refusal(&head, &body)))
     }
 
     /// Requests a new idempotency key for calls of a service.
@@ -243,13 +248,55 @@
     }
 }
 
-fn parse_refusal(status: u16, retry: Option<u64>, body: &[u8]) -> Refusal {
+/// Reads a refusal to its end, or prepares to read a stream.
+async fn read_stream(
+    (mut out, head): (Outbound, ResponseHead),
+) -> Result<TokenStream, RequestError> {
+    if head.status != StatusCode::OK {
+        let body = out.read_body(MAX_BODY_BYTES).await.map_err(RequestError::of_break)?;
+        return Err(RequestError::Refused(parse_refusal(&head, &body)));
+    }
+    let received = Rc::new(Cell::new(clock::now()));
+    let shared = received.clone();
+    // Recorded for bytes rather than events, since comments show that a connection is alive.
+    let bytes = out.into_chunks().fuse().inspect(move |_| shared.set(clock::now()));
+    Ok(TokenStream {
+        generation: Arc::from(""),
+        tokens: Vec::new(),
+        end: None,
+        received,
+        events: bytes.eventsource().boxed_local(),
+    })
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<u64> {
+    headers.get("retry-after")?.to_str().ok()?.parse().ok()
+}
+
+fn parse_refusal(head: &ResponseHead, body: &[u8]) -> Refusal {
     let v: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
     let text = |name: &str| Arc::from(v[name].as_str().unwrap_or("none"));
-    Refusal { status, outcome: text("outcome"), kind: text("title"), retry_after: retry }
+    Refusal {
+        status: head.status.as_u16(),
+        outcome: text("outcome"),
+        kind: text("title"),
+        retry_after: retry_after(head.headers()),
+    }
 }
 
-type Events = LocalBoxStream<'static, Result<Event, EventStreamError<awc::error::PayloadError>>>;
+type Events = LocalBoxStream<'static, Result<Event, EventStreamError<Broken>>>;
+
+/// Returns how a stream ended without its last event.
+fn end_of_events(last: Option<EventStreamError<Broken>>) -> StreamEnd {
+    match last {
+        None => StreamEnd::Invalid("whole without its last event".into()),
+        Some(EventStreamError::Transport(Broken::Malformed(rule))) => {
+            StreamEnd::Invalid(Arc::from(rule.to_string()))
+        }
+        Some(EventStreamError::Transport(_)) => StreamEnd::Dropped,
+        Some(e) => StreamEnd::Invalid(Arc::from(e.to_string())),
+    }
+}
 
 /// A generation's tokens, read as they arrive.
 pub struct TokenStream {
@@ -272,10 +319,14 @@
             {
                 Ok(Some(Ok(event))) => event,
                 Err(_) if self.received.get().elapsed() < SILENCE_TIMEOUT => continue,
-                Ok(_) | Err(_) => {
+                Err(_) => {
                     self.end = Some(StreamEnd::Dropped);
                     return false;
                 }
+                Ok(last) => {
+                    self.end = Some(end_of_events(last.and_then(Result::err)));
+                    return false;
+                }
             };
             if self.apply_event(&event) {
                 return true;
@@ -311,9 +362,31 @@
     /// Reads to the end of the stream; returns how it ended.
     pub async fn finish(&mut self) -> StreamEnd {
         while self.next().await {}
+        if let Some(StreamEnd::Done(_)) = self.end
+            && let Some(what) = self.read_rest().await
+        {
+            self.end = Some(StreamEnd::Invalid(what));
+        }
         self.end.clone().unwrap_or(StreamEnd::Dropped)
     }
 
+    /// Reads what follows the last event; returns what is wrong with it. A connection that is lost
+    /// there is no fault, since the caller has all events.
+    async fn read_rest(&mut self) -> Option<Arc<str>> {
+        loop {
+            let next = tokio::time::timeout(SILENCE_TIMEOUT, self.events.next()).await;
+            match next {
+                Ok(Some(Ok(event))) if event.data == "[DONE]" => {}
+                Ok(Some(Ok(_))) => return Some("event after the last one".into()),
+                Ok(Some(Err(e))) => match end_of_events(Some(e)) {
+                    StreamEnd::Invalid(what) => return Some(what),
+                    _ => return None,
+                },
+                Ok(None) | Err(_) => return None,
+            }
+        }
+    }
+
     /// Returns the kinds of violations among the tokens so far, each at most once.
     pub fn faults(&self) -> Vec<TokenFault> {
         let mut faults = Vec::new();
--- a/standin/src/demo/mod.rs
+++ b/standin/src/demo/mod.rs
@@ -178,6 +178,7 @@
                 correct += usize::from(outcome == "incomplete" && stream.faults().is_empty());
             }
             StreamEnd::Dropped => println!("  dropped after {} tokens", stream.tokens.len()),
+            StreamEnd::Invalid(what) => println!("  invalid response: {what}"),
         }
     }
     let name = format!("{correct} of 6 whole or honestly incomplete ({incomplete} incomplete)");
--- a/standin/src/engine/serve.rs
+++ b/standin/src/engine/serve.rs
@@ -3,12 +3,13 @@
 use super::scheduler::{Params, Scheduler, Step};
 use super::{Counts, lock};
 use crate::host::unframe;
-use actix_http::{Method, Request, Response};
+use actix_http::{Method, Request, Response, StatusCode};
 use actix_rt::System;
 use bytes::Bytes;
 use serde_json::{Value, json};
 use skylarkthread::clock;
-use skylarkthread::http::{self, Body, Incoming};
+use skylarkthread::http::{self, Body, Chunk, Incoming};
+use skylarkthread::net;
 use skylarkthread::place::prefix_hash;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -28,6 +29,8 @@
 const CACHE_EVENTS_PER_LOSS: u64 = 7;
 /// Maximum number of cache events kept; the oldest are dropped.
 const MAX_CACHE_EVENTS: usize = 1000;
+/// Time between the first part of a response that breaks off and its end.
+const CUT_DELAY: Duration = Duration::from_millis(20);
 /// How long an ended or cancelled stream stays readable.
 const STREAM_RETENTION: Duration = Duration::from_secs(30);
 
@@ -88,9 +91,9 @@
         fence: Cell::new(0),
         params,
     });
-    let Ok(listener) = http::bind(address).await else { return System::current().stop() };
+    let Ok(mut listener) = net::listen(address) else { return System::current().stop() };
     actix_rt::spawn(run_steps(engine.clone()));
-    http::serve(listener, move |req| handle(engine.clone(), req)).await;
+    http::serve(&mut listener, move |req| handle(engine.clone(), req)).await;
 }
 
 /// Runs batch steps in real time while there are sequences.
@@ -190,6 +193,9 @@
     }
     let id = v["request_id"].as_str().unwrap_or("").to_string();
     let prompt = v["prompt"].as_str().unwrap_or("");
+    if let Some(status) = parse_number(prompt, "refuse=") {
+        return refuse(status as u16, prompt.contains("cut;"));
+    }
     let limit = v["max_tokens"].as_u64().unwrap_or(16) as u32;
     let output = parse_number(prompt, "output=").unwrap_or(DEFAULT_OUTPUT_TOKENS).min(limit).max(1);
     let input = (prompt.len() / BYTES_PER_TOKEN + 1) as u32;
@@ -218,6 +224,26 @@
     stream_from(e, &id, 0)
 }
 
+/// Refuses a generation, in a response that breaks off within its body if `is_cut`.
+fn refuse(status: u16, is_cut: bool) -> Response<Body> {
+    let body = Bytes::from_static(b"refused");
+    if !is_cut {
+        return http::full_response(status, "text/plain", body);
+    }
+    let (tx, rx) = mpsc::channel(1);
+    actix_rt::spawn(async move {
+        // Without the delay, the connection could end before the head is sent.
+        if tx.send(Chunk::More(body)).await.is_ok() {
+            tokio::time::sleep(CUT_DELAY).await;
+        }
+    });
+    let mut response = http::event_stream(rx);
+    if let Ok(status) = StatusCode::from_u16(status) {
+        response.head_mut().status = status;
+    }
+    response
+}
+
 /// Streams a generation from the token number `from` on, and queues it again if it was cancelled.
 fn resume_stream(e: &Rc<Engine>, req: &Incoming, id: &str) -> Response<Body> {
     let from = req.query_param("from").and_then(|n| n.parse().ok()).unwrap_or(0);
@@ -259,10 +285,11 @@
         loop {
             let Some((progress, lines, is_end)) = format_events(&e, &id, &mut next) else { return };
             let notified = progress.notified();
-            if !lines.is_empty() && tx.send(Bytes::from(lines)).await.is_err() {
+            if is_end {
+                let _ = tx.send(Chunk::Last(lines.into())).await;
                 return;
             }
-            if is_end {
+            if !lines.is_empty() && tx.send(Chunk::More(lines.into())).await.is_err() {
                 return;
             }
             // More tokens may have been generated during the send.
--- a/standin/src/fleet/daemon.rs
+++ b/standin/src/fleet/daemon.rs
@@ -15,9 +15,10 @@
     pub http: SocketAddr,
     /// Address of the listener for peers, from the settings.
     pub peer: SocketAddr,
+    /// Settings file; the log is beside it, with the extension `log`.
+    pub settings: PathBuf,
     child: Child,
     role: &'static str,
-    settings: PathBuf,
 }
 
 fn parse_address(settings: &Value, field: &str) -> SocketAddr {
@@ -25,17 +26,21 @@
     text.parse().expect("invalid address in a daemon's settings")
 }
 
-fn spawn(binary: &Path, role: &str, settings: &Path) -> Child {
+fn command(binary: &Path, role: &str, settings: &Path) -> Command {
     let log = File::options().create(true).append(true).open(settings.with_extension("log"));
-    Command::new(binary)
+    let mut command = Command::new(binary);
+    command
         .arg(role)
         .arg("--settings")
         .arg(settings)
         .stdin(Stdio::null())
         .stdout(Stdio::null())
-        .stderr(log.expect("cannot create the daemon's log file"))
-        .spawn()
-        .expect("cannot start the daemon's binary")
+        .stderr(log.expect("cannot create the daemon's log file"));
+    command
+}
+
+fn spawn(mut command: Command) -> Child {
+    command.spawn().expect("cannot start the daemon's binary")
 }
 
 impl Daemon {
@@ -47,7 +52,7 @@
         Daemon {
             http: parse_address(settings, "http"),
             peer: parse_address(settings, "peer"),
-            child: spawn(binary, role, &file),
+            child: spawn(command(binary, role, &file)),
             role,
             settings: file,
         }
@@ -55,8 +60,15 @@
 
     /// Kills the daemon if it still runs, and starts it again with the same settings.
     pub fn restart(&mut self, binary: &Path) {
+        self.restart_prepared(binary, |_| {});
+    }
+
+    /// Kills the daemon if it still runs, and starts it again by the command that `prepare` gets.
+    pub fn restart_prepared(&mut self, binary: &Path, prepare: impl FnOnce(&mut Command)) {
         self.kill();
-        self.child = spawn(binary, self.role, &self.settings);
+        let mut command = command(binary, self.role, &self.settings);
+        prepare(&mut command);
+        self.child = spawn(command);
     }
 
     /// Returns the process identifier.
@@ -64,7 +76,8 @@
         self.child.id()
     }
 
-    fn signal(&self, signal: i32) {
+    /// Sends a signal to the daemon.
+    pub fn signal(&self, signal: i32) {
         // SAFETY: the identifier belongs to a child that has not been waited for, so that the
         // system cannot have reused it.
         unsafe {
--- a/standin/src/fleet/mod.rs
+++ b/standin/src/fleet/mod.rs
@@ -3,7 +3,7 @@
 
 mod daemon;
 
-use daemon::Daemon;
+pub use daemon::Daemon;
 pub use skylarkthread::clock;
 
 use crate::engine::{Engine, Params};
@@ -281,6 +281,11 @@
         self.entries[ix].row.instance.to_string()
     }
 
+    /// Returns the address at which the backend of an endpoint listens.
+    pub fn backend_address(&self, ix: usize) -> SocketAddr {
+        self.endpoints[ix].address
+    }
+
     /// Stops the backend of an endpoint without closing its connections first, as in a crash.
     pub fn crash_backend(&mut self, ix: usize) {
         match &mut self.endpoints[ix].backend {
--- a/standin/src/host/mod.rs
+++ b/standin/src/host/mod.rs
@@ -1,5 +1,11 @@
 //! Runs each stand-in server on its own thread, so that stopping it closes its sockets at once.
 
+mod holder;
+mod sockets;
+
+pub use holder::Holder;
+pub use sockets::{connections_to, unshared};
+
 use actix_http::{ConnectionType, Response};
 use actix_rt::System;
 use skylarkthread::http::Body;
--- a/standin/src/list/mod.rs
+++ b/standin/src/list/mod.rs
@@ -4,6 +4,7 @@
 use skylarkthread::clock;
 use skylarkthread::http;
 use skylarkthread::id::InstanceId;
+use skylarkthread::net;
 use skylarkthread::store::{ListedInstance, ListedState};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -51,9 +52,9 @@
         let state = Arc::new(Mutex::new(State { lag, ..State::default() }));
         let shared = state.clone();
         let server = ServerThread::spawn(move || async move {
-            let listener =
-                http::bind(address).await.expect("cannot bind the instance list's address");
-            http::serve(listener, move |_| {
+            let mut listener =
+                net::listen(address).expect("cannot bind the instance list's address");
+            http::serve(&mut listener, move |_| {
                 let rows = lock(&shared).visible_rows(clock::now());
                 async move { http::json_response(200, &rows) }
             })
--- a/standin/src/plain/mod.rs
+++ b/standin/src/plain/mod.rs
@@ -3,7 +3,8 @@
 use crate::host::{ServerThread, free_address, unframe};
 use actix_http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
-use skylarkthread::http;
+use skylarkthread::http::{self, Chunk};
+use skylarkthread::net;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -80,9 +81,9 @@
     /// Starts a replica that listens on `address`.
     pub fn start_at(address: SocketAddr, call_log: CallLog) -> PlainService {
         let server = ServerThread::spawn(move || async move {
-            let listener =
-                http::bind(address).await.expect("cannot bind the plain service's address");
-            http::serve(listener, move |req| answer(call_log.clone(), req)).await;
+            let mut listener =
+                net::listen(address).expect("cannot bind the plain service's address");
+            http::serve(&mut listener, move |req| answer(call_log.clone(), req)).await;
         });
         PlainService { address, server }
     }
@@ -126,7 +127,7 @@
 fn unframed_response(body: Bytes) -> actix_http::Response<http::Body> {
     let (tx, rx) = mpsc::channel(1);
     // The channel is empty and its receiver is in use, so this cannot fail.
-    let _ = tx.try_send(body);
+    let _ = tx.try_send(Chunk::Last(body));
     unframe(http::event_stream(rx))
 }
 
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -1,10 +1,10 @@
 //! Endpoint of the platform whose treatment of requests, valid or faulty, is set by tests.
 
+use super::early::EarlyAnswer;
 use super::stream::{self, Run, StreamEnd};
 use super::workers::{self, Server};
-use super::{Request, read_request};
+use super::{Request, read_request_body, read_request_head};
 use crate::host::free_address;
-use socket2::SockRef;
 use std::collections::{HashMap, VecDeque};
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -68,6 +68,8 @@
     CutStream(StreamEnd, u64, usize),
     /// Sends bytes that never make up a response until the caller closes the connection.
     Endless(EndlessPart),
+    /// Responds while the request is still arriving.
+    Early(EarlyAnswer),
 }
 
 /// Part of a response that does not end.
@@ -189,6 +191,8 @@
     freed: Mutex<Vec<String>>,
     /// Number of coming reports that give the state as draining.
     draining_reports: AtomicU32,
+    /// Body of the reports, instead of its own.
+    report: Mutex<Option<String>>,
     /// Number of reports sent.
     reports: AtomicU32,
     /// Headers beside the usual ones in all responses to requests.
@@ -213,6 +217,7 @@
     restarts: Arc<AtomicU32>,
     /// Connections accepted since the last crash.
     connections: Mutex<Vec<TcpStream>>,
+    is_stopped: AtomicBool,
 }
 
 /// Time after which an endpoint breaks off a stream that is not read.
@@ -231,8 +236,7 @@
     fn crash(&self, down: Duration) -> Option<()> {
         *self.down_until.lock().ok()? = Some(Instant::now() + down);
         if *self.down_mode.lock().ok()? == DownMode::Refuse {
-            // Ends the waits for a connection; it fails if the endpoint is down already.
-            let _ = SockRef::from(&**self.listener.lock().ok()?).shutdown(Shutdown::Both);
+            workers::close(&*self.listener.lock().ok()?);
         }
         for io in self.connections.lock().ok()?.drain(..) {
             // A connection that has ended is closed already.
@@ -241,14 +245,22 @@
         None
     }
 
-    /// Listens again once the endpoint is no longer down, unless another thread has done so since
+    /// Ends the threads that wait for connections.
+    fn stop(&self) {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        if let Ok(listener) = self.listener.lock() {
+            workers::close(&listener);
+        }
+    }
+
+    /// Listens again once the endpoint is no longer down, unless it has stopped or another thread has done so since
     /// `closed` was closed.
     fn restart(&self, closed: &Arc<TcpListener>) {
         while let Some(time) = self.down_time() {
             std::thread::sleep(time);
         }
         let mut listener = self.listener.lock().expect("no holder panics");
-        if Arc::ptr_eq(&listener, closed) {
+        if Arc::ptr_eq(&listener, closed) && !self.is_stopped.load(Ordering::SeqCst) {
             let opened = workers::listen(self.address);
             *listener = Arc::new(opened.expect("cannot listen again after a crash"));
             self.restarts.fetch_add(1, Ordering::SeqCst);
@@ -293,6 +305,27 @@
         parts.any(|p| p.split(':').next() == Some(&part)).then_some(down)
     }
 
+    /// Returns the action of a request that is answered before its body is read; `None` if the
+    /// request has another one.
+    fn take_early(&self, req: &Request) -> Option<EarlyAnswer> {
+        let is_own = ["/report", "/healthz", "/kv-"].iter().any(|p| req.target.starts_with(p));
+        let mut actions = self.actions.lock().ok()?;
+        let next = actions.front().unwrap_or(&self.default_action);
+        let Action::Early(answer) = next.clone() else { return None };
+        if is_own {
+            return None;
+        }
+        actions.pop_front();
+        Some(answer)
+    }
+
+    /// Records a request whose body is not read.
+    fn record_early(&self, req: &Request) {
+        let (req, at, closed) = (req.clone(), Instant::now(), Arc::default());
+        let received = ReceivedRequest { req, at, ran: true, pause: None, closed };
+        self.received.lock().expect("no holder panics").push(received);
+    }
+
     /// Returns how long the endpoint is down after it has received the request; `None` if the
     /// request does not crash it.
     fn target_crash_time(&self, req: &Request) -> Option<Duration> {
@@ -311,6 +344,12 @@
     state: Arc<State>,
 }
 
+impl Drop for Endpoint {
+    fn drop(&mut self) {
+        self.state.stop();
+    }
+}
+
 impl Endpoint {
     /// Starts an endpoint with the action for requests without one of their own.
     pub fn start(id: &str, default_action: Action) -> Endpoint {
@@ -326,6 +365,7 @@
             refuses_last: AtomicBool::new(false),
             freed: Mutex::default(),
             draining_reports: AtomicU32::new(0),
+            report: Mutex::default(),
             reports: AtomicU32::new(0),
             extra_headers: Mutex::default(),
             address,
@@ -338,6 +378,7 @@
             crash_target: Mutex::default(),
             restarts: Arc::default(),
             connections: Mutex::default(),
+            is_stopped: AtomicBool::new(false),
         });
         workers::start(state.clone());
         Endpoint { id: id.to_owned(), address, state }
@@ -353,6 +394,11 @@
         self.state.draining_reports.store(n, Ordering::SeqCst);
     }
 
+    /// Answers with this body when it is asked for its report.
+    pub fn set_report(&self, body: &str) {
+        *self.state.report.lock().expect("no holder panics") = Some(body.to_owned());
+    }
+
     /// Returns how often the endpoint was asked for its report.
     pub fn report_count(&self) -> u32 {
         self.state.reports.load(Ordering::SeqCst)
@@ -474,15 +520,16 @@
 
 impl Server for State {
     /// Waits for the next connection. None is accepted while the endpoint is down.
-    fn accept(&self) -> TcpStream {
-        loop {
+    fn accept(&self) -> Option<TcpStream> {
+        while !self.is_stopped.load(Ordering::SeqCst) {
             let listener = self.listener.lock().expect("no holder panics").clone();
             match workers::accept(&listener) {
-                Ok(io) if self.record_connection(&io) => return io,
+                Ok(io) if self.record_connection(&io) => return Some(io),
                 Ok(io) => self.turn_away(io),
                 Err(_) => self.restart(&listener),
             }
         }
+        None
     }
 
     fn serve(&self, io: TcpStream) {
@@ -497,7 +544,15 @@
 fn serve(state: &State, io: TcpStream) {
     let Ok(mut writer) = io.try_clone() else { return };
     let mut reader = BufReader::new(io);
-    while let Some(req) = read_request(&mut reader) {
+    while let Some(mut req) = read_request_head(&mut reader) {
+        if let Some(answer) = state.take_early(&req) {
+            state.record_early(&req);
+            let _ = answer.send(&mut reader, &mut writer, &req);
+            return;
+        }
+        if read_request_body(&mut reader, &mut req).is_none() {
+            return;
+        }
         let result = match req.target.as_str() {
             "/kv-move" => copy_memory(state, &req, &mut writer),
             "/report" => send_report(state, &mut writer),
@@ -514,6 +569,9 @@
 
 fn send_report(state: &State, writer: &mut TcpStream) -> Option<()> {
     state.reports.fetch_add(1, Ordering::SeqCst);
+    if let Some(body) = &*state.report.lock().ok()? {
+        return respond(writer, "", 200, body);
+    }
     let left = |n: u32| n.checked_sub(1);
     let reports = &state.draining_reports;
     let is_draining = reports.fetch_update(Ordering::SeqCst, Ordering::SeqCst, left).is_ok();
--- /dev/null
+++ b/standin/src/platform/front.rs
@@ -0,0 +1,152 @@
+//! Front of a store that is faulty at first, and then passes connections on to the store.
+
+use super::read_request;
+use super::workers;
+use crate::host::free_address;
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// Interval between two bytes of an answer that comes slowly.
+const BYTE_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval at which a silent connection looks for the end of the fault.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How a store fails that has just been started.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum StoreFault {
+    /// Nothing listens.
+    Absent,
+    /// Connections are accepted, and nothing is answered.
+    Silent,
+    /// Connections are closed when a request has come.
+    Closing,
+    /// An answer comes byte by byte.
+    Slow,
+    /// Requests get this status.
+    Status(u16),
+    /// Requests get this body with status 200.
+    Body(&'static str),
+    /// Requests get a part of the body that is announced.
+    Cut,
+    /// Connections that were accepted get no answer, also after the fault.
+    Lost,
+    /// Requests reach the store after this time.
+    Late(Duration),
+}
+
+/// Running front.
+#[derive(Debug)]
+pub struct StoreFront {
+    /// Address of the front.
+    pub address: SocketAddr,
+    store: SocketAddr,
+    is_faulty: Arc<AtomicBool>,
+    fault: StoreFault,
+}
+
+impl StoreFront {
+    /// Starts a front of `store` with a fault.
+    pub fn start(store: SocketAddr, fault: StoreFault) -> StoreFront {
+        let is_faulty = Arc::new(AtomicBool::new(true));
+        let front = StoreFront { address: free_address(), store, is_faulty, fault };
+        if fault != StoreFault::Absent {
+            front.listen();
+        }
+        front
+    }
+
+    /// Ends the fault.
+    pub fn mend(&self) {
+        self.is_faulty.store(false, Ordering::Relaxed);
+        if self.fault == StoreFault::Absent {
+            self.listen();
+        }
+    }
+
+    fn listen(&self) {
+        let listener: TcpListener =
+            workers::listen(self.address).expect("cannot listen on the free address");
+        let (store, fault, is_faulty) = (self.store, self.fault, self.is_faulty.clone());
+        std::thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let is_faulty = is_faulty.clone();
+                std::thread::spawn(move || {
+                    let fault = is_faulty.load(Ordering::Relaxed).then_some(fault);
+                    match fault {
+                        Some(StoreFault::Late(delay)) => {
+                            std::thread::sleep(delay);
+                            pass_on(client, store);
+                        }
+                        Some(fault) => fail(client, fault, &is_faulty),
+                        None => pass_on(client, store),
+                    }
+                });
+            }
+        });
+    }
+}
+
+/// Fails the requests of a connection until the fault ends or the connection does.
+fn fail(client: TcpStream, fault: StoreFault, is_faulty: &AtomicBool) {
+    let Ok(mut writer) = client.try_clone() else { return };
+    let mut reader = BufReader::new(client);
+    while read_request(&mut reader).is_some() {
+        let is_open = answer(&mut writer, fault, is_faulty);
+        if !is_open || !is_faulty.load(Ordering::Relaxed) {
+            return;
+        }
+    }
+}
+
+/// Answers a request; returns whether the connection stays open.
+fn answer(io: &mut TcpStream, fault: StoreFault, is_faulty: &AtomicBool) -> bool {
+    let respond = |io: &mut TcpStream, status: u16, length: usize, body: &str| {
+        let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n");
+        io.write_all((head + body).as_bytes()).is_ok()
+    };
+    match fault {
+        StoreFault::Absent | StoreFault::Silent => {
+            while is_faulty.load(Ordering::Relaxed) {
+                std::thread::sleep(CHECK_INTERVAL);
+            }
+            false
+        }
+        // The connection is closed by the other side.
+        StoreFault::Lost => io.peek(&mut [0]).is_ok_and(|n| n > 0),
+        StoreFault::Closing | StoreFault::Late(_) => false,
+        StoreFault::Status(status) => respond(io, status, 4, "null"),
+        StoreFault::Body(body) => respond(io, 200, body.len(), body),
+        StoreFault::Cut => {
+            let _ = respond(io, 200, 1000, r#"{"items":[{"key":"op/config","#);
+            false
+        }
+        StoreFault::Slow => {
+            let text = "HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n\r\n";
+            let bytes = text.bytes().chain(std::iter::repeat_n(b' ', 50_000));
+            for byte in bytes.take_while(|_| is_faulty.load(Ordering::Relaxed)) {
+                if io.write_all(&[byte]).is_err() {
+                    break;
+                }
+                std::thread::sleep(BYTE_INTERVAL);
+            }
+            false
+        }
+    }
+}
+
+fn pass_on(client: TcpStream, store: SocketAddr) {
+    let Ok(upstream) = TcpStream::connect(store) else { return };
+    let (Ok(client_copy), Ok(upstream_copy)) = (client.try_clone(), upstream.try_clone()) else {
+        return;
+    };
+    std::thread::spawn(move || copy(upstream_copy, client_copy));
+    copy(client, upstream);
+}
+
+fn copy(mut from: TcpStream, mut to: TcpStream) {
+    let _ = std::io::copy(&mut from, &mut to);
+    let _ = to.shutdown(Shutdown::Write);
+}
--- a/standin/src/platform/gateway.rs
+++ b/standin/src/platform/gateway.rs
@@ -1,6 +1,6 @@
 //! Runs the gateway binary as a process, with a settings file in the platform's form.
 
-use super::send;
+use super::{send, try_send};
 use crate::host::free_address;
 use std::fs::File;
 use std::net::{SocketAddr, TcpStream};
@@ -43,6 +43,36 @@
     pub const DEFAULT: Limits = Limits { memory_mb: 110, max_fds: 4100 };
 }
 
+/// Addresses on which a gateway listens.
+#[derive(Debug, Clone, Copy)]
+pub struct Listen {
+    /// Address that serves callers.
+    pub front: SocketAddr,
+    /// Address that serves the readiness check.
+    pub ready: SocketAddr,
+    /// Address that serves other instances, over TCP and UDP.
+    pub internal: SocketAddr,
+    /// Address that serves readiness and metrics.
+    pub metrics: Option<SocketAddr>,
+}
+
+impl Listen {
+    /// Returns free addresses, without one for metrics.
+    pub fn free() -> Listen {
+        let (front, ready, internal) = (free_address(), free_address(), free_address());
+        Listen { front, ready, internal, metrics: None }
+    }
+
+    /// Returns free addresses, one of them for metrics.
+    pub fn with_metrics() -> Listen {
+        Listen { metrics: Some(free_address()), ..Listen::free() }
+    }
+
+    fn metrics_port(&self) -> Option<u16> {
+        self.metrics.map(|address| address.port())
+    }
+}
+
 /// Gateway process, killed on drop.
 #[derive(Debug)]
 pub struct Gateway {
@@ -54,6 +84,8 @@
     pub internal: SocketAddr,
     /// Settings file; the log is beside it, with the extension `log`.
     pub settings_file: PathBuf,
+    /// Port that serves readiness and metrics, if there is one.
+    metrics: Option<u16>,
     binary: PathBuf,
     child: Child,
     /// Whether the log goes to a pipe that nothing reads, instead of a file.
@@ -96,6 +128,11 @@
         Gateway::launch(binary, store, piped, &RetryTerms::DEFAULT, limits)
     }
 
+    /// Starts a gateway on these addresses, without waiting until it listens.
+    pub fn start_on(binary: &Path, store: SocketAddr, listen: Listen) -> Gateway {
+        Gateway::spawn_new(binary, store, false, &RetryTerms::DEFAULT, Limits::DEFAULT, listen)
+    }
+
     fn launch(
         binary: &Path,
         store: SocketAddr,
@@ -103,23 +140,7 @@
         terms: &RetryTerms,
         limits: Limits,
     ) -> Gateway {
-        let (front, ready, internal) = (free_address(), free_address(), free_address());
-        let name = format!("g-{}", NEXT_NUMBER.fetch_add(1, Ordering::Relaxed));
-        let dir = std::env::temp_dir().join(format!("gateway-{}", std::process::id()));
-        std::fs::create_dir_all(&dir).expect("cannot create the directory for the settings");
-        let settings_file = dir.join(format!("{name}.conf"));
-        let text = settings(&name, [front, ready, internal], store, terms, limits);
-        std::fs::write(&settings_file, text + FIRST_START).expect("cannot write the settings file");
-        let child = spawn(binary, &settings_file, piped);
-        let gateway = Gateway {
-            front,
-            ready,
-            internal,
-            settings_file,
-            binary: binary.to_owned(),
-            child,
-            piped,
-        };
+        let gateway = Gateway::spawn_new(binary, store, piped, terms, limits, Listen::free());
         assert!(
             gateway.accepts_connections(),
             "the gateway does not accept connections within 5 s of its start"
@@ -127,14 +148,56 @@
         gateway
     }
 
+    fn spawn_new(
+        binary: &Path,
+        store: SocketAddr,
+        piped: bool,
+        terms: &RetryTerms,
+        limits: Limits,
+        listen: Listen,
+    ) -> Gateway {
+        let place = Place::new(listen);
+        let text = settings(&place, store, terms, limits);
+        std::fs::write(&place.settings_file, text + FIRST_START)
+            .expect("cannot write the settings file");
+        let child = spawn(binary, &place.settings_file, piped, listen.metrics_port());
+        Gateway::at(place, binary, child, piped)
+    }
+
+    /// Starts a gateway without waiting until it accepts connections. `prepare` gets the command, the
+    /// path of the settings file, which is not there yet, and the text for it.
+    pub fn start_prepared(
+        binary: &Path,
+        store: SocketAddr,
+        prepare: impl FnOnce(&mut Command, &Path, &str),
+    ) -> Gateway {
+        let place = Place::new(Listen::free());
+        let text = settings(&place, store, &RetryTerms::DEFAULT, Limits::DEFAULT);
+        let mut command = command(binary, &place.settings_file, false, None);
+        prepare(&mut command, &place.settings_file, &(text + FIRST_START));
+        let child = command.spawn().expect("cannot start the gateway binary");
+        Gateway::at(place, binary, child, false)
+    }
+
+    fn at(place: Place, binary: &Path, child: Child, piped: bool) -> Gateway {
+        let Place { listen, settings_file, .. } = place;
+        let Listen { front, ready, internal, .. } = listen;
+        let (metrics, binary) = (listen.metrics_port(), binary.to_owned());
+        Gateway { front, ready, internal, settings_file, metrics, binary, child, piped }
+    }
+
     /// Kills the process if it still runs, and starts it again.
     pub fn restart(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
         let text = std::fs::read_to_string(&self.settings_file);
         let text = text.expect("cannot read the settings file").replace(FIRST_START, "");
-        std::fs::write(&self.settings_file, text).expect("cannot write the settings file");
-        self.child = spawn(&self.binary, &self.settings_file, self.piped);
+        // A busy disk delays a rewrite of a file for seconds, a new file hardly.
+        let new = self.settings_file.with_extension("new");
+        std::fs::write(&new, text)
+            .and_then(|()| std::fs::rename(&new, &self.settings_file))
+            .expect("cannot write the settings file");
+        self.child = spawn(&self.binary, &self.settings_file, self.piped, self.metrics);
         assert!(
             self.accepts_connections(),
             "the gateway does not accept connections within 5 s of its restart"
@@ -191,6 +254,31 @@
         table.lines().skip(1).filter_map(queued).sum::<u64>() / 1024
     }
 
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("cannot wait for the gateway process").is_some()
+    }
+
+    /// Returns the status of the readiness check; 0 if it gets no response, or no connection.
+    pub fn probe(&self) -> u16 {
+        let request = b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        try_send(self.ready, request).map_or(0, |mut sent| sent.reply().status)
+    }
+
+    /// Returns the bytes in KiB that the kernel has received on connections to this address, of any
+    /// process of this machine, and that are unread.
+    pub fn unread_kib(&self, from: SocketAddr) -> u64 {
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("the kernel lists sockets");
+        let unread = |line: &str| {
+            let mut fields = line.split_whitespace().skip(2);
+            let (_, port) = fields.next()?.split_once(':')?;
+            let (_, received) = fields.nth(1)?.split_once(':')?;
+            let hex = |s| u64::from_str_radix(s, 16).ok();
+            (hex(port)? == u64::from(from.port())).then_some(hex(received)?)
+        };
+        table.lines().skip(1).filter_map(unread).sum::<u64>() / 1024
+    }
+
     /// Returns the status of the readiness check; 0 if it gets no response.
     pub fn readiness(&self) -> u16 {
         send(self.ready, b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
@@ -226,32 +314,49 @@
     }
 }
 
-fn spawn(binary: &Path, file: &Path, piped: bool) -> Child {
+/// Name, addresses and settings file of a gateway.
+struct Place {
+    name: String,
+    listen: Listen,
+    settings_file: PathBuf,
+}
+
+impl Place {
+    fn new(listen: Listen) -> Place {
+        let name = format!("g-{}", NEXT_NUMBER.fetch_add(1, Ordering::Relaxed));
+        let dir = std::env::temp_dir().join(format!("gateway-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("cannot create the directory for the settings");
+        let settings_file = dir.join(format!("{name}.conf"));
+        Place { name, listen, settings_file }
+    }
+}
+
+fn spawn(binary: &Path, file: &Path, piped: bool, metrics: Option<u16>) -> Child {
+    command(binary, file, piped, metrics).spawn().expect("cannot start the gateway binary")
+}
+
+fn command(binary: &Path, file: &Path, piped: bool, metrics: Option<u16>) -> Command {
     let log = File::options().create(true).append(true).open(file.with_extension("log"));
     let log = log.expect("cannot open the log file");
-    Command::new(binary)
+    let mut command = Command::new(binary);
+    command
         .arg("gateway")
+        .args(metrics.map(|port| format!("--metrics={port}")))
         .env("SKYLARKTHREAD_BOOT", file)
         .stdin(Stdio::null())
         .stdout(if piped { Stdio::piped() } else { Stdio::from(log) })
-        .stderr(Stdio::inherit())
-        .spawn()
-        .expect("cannot start the gateway binary")
+        .stderr(Stdio::inherit());
+    command
 }
 
 /// Line of the settings file that is there only at the first start.
 const FIRST_START: &str = "bootstrap=true\n";
 
 /// Returns a settings file, with one key that the gateway does not know.
-fn settings(
-    name: &str,
-    listen: [SocketAddr; 3],
-    store: SocketAddr,
-    terms: &RetryTerms,
-    limits: Limits,
-) -> String {
+fn settings(place: &Place, store: SocketAddr, terms: &RetryTerms, limits: Limits) -> String {
     let Limits { memory_mb, max_fds } = limits;
-    let [front, ready, internal] = listen;
+    let Place { name, listen, .. } = place;
+    let Listen { front, ready, internal, .. } = listen;
     let (ip, port) = (internal.ip(), internal.port());
     let (ratio, window, slack) = (terms.ratio, terms.window.as_secs_f64(), terms.slack);
     format!(
--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -3,7 +3,9 @@
 //! They use plain sockets instead of an HTTP library, since the tests check the bytes on the wire.
 
 mod caller;
+mod early;
 mod endpoint;
+mod front;
 mod gateway;
 mod proxy;
 mod store;
@@ -11,8 +13,10 @@
 mod workers;
 
 pub use caller::{Connection, Reply, send, try_send};
+pub use early::{EarlyAnswer, EarlyEnd};
 pub use endpoint::{Action, CrashPoint, DownMode, EndlessPart, Endpoint, ReceivedRequest};
-pub use gateway::{Gateway, Limits, RetryTerms, wait_until};
+pub use front::{StoreFault, StoreFront};
+pub use gateway::{Gateway, Limits, Listen, RetryTerms, wait_until};
 pub use proxy::{Proxy, ProxyMode};
 pub use store::{Outage, Store, StoreCopy};
 pub use stream::StreamEnd;
@@ -64,13 +68,21 @@
 /// Reads a request, whose body must be framed by a content length; `None` if the connection ends
 /// or the request is malformed.
 fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
+    let mut req = read_request_head(reader)?;
+    read_request_body(reader, &mut req)?;
+    Some(req)
+}
+
+/// Reads a request up to its body; `None` if the connection ends or the head is malformed.
+fn read_request_head(reader: &mut BufReader<TcpStream>) -> Option<Request> {
     let lines = read_head(reader)?;
     let mut parts = lines.first()?.split(' ');
     let (method, target) = (parts.next()?.to_owned(), parts.next()?.to_owned());
-    let headers = read_headers(&lines[1..]);
-    let mut req = Request { method, target, headers, body: Vec::new() };
+    Some(Request { method, target, headers: read_headers(&lines[1..]), body: Vec::new() })
+}
+
+fn read_request_body(reader: &mut BufReader<TcpStream>, req: &mut Request) -> Option<()> {
     let length = req.header("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
     req.body = vec![0; length];
-    reader.read_exact(&mut req.body).ok()?;
-    Some(req)
+    reader.read_exact(&mut req.body).ok()
 }
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -53,6 +53,14 @@
     oldest_revision: u64,
     leases: HashMap<u64, Instant>,
     outage: Option<Outage>,
+    /// Whether leases end as soon as they are granted.
+    ends_leases: bool,
+    /// Whether each watch finds its history discarded.
+    keeps_nothing: bool,
+    /// Start of the path of a call whose next response names an era that is far too large.
+    odd_call: Option<&'static str>,
+    /// Whether each response names an era that is far too large.
+    names_odd_era: bool,
     calls: u64,
 }
 
@@ -60,13 +68,13 @@
 
 /// Serves the calls of instances.
 struct Calls {
-    listener: TcpListener,
+    listener: Arc<TcpListener>,
     shared: Shared,
 }
 
 impl Server for Calls {
-    fn accept(&self) -> TcpStream {
-        workers::accept(&self.listener).expect("the listener is not shut down")
+    fn accept(&self) -> Option<TcpStream> {
+        workers::accept(&self.listener).ok()
     }
 
     fn serve(&self, io: TcpStream) {
@@ -79,9 +87,16 @@
 pub struct Store {
     /// Address that the store listens on.
     pub address: SocketAddr,
+    listener: Arc<TcpListener>,
     shared: Shared,
 }
 
+impl Drop for Store {
+    fn drop(&mut self) {
+        workers::close(&self.listener);
+    }
+}
+
 fn lock(shared: &Shared) -> MutexGuard<'_, State> {
     shared.0.lock().expect("no holder of the lock panics")
 }
@@ -91,10 +106,11 @@
     pub fn start() -> Store {
         let address = free_address();
         let listener = workers::listen(address).expect("cannot listen on the free address");
+        let listener = Arc::new(listener);
         let shared = Shared::default();
         lock(&shared).revision = 10;
-        workers::start(Arc::new(Calls { listener, shared: shared.clone() }));
-        Store { address, shared }
+        workers::start(Arc::new(Calls { listener: listener.clone(), shared: shared.clone() }));
+        Store { address, listener, shared }
     }
 
     /// Writes a key; `None` removes it.
@@ -183,6 +199,34 @@
         lock(&self.shared).calls
     }
 
+    /// Keeps no history from now on, so that each watch gets status 410.
+    pub fn keep_nothing(&self) {
+        lock(&self.shared).keeps_nothing = true;
+        self.shared.1.notify_all();
+    }
+
+    /// Names an era that is far too large in the next response to a call whose path starts so.
+    pub fn name_odd_era(&self, call: &'static str) {
+        lock(&self.shared).odd_call = Some(call);
+    }
+
+    /// Returns whether the era that is far too large was named.
+    pub fn has_named_odd_era(&self) -> bool {
+        lock(&self.shared).odd_call.is_none()
+    }
+
+    /// Names an era that is far too large in each response, or no longer.
+    pub fn name_odd_eras(&self, is_odd: bool) {
+        lock(&self.shared).names_odd_era = is_odd;
+    }
+
+    /// Ends all leases, and each new one as soon as it is granted.
+    pub fn end_leases(&self) {
+        let mut state = lock(&self.shared);
+        state.ends_leases = true;
+        state.leases.clear();
+    }
+
     /// Returns the keys that begin with `prefix`.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = lock(&self.shared);
@@ -230,7 +274,11 @@
             None => handle_request(shared, &req),
         };
         let body = body.to_string();
-        let era = lock(shared).era;
+        let mut state = lock(shared);
+        let odd = state.odd_call.take_if(|call| req.target.starts_with(*call));
+        let is_odd = odd.is_some() || state.names_odd_era;
+        let era = if is_odd { u64::MAX } else { state.era };
+        drop(state);
         let head = format!(
             "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
             body.len()
@@ -268,7 +316,9 @@
             let mut state = lock(shared);
             state.revision += 1;
             let lease = state.revision;
-            state.leases.insert(lease, Instant::now());
+            if !state.ends_leases {
+                state.leases.insert(lease, Instant::now());
+            }
             (200, json!({ "lease": lease, "ttl_ms": 15_000 }))
         }
         ("POST", "/kv-txn") => handle_transaction(shared, req),
@@ -306,7 +356,7 @@
     let end = Instant::now() + timeout;
     let mut state = lock(shared);
     loop {
-        if after + 1 < state.oldest_revision || after > state.revision {
+        if state.keeps_nothing || after + 1 < state.oldest_revision || after > state.revision {
             return (410, Value::Null);
         }
         if state.outage.is_some() {
--- a/standin/src/platform/workers.rs
+++ b/standin/src/platform/workers.rs
@@ -4,8 +4,9 @@
 //! is woken does too. Therefore threads are kept for further connections, and all that wait are
 //! woken for each, so that the first to run serves it.
 
+use socket2::SockRef;
 use std::io::{self, ErrorKind};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -59,6 +60,12 @@
     }
 }
 
+/// Ends all waits for connections of a listener. Connections that were accepted go on.
+pub fn close(listener: &TcpListener) {
+    // It fails if the listener is closed already.
+    let _ = SockRef::from(listener).shutdown(Shutdown::Both);
+}
+
 fn wait_readable(listener: &TcpListener) {
     let mut fd = libc::pollfd { fd: listener.as_raw_fd(), events: libc::POLLIN, revents: 0 };
     // SAFETY: `fd` is valid for reads and writes for the duration of the call. An error leads to
@@ -68,14 +75,14 @@
 
 /// Server of connections, used by several threads at once.
 pub trait Server: Send + Sync + 'static {
-    /// Waits for the next connection.
-    fn accept(&self) -> TcpStream;
+    /// Waits for the next connection; `None` once the server has stopped.
+    fn accept(&self) -> Option<TcpStream>;
 
     /// Serves a connection to its end.
     fn serve(&self, io: TcpStream);
 }
 
-/// Serves connections for as long as the process runs, each on a thread of its own.
+/// Serves connections until the server stops, each on a thread of its own.
 pub fn start<S: Server>(server: Arc<S>) {
     let workers = Arc::new(Workers { server, waiting: AtomicUsize::new(0) });
     (0..MIN_WAITING).for_each(|_| workers.add());
@@ -94,10 +101,10 @@
         std::thread::spawn(move || workers.run());
     }
 
-    /// Serves connections until enough other threads wait.
+    /// Serves connections until the server stops or enough other threads wait.
     fn run(self: &Arc<Self>) {
         loop {
-            let io = self.server.accept();
+            let Some(io) = self.server.accept() else { return };
             if self.waiting.fetch_sub(1, Ordering::SeqCst) <= MIN_WAITING {
                 self.add();
             }
--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -33,7 +33,8 @@
 
     /// Reads the response, and keeps the connection open if it allows that.
     fn read(&mut self, mut connection: Connection) -> Reply {
-        let reply = connection.reply();
+        let mut reply = connection.reply();
+        reply.excess = connection.has_excess();
         if reply.complete && reply.header("connection") != Some("close") {
             *self.open = Some(connection);
         }
--- a/standin/src/soak/checker.rs
+++ b/standin/src/soak/checker.rs
@@ -176,6 +176,7 @@
         let checks = [
             ("once", check_once(c, runs)),
             ("not-run", check_refusal(c, runs)),
+            ("valid-answer", check_valid(c)),
             ("own-answer", check_own_response(c)),
             ("in-order", check_stream(c)),
             ("intent", check_version(c, history)),
@@ -218,6 +219,12 @@
         .then(|| format!("refused with status {} and ran", c.reply.status))
 }
 
+/// Checks that what the caller received is one response of HTTP/1.1, or a part of one.
+fn check_valid(c: &CallRecord) -> Option<String> {
+    let malformed = c.reply.fault.map(|rule| format!("malformed: {rule}"));
+    malformed.or_else(|| c.reply.excess.then(|| "bytes after the response".to_owned()))
+}
+
 /// Checks that a complete response belongs to the request.
 fn check_own_response(c: &CallRecord) -> Option<String> {
     if c.reply.status != 200 || !c.reply.complete {
--- a/standin/src/store/mod.rs
+++ b/standin/src/store/mod.rs
@@ -5,10 +5,10 @@
 use actix_http::{Request, Response};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use bytes::Bytes;
 use serde_json::{Value, json};
 use skylarkthread::clock;
-use skylarkthread::http::{self, Body};
+use skylarkthread::http::{self, Body, Chunk};
+use skylarkthread::net;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -107,8 +107,8 @@
         let server = ServerThread::spawn(move || async move {
             let (tx, _) = watch::channel(0);
             let shared: Shared = (shared, tx);
-            let listener = http::bind(address).await.expect("cannot bind the store's address");
-            http::serve(listener, move |req| handle(shared.clone(), req)).await;
+            let mut listener = net::listen(address).expect("cannot bind the store's address");
+            http::serve(&mut listener, move |req| handle(shared.clone(), req)).await;
         });
         Store { address, state, _server: server }
     }
@@ -333,7 +333,7 @@
     let key = request["key"].as_str().unwrap_or("").to_string();
     let start = parse_number(&request["start_revision"]).unwrap_or(0);
     let mut rx = changes.subscribe();
-    let (tx, stream) = mpsc::channel::<Bytes>(4);
+    let (tx, stream) = mpsc::channel(4);
     let restores = {
         let mut s = lock(&state);
         s.watches += 1;
@@ -345,7 +345,7 @@
         let mut line = Some(created);
         loop {
             if let Some(v) = line.take()
-                && tx.send(Bytes::from(format!("{v}\n"))).await.is_err()
+                && tx.send(Chunk::More(format!("{v}\n").into())).await.is_err()
             {
                 break;
             }
--- a/tests/decisions/drain.rs
+++ b/tests/decisions/drain.rs
@@ -55,6 +55,20 @@
     assert_eq!(phases(GRACE, open), expected);
 }
 
+/// A stop that does not come to its end is given up after one that does would have ended.
+#[rstest]
+#[case::usual(8000, 8000)]
+#[case::short(1100, 1100)]
+#[case::none(0, 1100)]
+fn stop_is_given_up_before_the_process_is_killed(#[case] grace: u64, #[case] latest: u64) {
+    let start = Instant::now();
+    let mut drain = Drain::new(start, millis(grace));
+    let last = drain.abort();
+    assert!(last < start + millis(latest));
+    let open = OpenWork { connections: 1, requests: 1 };
+    assert_eq!(drain.step(last, open), Phase::Stopped);
+}
+
 /// What was read is answered by the expiry: a request that would end later is refused.
 #[rstest]
 #[case::call_in_time(8000, 6000, 7300, false, false)]
--- a/tests/decisions/gossip.rs
+++ b/tests/decisions/gossip.rs
@@ -265,6 +265,23 @@
     assert!(!position.is_behind(at(5000), rev(505)));
 }
 
+#[test]
+fn older_era_counts_only_once_it_is_named_steadily() {
+    let now = Instant::now();
+    let at = |ms| now + Duration::from_millis(ms);
+    let mut position = StorePosition::default();
+    position.set(Position::new(Era(9), 500));
+    // Late responses of before a return, one of a newer era between them.
+    assert!((0..20).all(|ms| !position.is_refuted(at(ms), rev(490))));
+    position.set(Position::new(Era(9), 501));
+    assert!(!position.is_refuted(at(6000), rev(490)));
+    assert!(!position.is_refuted(at(11_500), Position::new(Era(1), 490)), "another era");
+    assert!((12..=14).all(|s| !position.is_refuted(at(s * 1000), Position::new(Era(1), 490))));
+    assert!(position.is_refuted(at(16_500), Position::new(Era(1), 490)));
+    position.forget_era();
+    assert_eq!(position.compare(rev(490)), Succession::Same);
+}
+
 #[test]
 fn first_read_of_the_store_is_no_return_whatever_its_era() {
     let position = StorePosition::default();
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions in virtual time, without a network.
 
 mod admit;
+mod answers;
 mod backlog;
 mod balance;
 mod callers;
@@ -10,23 +11,30 @@
 mod drain;
 mod evacuate;
 mod evacuation;
+mod events;
 mod examination;
 mod explain;
 mod fixture;
 mod fleet;
 mod gossip;
+mod heads;
 mod instances;
 mod lag;
 mod limits;
 mod links;
+mod memory;
+mod odd_numbers;
+mod odd_reports;
 mod outages;
 mod outliers;
 mod pauses;
 mod platform;
 mod polls;
 mod pool;
+mod ports;
 mod prompts;
 mod quarantine;
+mod reload;
 mod retries;
 mod sidecar;
 mod sim;
--- a/tests/decisions/quarantine.rs
+++ b/tests/decisions/quarantine.rs
@@ -47,6 +47,16 @@
     Duration::from_millis(ms)
 }
 
+/// Other instances and the store tell of numbers.
+#[test]
+fn crash_after_one_with_the_highest_number_is_taken_for_that_one() {
+    let (start, mut suspects) = (Instant::now(), PartSuspects::default());
+    let last = (LISTED, u32::MAX);
+    suspects.record_crash(start, last, &[]);
+    let answered = Some(start + millis(1000));
+    assert_eq!(suspects.identify_crash(LISTED, start + millis(2000), answered), (last, start));
+}
+
 #[test]
 fn part_that_crashes_an_engine_again_and_again_is_refused_while_its_listing_is_old() {
     let (start, mut sender) = (Instant::now(), Sender::default());
--- a/tests/decisions/startup.rs
+++ b/tests/decisions/startup.rs
@@ -1,6 +1,7 @@
 //! Callers of instances that have just started and have no configuration yet.
 
 use skylarkthread::startup;
+use skylarkthread::store::Rereads;
 use std::time::{Duration, Instant};
 
 const MS: Duration = Duration::from_millis(1);
@@ -94,3 +95,14 @@
     assert_eq!(startup::wait_end(now, Some(MS * 6_000), true), None);
     assert_eq!(startup::wait_end(now, None, false), None);
 }
+
+/// Changes apply within 2 s, also where only full reads show them.
+#[test]
+fn full_reads_in_a_row_are_spaced_out_and_bounded() {
+    let mut rereads = Rereads::default();
+    let delays: Vec<Duration> = (0..100).map(|_| rereads.delay()).collect();
+    assert!(delays[0].is_zero() && delays.is_sorted());
+    assert!(delays[1..].iter().all(|d| !d.is_zero() && *d < Duration::from_secs(2)), "{delays:?}");
+    rereads.reset();
+    assert!(rereads.delay().is_zero());
+}
--- /dev/null
+++ b/tests/deployment/answers.rs
@@ -0,0 +1,238 @@
+//! Answers of engines and plain services that a sidecar reads whole.
+
+use crate::common::*;
+use rstest::rstest;
+use serde_json::Value;
+use standin::caller::{Caller, RequestError, StreamEnd};
+use standin::fleet::{Fleet, Plan, Pool};
+use standin::platform::send;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+
+/// Heads and body of an answer, by the start of the request that it is sent for.
+type Answers = &'static [(&'static str, &'static str, &'static str)];
+
+const REPORT: &str =
+    r#"{"boot":"b","capacity":90000,"batch":8,"loaded":["caption-large+memorial@v1"]}"#;
+const EVENTS: &str = r#"[{"seq":7,"prefix":1,"stored":true}]"#;
+const JSON: &str = r#"{"count":1}"#;
+/// A token, and the last event up to its end.
+macro_rules! last_event {
+    ($end:literal) => {
+        concat!(
+            "id: 0\ndata: {\"choices\":[{\"index\":0,\"text\":\" a.0\",\"finish_reason\":null}]}\n\n",
+            "id: 1\ndata: {\"choices\":[{\"index\":0,\"text\":\"\",\"finish_reason\":\"stop\"}]}",
+            $end
+        )
+    };
+}
+const OK: &str = "HTTP/1.1 200 X\r\n";
+const ENCODED: &str = "HTTP/1.1 200 X\r\nContent-Encoding: gzip\r\n";
+
+/// Answers all connections to an address; returns the targets of the requests.
+fn answer_at(address: SocketAddr, answers: Answers) -> Arc<Mutex<Vec<String>>> {
+    let listener = TcpListener::bind(address).expect("the backend has freed its address");
+    let requests = Arc::new(Mutex::new(Vec::new()));
+    let shared = requests.clone();
+    std::thread::spawn(move || {
+        for mut io in listener.incoming().flatten() {
+            let mut bytes = [0; 4096];
+            let n = io.read(&mut bytes).unwrap_or(0);
+            let request = String::from_utf8_lossy(&bytes[..n]).into_owned();
+            let answer = answers.iter().find(|(start, ..)| request.starts_with(start));
+            let Some((_, head, body)) = answer else { continue };
+            let states_end =
+                ["Content-Length", "Transfer-Encoding"].iter().any(|n| head.contains(n));
+            let length = match states_end {
+                true => String::new(),
+                false => format!("Content-Length: {}\r\n", body.len()),
+            };
+            let bytes = format!("{head}{length}\r\n{body}");
+            // A client that has closed its connection needs no answer.
+            let _ = io.write_all(bytes.as_bytes());
+            let target = request.split(' ').nth(1).unwrap_or("").to_owned();
+            shared.lock().expect("no holder panics").push(target);
+        }
+    });
+    requests
+}
+
+/// Starts a deployment with one endpoint whose backend is replaced.
+async fn start_with(pool: Pool, answers: Answers) -> (Fleet, Arc<Mutex<Vec<String>>>) {
+    let mut fleet =
+        start_deployment(Plan { entries: 1, pools: vec![pool], ..Plan::default() }).await;
+    fleet.crash_backend(0);
+    assert!(wait_until(10, async || serves(&fleet).await == Some(false)).await, "still serving");
+    let requests = answer_at(fleet.backend_address(0), answers);
+    (fleet, requests)
+}
+
+/// Returns whether the entry counts the endpoint as serving; `None` if it does not know it.
+async fn serves(fleet: &Fleet) -> Option<bool> {
+    let status = fleet.status(0).await?;
+    let endpoint: &Value = status["endpoints"].as_array()?.first()?;
+    endpoint["serving"].as_bool()
+}
+
+#[rstest]
+#[case::ok(&[("GET /v1/load", OK, REPORT)], true)]
+#[case::other_success(&[("GET /v1/load", "HTTP/1.1 203 X\r\n", REPORT)], true)]
+#[case::redirect(&[("GET /v1/load", "HTTP/1.1 302 X\r\n", REPORT)], false)]
+#[case::not_found(&[("GET /v1/load", "HTTP/1.1 404 X\r\n", REPORT)], false)]
+#[case::failed(&[("GET /v1/load", "HTTP/1.1 500 X\r\n", REPORT)], false)]
+#[case::full(&[("GET /v1/load", "HTTP/1.1 503 X\r\n", REPORT)], false)]
+#[case::encoded(&[("GET /v1/load", ENCODED, REPORT)], false)]
+#[actix_rt::test]
+async fn load_report_is_taken_from_a_whole_success_alone(
+    #[case] answers: Answers,
+    #[case] is_taken: bool,
+) {
+    let (fleet, requests) = start_with(engine_pool(1, loaded_params()), answers).await;
+    let has_read = async || requests.lock().expect("no holder panics").len() >= 8;
+    assert!(wait_until(10, has_read).await, "the engine is not asked for its load");
+    let is_known = async || serves(&fleet).await == Some(true);
+    assert_eq!(wait_until(2, is_known).await, is_taken);
+}
+
+#[rstest]
+#[case::ok(&[("GET /v1/load", OK, REPORT), ("GET /v1/cache_events", OK, EVENTS)], true)]
+#[case::failed(
+    &[("GET /v1/load", OK, REPORT), ("GET /v1/cache_events", "HTTP/1.1 500 X\r\n", EVENTS)],
+    false
+)]
+#[case::redirect(
+    &[("GET /v1/load", OK, REPORT), ("GET /v1/cache_events", "HTTP/1.1 302 X\r\n", EVENTS)],
+    false
+)]
+#[case::encoded(&[("GET /v1/load", OK, REPORT), ("GET /v1/cache_events", ENCODED, EVENTS)], false)]
+#[actix_rt::test]
+async fn cache_events_are_taken_from_a_whole_success_alone(
+    #[case] answers: Answers,
+    #[case] is_taken: bool,
+) {
+    let (_fleet, requests) = start_with(engine_pool(1, loaded_params()), answers).await;
+    let reads = || -> Vec<String> {
+        let all = requests.lock().expect("no holder panics");
+        all.iter().filter(|target| target.starts_with("/v1/cache_events")).cloned().collect()
+    };
+    assert!(wait_until(15, async || reads().len() >= 2).await, "no second read: {:?}", reads());
+    assert_eq!(reads()[1] == "/v1/cache_events?since=7", is_taken, "{:?}", reads());
+}
+
+#[rstest]
+#[case::ok(&[("GET /healthz", OK, ""), ("POST", OK, JSON)], None)]
+#[case::encoded(&[("GET /healthz", OK, ""), ("POST", ENCODED, JSON)], Some("unknown"))]
+#[case::encoded_failure(
+    &[
+        ("GET /healthz", OK, ""),
+        ("POST", "HTTP/1.1 500 X\r\nContent-Encoding: br\r\n", JSON)
+    ],
+    Some("unknown")
+)]
+#[case::malformed(
+    &[("GET /healthz", OK, ""), ("POST", "HTTP/1.1 200 X\r\nX Other: 1\r\n", JSON)],
+    Some("unknown")
+)]
+#[actix_rt::test]
+async fn answer_to_a_call_is_passed_on_only_as_the_service_sent_it(
+    #[case] answers: Answers,
+    #[case] outcome: Option<&str>,
+) {
+    let (fleet, _requests) = start_with(booking_pool(1), answers).await;
+    assert!(wait_until(10, async || serves(&fleet).await == Some(true)).await, "not serving");
+    let caller = Caller::new("key-1");
+    let result = caller.call(fleet.entry_address(0), "POST", CALL_PATH, Some("k"), "x").await;
+    match outcome {
+        None => assert!(result.is_ok(), "{result:?}"),
+        Some(outcome) => {
+            assert_eq!(result.as_ref().err().map(RequestError::outcome), Some(outcome))
+        }
+    }
+}
+
+#[rstest]
+#[case::blank_line(last_event!("\n\n"), true)]
+#[case::returns(last_event!("\r\n\r\n"), true)]
+#[case::no_blank_line(last_event!("\n"), false)]
+#[case::no_line_end(last_event!(""), false)]
+#[case::half_a_line_end(last_event!("\r\n\r"), false)]
+#[case::half_a_return(last_event!("\n\r"), false)]
+#[actix_rt::test]
+async fn generation_ends_with_the_blank_line_after_its_last_event(
+    #[case] stream: &'static str,
+    #[case] is_whole: bool,
+) {
+    // The engine has forgotten a generation whose stream is opened again.
+    let forgotten = ("GET /v1/streams", "HTTP/1.1 404 X\r\n", "");
+    let answers =
+        Box::leak(Box::new([("GET /v1/load", OK, REPORT), forgotten, ("POST", OK, stream)]));
+    let (fleet, _requests) = start_with(engine_pool(1, loaded_params()), answers).await;
+    assert!(wait_until(10, async || serves(&fleet).await == Some(true)).await, "not serving");
+    let end = match open_stream(fleet.entry_address(0), 1, "a").await {
+        Ok(mut stream) => stream.finish().await,
+        Err(e) => StreamEnd::Broken(e.outcome().to_owned()),
+    };
+    assert_eq!(end == StreamEnd::Done("stop".into()), is_whole, "{end:?}");
+}
+
+/// Size of an event that an engine sends without its end.
+const ENDLESS_BYTES: usize = 96 << 20;
+/// Memory that a sidecar may take, several times what it takes without load.
+const MAX_SIDECAR_KB: usize = 48 << 10;
+
+/// Returns the largest memory that a process has had resident, in KiB.
+fn peak_kb(process: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let peak = peak.and_then(|text| text.trim().strip_suffix(" kB")?.parse().ok());
+    peak.expect("the process runs")
+}
+
+#[rstest]
+#[case::event("data: ", "x")]
+#[case::comments("", ": comment\n")]
+#[actix_rt::test]
+async fn stream_without_an_event_is_not_kept_without_end(#[case] start: &str, #[case] part: &str) {
+    let stream: &'static str = (start.to_owned() + &part.repeat(ENDLESS_BYTES / part.len())).leak();
+    let forgotten = ("GET /v1/streams", "HTTP/1.1 404 X\r\n", "");
+    let answers =
+        Box::leak(Box::new([("GET /v1/load", OK, REPORT), forgotten, ("POST", OK, stream)]));
+    let (fleet, _requests) = start_with(engine_pool(1, loaded_params()), answers).await;
+    assert!(wait_until(10, async || serves(&fleet).await == Some(true)).await, "not serving");
+    let sidecar = fleet.endpoints[0].sidecar.id();
+    let before = peak_kb(sidecar);
+    let end = match open_stream(fleet.entry_address(0), 1, "a").await {
+        Ok(mut stream) => stream.finish().await,
+        Err(e) => StreamEnd::Broken(e.outcome().to_owned()),
+    };
+    assert!(!matches!(end, StreamEnd::Done(_)), "{end:?}");
+    let after = peak_kb(sidecar);
+    assert!(after <= MAX_SIDECAR_KB, "{after} KiB, {before} before");
+}
+
+#[rstest]
+#[case::stated("HTTP/1.1 200 X\r\nContent-Length: 99\r\n", Some("99"))]
+#[case::chunks("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n", None)]
+#[actix_rt::test]
+async fn answer_to_head_states_the_length_of_the_service(
+    #[case] head: &'static str,
+    #[case] length: Option<&str>,
+) {
+    let answers = Box::leak(Box::new([("GET /healthz", OK, ""), ("HEAD", head, "")]));
+    let (fleet, _requests) = start_with(booking_pool(1), answers).await;
+    assert!(wait_until(10, async || serves(&fleet).await == Some(true)).await, "not serving");
+    let request =
+        "HEAD /s/booking/slots HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-1\r\n\r\n";
+    let entry = fleet.entry_address(0);
+    let models = "GET /v1/models HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-1\r\n\r\n";
+    let ask = move || {
+        let mut connection = send(entry, request.as_bytes());
+        let first = connection.reply();
+        connection.write(models.as_bytes()).map(|()| (first, connection.reply()))
+    };
+    let asked = tokio::task::spawn_blocking(ask).await.expect("no panic");
+    let (first, second) = asked.expect("the connection is kept");
+    assert_eq!((first.status, first.header("content-length")), (200, length), "{first:?}");
+    assert_eq!((second.status, second.fault, second.complete), (200, None, true), "{second:?}");
+}
--- a/tests/deployment/calls.rs
+++ b/tests/deployment/calls.rs
@@ -4,6 +4,10 @@
 use standin::caller::{Caller, RequestError};
 use standin::fleet::{Fleet, Plan};
 use standin::store::Snapshot;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 async fn fleet() -> Fleet {
@@ -82,6 +86,28 @@
     assert_eq!(count(&fleet, "delay=3000;x"), 1);
 }
 
+/// The list drops an endpoint that does not answer while calls wait for its reply.
+#[actix_rt::test]
+async fn call_whose_endpoint_is_removed_meanwhile_is_answered_by_another() {
+    let plan = Plan { entries: 1, pools: vec![booking_pool(2)], ..Plan::default() };
+    let fleet = start_deployment(plan).await;
+    let patient = CONFIG.replace("\"first_ms\": 5000", "\"first_ms\": 12000");
+    let (code, out) = fleet.submit(&patient, 1);
+    assert_eq!(code, 0, "{out}");
+    assert!(fleet.wait_all_ready(2).await, "logs in {}", fleet.log_dir().display());
+    fleet.endpoints[0].sidecar.pause();
+    fleet.unlist(0);
+    let caller = Caller::new("key-1");
+    let entry = fleet.entry_address(0);
+    let bodies: Vec<String> = (0..8).map(|n| format!("c{n}")).collect();
+    let sends = bodies.iter().map(|body| caller.call(entry, "GET", CALL_PATH, None, body));
+    let started = Instant::now();
+    let answers = futures_util::future::join_all(sends).await;
+    fleet.endpoints[0].sidecar.resume();
+    assert!(started.elapsed() > Duration::from_secs(5), "no call was sent to the paused endpoint");
+    assert!(answers.iter().all(Result::is_ok), "{answers:?}");
+}
+
 #[actix_rt::test]
 async fn entry_crash_during_call_does_not_rerun_it() {
     let mut fleet = fleet().await;
@@ -428,3 +454,46 @@
     // Half of what the limit allows: the restarted sidecar is away for a while.
     assert!(answered as f64 >= 2.0 * secs, "{answered} calls answered in {secs:.1} s");
 }
+
+/// Answers all connections with these bytes; returns the number of calls among the requests.
+fn answer_at(address: SocketAddr, answer: &'static [u8]) -> Arc<AtomicU32> {
+    let listener = TcpListener::bind(address).expect("the service has freed its address");
+    let calls = Arc::new(AtomicU32::new(0));
+    let count = calls.clone();
+    std::thread::spawn(move || {
+        for mut io in listener.incoming().flatten() {
+            let mut request = [0; 4096];
+            let n = io.read(&mut request).unwrap_or(0);
+            count.fetch_add(u32::from(request[..n].starts_with(b"POST")), Ordering::SeqCst);
+            // A client that has closed its connection needs no answer.
+            let _ = io.write_all(answer);
+        }
+    });
+    calls
+}
+
+fn serves(endpoints: &[serde_json::Value]) -> bool {
+    endpoints.iter().any(|e| e["serving"] == true)
+}
+
+#[actix_rt::test]
+async fn service_whose_health_answers_are_malformed_gets_no_calls() {
+    let plan = Plan { entries: 1, pools: vec![booking_pool(1)], ..Plan::default() };
+    let mut fleet = start_deployment(plan).await;
+    let caller = Caller::new("key-1");
+    fleet.crash_backend(0);
+    let is_down = async || {
+        let status = fleet.status(0).await;
+        status.is_some_and(|s| s["endpoints"].as_array().is_some_and(|all| !serves(all)))
+    };
+    assert!(wait_until(10, is_down).await, "the service does not count as down");
+    let answer = b"HTTP/1.1 200 OK\r\nX-Other : 1\r\nContent-Length: 2\r\n\r\n{}";
+    let calls = answer_at(fleet.backend_address(0), answer);
+    for n in 0..30 {
+        let key = format!("k-{n}");
+        // What the caller gets is of no matter here.
+        let _ = caller.call(fleet.entry_address(0), "POST", CALL_PATH, Some(&key), "x").await;
+        sleep_ms(100).await;
+    }
+    assert_eq!(calls.load(Ordering::SeqCst), 0);
+}
--- a/tests/deployment/hostile.rs
+++ b/tests/deployment/hostile.rs
@@ -7,7 +7,16 @@
 use standin::fleet::{Fleet, Plan};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use Role::{Entry, Sidecar};
+
+/// Process that gets the bytes.
+#[derive(Debug, Clone, Copy)]
+enum Role {
+    Entry,
+    Sidecar,
+}
 
 /// Seed of the random bytes.
 const SEED: u64 = 7;
@@ -69,6 +78,96 @@
     assert_still_serves(&fleet).await;
 }
 
+/// Longest time for which a test sends a body.
+const SEND_TIME: Duration = Duration::from_secs(25);
+
+/// Connects and sends the head of a request with a body in chunks.
+fn begin_body(address: SocketAddr, path: &str) -> TcpStream {
+    let mut io = TcpStream::connect(address).unwrap();
+    io.set_write_timeout(Some(SEND_TIME)).unwrap();
+    io.set_read_timeout(Some(SEND_TIME)).unwrap();
+    let head = format!("POST {path} HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n");
+    io.write_all(head.as_bytes()).unwrap();
+    io
+}
+
+/// Sends chunks of a body without end, until the server takes no more of them.
+fn send_endless_body(mut io: TcpStream) {
+    let chunk = [b"10000\r\n".as_slice(), &[b'x'; 0x10000], b"\r\n"].concat();
+    let started = Instant::now();
+    while started.elapsed() < SEND_TIME && io.write_all(&chunk).is_ok() {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Sends a part of a body, then nothing until the server closes the connection.
+fn send_part_of_body(mut io: TcpStream) {
+    io.write_all(b"1\r\nx\r\n").unwrap();
+    let _ = io.read_to_end(&mut Vec::new());
+}
+
+#[rstest::rstest]
+#[case::read(Entry, "/v1/completions", send_endless_body)]
+#[case::not_read(Entry, "/healthz", send_endless_body)]
+#[case::not_read_by_a_sidecar(Sidecar, "/healthz", send_endless_body)]
+#[case::stalled(Entry, "/v1/completions", send_part_of_body)]
+#[case::stalled_not_read(Entry, "/healthz", send_part_of_body)]
+#[case::stalled_not_read_by_a_sidecar(Sidecar, "/healthz", send_part_of_body)]
+#[actix_rt::test]
+async fn upload_without_end_is_not_read_beyond_the_time_for_a_body(
+    #[case] role: Role,
+    #[case] path: &'static str,
+    #[case] send: fn(TcpStream),
+) {
+    let plan = Plan { entries: 1, pools: vec![engine_pool(1, loaded_params())], ..Plan::default() };
+    let fleet = start_deployment(plan).await;
+    let address = match role {
+        Entry => fleet.entry_address(0),
+        Sidecar => fleet.endpoints[0].sidecar.http,
+    };
+    let started = Instant::now();
+    let sent = actix_rt::task::spawn_blocking(move || send(begin_body(address, path)));
+    sent.await.unwrap();
+    // A body has to arrive within 20 s.
+    let time = started.elapsed();
+    assert!(time <= Duration::from_secs(21), "read for {time:?}");
+    assert_still_serves(&fleet).await;
+}
+
+/// Sends requests with bodies over one connection for longer than one body may take.
+#[actix_rt::test]
+async fn connection_is_kept_beyond_the_time_for_a_body() {
+    let plan = Plan { entries: 1, pools: vec![engine_pool(1, loaded_params())], ..Plan::default() };
+    let fleet = start_deployment(plan).await;
+    let address = fleet.entry_address(0);
+    let send = move || {
+        let mut io = TcpStream::connect(address).unwrap();
+        io.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        for number in 0..23 {
+            io.write_all(b"POST /v1/keys HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\n{}")
+                .unwrap();
+            let n = io.read(&mut [0; 4096]).unwrap();
+            assert!(n > 0, "no answer to request {number}");
+            std::thread::sleep(Duration::from_secs(1));
+        }
+    };
+    actix_rt::task::spawn_blocking(send).await.unwrap();
+}
+
+#[actix_rt::test]
+async fn stream_to_an_http_1_0_caller_is_not_sent_in_chunks() {
+    let plan = Plan { entries: 1, pools: vec![engine_pool(1, loaded_params())], ..Plan::default() };
+    let fleet = start_deployment(plan).await;
+    let body = r#"{"model":"captions","prompt":"output=3; a","max_tokens":3,"stream":true}"#;
+    let head = "POST /v1/completions HTTP/1.0\r\nhost: x\r\nauthorization: Bearer key-1";
+    let request = format!("{head}\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+    let address = fleet.entry_address(0);
+    let sent = move || standin::platform::send(address, request.as_bytes()).read_to_end().0;
+    let answer = actix_rt::task::spawn_blocking(sent).await.unwrap();
+    assert!(answer.starts_with("HTTP/1."), "{answer}");
+    assert!(!answer.to_ascii_lowercase().contains("transfer-encoding"), "{answer}");
+}
+
 #[actix_rt::test]
 async fn frame_with_unknown_key_is_dropped_and_recorded() {
     use skylarkthread::frame::{Envelope, Keyring, Request};
--- a/tests/deployment/schedule.rs
+++ b/tests/deployment/schedule.rs
@@ -79,6 +79,7 @@
                 return Ok((StreamEnd::Broken(r.outcome.to_string()), stream));
             }
             Err(RequestError::Unreached) => sleep_ms(300).await,
+            Err(invalid) => return Err(invalid),
         }
     }
     Ok((StreamEnd::Dropped, stream))
@@ -135,12 +136,16 @@
             Ok((StreamEnd::Dropped, r)) => assert_eq!(r.faults(), []),
             Err(RequestError::Refused(r)) => assert_eq!(&*r.outcome, "not-run", "{r:?}"),
             Err(RequestError::Unreached) => {}
+            Ok((StreamEnd::Invalid(what), _)) | Err(RequestError::Invalid(what)) => {
+                panic!("stream {n}: {what}")
+            }
         }
     }
     assert!(complete * 2 > all, "only {complete} of {all} streams complete");
     for task in calls {
         let (body, outcomes) = task.await.unwrap();
         let ran = fleet.call_log.count(&format!("POST /bookings {body}"));
+        assert!(!outcomes.contains(&"invalid".into()), "{body}: {outcomes:?}");
         assert!(ran <= 1, "{body} ran {ran} times: {outcomes:?}");
         assert!(ran == 0 || !outcomes.contains(&"not-run".into()), "{body} ran: {outcomes:?}");
         assert!(ran == 1 || !outcomes.contains(&"done".into()), "{body} did not run: {outcomes:?}");
--- a/tests/deployment/streams.rs
+++ b/tests/deployment/streams.rs
@@ -5,7 +5,7 @@
 use standin::caller::{Caller, RequestError, StreamEnd, TokenStream};
 use standin::engine::Params;
 use standin::fleet::{Fleet, Plan};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
 /// Starts a deployment with `n` engines and opens a generation whose prefill is so slow that an engine
@@ -54,6 +54,23 @@
     assert_eq!(refused.as_ref().map(RequestError::outcome), Some("unknown"), "{refused:?}");
 }
 
+#[rstest::rstest]
+#[case::whole("", "not-run")]
+#[case::cut_off("cut; ", "unknown")]
+#[actix_rt::test]
+async fn refusal_of_an_engine_says_that_a_generation_has_not_run_only_if_it_is_whole(
+    #[case] end: &str,
+    #[case] outcome: &str,
+    #[values(400, 409, 429, 503)] status: u16,
+) {
+    let plan = Plan { entries: 1, pools: vec![engine_pool(1, loaded_params())], ..Plan::default() };
+    let fleet = start_deployment(plan).await;
+    let prompt = format!("refuse={status}; {end}a");
+    let refused = Caller::new("key-1").open(fleet.entry_address(0), "captions", &prompt, 20).await;
+    let refused = refused.err();
+    assert_eq!(refused.as_ref().map(RequestError::outcome), Some(outcome), "{refused:?}");
+}
+
 #[actix_rt::test]
 async fn engine_crash_after_first_token_ends_stream_as_incomplete() {
     let plan = Plan { pools: vec![engine_pool(2, loaded_params())], ..Plan::default() };
@@ -96,6 +113,21 @@
     assert_complete(&mut rest, 120).await;
 }
 
+/// A caller that names a token which no generation has must not get tokens that it has already.
+#[actix_rt::test]
+async fn resumption_after_the_last_index_of_all_is_refused() {
+    let plan = Plan { pools: vec![engine_pool(1, loaded_params())], ..Plan::default() };
+    let fleet = start_deployment(plan).await;
+    let mut stream = open_stream(fleet.entry_address(0), 40, "a").await.unwrap();
+    assert_complete(&mut stream, 40).await;
+    stream.tokens.last_mut().unwrap().ix = u32::MAX;
+    let resumed = Caller::new("key-1").resume(fleet.entry_address(1), &stream).await.err();
+    assert!(
+        matches!(resumed, Some(RequestError::Refused(ref r)) if r.status == 410),
+        "{resumed:?}"
+    );
+}
+
 #[actix_rt::test]
 async fn stream_survives_silent_connection_on_each_hop() {
     let plan =
@@ -149,6 +181,21 @@
     // The generation of a disconnected caller is cancelled on the engine.
     let is_cancelled = async || fleet.engine(0).unwrap().counts().cancels > 0;
     assert!(wait_until(20, is_cancelled).await, "generation was not cancelled within 20 s");
+    // What was sent before must not look like the whole stream.
+    let (tail, is_closed) = read_tail(&mut slow);
+    assert!(!tail.ends_with("\r\n0\r\n\r\n"), "last chunk after {tail:?}");
+    assert!(is_closed, "the connection stayed open after {tail:?}");
+}
+
+/// Reads to the end of a connection. Returns the end of what was received, and whether the entry has
+/// closed the connection.
+fn read_tail(io: &mut std::net::TcpStream) -> (String, bool) {
+    io.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let mut received = Vec::new();
+    let end = io.read_to_end(&mut received);
+    let is_open = end.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+    let tail = &received[received.len().saturating_sub(40)..];
+    (String::from_utf8_lossy(tail).into_owned(), !is_open)
 }
 
 #[actix_rt::test]
@@ -391,6 +438,7 @@
                 assert!(r.retry_after.is_some(), "{r:?}");
             }
             Err(RequestError::Unreached) => panic!("entry did not answer a request"),
+            Err(RequestError::Invalid(what)) => panic!("invalid response: {what}"),
         }
     }
     assert!((1..60).contains(&refused), "{refused} refused");
--- a/tests/gateway/common.rs
+++ b/tests/gateway/common.rs
@@ -66,7 +66,7 @@
 }
 
 /// Header lines of a request for a generation.
-const GENERATION: &str = "X-Model: m\r\nX-Token-Counts: 100,500\r\nX-Prompt-Prefix: ab:100\r\n";
+pub const GENERATION: &str = "X-Model: m\r\nX-Token-Counts: 100,500\r\nX-Prompt-Prefix: ab:100\r\n";
 
 /// Sends a request for a generation.
 pub fn start_stream(gateway: &Gateway, id: &str) -> Connection {
--- a/tests/gateway/crashing_parts.rs
+++ b/tests/gateway/crashing_parts.rs
@@ -195,10 +195,11 @@
     let queued = String::from_utf8(queued).expect("the request is text");
     let mut queued = send(gateways[0].front, queued.replace(" 5000\r", " 9000\r").as_bytes());
     for n in 0..MAX_CRASHES {
-        send_sound(&gateways[1], &format!("{n}f"));
         if send_bad(&gateways[1], &format!("{n}e")).status == 503 {
             break;
         }
+        // The engine outlives the request during the pause, which makes its run sound.
+        send_sound(&gateways[1], &format!("{n}f"));
         std::thread::sleep(PAUSE);
     }
     let runs = bad_runs(&engines);
--- a/tests/gateway/lifecycle.rs
+++ b/tests/gateway/lifecycle.rs
@@ -4,7 +4,7 @@
     CONFIG, expected_events, list_endpoint, request_bytes, send_request, start_gateway,
     start_platform, start_stream, wait_for,
 };
-use standin::platform::{Action, Endpoint, Gateway, Outage, Store, send};
+use standin::platform::{Action, Endpoint, Gateway, Outage, Proxy, ProxyMode, Store, send};
 use std::time::Duration;
 
 #[test]
@@ -186,3 +186,48 @@
     assert_eq!(waiting.reply().status, 200);
     assert_eq!(e.run_count(), 1);
 }
+
+#[test]
+fn changed_address_of_store_is_used_after_reload() {
+    let e = Endpoint::start("i-1", Action::Respond(200, "fine".into()));
+    let store = Store::start();
+    store.set("op/config", Some(CONFIG.as_bytes()));
+    list_endpoint(&store, &e, "plain", "ready");
+    let old = Proxy::start(store.address);
+    let gateway = crate::common::start_gateway_at(old.address);
+    assert!(wait_for(5, || gateway.readiness() == 200), "gateway not ready within 5 s");
+    let text = std::fs::read_to_string(&gateway.settings_file).expect("the settings are there");
+    let text = text.replace(&old.address.to_string(), &store.address.to_string());
+    std::fs::write(&gateway.settings_file, text).expect("cannot write the settings file");
+    gateway.signal(libc::SIGHUP);
+    std::thread::sleep(Duration::from_secs(1));
+    old.set_mode(ProxyMode::Silent);
+    let changed = CONFIG.replace("\"version\":7", "\"version\":8").replace("key-1", "key-3");
+    store.set("op/config", Some(changed.as_bytes()));
+    let is_refused = || send_request(&gateway, "GET", "/safe/x", "id-1").status == 401;
+    assert!(wait_for(7, is_refused), "a key that was taken away is accepted after 7 s");
+}
+
+#[test]
+fn settings_that_are_half_written_at_a_reload_are_not_applied() {
+    let e = Endpoint::start("i-1", Action::Respond(200, "fine".into()));
+    let (store, gateway) = start_platform(&[(&e, "plain")]);
+    let file = &gateway.settings_file;
+    let text = std::fs::read_to_string(file).expect("the settings are there");
+    // Ends within the port, without a digit of it, so that the line is that of another store.
+    let port = text.find(&store.address.to_string()).expect("the store is in the settings");
+    let end = port + store.address.to_string().len() - 1;
+    std::fs::write(file, &text[..end]).expect("cannot write the settings file");
+    gateway.signal(libc::SIGHUP);
+    std::thread::sleep(Duration::from_millis(500));
+    let changed = CONFIG.replace("\"version\":7", "\"version\":8").replace("key-1", "key-3");
+    store.set("op/config", Some(changed.as_bytes()));
+    let is_refused = || send_request(&gateway, "GET", "/safe/x", "id-1").status == 401;
+    assert!(wait_for(2, is_refused), "a key that was taken away is accepted after 2 s");
+    std::fs::write(file, &text).expect("cannot write the settings file");
+    gateway.signal(libc::SIGHUP);
+    std::thread::sleep(Duration::from_millis(500));
+    let log = gateway.into_log();
+    assert!(log.contains("event=109 kind=SettingsUnusable"), "{log}");
+    assert!(!log.contains("changed=true"), "{log}");
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,5 +1,7 @@
 //! Runs the gateway as a process against simulated parts of the users' platform.
 
+mod answer_heads;
+mod answers;
 mod backlog;
 mod calls;
 mod cold;
@@ -11,12 +13,24 @@
 mod evacuation;
 mod explain;
 mod faulty;
+mod head_requests;
 mod intent;
 mod lifecycle;
 mod limits;
+mod memory;
 mod notices;
+mod odd_bytes;
+mod odd_config;
+mod odd_messages;
+mod panics;
 mod polls;
+mod ports;
+mod restarts;
 mod retries;
 mod shutdown;
+mod slow_files;
+mod start;
+mod start_store;
 mod store_return;
 mod streams;
+mod uploads;
--- a/tests/gateway/store_return.rs
+++ b/tests/gateway/store_return.rs
@@ -4,6 +4,7 @@
     CONFIG, expected_events, list_endpoint, send_request, start_gateway, start_platform,
     start_stream, wait_for,
 };
+use rstest::rstest;
 use standin::platform::{Action, Endpoint, Gateway, Outage, Store};
 use std::time::Duration;
 
@@ -44,6 +45,69 @@
     assert!(wait_for(2, || bodies(&gateway).len() == 2));
 }
 
+#[rstest]
+#[case::at_the_start("/kv-range", true)]
+#[case::in_a_watch("/kv-watch", false)]
+#[case::in_a_later_read("/kv-range", false)]
+fn era_that_one_response_names_wrongly_does_not_outdate_the_store(
+    #[case] call: &'static str,
+    #[case] is_first: bool,
+) {
+    let (e, f) = (endpoint("i-1"), endpoint("i-2"));
+    let store = Store::start();
+    store.set("op/config", Some(CONFIG.as_bytes()));
+    list_endpoint(&store, &e, "plain", "ready");
+    if is_first {
+        store.name_odd_era(call);
+    }
+    let gateway = start_gateway(&store);
+    assert!(wait_for(5, || gateway.readiness() == 200));
+    if !is_first {
+        store.name_odd_era(call);
+        write_others(&store, 1);
+        if call == "/kv-range" {
+            store.compact();
+        }
+    }
+    assert!(wait_for(4, || store.has_named_odd_era()));
+    list_endpoint(&store, &f, "plain", "ready");
+    assert!(wait_for(4, || bodies(&gateway).len() == 2), "a change is not applied");
+}
+
+/// Time in which changes apply once all responses name the right era again.
+const RECOVERY_SECS: u64 = 10;
+
+#[rstest]
+#[case::from_the_start(0)]
+#[case::later(1500)]
+fn era_that_all_responses_name_wrongly_for_a_while_does_not_outdate_the_store(
+    #[case] delay_ms: u64,
+) {
+    let (e, f) = (endpoint("i-1"), endpoint("i-2"));
+    let store = Store::start();
+    store.set("op/config", Some(CONFIG.as_bytes()));
+    list_endpoint(&store, &e, "plain", "ready");
+    store.name_odd_eras(delay_ms == 0);
+    let gateways: Vec<_> = (0..5).map(|_| start_gateway(&store)).collect();
+    assert!(wait_for(5, || gateways.iter().all(|g| g.readiness() == 200)));
+    std::thread::sleep(Duration::from_millis(delay_ms));
+    store.name_odd_eras(true);
+    write_others(&store, 1);
+    std::thread::sleep(Duration::from_secs(3));
+    store.name_odd_eras(false);
+    list_endpoint(&store, &f, "plain", "ready");
+    let is_applied = || gateways.iter().all(|g| bodies(g).len() == 2);
+    assert!(wait_for(RECOVERY_SECS, is_applied), "a change is not applied");
+    store.set("servers/i-1", None);
+    let is_applied = || gateways.iter().all(|g| bodies(g) == ["i-2"]);
+    assert!(wait_for(4, is_applied), "a later change is not applied");
+    let configuration =
+        CONFIG.replace("\"version\":7", "\"version\":8").replace("/safe/", "/other/");
+    store.set("op/config", Some(configuration.as_bytes()));
+    let is_applied = |g| send_request(g, "GET", "/other/x", "id-2").status == 200;
+    assert!(wait_for(4, || gateways.iter().all(is_applied)), "a configuration is not applied");
+}
+
 #[test]
 fn generation_on_an_engine_that_joined_since_the_copy_goes_on() {
     let e = Endpoint::start("i-1", Action::Stream(60, Duration::from_millis(30)));
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -175,6 +175,67 @@
     assert!(replies.iter().all(|r| *r == (true, expected_events(6))), "{replies:?}");
 }
 
+#[rstest]
+#[case::no_body("", "", false)]
+#[case::comment("", ": none\n\n", false)]
+#[case::length("Content-Length: 0\r\n", "", true)]
+#[case::chunks("Transfer-Encoding: chunked\r\n", "0\r\n\r\n", true)]
+fn stream_without_framing_that_continues_without_an_event_does_not_look_complete(
+    #[case] headers: &'static str,
+    #[case] body: &'static str,
+    #[case] is_complete: bool,
+) {
+    let e = Endpoint::start("i-1", Action::TruncatedStream(3));
+    let f = Endpoint::start("i-2", Action::Raw("HTTP/1.1 200 X", headers, body));
+    let (_store, gateway) = start_platform(&[(&e, "model"), (&f, "model")]);
+    let is_continued = || f.received().iter().any(|r| r.req.header("last-event-id") == Some("3"));
+    let replies = (0..40).map(|n| start_resumable(&gateway, &format!("id-{n}")).reply());
+    let reply = replies.into_iter().find(|_| is_continued()).expect("no stream was continued");
+    assert_eq!(reply.complete, is_complete, "{}", reply.body);
+    assert!(reply.body.starts_with(&expected_events(3)), "{}", reply.body);
+}
+
+/// Sends resumable streams until an engine that breaks off has had one, and returns the last reply.
+fn break_off(broken: &'static str, n: u64, second: Action) -> (bool, String) {
+    let e = Endpoint::start("i-1", Action::EndingStream(StreamEnd::Reset, n, broken));
+    let f = Endpoint::start("i-2", second);
+    let (_store, gateway) = start_platform(&[(&e, "model"), (&f, "model")]);
+    send_until_met(&gateway, &e).pop().expect("a reply")
+}
+
+#[rstest]
+#[case::first(0, "data: token-1\n\n")]
+#[case::no_number(0, "id: a\ndata: token-1\n\n")]
+#[case::after_a_number(1, "data: token-2\n\n")]
+fn event_without_a_number_is_not_repeated_by_another_engine(
+    #[case] n: u64,
+    #[case] rest: &'static str,
+) {
+    let whole = Action::EndingStream(StreamEnd::Chunked, n, rest);
+    let (is_complete, body) = break_off(rest, n, whole);
+    assert!(!is_complete, "{body}");
+    assert_eq!(body, expected_events(n) + rest);
+}
+
+#[test]
+fn engine_without_numbers_does_not_continue_a_stream() {
+    let second = Action::EndingStream(StreamEnd::Chunked, 0, "data: token-1\n\n");
+    assert_eq!(break_off("", 3, second), (false, expected_events(3)));
+}
+
+#[rstest]
+#[case::after_the_last("data: [DONE]\n\n", 0)]
+#[case::after_repeated("data: x\n\nid: 4\ndata: token-4\n\n", 9)]
+fn event_without_a_number_follows_the_numbered_one_before_it(
+    #[case] rest: &'static str,
+    #[case] dropped: usize,
+) {
+    let n = if dropped == 0 { 4 } else { 3 };
+    let second = Action::EndingStream(StreamEnd::Chunked, n, rest);
+    let body = expected_events(n) + &rest[dropped..];
+    assert_eq!(break_off("", 3, second), (true, body));
+}
+
 #[test]
 fn resumable_stream_that_got_no_response_runs_on_another_engine() {
     let e = Endpoint::start("i-1", Action::Reset);
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -1,8 +1,11 @@
 //! Links between processes with cancelled, unanswered and concurrent requests.
 
+use rstest::rstest;
+use skylarkthread::net;
 use skylarkthread::peer::{Link, Listener, PeerError};
-use standin::host::{ServerThread, free_address};
-use std::net::SocketAddr;
+use standin::host::{ServerThread, free_address, unshared};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 /// Number of requests that are dropped, at varying times.
@@ -72,3 +75,53 @@
     let started = link.request(&[0], Duration::from_secs(5)).await;
     assert_eq!(started.map(|m| m.len()), Ok(1));
 }
+
+/// Links that are opened until their ports are looked at.
+const ROUND_LINKS: usize = 50;
+/// Rounds until one of the ports is shared with no other connection of the machine.
+const MAX_ROUNDS: usize = 40;
+
+/// Dials a server that answers nothing; returns the local address of the link with both ends.
+async fn dial(server: &std::net::TcpListener) -> (SocketAddr, Link, TcpStream) {
+    let link = Link::dial(server.local_addr().unwrap()).expect("a socket can be created");
+    let (mut served, local) = server.accept().expect("the link is dialed");
+    // The greeting of the dialer, which it sends once it is connected.
+    served.read_exact(&mut [0; 8]).expect("the greeting arrives");
+    served.write_all(b"\0SP\0\0\x31\0\0").expect("the link is open");
+    (local, link, served)
+}
+
+/// A process that started on a port of a link waited for it until the link was closed, and a minute more.
+#[rstest]
+#[case::established(false)]
+#[case::closed(true)]
+#[actix_rt::test]
+async fn port_of_a_link_can_be_listened_on(
+    #[case] is_closed: bool,
+    #[values(|a| net::listen(a).is_ok(), |a| Listener::bind(a).is_ok())] opens: fn(
+        SocketAddr,
+    ) -> bool,
+) {
+    let server = std::net::TcpListener::bind(free_address()).expect("the address is free");
+    for _ in 0..MAX_ROUNDS {
+        let mut round = Vec::new();
+        for _ in 0..ROUND_LINKS {
+            round.push(dial(&server).await);
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let locals = unshared(&round.iter().map(|(local, ..)| *local).collect::<Vec<_>>());
+        if is_closed {
+            // The side that closes first keeps the port.
+            let links = round.into_iter().map(|(_, link, served)| (drop(link), served).1);
+            let mut open: Vec<_> = links.collect();
+            open.iter_mut().for_each(|io| drop(io.read_to_end(&mut Vec::new())));
+        }
+        let (accepted, refused): (Vec<_>, Vec<_>) = locals.into_iter().partition(|a| opens(*a));
+        // Another process may have taken one of the ports by now.
+        assert_eq!(unshared(&refused), [], "accepted: {accepted:?}");
+        if !accepted.is_empty() {
+            return;
+        }
+    }
+    panic!("each port is shared with another connection of this machine");
+}
--- a/tests/scenario/once.rs
+++ b/tests/scenario/once.rs
@@ -52,7 +52,7 @@
             },
             "done" => {
                 let body = vec![b'x'; arg(case, "bytes").unwrap_or(10)];
-                let answer = Answer { status: 200, content: Arc::from(""), body };
+                let answer = Answer { status: 200, content: Arc::from(""), body, omitted: None };
                 self.ledger.finish(&key(case), CallReply::Done(answer));
                 "ok\n".into()
             }
--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -1,6 +1,7 @@
 //! Tests that the checker detects a violation of each promise, and none in a correct run.
 
 use rstest::rstest;
+use skylarkthread::h1::Fault;
 use standin::platform::Reply;
 use standin::soak::checker::{Arrival, CallRecord, History, LimitPeriod, RequestKind, check};
 use std::time::{Duration, Instant};
@@ -37,6 +38,7 @@
             headers: vec![("x-replica-seal".into(), format!("s.{id}"))],
             body,
             complete: true,
+            ..Reply::default()
         },
     };
     let arrival = |id: &str, resumed| Arrival {
@@ -79,6 +81,8 @@
 #[rstest]
 #[case::call_ran_twice("once", |run: &mut Run| { let arrival = run.arrivals[1].clone(); run.arrivals.push(arrival); })]
 #[case::refused_call_ran("not-run", |run: &mut Run| run.calls[1].reply.status = 503)]
+#[case::malformed_answer("valid-answer", |run: &mut Run| run.calls[0].reply.fault = Some(Fault::FieldName))]
+#[case::two_answers("valid-answer", |run: &mut Run| run.calls[2].reply.excess = true)]
 #[case::wrong_body("own-answer", |run: &mut Run| run.calls[0].reply.body = "b".into())]
 #[case::missing_seal("own-answer", |run: &mut Run| run.calls[0].reply.headers.clear())]
 #[case::event_missing("in-order", |run: &mut Run| run.calls[2].reply.body = events(&[("c.1", 1), ("c.1", 3)]))]
--- a/tests/store_outcomes.rs
+++ b/tests/store_outcomes.rs
@@ -2,9 +2,10 @@
 
 use rstest::rstest;
 use skylarkthread::platform::KvClient;
-use skylarkthread::store::{Etcd, LeaseId, Leases, StoreError};
+use skylarkthread::store::{ChangeFeed, Etcd, LeaseId, Leases, Op, Store, StoreError};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
 
 /// Answers one request with this status and body; returns the address of the server.
 fn answer_once(status: u16, body: &'static str) -> SocketAddr {
@@ -61,3 +62,98 @@
     let store = Etcd::new(answer_once(status, body));
     assert_eq!(store.put("key", b"value", LeaseId(1)).await, expected);
 }
+
+/// Answers each request with the same page; returns the address of the server.
+fn repeat_page(page: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let mut request = [0; 4096];
+        while let Ok((mut io, _)) = listener.accept() {
+            while io.read(&mut request).is_ok_and(|n| n > 0) {
+                let head = format!("HTTP/1.1 200 X\r\ncontent-length: {}\r\n\r\n", page.len());
+                if io.write_all((head + page).as_bytes()).is_err() {
+                    break;
+                }
+            }
+        }
+    });
+    address
+}
+
+#[actix_rt::test]
+async fn store_that_repeats_a_page_is_not_read_without_end() {
+    const PAGE: &str = r#"{"items":[{"key":"a","value":"","revision":1},{"key":"b","value":"","revision":2}],"truncated":true,"current_rev":2}"#;
+    let store = KvClient::new(repeat_page(PAGE));
+    let read = tokio::time::timeout(Duration::from_secs(2), store.list("")).await;
+    assert!(matches!(read, Ok(Err(StoreError::Malformed))), "{read:?}");
+}
+
+/// Answers of etcd to a read and to a claim of a key; the last value in each is not base64.
+const VALUES: [&str; 4] = [
+    r#"{"header":{"revision":"7"},"kvs":[{"value":"e30=","mod_revision":"5"}]}"#,
+    r#"{"header":{"revision":"7"},"kvs":[{"value":"{}","mod_revision":"5"}]}"#,
+    r#"{"header":{"revision":"7"},"succeeded":true,"responses":[{"response_txn":{"responses":[
+        {"response_range":{"kvs":[{"value":"e30=","mod_revision":"5"}]}}]}}]}"#,
+    r#"{"header":{"revision":"7"},"succeeded":true,"responses":[{"response_txn":{"responses":[
+        {"response_range":{"kvs":[{"value":"{}","mod_revision":"5"}]}}]}}]}"#,
+];
+
+#[rstest]
+#[case::read(VALUES[0], Ok(true))]
+#[case::unreadable(VALUES[1], Err(StoreError::Malformed))]
+#[case::no_revision(
+    r#"{"header":{"revision":"7"},"kvs":[{"value":""}]}"#,
+    Err(StoreError::Malformed)
+)]
+#[case::absent(r#"{"header":{"revision":"7"}}"#, Ok(false))]
+#[actix_rt::test]
+async fn unreadable_value_of_etcd_does_not_look_like_an_absent_key(
+    #[case] body: &'static str,
+    #[case] expected: Result<bool, StoreError>,
+) {
+    let read = Etcd::new(answer_once(200, body)).get("key").await;
+    assert_eq!(read.map(|value| value.is_some()), expected);
+}
+
+#[rstest]
+#[case::taken(VALUES[2], Ok(true))]
+#[case::unreadable(VALUES[3], Err(StoreError::Malformed))]
+#[case::nothing_found(
+    r#"{"header":{"revision":"7"},"succeeded":true,"responses":[{"response_txn":{"responses":[
+        {"response_range":{}}]}}]}"#,
+    Err(StoreError::Malformed)
+)]
+#[case::no_result(
+    r#"{"header":{"revision":"7"},"succeeded":true,"responses":[{"response_txn":{}}]}"#,
+    Err(StoreError::Malformed)
+)]
+#[case::claimed(
+    r#"{"header":{"revision":"7"},"succeeded":true,"responses":[{"response_txn":{
+        "succeeded":true,"responses":[{"response_put":{}}]}}]}"#,
+    Ok(false)
+)]
+#[actix_rt::test]
+async fn claim_that_another_holds_does_not_look_like_an_own_one(
+    #[case] body: &'static str,
+    #[case] is_taken: Result<bool, StoreError>,
+) {
+    let claim = Op::Claim("key".into(), b"value".to_vec(), None);
+    let outcome = Etcd::new(answer_once(200, body)).txn(&[], &[claim], &[]).await;
+    assert_eq!(outcome.map(|o| o.found[0].is_some()), is_taken);
+}
+
+#[rstest]
+#[case::value("e30=", Ok(true))]
+#[case::unreadable("{}", Err(StoreError::Malformed))]
+#[actix_rt::test]
+async fn unreadable_value_in_a_watch_of_etcd_is_not_passed_over(
+    #[case] value: &str,
+    #[case] expected: Result<bool, StoreError>,
+) {
+    let event = format!(r#"{{"kv":{{"value":"{value}","mod_revision":"5"}}}}"#);
+    let line = format!("{{\"result\":{{\"events\":[{event}]}}}}\n");
+    let store = Etcd::new(answer_once(200, line.leak()));
+    let change = store.wait_for_change("key", 4, Duration::from_secs(2)).await;
+    assert_eq!(change.map(|value| value.is_some()), expected);
+}
