Count nothing as received by a connection that is in its handshake

Cause: the kernel lists the unread bytes of a connection as the difference of two numbers, which it sets one after the other as the handshake ends. A line read in between has a random number below 2 GiB.

Evidence: a loop of connects beside 11,804 reads of the list saw 8 such lines, all in the state SYN-SENT, 173,383 to 1,934,786 KiB; none in another state. The kernel sets the state after the numbers, so a line of a later state is right.

Ruled out: memory of the gateway (resident 49,404 KiB, 0 towards callers) and connections of other processes (the port is the endpoint's).

The check is as strict as before: no bytes of a peer wait at a connection whose handshake has not ended. Both counts of the stand-in now use one scan of the list; its case of the handshake gave 458,107,975 bytes without the change.

--- a/standin/src/platform/gateway.rs
+++ b/standin/src/platform/gateway.rs
@@ -1,7 +1,7 @@
 //! Runs the gateway binary as a process, with a settings file in the platform's form.
 
 use super::{send, try_send};
-use crate::host::free_address;
+use crate::host::{ListedSocket, free_address, sockets};
 use std::fs::File;
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -240,18 +240,9 @@
     /// Returns the bytes in KiB that the kernel holds for connections to the gateway's addresses for
     /// callers and probes: received and unread, or sent and not taken.
     pub fn queued_kib(&self) -> u64 {
-        let table = std::fs::read_to_string("/proc/net/tcp").expect("the kernel lists sockets");
         let ports = [self.front.port(), self.ready.port()];
-        let queued = |line: &str| {
-            let mut fields = line.split_whitespace().skip(1);
-            let (_, port) = fields.next()?.split_once(':')?;
-            let (sent, received) = fields.nth(2)?.split_once(':')?;
-            // A listener has the number of its connections there.
-            let hex = |s| u64::from_str_radix(s, 16).ok();
-            let is_own = ports.map(u64::from).contains(&hex(port)?);
-            is_own.then_some(hex(sent)? + hex(received)?)
-        };
-        table.lines().skip(1).filter_map(queued).sum::<u64>() / 1024
+        let own = |s: &ListedSocket| ports.contains(&s.local.port());
+        sockets().iter().filter(|s| own(s)).map(|s| s.sent + s.received).sum::<u64>() / 1024
     }
 
     /// Returns whether the process has ended.
@@ -268,15 +259,8 @@
     /// Returns the bytes in KiB that the kernel has received on connections to this address, of any
     /// process of this machine, and that are unread.
     pub fn unread_kib(&self, from: SocketAddr) -> u64 {
-        let table = std::fs::read_to_string("/proc/net/tcp").expect("the kernel lists sockets");
-        let unread = |line: &str| {
-            let mut fields = line.split_whitespace().skip(2);
-            let (_, port) = fields.next()?.split_once(':')?;
-            let (_, received) = fields.nth(1)?.split_once(':')?;
-            let hex = |s| u64::from_str_radix(s, 16).ok();
-            (hex(port)? == u64::from(from.port())).then_some(hex(received)?)
-        };
-        table.lines().skip(1).filter_map(unread).sum::<u64>() / 1024
+        let unread = |s: &ListedSocket| (s.remote.port() == from.port()).then_some(s.received);
+        sockets().iter().filter_map(unread).sum::<u64>() / 1024
     }
 
     /// Returns the status of the readiness check; 0 if it gets no response.
