Test the probes, copies of memory and explain with broken answers

One table of 17 broken forms in the stand-in, for any status and body, and one whole form that each reader has to take, so that a case fails for its fault alone.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -2,6 +2,7 @@
 //! and benchmarks. Not part of a release.
 
 pub mod bench;
+pub mod broken;
 pub mod caller;
 pub mod demo;
 pub mod engine;
