Read the start of an endpoint from a successful report alone

A look at an endpoint whose connection broke read a start time from any JSON body: that of an error, and that of the health answer of a plain service, whose body is its own. Another number there than the listed one counts as a restart, so the look ends with "crashed" and the requests that ran there are accused.

Before: start_of_an_endpoint_is_read_from_a_report_alone, cases failed_report and health: Some(5) where None is due, 2 of 3 fail. After: 20 of 20 in reader_answers. The id is a header under any status and still counts.

--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -226,8 +226,13 @@
         Probe::Connection => return watch_connection(to, wait).await,
     };
     let (head, body) = send_request(to, config, Method::GET, path, Bytes::new(), wait).await?;
-    // Only a report has a body that says more.
-    let start: StartBody = serde_json::from_slice(&body).unwrap_or_default();
+    // Only a report has a body that says more, and only a success is a report.
+    let is_report = matches!(probe, Probe::Report) && head.status.is_success();
+    let start: StartBody = if is_report {
+        serde_json::from_slice(&body).unwrap_or_default()
+    } else {
+        StartBody::default()
+    };
     Ok(Identity { id: endpoint_id(head.headers()), started_ms: start.born })
 }
 
--- a/tests/reader_answers.rs
+++ b/tests/reader_answers.rs
@@ -43,6 +43,19 @@
     assert_eq!(believed(is_taken), [""; 0]);
 }
 
+#[rstest]
+#[case::report(Probe::Report, 200, Some(5))]
+#[case::failed_report(Probe::Report, 500, None)]
+#[case::health(Probe::Health("/healthz".into()), 200, None)]
+fn start_of_an_endpoint_is_read_from_a_report_alone(
+    #[case] probe: Probe,
+    #[case] status: u16,
+    #[case] started_ms: Option<u64>,
+) {
+    let stated = call(WHOLE, status, r#"{"born":5}"#, async |to| ask(to, &probe).await);
+    assert_eq!(stated, Some(Identity { id: None, started_ms }));
+}
+
 #[rstest]
 fn malformed_answer_to_a_copy_leaves_its_outcome_unknown(
     #[values(200, 404, 409, 503)] status: u16,
