Test migrations whose copies get broken answers

The stand-in's endpoints carry out such a call and then answer in a broken form, as an engine in trouble may.

A generation stays where it is after its first copy; after the last one, which may have stopped it, its stream is cut off without an end in order, whether the status is 200, 404 or 503, and it runs nowhere else.

--- a/standin/src/broken.rs
+++ b/standin/src/broken.rs
@@ -95,3 +95,12 @@
 pub fn believed(mut is_taken: impl FnMut(Form) -> bool) -> Vec<&'static str> {
     BROKEN.iter().filter(|form| is_taken(**form)).map(|form| form.name).collect()
 }
+
+/// Returns the broken form of this name.
+///
+/// # Panics
+///
+/// Panics if there is none.
+pub fn broken(name: &str) -> Form {
+    *BROKEN.iter().find(|form| form.name == name).expect("the form exists")
+}
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -4,6 +4,7 @@
 use super::stream::{self, Run, StreamEnd};
 use super::workers::{self, Server};
 use super::{Request, read_request_body, read_request_head};
+use crate::broken::Form;
 use crate::host::free_address;
 use std::collections::{HashMap, VecDeque};
 use std::io::{BufReader, Read, Write};
@@ -172,6 +173,15 @@
     pub ended: Instant,
 }
 
+/// Answer to the control calls to a target with a part in their body.
+#[derive(Debug, Clone)]
+struct ControlFault {
+    target: &'static str,
+    part: &'static str,
+    form: Form,
+    status: u16,
+}
+
 #[derive(Debug)]
 struct State {
     /// Actions for the next requests.
@@ -193,6 +203,8 @@
     draining_reports: AtomicU32,
     /// Body of the reports, instead of its own.
     report: Mutex<Option<String>>,
+    /// Answer to some control calls, instead of its own.
+    fault: Mutex<Option<ControlFault>>,
     /// Number of reports sent.
     reports: AtomicU32,
     /// Headers beside the usual ones in all responses to requests.
@@ -319,6 +331,13 @@
         Some(answer)
     }
 
+    /// Returns the form and the status of the answer to a control call that tests have set.
+    fn fault(&self, req: &Request) -> Option<(Form, u16)> {
+        let fault = self.fault.lock().ok()?.clone()?;
+        let has_part = String::from_utf8_lossy(&req.body).contains(fault.part);
+        (req.target.starts_with(fault.target) && has_part).then_some((fault.form, fault.status))
+    }
+
     /// Records a request whose body is not read.
     fn record_early(&self, req: &Request) {
         let (req, at, closed) = (req.clone(), Instant::now(), Arc::default());
@@ -366,6 +385,7 @@
             freed: Mutex::default(),
             draining_reports: AtomicU32::new(0),
             report: Mutex::default(),
+            fault: Mutex::default(),
             reports: AtomicU32::new(0),
             extra_headers: Mutex::default(),
             address,
@@ -399,6 +419,19 @@
         *self.state.report.lock().expect("no holder panics") = Some(body.to_owned());
     }
 
+    /// Carries out the control calls to this target with this part in their body, and answers them in
+    /// this form and with this status.
+    pub fn set_control_answer(
+        &self,
+        target: &'static str,
+        part: &'static str,
+        form: Form,
+        status: u16,
+    ) {
+        let fault = ControlFault { target, part, form, status };
+        *self.state.fault.lock().expect("no holder panics") = Some(fault);
+    }
+
     /// Returns how often the endpoint was asked for its report.
     pub fn report_count(&self) -> u32 {
         self.state.reports.load(Ordering::SeqCst)
@@ -553,12 +586,22 @@
         if read_request_body(&mut reader, &mut req).is_none() {
             return;
         }
-        let result = match req.target.as_str() {
-            "/kv-move" => copy_memory(state, &req, &mut writer),
-            "/report" => send_report(state, &mut writer),
-            "/healthz" => respond(&mut writer, "", 200, ""),
-            t if t.starts_with("/kv-handle/") => free_copy(state, &req, &mut writer),
-            _ => perform_action(state, req, &mut writer),
+        let control = match req.target.as_str() {
+            "/kv-move" => Some(copy_memory(state, &req)),
+            "/report" => Some(report(state)),
+            "/healthz" => Some(Some((200, String::new()))),
+            t if t.starts_with("/kv-handle/") => Some(free_copy(state, &req)),
+            _ => None,
+        };
+        if let (Some(Some((_, body))), Some((form, status))) = (&control, state.fault(&req)) {
+            let _ = form.send(&mut writer, status, body);
+            return;
+        }
+        let result = match control {
+            Some(answer) => {
+                answer.and_then(|(status, body)| respond(&mut writer, "", status, &body))
+            }
+            None => perform_action(state, req, &mut writer),
         };
         if result.is_none() {
             let _ = writer.shutdown(Shutdown::Both);
@@ -567,10 +610,11 @@
     }
 }
 
-fn send_report(state: &State, writer: &mut TcpStream) -> Option<()> {
+/// Returns the status and the body of a report.
+fn report(state: &State) -> Option<(u16, String)> {
     state.reports.fetch_add(1, Ordering::SeqCst);
     if let Some(body) = &*state.report.lock().ok()? {
-        return respond(writer, "", 200, body);
+        return Some((200, body.clone()));
     }
     let left = |n: u32| n.checked_sub(1);
     let reports = &state.draining_reports;
@@ -580,24 +624,24 @@
     } else {
         r#"{"state":"ready"}"#
     };
-    respond(writer, "", 200, body)
+    Some((200, body.to_owned()))
 }
 
-fn free_copy(state: &State, req: &Request, writer: &mut TcpStream) -> Option<()> {
+fn free_copy(state: &State, req: &Request) -> Option<(u16, String)> {
     let handle = req.target.trim_start_matches("/kv-handle/").to_owned();
     state.freed.lock().ok()?.push(handle);
-    respond(writer, "", 200, "{}")
+    Some((200, "{}".to_owned()))
 }
 
-fn copy_memory(state: &State, req: &Request, writer: &mut TcpStream) -> Option<()> {
+fn copy_memory(state: &State, req: &Request) -> Option<(u16, String)> {
     let body: serde_json::Value = serde_json::from_slice(&req.body).ok()?;
     let id = body["id"].as_str().unwrap_or("");
     let Some(run) = state.runs.lock().ok()?.get(id).cloned() else {
-        return respond(writer, "", 404, "{}");
+        return Some((404, "{}".to_owned()));
     };
     let started = Instant::now();
     if body["last"] == true && state.refuses_last.load(Ordering::SeqCst) {
-        return respond(writer, "", 503, "{}");
+        return Some((503, "{}".to_owned()));
     }
     if body["last"] == true {
         run.stop();
@@ -608,7 +652,7 @@
     }
     let copy = MemoryCopy { request: body.to_string(), started, ended: Instant::now() };
     state.copies.lock().ok()?.push(copy);
-    respond(writer, "", 200, &format!(r#"{{"handle":"{}","created":1}}"#, run.tag))
+    Some((200, format!(r#"{{"handle":"{}","created":1}}"#, run.tag)))
 }
 
 fn respond(writer: &mut TcpStream, headers: &str, status: u16, body: &str) -> Option<()> {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod cold;
 mod common;
+mod control_answers;
 mod crashing_contents;
 mod crashing_fleet;
 mod crashing_parts;
