Do not take malformed bytes for a sign that an endpoint serves

An endpoint whose connection broke during a request is looked at. Bytes that are no response (status 000, a blank in the name of a field, bare line feeds) counted as its response: the examination ended with "serving", and the runs that the endpoint had lost were recorded as outlived. Such bytes name no id and no start; they may come from another start than the one that crashed, so what crashed it lost its accusation.

Cause: src/h1 refuses the bytes, but the reader of its error made a response of them again.

A refusal, another start or a valid response at a later look decides as before.

Ruled out by the same cases: a body under its length, a reset without a length and a connection closed at once all count as closed, as no answer does.

--- a/src/gateway/examine.rs
+++ b/src/gateway/examine.rs
@@ -121,7 +121,7 @@
         CallError::Broken(broken) if broken.is_timeout() => Sight::Silent,
         CallError::Broken(Broken::Read(_) | Broken::Write(_) | Broken::Early) => Sight::Closed,
         CallError::Broken(Broken::Malformed(_) | Broken::NoMemory) | CallError::Malformed => {
-            Sight::Responding
+            Sight::Unclear
         }
     }
 }
--- a/src/quarantine/examination.rs
+++ b/src/quarantine/examination.rs
@@ -9,7 +9,7 @@
 
 /// Time after a closed connection until the next look.
 const CLOSED_INTERVAL: Duration = Duration::from_millis(150);
-/// Time after a look without a response until the next one.
+/// Time after a look without a valid response until the next one.
 const SILENT_INTERVAL: Duration = Duration::from_millis(250);
 /// Time without a response after which an endpoint that has closed its connections counts as
 /// crashed.
@@ -38,6 +38,8 @@
     Closed,
     /// It does not respond.
     Silent,
+    /// Something takes its connections, and sends bytes that are no response.
+    Unclear,
     /// It responds, and has not started anew as far as it says.
     Responding,
     /// It responds as another start, or as another endpoint.
@@ -101,7 +103,7 @@
 /// Tells from looks at an endpoint whether it has crashed.
 #[derive(Debug, Default)]
 pub struct Examination {
-    /// When the first look without a response began.
+    /// When the first look without a valid response began.
     silent_since: Option<Instant>,
     /// Whether a look has found connections closed.
     was_closed: bool,
@@ -123,17 +125,19 @@
                 self.was_closed = true;
                 Next::Look(CLOSED_INTERVAL)
             }
-            Sight::Silent => self.record_silence(now, look),
+            Sight::Silent | Sight::Unclear => self.record_silence(now, look),
         }
     }
 
+    /// Records a look without a valid response.
     fn record_silence(&mut self, now: Instant, look: Look) -> Next {
         let since = *self.silent_since.get_or_insert(look.began);
         if now < since + MAX_SILENCE {
             return Next::Look(SILENT_INTERVAL);
         }
         // An endpoint that is cut off closes no connection.
-        let is_crashed = look.cause == Break::Closed || look.listed == Listed::Gone;
+        let may_be_down = look.cause == Break::Closed || look.listed == Listed::Gone;
+        let is_crashed = may_be_down && look.sight == Sight::Silent;
         Next::Done(if is_crashed { Verdict::Crashed } else { Verdict::Unknown })
     }
 }
--- a/tests/decisions/examination.rs
+++ b/tests/decisions/examination.rs
@@ -31,6 +31,11 @@
 #[case::leaves_and_serves_on(Break::Ended, Listed::Gone, &[Sight::Responding], Verdict::Serving, 1)]
 #[case::response_ended_and_it_does_not_respond(Break::Ended, Listed::Same, &[Sight::Silent], Verdict::Unknown, 3)]
 #[case::is_listed_in_another_start(Break::Closed, Listed::Restarted, &[Sight::Responding], Verdict::Crashed, 1)]
+#[case::sends_no_response(Break::Closed, Listed::Same, &[Sight::Unclear], Verdict::Unknown, 6)]
+#[case::sends_no_response_and_is_not_listed(Break::Closed, Listed::Gone, &[Sight::Unclear], Verdict::Unknown, 6)]
+#[case::sends_no_response_at_first(Break::Closed, Listed::Same, &[Sight::Unclear, Sight::Responding], Verdict::Serving, 2)]
+#[case::sends_no_response_and_then_refuses(Break::Closed, Listed::Same, &[Sight::Unclear, Sight::Refused], Verdict::Crashed, 2)]
+#[case::sends_no_response_from_a_new_start(Break::Closed, Listed::Same, &[Sight::Unclear, Sight::Restarted], Verdict::Crashed, 2)]
 #[case::serves(Break::Closed, Listed::Same, &[Sight::Responding], Verdict::Serving, 1)]
 fn examination_tells_a_crash_from_a_broken_connection(
     #[case] cause: Break,
--- a/tests/gateway/control_answers.rs
+++ b/tests/gateway/control_answers.rs
@@ -1,14 +1,49 @@
 //! What a gateway does after answers to its own calls of endpoints that are malformed or cut off.
 
-use crate::common::{expected_events, list_endpoint, start_platform, start_stream, wait_for};
+use crate::common::{
+    expected_events, list_endpoint, request_bytes, start_platform, start_stream, wait_for,
+};
 use rstest::rstest;
-use standin::broken::{Form, broken};
-use standin::platform::{Action, Endpoint, Reply};
+use standin::broken::{Form, WHOLE, broken};
+use standin::platform::{Action, Endpoint, Gateway, Reply, send};
 use std::time::Duration;
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(30);
 const EVENTS: u64 = 60;
 
+/// Returns the outcome of the first examination of an endpoint in the log.
+fn examined(gateway: &Gateway) -> Option<String> {
+    let log = std::fs::read_to_string(gateway.settings_file.with_extension("log")).ok()?;
+    let line = log.lines().find(|line| line.contains("kind=Examined "))?;
+    Some(line.split_once("outcome=")?.1.split(' ').next()?.to_owned())
+}
+
+#[rstest]
+#[case::whole(WHOLE, "serving")]
+#[case::status(broken("status of zero"), "unknown")]
+#[case::name(broken("blank in a name"), "unknown")]
+#[case::feeds(broken("bare feeds"), "unknown")]
+#[case::cut(broken("body under its length"), "crashed")]
+#[case::reset(broken("reset without a length"), "crashed")]
+#[case::nothing(broken("nothing"), "crashed")]
+fn malformed_answer_to_a_look_does_not_show_that_an_endpoint_serves(
+    #[case] form: Form,
+    #[case] outcome: &str,
+    #[values("plain", "model")] service: &str,
+) {
+    let e = Endpoint::start("i-1", Action::Reset);
+    let target = if service == "model" { "/report" } else { "/healthz" };
+    e.set_control_answer(target, "", form, 200);
+    let (_store, gateway) = start_platform(&[(&e, service)]);
+    if service == "model" {
+        start_stream(&gateway, "id-1").reply();
+    } else {
+        send(gateway.front, &request_bytes("POST", "/unsafe/x", "id-1", "", "b")).reply();
+    }
+    assert!(wait_for(5, || examined(&gateway).is_some()), "the endpoint is not examined");
+    assert_eq!(examined(&gateway).as_deref(), Some(outcome));
+}
+
 /// Has an engine leave whose copies with this part in their request are answered in this form; returns
 /// what the caller of its generation gets, and the number of runs at another engine.
 fn leave(action: Action, part: &'static str, form: Form, status: u16) -> (Reply, usize) {
