Test orders, calls and health of a sidecar with broken answers

A sidecar's orders to its engine had no test with a broken answer, its calls and health answers only some. All 17 broken forms of the stand-in now go through calls (200, 421, 503), load reports and health answers, eight of them through orders.

An order is done after a whole success alone, and is sent again otherwise, as after no answer; a call is unknown; the endpoint does not serve. Orders answered 200 in a whole form are the control (one order); calls and reports have theirs in the cases before.

--- a/standin/src/broken.rs
+++ b/standin/src/broken.rs
@@ -79,28 +79,40 @@
     pub fn serve(self, status: u16, body: &'static str) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("the listener has an address");
-        std::thread::spawn(move || {
-            for mut io in listener.incoming().flatten() {
-                if io.read(&mut [0; REQUEST_BYTES]).is_ok_and(|n| n > 0) {
-                    // The client may have closed the connection.
-                    let _ = self.send(&mut io, status, body);
-                }
-            }
-        });
+        serve_at(listener, move |_| Some((self, status, body)));
         address
     }
 }
 
+/// Answers the connections to an address, each with what `answer` returns for its request.
+pub fn serve_at(
+    listener: TcpListener,
+    answer: impl Fn(&str) -> Option<(Form, u16, &'static str)> + Send + 'static,
+) {
+    std::thread::spawn(move || {
+        for mut io in listener.incoming().flatten() {
+            let mut bytes = [0; REQUEST_BYTES];
+            let n = io.read(&mut bytes).unwrap_or(0);
+            let request = String::from_utf8_lossy(&bytes[..n]);
+            if let Some((form, status, body)) = answer(&request).filter(|_| n > 0) {
+                // The client may have closed the connection.
+                let _ = form.send(&mut io, status, body);
+            }
+        }
+    });
+}
+
 /// Returns the names of the broken forms that a reader takes for an answer.
 pub fn believed(mut is_taken: impl FnMut(Form) -> bool) -> Vec<&'static str> {
     BROKEN.iter().filter(|form| is_taken(**form)).map(|form| form.name).collect()
 }
 
-/// Returns the broken form of this name.
+/// Returns the form of this name.
 ///
 /// # Panics
 ///
 /// Panics if there is none.
-pub fn broken(name: &str) -> Form {
-    *BROKEN.iter().find(|form| form.name == name).expect("the form exists")
+pub fn form(name: &str) -> Form {
+    let mut all = BROKEN.into_iter().chain([WHOLE]);
+    all.find(|form| form.name == name).expect("the form exists")
 }
--- a/tests/deployment/answers.rs
+++ b/tests/deployment/answers.rs
@@ -3,11 +3,13 @@
 use crate::common::*;
 use rstest::rstest;
 use serde_json::Value;
+use standin::broken::{self, BROKEN, Form, WHOLE, form};
 use standin::caller::{Caller, RequestError, StreamEnd};
 use standin::fleet::{Fleet, Plan, Pool};
 use standin::platform::send;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 /// Heads and body of an answer, by the start of the request that it is sent for.
@@ -15,6 +17,7 @@
 
 const REPORT: &str =
     r#"{"boot":"b","capacity":90000,"batch":8,"loaded":["caption-large+memorial@v1"]}"#;
+const EMPTY_REPORT: &str = r#"{"boot":"b","capacity":90000,"batch":8,"loaded":[]}"#;
 const EVENTS: &str = r#"[{"seq":7,"prefix":1,"stored":true}]"#;
 const JSON: &str = r#"{"count":1}"#;
 /// A token, and the last event up to its end.
@@ -120,6 +123,85 @@
     assert_eq!(reads()[1] == "/v1/cache_events?since=7", is_taken, "{:?}", reads());
 }
 
+/// Starts a deployment with one endpoint whose backend answers the requests with this start in these
+/// forms, one after the other, and others as a sound one; returns the number of such requests.
+async fn start_faulty(
+    pool: Pool,
+    start: &'static str,
+    forms: Vec<Form>,
+    answer: (u16, &'static str),
+) -> (Fleet, Arc<AtomicUsize>) {
+    let mut fleet =
+        start_deployment(Plan { entries: 1, pools: vec![pool], ..Plan::default() }).await;
+    fleet.crash_backend(0);
+    assert!(wait_until(10, async || serves(&fleet).await == Some(false)).await, "still serving");
+    let listener = TcpListener::bind(fleet.backend_address(0)).expect("the address is free");
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = count.clone();
+    broken::serve_at(listener, move |request| {
+        if request.starts_with(start) {
+            let n = counted.fetch_add(1, Ordering::SeqCst);
+            return Some((forms[n % forms.len()], answer.0, answer.1));
+        }
+        let is_known = ["GET /v1/load", "GET /healthz"].iter().any(|s| request.starts_with(s));
+        is_known.then_some((WHOLE, 200, EMPTY_REPORT))
+    });
+    (fleet, count)
+}
+
+#[rstest]
+#[case::whole(&["whole"], 200, 1)]
+#[case::refused(&["whole"], 409, 4)]
+#[case::malformed(&["status of zero", "control in a name", "whole"], 200, 3)]
+#[case::line_ends(&["bare feeds", "blank after the length", "whole"], 200, 3)]
+#[case::cut(&["body under its length", "no last chunk", "whole"], 200, 3)]
+#[case::lost(&["reset without a length", "nothing", "whole"], 200, 3)]
+#[actix_rt::test]
+async fn order_is_repeated_until_the_answer_to_it_is_a_whole_success(
+    #[case] names: &[&str],
+    #[case] status: u16,
+    #[case] expected: usize,
+) {
+    let forms = names.iter().map(|name| form(name)).collect();
+    let pool = engine_pool(1, loaded_params());
+    let (_fleet, count) = start_faulty(pool, "POST /v1/orders", forms, (status, "{}")).await;
+    // An order is repeated after about 2 s.
+    wait_until(12, async || count.load(Ordering::SeqCst) > 3).await;
+    assert_eq!(count.load(Ordering::SeqCst), expected);
+}
+
+#[rstest]
+#[case::report(engine_pool(1, loaded_params()), "GET /v1/load", REPORT)]
+#[case::health(booking_pool(1), "GET /healthz", "ok")]
+#[actix_rt::test]
+async fn broken_answers_do_not_show_that_an_endpoint_serves(
+    #[case] pool: Pool,
+    #[case] start: &'static str,
+    #[case] body: &'static str,
+) {
+    let (fleet, count) = start_faulty(pool, start, BROKEN.into(), (200, body)).await;
+    let has_read_all = async || {
+        assert_ne!(serves(&fleet).await, Some(true), "{} answers", count.load(Ordering::SeqCst));
+        count.load(Ordering::SeqCst) > BROKEN.len()
+    };
+    assert!(wait_until(20, has_read_all).await, "the endpoint is not asked");
+}
+
+#[rstest]
+#[actix_rt::test]
+async fn outcome_of_a_call_is_unknown_after_a_broken_answer(#[values(200, 421, 503)] status: u16) {
+    let (fleet, count) = start_faulty(booking_pool(1), "POST", BROKEN.into(), (status, JSON)).await;
+    assert!(wait_until(10, async || serves(&fleet).await == Some(true)).await, "not serving");
+    let caller = Caller::new("key-1");
+    for form in BROKEN {
+        let result =
+            caller.call(fleet.entry_address(0), "POST", CALL_PATH, Some(form.name), "x").await;
+        let outcome = result.as_ref().err().map(RequestError::outcome);
+        assert_eq!(outcome, Some("unknown"), "{}: {result:?}", form.name);
+    }
+    assert_eq!(count.load(Ordering::SeqCst), BROKEN.len());
+}
+
 #[rstest]
 #[case::ok(&[("GET /healthz", OK, ""), ("POST", OK, JSON)], None)]
 #[case::encoded(&[("GET /healthz", OK, ""), ("POST", ENCODED, JSON)], Some("unknown"))]
--- a/tests/gateway/control_answers.rs
+++ b/tests/gateway/control_answers.rs
@@ -4,7 +4,7 @@
     expected_events, list_endpoint, request_bytes, start_platform, start_stream, wait_for,
 };
 use rstest::rstest;
-use standin::broken::{Form, WHOLE, broken};
+use standin::broken::{Form, WHOLE, form};
 use standin::platform::{Action, Endpoint, Gateway, Reply, send};
 use std::time::Duration;
 
@@ -20,12 +20,12 @@
 
 #[rstest]
 #[case::whole(WHOLE, "serving")]
-#[case::status(broken("status of zero"), "unknown")]
-#[case::name(broken("blank in a name"), "unknown")]
-#[case::feeds(broken("bare feeds"), "unknown")]
-#[case::cut(broken("body under its length"), "crashed")]
-#[case::reset(broken("reset without a length"), "crashed")]
-#[case::nothing(broken("nothing"), "crashed")]
+#[case::status(form("status of zero"), "unknown")]
+#[case::name(form("blank in a name"), "unknown")]
+#[case::feeds(form("bare feeds"), "unknown")]
+#[case::cut(form("body under its length"), "crashed")]
+#[case::reset(form("reset without a length"), "crashed")]
+#[case::nothing(form("nothing"), "crashed")]
 fn malformed_answer_to_a_look_does_not_show_that_an_endpoint_serves(
     #[case] form: Form,
     #[case] outcome: &str,
@@ -67,7 +67,7 @@
     name: &str,
 ) {
     let action = Action::Stream(EVENTS, EVENT_INTERVAL);
-    let (reply, runs) = leave(action, "\"last\":false", broken(name), 200);
+    let (reply, runs) = leave(action, "\"last\":false", form(name), 200);
     assert_eq!((reply.complete, reply.body, runs), (true, expected_events(EVENTS), 0));
 }
 
@@ -82,7 +82,7 @@
         true => Action::Stream(EVENTS, EVENT_INTERVAL),
         false => Action::UnframedStream(EVENTS, EVENT_INTERVAL),
     };
-    let (reply, runs) = leave(action, "\"last\":true", broken(name), status);
+    let (reply, runs) = leave(action, "\"last\":true", form(name), status);
     assert_eq!((reply.complete, runs), (false, 0), "{}", reply.body);
     assert!(expected_events(EVENTS).starts_with(&reply.body), "{}", reply.body);
 }
