Cut off a stream whose engine has started again since

Seen by callers: a stream without a length or chunks, of which the engine broke off between two events while its last copy was due, came as complete when the engine had started again and answered 404 to that copy.

Cause: 404 to a last copy counted as "the generation has ended". An engine that has started again knows nothing of before (PROTOCOL.md, "born"), so its 404 says nothing of a generation of the start before.

With a length or chunks the stream was cut off before this too.

Before: streams::unframed_stream_whose_last_copy_finds_a_restarted_engine fails in case_3_other_start, 11 events as complete; cases 1 and 2 pass. After: all 3 pass, and the 46 tests of streams::.

Why it works: after a 404 the report of the engine is asked for its id and start, the identity that examinations of crashes use. Another start cuts the stream off; the same one, or none stated, leaves it complete, so a stream that ended by itself at that moment is no error. It costs one report per 404 to a last copy.

Not covered: an engine that crashes between two events with no last copy due; its end cannot be told from a whole stream by the stream alone.

--- a/src/gateway/examine.rs
+++ b/src/gateway/examine.rs
@@ -95,6 +95,11 @@
         gw.pool.borrow().endpoints.get(self.key).is_some_and(|e| e.is_leaving())
     }
 
+    /// Asks the endpoint whether it has started again since.
+    pub async fn is_restarted(&self, gw: &Gateway) -> bool {
+        self.look(gw).await == Sight::Restarted
+    }
+
     async fn look(&self, gw: &Gateway) -> Sight {
         match platform::probe(self.address, &self.probe, &gw.codec, LOOK_TIMEOUT).await {
             Ok(stated) => {
--- a/src/gateway/migrate.rs
+++ b/src/gateway/migrate.rs
@@ -232,7 +232,7 @@
                     return MoveOutcome::To(grant.guard, handoff, permit);
                 }
                 Ok(CopyOutcome::Busy) => tokio::time::sleep(RETRY_INTERVAL).await,
-                Ok(CopyOutcome::Absent) => break MoveOutcome::Ended,
+                Ok(CopyOutcome::Absent) => break self.absent().await,
                 Ok(CopyOutcome::NoRoom(_)) if self.is_evacuated(self.generation.source) => {
                     break MoveOutcome::Stay(
                         "no memory on the target, and the source is evacuated",
@@ -258,6 +258,16 @@
         task::spawn("free", free_copy(self.gw.clone(), first));
         outcome
     }
+
+    /// Returns the outcome for a generation that its source does not know. One that has started again
+    /// knows no generation of before, also of those that it broke off.
+    async fn absent(&self) -> MoveOutcome {
+        if self.generation.host.is_restarted(&self.gw).await {
+            MoveOutcome::Stay("the engine has started again")
+        } else {
+            MoveOutcome::Ended
+        }
+    }
 }
 
 async fn free_copy(gw: Rc<Gateway>, copy: Handoff) {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -417,6 +417,7 @@
             expected_tokens: self.job.expected_tokens(),
             source,
             address: e.listing.address,
+            host: self.segment.run.host().clone(),
             centre: e.listing.centre.clone(),
             used_tokens: self.used_tokens.clone(),
             ended: self.ended.clone(),
--- a/src/gateway/transfer.rs
+++ b/src/gateway/transfer.rs
@@ -1,5 +1,6 @@
 //! Requests for the links that the copy of a generation needs, and the replies to them.
 
+use super::examine::Host;
 use super::peers::{self, Reply};
 use super::{Gateway, WorkGuard};
 use crate::clock;
@@ -33,6 +34,8 @@
     pub source: PoolKey,
     /// Address of that engine.
     pub address: SocketAddr,
+    /// Start of that engine.
+    pub host: Host,
     /// Data centre of that engine.
     pub centre: DataCentre,
     /// Set once the generation has ended.
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -187,6 +187,8 @@
     copy_time: Mutex<Duration>,
     /// Whether last copies find no memory at their target.
     refuses_last: AtomicBool,
+    /// Whether the run of a last copy ends before it, as if it had ended or been lost.
+    loses_last: AtomicBool,
     /// Handles of the copies that were freed.
     freed: Mutex<Vec<String>>,
     /// Number of coming reports that give the state as draining.
@@ -363,6 +365,7 @@
             copies: Mutex::default(),
             copy_time: Mutex::default(),
             refuses_last: AtomicBool::new(false),
+            loses_last: AtomicBool::new(false),
             freed: Mutex::default(),
             draining_reports: AtomicU32::new(0),
             report: Mutex::default(),
@@ -482,6 +485,11 @@
         self.state.refuses_last.store(true, Ordering::SeqCst);
     }
 
+    /// Ends the runs of which a last copy is requested, and denies that they exist.
+    pub fn lose_runs_at_last_copies(&self) {
+        self.state.loses_last.store(true, Ordering::SeqCst);
+    }
+
     /// Returns the handles of the copies that were freed.
     pub fn freed_copies(&self) -> Vec<String> {
         self.state.freed.lock().expect("no holder panics").clone()
@@ -595,6 +603,10 @@
     let Some(run) = state.runs.lock().ok()?.get(id).cloned() else {
         return respond(writer, "", 404, "{}");
     };
+    if body["last"] == true && state.loses_last.load(Ordering::SeqCst) {
+        run.stop();
+        return respond(writer, "", 404, "{}");
+    }
     let started = Instant::now();
     if body["last"] == true && state.refuses_last.load(Ordering::SeqCst) {
         return respond(writer, "", 503, "{}");
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -327,6 +327,30 @@
     assert_eq!((e.run_count(), f.run_count()), (1, 1));
 }
 
+#[rstest]
+#[case::same_start(r#"{"state":"ready","born":7}"#, true)]
+#[case::no_start(r#"{"state":"ready"}"#, true)]
+#[case::other_start(r#"{"state":"ready","born":8}"#, false)]
+fn unframed_stream_whose_last_copy_finds_a_restarted_engine_does_not_look_complete(
+    #[case] report: &str,
+    #[case] is_complete: bool,
+) {
+    let e = Endpoint::start("i-1", Action::UnframedStream(200, EVENT_INTERVAL));
+    let (store, gateway) = start_platform(&[(&e, "model")]);
+    let mut sent = start_stream(&gateway, "id-1");
+    assert!(wait_for(2, || e.run_count() == 1));
+    let f = Endpoint::start("i-2", Action::UnframedStream(200, EVENT_INTERVAL));
+    list_endpoint(&store, &f, "model", "ready");
+    std::thread::sleep(Duration::from_millis(300));
+    e.lose_runs_at_last_copies();
+    e.set_report(report);
+    list_endpoint(&store, &e, "model", "draining");
+    let reply = sent.reply();
+    let events = reply.body.matches("\n\n").count() as u64;
+    assert_eq!((reply.complete, f.run_count()), (is_complete, 0), "{events} events");
+    assert_eq!(reply.body, expected_events(events));
+}
+
 /// Two gateways have generations on an engine that is no longer listed. The copies of all of them
 /// use its link one after the other, whichever gateway coordinates them.
 #[test]
