Do not stop a generation for a copy that nothing could continue

Seen by callers: a stream that sent an event without a number during the first copy of its migration was cut off, though its engine still served.

Cause: whether another engine can tell the place of the events was asked at the start of the migration and after the last copy, which stops the generation, and not between them.

Why it works: the migration is given up before the last copy if the last event sent has no number. One that arrives while that copy is made still cuts the stream off, as no engine could tell where to go on.

--- a/src/gateway/migrate.rs
+++ b/src/gateway/migrate.rs
@@ -226,6 +226,9 @@
             if self.generation.ended.get() {
                 break MoveOutcome::Ended;
             }
+            if !self.generation.can_continue.get() {
+                break MoveOutcome::Stay("the last event has no number");
+            }
             self.generation.stopping.set(true);
             match self.copy(grant.to, true).await {
                 Ok(CopyOutcome::Done(handoff)) => {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -53,6 +53,8 @@
     stats: StreamStats,
     /// Set when the stream has ended, to stop a migration under way.
     ended: Rc<Cell<bool>>,
+    /// Whether another engine could continue after the last event, for a migration under way.
+    can_continue: Rc<Cell<bool>>,
     /// Set by a migration once it may have stopped the generation.
     stopping: Rc<Cell<bool>>,
     /// Tokens that the generation occupies in the engine's memory.
@@ -164,6 +166,7 @@
             has_events: false,
             stats,
             ended: Rc::default(),
+            can_continue: Rc::new(Cell::new(true)),
             stopping: Rc::default(),
             used_tokens: Rc::new(Cell::new(job.meta.tokens.map_or(0, |t| t.input.0))),
             migration: None,
@@ -362,6 +365,7 @@
                 EventOrder::Gap => return Err(Failure::Gap),
             }
         }
+        self.can_continue.set(self.sequence.can_continue());
         if self.buf.len() > MAX_EVENT_BYTES {
             return Err(Failure::Cut(Broken::Malformed(Fault::EventSize)));
         }
@@ -421,6 +425,7 @@
             centre: e.listing.centre.clone(),
             used_tokens: self.used_tokens.clone(),
             ended: self.ended.clone(),
+            can_continue: self.can_continue.clone(),
             stopping: self.stopping.clone(),
         };
         let migration = migrate::migrate_generation(self.gw.clone(), generation);
--- a/src/gateway/transfer.rs
+++ b/src/gateway/transfer.rs
@@ -40,6 +40,8 @@
     pub centre: DataCentre,
     /// Set once the generation has ended.
     pub ended: Rc<Cell<bool>>,
+    /// Whether another engine could continue after the last event that was sent to the caller.
+    pub can_continue: Rc<Cell<bool>>,
     /// Set once the source may have stopped the generation for the last copy.
     pub stopping: Rc<Cell<bool>>,
 }
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -50,6 +50,8 @@
     Stream(u64, Duration),
     /// Like `Stream`, in a response that ends with its connection.
     UnframedStream(u64, Duration),
+    /// Like `Stream`, with these events.
+    TextStream(&'static [&'static str], Duration),
     /// Responds with the id of the request as the body.
     EchoId,
     /// Runs the request, breaks off all responses, and refuses connections for this time.
@@ -746,7 +748,12 @@
 ) -> Option<()> {
     let (id, last, headers) = (request.id, request.last, request.headers);
     let continued = request.continued.clone();
+    let mut texts = None;
     let (tag, end, n, interval) = match action {
+        Action::TextStream(all, interval) => {
+            texts = Some(all);
+            ("token".into(), StreamEnd::Chunked, all.len() as u64, interval)
+        }
         Action::Stream(n, interval) => ("token".into(), StreamEnd::Chunked, n, interval),
         Action::UnframedStream(n, interval) => ("token".into(), StreamEnd::Close, n, interval),
         Action::TaggedStream(n, interval) => (stream::run_tag(id), StreamEnd::Chunked, n, interval),
@@ -777,7 +784,9 @@
         Action::TruncatedStream(n) => return stream::truncate_stream(writer, headers, n),
         _ => return None,
     };
-    let run = start_run(state, id, continued.unwrap_or(tag))?;
+    let tag = continued.unwrap_or(tag);
+    let run = texts.map_or_else(|| Run::new(tag.clone()), |all| Run::of_texts(tag.clone(), all));
+    let run = start_run(state, id, run)?;
     let result = stream::write_events(writer, headers, end, &run, last..n, interval, closed);
     finish_run(state, id, result)
 }
@@ -789,8 +798,8 @@
     None
 }
 
-fn start_run(state: &State, id: &str, tag: String) -> Option<Arc<Run>> {
-    let run = Arc::new(Run::new(tag));
+fn start_run(state: &State, id: &str, run: Run) -> Option<Arc<Run>> {
+    let run = Arc::new(run);
     state.runs.lock().ok()?.insert(id.to_owned(), run.clone());
     Some(run)
 }
--- a/standin/src/platform/stream.rs
+++ b/standin/src/platform/stream.rs
@@ -30,6 +30,8 @@
 pub struct Run {
     /// Name of the run in its events, and handle of its memory.
     pub tag: String,
+    /// Its events, instead of numbered ones that name it.
+    texts: Option<&'static [&'static str]>,
     /// Set by the last copy of the memory; the stream then breaks off before its end.
     stopped: AtomicBool,
 }
@@ -37,7 +39,19 @@
 impl Run {
     /// Creates a run under a name.
     pub fn new(tag: String) -> Run {
-        Run { tag, stopped: AtomicBool::new(false) }
+        Run { tag, texts: None, stopped: AtomicBool::new(false) }
+    }
+
+    /// Creates a run with these events.
+    pub fn of_texts(tag: String, texts: &'static [&'static str]) -> Run {
+        Run { texts: Some(texts), ..Run::new(tag) }
+    }
+
+    /// Returns the event after the first `ix`.
+    fn event(&self, ix: u64) -> String {
+        let numbered = || events(&self.tag, ix..ix + 1);
+        let text = |all: &[&str]| all.get(ix as usize).copied().unwrap_or("").to_owned();
+        self.texts.map_or_else(numbered, text)
     }
 
     /// Lets the stream break off before its next event.
@@ -135,7 +149,7 @@
         if run.stopped.load(Ordering::SeqCst) {
             return None;
         }
-        let event = events(&run.tag, ix..ix + 1);
+        let event = run.event(ix);
         let sent = match end {
             StreamEnd::Chunked => write_chunk(writer, &event),
             _ => writer.write_all(event.as_bytes()).ok(),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod lifecycle;
 mod limits;
 mod memory;
+mod migrations;
 mod notices;
 mod odd_bytes;
 mod odd_config;
