Merge the checks of streams around a migration

A last copy that is answered 404 by another start of the engine no longer completes a stream, and a generation is not stopped for a copy after which nothing could continue it.

--- a/src/gateway/transfer.rs
+++ b/src/gateway/transfer.rs
@@ -1,5 +1,6 @@
 //! Requests for the links that the copy of a generation needs, and the replies to them.
 
+use super::examine::Host;
 use super::peers::{self, Reply};
 use super::{Gateway, WorkGuard};
 use crate::clock;
@@ -33,10 +34,14 @@
     pub source: PoolKey,
     /// Address of that engine.
     pub address: SocketAddr,
+    /// Start of that engine.
+    pub host: Host,
     /// Data centre of that engine.
     pub centre: DataCentre,
     /// Set once the generation has ended.
     pub ended: Rc<Cell<bool>>,
+    /// Whether another engine could continue after the last event that was sent to the caller.
+    pub can_continue: Rc<Cell<bool>>,
     /// Set once the source may have stopped the generation for the last copy.
     pub stopping: Rc<Cell<bool>>,
 }
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -51,6 +51,8 @@
     Stream(u64, Duration),
     /// Like `Stream`, in a response that ends with its connection.
     UnframedStream(u64, Duration),
+    /// Like `Stream`, with these events.
+    TextStream(&'static [&'static str], Duration),
     /// Responds with the id of the request as the body.
     EchoId,
     /// Runs the request, breaks off all responses, and refuses connections for this time.
@@ -197,6 +199,8 @@
     copy_time: Mutex<Duration>,
     /// Whether last copies find no memory at their target.
     refuses_last: AtomicBool,
+    /// Whether the run of a last copy ends before it, as if it had ended or been lost.
+    loses_last: AtomicBool,
     /// Handles of the copies that were freed.
     freed: Mutex<Vec<String>>,
     /// Number of coming reports that give the state as draining.
@@ -382,6 +386,7 @@
             copies: Mutex::default(),
             copy_time: Mutex::default(),
             refuses_last: AtomicBool::new(false),
+            loses_last: AtomicBool::new(false),
             freed: Mutex::default(),
             draining_reports: AtomicU32::new(0),
             report: Mutex::default(),
@@ -515,6 +520,11 @@
         self.state.refuses_last.store(true, Ordering::SeqCst);
     }
 
+    /// Ends the runs of which a last copy is requested, and denies that they exist.
+    pub fn lose_runs_at_last_copies(&self) {
+        self.state.loses_last.store(true, Ordering::SeqCst);
+    }
+
     /// Returns the handles of the copies that were freed.
     pub fn freed_copies(&self) -> Vec<String> {
         self.state.freed.lock().expect("no holder panics").clone()
@@ -639,6 +649,10 @@
     let Some(run) = state.runs.lock().ok()?.get(id).cloned() else {
         return Some((404, "{}".to_owned()));
     };
+    if body["last"] == true && state.loses_last.load(Ordering::SeqCst) {
+        run.stop();
+        return Some((404, "{}".to_owned()));
+    }
     let started = Instant::now();
     if body["last"] == true && state.refuses_last.load(Ordering::SeqCst) {
         return Some((503, "{}".to_owned()));
@@ -778,7 +792,12 @@
 ) -> Option<()> {
     let (id, last, headers) = (request.id, request.last, request.headers);
     let continued = request.continued.clone();
+    let mut texts = None;
     let (tag, end, n, interval) = match action {
+        Action::TextStream(all, interval) => {
+            texts = Some(all);
+            ("token".into(), StreamEnd::Chunked, all.len() as u64, interval)
+        }
         Action::Stream(n, interval) => ("token".into(), StreamEnd::Chunked, n, interval),
         Action::UnframedStream(n, interval) => ("token".into(), StreamEnd::Close, n, interval),
         Action::TaggedStream(n, interval) => (stream::run_tag(id), StreamEnd::Chunked, n, interval),
@@ -809,7 +828,9 @@
         Action::TruncatedStream(n) => return stream::truncate_stream(writer, headers, n),
         _ => return None,
     };
-    let run = start_run(state, id, continued.unwrap_or(tag))?;
+    let tag = continued.unwrap_or(tag);
+    let run = texts.map_or_else(|| Run::new(tag.clone()), |all| Run::of_texts(tag.clone(), all));
+    let run = start_run(state, id, run)?;
     let result = stream::write_events(writer, headers, end, &run, last..n, interval, closed);
     finish_run(state, id, result)
 }
@@ -821,8 +842,8 @@
     None
 }
 
-fn start_run(state: &State, id: &str, tag: String) -> Option<Arc<Run>> {
-    let run = Arc::new(Run::new(tag));
+fn start_run(state: &State, id: &str, run: Run) -> Option<Arc<Run>> {
+    let run = Arc::new(run);
     state.runs.lock().ok()?.insert(id.to_owned(), run.clone());
     Some(run)
 }
