Take no bytes for an answer that came before their request

Cause: reading and sending began side by side, so an answer could be read before the first byte of its request was sent.

Ruled out: kept connections. Each request opens its own connection (h1::Outbound, the only way to send one), so none can meet the late answer of another; tests of second answers on one are in gateway answers:: and head_requests::.

Why it works: the kernel is asked whether bytes have arrived right before the first write, as the runtime may not know of them yet, and nothing is read before that write. An early answer to a request that is still being written stays an answer. For callers it is a malformed answer, so the request may be sent again where that is allowed, and is a 502 otherwise.

What remains: bytes sent before the request that arrive after its first write cannot be told from an early answer. It costs one system call a request.

--- a/src/h1/outbound.rs
+++ b/src/h1/outbound.rs
@@ -3,7 +3,7 @@
 use super::scan::{
     BodyLength, ChunkScanner, ChunkStep, Fault, MAX_HEAD_BYTES, ScannedHead, scan_head,
 };
-use super::{Broken, read_available, set_socket_options, write_some};
+use super::{Broken, read_available, set_socket_options, try_write, write_some};
 use crate::callers::{Charge, ENDPOINT_BUFFER_BYTES, Load};
 use crate::net;
 use actix_http::body::BodySize;
@@ -13,8 +13,10 @@
 use actix_rt::net::TcpStream;
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::stream::{self, Stream};
+use socket2::SockRef;
 use std::fmt;
 use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -108,6 +110,8 @@
     framing: Framing,
     /// Size of the body that the response to a HEAD request leaves out.
     omitted: Option<BodySize>,
+    /// Whether the first bytes of the request have been sent.
+    is_begun: bool,
     /// Why the rest of the request was not sent.
     write_error: Option<ErrorKind>,
     /// Bytes of the decoded head of the response.
@@ -190,6 +194,7 @@
             method,
             framing: Framing::Length,
             omitted: None,
+            is_begun: false,
             write_error: None,
             head_bytes: 0,
             body_bytes: 0,
@@ -228,6 +233,7 @@
     ///
     /// Returns [`Broken`] if no valid head arrives, or there is no memory for it.
     pub async fn read_head(&mut self) -> Result<ResponseHead, Broken> {
+        self.begin_request().await?;
         let mut scanned = 0;
         loop {
             // The lines of a head are scanned once they are complete.
@@ -256,6 +262,24 @@
         }
     }
 
+    /// Sends the first bytes of the request. What has arrived before is no part of its response, whatever it
+    /// says. Cancel safe.
+    async fn begin_request(&mut self) -> Result<(), Broken> {
+        while !self.is_begun {
+            self.io.writable().await.map_err(|e| Broken::Read(e.kind()))?;
+            if is_unasked(&self.io)? {
+                return Err(Fault::Unasked.into());
+            }
+            match try_write(&self.io, &mut self.out) {
+                Ok(0) => continue,
+                Ok(_) => {}
+                Err(e) => self.give_up_request(e.kind()),
+            }
+            self.is_begun = true;
+        }
+        Ok(())
+    }
+
     fn count_interim(&mut self) -> Result<(), Fault> {
         match &mut self.phase {
             Phase::Head(n) if *n < MAX_INTERIM_RESPONSES => {
@@ -439,6 +463,15 @@
     }
 }
 
+/// Returns whether bytes have arrived on a connection. The runtime does not know of them at once.
+fn is_unasked(io: &TcpStream) -> Result<bool, Broken> {
+    match SockRef::from(io).peek(&mut [MaybeUninit::uninit()]) {
+        Ok(n) => Ok(n > 0),
+        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Ok(false),
+        Err(e) => Err(Broken::Read(e.kind())),
+    }
+}
+
 /// Sends some bytes of a request. Cancel safe.
 async fn send_part(
     io: &mut WriteHalf<'_>,
--- a/src/h1/scan.rs
+++ b/src/h1/scan.rs
@@ -53,6 +53,8 @@
     BodySize,
     /// An event of a stream is too large.
     EventSize,
+    /// There are bytes on the connection before its request.
+    Unasked,
 }
 
 impl fmt::Display for Fault {
@@ -74,6 +76,7 @@
             Fault::Trailer => "trailer",
             Fault::BodySize => "size of the body",
             Fault::EventSize => "size of an event",
+            Fault::Unasked => "bytes before the request",
         })
     }
 }
