Add tests of interim responses and failures during uploads

Only 200s were tested while an upload is still written, and no interim response before them. New, on routes safe, unsafe and stream, with a reset and with an end in order: interim responses (100, 103, 199, with a length, malformed, 16 and 17 of them, 101 alone and after a 100) and whole or cut 404, 413 and refusals.

The stand-in's early answers have a status line of their own for it.

--- a/standin/src/platform/early.rs
+++ b/standin/src/platform/early.rs
@@ -25,6 +25,8 @@
 pub struct EarlyAnswer {
     /// Bytes of the body of the request that are read before.
     pub read: usize,
+    /// Status line, after the interim responses before it.
+    pub start: String,
     /// Header lines beside the usual ones.
     pub headers: String,
     /// Body, or the part of it that is sent.
@@ -43,9 +45,9 @@
     ) -> std::io::Result<()> {
         copy(&mut reader.by_ref().take(self.read as u64), &mut sink())?;
         let id = req.header("x-attempt-id").unwrap_or("");
-        let (headers, body) = (&self.headers, &self.body);
+        let (start, headers, body) = (&self.start, &self.headers, &self.body);
         let head = format!(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Replica-Seal: s.{id}\r\n\
+            "{start}\r\nX-Attempt-Id: {id}\r\nX-Replica-Seal: s.{id}\r\n\
             Content-Type: text/event-stream\r\n{headers}\r\n{body}"
         );
         writer.write_all(head.as_bytes())?;
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -311,7 +311,8 @@
 /// Returns an answer of which only this part is sent for a while.
 fn unfinished(headers: &str, body: String) -> Action {
     let end = EarlyEnd::Reset(LENGTH);
-    Action::Early(EarlyAnswer { read: 0, headers: headers.into(), body, end })
+    let (start, headers) = ("HTTP/1.1 200 OK".into(), headers.into());
+    Action::Early(EarlyAnswer { read: 0, start, headers, body, end })
 }
 
 /// Returns header lines of nearly the size that a head may have.
--- a/tests/gateway/answers.rs
+++ b/tests/gateway/answers.rs
@@ -44,7 +44,13 @@
 
 /// Returns the treatment of an upload of which this many bytes are read.
 fn early(read: usize, headers: &str, body: &str, end: EarlyEnd) -> Action {
-    Action::Early(EarlyAnswer { read, headers: headers.into(), body: body.into(), end })
+    early_with(read, "HTTP/1.1 200 OK", headers, body, end)
+}
+
+/// Returns the treatment of an upload whose answer starts with these lines.
+fn early_with(read: usize, start: &str, headers: &str, body: &str, end: EarlyEnd) -> Action {
+    let (start, headers, body) = (start.into(), headers.into(), body.into());
+    Action::Early(EarlyAnswer { read, start, headers, body, end })
 }
 
 #[rstest]
@@ -84,6 +90,61 @@
     assert_eq!((reply.status, reply.complete, reply.body.as_str()), (200, true, EVENT));
 }
 
+/// Header line of an answer whose body is [`EVENT`].
+const LENGTH: &str = "Content-Length: 21\r\n";
+
+#[rstest]
+#[case::continues("HTTP/1.1 100 X\r\n\r\n", 1, 200)]
+#[case::hints("HTTP/1.1 103 X\r\nX-Other: 1\r\n\r\n", 1, 200)]
+#[case::unknown("HTTP/1.1 199 X\r\n\r\n", 1, 200)]
+#[case::many("HTTP/1.1 100 X\r\n\r\n", 16, 200)]
+#[case::too_many("HTTP/1.1 100 X\r\n\r\n", 17, 502)]
+#[case::switching("HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n", 1, 502)]
+#[case::switching_later("HTTP/1.1 100 X\r\n\r\nHTTP/1.1 101 X\r\n\r\n", 1, 502)]
+#[case::length("HTTP/1.1 103 X\r\nContent-Length: 5\r\n\r\n", 1, 200)]
+#[case::malformed("HTTP/1.1 103 X\r\nX Other: 1\r\n\r\n", 1, 502)]
+fn interim_responses_during_the_upload_are_passed_over(
+    #[case] interim: &str,
+    #[case] count: usize,
+    #[case] status: u16,
+    #[values(EarlyEnd::Reset(SETTLE), EarlyEnd::Close)] end: EarlyEnd,
+    #[values("safe", "unsafe", "stream")] route: &str,
+) {
+    let start = interim.repeat(count) + "HTTP/1.1 200 OK";
+    let e = Endpoint::start("i-1", early_with(0, &start, LENGTH, EVENT, end));
+    let (_store, gateway) = start_upload_platform(&[(&e, service(route))]);
+    let reply = upload(&gateway, route, "id-1");
+    assert_eq!((reply.status, reply.complete), (status, true), "{}", reply.body);
+    assert_eq!(reply.body == EVENT, status == 200, "{}", reply.body);
+}
+
+#[rstest]
+#[case::not_found("HTTP/1.1 404 X", "", 21, 404)]
+#[case::too_large("HTTP/1.1 413 X", "", 21, 413)]
+#[case::refusal("HTTP/1.1 503 X", "X-Not-Executed: 1\r\n", 21, 503)]
+#[case::refusal_after_an_interim(
+    "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 503 X",
+    "X-Not-Executed: 1\r\n",
+    21,
+    503
+)]
+#[case::part("HTTP/1.1 404 X", "", 22, 502)]
+#[case::part_of_a_refusal("HTTP/1.1 503 X", "X-Not-Executed: 1\r\n", 22, 502)]
+fn failure_during_the_upload_is_passed_on_if_it_is_whole(
+    #[case] start: &str,
+    #[case] headers: &str,
+    #[case] length: usize,
+    #[case] status: u16,
+    #[values(EarlyEnd::Reset(SETTLE), EarlyEnd::Close)] end: EarlyEnd,
+    #[values("safe", "unsafe", "stream")] route: &str,
+) {
+    let headers = format!("{headers}Content-Length: {length}\r\n");
+    let e = Endpoint::start("i-1", early_with(0, start, &headers, EVENT, end));
+    let (_store, gateway) = start_upload_platform(&[(&e, service(route))]);
+    let reply = upload(&gateway, route, "id-1");
+    assert_eq!((reply.status, reply.complete), (status, true), "{}", reply.body);
+}
+
 #[test]
 fn safe_upload_is_sent_to_another_endpoint_after_a_reset_during_the_answer() {
     let reset = EarlyEnd::Reset(Duration::from_millis(5));
--- a/tests/gateway/uploads.rs
+++ b/tests/gateway/uploads.rs
@@ -15,7 +15,8 @@
 const PART: &str = "id: 1\ndata: part\n\n";
 
 fn early(read: usize, headers: &str, body: &str, end: EarlyEnd) -> Action {
-    Action::Early(EarlyAnswer { read, headers: headers.into(), body: body.into(), end })
+    let (start, headers) = ("HTTP/1.1 200 OK".into(), headers.into());
+    Action::Early(EarlyAnswer { read, start, headers, body: body.into(), end })
 }
 
 /// Returns what endpoints do with their requests, in turn.
