Cut off an unframed stream whose engine has crashed

A resumable one was not continued elsewhere.

Cause: an end in order between two events was the only evidence asked for.

Before: streams::unframed_stream_whose_engine_is_gone_is_complete_only_if_ it_was_leaving case_1_ready: complete after 11 of 200 events; unframed_resumable_stream_whose_engine_crashes_continues_on_another_engine: complete after 11 of 40. After: both pass, and the streams:: tests.

Why it works: after such an end the engine is asked for its report, as the examination of crashes does. If it refuses connections or has started again, and was not leaving, the stream counts as interrupted. A whole stream stays whole: an engine that responds, does not respond or closes connections says nothing, and one that is leaving may end after its last stream (case_2_leaving).

What remains: an engine that ends with no sign of leaving right after a whole stream has that stream cut off; one that crashes while it is known to be leaving has its stream taken for whole; plain answers without a length are not looked after.

--- a/src/gateway/examine.rs
+++ b/src/gateway/examine.rs
@@ -100,6 +100,12 @@
         self.look(gw).await == Sight::Restarted
     }
 
+    /// Asks the endpoint whether it has ended or started again since, though it was not leaving. One that
+    /// does not respond may be cut off, and does not count.
+    pub async fn has_crashed(&self, gw: &Gateway) -> bool {
+        !self.is_leaving(gw) && matches!(self.look(gw).await, Sight::Refused | Sight::Restarted)
+    }
+
     async fn look(&self, gw: &Gateway) -> Sight {
         match platform::probe(self.address, &self.probe, &gw.codec, LOOK_TIMEOUT).await {
             Ok(stated) => {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -184,7 +184,13 @@
             return false;
         }
         let failure = loop {
-            match self.relay_segment(conn).await {
+            let end = match self.relay_segment(conn).await {
+                SegmentEnd::Complete if self.is_cut_by_crash().await => {
+                    SegmentEnd::Interrupted(Broken::Early)
+                }
+                end => end,
+            };
+            match end {
                 SegmentEnd::Complete => return self.complete(conn),
                 SegmentEnd::CallerGone => {
                     self.gw.event(Kind::Abandoned, self.log_id(), &self.stats);
@@ -350,6 +356,14 @@
         framing == Framing::Close && !self.has_events
     }
 
+    /// Returns whether the engine has crashed whose response ended with its connection. Between two
+    /// events that looks like a whole stream. One that is leaving may end after its last stream.
+    async fn is_cut_by_crash(&self) -> bool {
+        self.segment.response.out.framing() == Framing::Close
+            && self.migration.is_none()
+            && self.segment.run.host().has_crashed(self.gw).await
+    }
+
     /// Sends the complete events in the buffer to the caller, skipping repeated ones.
     fn forward_events(&mut self, conn: &mut Inbound) -> Result<(), Failure> {
         let mut out = BytesMut::new();
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -236,6 +236,44 @@
     assert_eq!(break_off("", 3, second), (true, body));
 }
 
+/// Crashes an engine during a stream whose end is that of the connection.
+fn crash_unframed(e: &Endpoint, sent: &mut standin::platform::Connection) -> (bool, String) {
+    assert!(wait_for(2, || e.run_count() == 1));
+    std::thread::sleep(Duration::from_millis(300));
+    e.crash(Duration::from_secs(5));
+    let reply = sent.reply();
+    (reply.complete, reply.body)
+}
+
+#[rstest]
+#[case::ready("ready", false)]
+#[case::leaving("draining", true)]
+fn unframed_stream_whose_engine_is_gone_is_complete_only_if_it_was_leaving(
+    #[case] state: &str,
+    #[case] is_complete: bool,
+) {
+    let e = Endpoint::start("i-1", Action::UnframedStream(200, EVENT_INTERVAL));
+    let (store, gateway) = start_platform(&[(&e, "model")]);
+    let mut sent = start_stream(&gateway, "id-1");
+    assert!(wait_for(2, || e.run_count() == 1));
+    list_endpoint(&store, &e, "model", state);
+    let (complete, body) = crash_unframed(&e, &mut sent);
+    let events = body.matches("\n\n").count() as u64;
+    assert_eq!((complete, body), (is_complete, expected_events(events)));
+}
+
+#[test]
+fn unframed_resumable_stream_whose_engine_crashes_continues_on_another_engine() {
+    let e = Endpoint::start("i-1", Action::UnframedStream(40, EVENT_INTERVAL));
+    let (store, gateway) = start_platform(&[(&e, "model")]);
+    let mut sent = start_resumable(&gateway, "id-1");
+    assert!(wait_for(2, || e.run_count() == 1));
+    let f = Endpoint::start("i-2", Action::UnframedStream(40, EVENT_INTERVAL));
+    list_endpoint(&store, &f, "model", "ready");
+    assert_eq!(crash_unframed(&e, &mut sent), (true, expected_events(40)));
+    assert_eq!(f.run_count(), 1);
+}
+
 #[test]
 fn resumable_stream_that_got_no_response_runs_on_another_engine() {
     let e = Endpoint::start("i-1", Action::Reset);
