Scan requests strictly before the codec reads them

Callers saw: a request whose head or chunks break HTTP/1.1 was served, and so were the bytes behind it on the connection. A target lost its fragment on the way to the endpoint, and a target that names another host was routed by the Host field and passed on without that host. CONNECT waited for its time to run out.

Cause: the library's codec decided where a request ends. It takes bare line feeds in heads, a blank after the size of a chunk, and any bytes up to a line feed after the last chunk, which can be the start of another request for a reader before the gateway.

Ruled out, by cases that passed before: lengths and codings in every odd form, signs and overflows in chunk sizes, folded lines, odd names and values, and bodies cut, half-closed or reset anywhere. They stay as tests.

The codec decodes heads that have passed it, and reads no body.

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -205,7 +205,7 @@
     let status = match e {
         ReadError::Closed => return Disposition::Abort,
         ReadError::Slow => 408,
-        ReadError::Malformed(_) => 400,
+        ReadError::Malformed(_) | ReadError::Refused(_) => 400,
         ReadError::HeadTooLarge => 431,
         ReadError::BodyTooLarge => 413,
         ReadError::NoMemory => 503,
--- a/src/h1/inbound.rs
+++ b/src/h1/inbound.rs
@@ -1,6 +1,7 @@
 //! Connections from callers.
 
 use super::request::{ReadError, RequestLimits};
+use super::scan::{BodyLength, ChunkScanner, ChunkStep, ScannedRequest, scan_request};
 use super::{
     FULL_TIMEOUT, Head, SEND_BUFFER_BYTES, grow, read_available, set_socket_options, try_write,
     write_some,
@@ -12,10 +13,9 @@
 use actix_http::body::BodySize;
 use actix_http::error::ParseError;
 use actix_http::h1::{Codec, Message};
-use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use actix_http::{ConnectionType, HttpMessage, Request, Response, ServiceConfig, Version};
+use actix_http::{ConnectionType, Request, Response, ServiceConfig, Version};
 use actix_rt::net::TcpStream;
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use socket2::SockRef;
 use std::time::Duration;
 use tokio::io::{AsyncWriteExt, Interest};
@@ -116,18 +116,10 @@
         limits: &RequestLimits,
         mut reserve: impl FnMut(Part, usize) -> bool,
     ) -> Result<(Head, Bytes), ReadError> {
-        let req = match timeout(limits.arrival_timeout, self.read_head(limits.max_head)).await {
-            Ok(done) => done?,
-            Err(_) => return Err(ReadError::Slow),
-        };
+        let read = timeout(limits.arrival_timeout, self.read_head(limits.max_head)).await;
+        let (req, length) = read.unwrap_or(Err(ReadError::Slow))?;
         self.record_received();
         self.version = req.version();
-        // Servers differ in which of the two headers they use for the length of the body, which
-        // would allow request smuggling.
-        let headers = req.headers();
-        if headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING) {
-            return Err(ReadError::Malformed("head has both Content-Length and Transfer-Encoding"));
-        }
         let is_expecting = req.head().expect();
         let head = Head::new(&req);
         drop(req);
@@ -139,14 +131,15 @@
         }
         self.load.set(Part::Response, ENDPOINT_BUFFER_BYTES);
         self.load.set(Part::Head, HEAD_COPIES * head.bytes());
-        if self.codec.message_type() == actix_http::h1::MessageType::None {
+        if length == BodyLength::Bytes(0) {
             return Ok((head, Bytes::new()));
         }
         if is_expecting {
             self.out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
             self.flush().await.map_err(|_| ReadError::Closed)?;
         }
-        let read = timeout(limits.arrival_timeout, self.read_body(limits.max_body, reserve)).await;
+        let body = self.read_body(length, limits.max_body, reserve);
+        let read = timeout(limits.arrival_timeout, body).await;
         self.record_received();
         match read {
             Ok(done) => Ok((head, done?)),
@@ -154,49 +147,82 @@
         }
     }
 
-    async fn read_head(&mut self, max: usize) -> Result<Request, ReadError> {
+    /// Reads a head. Its body is read without the codec, which would pass over faults.
+    async fn read_head(&mut self, max: usize) -> Result<(Request, BodyLength), ReadError> {
+        let head = self.scan_head(max).await?;
+        let mut bytes = self.buf.split_to(head.size);
+        let mut codec = Codec::new(self.codec.config().clone());
+        match codec.decode(&mut bytes) {
+            Ok(Some(Message::Item(req))) => {
+                self.codec = codec;
+                Ok((req, head.body))
+            }
+            Ok(_) => Err(ReadError::Refused(ParseError::Incomplete)),
+            Err(ParseError::TooLarge) => Err(ReadError::HeadTooLarge),
+            Err(e) => Err(ReadError::Refused(e)),
+        }
+    }
+
+    /// Reads until the buffer has a whole head.
+    async fn scan_head(&mut self, max: usize) -> Result<ScannedRequest, ReadError> {
         loop {
-            let before = self.buf.len();
-            match self.codec.decode(&mut self.buf) {
-                // A head that arrives in one read never passes the check on incomplete heads below.
-                Ok(Some(Message::Item(_))) if before - self.buf.len() > max => {
-                    return Err(ReadError::HeadTooLarge);
-                }
-                Ok(Some(Message::Item(req))) => return Ok(req),
-                Ok(Some(Message::Chunk(_))) => {
-                    return Err(ReadError::Malformed("body chunk without a head"));
-                }
-                Ok(None) if self.buf.len() > max => return Err(ReadError::HeadTooLarge),
-                Ok(None) => self.read_more().await?,
-                Err(ParseError::TooLarge) => return Err(ReadError::HeadTooLarge),
-                Err(_) => return Err(ReadError::Malformed("malformed head")),
+            match scan_request(&self.buf)? {
+                Some(head) if head.size > max => return Err(ReadError::HeadTooLarge),
+                Some(head) => return Ok(head),
+                None if self.buf.len() > max => return Err(ReadError::HeadTooLarge),
+                None => self.read_more().await?,
             }
         }
     }
 
     async fn read_body(
         &mut self,
+        length: BodyLength,
         max: usize,
         mut reserve: impl FnMut(Part, usize) -> bool,
     ) -> Result<Bytes, ReadError> {
         let mut body = BytesMut::new();
-        loop {
-            match self.codec.decode(&mut self.buf) {
-                Ok(Some(Message::Chunk(Some(chunk)))) => {
-                    if body.len() + chunk.len() > max {
-                        return Err(ReadError::BodyTooLarge);
-                    }
-                    if !reserve(Part::Body, chunk.len()) {
-                        return Err(ReadError::NoMemory);
+        let mut take = |buf: &mut BytesMut, n: usize| {
+            if body.len() + n > max {
+                return Err(ReadError::BodyTooLarge);
+            }
+            if !reserve(Part::Body, n) {
+                return Err(ReadError::NoMemory);
+            }
+            body.extend_from_slice(&buf[..n]);
+            buf.advance(n);
+            Ok(())
+        };
+        match length {
+            BodyLength::Bytes(mut left) => {
+                while left > 0 {
+                    if self.buf.is_empty() {
+                        self.read_more().await?;
                     }
-                    body.extend_from_slice(&chunk);
+                    let n = usize::try_from(left).unwrap_or(usize::MAX).min(self.buf.len());
+                    take(&mut self.buf, n)?;
+                    left -= n as u64;
                 }
-                Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
-                Ok(Some(Message::Item(_))) => {
-                    return Err(ReadError::Malformed("head before the end of the body"));
+            }
+            _ => self.read_chunks(take).await?,
+        }
+        Ok(body.freeze())
+    }
+
+    async fn read_chunks(
+        &mut self,
+        mut take: impl FnMut(&mut BytesMut, usize) -> Result<(), ReadError>,
+    ) -> Result<(), ReadError> {
+        let mut scanner = ChunkScanner::default();
+        loop {
+            match scanner.scan(&self.buf)? {
+                ChunkStep::More => self.read_more().await?,
+                ChunkStep::Mark(n) => self.buf.advance(n),
+                ChunkStep::Data(n) => take(&mut self.buf, n)?,
+                ChunkStep::End(n) => {
+                    self.buf.advance(n);
+                    return Ok(());
                 }
-                Ok(None) => self.read_more().await?,
-                Err(_) => return Err(ReadError::Malformed("malformed body")),
             }
         }
     }
--- a/src/h1/mod.rs
+++ b/src/h1/mod.rs
@@ -19,7 +19,10 @@
 pub use inbound::Inbound;
 pub use outbound::{Framing, Outbound, SendError, request_head};
 pub use request::{ReadError, RequestLimits};
-pub use scan::{BodyLength, ChunkScanner, ChunkStep, Fault, ScannedHead, scan_head};
+pub use scan::{
+    BodyLength, ChunkScanner, ChunkStep, Fault, ScannedHead, ScannedRequest, scan_head,
+    scan_request,
+};
 
 use crate::backlog::READ_BYTES;
 use actix_rt::net::TcpStream;
--- a/src/h1/request.rs
+++ b/src/h1/request.rs
@@ -1,5 +1,7 @@
 //! Limits on requests, and why none was read.
 
+use super::Fault;
+use actix_http::error::ParseError;
 use std::time::Duration;
 
 /// Limits on requests from callers.
@@ -33,8 +35,10 @@
     Closed,
     /// The head or the body did not arrive in time.
     Slow,
-    /// The bytes are not a request that can be forwarded safely; holds the reason.
-    Malformed(&'static str),
+    /// The bytes break a rule of HTTP/1.1.
+    Malformed(Fault),
+    /// The codec refuses the head.
+    Refused(ParseError),
     /// The head exceeds [`RequestLimits::max_head`].
     HeadTooLarge,
     /// The body exceeds [`RequestLimits::max_body`].
@@ -42,3 +46,12 @@
     /// There is no memory for the head or the body.
     NoMemory,
 }
+
+impl From<Fault> for ReadError {
+    fn from(rule: Fault) -> ReadError {
+        match rule {
+            Fault::HeadSize => ReadError::HeadTooLarge,
+            rule => ReadError::Malformed(rule),
+        }
+    }
+}
--- a/src/h1/scan.rs
+++ b/src/h1/scan.rs
@@ -1,9 +1,11 @@
-//! Strict scan of the bytes of a response.
+//! Strict scan of the bytes of a request or a response.
 //!
-//! Bytes that break a rule of HTTP/1.1 are no response: where readers differ in what they make of
-//! them, one of them takes a part of one response for another.
+//! Bytes that break a rule of HTTP/1.1 are no message: where readers differ in what they make of
+//! them, one of them takes a part of one message for another.
 
-use actix_http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use actix_http::header::{
+    CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
 use actix_http::{StatusCode, Version};
 use std::fmt;
 
@@ -15,12 +17,20 @@
 const MAX_CHUNK_LINE_BYTES: usize = 4 << 10;
 /// Maximum size of a line after the last chunk.
 const MAX_TRAILER_LINE_BYTES: usize = 16 << 10;
+/// Fields that decide where a request ends and whom it is for.
+const FRAMING: [&str; 3] = ["content-length", "transfer-encoding", "host"];
 /// Number of hexadecimal digits in the largest size of a chunk.
 const MAX_SIZE_DIGITS: usize = 16;
 
-/// Rule that the bytes of a response break.
+/// Rule that the bytes of a message break.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
+    /// The method is no token, or is CONNECT, which asks for a tunnel.
+    Method,
+    /// The target is neither a path nor a URI, or has a part that is not passed on.
+    Target,
+    /// The target names another host than the field does, or there are several fields.
+    Host,
     /// The version is neither HTTP/1.1 nor HTTP/1.0.
     Version,
     /// The status is no number from 100 to 599, or is 101, which nothing asked for.
@@ -58,6 +68,9 @@
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
+            Fault::Method => "method",
+            Fault::Target => "request target",
+            Fault::Host => "host",
             Fault::Version => "version",
             Fault::Status => "status",
             Fault::Reason => "reason phrase",
@@ -110,39 +123,151 @@
 ///
 /// Returns [`Fault`] if the bytes cannot become a valid head.
 pub fn scan_head(bytes: &[u8]) -> Result<Option<ScannedHead>, Fault> {
-    let Some((line, mut size)) = scan_line(bytes)? else { return check_start(bytes) };
+    let Some((line, size)) = scan_line(bytes)? else { return check_start(bytes) };
     let (version, status) = scan_status_line(line)?;
     let mut headers = HeaderMap::new();
-    loop {
-        let Some((line, n)) = scan_line(&bytes[size..])? else { return check_size(bytes) };
+    let append = |name: &[u8], value: &[u8]| append_field(&mut headers, name, value);
+    let Some(size) = scan_fields(bytes, size, append)? else { return Ok(None) };
+    let length = body_length(version, &headers)?;
+    Ok(Some(ScannedHead { version, status, headers, length, size }))
+}
+
+/// Head of a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ScannedRequest {
+    /// Number of bytes of the head, with empty lines before it.
+    pub size: usize,
+    /// Length of the body.
+    pub body: BodyLength,
+}
+
+/// Scans the head of a request; `None` if the bytes end before the head does.
+///
+/// # Errors
+///
+/// Returns [`Fault`] if the bytes cannot become a valid head.
+pub fn scan_request(bytes: &[u8]) -> Result<Option<ScannedRequest>, Fault> {
+    let mut start = 0;
+    // Some clients send an empty line after a body.
+    while bytes[start..].starts_with(b"\r\n") {
+        start += 2;
+    }
+    let Some((line, size)) = scan_line(&bytes[start..])? else {
+        check_size(bytes)?;
+        return check_method(&bytes[start..]).map(|()| None);
+    };
+    let (target, version) = scan_request_line(line)?;
+    let mut framing = HeaderMap::new();
+    let keep = |name: &[u8], value: &[u8]| match FRAMING
+        .iter()
+        .any(|kept| kept.as_bytes().eq_ignore_ascii_case(name))
+    {
+        true => append_field(&mut framing, name, value),
+        false => Ok(()),
+    };
+    let Some(size) = scan_fields(bytes, start + size, keep)? else { return Ok(None) };
+    check_host(target, &framing)?;
+    let body = match body_length(version, &framing)? {
+        BodyLength::Close => BodyLength::Bytes(0),
+        length => length,
+    };
+    Ok(Some(ScannedRequest { size, body }))
+}
+
+/// Checks a request line without its end, which other protocols may never send.
+fn check_method(bytes: &[u8]) -> Result<(), Fault> {
+    match bytes.iter().position(|b| !is_token(*b)) {
+        None => Ok(()),
+        Some(n) if n > 0 && bytes[n] == b' ' => Ok(()),
+        Some(_) if bytes == b"\r" => Ok(()),
+        Some(_) => Err(Fault::Method),
+    }
+}
+
+/// Returns the target and the version.
+fn scan_request_line(line: &[u8]) -> Result<(&[u8], Version), Fault> {
+    let end = line.iter().position(|b| !is_token(*b)).filter(|n| *n > 0 && line[*n] == b' ');
+    let end = end.ok_or(Fault::Method)?;
+    if &line[..end] == b"CONNECT" {
+        return Err(Fault::Method);
+    }
+    let rest = &line[end + 1..];
+    let end = rest.iter().position(|b| *b == b' ').ok_or(Fault::Version)?;
+    let (target, version) = (&rest[..end], &rest[end + 1..]);
+    // A fragment would be cut off.
+    if target.is_empty() || !target.iter().all(|b| is_text(*b) && !matches!(b, b'\t' | b'#')) {
+        return Err(Fault::Target);
+    }
+    match version {
+        b"HTTP/1.1" => Ok((target, Version::HTTP_11)),
+        b"HTTP/1.0" => Ok((target, Version::HTTP_10)),
+        _ => Err(Fault::Version),
+    }
+}
+
+/// Checks that a request names one host. That in a target is not passed on.
+fn check_host(target: &[u8], framing: &HeaderMap) -> Result<(), Fault> {
+    let mut hosts = framing.get_all(HOST);
+    let (field, other) = (hosts.next(), hosts.next());
+    if other.is_some() {
+        return Err(Fault::Host);
+    }
+    if target.starts_with(b"/") || target == b"*" {
+        return Ok(());
+    }
+    let start = target.windows(3).position(|w| w == b"://").ok_or(Fault::Target)?;
+    let named = target[start + 3..].split(|b| matches!(b, b'/' | b'?')).next();
+    match (named, field) {
+        (Some(named), Some(field)) if named.eq_ignore_ascii_case(field.as_bytes()) => Ok(()),
+        _ => Err(Fault::Host),
+    }
+}
+
+/// Scans the fields of a head, which begin at `size`, and returns the size of the head; `None` if
+/// the bytes end before it does.
+fn scan_fields(
+    bytes: &[u8],
+    mut size: usize,
+    mut keep: impl FnMut(&[u8], &[u8]) -> Result<(), Fault>,
+) -> Result<Option<usize>, Fault> {
+    for count in 0.. {
+        let Some((line, n)) = scan_line(&bytes[size..])? else {
+            check_size(bytes)?;
+            return Ok(None);
+        };
         size += n;
         if size > MAX_HEAD_BYTES {
             return Err(Fault::HeadSize);
         }
         if line.is_empty() {
-            let length = body_length(version, &headers)?;
-            return Ok(Some(ScannedHead { version, status, headers, length, size }));
+            break;
         }
-        if headers.len() == MAX_FIELDS {
+        if count == MAX_FIELDS {
             return Err(Fault::HeadSize);
         }
         let (name, value) = scan_field(line)?;
-        let name = HeaderName::from_bytes(name).map_err(|_| Fault::FieldName)?;
-        headers.append(name, HeaderValue::from_bytes(value).map_err(|_| Fault::FieldValue)?);
+        keep(name, value)?;
     }
+    Ok(Some(size))
+}
+
+fn append_field(headers: &mut HeaderMap, name: &[u8], value: &[u8]) -> Result<(), Fault> {
+    let name = HeaderName::from_bytes(name).map_err(|_| Fault::FieldName)?;
+    headers.append(name, HeaderValue::from_bytes(value).map_err(|_| Fault::FieldValue)?);
+    Ok(())
 }
 
 /// Checks a status line without its end.
 fn check_start(bytes: &[u8]) -> Result<Option<ScannedHead>, Fault> {
     let is_start = |version: &[u8]| version.iter().zip(bytes).all(|(a, b)| a == b);
     match is_start(b"HTTP/1.1 ") || is_start(b"HTTP/1.0 ") {
-        true => check_size(bytes),
+        true => check_size(bytes).map(|()| None),
         false => Err(Fault::Version),
     }
 }
 
-fn check_size(bytes: &[u8]) -> Result<Option<ScannedHead>, Fault> {
-    if bytes.len() > MAX_HEAD_BYTES { Err(Fault::HeadSize) } else { Ok(None) }
+fn check_size(bytes: &[u8]) -> Result<(), Fault> {
+    if bytes.len() > MAX_HEAD_BYTES { Err(Fault::HeadSize) } else { Ok(()) }
 }
 
 /// Returns the first line without its end, and its number of bytes with it; `None` if the bytes end
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod panics;
 mod polls;
 mod ports;
+mod requests;
 mod restarts;
 mod retries;
 mod shutdown;
--- /dev/null
+++ b/tests/gateway/requests.rs
@@ -0,0 +1,271 @@
+//! Requests that are malformed or cut off: an endpoint gets what the caller sent, once and whole, or
+//! nothing.
+
+use crate::common::start_platform;
+use rstest::rstest;
+use socket2::SockRef;
+use standin::platform::{Action, Endpoint, Gateway, ReceivedRequest, send};
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
+
+const FIELDS: &str = "Host: app.example\r\nX-Attempt-Id: id-1\r\nAuthorization: Bearer key-1\r\nX-Deadline-Ms: 800\r\n";
+/// Request behind the one under test, on the same connection.
+const NEXT: &str = "POST /unsafe/next HTTP/1.1\r\nHost: app.example\r\nX-Attempt-Id: id-2\r\n\
+    Authorization: Bearer key-1\r\nConnection: close\r\nContent-Length: 4\r\n\r\nnext";
+/// Time after which a request that was passed on has reached its endpoint.
+const ARRIVAL: Duration = Duration::from_millis(100);
+
+fn start() -> (Endpoint, standin::platform::Store, Gateway) {
+    let e = Endpoint::start("i-1", Action::Respond(200, "whole".into()));
+    let (store, gateway) = start_platform(&[(&e, "plain")]);
+    (e, store, gateway)
+}
+
+fn post(fields: &str, body: &str) -> Vec<u8> {
+    format!("POST /unsafe/x HTTP/1.1\r\n{FIELDS}{fields}\r\n{body}").into_bytes()
+}
+
+fn get(line: &str) -> Vec<u8> {
+    format!("{line}\r\n{FIELDS}\r\n").into_bytes()
+}
+
+fn targets(e: &Endpoint) -> Vec<String> {
+    e.received().into_iter().map(|r| r.req.target).collect()
+}
+
+/// Asserts that a request is refused, and that nothing is served of it and of what follows it.
+fn assert_refused(request: &[u8]) {
+    let (e, _store, gateway) = start();
+    let bytes = [request, NEXT.as_bytes()].concat();
+    let (received, _) = send(gateway.front, &bytes).read_to_end();
+    std::thread::sleep(ARRIVAL);
+    assert_eq!(targets(&e), [""; 0], "passed on; answered {received:?}");
+    let statuses: Vec<_> = received.split("HTTP/1.1 ").skip(1).map(|s| &s[..3]).collect();
+    assert_eq!(statuses, ["400"], "{received:?}");
+}
+
+#[rstest]
+#[case::lengths_differ("Content-Length: 3\r\nContent-Length: 4\r\n", "abc")]
+#[case::lengths_equal("Content-Length: 3\r\nContent-Length: 3\r\n", "abc")]
+#[case::length_plus("Content-Length: +3\r\n", "abc")]
+#[case::length_minus("Content-Length: -0\r\n", "")]
+#[case::length_list("Content-Length: 3, 3\r\n", "abc")]
+#[case::length_blank("Content-Length: 1 3\r\n", "abc")]
+#[case::length_empty("Content-Length:\r\n", "")]
+#[case::length_hexadecimal("Content-Length: 0x3\r\n", "abc")]
+#[case::length_overflow("Content-Length: 18446744073709551619\r\n", "abc")]
+#[case::length_not_ascii("Content-Length: \u{a0}3\r\n", "abc")]
+#[case::both("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\n\r\n")]
+#[case::coding_other("Transfer-Encoding: gzip\r\n", "3\r\nabc\r\n0\r\n\r\n")]
+#[case::coding_list("Transfer-Encoding: gzip, chunked\r\n", "3\r\nabc\r\n0\r\n\r\n")]
+#[case::coding_list_twice("Transfer-Encoding: chunked, chunked\r\n", "3\r\nabc\r\n0\r\n\r\n")]
+#[case::coding_twice(
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    "3\r\nabc\r\n0\r\n\r\n"
+)]
+#[case::coding_identity("Transfer-Encoding: identity\r\n", "")]
+#[case::coding_identity_length("Transfer-Encoding: identity\r\nContent-Length: 3\r\n", "abc")]
+#[case::coding_identity_first(
+    "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
+    "3\r\nabc\r\n0\r\n\r\n"
+)]
+#[case::coding_parameter("Transfer-Encoding: chunked;a=b\r\n", "3\r\nabc\r\n0\r\n\r\n")]
+#[case::coding_empty("Transfer-Encoding:\r\n", "")]
+#[case::line_feed("X-A: 1\nX-B: 2\r\n", "")]
+#[case::line_feed_at_end("X-A: 1\r\n\n", "")]
+#[case::carriage_return("X-A: 1\rX-B: 2\r\n", "")]
+#[case::nul("X-A: 1\0\r\n", "")]
+#[case::delete("X-A: 1\x7f\r\n", "")]
+#[case::blank_before_colon("X-A : 1\r\n", "")]
+#[case::blank_before_colon_of_length("Content-Length : 3\r\n", "abc")]
+#[case::blank_in_name("X A: 1\r\n", "")]
+#[case::control_in_name("X\x01A: 1\r\n", "")]
+#[case::no_name(": 1\r\n", "")]
+#[case::no_colon("X-A\r\n", "")]
+#[case::folded("X-A: 1\r\n 2\r\n", "")]
+#[case::folded_length("X-A: 1\r\n Content-Length: 3\r\n", "abc")]
+#[case::hosts_equal("Host: app.example\r\n", "")]
+#[case::hosts_differ("Host: other.example\r\n", "")]
+fn request_with_a_malformed_head_reaches_no_endpoint(#[case] fields: &str, #[case] body: &str) {
+    assert_refused(&post(fields, body));
+}
+
+#[rstest]
+#[case::plus("+3\r\nabc\r\n0\r\n\r\n")]
+#[case::minus("-3\r\nabc\r\n0\r\n\r\n")]
+#[case::blank_before(" 3\r\nabc\r\n0\r\n\r\n")]
+#[case::blank_after("3 \r\nabc\r\n0\r\n\r\n")]
+#[case::prefix("0x3\r\nabc\r\n0\r\n\r\n")]
+#[case::empty("\r\nabc\r\n0\r\n\r\n")]
+#[case::overflow("10000000000000003\r\nabc\r\n0\r\n\r\n")]
+#[case::control_in_extension("3;a=\x01\r\nabc\r\n0\r\n\r\n")]
+#[case::line_feed_in_extension("3;a\nabc\r\n0\r\n\r\n")]
+#[case::line_feed_after_size("3\nabc\r\n0\r\n\r\n")]
+#[case::line_feed_after_data("3\r\nabc\n0\r\n\r\n")]
+#[case::longer_than_size("3\r\nabcd\r\n0\r\n\r\n")]
+#[case::line_feed_at_end("3\r\nabc\r\n0\r\n\n")]
+#[case::trailer_no_colon("3\r\nabc\r\n0\r\nX-A\r\n\r\n")]
+#[case::trailer_blank("3\r\nabc\r\n0\r\nX-A : 1\r\n\r\n")]
+#[case::trailer_line_feed("3\r\nabc\r\n0\r\nX-A: 1\nX-B: 2\r\n\r\n")]
+#[case::trailer_control("3\r\nabc\r\n0\r\nX-A: \x01\r\n\r\n")]
+#[case::trailer_request("3\r\nabc\r\n0\r\nGET /safe/x HTTP/1.1\r\n\r\n")]
+fn request_with_malformed_chunks_reaches_no_endpoint(#[case] body: &str) {
+    assert_refused(&post("Transfer-Encoding: chunked\r\n", body));
+}
+
+#[rstest]
+#[case::two_blanks("GET  /safe/x HTTP/1.1")]
+#[case::blanks_before_version("GET /safe/x  HTTP/1.1")]
+#[case::tab("GET\t/safe/x HTTP/1.1")]
+#[case::blank_at_end("GET /safe/x HTTP/1.1 ")]
+#[case::blank_at_start(" GET /safe/x HTTP/1.1")]
+#[case::blank_in_target("GET /safe/x y HTTP/1.1")]
+#[case::no_version("GET /safe/x")]
+#[case::version_later("GET /safe/x HTTP/1.2")]
+#[case::version_two("GET /safe/x HTTP/2.0")]
+#[case::version_lower_case("GET /safe/x http/1.1")]
+#[case::method_control("G\x01T /safe/x HTTP/1.1")]
+#[case::method_separator("G(T /safe/x HTTP/1.1")]
+#[case::no_method("/safe/x HTTP/1.1")]
+#[case::connect("CONNECT app.example:80 HTTP/1.1")]
+#[case::target_control("GET /safe/\x01 HTTP/1.1")]
+#[case::target_delete("GET /safe/\x7f HTTP/1.1")]
+#[case::target_nul("GET /safe/\0 HTTP/1.1")]
+#[case::target_fragment("GET /safe/x#part HTTP/1.1")]
+#[case::target_fragment_of_query("GET /safe/x?a#part HTTP/1.1")]
+#[case::target_relative("GET safe/x HTTP/1.1")]
+#[case::target_of_other_host("GET http://other.example/safe/x HTTP/1.1")]
+#[case::target_of_user("GET http://app.example@other.example/safe/x HTTP/1.1")]
+#[case::line_feed("GET /safe/x HTTP/1.1\nX-A: 1")]
+#[case::old_with_coding("GET /safe/x HTTP/1.0\r\nTransfer-Encoding: chunked")]
+fn request_with_a_malformed_first_line_reaches_no_endpoint(#[case] line: &str) {
+    assert_refused(&get(line));
+}
+
+#[test]
+fn request_without_a_host_reaches_no_endpoint() {
+    assert_refused(
+        b"GET /safe/x HTTP/1.1\r\nAuthorization: Bearer key-1\r\nX-Attempt-Id: a\r\n\r\n",
+    );
+}
+
+/// Asserts that the endpoint got a request as given, and the next one on the connection.
+fn assert_passed_on(e: &Endpoint, target: &str, body: &str) {
+    let received = e.received();
+    let got = |r: &ReceivedRequest| {
+        (r.req.target.clone(), String::from_utf8_lossy(&r.req.body).into_owned())
+    };
+    let got: Vec<_> = received.iter().map(got).collect();
+    let expected = [(target, body), ("/unsafe/next", "next")].map(|(t, b)| (t.into(), b.into()));
+    assert_eq!(got, expected);
+    let framing = ["transfer-encoding", "trailer", "x-trailer", "content-length"];
+    let values = framing.map(|name| received[0].req.header(name));
+    let length = (!body.is_empty()).then(|| body.len().to_string());
+    assert!(values[..3].iter().all(Option::is_none), "{:?}", received[0].req);
+    assert_eq!(values[3].filter(|n| *n != "0"), length.as_deref(), "{:?}", received[0].req);
+}
+
+#[rstest]
+#[case::length("Content-Length: 3\r\n", "abc", "abc")]
+#[case::length_zeros("Content-Length: 0003\r\n", "abc", "abc")]
+#[case::length_blanks("Content-Length: \t 3 \t\r\n", "abc", "abc")]
+#[case::length_zero("Content-Length: 0\r\n", "", "")]
+#[case::no_body("", "", "")]
+#[case::chunks("Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", "abcde")]
+#[case::chunks_upper_case("TRANSFER-ENCODING: Chunked\r\n", "3\r\nabc\r\n0\r\n\r\n", "abc")]
+#[case::chunks_zeros("Transfer-Encoding: chunked\r\n", "0003\r\nabc\r\n000\r\n\r\n", "abc")]
+#[case::chunks_extension(
+    "Transfer-Encoding: chunked\r\n",
+    "3;a=\"b\"\r\nabc\r\n0;c\r\n\r\n",
+    "abc"
+)]
+#[case::chunks_empty("Transfer-Encoding: chunked\r\n", "0\r\n\r\n", "")]
+#[case::chunks_like_a_head(
+    "Transfer-Encoding: chunked\r\n",
+    "4\r\n\r\n\r\n\r\n0\r\n\r\n",
+    "\r\n\r\n"
+)]
+#[case::trailers(
+    "Transfer-Encoding: chunked\r\nTrailer: X-Trailer\r\n",
+    "3\r\nabc\r\n0\r\nX-Trailer: 1\r\nContent-Length: 9\r\n\r\n",
+    "abc"
+)]
+#[case::expectation("Expect: 100-continue\r\nContent-Length: 3\r\n", "abc", "abc")]
+fn body_reaches_the_endpoint_once_and_whole(
+    #[case] fields: &str,
+    #[case] sent: &str,
+    #[case] body: &str,
+    #[values(false, true)] in_bytes: bool,
+) {
+    let (e, _store, gateway) = start();
+    let bytes = [&post(fields, sent)[..], NEXT.as_bytes()].concat();
+    let mut io = TcpStream::connect(gateway.front).expect("cannot connect");
+    io.set_nodelay(true).expect("cannot set TCP_NODELAY");
+    for part in bytes.chunks(if in_bytes { 1 } else { bytes.len() }) {
+        io.write_all(part).expect("cannot send");
+    }
+    let mut received = String::new();
+    io.read_to_string(&mut received).expect("the connection is not reset");
+    assert_passed_on(&e, "/unsafe/x", body);
+    assert_eq!(received.matches("HTTP/1.1 200").count(), 2, "{received:?}");
+}
+
+#[rstest]
+#[case::query("/safe/x?a=b&c=%0d%0a", "/safe/x?a=b&c=%0d%0a")]
+#[case::odd_bytes("/safe/a|b{c}\"d<e>[f]^`\\", "/safe/a|b{c}\"d<e>[f]^`\\")]
+#[case::not_ascii("/safe/\u{e9}", "/safe/\u{e9}")]
+#[case::two_slashes("/safe//x", "/safe//x")]
+#[case::dots("/safe/../x", "/safe/../x")]
+#[case::empty_query("/safe/x?", "/safe/x?")]
+#[case::absolute("http://app.example/safe/x?y", "/safe/x?y")]
+#[case::absolute_upper_case("HTTP://APP.example/safe/x", "/safe/x")]
+fn target_reaches_the_endpoint_as_sent_or_not_at_all(#[case] sent: &str, #[case] target: &str) {
+    let (e, _store, gateway) = start();
+    let bytes = [&get(&format!("GET {sent} HTTP/1.1"))[..], NEXT.as_bytes()].concat();
+    let (received, _) = send(gateway.front, &bytes).read_to_end();
+    if received.starts_with("HTTP/1.1 400") {
+        return assert_eq!(targets(&e), [""; 0]);
+    }
+    assert_passed_on(&e, target, "");
+}
+
+/// How a connection ends.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum End {
+    HalfClosed,
+    Closed,
+    Reset,
+}
+
+#[rstest]
+#[case::length("Content-Length: 6\r\n", "abcdef")]
+#[case::chunks("Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n3\r\ndef\r\n0\r\nX-A: 1\r\n\r\n")]
+fn request_that_is_cut_off_reaches_no_endpoint(
+    #[case] fields: &str,
+    #[case] body: &str,
+    #[values(End::HalfClosed, End::Closed, End::Reset)] end: End,
+) {
+    let (e, _store, gateway) = start();
+    let whole = post(fields, body);
+    let ends = (whole.len() - body.len() - 20..whole.len()).map(|n| &whole[..n]);
+    for part in ends {
+        let mut io = TcpStream::connect(gateway.front).expect("cannot connect");
+        io.write_all(part).expect("cannot send");
+        match end {
+            End::HalfClosed => {
+                io.shutdown(Shutdown::Write).expect("cannot shut down");
+                let mut received = String::new();
+                let _ = io.read_to_string(&mut received);
+                assert!(!received.contains("HTTP/1.1 200"), "{received:?}");
+            }
+            End::Closed => {}
+            End::Reset => {
+                let linger = Some(Duration::ZERO);
+                SockRef::from(&io).set_linger(linger).expect("cannot set SO_LINGER");
+            }
+        }
+    }
+    std::thread::sleep(ARRIVAL);
+    assert_eq!(targets(&e), [""; 0]);
+}
