Decline offers of another protocol without giving up the connection

Callers saw: a request with `Upgrade: websocket` got 408, as its body was waited for without end; one with `Connection: upgrade` got an answer with `connection: upgrade`, and its connection was closed, with the next request on it unread.

Cause: the codec takes an offer for the change itself: the body then ends with the connection, chunks of an answer are not marked, and the connection is not kept. Since the scan finds the end of the body, a stream after `Upgrade: websocket` would also have announced chunks and sent none.

Now the codec of such a response is one that has seen the same request without the offer, which HTTP/1.1 lets a server ignore.

--- a/src/h1/inbound.rs
+++ b/src/h1/inbound.rs
@@ -13,7 +13,8 @@
 use actix_http::body::BodySize;
 use actix_http::error::ParseError;
 use actix_http::h1::{Codec, Message};
-use actix_http::{ConnectionType, Request, Response, ServiceConfig, Version};
+use actix_http::header::UPGRADE;
+use actix_http::{ConnectionType, Method, Request, Response, ServiceConfig, Version};
 use actix_rt::net::TcpStream;
 use bytes::{Buf, Bytes, BytesMut};
 use socket2::SockRef;
@@ -154,7 +155,7 @@
         let mut codec = Codec::new(self.codec.config().clone());
         match codec.decode(&mut bytes) {
             Ok(Some(Message::Item(req))) => {
-                self.codec = codec;
+                self.codec = response_codec(codec, &req)?;
                 Ok((req, head.body))
             }
             Ok(_) => Err(ReadError::Refused(ParseError::Incomplete)),
@@ -453,6 +454,26 @@
     }
 }
 
+/// Returns the codec of the response to a request that `codec` has decoded. An offer to change the
+/// protocol is declined; the codec alone would take the connection for that of another protocol.
+fn response_codec(codec: Codec, req: &Request) -> Result<Codec, ReadError> {
+    let (head, version) = (req.head(), req.version());
+    if !head.upgrade() && !head.headers().contains_key(UPGRADE) {
+        return Ok(codec);
+    }
+    let is_kept = match head.connection_type() {
+        ConnectionType::Close => false,
+        ConnectionType::KeepAlive => true,
+        ConnectionType::Upgrade => version == Version::HTTP_11,
+    };
+    let connection = if is_kept { "keep-alive" } else { "close" };
+    let method = if *req.method() == Method::HEAD { "HEAD" } else { "GET" };
+    let plain = format!("{method} / {version:?}\r\nHost: -\r\nConnection: {connection}\r\n\r\n");
+    let mut codec = Codec::new(codec.config().clone());
+    codec.decode(&mut BytesMut::from(plain.as_str())).map_err(ReadError::Refused)?;
+    Ok(codec)
+}
+
 /// Waits until the sum over all connections keeps to its limit.
 async fn wait_for_room(load: &Load) {
     while load.is_sum_exceeded() {
--- a/tests/gateway/requests.rs
+++ b/tests/gateway/requests.rs
@@ -1,7 +1,7 @@
 //! Requests that are malformed or cut off: an endpoint gets what the caller sent, once and whole, or
 //! nothing.
 
-use crate::common::start_platform;
+use crate::common::{GENERATION, expected_events, request_bytes, start_platform};
 use rstest::rstest;
 use socket2::SockRef;
 use standin::platform::{Action, Endpoint, Gateway, ReceivedRequest, send};
@@ -192,6 +192,8 @@
     "abc"
 )]
 #[case::expectation("Expect: 100-continue\r\nContent-Length: 3\r\n", "abc", "abc")]
+#[case::websocket("Upgrade: websocket\r\nContent-Length: 3\r\n", "abc", "abc")]
+#[case::upgrade("Connection: keep-alive, upgrade\r\nUpgrade: h2c\r\n", "", "")]
 fn body_reaches_the_endpoint_once_and_whole(
     #[case] fields: &str,
     #[case] sent: &str,
@@ -211,6 +213,25 @@
     assert_eq!(received.matches("HTTP/1.1 200").count(), 2, "{received:?}");
 }
 
+#[rstest]
+fn offer_of_another_protocol_does_not_change_the_framing_of_the_answer(
+    #[values("websocket", "h2c")] protocol: &str,
+    #[values("", "Connection: upgrade\r\n")] connection: &str,
+) {
+    let e = Endpoint::start("i-1", Action::Stream(3, Duration::from_millis(1)));
+    let (_store, gateway) = start_platform(&[(&e, "model")]);
+    let fields = format!("{GENERATION}{connection}Upgrade: {protocol}\r\n");
+    let mut caller = send(gateway.front, &request_bytes("POST", "/stream/x", "id-1", &fields, "p"));
+    for n in 1..=2 {
+        let reply = caller.reply();
+        assert_eq!((reply.status, reply.complete, reply.fault), (200, true, None), "{reply:?}");
+        assert_eq!(reply.body, expected_events(3));
+        assert_eq!(reply.header("transfer-encoding"), Some("chunked"), "{reply:?}");
+        let next = request_bytes("POST", "/stream/x", &format!("id-{n}-next"), GENERATION, "p");
+        caller.write(&next).expect("the connection is open");
+    }
+}
+
 #[rstest]
 #[case::query("/safe/x?a=b&c=%0d%0a", "/safe/x?a=b&c=%0d%0a")]
 #[case::odd_bytes("/safe/a|b{c}\"d<e>[f]^`\\", "/safe/a|b{c}\"d<e>[f]^`\\")]
