Take an answer that ends in order before its upload for a part if a reset follows

Callers got a part of a 200 without a length as the whole: an endpoint that answers an upload early, and closes its socket while nothing received is unread, ends the connection in order and resets it at the next bytes. A process that ends does so. The gateway stopped sending at the end, so it never saw the reset.

Why it works: after the end, the rest of the request is sent on for at most 50 ms, until it has been acknowledged. An endpoint that is still there takes it; one that is gone resets the connection within a round trip. A request that has been acknowledged whole is not waited for. An endpoint that resets later than that still cannot be told from one that is done.

--- a/src/h1/outbound.rs
+++ b/src/h1/outbound.rs
@@ -3,8 +3,9 @@
 use super::scan::{
     BodyLength, ChunkScanner, ChunkStep, Fault, MAX_HEAD_BYTES, ScannedHead, scan_head,
 };
-use super::{Broken, read_available, set_socket_options, write_some};
+use super::{Broken, read_available, set_socket_options, try_write, write_some};
 use crate::callers::{Charge, ENDPOINT_BUFFER_BYTES, Load};
+use crate::clock;
 use crate::net;
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, Message};
@@ -16,7 +17,8 @@
 use std::fmt;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::os::fd::AsRawFd;
+use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::WriteHalf;
 use tokio::time::timeout;
@@ -24,6 +26,10 @@
 
 /// Bytes that a decoded field takes beside its name and its value.
 const FIELD_BYTES: usize = 256;
+/// Time after an end in order in which a reset shows that the request was not read.
+const CLOSE_CHECK_TIME: Duration = Duration::from_millis(50);
+/// Interval at which it is checked whether one has come.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 /// Largest body that is copied behind its head, to be sent with it.
 const MAX_JOINED_BYTES: usize = 8 << 10;
 
@@ -110,6 +116,8 @@
     omitted: Option<BodySize>,
     /// Why the rest of the request was not sent.
     write_error: Option<ErrorKind>,
+    /// When the check ends that follows an end in order; `None` before it begins.
+    close_checked: Option<Instant>,
     /// Bytes of the decoded head of the response.
     head_bytes: usize,
     /// Bytes of its body that the reader keeps.
@@ -191,6 +199,7 @@
             framing: Framing::Length,
             omitted: None,
             write_error: None,
+            close_checked: None,
             head_bytes: 0,
             body_bytes: 0,
             charge: None,
@@ -326,6 +335,42 @@
         }
     }
 
+    /// Checks that an endpoint which has ended the connection in order takes the rest of the request.
+    /// One that closes its socket before it has read the request, as a process that ends does, resets the
+    /// connection at the next bytes, and its response may be a part. Cancel safe.
+    async fn check_close(&mut self) -> Result<(), Broken> {
+        let end = *self.close_checked.get_or_insert_with(|| clock::now() + CLOSE_CHECK_TIME);
+        loop {
+            if let Err(e) = self.try_send() {
+                self.give_up_request(e.kind());
+                return Err(Broken::Write(e.kind()));
+            }
+            if let Ok(Some(e)) = self.io.take_error() {
+                return Err(Broken::Read(e.kind()));
+            }
+            let is_sent = self.unsent() == 0 && unacked(&self.io) == 0;
+            if is_sent || clock::now() >= end {
+                return Ok(());
+            }
+            tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Sends what the connection takes at once of the rest of the request.
+    fn try_send(&mut self) -> std::io::Result<()> {
+        if !self.out.is_empty() {
+            try_write(&self.io, &mut self.out)?;
+        }
+        if self.out.is_empty() && !self.body.is_empty() {
+            match self.io.try_write(&self.body) {
+                Ok(n) => self.body.advance(n),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
     /// Returns the next chunk of the body, `None` at its end. Cancel safe.
     ///
     /// # Errors
@@ -342,7 +387,10 @@
             self.record_kept();
             if !self.exchange_bytes().await? {
                 match self.phase {
-                    Phase::Rest => self.phase = Phase::Done,
+                    Phase::Rest => {
+                        self.check_close().await?;
+                        self.phase = Phase::Done;
+                    }
                     _ => return Err(Broken::Early),
                 }
             }
@@ -439,6 +487,14 @@
     }
 }
 
+/// Returns the number of sent bytes that the other side has not acknowledged; 0 if it is not known.
+fn unacked(io: &TcpStream) -> usize {
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: the call writes one number, to a place that outlives it.
+    let done = unsafe { libc::ioctl(io.as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
+    if done == 0 { usize::try_from(bytes).unwrap_or(0) } else { 0 }
+}
+
 /// Sends some bytes of a request. Cancel safe.
 async fn send_part(
     io: &mut WriteHalf<'_>,
--- a/tests/gateway/answers.rs
+++ b/tests/gateway/answers.rs
@@ -67,6 +67,26 @@
     assert!(passed.is_empty(), "{} of 18: {passed:?}", passed.len());
 }
 
+#[rstest]
+fn part_of_an_answer_of_an_endpoint_that_ends_during_the_upload_is_no_answer(
+    #[values("safe", "unsafe", "stream")] route: &str,
+    #[values(0, 100_000)] read: usize,
+) {
+    let e = Endpoint::start("i-1", Action::Hang);
+    let (_store, gateway) = start_upload_platform(&[(&e, service(route))]);
+    let mut passed = Vec::new();
+    for (n, ms) in [0, 1, 5].iter().cycle().take(18).enumerate() {
+        let end = EarlyEnd::CloseThenReset(Duration::from_millis(*ms));
+        e.push_action(early(read, "", EVENT, end));
+        let reply = upload(&gateway, route, &format!("id-{n}"));
+        if reply.complete && !matches!(reply.status, 502 | 504) {
+            passed.push((*ms, reply.status, reply.body));
+        }
+    }
+    assert_eq!(e.run_count(), 18, "requests did not reach the endpoint: {passed:?}");
+    assert!(passed.is_empty(), "{} of 18: {passed:?}", passed.len());
+}
+
 #[rstest]
 #[case::close("", EarlyEnd::Close)]
 #[case::close_then_reset("", EarlyEnd::CloseThenReset(SETTLE))]
