Read the store again while a read without a usable configuration was the last one

A gateway whose first full read of the store had no configuration that can be used (none, no value, no base64, cut off) followed the watch from then on, which shows changes alone. It stayed unready until the operator wrote the next version, though the store answered well a moment later.

Why it works: the reads beside the follower go on each second while there is no configuration, and are applied if they are not behind the position. The follower's watch then delivers at most changes that the read had, in their order.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -25,6 +25,8 @@
 const SLOW_DELAY: Duration = Duration::from_millis(500);
 /// Interval between two slow reads.
 const SLOW_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval between two reads while those before had no configuration that can be used.
+const REREAD_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after the store has come back from a copy until all keys are read once more. By then
 /// entries that live owners did not write again are gone from the store.
 const SETTLE_TIME: Duration = Duration::from_secs(10);
@@ -214,28 +216,34 @@
     Ok(())
 }
 
-/// Reads all keys once from a store that answers later than [`FIRST_TIMEOUT`]. A read with that limit
-/// goes on beside it, as an answer that is lost would take the longer one.
+/// Reads all keys while there is no configuration, beside the reads of [`follow_store`]. A store may
+/// answer later than [`FIRST_TIMEOUT`], which an answer that is lost would make longer; and a read
+/// without a configuration that can be used is followed by watches that show only changes.
 pub async fn read_slowly(gw: Rc<Gateway>) {
     tokio::time::sleep(SLOW_DELAY).await;
     while gw.table.borrow().is_none() {
-        if gw.store_position.borrow().get().is_none() {
-            let asked = clock::now();
-            let read = gw.store.list_within(ALL_KEYS, SLOW_TIMEOUT).await;
-            let known = gw.store_position.borrow();
-            let is_first = |all: &StoreUpdate| {
-                known.get().is_none() && known.compare(all.at) == Succession::Same
-            };
-            let first = read.ok().filter(is_first);
-            drop(known);
-            if let Some(all) = first {
-                apply_all(&gw, asked, &all, Source::Current);
-            }
+        let is_followed = gw.store_position.borrow().get().is_some();
+        let (wait, interval) = match is_followed {
+            true => (FIRST_TIMEOUT, REREAD_INTERVAL),
+            false => (SLOW_TIMEOUT, SLOW_INTERVAL),
+        };
+        let asked = clock::now();
+        let read = gw.store.list_within(ALL_KEYS, wait).await;
+        if let Some(all) = read.ok().filter(|all| is_ahead(&gw, all.at)) {
+            apply_all(&gw, asked, &all, Source::Current);
         }
-        tokio::time::sleep(jitter(SLOW_INTERVAL)).await;
+        tokio::time::sleep(jitter(interval)).await;
     }
 }
 
+/// Returns whether a read at `at` has all that is known, and may have a first configuration.
+fn is_ahead(gw: &Gateway, at: Position) -> bool {
+    let position = gw.store_position.borrow();
+    let is_missing = gw.table.borrow().is_none();
+    position.compare(at) == Succession::Same
+        && position.get().is_none_or(|known| is_missing && known <= at)
+}
+
 /// Applies a read of all keys that was sent at `asked`.
 fn apply_all(gw: &Rc<Gateway>, asked: Instant, all: &StoreUpdate, source: Source) {
     apply_config(gw, all);
--- a/tests/gateway/start_store.rs
+++ b/tests/gateway/start_store.rs
@@ -110,6 +110,25 @@
     assert!(wait_for(READY_SECS, || gateway.probe() == 200), "not ready within {READY_SECS} s");
 }
 
+#[rstest]
+#[case::none(r#"{"items":[],"truncated":false,"current_rev":12}"#)]
+#[case::no_value(
+    r#"{"items":[{"key":"op/config","revision":11}],"truncated":false,"current_rev":12}"#
+)]
+#[case::no_base64(
+    r#"{"items":[{"key":"op/config","value":"*","revision":11}],"truncated":false,"current_rev":12}"#
+)]
+#[case::cut_off(
+    r#"{"items":[{"key":"op/config","value":"eyJ2Ijo=","revision":11}],"truncated":false,"current_rev":12}"#
+)]
+fn read_without_a_configuration_is_repeated(#[case] page: &'static str) {
+    let (_e, _store, front) = start_behind(StoreFault::Body(page));
+    let mut gateway = start_gateway_at(front.address);
+    assert_probes(&mut gateway, Duration::from_secs(3), 503);
+    front.mend();
+    assert!(wait_for(READY_SECS, || gateway.probe() == 200), "not ready within {READY_SECS} s");
+}
+
 #[rstest]
 #[case(1)]
 #[case(3)]
