Release what a sidecar counts for a call that panics

A sidecar whose call panicked counted it as in progress from then on, so that a stop lasted the whole grace time and ended with 2, and answered "running" for its key, over and over.

Cause: the count was raised before an await and lowered after it, and the record of the key was left as running. Both are released by guards now, on a reply, a panic or a cancellation; the record then says that the outcome is unknown, since the call may have run. Calls and orders are tasks by name, so that their panics are in the log by name and in panics_total.

Test: `tasks call_that_ends_without_a_reply_is_no_longer_running`, 2 of 2 failed with the former form of both behind the same functions, 2 of 2 pass now. Ruled out by reading: the counts of connections (src/http), of transfers (src/entry/sync.rs), of requests of peers and of the gateway are held by guards, or lowered after `task::run`, which ends without a panic.

--- a/src/board/sidecar.rs
+++ b/src/board/sidecar.rs
@@ -6,7 +6,9 @@
 use crate::length::Lengths;
 use crate::limit::Throttle;
 use slotmap::{SlotMap, new_key_type};
+use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
+use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -100,6 +102,22 @@
     }
 }
 
+/// Counts a call as in progress until it is dropped, as by a panic.
+struct CountedCall<'a>(&'a RefCell<SidecarBoard>);
+
+impl<'a> CountedCall<'a> {
+    fn begin(board: &'a RefCell<SidecarBoard>) -> Self {
+        board.borrow_mut().calls += 1;
+        CountedCall(board)
+    }
+}
+
+impl Drop for CountedCall<'_> {
+    fn drop(&mut self) {
+        self.0.borrow_mut().calls -= 1;
+    }
+}
+
 /// State shared by the controllers of a sidecar.
 #[derive(Debug, Default)]
 pub struct SidecarBoard {
@@ -126,6 +144,12 @@
 }
 
 impl SidecarBoard {
+    /// Runs a call on a plain service and counts it as in progress meanwhile.
+    pub async fn count_call<F: Future>(board: &RefCell<Self>, call: F) -> F::Output {
+        let _counted = CountedCall::begin(board);
+        call.await
+    }
+
     /// Returns an iterator over the generations in a phase.
     pub fn in_phase(&self, phase: Phase) -> impl Iterator<Item = (JobKey, &Job)> {
         self.jobs.iter().filter(move |(_, j)| j.phase == phase)
--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -18,7 +18,9 @@
 use crate::frame::{Answer, CallKey, CallReply, Refusal};
 use crate::id::{Epoch, Fingerprint, Incarnation};
 use crate::store::Era;
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
+use std::future::Future;
 use std::time::{Duration, Instant};
 
 /// Time during which new keys are issued for an epoch.
@@ -77,6 +79,20 @@
     Answer(CallReply),
 }
 
+/// Records the outcome of a call when it is dropped.
+struct OpenRecord<'a> {
+    ledger: &'a RefCell<Ledger>,
+    key: &'a CallKey,
+    reply: CallReply,
+}
+
+impl Drop for OpenRecord<'_> {
+    fn drop(&mut self) {
+        let reply = std::mem::replace(&mut self.reply, CallReply::Unknown);
+        self.ledger.borrow_mut().finish(self.key, reply);
+    }
+}
+
 /// Records of the calls of one incarnation of a sidecar.
 #[derive(Debug)]
 pub struct Ledger {
@@ -185,6 +201,18 @@
         Verdict::Run
     }
 
+    /// Runs a call that was recorded as running, and records its outcome. That of a call which ends
+    /// without a reply, as by a panic, is unknown.
+    pub async fn record_call(
+        ledger: &RefCell<Self>,
+        key: &CallKey,
+        call: impl Future<Output = CallReply>,
+    ) -> CallReply {
+        let mut record = OpenRecord { ledger, key, reply: CallReply::Unknown };
+        record.reply = call.await;
+        record.reply.clone()
+    }
+
     /// Records the outcome of a call.
     pub fn finish(&mut self, key: &CallKey, reply: CallReply) {
         let state = match reply {
--- a/src/sidecar/calls.rs
+++ b/src/sidecar/calls.rs
@@ -1,11 +1,12 @@
 //! Calls to a plain service.
 
 use super::{CONNECT_TIMEOUT, Sidecar, limits};
+use crate::board::SidecarBoard;
 use crate::clock;
 use crate::event::Kind;
 use crate::frame::{Answer, Call, CallKey, CallReply, Refusal, StatedLength};
 use crate::h1::{self, Outbound};
-use crate::once::Verdict;
+use crate::once::{Ledger, Verdict};
 use crate::platform;
 use actix_http::body::BodySize;
 use actix_http::header::CONTENT_TYPE;
@@ -20,7 +21,8 @@
 /// a key that arrives while the sidecar is leaving or the service is down is sealed and does not
 /// run.
 pub async fn call(s: &Sidecar, call: Call) -> CallReply {
-    let Some(key) = call.key.clone() else { return run(s, &call).await };
+    let run = || SidecarBoard::count_call(&s.board, send(s, &call));
+    let Some(key) = call.key.clone() else { return run().await };
     let verdict = {
         let may_run = !s.board.borrow().leaving && s.board.borrow().engine.alive;
         let mut ledger = s.ledger.borrow_mut();
@@ -36,8 +38,7 @@
         }
         Verdict::Run => {
             s.process.event(Kind::CallStarted, key.hash, "");
-            let reply = run(s, &call).await;
-            s.ledger.borrow_mut().finish(&key, reply.clone());
+            let reply = Ledger::record_call(&s.ledger, &key, run()).await;
             s.process.event(Kind::CallDone, key.hash, outcome_name(&reply));
             reply
         }
@@ -64,14 +65,6 @@
     }
 }
 
-/// Sends a call and counts it as in progress meanwhile.
-async fn run(s: &Sidecar, call: &Call) -> CallReply {
-    s.board.borrow_mut().calls += 1;
-    let reply = send(s, call).await;
-    s.board.borrow_mut().calls -= 1;
-    reply
-}
-
 async fn send(s: &Sidecar, call: &Call) -> CallReply {
     let content = (!call.content.is_empty()).then_some(&*call.content);
     let method = call.method.parse().ok();
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -46,14 +46,14 @@
         Request::Call(call) => {
             let s = s.clone();
             call.key.iter().for_each(|key| restore::note_claim(&s, key));
-            actix_rt::spawn(async move {
+            task::spawn("call", async move {
                 let reply = Reply::Call(Box::new(calls::call(&s, *call).await));
                 responder.reply(&s.process.encode(reply));
             });
         }
         Request::Order(order) => {
             let s = s.clone();
-            actix_rt::spawn(async move {
+            task::spawn("order", async move {
                 let reply = Reply::Ordered(execute_order(&s, &order).await);
                 responder.reply(&s.process.encode(reply));
             });
--- a/tests/tasks.rs
+++ b/tests/tasks.rs
@@ -1,7 +1,12 @@
 //! Tasks that panic: which of them start again, when, and what else they end.
 
 use log::{LevelFilter, Log, Metadata, Record};
+use rstest::rstest;
+use skylarkthread::board::SidecarBoard;
 use skylarkthread::clock;
+use skylarkthread::frame::{CallKey, CallReply};
+use skylarkthread::id::{Fingerprint, Incarnation};
+use skylarkthread::once::{Ledger, Limits, Verdict};
 use skylarkthread::shutdown::{Drain, EXIT_FAILED, run_stop};
 use skylarkthread::task::{self, Panicked, Restarts, Unfinished};
 use std::cell::{Cell, RefCell};
@@ -98,6 +103,31 @@
     assert_eq!(panics_of("request").len(), 1);
 }
 
+/// A sidecar that is never idle again stops only when its grace time ends.
+#[rstest]
+#[case::panic(true)]
+#[case::cancelled(false)]
+#[actix_rt::test]
+async fn call_that_ends_without_a_reply_is_no_longer_running(#[case] panics: bool) {
+    log_panics();
+    let incarnation = Incarnation(7);
+    let ledger = Ledger::new(clock::now(), incarnation, Limits::default());
+    let (hash, content) = (Fingerprint(1), Fingerprint(2));
+    let key = CallKey { incarnation, epoch: ledger.epoch(), hash, content, claim: None };
+    let (board, ledger) = (RefCell::new(SidecarBoard::default()), RefCell::new(ledger));
+    assert_eq!(ledger.borrow_mut().begin(clock::now(), &key), Verdict::Run);
+    let call = SidecarBoard::count_call(&board, async {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        assert!(!panics, "without a reply");
+        std::future::pending().await
+    });
+    let run = task::run("call", Ledger::record_call(&ledger, &key, call));
+    let ended = tokio::time::timeout(Duration::from_millis(100), run).await;
+    assert_eq!(ended.is_ok(), panics);
+    let found = ledger.borrow_mut().begin(clock::now(), &key);
+    assert_eq!((board.borrow().is_idle(), found), (true, Verdict::Answer(CallReply::Unknown)));
+}
+
 #[test]
 fn panic_of_a_step_keeps_the_name_of_the_task_around_it() {
     log_panics();
