Follow a store whose answers take longer than the usual limits

An instance started with a store that answered after 3 s, but no new configuration or endpoint arrived, and it was never registered for its peers: each watch was given up after 2.1 s, each write after 2 s.

The limits were fixed, since a silent connection to a store that answers within milliseconds has to be noticed soon. They now grow with the answers: `store::Patience` (pure) adds to the limits what the last answers needed beyond 0.3 s, twice, up to 10 s, halves it with each prompt answer and each timeout, and adds nothing while answers are prompt. Timeouts alone add nothing, so that a store that is silent and then comes back is found as soon as before. What a slow store needs is learned by a small read with 10 s, made beside the others after a timeout, one at a time.

Pings, which a stale copy may answer, keep their limit and are not counted; a watch that brought changes is not counted either, since it is not known when they came.

Not covered: a store that needs more than about 7 s for each answer. A lease of 15 s then expires before its key is written, so that the instance stays unregistered (by reading). Engines are polled as while the store is lost, since pings have their own limit.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -214,28 +214,39 @@
     Ok(())
 }
 
-/// Reads all keys once from a store that answers later than [`FIRST_TIMEOUT`]. A read with that limit
-/// goes on beside it, as an answer that is lost would take the longer one.
+/// Reads from a store that answers late, beside the calls with short limits, which end soon where an
+/// answer is lost: all keys until there is a configuration, and then little, to learn the time that
+/// answers take. Does not return.
 pub async fn read_slowly(gw: Rc<Gateway>) {
+    let own_key = format!("{}{}", membership::KEY_PREFIX, gw.settings.borrow().instance);
     tokio::time::sleep(SLOW_DELAY).await;
-    while gw.table.borrow().is_none() {
-        if gw.store_position.borrow().get().is_none() {
-            let asked = clock::now();
-            let read = gw.store.list_within(ALL_KEYS, SLOW_TIMEOUT).await;
-            let known = gw.store_position.borrow();
-            let is_first = |all: &StoreUpdate| {
-                known.get().is_none() && known.compare(all.at) == Succession::Same
-            };
-            let first = read.ok().filter(is_first);
-            drop(known);
-            if let Some(all) = first {
-                apply_all(&gw, asked, &all, Source::Current);
+    loop {
+        if gw.store_position.borrow().get().is_none() && gw.table.borrow().is_none() {
+            read_first(&gw).await;
+        } else if gw.store.is_silent() {
+            // The answer is of no use but for the time that it takes.
+            if let Err(e) = gw.store.list_within(&own_key, SLOW_TIMEOUT).await {
+                log::debug!("no answer of the store within {SLOW_TIMEOUT:?}: {e:?}");
             }
         }
         tokio::time::sleep(jitter(SLOW_INTERVAL)).await;
     }
 }
 
+/// Reads all keys, unless another read has done so meanwhile.
+async fn read_first(gw: &Rc<Gateway>) {
+    let asked = clock::now();
+    let read = gw.store.list_within(ALL_KEYS, SLOW_TIMEOUT).await;
+    let known = gw.store_position.borrow();
+    let is_first =
+        |all: &StoreUpdate| known.get().is_none() && known.compare(all.at) == Succession::Same;
+    let first = read.ok().filter(is_first);
+    drop(known);
+    if let Some(all) = first {
+        apply_all(gw, asked, &all, Source::Current);
+    }
+}
+
 /// Applies a read of all keys that was sent at `asked`.
 fn apply_all(gw: &Rc<Gateway>, asked: Instant, all: &StoreUpdate, source: Source) {
     apply_config(gw, all);
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -1,24 +1,27 @@
 //! Client of the platform's metadata store, a key-value store over HTTP.
 
+use crate::clock;
 use crate::event::shorten;
 use crate::h1::{self, Broken, CallLimits, Fault, FetchError};
-use crate::store::{ChangeFeed, Era, KeyValue, LeaseId, Leases, Position, StoreError, StoreUpdate};
+use crate::store::{
+    ChangeFeed, Era, KeyValue, LeaseId, Leases, Patience, Position, StoreError, StoreUpdate,
+};
 use actix_http::{Method, ResponseHead, ServiceConfig};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Timeout of connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
-/// Timeout of a call other than a watch. A healthy store answers within milliseconds.
+/// Usual timeout of a call other than a watch. A healthy store answers within milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2000);
-/// Time that the response to a watch may take in addition to the requested wait.
+/// Time that the response to a watch may usually take in addition to the requested wait.
 const WATCH_MARGIN: Duration = Duration::from_millis(600);
 /// Maximum size of a response body: one page of items in its JSON and base64 encoding.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
@@ -33,6 +36,8 @@
     address: Rc<Cell<SocketAddr>>,
     /// Newest era that two reads in a row have named.
     era: Rc<Cell<Era>>,
+    /// Time for answers, by those so far that are not stale.
+    patience: Rc<RefCell<Patience>>,
 }
 
 impl std::fmt::Debug for KvClient {
@@ -96,7 +101,8 @@
     /// Creates a client, which connects for each call.
     pub fn new(address: SocketAddr) -> Self {
         let address = Rc::new(Cell::new(address));
-        KvClient { config: ServiceConfig::default(), address, era: Rc::default() }
+        let (config, era) = (ServiceConfig::default(), Rc::default());
+        KvClient { config, address, era, patience: Rc::default() }
     }
 
     /// Sends all further calls to another address of the store.
@@ -109,6 +115,16 @@
         self.era.set(era);
     }
 
+    /// Returns whether the last call got no answer in its time.
+    pub fn is_silent(&self) -> bool {
+        self.patience.borrow().is_silent()
+    }
+
+    /// Returns the time for the answer to a call that usually has `limit`.
+    fn limit(&self, limit: Duration) -> Duration {
+        self.patience.borrow().limit(limit)
+    }
+
     /// Returns the era that a response names, or else the newest known.
     fn read_era(&self, response: &ResponseHead) -> Era {
         let newest = self.era.get();
@@ -176,11 +192,29 @@
         }
     }
 
-    /// Reads a JSON document; returns it with the era in which it was read.
+    /// Reads a JSON document that the store has at once; returns it with the era in which it was read.
     async fn get_json<T: DeserializeOwned>(
         &self,
         path: &str,
         wait: Duration,
+    ) -> Result<(Era, T), StoreError> {
+        let sent = clock::now();
+        let read = self.wait_for_json(path, wait).await?;
+        self.record_answer(sent, Duration::ZERO);
+        Ok(read)
+    }
+
+    /// Records an answer to a call sent at `sent`, with the time that the store was told to wait.
+    fn record_answer(&self, sent: Instant, held: Duration) {
+        let time = clock::now().saturating_duration_since(sent).saturating_sub(held);
+        self.patience.borrow_mut().record_answer(time);
+    }
+
+    /// Reads a JSON document; returns it with the era in which it was read.
+    async fn wait_for_json<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        wait: Duration,
     ) -> Result<(Era, T), StoreError> {
         let (head, body) = self.call(Method::GET, path, Bytes::new(), wait).await?;
         match head.status.as_u16() {
@@ -200,7 +234,9 @@
         body: &B,
     ) -> Result<Option<T>, StoreError> {
         let body = serde_json::to_vec(body).map_err(|_| StoreError::Malformed)?;
-        let (head, body) = self.call(Method::POST, path, body.into(), CALL_TIMEOUT).await?;
+        let (sent, limit) = (clock::now(), self.limit(CALL_TIMEOUT));
+        let (head, body) = self.call(Method::POST, path, body.into(), limit).await?;
+        self.record_answer(sent, Duration::ZERO);
         match head.status.as_u16() {
             200 => serde_json::from_slice(&body).map(Some).map_err(|_| StoreError::Lost),
             404 => Ok(None),
@@ -223,7 +259,12 @@
         let head = head.ok_or(StoreError::Unreached)?;
         let limits = CallLimits { connect: CONNECT_TIMEOUT, wait, max_body: MAX_RESPONSE_BYTES };
         let called = h1::fetch(address, &limits, &self.config, head, body).await;
-        called.map_err(|e| classify_error(&e))
+        called.map_err(|e| {
+            if matches!(e, FetchError::Slow) {
+                self.patience.borrow_mut().record_timeout(wait);
+            }
+            classify_error(&e)
+        })
     }
 }
 
@@ -263,7 +304,7 @@
 
 impl ChangeFeed for KvClient {
     async fn list(&self, prefix: &str) -> Result<StoreUpdate, StoreError> {
-        self.list_within(prefix, CALL_TIMEOUT).await
+        self.list_within(prefix, self.limit(CALL_TIMEOUT)).await
     }
 
     async fn ping(&self, key: &str, wait: Duration) -> Result<(), StoreError> {
@@ -284,8 +325,12 @@
     ) -> Result<StoreUpdate, StoreError> {
         let ms = wait.as_millis();
         let path = format!("kv-watch?prefix={prefix}&after={after}&wait_ms={ms}");
-        let (era, changes): (Era, WatchResponse) =
-            self.get_json(&path, wait + WATCH_MARGIN).await?;
+        let (sent, limit) = (clock::now(), self.limit(wait + WATCH_MARGIN));
+        let (era, changes): (Era, WatchResponse) = self.wait_for_json(&path, limit).await?;
+        // After which part of the wait a change came is not known.
+        if changes.events.is_empty() {
+            self.record_answer(sent, wait);
+        }
         let kvs = changes.events.into_iter().filter_map(decode_item).collect();
         Ok(StoreUpdate { kvs, at: Position::new(era, changes.current_rev) })
     }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -6,12 +6,14 @@
 mod etcd;
 mod history;
 mod list;
+mod patience;
 mod position;
 mod rereads;
 
 pub use etcd::Etcd;
 pub use history::{History, MARKER_KEY, Marker, Standing};
 pub use list::{InstanceList, ListedInstance, ListedState, Role, parse_instances};
+pub use patience::Patience;
 pub use position::{Era, Position, PositionError};
 pub use rereads::Rereads;
 
--- a/standin/src/platform/front.rs
+++ b/standin/src/platform/front.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Begins the fault again, for connections that are accepted from now on.
+    pub fn relapse(&self) {
+        self.is_faulty.store(true, Ordering::Relaxed);
+    }
+
     fn listen(&self) {
         let listener: TcpListener =
             workers::listen(self.address).expect("cannot listen on the free address");
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -27,6 +27,7 @@
 mod odd_reports;
 mod outages;
 mod outliers;
+mod patience;
 mod pauses;
 mod platform;
 mod polls;
--- a/tests/gateway/start_store.rs
+++ b/tests/gateway/start_store.rs
@@ -125,6 +125,38 @@
     assert_eq!(send_request(&gateway, "GET", "/safe/x", "id-1").status, 200);
 }
 
+/// An instance followed a store only if its answers took less than 2 s.
+#[rstest]
+fn changes_in_a_store_that_answers_late_apply(
+    #[values(1, 3, 5)] secs: u64,
+    #[values(true, false)] from_start: bool,
+) {
+    let (_e, store, front) = start_behind(StoreFault::Late(Duration::from_secs(secs)));
+    if !from_start {
+        front.mend();
+    }
+    let gateway = start_gateway_at(front.address);
+    assert!(wait_for(2 * secs + READY_SECS, || gateway.probe() == 200), "not ready");
+    front.relapse();
+    let is_registered = || !store.keys("gateways/").is_empty();
+    assert!(wait_for(2 * secs + APPLY_SECS, is_registered), "not registered");
+    let f = Endpoint::start("i-2", Action::Respond(200, "second".into()));
+    let config = CONFIG.replace(r#""version":7"#, r#""version":8"#).replace("/safe/", "/new/");
+    for change in ["configuration", "endpoint"] {
+        match change {
+            "endpoint" => list_endpoint(&store, &f, "plain", "ready"),
+            _ => store.set("op/config", Some(config.as_bytes())),
+        }
+        let replies =
+            || (0..4).map(|n| send_request(&gateway, "GET", "/new/x", &format!("id-{n}")));
+        let is_applied = || match change {
+            "endpoint" => replies().any(|r| r.body == "second"),
+            _ => replies().all(|r| r.status == 200),
+        };
+        assert!(wait_for(2 * secs + APPLY_SECS, is_applied), "{change} does not apply");
+    }
+}
+
 /// Entries of instances and endpoints that are gone, of which some cannot be read.
 fn add_stale_entries(store: &Store) {
     for n in 0..400 {
