Start the log's thread as the log is flushed

A process whose log thread could not start, for lack of memory or threads, tried again at most once a second, and only as lines came. One that ended within that second lost all its lines, the reason of its end among them: the flush waited for a thread that nobody started. The flush tries again every 10 ms now. It still writes nothing itself, since the output may block.

Test: `logs flush_starts_the_thread_that_could_not_start` failed before (no line within 500 ms), passes now, also in 20 runs in a row of the whole file.

--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -8,7 +8,7 @@
 use std::io::{self, ErrorKind, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Capacity of the queue between callers and the writer thread.
@@ -21,6 +21,8 @@
 const START_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which it is checked whether all lines have been written.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(1);
+/// Number of these checks from one attempt to start the thread to the next.
+const FLUSH_START_STEPS: u32 = 10;
 
 /// Rate limiter that counts the lines of the current second and the dropped ones.
 #[derive(Debug)]
@@ -110,11 +112,22 @@
 }
 
 impl<W: Write + Send + 'static> Launch<W> {
-    /// Starts the thread if an attempt is due. There may be no memory for it, or too many others.
+    /// Starts the thread if an attempt is due.
     fn attempt(&mut self, now: Instant, progress: &Arc<Progress>) {
-        if self.due.is_none_or(|due| due > now) {
-            return;
+        if self.due.is_some_and(|due| due <= now) {
+            self.due = self.start(progress).is_err().then(|| now + START_INTERVAL);
         }
+    }
+
+    /// Starts the thread unless it runs, also if no attempt is due.
+    fn attempt_early(&mut self, progress: &Arc<Progress>) {
+        if self.due.is_some() && self.start(progress).is_ok() {
+            self.due = None;
+        }
+    }
+
+    /// Starts the thread. There may be no memory for it, or too many others.
+    fn start(&self, progress: &Arc<Progress>) -> io::Result<()> {
         let (work, progress) = (self.work.clone(), progress.clone());
         let run = move || {
             let taken = work.lock().unwrap_or_else(PoisonError::into_inner).take();
@@ -122,8 +135,7 @@
                 write_lines(&lines, out, &progress);
             }
         };
-        let started = std::thread::Builder::new().name("log".to_owned()).spawn(run);
-        self.due = started.is_err().then(|| now + START_INTERVAL);
+        std::thread::Builder::new().name("log".to_owned()).spawn(run).map(drop)
     }
 }
 
@@ -156,8 +168,11 @@
     }
 
     fn launch(&self, now: Instant) {
-        let mut launch = self.launch.lock().unwrap_or_else(PoisonError::into_inner);
-        launch.attempt(now, &self.progress);
+        self.lock_launch().attempt(now, &self.progress);
+    }
+
+    fn lock_launch(&self) -> MutexGuard<'_, Launch<W>> {
+        self.launch.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Queues a line, preceded by the number of lines dropped before it, if any.
@@ -197,14 +212,17 @@
     }
 
     /// Waits until all queued lines have been written, for at most `timeout`. Called as a process
-    /// ends.
+    /// ends, so that a thread which could not start is tried again sooner than otherwise.
     pub fn flush(&self, timeout: Duration) {
         let steps = timeout.div_duration_f64(FLUSH_INTERVAL) as u32;
-        for _ in 0..steps {
+        for step in 0..steps {
             let finished = self.progress.finished.load(Ordering::Relaxed);
             if finished >= self.queued.load(Ordering::Relaxed) {
                 return;
             }
+            if step % FLUSH_START_STEPS == 0 {
+                self.lock_launch().attempt_early(&self.progress);
+            }
             std::thread::sleep(FLUSH_INTERVAL);
         }
     }
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -234,14 +234,42 @@
     assert_eq!(all[1024..], ["event=104 kind=LinesDropped count=77", "last"]);
 }
 
+fn flush_after_a_lack_of_memory() {
+    let (start, output) = (Instant::now(), SharedOutput::default());
+    limit_memory(used_memory() + SPARE_BYTES);
+    let other = std::thread::Builder::new().spawn(|| {}).is_err();
+    let writer = LogWriter::start(start, output.clone());
+    writer.push(start, b"last\n");
+    writer.flush(Duration::from_millis(20));
+    let early = output.lines();
+    limit_memory(libc::RLIM_INFINITY);
+    assert!(other && early.is_empty(), "there was memory for a thread");
+    writer.flush(Duration::from_millis(500));
+    assert_eq!(output.lines(), ["last"]);
+}
+
+/// Runs a test again in a process that may limit its memory.
+fn run_alone(test: &str) {
+    let mut command = Command::new(std::env::current_exe().expect("the test has a path"));
+    command.args(["--exact", test, "--nocapture"]);
+    let status = command.env(NO_THREAD, "1").status().expect("it starts");
+    assert!(status.success(), "{status}");
+}
+
 /// A process whose log thread could not start wrote no line as long as it ran.
 #[test]
 fn thread_that_cannot_start_is_started_later() {
-    if std::env::var_os(NO_THREAD).is_some() {
-        return log_without_memory_for_a_thread();
+    match std::env::var_os(NO_THREAD) {
+        Some(_) => log_without_memory_for_a_thread(),
+        None => run_alone("thread_that_cannot_start_is_started_later"),
+    }
+}
+
+/// The last lines of a process that ends, such as the reason, were lost.
+#[test]
+fn flush_starts_the_thread_that_could_not_start() {
+    match std::env::var_os(NO_THREAD) {
+        Some(_) => flush_after_a_lack_of_memory(),
+        None => run_alone("flush_starts_the_thread_that_could_not_start"),
     }
-    let mut command = Command::new(std::env::current_exe().expect("the test has a path"));
-    command.args(["--exact", "thread_that_cannot_start_is_started_later", "--nocapture"]);
-    let status = command.env(NO_THREAD, "1").status().expect("it starts");
-    assert!(status.success(), "{status}");
 }
