--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -216,24 +216,41 @@
     Ok(())
 }
 
-/// Reads all keys while there is no configuration, beside the reads of [`follow_store`]. A store may
-/// answer later than [`FIRST_TIMEOUT`], which an answer that is lost would make longer; and a read
-/// without a configuration that can be used is followed by watches that show only changes.
+/// Reads from a store beside [`follow_store`], whose short limits end soon where an answer is lost: all
+/// keys until there is a configuration, and then little, to learn the time that late answers take. Does
+/// not return.
 pub async fn read_slowly(gw: Rc<Gateway>) {
+    let own_key = format!("{}{}", membership::KEY_PREFIX, gw.settings.borrow().instance);
     tokio::time::sleep(SLOW_DELAY).await;
     while gw.table.borrow().is_none() {
-        let is_followed = gw.store_position.borrow().get().is_some();
-        let (wait, interval) = match is_followed {
-            true => (FIRST_TIMEOUT, REREAD_INTERVAL),
-            false => (SLOW_TIMEOUT, SLOW_INTERVAL),
-        };
-        let asked = clock::now();
-        let read = gw.store.list_within(ALL_KEYS, wait).await;
-        if let Some(all) = read.ok().filter(|all| is_ahead(&gw, all.at)) {
-            apply_all(&gw, asked, &all, Source::Current);
-        }
+        let interval = read_first(&gw).await;
         tokio::time::sleep(jitter(interval)).await;
     }
+    loop {
+        if gw.store.is_silent() {
+            // The answer is of no use but for the time that it takes.
+            if let Err(e) = gw.store.list_within(&own_key, SLOW_TIMEOUT).await {
+                log::debug!("no answer of the store within {SLOW_TIMEOUT:?}: {e:?}");
+            }
+        }
+        tokio::time::sleep(jitter(SLOW_INTERVAL)).await;
+    }
+}
+
+/// Reads all keys while there is no configuration; returns the time until the next read. After a read
+/// without a configuration that can be used, watches show only changes.
+async fn read_first(gw: &Rc<Gateway>) -> Duration {
+    let is_prompt = gw.store_position.borrow().get().is_some() && !gw.store.is_silent();
+    let (wait, interval) = match is_prompt {
+        true => (FIRST_TIMEOUT, REREAD_INTERVAL),
+        false => (SLOW_TIMEOUT, SLOW_INTERVAL),
+    };
+    let asked = clock::now();
+    let read = gw.store.list_within(ALL_KEYS, wait).await;
+    if let Some(all) = read.ok().filter(|all| is_ahead(gw, all.at)) {
+        apply_all(gw, asked, &all, Source::Current);
+    }
+    interval
 }
 
 /// Returns whether a read at `at` has all that is known, and may have a first configuration.
