Test the submission and the stream of a generation with broken answers

No test sent a sidecar a refusal of a generation, or an engine's word that it has forgotten one, in a broken form. A submission that is answered 404 or 503 in such a form is sent once and its outcome is unknown; a stream is asked for again until a whole 404 says that it is forgotten.

--- a/tests/deployment/answers.rs
+++ b/tests/deployment/answers.rs
@@ -143,8 +143,15 @@
             let n = counted.fetch_add(1, Ordering::SeqCst);
             return Some((forms[n % forms.len()], answer.0, answer.1));
         }
+        if request.starts_with("GET /v1/streams") {
+            return Some((WHOLE, 404, "{}"));
+        }
         let is_known = ["GET /v1/load", "GET /healthz"].iter().any(|s| request.starts_with(s));
-        is_known.then_some((WHOLE, 200, EMPTY_REPORT))
+        is_known.then_some((
+            WHOLE,
+            200,
+            if start.starts_with("POST /v1/orders") { EMPTY_REPORT } else { REPORT },
+        ))
     });
     (fleet, count)
 }
@@ -258,6 +265,27 @@
     assert_eq!(end == StreamEnd::Done("stop".into()), is_whole, "{end:?}");
 }
 
+#[rstest]
+#[case::submission_unknown("POST /v1/completions", 404, 1)]
+#[case::submission_refused("POST /v1/completions", 503, 1)]
+#[case::stream_unknown("GET /v1/streams", 404, BROKEN.len() + 1)]
+#[actix_rt::test]
+async fn generation_is_neither_refused_nor_forgotten_by_a_broken_answer(
+    #[case] start: &'static str,
+    #[case] status: u16,
+    #[case] requests: usize,
+) {
+    let forms = if requests == 1 { BROKEN.into() } else { [&BROKEN[..], &[WHOLE]].concat() };
+    let pool = engine_pool(1, loaded_params());
+    let (fleet, count) = start_faulty(pool, start, forms, (status, "{}")).await;
+    assert!(wait_until(10, async || serves(&fleet).await == Some(true)).await, "not serving");
+    for n in 1..=BROKEN.len() / requests + 1 {
+        let opened = open_stream(fleet.entry_address(0), 1, "a").await;
+        let error = opened.err().expect("the engine sends no token");
+        assert_eq!((error.outcome(), count.load(Ordering::SeqCst)), ("unknown", n * requests));
+    }
+}
+
 /// Size of an event that an engine sends without its end.
 const ENDLESS_BYTES: usize = 96 << 20;
 /// Memory that a sidecar may take, several times what it takes without load.
