Do not say that a generation that was submitted has not run when its time is over

A caller whose generation had no first token in time got a 504 with the outcome "not-run", though the generation had been submitted to its engine, which may have run it (OPERATIONS.md: not-run is "did not run"). Seen with an engine that closes the connection of a submission and answers 503 for its stream: 110 requests for streams of two submitted generations, both "not-run".

Cause: the entry cancelled the generation and took the end of its time for proof, whatever the sidecar had done with it.

Now the entry withdraws it first, for at most 250 ms. The sidecar withdraws only what is still queued, so its yes, or its refusal that arrives meanwhile, is proof; anything else is "unknown" and the generation is cancelled as before.

Ruled out: a reply to the cancellation as proof; a sidecar that has started anew says the same of a generation it never had.

Before: generation_that_may_have_run_..., case submitted "not-run" where "unknown" is due; case queued passes. After: 2 of 2. Price: where the sidecar does not answer, the 504 is up to 250 ms later.

--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -16,6 +16,7 @@
 use crate::problem::{Problem, ProblemKind};
 use crate::quarantine::{RunEnd, RunKey, Standing};
 use actix_http::{Method, Response};
+use futures_util::FutureExt;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -30,6 +31,8 @@
 const MAX_RESTARTS: u32 = 3;
 /// Timeout of cancel and withdraw requests to a sidecar.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for the reply to the withdrawal of a generation whose time is over.
+const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(250);
 /// `Retry-After` while another request with the same quarantined content is running.
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -141,11 +144,14 @@
     /// The generation was withdrawn from the sidecar's queue because another endpoint has capacity.
     Withdrawn,
     /// The time limit for the first token was reached.
-    TimedOut,
+    TimedOut {
+        /// Whether the engine may have the generation.
+        may_have_run: bool,
+    },
 }
 
-/// Starts a generation on an endpoint. A refusal after an attempt whose generation was lost leaves
-/// open whether it ran.
+/// Starts a generation on an endpoint. A refusal after an attempt whose generation was lost or given up
+/// leaves open whether it ran.
 async fn start_generation(
     e: &Rc<Entry>,
     request: GenerationRequest,
@@ -157,7 +163,7 @@
 }
 
 /// Tries endpoints until one produces the first token of the generation. Counts the attempts whose
-/// generation was lost in `losses`.
+/// generation was lost, or given up when it may have run, in `losses`.
 async fn try_endpoints(
     e: &Rc<Entry>,
     mut request: GenerationRequest,
@@ -201,7 +207,8 @@
             // Endpoints that refused earlier may have capacity by now, so only the endpoint that
             // queued the generation stays excluded.
             Attempt::Withdrawn => drop(tried.drain(..tried.len() - 1)),
-            Attempt::TimedOut => {
+            Attempt::TimedOut { may_have_run } => {
+                *losses += u32::from(may_have_run);
                 return Err(refusal_problem((Refusal::Expired, Duration::from_secs(1))));
             }
         }
@@ -288,7 +295,7 @@
 ) -> Result<(GenerationId, Batch, TokenReceiver), Attempt> {
     let left = request.first_timeout.saturating_sub(elapsed_since(arrived));
     if left.is_zero() {
-        return Err(Attempt::TimedOut);
+        return Err(Attempt::TimedOut { may_have_run: false });
     }
     let down = || Attempt::Refused(Refusal::Down, Duration::from_secs(1));
     let link = links::get_or_open(e, key).ok_or_else(down)?;
@@ -316,8 +323,7 @@
             Ok(Some(batch)) => return check_first_batch(e, key, generation, batch, tokens),
             Ok(None) => return Err(Attempt::Lost),
             Err(_) if wait <= MOVE_CHECK_INTERVAL => {
-                cancel_in_background(e, &link, generation.nonce);
-                return Err(Attempt::TimedOut);
+                return Err(give_up(e, &link, generation.nonce, &mut tokens).await);
             }
             Err(_) => {
                 let outcome = reason_to_withdraw(e, request, key);
@@ -332,6 +338,24 @@
     }
 }
 
+/// Gives up a generation whose first token is late. It has not run if it was still queued, or if its
+/// sidecar has refused it meanwhile.
+async fn give_up(
+    e: &Rc<Entry>,
+    link: &Rc<LinkState>,
+    nonce: Nonce,
+    tokens: &mut TokenReceiver,
+) -> Attempt {
+    let withdrawn = tokio::time::timeout(WITHDRAW_TIMEOUT, withdraw_queued(e, link, nonce)).await;
+    let arrived = tokens.next().now_or_never().flatten();
+    let is_refused = arrived.is_some_and(|b| matches!(b.finish, Some(Finish::NotRun(_))));
+    if is_refused || withdrawn == Ok(true) {
+        return Attempt::TimedOut { may_have_run: false };
+    }
+    cancel_in_background(e, link, nonce);
+    Attempt::TimedOut { may_have_run: true }
+}
+
 /// Returns the outcome for a generation that should not stay in the queue of its endpoint.
 fn reason_to_withdraw(e: &Entry, request: &GenerationRequest, key: EndpointKey) -> Option<Attempt> {
     match quarantine::check_parts(e, request) {
@@ -367,7 +391,7 @@
         return Ok((generation, batch, tokens));
     }
     match batch.finish {
-        Some(Finish::NotRun(Refusal::Expired)) => Err(Attempt::TimedOut),
+        Some(Finish::NotRun(Refusal::Expired)) => Err(Attempt::TimedOut { may_have_run: false }),
         Some(Finish::NotRun(r)) => Err(Attempt::Refused(r, Duration::from_secs(1))),
         _ => {
             record_failure(e, key);
--- a/tests/deployment/answers.rs
+++ b/tests/deployment/answers.rs
@@ -286,6 +286,51 @@
     }
 }
 
+#[rstest]
+#[case::submitted(false, "unknown")]
+#[case::queued(true, "not-run")]
+#[actix_rt::test]
+async fn generation_that_may_have_run_when_its_time_is_over_is_not_said_to_have_not_run(
+    #[case] is_queued: bool,
+    #[case] outcome: &str,
+) {
+    const ONE_AT_A_TIME: &str =
+        r#"{"boot":"b","capacity":90000,"batch":1,"loaded":["caption-large+memorial@v1"]}"#;
+    const ANSWERS: Answers =
+        &[("GET /v1/load", OK, ONE_AT_A_TIME), ("GET /v1/streams", "HTTP/1.1 503 X\r\n", "")];
+    let (fleet, requests) = start_with(engine_pool(1, loaded_params()), ANSWERS).await;
+    // The other service has more time.
+    let config = CONFIG.replace("\"priority\": 4", "\"priority\": 9");
+    let config = config.replace(",\n      \"depends_on\": [\"booking\"]", "");
+    let (code, out) = fleet.submit(&config, 1);
+    assert_eq!(code, 0, "{out}");
+    assert!(wait_until(10, async || serves(&fleet).await == Some(true)).await, "not serving");
+    let caller = Caller::new("key-1");
+    let entry = fleet.entry_address(0);
+    let other = async {
+        if is_queued {
+            let _ = caller.open(entry, "summaries", "output=1; a", 30_000).await;
+        }
+        std::future::pending::<()>().await
+    };
+    let asked = async {
+        let is_sent = async || streams(&requests) > 0;
+        assert!(!is_queued || wait_until(5, is_sent).await, "the engine is not asked");
+        open_stream(entry, 1, "b").await.err().map(|e| e.outcome().to_owned())
+    };
+    let end = tokio::select! {
+        end = asked => end,
+        () = other => None,
+    };
+    assert_eq!(end.as_deref(), Some(outcome));
+}
+
+/// Returns how often a stream of a generation was asked for.
+fn streams(requests: &Mutex<Vec<String>>) -> usize {
+    let requests = requests.lock().expect("no holder panics");
+    requests.iter().filter(|target| target.starts_with("/v1/streams")).count()
+}
+
 /// Size of an event that an engine sends without its end.
 const ENDLESS_BYTES: usize = 96 << 20;
 /// Memory that a sidecar may take, several times what it takes without load.
