--- a/tests/deployment/answers.rs
+++ b/tests/deployment/answers.rs
@@ -143,8 +143,15 @@
             let n = counted.fetch_add(1, Ordering::SeqCst);
             return Some((forms[n % forms.len()], answer.0, answer.1));
         }
+        if request.starts_with("GET /v1/streams") {
+            return Some((WHOLE, 404, "{}"));
+        }
         let is_known = ["GET /v1/load", "GET /healthz"].iter().any(|s| request.starts_with(s));
-        is_known.then_some((WHOLE, 200, EMPTY_REPORT))
+        is_known.then_some((
+            WHOLE,
+            200,
+            if start.starts_with("POST /v1/orders") { EMPTY_REPORT } else { REPORT },
+        ))
     });
     (fleet, count)
 }
@@ -258,6 +265,72 @@
     assert_eq!(end == StreamEnd::Done("stop".into()), is_whole, "{end:?}");
 }
 
+#[rstest]
+#[case::submission_unknown("POST /v1/completions", 404, 1)]
+#[case::submission_refused("POST /v1/completions", 503, 1)]
+#[case::stream_unknown("GET /v1/streams", 404, BROKEN.len() + 1)]
+#[actix_rt::test]
+async fn generation_is_neither_refused_nor_forgotten_by_a_broken_answer(
+    #[case] start: &'static str,
+    #[case] status: u16,
+    #[case] requests: usize,
+) {
+    let forms = if requests == 1 { BROKEN.into() } else { [&BROKEN[..], &[WHOLE]].concat() };
+    let pool = engine_pool(1, loaded_params());
+    let (fleet, count) = start_faulty(pool, start, forms, (status, "{}")).await;
+    assert!(wait_until(10, async || serves(&fleet).await == Some(true)).await, "not serving");
+    for n in 1..=BROKEN.len() / requests + 1 {
+        let opened = open_stream(fleet.entry_address(0), 1, "a").await;
+        let error = opened.err().expect("the engine sends no token");
+        assert_eq!((error.outcome(), count.load(Ordering::SeqCst)), ("unknown", n * requests));
+    }
+}
+
+#[rstest]
+#[case::submitted(false, "unknown")]
+#[case::queued(true, "not-run")]
+#[actix_rt::test]
+async fn generation_that_may_have_run_when_its_time_is_over_is_not_said_to_have_not_run(
+    #[case] is_queued: bool,
+    #[case] outcome: &str,
+) {
+    const ONE_AT_A_TIME: &str =
+        r#"{"boot":"b","capacity":90000,"batch":1,"loaded":["caption-large+memorial@v1"]}"#;
+    const ANSWERS: Answers =
+        &[("GET /v1/load", OK, ONE_AT_A_TIME), ("GET /v1/streams", "HTTP/1.1 503 X\r\n", "")];
+    let (fleet, requests) = start_with(engine_pool(1, loaded_params()), ANSWERS).await;
+    // The other service has more time.
+    let config = CONFIG.replace("\"priority\": 4", "\"priority\": 9");
+    let config = config.replace(",\n      \"depends_on\": [\"booking\"]", "");
+    let (code, out) = fleet.submit(&config, 1);
+    assert_eq!(code, 0, "{out}");
+    assert!(wait_until(10, async || serves(&fleet).await == Some(true)).await, "not serving");
+    let caller = Caller::new("key-1");
+    let entry = fleet.entry_address(0);
+    let other = async {
+        if is_queued {
+            let _ = caller.open(entry, "summaries", "output=1; a", 30_000).await;
+        }
+        std::future::pending::<()>().await
+    };
+    let asked = async {
+        let is_sent = async || streams(&requests) > 0;
+        assert!(!is_queued || wait_until(5, is_sent).await, "the engine is not asked");
+        open_stream(entry, 1, "b").await.err().map(|e| e.outcome().to_owned())
+    };
+    let end = tokio::select! {
+        end = asked => end,
+        () = other => None,
+    };
+    assert_eq!(end.as_deref(), Some(outcome));
+}
+
+/// Returns how often a stream of a generation was asked for.
+fn streams(requests: &Mutex<Vec<String>>) -> usize {
+    let requests = requests.lock().expect("no holder panics");
+    requests.iter().filter(|target| target.starts_with("/v1/streams")).count()
+}
+
 /// Size of an event that an engine sends without its end.
 const ENDLESS_BYTES: usize = 96 << 20;
 /// Memory that a sidecar may take, several times what it takes without load.
