End a generation at a sidecar whose task panics

A generation whose task panicked stayed in the phase "running": its reader waited, its room at the engine stayed taken, and a stop lasted the whole grace time.

`task::spawn_or` starts a task and runs a clean-up after its panic. The generation then ends as lost, which readers are told, and is cancelled at the engine. The gateway's examinations of endpoints had the same by hand and use it too. Cancellations are tasks by name, so that their panics are counted.

Test: `tasks task_that_panics_is_cleaned_up_after`: with a plain spawn behind the same function the panic case failed, 1 of 2; 2 of 2 pass. No input is known that makes the task of a generation panic, so no test drives the whole sidecar there.

--- a/src/gateway/examine.rs
+++ b/src/gateway/examine.rs
@@ -248,13 +248,10 @@
     }
     checks.insert(host.clone(), Check { cause, lost });
     let (gw, host) = (gw.clone(), host.clone());
-    actix_rt::spawn(async move {
-        let examined = task::run("examination", examine(gw.clone(), host.clone(), broken)).await;
-        if examined.is_err() {
-            // Another look at the endpoint would not begin otherwise.
-            gw.crash_checks.borrow_mut().remove(&host);
-        }
-    });
+    let examined = examine(gw.clone(), host.clone(), broken);
+    // Another look at the endpoint would not begin otherwise.
+    let forget = || async move { drop(gw.crash_checks.borrow_mut().remove(&host)) };
+    task::spawn_or("examination", examined, forget);
 }
 
 /// Looks at an endpoint until it is known whether it has crashed.
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -103,6 +103,14 @@
     }
 }
 
+/// Ends a generation whose stream is no longer read.
+pub async fn give_up(s: &Rc<Sidecar>, submission: Submission) {
+    let nonce = submission.job(&s.board.borrow()).map(|j| j.start.generation.nonce);
+    let Some(nonce) = nonce else { return };
+    finish(s, submission.key, Finish::Lost);
+    cancel(s.clone(), nonce).await;
+}
+
 fn record_silence(s: &Sidecar, submission: Submission) {
     if let Some(job) = submission.job(&s.board.borrow()) {
         s.process.event(Kind::EngineSilent, &job.start.generation, "");
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -238,7 +238,9 @@
     job.last_active = clock::now();
     s.process.event(kind, &job.start.generation, format_args!("at={}", job.tokens.len()));
     let submission = Submission { key, number: job.submissions };
-    actix_rt::spawn(engine::run(s.clone(), submission));
+    let lost = s.clone();
+    let give_up = move || async move { engine::give_up(&lost, submission).await };
+    task::spawn_or("generation", engine::run(s.clone(), submission), give_up);
 }
 
 /// Preempts a running generation: cancels it on the engine and keeps its tokens, so that it can be
@@ -249,7 +251,7 @@
     job.phase = Phase::Held;
     metrics::counter!("generations_held_total").increment(1);
     s.process.event(Kind::Held, &job.start.generation, format_args!("at={}", job.tokens.len()));
-    actix_rt::spawn(engine::cancel(s.clone(), job.start.generation.nonce));
+    task::spawn("cancel", engine::cancel(s.clone(), job.start.generation.nonce));
 }
 
 /// Ends a generation for its readers, and cancels it on the engine if it was submitted.
@@ -257,7 +259,7 @@
     let found = s.board.borrow().jobs.get(key).map(|j| (j.phase, j.start.generation.nonce));
     if let Some((phase, nonce)) = found {
         if matches!(phase, Phase::Running | Phase::Held) {
-            actix_rt::spawn(engine::cancel(s.clone(), nonce));
+            task::spawn("cancel", engine::cancel(s.clone(), nonce));
         }
         finish(s, key, Finish::Cancelled);
     }
--- a/src/task/mod.rs
+++ b/src/task/mod.rs
@@ -67,6 +67,19 @@
     actix_rt::spawn(async move { drop(run(name, future).await) });
 }
 
+/// Starts a task that ends by itself. `clean_up` releases what it held for others if it panics.
+pub fn spawn_or<F: Future<Output = ()>>(
+    name: &'static str,
+    future: impl Future<Output = ()> + 'static,
+    clean_up: impl FnOnce() -> F + 'static,
+) {
+    actix_rt::spawn(async move {
+        if run(name, future).await.is_err() {
+            drop(run(name, async move { clean_up().await }).await);
+        }
+    });
+}
+
 /// Runs a task until it ends without a panic.
 pub async fn run_again<F: Future<Output = ()>>(name: &'static str, start: impl Fn() -> F) {
     let mut restarts = Restarts::default();
--- a/tests/tasks.rs
+++ b/tests/tasks.rs
@@ -128,6 +128,21 @@
     assert_eq!((board.borrow().is_idle(), found), (true, Verdict::Answer(CallReply::Unknown)));
 }
 
+/// A generation whose task had panicked stayed running, and its sidecar stopped only by its grace time.
+#[rstest]
+#[case::panic(true)]
+#[case::end(false)]
+#[actix_rt::test]
+async fn task_that_panics_is_cleaned_up_after(#[case] panics: bool) {
+    log_panics();
+    let cleaned = Rc::new(Cell::new(0));
+    let seen = cleaned.clone();
+    let clean_up = || async move { seen.set(seen.get() + 1) };
+    task::spawn_or("untidy", async move { assert!(!panics, "untidy") }, clean_up);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(cleaned.get(), u32::from(panics));
+}
+
 #[test]
 fn panic_of_a_step_keeps_the_name_of_the_task_around_it() {
     log_panics();
