Keep an endpoint whose entry in the store cannot be read, however it arrives

Operators saw: a write of an endpoint's entry that cannot be read changed nothing when it came by a watch, and took the endpoint out of use within 2 s when all keys were read again, such as after a compaction. No line in the log told either.

Cause: the watch left out the entry, the full read took a key without a readable entry for a key that is gone.

Now both read an entry by one rule: while the key exists, one that cannot be read counts as the last listing of a known endpoint, without its cold time. A gateway that starts knows no listing and does not use the endpoint. Event 607 names the key, and whether the endpoint was kept; entries of one second share a line, which names the first of them.

The pure part is in tests/decisions/pool.rs.

--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -187,6 +187,8 @@
     EvacuationEnded = 605,
     /// No instance has a request open any more at the endpoints of an evacuated data centre.
     Emptied = 606,
+    /// The entry of an endpoint in the store cannot be read; a known endpoint stays as it was listed.
+    ListingUnreadable = 607,
     /// The migration of a generation failed.
     MoveFailed = 712,
     /// A migrated generation continues on another engine.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -5,7 +5,7 @@
 use crate::event::Kind;
 use crate::gossip::{StoreChanges, Succession};
 use crate::platform;
-use crate::pool::Source;
+use crate::pool::{Listing, Source};
 use crate::store::{ChangeFeed, KeyValue, Position, Rereads, StoreError, StoreUpdate};
 use std::fmt::Display;
 use std::rc::Rc;
@@ -312,18 +312,33 @@
 }
 
 fn replace_listings(gw: &Gateway, update: &StoreUpdate, source: Source) {
-    let listed = |kv: &KeyValue| platform::parse_listing(&kv.key, kv.value.as_ref()?);
-    let all = update.kvs.iter().filter_map(listed).collect();
+    let all = update.kvs.iter().filter_map(|kv| read_listing(gw, kv)).collect();
     let changes = gw.pool.borrow_mut().replace_listings(clock::now(), all, source);
     changes.into_iter().for_each(|c| gw.log_change(c));
 }
 
+/// Reads the entry of an endpoint. One that cannot be read counts as the last listing of a known
+/// endpoint: as long as the key exists, the endpoint has not left.
+fn read_listing(gw: &Gateway, kv: &KeyValue) -> Option<Listing> {
+    let value = kv.value.as_ref()?;
+    let id = kv.key.strip_prefix(platform::SERVERS_PREFIX)?;
+    let read = platform::parse_listing(&kv.key, value);
+    if read.is_some() {
+        return read;
+    }
+    let known = id.parse().ok().and_then(|id| gw.pool.borrow().last_listing(&id));
+    let detail = format!("revision={} kept={}", kv.revision, known.is_some());
+    gw.wave_event(Kind::ListingUnreadable, format_args!("{:?}", kv.key), detail);
+    known
+}
+
 fn apply_listing(gw: &Gateway, kv: &KeyValue, may_expire: bool) {
     let Some(id) = kv.key.strip_prefix(platform::SERVERS_PREFIX) else { return };
     let now = clock::now();
+    let listing = read_listing(gw, kv);
     let mut pool = gw.pool.borrow_mut();
     let change = match &kv.value {
-        Some(value) => platform::parse_listing(&kv.key, value).and_then(|l| pool.upsert(now, l)),
+        Some(_) => listing.and_then(|l| pool.upsert(now, l)),
         None => {
             let Ok(id) = id.parse() else { return };
             // Leases expire while the store is unreachable, also those of healthy endpoints.
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -156,6 +156,12 @@
         has_left.then_some(Change::Leaving(id))
     }
 
+    /// Returns the last listing of an endpoint, without its cold time, which has run on since.
+    pub fn last_listing(&self, id: &EndpointId) -> Option<Listing> {
+        let known = &self.endpoints.get(self.find(id)?)?.listing;
+        Some(Listing { warmup: None, ..known.clone() })
+    }
+
     /// Returns whether a listing belongs to another start of the endpoint than the known one.
     fn is_restarted(&self, key: PoolKey, listing: &Listing) -> bool {
         let known = &self.endpoints[key].listing;
--- a/tests/decisions/pool.rs
+++ b/tests/decisions/pool.rs
@@ -43,6 +43,21 @@
     assert_eq!(changes, [Change::Left(id(0))]);
 }
 
+#[test]
+fn last_listing_restores_a_lapsed_endpoint_and_not_its_cold_time() {
+    let (now, secs) = (Instant::now(), Duration::from_secs);
+    let (mut pool, keys) = pool(now, 1);
+    pool.upsert(now, Listing { warmup: Some(secs(9)), ..listing(0, "a") });
+    let end = pool.endpoints[keys[0]].warmup_end;
+    assert_eq!(pool.last_listing(&id(1)), None);
+    pool.mark_lapsed(now, &id(0));
+    let last = pool.last_listing(&id(0)).expect("it is known");
+    assert_eq!(last, Listing { warmup: None, ..listing(0, "a") });
+    assert_eq!(pool.replace_listings(now + secs(1), vec![last], Source::Copy), []);
+    let e = &pool.endpoints[keys[0]];
+    assert_eq!((e.standing, e.warmup_end), (Standing::Serving, end));
+}
+
 #[test]
 fn endpoint_stays_paused_until_the_latest_end_that_it_asked_for() {
     let now = Instant::now();
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod intent;
 mod lifecycle;
 mod limits;
+mod listings;
 mod memory;
 mod notices;
 mod odd_bytes;
