--- a/tests/deployment/hostile.rs
+++ b/tests/deployment/hostile.rs
@@ -189,3 +189,26 @@
     assert!(out.contains("FrameDropped"), "{out}");
     assert_still_serves(&fleet).await;
 }
+
+#[rstest::rstest]
+#[case::whole("6\r\nabcdef\r\n0\r\n\r\n", true)]
+#[case::no_last_chunk("6\r\nabcdef\r\n", false)]
+#[case::cut_chunk("6\r\nabc", false)]
+#[case::cut_end("6\r\nabcdef\r\n0\r\n", false)]
+#[actix_rt::test]
+async fn call_whose_body_is_cut_off_does_not_succeed(#[case] body: &str, #[case] is_whole: bool) {
+    let plan = Plan { entries: 1, pools: vec![booking_pool(1)], ..Plan::default() };
+    let fleet = start_deployment(plan).await;
+    let head = format!(
+        "POST {CALL_PATH} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-1\r\nidempotency-key: k-1\r\n\
+        connection: close\r\ntransfer-encoding: chunked\r\n\r\n{body}"
+    );
+    let mut io = TcpStream::connect(fleet.entry_address(0)).unwrap();
+    io.set_read_timeout(Some(SEND_TIME)).unwrap();
+    io.write_all(head.as_bytes()).unwrap();
+    io.shutdown(std::net::Shutdown::Write).unwrap();
+    let mut answer = Vec::new();
+    let _ = io.read_to_end(&mut answer);
+    let answer = String::from_utf8_lossy(&answer);
+    assert_eq!(answer.starts_with("HTTP/1.1 200"), is_whole, "{answer:?}");
+}
