List calls with malformed chunks that an entry serves

Cause: its requests are read by the library's server, whose decoder cannot be replaced by the scan that gateways use without replacing the server.

--- a/tests/deployment/hostile.rs
+++ b/tests/deployment/hostile.rs
@@ -197,6 +197,21 @@
 #[case::cut_end("6\r\nabcdef\r\n0\r\n", false)]
 #[actix_rt::test]
 async fn call_whose_body_is_cut_off_does_not_succeed(#[case] body: &str, #[case] is_whole: bool) {
+    let answer = answer_to_call(body).await;
+    assert_eq!(answer.starts_with("HTTP/1.1 200"), is_whole, "{answer:?}");
+}
+
+#[rstest::rstest]
+#[case::request_after_last_chunk("6\r\nabcdef\r\n0\r\nGET /x HTTP/1.1\r\n\r\n")]
+#[case::blank_after_size("6 \r\nabcdef\r\n0\r\n\r\n")]
+#[actix_rt::test]
+async fn call_with_malformed_chunks_does_not_succeed(#[case] body: &str) {
+    let answer = answer_to_call(body).await;
+    assert!(!answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+}
+
+/// Sends a call with a body in chunks, and returns the answer.
+async fn answer_to_call(body: &str) -> String {
     let plan = Plan { entries: 1, pools: vec![booking_pool(1)], ..Plan::default() };
     let fleet = start_deployment(plan).await;
     let head = format!(
@@ -209,6 +224,5 @@
     io.shutdown(std::net::Shutdown::Write).unwrap();
     let mut answer = Vec::new();
     let _ = io.read_to_end(&mut answer);
-    let answer = String::from_utf8_lossy(&answer);
-    assert_eq!(answer.starts_with("HTTP/1.1 200"), is_whole, "{answer:?}");
+    String::from_utf8_lossy(&answer).into_owned()
 }
