--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod intent;
 mod lifecycle;
 mod limits;
+mod listings;
 mod memory;
 mod migrations;
 mod notices;
