Reword comments and rename a constant after a read-through

Five comments needed a second reading; ROUTING_FIELDS holds the host as well, so FRAMING misled. No behaviour changes; cargo fmt and cargo check ran on it, the tests did not.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -228,7 +228,7 @@
     }
     loop {
         if gw.store.is_silent() {
-            // The answer is of no use but for the time that it takes.
+            // Only the time that the answer takes matters; the client records it.
             if let Err(e) = gw.store.list_within(&own_key, SLOW_TIMEOUT).await {
                 log::debug!("no answer of the store within {SLOW_TIMEOUT:?}: {e:?}");
             }
--- a/src/gateway/migrate.rs
+++ b/src/gateway/migrate.rs
@@ -263,7 +263,7 @@
     }
 
     /// Returns the outcome for a generation that its source does not know. One that has started again
-    /// knows no generation of before, also of those that it broke off.
+    /// does not know the generations that its earlier process broke off.
     async fn absent(&self) -> MoveOutcome {
         if self.generation.host.is_restarted(&self.gw).await {
             MoveOutcome::Stay("the engine has started again")
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -356,8 +356,9 @@
         framing == Framing::Close && !self.has_events
     }
 
-    /// Returns whether the engine has crashed whose response ended with its connection. Between two
-    /// events that looks like a whole stream. One that is leaving may end after its last stream.
+    /// Returns whether the response ended with its connection because the engine crashed, which looks like
+    /// a whole stream if it happens between two events. An engine that is leaving may end after its last
+    /// stream.
     async fn is_cut_by_crash(&self) -> bool {
         self.segment.response.out.framing() == Framing::Close
             && self.migration.is_none()
--- a/src/h1/outbound.rs
+++ b/src/h1/outbound.rs
@@ -30,7 +30,7 @@
 const FIELD_BYTES: usize = 256;
 /// Time after an end in order in which a reset shows that the request was not read.
 const CLOSE_CHECK_TIME: Duration = Duration::from_millis(50);
-/// Interval at which it is checked whether one has come.
+/// Interval between two checks for such a reset.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 /// Largest body that is copied behind its head, to be sent with it.
 const MAX_JOINED_BYTES: usize = 8 << 10;
--- a/src/h1/scan.rs
+++ b/src/h1/scan.rs
@@ -17,8 +17,8 @@
 const MAX_CHUNK_LINE_BYTES: usize = 4 << 10;
 /// Maximum size of a line after the last chunk.
 const MAX_TRAILER_LINE_BYTES: usize = 16 << 10;
-/// Fields that decide where a request ends and whom it is for.
-const FRAMING: [&str; 3] = ["content-length", "transfer-encoding", "host"];
+/// Fields that decide where a request ends and which host it is for.
+const ROUTING_FIELDS: [&str; 3] = ["content-length", "transfer-encoding", "host"];
 /// Number of hexadecimal digits in the largest size of a chunk.
 const MAX_SIZE_DIGITS: usize = 16;
 
@@ -161,7 +161,7 @@
     };
     let (target, version) = scan_request_line(line)?;
     let mut framing = HeaderMap::new();
-    let keep = |name: &[u8], value: &[u8]| match FRAMING
+    let keep = |name: &[u8], value: &[u8]| match ROUTING_FIELDS
         .iter()
         .any(|kept| kept.as_bytes().eq_ignore_ascii_case(name))
     {
