Name the failed call of the store in log and metrics

An instance that is not ready for want of a configuration logged one line, "StoreLost why=Refused", for a status of 400, 404, 429 or 503 alike, and nothing of the call that was refused. No metric counted calls that failed.

StoreLost now has the target and the reason of the failed call, and store_failures_total counts failed calls by reason. The test failed_read_of_the_store_is_named_in_log_and_metrics covers a status, a body that is no JSON and a closed connection.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -69,7 +69,9 @@
                     gw.outages.borrow_mut().begin(clock::now());
                     gw.work_changed.notify_one();
                     let at = gw.store_position.borrow().get().unwrap_or_default();
-                    let detail = format!("why={e:?} revision={} era={}", at.revision, at.era);
+                    let failure = gw.store.last_failure();
+                    let detail =
+                        format!("why={e:?} revision={} era={} {failure}", at.revision, at.era);
                     gw.event(Kind::StoreLost, "store", detail);
                 }
                 tokio::time::sleep(jitter(retry_interval(&gw))).await;
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -13,6 +13,7 @@
 use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
+use std::fmt::{self, Display};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -26,9 +27,25 @@
 /// Maximum size of a response body: one page of items in its JSON and base64 encoding.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
+/// Path of the call that lists keys.
+const RANGE_PATH: &str = "kv-range";
+
 /// Header of each response with the number of times that the store has come back from a copy.
 const ERA: &str = "store-era";
 
+/// Why the last failed call failed.
+#[derive(Debug)]
+struct CallFailure {
+    target: Box<str>,
+    why: String,
+}
+
+impl fmt::Display for CallFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "call={:?} failure={:?}", shorten(&self.target), self.why)
+    }
+}
+
 /// Client of the platform's metadata store.
 #[derive(Clone)]
 pub struct KvClient {
@@ -38,10 +55,11 @@
     era: Rc<Cell<Era>>,
     /// Time for answers, by those so far that are not stale.
     patience: Rc<RefCell<Patience>>,
+    failure: Rc<RefCell<Option<CallFailure>>>,
 }
 
-impl std::fmt::Debug for KvClient {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Debug for KvClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "KvClient({})", self.address.get())
     }
 }
@@ -102,7 +120,19 @@
     pub fn new(address: SocketAddr) -> Self {
         let address = Rc::new(Cell::new(address));
         let (config, era) = (ServiceConfig::default(), Rc::default());
-        KvClient { config, address, era, patience: Rc::default() }
+        KvClient { config, address, era, patience: Rc::default(), failure: Rc::default() }
+    }
+
+    /// Returns the target and the reason of the last call that failed, for the log; empty if there is none.
+    pub fn last_failure(&self) -> String {
+        self.failure.borrow().as_ref().map(CallFailure::to_string).unwrap_or_default()
+    }
+
+    /// Records why a call failed; returns `e`.
+    fn fail(&self, target: &str, why: impl Display, e: StoreError) -> StoreError {
+        *self.failure.borrow_mut() =
+            Some(CallFailure { target: target.into(), why: why.to_string() });
+        e
     }
 
     /// Sends all further calls to another address of the store.
@@ -181,7 +211,9 @@
             after = page.items.last().map_or(String::new(), |i| format!("&after={}", i.key));
             // A page that begins after the last one ends with another key.
             if page.truncated && !after.is_empty() && after == before {
-                return Err(StoreError::Malformed);
+                let path = format!("kv-range?prefix={prefix}{after}");
+                let why = "the page ends where the one before it did";
+                return Err(self.fail(&path, why, StoreError::Malformed));
             }
             kvs.extend(page.items.into_iter().filter_map(decode_item));
             if !page.truncated || after.is_empty() {
@@ -219,11 +251,14 @@
         let (head, body) = self.call(Method::GET, path, Bytes::new(), wait).await?;
         match head.status.as_u16() {
             200 => {
-                let value = serde_json::from_slice(&body).map_err(|_| StoreError::Malformed)?;
+                let value = serde_json::from_slice(&body).map_err(|e| {
+                    count_failure("malformed");
+                    self.fail(path, e, StoreError::Malformed)
+                })?;
                 Ok((self.read_era(&head), value))
             }
-            410 => Err(StoreError::Compacted),
-            _ => Err(StoreError::Refused),
+            410 => Err(self.fail(path, "status 410", StoreError::Compacted)),
+            status => Err(self.fail(path, format_args!("status {status}"), StoreError::Refused)),
         }
     }
 
@@ -256,15 +291,39 @@
         let address = self.address.get();
         let content = (!body.is_empty()).then_some("application/json");
         let head = h1::request_head(address, method, &format!("/{path}"), content);
-        let head = head.ok_or(StoreError::Unreached)?;
+        let head = head.ok_or_else(|| {
+            count_failure("invalid-target");
+            self.fail(path, "invalid target", StoreError::Unreached)
+        })?;
         let limits = CallLimits { connect: CONNECT_TIMEOUT, wait, max_body: MAX_RESPONSE_BYTES };
         let called = h1::fetch(address, &limits, &self.config, head, body).await;
-        called.map_err(|e| {
+        let (head, body) = called.map_err(|e| {
             if matches!(e, FetchError::Slow) {
                 self.patience.borrow_mut().record_timeout(wait);
             }
-            classify_error(&e)
-        })
+            count_failure(failure_label(&e));
+            self.fail(path, &e, classify_error(&e))
+        })?;
+        let status = head.status.as_u16();
+        // Writes and readiness checks of the store ask for keys and leases that may not exist.
+        if status != 200 && (status != 404 || path.starts_with(RANGE_PATH)) {
+            count_failure(status.to_string());
+        }
+        Ok((head, body))
+    }
+}
+
+/// Counts a call to the store without a usable answer, by its reason.
+fn count_failure(why: impl Into<metrics::SharedString>) {
+    metrics::counter!("store_failures_total", "why" => why.into()).increment(1);
+}
+
+fn failure_label(e: &FetchError) -> &'static str {
+    match e {
+        FetchError::Unsent(_) => "unreached",
+        FetchError::Broken(Broken::Malformed(Fault::BodySize)) => "too-large",
+        FetchError::Broken(_) => "broken",
+        FetchError::Slow => "slow",
     }
 }
 
--- a/tests/gateway/start_store.rs
+++ b/tests/gateway/start_store.rs
@@ -3,7 +3,7 @@
 use crate::common::{CONFIG, list_endpoint, send_request, start_gateway_at, wait_for};
 use rstest::rstest;
 use serde_json::json;
-use standin::platform::{Action, Endpoint, Gateway, Store, StoreFault, StoreFront};
+use standin::platform::{Action, Endpoint, Gateway, Store, StoreFault, StoreFront, send};
 use std::net::UdpSocket;
 use std::time::{Duration, Instant};
 
@@ -231,3 +231,29 @@
         assert!(wait_for(5, has_line), "no line with {text}");
     }
 }
+
+/// The log had the same line for each reason, and the metrics had none.
+#[rstest]
+#[case::refused(StoreFault::Status(400), "status 400", "400")]
+#[case::not_json(StoreFault::Body("<html>"), "expected value", "malformed")]
+#[case::closed(StoreFault::Closing, "connection closed", "broken")]
+fn failed_read_of_the_store_is_named_in_log_and_metrics(
+    #[case] fault: StoreFault,
+    #[case] failure: &str,
+    #[case] label: &str,
+) {
+    let (_e, _store, front) = start_behind(fault);
+    let gateway = start_gateway_at(front.address);
+    let log = || std::fs::read_to_string(gateway.settings_file.with_extension("log"));
+    let is_named = |line: &str| {
+        line.contains("kind=StoreLost")
+            && line.contains(r#"call="kv-range"#)
+            && line.contains(failure)
+    };
+    let has_line = || log().is_ok_and(|log| log.lines().any(is_named));
+    assert!(wait_for(5, has_line), "no line names the failure");
+    let request = b"GET /metrics HTTP/1.1\r\nHost: metrics\r\n\r\n";
+    let series = format!("store_failures_total{{why=\"{label}\"}}");
+    let is_counted = || send(gateway.ready, request).reply().body.contains(&series);
+    assert!(wait_for(5, is_counted), "no series {series}");
+}
