--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -1,6 +1,6 @@
 //! In-memory metadata store of the platform, with outages that tests switch on.
 //!
-//! Transactions are applied without their comparisons, and leases end only when the store comes
+//! Queries are decoded as forms are, and lists come in pages. Transactions are applied without their comparisons, and leases end only when the store comes
 //! back from a copy.
 
 use super::workers::{self, Server};
@@ -9,12 +9,20 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
+use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+/// Most items of a page of a list.
+const PAGE_ITEMS: usize = 500;
+/// Size of the values in base64 from which a page gets no further item.
+const PAGE_BYTES: usize = 1_000_000;
+/// Longest key.
+const MAX_KEY_BYTES: usize = 200;
+
 /// Failure of the store.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Outage {
@@ -61,6 +69,8 @@
     odd_call: Option<&'static str>,
     /// Whether each response names an era that is far too large.
     names_odd_era: bool,
+    /// Most items of a page, if fewer than [`PAGE_ITEMS`].
+    page_items: Option<usize>,
     calls: u64,
 }
 
@@ -114,7 +124,12 @@
     }
 
     /// Writes a key; `None` removes it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the key is longer than the platform allows.
     pub fn set(&self, key: &str, value: Option<&[u8]>) {
+        assert!(key.len() <= MAX_KEY_BYTES, "the key has {} bytes", key.len());
         lock(&self.shared).write(key, value.map(|v| STANDARD.encode(v)), 0);
         self.shared.1.notify_all();
     }
@@ -194,6 +209,11 @@
         }
     }
 
+    /// Sets the most items of a page from now on.
+    pub fn set_page_items(&self, items: usize) {
+        lock(&self.shared).page_items = Some(items);
+    }
+
     /// Returns the number of requests received, refused ones included.
     pub fn calls(&self) -> u64 {
         lock(&self.shared).calls
@@ -289,28 +309,31 @@
     }
 }
 
-/// Returns a parameter of the query string; empty if absent.
-fn query_param<'q>(req: &'q Request, name: &str) -> &'q str {
-    let query = req.target.split_once('?').map_or("", |(_, q)| q);
-    let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
-    pairs.find(|(n, _)| *n == name).map_or("", |(_, v)| v)
+fn query(req: &Request) -> &str {
+    req.target.split_once('?').map_or("", |(_, q)| q)
+}
+
+/// Returns a decoded parameter of the query string; empty if absent.
+fn query_param<'q>(req: &'q Request, name: &str) -> Cow<'q, str> {
+    let mut pairs = form_urlencoded::parse(query(req).as_bytes());
+    pairs.find(|(n, _)| n == name).map_or(Cow::Borrowed(""), |(_, v)| v)
+}
+
+/// Returns whether a query can be decoded: visible ASCII, with two digits after each percent sign.
+fn is_encoded(query: &str) -> bool {
+    let is_triplet =
+        |part: &str| part.len() >= 2 && part.bytes().take(2).all(|b| b.is_ascii_hexdigit());
+    query.bytes().all(|b| b.is_ascii_graphic()) && query.split('%').skip(1).all(is_triplet)
 }
 
 fn handle_request(shared: &Shared, req: &Request) -> (u16, Value) {
     let path = req.target.split('?').next().unwrap_or("");
+    if !is_encoded(query(req)) {
+        return (400, Value::Null);
+    }
     match (req.method.as_str(), path) {
-        ("GET", "/kv-key") => match lock(shared).items.get(query_param(req, "key")) {
-            Some(c) => (200, to_json(c)),
-            None => (404, Value::Null),
-        },
-        ("GET", "/kv-range") => {
-            let state = lock(shared);
-            let prefix = query_param(req, "prefix");
-            let found = state.items.values().filter(|c| c.key.starts_with(prefix));
-            let items: Vec<Value> = found.map(to_json).collect();
-            let revision = state.revision;
-            (200, json!({ "items": items, "truncated": false, "current_rev": revision }))
-        }
+        ("GET", "/kv-key") => handle_key(&lock(shared), req),
+        ("GET", "/kv-range") => handle_range(&lock(shared), req),
         ("GET", "/kv-watch") => handle_watch(shared, req),
         ("POST", "/kv-lease") => {
             let mut state = lock(shared);
@@ -331,6 +354,29 @@
     }
 }
 
+fn handle_key(state: &State, req: &Request) -> (u16, Value) {
+    let Some(found) = state.items.get(&*query_param(req, "key")) else { return (404, Value::Null) };
+    let mut item = to_json(found);
+    item["current_rev"] = state.revision.into();
+    (200, item)
+}
+
+/// Answers with a page of the keys with the prefix, from the first one behind the key in `after`.
+fn handle_range(state: &State, req: &Request) -> (u16, Value) {
+    let (prefix, after) = (query_param(req, "prefix"), query_param(req, "after"));
+    let max_items = state.page_items.unwrap_or(PAGE_ITEMS);
+    let is_found = |c: &&Change| c.key.starts_with(&*prefix) && *c.key > *after;
+    let mut found = state.items.values().filter(is_found).peekable();
+    let (mut items, mut bytes) = (Vec::new(), 0);
+    while items.len() < max_items && bytes < PAGE_BYTES {
+        let Some(c) = found.next() else { break };
+        bytes += c.value.as_ref().map_or(0, String::len);
+        items.push(to_json(c));
+    }
+    let is_truncated = found.peek().is_some();
+    (200, json!({ "items": items, "truncated": is_truncated, "current_rev": state.revision }))
+}
+
 fn handle_transaction(shared: &Shared, req: &Request) -> (u16, Value) {
     let Ok(body) = serde_json::from_slice::<Value>(&req.body) else { return (400, Value::Null) };
     let mut state = lock(shared);
@@ -362,7 +408,7 @@
         if state.outage.is_some() {
             return (503, Value::Null);
         }
-        let is_match = |c: &&Change| c.revision > after && c.key.starts_with(prefix);
+        let is_match = |c: &&Change| c.revision > after && c.key.starts_with(&*prefix);
         let events: Vec<Value> = state.history.iter().filter(is_match).map(to_json).collect();
         let left = end.saturating_duration_since(Instant::now());
         if !events.is_empty() || left.is_zero() {
