Encode keys in the targets of calls to the store

Somebody had written the keys "a00%#" to "a04%C3%A9" to the store.

Cause: the list of all keys asked for the next page with the last key of the page as it was. A percent sign, ampersand, plus, number sign or a byte beyond ASCII in it means something else in a query or cannot be sent. The store then refused the call, began the page again at its own end, or the request could not be built. Each retry met the same key. op/config sorts behind these keys, so no configuration was ever read.

Each value in a target is now percent-encoded by one function, which leaves only bytes without a meaning in a query.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod clock;
 pub mod eject;
 pub mod entry;
+pub mod escape;
 pub mod evacuate;
 pub mod event;
 pub mod explain;
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -1,6 +1,7 @@
 //! Client of the platform's metadata store, a key-value store over HTTP.
 
 use crate::clock;
+use crate::escape::query_value;
 use crate::event::shorten;
 use crate::h1::{self, Broken, CallLimits, Fault, FetchError};
 use crate::store::{
@@ -173,7 +174,7 @@
         prefix: &str,
         wait: Duration,
     ) -> Result<(Era, RangeResponse), StoreError> {
-        let path = format!("kv-range?prefix={prefix}");
+        let path = range_path(prefix, None);
         let (named, page) = self.get_json(&path, wait).await?;
         if named <= self.era.get() {
             return Ok((named, page));
@@ -197,8 +198,7 @@
         prefix: &str,
         wait: Duration,
     ) -> Result<StoreUpdate, StoreError> {
-        let mut kvs = Vec::new();
-        let mut after = String::new();
+        let (mut kvs, mut last) = (Vec::new(), None);
         let (mut era, mut page) = self.first_page(prefix, wait).await?;
         // Pages are not a snapshot. Continuing from the revision of the first page makes the next
         // watch return whatever changed while the later pages were read.
@@ -207,19 +207,18 @@
             if at.era != era {
                 return Err(StoreError::Compacted);
             }
-            let before = std::mem::take(&mut after);
-            after = page.items.last().map_or(String::new(), |i| format!("&after={}", i.key));
+            let end = page.items.last().map(|item| item.key.clone());
+            kvs.extend(page.items.into_iter().filter_map(decode_item));
+            if !page.truncated || end.is_none() {
+                return Ok(StoreUpdate { kvs, at });
+            }
+            let path = range_path(prefix, end.as_deref());
             // A page that begins after the last one ends with another key.
-            if page.truncated && !after.is_empty() && after == before {
-                let path = format!("kv-range?prefix={prefix}{after}");
+            if end == last {
                 let why = "the page ends where the one before it did";
                 return Err(self.fail(&path, why, StoreError::Malformed));
             }
-            kvs.extend(page.items.into_iter().filter_map(decode_item));
-            if !page.truncated || after.is_empty() {
-                return Ok(StoreUpdate { kvs, at });
-            }
-            let path = format!("kv-range?prefix={prefix}{after}");
+            last = end;
             (era, page) = self.get_json(&path, wait).await?;
         }
     }
@@ -344,6 +343,12 @@
     }
 }
 
+/// Returns the target of a call that lists the keys with a prefix, from behind a key on.
+fn range_path(prefix: &str, after: Option<&str>) -> String {
+    let after = after.map_or(String::new(), |after| format!("&after={}", query_value(after)));
+    format!("{RANGE_PATH}?prefix={}{after}", query_value(prefix))
+}
+
 /// Decodes an item; `None` if its value is invalid: it says nothing of its key then.
 fn decode_item(item: Item) -> Option<KeyValue> {
     let value = match item.value {
@@ -367,7 +372,7 @@
     }
 
     async fn ping(&self, key: &str, wait: Duration) -> Result<(), StoreError> {
-        let path = format!("kv-key?key={key}&allow_stale=1");
+        let path = format!("kv-key?key={}&allow_stale=1", query_value(key));
         let (head, _) = self.call(Method::GET, &path, Bytes::new(), wait).await?;
         match head.status.as_u16() {
             // A missing key also shows that the store is reachable.
@@ -383,6 +388,7 @@
         wait: Duration,
     ) -> Result<StoreUpdate, StoreError> {
         let ms = wait.as_millis();
+        let prefix = query_value(prefix);
         let path = format!("kv-watch?prefix={prefix}&after={after}&wait_ms={ms}");
         let (sent, limit) = (clock::now(), self.limit(wait + WATCH_MARGIN));
         let (era, changes): (Era, WatchResponse) = self.wait_for_json(&path, limit).await?;
