List only the keys that an instance follows

An instance read all keys of the store, those of others too, one page after another, before it was ready. With 20,000 keys of somebody else and small pages it was not ready within 7 s.

The four prefixes are now listed at the same time, each with its own pages, and events of other keys are dropped. The position is the earliest of the lists, so that the next watch returns what changed meanwhile. An era still counts once two reads name it. keys_of_others_do_not_delay_a_start failed before.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -36,8 +36,13 @@
 const POLL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of keys whose revisions are remembered; all are forgotten when it is reached.
 const MAX_REVISIONS: usize = 4096;
-/// Prefix of all keys: one watch follows the configuration, the endpoints and the peers.
-const ALL_KEYS: &str = "";
+/// Prefixes of the keys that an instance follows. Others may keep any number of keys beside them.
+const FOLLOWED_KEYS: [&str; 4] = [
+    platform::OPERATOR_PREFIX,
+    platform::SERVERS_PREFIX,
+    membership::KEY_PREFIX,
+    refusals::KEY_PREFIX,
+];
 
 /// State of the connection to the store.
 #[derive(Debug, Default)]
@@ -153,7 +158,7 @@
     let Some(after) = known else { return read_all(gw, connection).await };
     // An instance that is not a reader reads what it has missed, and does not wait for changes.
     let wait = if peers::is_reader(gw) { WATCH_TIMEOUT } else { CATCH_UP_TIMEOUT };
-    let update = gw.store.watch(ALL_KEYS, after.revision, wait).await?;
+    let update = gw.store.watch(&FOLLOWED_KEYS, after.revision, wait).await?;
     log_store_back(gw, connection);
     let succession = gw.store_position.borrow().compare(update.at);
     match succession {
@@ -185,13 +190,13 @@
     Ok(())
 }
 
-/// Reads all keys: the configuration, the endpoints and the peers.
+/// Reads all keys that are followed.
 async fn read_all(gw: &Rc<Gateway>, connection: &mut Connection) -> Result<(), StoreError> {
     let asked = clock::now();
     let is_first = gw.table.borrow().is_none();
     let all = match is_first {
-        true => gw.store.list_within(ALL_KEYS, FIRST_TIMEOUT).await?,
-        false => gw.store.list(ALL_KEYS).await?,
+        true => gw.store.list_within(&FOLLOWED_KEYS, FIRST_TIMEOUT).await?,
+        false => gw.store.list(&FOLLOWED_KEYS).await?,
     };
     log_store_back(gw, connection);
     if gw.store_position.borrow().get().is_some() {
@@ -231,7 +236,7 @@
     loop {
         if gw.store.is_silent() {
             // Only the time that the answer takes matters; the client records it.
-            if let Err(e) = gw.store.list_within(&own_key, SLOW_TIMEOUT).await {
+            if let Err(e) = gw.store.list_within(&[&own_key], SLOW_TIMEOUT).await {
                 log::debug!("no answer of the store within {SLOW_TIMEOUT:?}: {e:?}");
             }
         }
@@ -248,7 +253,7 @@
         false => (SLOW_TIMEOUT, SLOW_INTERVAL),
     };
     let asked = clock::now();
-    let read = gw.store.list_within(ALL_KEYS, wait).await;
+    let read = gw.store.list_within(&FOLLOWED_KEYS, wait).await;
     if let Some(all) = read.ok().filter(|all| is_ahead(gw, all.at)) {
         apply_all(gw, asked, &all, Source::Current);
     }
--- a/src/gateway/refusals.rs
+++ b/src/gateway/refusals.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 /// Prefix of the store keys of refused parts and contents.
-const KEY_PREFIX: &str = "quarantine/";
+pub const KEY_PREFIX: &str = "quarantine/";
 /// Shortest time to live of a refusal in the store; otherwise it lives for as long as it holds.
 const MIN_STORE_TTL: Duration = Duration::from_secs(1);
 /// Interval between two checks for refusals that the store lacks.
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -11,6 +11,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
+use futures_util::future::try_join_all;
 use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -28,6 +29,9 @@
 /// Maximum size of a response body: one page of items in its JSON and base64 encoding.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
+/// Most pages of the keys with one prefix, so that a list which never ends is given up.
+const MAX_PAGES: usize = 200;
+
 /// Path of the call that lists keys.
 const RANGE_PATH: &str = "kv-range";
 
@@ -167,60 +171,72 @@
         era
     }
 
-    /// Reads the first page of the keys with `prefix`. One that names a newer era is read again, since
-    /// an era that is wrong in a single response would outdate all later ones.
-    async fn first_page(
+    /// Lists keys, as [`ChangeFeed::list`]; each page has `wait` for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] if a call fails.
+    pub async fn list_within(
         &self,
-        prefix: &str,
+        prefixes: &[&str],
         wait: Duration,
-    ) -> Result<(Era, RangeResponse), StoreError> {
-        let path = range_path(prefix, None);
-        let (named, page) = self.get_json(&path, wait).await?;
-        if named <= self.era.get() {
-            return Ok((named, page));
+    ) -> Result<StoreUpdate, StoreError> {
+        let listed = self.list_once(prefixes, wait).await?;
+        if listed.at.era <= self.era.get() {
+            return Ok(listed);
         }
-        let (again, page) = self.get_json(&path, wait).await?;
-        if again != named {
-            log::warn!("the store named era {named} and then {again}: read again later");
-            return Err(StoreError::Malformed);
+        // An era that is wrong in a single read would outdate all later ones.
+        let again = self.list_once(prefixes, wait).await?;
+        let (named, era) = (listed.at.era, again.at.era);
+        if era != named {
+            let why = format!("the store named era {named} and then {era}");
+            return Err(self.fail(RANGE_PATH, why, StoreError::Malformed));
         }
-        self.era.set(again);
-        Ok((again, page))
+        self.era.set(era);
+        Ok(again)
     }
 
-    /// Lists the keys with `prefix`, as [`ChangeFeed::list`]; each page has `wait` for its answer.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`StoreError`] if a call fails.
-    pub async fn list_within(
+    async fn list_once(
         &self,
-        prefix: &str,
+        prefixes: &[&str],
         wait: Duration,
     ) -> Result<StoreUpdate, StoreError> {
-        let (mut kvs, mut last) = (Vec::new(), None);
-        let (mut era, mut page) = self.first_page(prefix, wait).await?;
-        // Pages are not a snapshot. Continuing from the revision of the first page makes the next
-        // watch return whatever changed while the later pages were read.
+        let lists = prefixes.iter().map(|prefix| self.list_prefix(prefix, wait));
+        let lists = try_join_all(lists).await?;
+        // Neither pages nor lists are a snapshot. Continuing from the earliest position makes the next
+        // watch return whatever changed while the others were read.
+        let at = lists.iter().map(|list| list.at).min().unwrap_or_default();
+        if lists.iter().any(|list| list.at.era != at.era) {
+            return Err(self.fail(RANGE_PATH, "the era changed", StoreError::Compacted));
+        }
+        let kvs = lists.into_iter().flat_map(|list| list.kvs).collect();
+        Ok(StoreUpdate { kvs, at })
+    }
+
+    async fn list_prefix(&self, prefix: &str, wait: Duration) -> Result<StoreUpdate, StoreError> {
+        let mut path = range_path(prefix, None);
+        let (era, mut page): (Era, RangeResponse) = self.get_json(&path, wait).await?;
         let at = Position::new(era, page.current_rev);
-        loop {
-            if at.era != era {
-                return Err(StoreError::Compacted);
-            }
+        let (mut kvs, mut last) = (Vec::new(), None);
+        for _ in 0..MAX_PAGES {
             let end = page.items.last().map(|item| item.key.clone());
             kvs.extend(page.items.into_iter().filter_map(decode_item));
             if !page.truncated || end.is_none() {
                 return Ok(StoreUpdate { kvs, at });
             }
-            let path = range_path(prefix, end.as_deref());
-            // A page that begins after the last one ends with another key.
             if end == last {
                 let why = "the page ends where the one before it did";
                 return Err(self.fail(&path, why, StoreError::Malformed));
             }
+            path = range_path(prefix, end.as_deref());
             last = end;
-            (era, page) = self.get_json(&path, wait).await?;
+            let next;
+            (next, page) = self.get_json(&path, wait).await?;
+            if next != era {
+                return Err(self.fail(&path, "the era changed", StoreError::Compacted));
+            }
         }
+        Err(self.fail(&path, "too many pages", StoreError::TooLarge))
     }
 
     /// Reads a JSON document that the store has at once; returns it with the era in which it was read.
@@ -367,8 +383,8 @@
 }
 
 impl ChangeFeed for KvClient {
-    async fn list(&self, prefix: &str) -> Result<StoreUpdate, StoreError> {
-        self.list_within(prefix, self.limit(CALL_TIMEOUT)).await
+    async fn list(&self, prefixes: &[&str]) -> Result<StoreUpdate, StoreError> {
+        self.list_within(prefixes, self.limit(CALL_TIMEOUT)).await
     }
 
     async fn ping(&self, key: &str, wait: Duration) -> Result<(), StoreError> {
@@ -377,26 +393,27 @@
         match head.status.as_u16() {
             // A missing key also shows that the store is reachable.
             200 | 404 => Ok(()),
-            _ => Err(StoreError::Refused),
+            status => Err(self.fail(&path, format_args!("status {status}"), StoreError::Refused)),
         }
     }
 
     async fn watch(
         &self,
-        prefix: &str,
+        prefixes: &[&str],
         after: u64,
         wait: Duration,
     ) -> Result<StoreUpdate, StoreError> {
         let ms = wait.as_millis();
-        let prefix = query_value(prefix);
-        let path = format!("kv-watch?prefix={prefix}&after={after}&wait_ms={ms}");
+        // One call for all prefixes.
+        let path = format!("kv-watch?prefix=&after={after}&wait_ms={ms}");
         let (sent, limit) = (clock::now(), self.limit(wait + WATCH_MARGIN));
         let (era, changes): (Era, WatchResponse) = self.wait_for_json(&path, limit).await?;
         // After which part of the wait a change came is not known.
         if changes.events.is_empty() {
             self.record_answer(sent, wait);
         }
-        let kvs = changes.events.into_iter().filter_map(decode_item).collect();
+        let is_asked = |kv: &KeyValue| prefixes.iter().any(|prefix| kv.key.starts_with(prefix));
+        let kvs = changes.events.into_iter().filter_map(decode_item).filter(is_asked).collect();
         Ok(StoreUpdate { kvs, at: Position::new(era, changes.current_rev) })
     }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -194,14 +194,14 @@
     pub at: Position,
 }
 
-/// A store whose keys can be listed and then watched for changes.
+/// A store whose keys can be listed and then watched for changes. Others write keys of their own to it.
 pub trait ChangeFeed {
-    /// Lists the keys with `prefix`.
+    /// Lists the keys with any of `prefixes`.
     ///
     /// # Errors
     ///
-    /// Returns [`StoreError`] if the call fails.
-    fn list(&self, prefix: &str) -> impl Future<Output = Result<StoreUpdate, StoreError>>;
+    /// Returns [`StoreError`] if a call fails.
+    fn list(&self, prefixes: &[&str]) -> impl Future<Output = Result<StoreUpdate, StoreError>>;
 
     /// Checks that the store responds, by a read of `key` that may return stale data.
     ///
@@ -210,7 +210,8 @@
     /// Returns [`StoreError`] if the store does not answer within `wait`.
     fn ping(&self, key: &str, wait: Duration) -> impl Future<Output = Result<(), StoreError>>;
 
-    /// Waits up to `wait` for changes after the revision `after` of keys with `prefix`.
+    /// Waits up to `wait` for changes after the revision `after`, and returns those of keys with any of
+    /// `prefixes`.
     ///
     /// The store may have entered another era meanwhile; then the changes are incomplete.
     ///
@@ -219,7 +220,7 @@
     /// Returns [`StoreError::Compacted`] if the store no longer has all changes since `after`.
     fn watch(
         &self,
-        prefix: &str,
+        prefixes: &[&str],
         after: u64,
         wait: Duration,
     ) -> impl Future<Output = Result<StoreUpdate, StoreError>>;
--- a/tests/gateway/store_keys.rs
+++ b/tests/gateway/store_keys.rs
@@ -92,3 +92,11 @@
     let is_served = || send_request(&gateway, "GET", "/safe/x", "id-1").status == 200;
     assert!(wait_for(APPLY_SECS + CHANGE_SECS, is_served), "no endpoint is listed");
 }
+
+#[test]
+fn keys_of_others_do_not_delay_a_start() {
+    let (_e, store) = start_store();
+    store.set_page_items(1);
+    (0..20_000).for_each(|n| store.set(&format!("a/{n}"), Some(b"{}")));
+    assert_serves(&mut start_gateway(&store));
+}
--- a/tests/store_outcomes.rs
+++ b/tests/store_outcomes.rs
@@ -85,7 +85,7 @@
 async fn store_that_repeats_a_page_is_not_read_without_end() {
     const PAGE: &str = r#"{"items":[{"key":"a","value":"","revision":1},{"key":"b","value":"","revision":2}],"truncated":true,"current_rev":2}"#;
     let store = KvClient::new(repeat_page(PAGE));
-    let read = tokio::time::timeout(Duration::from_secs(2), store.list("")).await;
+    let read = tokio::time::timeout(Duration::from_secs(2), store.list(&[""])).await;
     assert!(matches!(read, Ok(Err(StoreError::Malformed))), "{read:?}");
 }
 
@@ -157,3 +157,12 @@
     let change = store.wait_for_change("key", 4, Duration::from_secs(2)).await;
     assert_eq!(change.map(|value| value.is_some()), expected);
 }
+
+#[actix_rt::test]
+async fn event_of_a_key_that_is_not_followed_is_left_out() {
+    let body = r#"{"events":[{"key":"a00%#","value":"e30=","revision":8}],"current_rev":9}"#;
+    let store = KvClient::new(answer_once(200, body));
+    let update = store.watch(&["op/", "servers/"], 2, Duration::ZERO).await;
+    let update = update.expect("the events can be read");
+    assert_eq!((update.kvs.len(), update.at.revision), (0, 9));
+}
