Read an item of the store apart from the others of its response

One item that is not as described made a whole page, or all changes of a watch, unreadable: a revision that is no number, a key that is no text, a value of another type or a byte that is no UTF-8. The list was refused as malformed, again and again, and an instance that started was never ready. A value that is no base64 made an entry look removed. Any number of values of 1 MiB under the prefixes of the system was kept at a time.

Each item is now parsed for itself. One whose key can be read has an empty value, so that its key still exists; others are left out; both are named in the log. Values of more than 64 KiB are not kept, nor more than 16 MiB of them; the configuration is exempt.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -312,8 +312,10 @@
 }
 
 fn apply_config(gw: &Gateway, update: &StoreUpdate) {
-    let newest = update.kvs.iter().rev().find(|kv| &*kv.key == platform::CONFIG_KEY);
-    if let Some(value) = newest.and_then(|kv| kv.value.as_ref()) {
+    let mut configs = update.kvs.iter().rev().filter(|kv| &*kv.key == platform::CONFIG_KEY);
+    // The store has a valid one; an empty value is one that could not be read.
+    let newest = configs.find_map(|kv| kv.value.as_ref().filter(|v| !v.is_empty()));
+    if let Some(value) = newest {
         adopt_table(gw, value, "store");
     }
 }
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -4,6 +4,7 @@
 use crate::escape::query_value;
 use crate::event::shorten;
 use crate::h1::{self, Broken, CallLimits, Fault, FetchError};
+use crate::platform::CONFIG_KEY;
 use crate::store::{
     ChangeFeed, Era, KeyValue, LeaseId, Leases, Patience, Position, StoreError, StoreUpdate,
 };
@@ -14,6 +15,7 @@
 use futures_util::future::try_join_all;
 use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use std::cell::{Cell, RefCell};
 use std::fmt::{self, Display};
 use std::net::SocketAddr;
@@ -31,6 +33,10 @@
 
 /// Most pages of the keys with one prefix, so that a list which never ends is given up.
 const MAX_PAGES: usize = 200;
+/// Largest value that is kept, in base64, other than a configuration.
+const MAX_VALUE_BYTES: usize = 64 << 10;
+/// Size of all values that one read keeps, in base64, other than a configuration.
+const MAX_VALUES_BYTES: usize = 16 << 20;
 
 /// Path of the call that lists keys.
 const RANGE_PATH: &str = "kv-range";
@@ -69,6 +75,12 @@
     }
 }
 
+/// Key of an item of which nothing else can be read.
+#[derive(Debug, Deserialize)]
+struct ItemKey {
+    key: Box<str>,
+}
+
 #[derive(Debug, Deserialize)]
 struct Item {
     key: Box<str>,
@@ -106,7 +118,7 @@
 
 #[derive(Debug, Deserialize)]
 struct RangeResponse {
-    items: Vec<Item>,
+    items: Vec<Box<RawValue>>,
     /// Whether more keys follow after the last item.
     truncated: bool,
     /// Revision of the whole store at the time of the response.
@@ -115,7 +127,7 @@
 
 #[derive(Debug, Deserialize)]
 struct WatchResponse {
-    events: Vec<Item>,
+    events: Vec<Box<RawValue>>,
     /// Revision to continue the watch from.
     current_rev: u64,
 }
@@ -201,7 +213,8 @@
         prefixes: &[&str],
         wait: Duration,
     ) -> Result<StoreUpdate, StoreError> {
-        let lists = prefixes.iter().map(|prefix| self.list_prefix(prefix, wait));
+        let room = Cell::new(MAX_VALUES_BYTES);
+        let lists = prefixes.iter().map(|prefix| self.list_prefix(prefix, wait, &room));
         let lists = try_join_all(lists).await?;
         // Neither pages nor lists are a snapshot. Continuing from the earliest position makes the next
         // watch return whatever changed while the others were read.
@@ -213,19 +226,25 @@
         Ok(StoreUpdate { kvs, at })
     }
 
-    async fn list_prefix(&self, prefix: &str, wait: Duration) -> Result<StoreUpdate, StoreError> {
+    async fn list_prefix(
+        &self,
+        prefix: &str,
+        wait: Duration,
+        room: &Cell<usize>,
+    ) -> Result<StoreUpdate, StoreError> {
         let mut path = range_path(prefix, None);
         let (era, mut page): (Era, RangeResponse) = self.get_json(&path, wait).await?;
         let at = Position::new(era, page.current_rev);
         let (mut kvs, mut last) = (Vec::new(), None);
         for _ in 0..MAX_PAGES {
-            let end = page.items.last().map(|item| item.key.clone());
-            kvs.extend(page.items.into_iter().filter_map(decode_item));
-            if !page.truncated || end.is_none() {
+            let known = kvs.len();
+            kvs.extend(read_items(&page.items, page.current_rev, room));
+            if !page.truncated || page.items.is_empty() {
                 return Ok(StoreUpdate { kvs, at });
             }
-            if end == last {
-                let why = "the page ends where the one before it did";
+            let end = kvs[known..].last().map(|kv| kv.key.clone());
+            if end.is_none() || end == last {
+                let why = "a page ends with no key, or where the one before it did";
                 return Err(self.fail(&path, why, StoreError::Malformed));
             }
             path = range_path(prefix, end.as_deref());
@@ -266,7 +285,9 @@
         let (head, body) = self.call(Method::GET, path, Bytes::new(), wait).await?;
         match head.status.as_u16() {
             200 => {
-                let value = serde_json::from_slice(&body).map_err(|e| {
+                // A key of other bytes than UTF-8 is no reason to lose the others.
+                let body = String::from_utf8_lossy(&body);
+                let value = serde_json::from_str(&body).map_err(|e| {
                     count_failure("malformed");
                     self.fail(path, e, StoreError::Malformed)
                 })?;
@@ -365,18 +386,49 @@
     format!("{RANGE_PATH}?prefix={}{after}", query_value(prefix))
 }
 
-/// Decodes an item; `None` if its value is invalid: it says nothing of its key then.
-fn decode_item(item: Item) -> Option<KeyValue> {
-    let value = match item.value {
-        Some(v) if !item.tombstone => Some(decode_value(&item.key, item.revision, &v)?),
-        _ => None,
+/// Reads the items of a response at the revision `at`; those without a key are left out.
+fn read_items(
+    items: &[Box<RawValue>],
+    at: u64,
+    room: &Cell<usize>,
+) -> impl Iterator<Item = KeyValue> {
+    items.iter().filter_map(move |item| read_item(item.get(), at, room))
+}
+
+/// Reads an item. One without a value that can be read has an empty one: its key exists.
+fn read_item(text: &str, at: u64, room: &Cell<usize>) -> Option<KeyValue> {
+    let e = match serde_json::from_str::<Item>(text) {
+        Ok(item) => return Some(decode_item(item, room)),
+        Err(e) => e,
     };
-    Some(KeyValue { key: item.key, value, revision: item.revision })
+    let Ok(ItemKey { key }) = serde_json::from_str(text) else {
+        log::warn!("skipped an item of the store without a key: {e}");
+        return None;
+    };
+    log::warn!("the item {:?} of the store cannot be read: {e}", shorten(&key));
+    Some(KeyValue { key, value: Some(Vec::new()), revision: at })
 }
 
-fn decode_value(key: &str, revision: u64, value: &str) -> Option<Vec<u8>> {
+fn decode_item(item: Item, room: &Cell<usize>) -> KeyValue {
+    let Item { key, value, revision, tombstone } = item;
+    let value = value.filter(|_| !tombstone);
+    let value = value.map(|v| decode_value(&key, revision, &v, room).unwrap_or_default());
+    KeyValue { key, value, revision }
+}
+
+/// Decodes a value; `None` if it is no base64 or larger than any that is read.
+fn decode_value(key: &str, revision: u64, value: &str, room: &Cell<usize>) -> Option<Vec<u8>> {
+    let key = shorten(key);
+    if key != CONFIG_KEY {
+        let left = room.get().checked_sub(value.len()).filter(|_| value.len() <= MAX_VALUE_BYTES);
+        let Some(left) = left else {
+            let size = value.len();
+            log::warn!("skipped the value of {key:?} at revision {revision}: {size} bytes");
+            return None;
+        };
+        room.set(left);
+    }
     let decoded = STANDARD.decode(value).inspect_err(|e| {
-        let key = shorten(key);
         log::warn!("skipped the value of {key:?} at revision {revision}, which is not base64: {e}");
     });
     decoded.ok()
@@ -412,8 +464,10 @@
         if changes.events.is_empty() {
             self.record_answer(sent, wait);
         }
+        let room = Cell::new(MAX_VALUES_BYTES);
         let is_asked = |kv: &KeyValue| prefixes.iter().any(|prefix| kv.key.starts_with(prefix));
-        let kvs = changes.events.into_iter().filter_map(decode_item).filter(is_asked).collect();
+        let kvs =
+            read_items(&changes.events, changes.current_rev, &room).filter(is_asked).collect();
         Ok(StoreUpdate { kvs, at: Position::new(era, changes.current_rev) })
     }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -196,7 +196,7 @@
 
 /// A store whose keys can be listed and then watched for changes. Others write keys of their own to it.
 pub trait ChangeFeed {
-    /// Lists the keys with any of `prefixes`.
+    /// Lists the keys with any of `prefixes`. A value that cannot be read is empty.
     ///
     /// # Errors
     ///
--- a/tests/store_outcomes.rs
+++ b/tests/store_outcomes.rs
@@ -158,6 +158,47 @@
     assert_eq!(change.map(|value| value.is_some()), expected);
 }
 
+/// Item that can be read, behind others that cannot.
+const SOUND: &str = r#"{"key":"servers/b","value":"e30=","revision":5}"#;
+
+#[rstest]
+#[case::no_base64(r#"{"key":"servers/a","value":"*","revision":3}"#, true)]
+#[case::no_text(r#"{"key":"servers/a","value":{},"revision":3}"#, true)]
+#[case::no_revision(r#"{"key":"servers/a","value":"e30="}"#, true)]
+#[case::negative_revision(r#"{"key":"servers/a","value":"e30=","revision":-1}"#, true)]
+#[case::odd_tombstone(r#"{"key":"servers/a","value":"e30=","revision":3,"tombstone":0}"#, true)]
+#[case::no_key(r#"{"value":"e30=","revision":3}"#, false)]
+#[case::odd_key(r#"{"key":7,"value":"e30=","revision":3}"#, false)]
+#[case::surrogate(r#"{"key":"\ud800","value":"e30=","revision":3}"#, false)]
+#[case::number("7", false)]
+#[case::null("null", false)]
+#[actix_rt::test]
+async fn item_that_cannot_be_read_leaves_the_others(#[case] item: &str, #[case] has_key: bool) {
+    let body = |list| format!(r#"{{"{list}":[{item},{SOUND}],"truncated":false,"current_rev":9}}"#);
+    let store = KvClient::new(answer_once(200, body("items").leak()));
+    let listed = store.list(&["servers/"]).await.expect("the page can be read").kvs;
+    let store = KvClient::new(answer_once(200, body("events").leak()));
+    let watched = store.watch(&["servers/"], 2, Duration::ZERO).await;
+    let watched = watched.expect("the events can be read").kvs;
+    for kvs in [listed, watched] {
+        let found: Vec<_> = kvs.iter().map(|kv| (&*kv.key, kv.value.as_deref())).collect();
+        let (odd, sound) = (("servers/a", Some(&b""[..])), ("servers/b", Some(&b"{}"[..])));
+        assert_eq!(found, if has_key { vec![odd, sound] } else { vec![sound] });
+    }
+}
+
+#[actix_rt::test]
+async fn large_value_of_a_key_other_than_the_configuration_is_not_kept() {
+    let large = "e30x".repeat(20_000);
+    let item = |key| format!(r#"{{"key":"{key}","value":"{large}","revision":3}}"#);
+    let (config, listing) = (item("op/config"), item("servers/a"));
+    let body = format!(r#"{{"items":[{config},{listing}],"truncated":false,"current_rev":9}}"#);
+    let store = KvClient::new(answer_once(200, body.leak()));
+    let kvs = store.list(&[""]).await.expect("the page can be read").kvs;
+    let sizes: Vec<_> = kvs.iter().map(|kv| kv.value.as_ref().map(Vec::len)).collect();
+    assert_eq!(sizes, [Some(60_000), Some(0)]);
+}
+
 #[actix_rt::test]
 async fn event_of_a_key_that_is_not_followed_is_left_out() {
     let body = r#"{"events":[{"key":"a00%#","value":"e30=","revision":8}],"current_rev":9}"#;
