Keep the lists that are done while another of the same read fails

Since the keys are listed by prefix, a full read was four calls, and one that failed spoiled the other three. A store that admitted three calls at a time (429 for the fourth) was never read: an instance was not ready within 15 s, with one list 1.2 s at most.

Lists that are done are now kept for 5 s, and the next read asks for the others alone. The position is still the earliest one, so the next watch returns what changed since a kept list was read. A list that says that more follows an empty page is no longer taken for complete. keys_are_listed_though_the_store_refuses_some_calls and list_that_ends_with_an_empty_page_though_more_follows_is_not_complete failed before.

--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -12,7 +12,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use futures_util::future::try_join_all;
+use futures_util::future::join_all;
 use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
@@ -37,6 +37,8 @@
 const MAX_VALUE_BYTES: usize = 64 << 10;
 /// Size of all values that one read keeps, in base64, other than a configuration.
 const MAX_VALUES_BYTES: usize = 16 << 20;
+/// Time for which a list is kept while others of the same read fail.
+const KEPT_TIME: Duration = Duration::from_secs(5);
 
 /// Path of the call that lists keys.
 const RANGE_PATH: &str = "kv-range";
@@ -53,10 +55,18 @@
 
 impl fmt::Display for CallFailure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "call={:?} failure={:?}", shorten(&self.target), self.why)
+        write!(f, "failure={:?} call={:?}", shorten(&self.why), shorten(&self.target))
     }
 }
 
+/// List of the keys with a prefix.
+#[derive(Debug)]
+struct KeptList {
+    prefix: Box<str>,
+    update: StoreUpdate,
+    read_at: Instant,
+}
+
 /// Client of the platform's metadata store.
 #[derive(Clone)]
 pub struct KvClient {
@@ -67,6 +77,8 @@
     /// Time for answers, by those so far that are not stale.
     patience: Rc<RefCell<Patience>>,
     failure: Rc<RefCell<Option<CallFailure>>>,
+    /// Lists that are done while others of the same read have failed.
+    kept: Rc<RefCell<Vec<KeptList>>>,
 }
 
 impl fmt::Debug for KvClient {
@@ -137,7 +149,8 @@
     pub fn new(address: SocketAddr) -> Self {
         let address = Rc::new(Cell::new(address));
         let (config, era) = (ServiceConfig::default(), Rc::default());
-        KvClient { config, address, era, patience: Rc::default(), failure: Rc::default() }
+        let (patience, failure, kept) = Default::default();
+        KvClient { config, address, era, patience, failure, kept }
     }
 
     /// Returns the target and the reason of the last call that failed, for the log; empty if there is none.
@@ -145,16 +158,29 @@
         self.failure.borrow().as_ref().map(CallFailure::to_string).unwrap_or_default()
     }
 
-    /// Records why a call failed; returns `e`.
-    fn fail(&self, target: &str, why: impl Display, e: StoreError) -> StoreError {
-        *self.failure.borrow_mut() =
-            Some(CallFailure { target: target.into(), why: why.to_string() });
+    /// Records and counts that a call failed, with the label `why` in the metrics; returns `e`.
+    fn fail(
+        &self,
+        target: &str,
+        why: impl Into<metrics::SharedString>,
+        reason: impl Display,
+        e: StoreError,
+    ) -> StoreError {
+        metrics::counter!("store_failures_total", "why" => why.into()).increment(1);
+        let why = reason.to_string();
+        *self.failure.borrow_mut() = Some(CallFailure { target: target.into(), why });
         e
     }
 
+    /// Records that a call got this status; returns `e`.
+    fn fail_status(&self, target: &str, status: u16, e: StoreError) -> StoreError {
+        self.fail(target, status.to_string(), format_args!("status {status}"), e)
+    }
+
     /// Sends all further calls to another address of the store.
     pub fn set_address(&self, address: SocketAddr) {
         self.address.set(address);
+        self.kept.borrow_mut().clear();
     }
 
     /// Takes an era for the newest one, after it was found that a newer one was wrong.
@@ -202,27 +228,48 @@
         let (named, era) = (listed.at.era, again.at.era);
         if era != named {
             let why = format!("the store named era {named} and then {era}");
-            return Err(self.fail(RANGE_PATH, why, StoreError::Malformed));
+            return Err(self.fail(RANGE_PATH, "era", why, StoreError::Malformed));
         }
         self.era.set(era);
         Ok(again)
     }
 
+    /// Lists keys. If some of the lists fail, the others are kept for the next read: a store that admits
+    /// few calls at a time would otherwise never be read.
     async fn list_once(
         &self,
         prefixes: &[&str],
         wait: Duration,
     ) -> Result<StoreUpdate, StoreError> {
+        let now = clock::now();
+        // A read of one list leaves those that another read keeps.
+        let mut lists = if prefixes.len() > 1 { self.kept.take() } else { Vec::new() };
+        lists.retain(|list| now < list.read_at + KEPT_TIME && prefixes.contains(&&*list.prefix));
+        let is_due = |prefix: &&&str| lists.iter().all(|list| *list.prefix != ***prefix);
+        let due: Vec<&str> = prefixes.iter().filter(is_due).copied().collect();
+        let mut failure = None;
         let room = Cell::new(MAX_VALUES_BYTES);
-        let lists = prefixes.iter().map(|prefix| self.list_prefix(prefix, wait, &room));
-        let lists = try_join_all(lists).await?;
+        for read in
+            join_all(due.into_iter().map(|prefix| self.list_prefix(prefix, wait, &room))).await
+        {
+            match read {
+                Ok(list) => lists.push(list),
+                Err(e) => failure = Some(e),
+            }
+        }
+        if let Some(e) = failure {
+            if prefixes.len() > 1 {
+                *self.kept.borrow_mut() = lists;
+            }
+            return Err(e);
+        }
         // Neither pages nor lists are a snapshot. Continuing from the earliest position makes the next
         // watch return whatever changed while the others were read.
-        let at = lists.iter().map(|list| list.at).min().unwrap_or_default();
-        if lists.iter().any(|list| list.at.era != at.era) {
-            return Err(self.fail(RANGE_PATH, "the era changed", StoreError::Compacted));
+        let at = lists.iter().map(|list| list.update.at).min().unwrap_or_default();
+        if lists.iter().any(|list| list.update.at.era != at.era) {
+            return Err(self.fail(RANGE_PATH, "era", "the era changed", StoreError::Compacted));
         }
-        let kvs = lists.into_iter().flat_map(|list| list.kvs).collect();
+        let kvs = lists.into_iter().flat_map(|list| list.update.kvs).collect();
         Ok(StoreUpdate { kvs, at })
     }
 
@@ -231,7 +278,8 @@
         prefix: &str,
         wait: Duration,
         room: &Cell<usize>,
-    ) -> Result<StoreUpdate, StoreError> {
+    ) -> Result<KeptList, StoreError> {
+        let read_at = clock::now();
         let mut path = range_path(prefix, None);
         let (era, mut page): (Era, RangeResponse) = self.get_json(&path, wait).await?;
         let at = Position::new(era, page.current_rev);
@@ -239,23 +287,24 @@
         for _ in 0..MAX_PAGES {
             let known = kvs.len();
             kvs.extend(read_items(&page.items, page.current_rev, room));
-            if !page.truncated || page.items.is_empty() {
-                return Ok(StoreUpdate { kvs, at });
+            if !page.truncated {
+                let update = StoreUpdate { kvs, at };
+                return Ok(KeptList { prefix: prefix.into(), update, read_at });
             }
             let end = kvs[known..].last().map(|kv| kv.key.clone());
             if end.is_none() || end == last {
                 let why = "a page ends with no key, or where the one before it did";
-                return Err(self.fail(&path, why, StoreError::Malformed));
+                return Err(self.fail(&path, "malformed", why, StoreError::Malformed));
             }
             path = range_path(prefix, end.as_deref());
             last = end;
             let next;
             (next, page) = self.get_json(&path, wait).await?;
             if next != era {
-                return Err(self.fail(&path, "the era changed", StoreError::Compacted));
+                return Err(self.fail(&path, "era", "the era changed", StoreError::Compacted));
             }
         }
-        Err(self.fail(&path, "too many pages", StoreError::TooLarge))
+        Err(self.fail(&path, "pages", "too many pages", StoreError::TooLarge))
     }
 
     /// Reads a JSON document that the store has at once; returns it with the era in which it was read.
@@ -287,14 +336,12 @@
             200 => {
                 // A key of other bytes than UTF-8 is no reason to lose the others.
                 let body = String::from_utf8_lossy(&body);
-                let value = serde_json::from_str(&body).map_err(|e| {
-                    count_failure("malformed");
-                    self.fail(path, e, StoreError::Malformed)
-                })?;
+                let value = serde_json::from_str(&body)
+                    .map_err(|e| self.fail(path, "malformed", e, StoreError::Malformed))?;
                 Ok((self.read_era(&head), value))
             }
-            410 => Err(self.fail(path, "status 410", StoreError::Compacted)),
-            status => Err(self.fail(path, format_args!("status {status}"), StoreError::Refused)),
+            410 => Err(self.fail_status(path, 410, StoreError::Compacted)),
+            status => Err(self.fail_status(path, status, StoreError::Refused)),
         }
     }
 
@@ -309,9 +356,11 @@
         let (head, body) = self.call(Method::POST, path, body.into(), limit).await?;
         self.record_answer(sent, Duration::ZERO);
         match head.status.as_u16() {
-            200 => serde_json::from_slice(&body).map(Some).map_err(|_| StoreError::Lost),
+            200 => serde_json::from_slice(&body)
+                .map(Some)
+                .map_err(|e| self.fail(path, "malformed", e, StoreError::Lost)),
             404 => Ok(None),
-            status => Err(classify_status(status)),
+            status => Err(self.fail_status(path, status, classify_status(status))),
         }
     }
 
@@ -328,32 +377,19 @@
         let content = (!body.is_empty()).then_some("application/json");
         let head = h1::request_head(address, method, &format!("/{path}"), content);
         let head = head.ok_or_else(|| {
-            count_failure("invalid-target");
-            self.fail(path, "invalid target", StoreError::Unreached)
+            self.fail(path, "invalid-target", "invalid target", StoreError::Unreached)
         })?;
         let limits = CallLimits { connect: CONNECT_TIMEOUT, wait, max_body: MAX_RESPONSE_BYTES };
         let called = h1::fetch(address, &limits, &self.config, head, body).await;
-        let (head, body) = called.map_err(|e| {
+        called.map_err(|e| {
             if matches!(e, FetchError::Slow) {
                 self.patience.borrow_mut().record_timeout(wait);
             }
-            count_failure(failure_label(&e));
-            self.fail(path, &e, classify_error(&e))
-        })?;
-        let status = head.status.as_u16();
-        // Writes and readiness checks of the store ask for keys and leases that may not exist.
-        if status != 200 && (status != 404 || path.starts_with(RANGE_PATH)) {
-            count_failure(status.to_string());
-        }
-        Ok((head, body))
+            self.fail(path, failure_label(&e), &e, classify_error(&e))
+        })
     }
 }
 
-/// Counts a call to the store without a usable answer, by its reason.
-fn count_failure(why: impl Into<metrics::SharedString>) {
-    metrics::counter!("store_failures_total", "why" => why.into()).increment(1);
-}
-
 fn failure_label(e: &FetchError) -> &'static str {
     match e {
         FetchError::Unsent(_) => "unreached",
@@ -445,7 +481,7 @@
         match head.status.as_u16() {
             // A missing key also shows that the store is reachable.
             200 | 404 => Ok(()),
-            status => Err(self.fail(&path, format_args!("status {status}"), StoreError::Refused)),
+            status => Err(self.fail_status(&path, status, StoreError::Refused)),
         }
     }
 
--- a/tests/store_outcomes.rs
+++ b/tests/store_outcomes.rs
@@ -207,3 +207,41 @@
     let update = update.expect("the events can be read");
     assert_eq!((update.kvs.len(), update.at.revision), (0, 9));
 }
+
+/// Answers each call with an empty page, but refuses the last of as many; returns the address.
+fn refuse_each(calls: usize) -> SocketAddr {
+    const PAGE: &str = r#"{"items":[],"truncated":false,"current_rev":2}"#;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let mut request = [0; 4096];
+        for n in 1.. {
+            let (mut io, _) = listener.accept().unwrap();
+            let _ = io.read(&mut request);
+            let status = if n % calls == 0 { 429 } else { 200 };
+            let length = PAGE.len();
+            let head = format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n\r\n");
+            let _ = io.write_all((head + PAGE).as_bytes());
+        }
+    });
+    address
+}
+
+#[rstest]
+#[actix_rt::test]
+async fn keys_are_listed_though_the_store_refuses_some_calls(#[values(2, 3, 4, 5)] calls: usize) {
+    let store = KvClient::new(refuse_each(calls));
+    let mut tries = 0;
+    while store.list(&["gateways/", "op/", "quarantine/", "servers/"]).await.is_err() {
+        tries += 1;
+        assert!(tries < 20, "not listed in {tries} tries");
+    }
+}
+
+#[actix_rt::test]
+async fn list_that_ends_with_an_empty_page_though_more_follows_is_not_complete() {
+    const PAGE: &str = r#"{"items":[],"truncated":true,"current_rev":2}"#;
+    let store = KvClient::new(repeat_page(PAGE));
+    let read = store.list(&["servers/"]).await;
+    assert!(read.is_err(), "{read:?}");
+}
