Keep the entries of the system beside large values of others

A value under a key of others was decoded and named in the log with each write. An odd item got the revision of its response, so that a sound change of the same key right after it was dropped. A configuration that could not be read in a watch was passed over until the next one.

The largest values of a list are now left out first, down to 4 MiB. Items of other keys are dropped before their values are looked at, and four lines a response name what was skipped. An item keeps its own revision. After a configuration that cannot be read, all keys are read again.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -187,6 +187,11 @@
     }
     update.kvs.iter().for_each(|kv| apply_kv(gw, kv, update.at, may_expire));
     gw.store_position.borrow_mut().set(newest);
+    let config = update.kvs.iter().rev().find(|kv| &*kv.key == platform::CONFIG_KEY);
+    if config.is_some_and(|kv| kv.value.as_ref().is_some_and(Vec::is_empty)) {
+        // It could not be read, and no later change would show it.
+        gw.store_position.borrow_mut().reset();
+    }
     Ok(())
 }
 
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -15,8 +15,10 @@
 use futures_util::future::join_all;
 use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use serde_json::value::RawValue;
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::fmt::{self, Display};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -35,8 +37,11 @@
 const MAX_PAGES: usize = 200;
 /// Largest value that is kept, in base64, other than a configuration.
 const MAX_VALUE_BYTES: usize = 64 << 10;
-/// Size of all values that one read keeps, in base64, other than a configuration.
-const MAX_VALUES_BYTES: usize = 16 << 20;
+/// Size of all values of a list that are kept, other than a configuration. The largest ones are left
+/// out, as the entries of the system and of endpoints are small.
+const MAX_VALUES_BYTES: usize = 4 << 20;
+/// Most values of a response that are named in the log as left out.
+const MAX_LOGGED_VALUES: usize = 4;
 /// Time for which a list is kept while others of the same read fail.
 const KEPT_TIME: Duration = Duration::from_secs(5);
 
@@ -91,6 +96,8 @@
 #[derive(Debug, Deserialize)]
 struct ItemKey {
     key: Box<str>,
+    #[serde(default)]
+    revision: Option<Value>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -248,10 +255,7 @@
         let is_due = |prefix: &&&str| lists.iter().all(|list| *list.prefix != ***prefix);
         let due: Vec<&str> = prefixes.iter().filter(is_due).copied().collect();
         let mut failure = None;
-        let room = Cell::new(MAX_VALUES_BYTES);
-        for read in
-            join_all(due.into_iter().map(|prefix| self.list_prefix(prefix, wait, &room))).await
-        {
+        for read in join_all(due.into_iter().map(|prefix| self.list_prefix(prefix, wait))).await {
             match read {
                 Ok(list) => lists.push(list),
                 Err(e) => failure = Some(e),
@@ -273,12 +277,7 @@
         Ok(StoreUpdate { kvs, at })
     }
 
-    async fn list_prefix(
-        &self,
-        prefix: &str,
-        wait: Duration,
-        room: &Cell<usize>,
-    ) -> Result<KeptList, StoreError> {
+    async fn list_prefix(&self, prefix: &str, wait: Duration) -> Result<KeptList, StoreError> {
         let read_at = clock::now();
         let mut path = range_path(prefix, None);
         let (era, mut page): (Era, RangeResponse) = self.get_json(&path, wait).await?;
@@ -286,7 +285,8 @@
         let (mut kvs, mut last) = (Vec::new(), None);
         for _ in 0..MAX_PAGES {
             let known = kvs.len();
-            kvs.extend(read_items(&page.items, page.current_rev, room));
+            kvs.extend(read_items(&page.items, &[prefix]));
+            drop_largest(&mut kvs);
             if !page.truncated {
                 let update = StoreUpdate { kvs, at };
                 return Ok(KeptList { prefix: prefix.into(), update, read_at });
@@ -422,52 +422,93 @@
     format!("{RANGE_PATH}?prefix={}{after}", query_value(prefix))
 }
 
-/// Reads the items of a response at the revision `at`; those without a key are left out.
-fn read_items(
-    items: &[Box<RawValue>],
-    at: u64,
-    room: &Cell<usize>,
-) -> impl Iterator<Item = KeyValue> {
-    items.iter().filter_map(move |item| read_item(item.get(), at, room))
+/// Logs what could not be read of a response, up to a number of lines.
+#[derive(Debug, Default)]
+struct SkipLog {
+    lines: usize,
+}
+
+impl SkipLog {
+    fn add(&mut self, what: fmt::Arguments<'_>) {
+        if self.lines < MAX_LOGGED_VALUES {
+            log::warn!("{what}");
+        }
+        self.lines += 1;
+    }
+}
+
+impl Drop for SkipLog {
+    fn drop(&mut self) {
+        if let Some(more) = self.lines.checked_sub(MAX_LOGGED_VALUES).filter(|more| *more > 0) {
+            log::warn!("skipped {more} more values of the response");
+        }
+    }
+}
+
+/// Reads the items of a response with one of the prefixes; those without a key are left out.
+fn read_items(items: &[Box<RawValue>], prefixes: &[&str]) -> Vec<KeyValue> {
+    let mut skipped = SkipLog::default();
+    items.iter().filter_map(|item| read_item(item.get(), prefixes, &mut skipped)).collect()
 }
 
 /// Reads an item. One without a value that can be read has an empty one: its key exists.
-fn read_item(text: &str, at: u64, room: &Cell<usize>) -> Option<KeyValue> {
+fn read_item(text: &str, prefixes: &[&str], skipped: &mut SkipLog) -> Option<KeyValue> {
+    let is_asked = |key: &str| prefixes.iter().any(|prefix| key.starts_with(prefix));
     let e = match serde_json::from_str::<Item>(text) {
-        Ok(item) => return Some(decode_item(item, room)),
+        Ok(item) => return is_asked(&item.key).then(|| decode_item(item, skipped)),
         Err(e) => e,
     };
-    let Ok(ItemKey { key }) = serde_json::from_str(text) else {
-        log::warn!("skipped an item of the store without a key: {e}");
+    let Ok(ItemKey { key, revision }) = serde_json::from_str(text) else {
+        skipped.add(format_args!("skipped an item of the store without a key: {e}"));
         return None;
     };
-    log::warn!("the item {:?} of the store cannot be read: {e}", shorten(&key));
-    Some(KeyValue { key, value: Some(Vec::new()), revision: at })
+    if !is_asked(&key) {
+        return None;
+    }
+    skipped.add(format_args!("the item {:?} of the store cannot be read: {e}", shorten(&key)));
+    // Without a revision, it is older than any change of the key.
+    let revision = revision.as_ref().and_then(Value::as_u64).unwrap_or_default();
+    Some(KeyValue { key, value: Some(Vec::new()), revision })
 }
 
-fn decode_item(item: Item, room: &Cell<usize>) -> KeyValue {
+fn decode_item(item: Item, skipped: &mut SkipLog) -> KeyValue {
     let Item { key, value, revision, tombstone } = item;
     let value = value.filter(|_| !tombstone);
-    let value = value.map(|v| decode_value(&key, revision, &v, room).unwrap_or_default());
+    let value = value.map(|v| decode_value(&key, revision, &v, skipped).unwrap_or_default());
     KeyValue { key, value, revision }
 }
 
 /// Decodes a value; `None` if it is no base64 or larger than any that is read.
-fn decode_value(key: &str, revision: u64, value: &str, room: &Cell<usize>) -> Option<Vec<u8>> {
+fn decode_value(key: &str, revision: u64, value: &str, skipped: &mut SkipLog) -> Option<Vec<u8>> {
     let key = shorten(key);
-    if key != CONFIG_KEY {
-        let left = room.get().checked_sub(value.len()).filter(|_| value.len() <= MAX_VALUE_BYTES);
-        let Some(left) = left else {
-            let size = value.len();
-            log::warn!("skipped the value of {key:?} at revision {revision}: {size} bytes");
-            return None;
-        };
-        room.set(left);
+    let what = format!("skipped the value of {key:?} at revision {revision}");
+    if key != CONFIG_KEY && value.len() > MAX_VALUE_BYTES {
+        skipped.add(format_args!("{what}: {} bytes", value.len()));
+        return None;
+    }
+    let decoded = STANDARD.decode(value);
+    decoded.inspect_err(|e| skipped.add(format_args!("{what}, which is not base64: {e}"))).ok()
+}
+
+/// Empties the largest values of a list until the others fit into [`MAX_VALUES_BYTES`].
+fn drop_largest(kvs: &mut [KeyValue]) {
+    let size = |kv: &KeyValue| kv.value.as_ref().map_or(0, Vec::len);
+    let is_bounded = |kv: &&mut KeyValue| &*kv.key != CONFIG_KEY;
+    let mut sum: usize = kvs.iter().filter(|kv| &*kv.key != CONFIG_KEY).map(size).sum();
+    if sum <= MAX_VALUES_BYTES {
+        return;
+    }
+    let mut bounded: Vec<&mut KeyValue> = kvs.iter_mut().filter(is_bounded).collect();
+    bounded.sort_by_key(|kv| Reverse(size(kv)));
+    let mut skipped = SkipLog::default();
+    for kv in bounded {
+        if sum <= MAX_VALUES_BYTES {
+            break;
+        }
+        sum -= size(kv);
+        skipped.add(format_args!("skipped the value of {:?}: no room", shorten(&kv.key)));
+        kv.value = Some(Vec::new());
     }
-    let decoded = STANDARD.decode(value).inspect_err(|e| {
-        log::warn!("skipped the value of {key:?} at revision {revision}, which is not base64: {e}");
-    });
-    decoded.ok()
 }
 
 impl ChangeFeed for KvClient {
@@ -500,10 +541,7 @@
         if changes.events.is_empty() {
             self.record_answer(sent, wait);
         }
-        let room = Cell::new(MAX_VALUES_BYTES);
-        let is_asked = |kv: &KeyValue| prefixes.iter().any(|prefix| kv.key.starts_with(prefix));
-        let kvs =
-            read_items(&changes.events, changes.current_rev, &room).filter(is_asked).collect();
+        let kvs = read_items(&changes.events, prefixes);
         Ok(StoreUpdate { kvs, at: Position::new(era, changes.current_rev) })
     }
 }
--- a/tests/store_outcomes.rs
+++ b/tests/store_outcomes.rs
@@ -208,6 +208,20 @@
     assert_eq!((update.kvs.len(), update.at.revision), (0, 9));
 }
 
+#[rstest]
+#[case::odd_value(r#"{"key":"servers/a","value":{},"revision":11}"#)]
+#[case::no_revision(r#"{"key":"servers/a","value":"e30="}"#)]
+#[actix_rt::test]
+async fn change_behind_one_that_cannot_be_read_is_the_newer_one(#[case] odd: &str) {
+    let gone = r#"{"key":"servers/a","revision":12,"tombstone":true}"#;
+    let body = format!(r#"{{"events":[{odd},{gone}],"current_rev":15}}"#);
+    let store = KvClient::new(answer_once(200, body.leak()));
+    let update = store.watch(&["servers/"], 2, Duration::ZERO).await.expect("can be read");
+    let revisions: Vec<_> = update.kvs.iter().map(|kv| kv.revision).collect();
+    // An instance drops a change of a key that is not newer than the one before.
+    assert!(revisions.is_sorted_by(|a, b| a < b), "{revisions:?}");
+}
+
 /// Answers each call with an empty page, but refuses the last of as many; returns the address.
 fn refuse_each(calls: usize) -> SocketAddr {
     const PAGE: &str = r#"{"items":[],"truncated":false,"current_rev":2}"#;
