Use names of the platform as its operators choose them

The names of services, tenants, zones and nodes were read as those of the product's own configuration: up to 64 lower-case letters, digits, dots, underscores and hyphens. The platform sets no such limit. Callers of a tenant called "Acme/EU" got 401, since none of its keys was read. A service called "Plain:v2" had no endpoints, and its route answered 503. An instance on a node with such a name never served, as its settings could not be used, and its peers passed over its registration without a line.

Each of these is now any 200 visible ASCII characters, like the ids of endpoints and requests. They fit a header, a key of the store and a log line. A blank is still refused, as keys_that_cannot_be_read_admit_nobody requires. The three cases of names_that_operators_choose_are_used_as_they_are and names_of_upper_case_and_punctuation_are_served failed before, the latter since the process did not listen.

--- a/src/gateway/evacuation.rs
+++ b/src/gateway/evacuation.rs
@@ -57,7 +57,7 @@
 
 fn parse(kv: &KeyValue, era: Era) -> Option<Evacuation> {
     let name = kv.key.strip_prefix(platform::EVACUATIONS_PREFIX)?;
-    let centre: DataCentre = match name.parse() {
+    let centre = match DataCentre::from_label(name) {
         Ok(centre) => centre,
         Err(e) => {
             log::warn!("ignored evacuation of {name:?}, not the name of a data centre: {e}");
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -122,7 +122,9 @@
 /// Adds, updates or removes a peer after a change of its registration.
 pub fn update_peer(gw: &Rc<Gateway>, kv: &KeyValue) {
     let Some(name) = kv.key.strip_prefix(KEY_PREFIX) else { return };
-    let Ok(instance) = name.parse::<InstanceId>() else { return };
+    let Ok(instance) = InstanceId::from_label(name) else {
+        return log::warn!("ignored registration of {name:?}, not the name of an instance");
+    };
     if instance == gw.settings.borrow().instance {
         if kv.value.is_none() {
             record_lost(gw);
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -71,6 +71,15 @@
             pub fn as_str(&self) -> &str {
                 &self.0
             }
+
+            /// Parses an identifier that another system chose, of any visible ASCII characters.
+            ///
+            /// # Errors
+            ///
+            /// Returns [`IdError`] if the length or a character is not allowed.
+            pub fn from_label(s: &str) -> Result<Self, IdError> {
+                parse_label(s).map($name)
+            }
         }
 
         impl fmt::Display for $name {
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -5,7 +5,7 @@
 
 use super::fields::{self, Fields};
 use crate::h1::RequestLimits;
-use crate::id::Tokens;
+use crate::id::{ServiceName, Tokens, Workspace};
 use crate::limit::{Rate, Stated};
 use crate::route::{
     Engine, KeyOwner, Route, RouteKind, Service, Table, TableFault, TableVersion, Urgency,
@@ -94,7 +94,7 @@
     let services = fields::entries(text.services, "services", &mut faults);
     for (ix, s) in services.ok_or(ConfigError::List("services"))?.iter().enumerate() {
         let fields = &mut Fields::new(s, "services", &entry_name(s, ix), &mut faults);
-        if let Some(name) = fields.required("name", fields::parsed) {
+        if let Some(name) = fields.required("name", service_name) {
             table.services.insert(name, Rc::new(parse_service(fields)));
         }
     }
@@ -119,7 +119,9 @@
     };
     for (ix, t) in tenants.iter().enumerate() {
         let fields = &mut Fields::new(t, "tenants", &entry_name(t, ix), faults);
-        let Some(workspace) = fields.required("name", fields::parsed) else { continue };
+        let Some(workspace) = fields.required("name", fields::name(Workspace::from_label)) else {
+            continue;
+        };
         let urgency = fields.optional("priority", fields::whole).map(Urgency);
         let key_owner = Rc::new(KeyOwner { workspace, urgency });
         for key in fields.optional("api_keys", Value::as_array).into_iter().flatten() {
@@ -185,7 +187,7 @@
 fn parse_shares(r: &mut Fields<'_>) -> Vec<WeightedService> {
     let split = r.value("traffic_split");
     if split.is_none_or(|s| s.as_array().is_some_and(Vec::is_empty)) {
-        let service = r.optional("service", fields::parsed);
+        let service = r.optional("service", service_name);
         return service.map(|service| WeightedService { service, weight: 1 }).into_iter().collect();
     }
     let mut shares = Vec::new();
@@ -198,8 +200,12 @@
     shares
 }
 
+fn service_name(value: &Value) -> Option<ServiceName> {
+    fields::name(ServiceName::from_label)(value)
+}
+
 fn parse_share(share: &Value) -> Option<WeightedService> {
-    let service = fields::parsed(share.get("service")?)?;
+    let service = service_name(share.get("service")?)?;
     Some(WeightedService { service, weight: fields::whole(share.get("weight")?)? })
 }
 
--- a/src/platform/fields.rs
+++ b/src/platform/fields.rs
@@ -1,6 +1,7 @@
 //! Reads JSON objects of which single fields may be missing or of another type.
 
 use super::time;
+use crate::id::IdError;
 use crate::route::TableFault;
 use serde_json::value::RawValue;
 use serde_json::{Map, Value};
@@ -106,7 +107,7 @@
     value.as_f64().and_then(time::millis)
 }
 
-/// Returns a value that is read from text, such as a name.
-pub fn parsed<T: std::str::FromStr>(value: &Value) -> Option<T> {
-    value.as_str()?.parse().ok()
+/// Returns a name that the operators chose.
+pub fn name<T>(parse: impl Fn(&str) -> Result<T, IdError>) -> impl Fn(&Value) -> Option<T> {
+    move |value| parse(value.as_str()?).ok()
 }
--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -1,6 +1,6 @@
 //! Endpoint entries in the store, which the platform calls servers.
 
-use crate::id::EndpointId;
+use crate::id::{DataCentre, EndpointId, ServiceName};
 use crate::pool::Listing;
 use serde::Deserialize;
 use std::time::Duration;
@@ -48,9 +48,9 @@
     };
     Some(Listing {
         id,
-        service: e.service.parse().ok()?,
+        service: ServiceName::from_label(e.service).ok()?,
         address: e.address.parse().ok()?,
-        centre: e.zone.parse().ok()?,
+        centre: DataCentre::from_label(e.zone).ok()?,
         slots: e.slots,
         leaving,
         warmup: parse_cold_time(e.cold_remaining_ms),
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -201,7 +201,8 @@
         let max_fds = self.limit("limits.max_fds");
         let max_sockets = max_fds.map(|n| n.saturating_sub(RESERVED_FDS));
         let default_sockets = DEFAULT_MAX_FDS - RESERVED_FDS;
-        let (instance, centre) = (self.required("node"), self.required("zone"));
+        let instance = self.required_as("node", |s| InstanceId::from_label(s).ok());
+        let centre = self.required_as("zone", |s| DataCentre::from_label(s).ok());
         let caller_address = self.optional("listen.front");
         let probe_address = self.optional("listen.ready");
         let peer_address = self.peer_address();
@@ -238,8 +239,16 @@
     }
 
     fn optional<T: FromStr>(&mut self, name: &'static str) -> Option<T> {
+        self.optional_as(name, |value| value.parse().ok())
+    }
+
+    fn optional_as<T>(
+        &mut self,
+        name: &'static str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
         let value = self.get(name)?;
-        let parsed = value.parse().ok();
+        let parsed = parse(value);
         if parsed.is_none() {
             self.add_invalid(name, value);
         }
@@ -247,10 +256,18 @@
     }
 
     fn required<T: FromStr>(&mut self, name: &'static str) -> Option<T> {
+        self.required_as(name, |value| value.parse().ok())
+    }
+
+    fn required_as<T>(
+        &mut self,
+        name: &'static str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
         if self.get(name).is_none() {
             self.faults.push(SettingsError::Missing(name));
         }
-        self.optional(name)
+        self.optional_as(name, parse)
     }
 
     /// Returns a limit: a positive number, of which the fraction is dropped.
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -23,6 +23,7 @@
 mod limits;
 mod links;
 mod memory;
+mod odd_items;
 mod odd_numbers;
 mod odd_reports;
 mod outages;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -24,6 +24,7 @@
 mod notices;
 mod odd_bytes;
 mod odd_config;
+mod odd_items;
 mod odd_messages;
 mod panics;
 mod polls;
