Read the parts of a configuration apart from each other

One value that the JSON parser refuses spoiled all around it: a number out of range, a surrogate without its pair, as encoders write a text that was cut within a character, or deep nesting. In a route, it removed the route, and its requests got to that of a shorter prefix or 404. In a list of API keys, all callers of the tenant got 401. In the limits or the version, the whole configuration was refused, and an instance that started was never ready.

Where a value cannot be parsed, its members are now parsed for themselves, down to three levels, so that deep nesting costs no stack. What cannot be read is an empty object, which no field accepts, so it is a fault with a default and is named in the log. The four cases of part_of_a_route_that_cannot_be_read_leaves_the_route, the two of limit_that_cannot_be_read_leaves_the_configuration and key_that_cannot_be_read_leaves_the_other_keys_of_its_workspace failed before.

--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -30,13 +30,14 @@
 
 #[derive(Debug, Deserialize)]
 struct ConfigText<'a> {
-    version: Value,
+    #[serde(borrow)]
+    version: &'a RawValue,
     #[serde(default, borrow, deserialize_with = "read_null")]
     routes: Option<&'a RawValue>,
     #[serde(default, borrow, deserialize_with = "read_null")]
     services: Option<&'a RawValue>,
-    #[serde(default)]
-    limits: Option<Value>,
+    #[serde(default, borrow)]
+    limits: Option<&'a RawValue>,
     /// Workspaces; if the field is absent, no request needs an API key.
     #[serde(default, borrow, deserialize_with = "read_null")]
     tenants: Option<&'a RawValue>,
@@ -80,8 +81,8 @@
 /// Returns [`ConfigError`] if the text as a whole is not a configuration.
 pub fn parse_table(value: &[u8]) -> Result<Table, ConfigError> {
     let text: ConfigText<'_> = serde_json::from_slice(value).map_err(ConfigError::Syntax)?;
-    let version = fields::whole(&text.version);
-    let version = version.ok_or_else(|| ConfigError::Version(text.version.to_string().into()))?;
+    let version = fields::whole(&fields::read_parts(text.version));
+    let version = version.ok_or_else(|| ConfigError::Version(text.version.get().into()))?;
     let mut table = Table { version: TableVersion(version), ..Table::default() };
     let mut faults = Vec::new();
     let routes = fields::entries(text.routes, "routes", &mut faults);
@@ -99,8 +100,8 @@
         }
     }
     add_tenants(&mut table, text.tenants, &mut faults);
-    if let Some(limits) = &text.limits {
-        table.limits = parse_limits(limits, &mut faults);
+    if let Some(limits) = text.limits {
+        table.limits = parse_limits(&fields::read_parts(limits), &mut faults);
     }
     table.faults = faults;
     Ok(table)
--- a/src/platform/fields.rs
+++ b/src/platform/fields.rs
@@ -5,11 +5,36 @@
 use crate::route::TableFault;
 use serde_json::value::RawValue;
 use serde_json::{Map, Value};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Number up to which each whole one has a float of its own.
 const MAX_WHOLE_FLOAT: f64 = 9_007_199_254_740_992.0;
 
+/// Levels of lists and objects in an entry of which the parts that can be read are kept.
+const MAX_DEPTH: usize = 3;
+
+/// Reads a value. Parts of it that cannot be read, such as a number that no float holds, become empty
+/// objects, which no field of the platform is.
+pub fn read_parts(text: &RawValue) -> Value {
+    read_level(text.get(), MAX_DEPTH)
+}
+
+fn read_level(text: &str, depth: usize) -> Value {
+    match serde_json::from_str(text) {
+        Ok(value) => return value,
+        Err(_) if depth == 0 => return Value::Object(Map::new()),
+        Err(_) => {}
+    }
+    let depth = depth - 1;
+    if let Ok(list) = serde_json::from_str::<Vec<&RawValue>>(text) {
+        return list.into_iter().map(|part| read_level(part.get(), depth)).collect();
+    }
+    let object = serde_json::from_str::<BTreeMap<String, &RawValue>>(text).unwrap_or_default();
+    let fields = object.into_iter().map(|(name, part)| (name, read_level(part.get(), depth)));
+    Value::Object(fields.collect())
+}
+
 /// Reads the entries of a list; `None` if it is none. Entries that are no objects are faults.
 pub fn entries(
     list: Option<&RawValue>,
@@ -20,9 +45,9 @@
     let all: Vec<&RawValue> = serde_json::from_str(list.get()).ok()?;
     let mut read = Vec::new();
     for (ix, entry) in all.into_iter().enumerate() {
-        match serde_json::from_str(entry.get()) {
-            Ok(object) => read.push(object),
-            Err(_) => {
+        match read_parts(entry) {
+            Value::Object(object) if entry.get().starts_with('{') => read.push(object),
+            _ => {
                 faults.push(TableFault { place, entry: ix.to_string().into(), field: "" });
             }
         }
--- a/tests/decisions/odd_items.rs
+++ b/tests/decisions/odd_items.rs
@@ -3,7 +3,8 @@
 use rstest::rstest;
 use skylarkthread::platform::{GatewaySettings, parse_listing, parse_table};
 use skylarkthread::pool::Listing;
-use skylarkthread::route::Table;
+use skylarkthread::route::{RouteKind, Table};
+use std::time::Duration;
 
 const SETTINGS: &str = include_str!("../data/platform/settings.conf");
 
@@ -42,3 +43,41 @@
     let settings = GatewaySettings::parse(&text).expect("the settings are sound");
     assert_eq!(settings.instance.as_str(), name);
 }
+
+#[rstest]
+#[case::half_an_emoji(r#""name":"\ud83d""#, 0)]
+#[case::half_an_emoji_in_a_list(r#""tags":["\ud83d"]"#, 0)]
+#[case::time_out_of_range(r#""timeout_ms":1e999"#, 1)]
+#[case::deep(&format!(r#""x":{}{}"#, "[".repeat(100_000), "]".repeat(100_000)), 0)]
+fn part_of_a_route_that_cannot_be_read_leaves_the_route(#[case] odd: &str, #[case] faults: usize) {
+    let table = table_of(&format!(
+        r#"{{"version":1,"routes":[{{"host":"h","prefix":"/","kind":"unsafe","service":"t"}},
+            {{"host":"h","prefix":"/a/","kind":"safe","target_latency_ms":300,{odd},"service":"s"}}]}}"#
+    ));
+    let route = table.find_route("h", "/a/x").expect("there is a route");
+    assert_eq!((&*route.prefix, route.kind), ("/a/", RouteKind::Safe));
+    assert_eq!(route.services.len(), 1);
+    let of_route = table.faults.iter().filter(|f| f.entry.as_ref() != "0");
+    assert!(of_route.clone().count() >= faults, "{:?}", table.faults);
+    assert!(of_route.into_iter().all(|f| !f.field.is_empty()), "{:?}", table.faults);
+}
+
+#[test]
+fn key_that_cannot_be_read_leaves_the_other_keys_of_its_workspace() {
+    let table = table_of(
+        r#"{"version":1,"routes":[{"host":"h","prefix":"/","kind":"safe","service":"s"}],
+            "tenants":[{"name":"a","api_keys":["\ud83d","k"]}]}"#,
+    );
+    assert!(table.authorize("h", "/", Some("k")).is_ok());
+    assert!(table.faults.iter().any(|f| f.field == "api_keys"));
+}
+
+#[rstest]
+#[case::number(r#"{"max_header_bytes":4096,"max_body_bytes":1e999,"idle_timeout_ms":3000}"#)]
+#[case::text(r#"{"max_header_bytes":4096,"max_body_bytes":"\ud83d","idle_timeout_ms":3000}"#)]
+fn limit_that_cannot_be_read_leaves_the_configuration(#[case] limits: &str) {
+    let table = table_of(&format!(r#"{{"version":3,"limits":{limits}}}"#));
+    assert_eq!((table.limits.max_head, table.version.0), (4096, 3));
+    assert_eq!(table.limits.idle_timeout, Duration::from_secs(3));
+    assert!(table.faults.iter().any(|f| f.field == "max_body_bytes"));
+}
