Read entries of endpoints whose text has escapes

An entry was parsed into borrowed text, which fails at the first escape. Encoders differ in what they escape: some write "/" as "\/", others "&" as "\u0026". The endpoint of such an entry was unreadable and got no request, and if all are written so, the service had no endpoints. The text is now copied where it has escapes. listing_with_escaped_text_is_that_of_the_same_text failed before.

--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -3,20 +3,25 @@
 use crate::id::{DataCentre, EndpointId, ServiceName};
 use crate::pool::Listing;
 use serde::Deserialize;
+use std::borrow::Cow;
 use std::time::Duration;
 
 /// Serialized form of an entry. Other writers may use the same prefix, so values that do not have
 /// this form are ignored.
 #[derive(Debug, Deserialize)]
 struct ServerEntry<'a> {
-    service: &'a str,
-    address: &'a str,
+    #[serde(borrow)]
+    service: Cow<'a, str>,
+    #[serde(borrow)]
+    address: Cow<'a, str>,
     /// Data centre of the endpoint.
-    zone: &'a str,
+    #[serde(borrow)]
+    zone: Cow<'a, str>,
     /// Number of requests that run at a time.
     slots: u32,
     /// `ready` or `draining`.
-    state: &'a str,
+    #[serde(borrow)]
+    state: Cow<'a, str>,
     /// Time for which the endpoint is still slow after its start. It accepts requests meanwhile.
     #[serde(default)]
     cold_remaining_ms: f64,
@@ -41,16 +46,16 @@
 pub fn parse_listing(key: &str, value: &[u8]) -> Option<Listing> {
     let id: EndpointId = key.strip_prefix(super::SERVERS_PREFIX)?.parse().ok()?;
     let e: ServerEntry<'_> = serde_json::from_slice(value).ok()?;
-    let leaving = match e.state {
+    let leaving = match &*e.state {
         "ready" => false,
         "draining" => true,
         _ => return None,
     };
     Some(Listing {
         id,
-        service: ServiceName::from_label(e.service).ok()?,
+        service: ServiceName::from_label(&e.service).ok()?,
         address: e.address.parse().ok()?,
-        centre: DataCentre::from_label(e.zone).ok()?,
+        centre: DataCentre::from_label(&e.zone).ok()?,
         slots: e.slots,
         leaving,
         warmup: parse_cold_time(e.cold_remaining_ms),
--- a/tests/decisions/odd_items.rs
+++ b/tests/decisions/odd_items.rs
@@ -81,3 +81,12 @@
     assert_eq!(table.limits.idle_timeout, Duration::from_secs(3));
     assert!(table.faults.iter().any(|f| f.field == "max_body_bytes"));
 }
+
+#[test]
+fn listing_with_escaped_text_is_that_of_the_same_text() {
+    let text = r#""service":"r&d","address":"10.0.0.1:80","zone":"a/b","slots":4"#;
+    let escaped = r#""service":"r\u0026d","address":"10.0.0.1\u003a80","zone":"a\/b","slots":4"#;
+    let known = listing_of(text).map(|l| (l.service, l.address, l.centre));
+    assert!(known.is_some());
+    assert_eq!(listing_of(escaped).map(|l| (l.service, l.address, l.centre)), known);
+}
