Accept whole numbers with a point or an exponent in entries and reports

An entry with such a number of slots or start time was unreadable, and its endpoint got no request; the start time in a report counted as absent, so a restart under the same id went unnoticed. Fractions and text are still refused. Two cases of whole_number_of_a_listing_may_have_a_point and one of start_time_of_a_report_may_have_a_point failed before.

--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -1,7 +1,7 @@
 //! Control calls to engines: their reports, and the transfer of a generation's KV memory.
 
 use super::headers::{cold_time, endpoint_id, states_leaving};
-use super::time;
+use super::{fields, time};
 use crate::h1::{self, Broken, CallLimits, FetchError, SendError};
 use crate::id::{EndpointId, RequestId};
 use crate::net;
@@ -134,7 +134,7 @@
 /// Start time in a report.
 #[derive(Debug, Default, Deserialize)]
 struct StartBody {
-    #[serde(default)]
+    #[serde(default, deserialize_with = "fields::read_optional_whole")]
     born: Option<u64>,
 }
 
--- a/src/platform/fields.rs
+++ b/src/platform/fields.rs
@@ -3,6 +3,8 @@
 use super::time;
 use crate::id::IdError;
 use crate::route::TableFault;
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use serde_json::{Map, Value};
 use std::collections::BTreeMap;
@@ -127,6 +129,20 @@
     number?.try_into().ok()
 }
 
+/// Reads a whole number, as [`whole`] does.
+pub fn read_whole<'de, D: Deserializer<'de>, N: TryFrom<u64>>(from: D) -> Result<N, D::Error> {
+    let number = whole(&Value::deserialize(from)?);
+    number.ok_or_else(|| D::Error::custom("no whole number of its range"))
+}
+
+/// Reads a whole number that may be null.
+pub fn read_optional_whole<'de, D: Deserializer<'de>, N: TryFrom<u64>>(
+    from: D,
+) -> Result<Option<N>, D::Error> {
+    let value: Option<Value> = Deserialize::deserialize(from)?;
+    value.map(read_whole).transpose().map_err(D::Error::custom)
+}
+
 /// Returns a number of milliseconds as a time.
 pub fn millis(value: &Value) -> Option<Duration> {
     value.as_f64().and_then(time::millis)
--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -1,5 +1,6 @@
 //! Endpoint entries in the store, which the platform calls servers.
 
+use super::fields;
 use crate::id::{DataCentre, EndpointId, ServiceName};
 use crate::pool::Listing;
 use serde::Deserialize;
@@ -18,6 +19,7 @@
     #[serde(borrow)]
     zone: Cow<'a, str>,
     /// Number of requests that run at a time.
+    #[serde(deserialize_with = "fields::read_whole")]
     slots: u32,
     /// `ready` or `draining`.
     #[serde(borrow)]
@@ -26,7 +28,7 @@
     #[serde(default)]
     cold_remaining_ms: f64,
     /// Start time in milliseconds since the Unix epoch.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "fields::read_optional_whole")]
     born: Option<u64>,
 }
 
--- a/tests/decisions/odd_items.rs
+++ b/tests/decisions/odd_items.rs
@@ -1,9 +1,14 @@
 //! One odd item of a configuration, a listing, a report or a message costs no more than itself.
 
+use actix_http::ServiceConfig;
 use rstest::rstest;
-use skylarkthread::platform::{GatewaySettings, parse_listing, parse_table};
+use skylarkthread::platform::{
+    GatewaySettings, Identity, Probe, parse_listing, parse_table, probe,
+};
 use skylarkthread::pool::Listing;
 use skylarkthread::route::{RouteKind, Table};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 const SETTINGS: &str = include_str!("../data/platform/settings.conf");
@@ -90,3 +95,47 @@
     assert!(known.is_some());
     assert_eq!(listing_of(escaped).map(|l| (l.service, l.address, l.centre)), known);
 }
+
+#[rstest]
+#[case("8.0", "1796670000000", Some((8, Some(1_796_670_000_000))))]
+#[case("8", "1.79667e12", Some((8, Some(1_796_670_000_000))))]
+#[case("8", "null", Some((8, None)))]
+#[case("8.5", "1", None)]
+#[case("8", "\"1\"", None)]
+fn whole_number_of_a_listing_may_have_a_point(
+    #[case] slots: &str,
+    #[case] born: &str,
+    #[case] want: Option<(u32, Option<u64>)>,
+) {
+    let listing = listing_of(&format!(
+        r#""service":"s","address":"10.0.0.1:80","zone":"z","slots":{slots},"born":{born}"#
+    ));
+    assert_eq!(listing.map(|l| (l.slots, l.started_ms)), want);
+}
+
+/// Answers one request with a body; returns the address of the server.
+fn answer_once(headers: &str, body: &str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the socket is bound");
+    let length = body.len();
+    let answer = format!("HTTP/1.1 200 OK\r\n{headers}content-length: {length}\r\n\r\n{body}");
+    std::thread::spawn(move || {
+        let (mut io, _) = listener.accept().expect("a connection arrives");
+        let _ = io.read(&mut [0; 4096]).expect("a request arrives");
+        io.write_all(answer.as_bytes()).expect("the answer is sent");
+    });
+    address
+}
+
+const WAIT: Duration = Duration::from_secs(5);
+
+#[rstest]
+#[case("1796670000000", Some(1_796_670_000_000))]
+#[case("1.79667e12", Some(1_796_670_000_000))]
+#[case("\"early\"", None)]
+#[actix_rt::test]
+async fn start_time_of_a_report_may_have_a_point(#[case] born: &str, #[case] want: Option<u64>) {
+    let to = answer_once("", &format!(r#"{{"born":{born},"running":1}}"#));
+    let read = probe(to, &Probe::Report, &ServiceConfig::default(), WAIT).await;
+    assert_eq!(read.ok(), Some(Identity { id: None, started_ms: want }));
+}
