Read the fields of a report apart from each other

A state or a remaining time of another type made the whole report of an engine malformed. An instance did not learn then that the engine leaves, while the store could not tell, and the generations there were not moved. The same was lost where the headers state it and the body cannot be read.

Each field is now read for itself. One that cannot be read counts as absent and is named in the log. A body that cannot be read is still no report, unless the headers state that the engine leaves.

--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -2,12 +2,15 @@
 
 use super::headers::{cold_time, endpoint_id, states_leaving};
 use super::{fields, time};
+use crate::event::shorten;
 use crate::h1::{self, Broken, CallLimits, FetchError, SendError};
 use crate::id::{EndpointId, RequestId};
 use crate::net;
 use actix_http::{Method, ResponseHead, ServiceConfig};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use serde_json::value::RawValue;
 use std::fmt;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -87,7 +90,7 @@
 struct CopyResponse {
     /// A string or a number, depending on the engine.
     #[serde(default)]
-    handle: Option<serde_json::Value>,
+    handle: Option<Value>,
 }
 
 /// The state that an engine reports of itself.
@@ -101,14 +104,32 @@
     pub cold: Option<Duration>,
 }
 
-#[derive(Debug, Deserialize)]
-struct ReportBody {
+/// Fields of a report that are used, each to be read for itself.
+#[derive(Debug, Default, Deserialize)]
+struct ReportBody<'a> {
     /// `draining` if the engine is leaving.
-    #[serde(default)]
-    state: Option<Box<str>>,
+    #[serde(default, borrow)]
+    state: Option<&'a RawValue>,
     /// Time until the engine stops; present only if it is leaving.
-    #[serde(default)]
-    leaves_ms: Option<f64>,
+    #[serde(default, borrow)]
+    leaves_ms: Option<&'a RawValue>,
+    /// Start time in milliseconds since the Unix epoch.
+    #[serde(default, borrow)]
+    born: Option<&'a RawValue>,
+}
+
+/// Reads a field of a report; `None` if it is absent or of another type.
+fn read_field<T>(
+    name: &str,
+    field: Option<&RawValue>,
+    read: impl FnOnce(&Value) -> Option<T>,
+) -> Option<T> {
+    let text = field?.get();
+    let found = serde_json::from_str(text).ok().and_then(|value| read(&value));
+    if found.is_none() {
+        log::warn!("ignored {name} of a report, which is {:?}", shorten(text));
+    }
+    found
 }
 
 /// How an endpoint is asked who it is.
@@ -131,13 +152,6 @@
     pub started_ms: Option<u64>,
 }
 
-/// Start time in a report.
-#[derive(Debug, Default, Deserialize)]
-struct StartBody {
-    #[serde(default, deserialize_with = "fields::read_optional_whole")]
-    born: Option<u64>,
-}
-
 async fn send_request(
     to: SocketAddr,
     config: &ServiceConfig,
@@ -188,8 +202,8 @@
 fn parse_handoff(source: SocketAddr, body: &[u8]) -> Option<Handoff> {
     let response: CopyResponse = serde_json::from_slice(body).ok()?;
     let handle = match response.handle? {
-        serde_json::Value::String(s) => Arc::from(s),
-        serde_json::Value::Number(n) => Arc::from(n.to_string()),
+        Value::String(s) => Arc::from(s),
+        Value::Number(n) => Arc::from(n.to_string()),
         _ => return None,
     };
     Some(Handoff { source, handle })
@@ -228,12 +242,15 @@
     let (head, body) = send_request(to, config, Method::GET, path, Bytes::new(), wait).await?;
     // Only a report has a body that says more, and only a success is a report.
     let is_report = matches!(probe, Probe::Report) && head.status.is_success();
-    let start: StartBody = if is_report {
-        serde_json::from_slice(&body).unwrap_or_default()
+    let report: ReportBody<'_> = if is_report {
+        serde_json::from_slice(&body)
+            .inspect_err(|e| log::warn!("the report of {to} cannot be read: {e}"))
+            .unwrap_or_default()
     } else {
-        StartBody::default()
+        ReportBody::default()
     };
-    Ok(Identity { id: endpoint_id(head.headers()), started_ms: start.born })
+    let started_ms = read_field("born", report.born, fields::whole);
+    Ok(Identity { id: endpoint_id(head.headers()), started_ms })
 }
 
 /// Opens a connection, and waits whether it is closed.
@@ -263,12 +280,20 @@
     if !head.status.is_success() {
         return Err(CallError::Malformed);
     }
-    let report: ReportBody = serde_json::from_slice(&body).map_err(|_| CallError::Malformed)?;
+    let is_told = states_leaving(head.headers());
+    let report: ReportBody<'_> = match serde_json::from_slice(&body) {
+        Ok(report) => report,
+        Err(e) if is_told => {
+            log::warn!("the report of {to} cannot be read: {e}");
+            ReportBody::default()
+        }
+        Err(_) => return Err(CallError::Malformed),
+    };
+    let is_draining = read_field("state", report.state, |v| v.as_str().map(|s| s == "draining"));
+    let leaves_ms = read_field("leaves_ms", report.leaves_ms, Value::as_f64);
     Ok(Report {
-        leaving: report.leaves_ms.is_some()
-            || report.state.as_deref() == Some("draining")
-            || states_leaving(head.headers()),
-        leaves_in: report.leaves_ms.and_then(time::millis),
+        leaving: leaves_ms.is_some() || is_draining == Some(true) || is_told,
+        leaves_in: leaves_ms.and_then(time::millis),
         cold: cold_time(head.headers()),
     })
 }
--- a/tests/decisions/odd_items.rs
+++ b/tests/decisions/odd_items.rs
@@ -3,7 +3,7 @@
 use actix_http::ServiceConfig;
 use rstest::rstest;
 use skylarkthread::platform::{
-    GatewaySettings, Identity, Probe, parse_listing, parse_table, probe,
+    GatewaySettings, Identity, Probe, fetch_report, parse_listing, parse_table, probe,
 };
 use skylarkthread::pool::Listing;
 use skylarkthread::route::{RouteKind, Table};
@@ -129,6 +129,25 @@
 
 const WAIT: Duration = Duration::from_secs(5);
 
+#[rstest]
+#[case::sound("", r#"{"state":"draining","leaves_ms":900}"#, Some((true, Some(900))))]
+#[case::state_of_another_type("", r#"{"state":7,"leaves_ms":900}"#, Some((true, Some(900))))]
+#[case::time_of_another_type("", r#"{"state":"draining","leaves_ms":"soon"}"#, Some((true, None)))]
+#[case::time_alone_of_another_type("", r#"{"leaves_ms":"soon"}"#, Some((false, None)))]
+#[case::odd_run("", r#"{"runs":[["\ud83d",1e999]],"state":"draining"}"#, Some((true, None)))]
+#[case::header_alone("server-leaving: 1\r\n", "<html>", Some((true, None)))]
+#[case::no_report("", "<html>", None)]
+#[actix_rt::test]
+async fn field_of_a_report_that_cannot_be_read_leaves_the_others(
+    #[case] headers: &str,
+    #[case] body: &str,
+    #[case] want: Option<(bool, Option<u64>)>,
+) {
+    let report = fetch_report(answer_once(headers, body), &ServiceConfig::default(), WAIT).await;
+    let read = report.ok().map(|r| (r.leaving, r.leaves_in.map(|t| t.as_millis() as u64)));
+    assert_eq!(read, want);
+}
+
 #[rstest]
 #[case("1796670000000", Some(1_796_670_000_000))]
 #[case("1.79667e12", Some(1_796_670_000_000))]
