Count the overhead of changes that are passed on

A reader passes changes of the store on in one datagram, up to 8 KiB of keys and values. Names of fields, lengths and revisions were not counted. For removals of endpoints with short ids they take more than the keys, so hundreds of removals at a time, as after an outage, made a datagram larger than the 16 KiB that receivers read. They dropped it, and all of them read the store at once. changes_of_many_small_keys_fit_a_datagram failed before.

--- a/src/gossip/message.rs
+++ b/src/gossip/message.rs
@@ -12,8 +12,10 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Limit of keys and values in a [`StoreChanges`] message, so that it fits a datagram.
+/// Limit of the changes in a [`StoreChanges`] message, so that it fits a datagram.
 const MAX_CHANGES_BYTES: usize = 8 << 10;
+/// Encoded size of a change besides its key and value: names of fields, lengths and a revision.
+const CHANGE_OVERHEAD: usize = 24;
 
 /// One row of a message: endpoint, then the fields of [`Work`] in their order.
 pub type Row = (Tag, u32, u32, u32, u32);
@@ -306,7 +308,8 @@
         let mut changes = StoreChanges::default();
         let mut bytes = 0;
         for kv in kvs {
-            bytes += kv.key.len() + kv.value.as_ref().map_or(0, Vec::len);
+            let size = CHANGE_OVERHEAD + kv.key.len() + kv.value.as_ref().map_or(0, Vec::len);
+            bytes += size;
             if bytes > MAX_CHANGES_BYTES {
                 changes.truncated = true;
                 break;
--- a/tests/decisions/odd_items.rs
+++ b/tests/decisions/odd_items.rs
@@ -2,11 +2,13 @@
 
 use actix_http::ServiceConfig;
 use rstest::rstest;
+use skylarkthread::gossip::{PeerMessage, StoreChanges};
 use skylarkthread::platform::{
     GatewaySettings, Identity, Probe, fetch_report, parse_listing, parse_table, probe,
 };
 use skylarkthread::pool::Listing;
 use skylarkthread::route::{RouteKind, Table};
+use skylarkthread::store::KeyValue;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
@@ -158,3 +160,17 @@
     let read = probe(to, &Probe::Report, &ServiceConfig::default(), WAIT).await;
     assert_eq!(read.ok(), Some(Identity { id: None, started_ms: want }));
 }
+
+fn change(key: &str, size: Option<usize>) -> KeyValue {
+    KeyValue { key: key.into(), value: size.map(|n| vec![0; n]), revision: u64::MAX }
+}
+
+#[test]
+fn changes_of_many_small_keys_fit_a_datagram() {
+    let all: Vec<_> = (0..2000).map(|n| change(&format!("servers/{n}"), None)).collect();
+    let changes = StoreChanges::of(all.iter());
+    assert!(changes.truncated);
+    let bytes = rmp_serde::to_vec_named(&PeerMessage::StoreChanges(changes));
+    let size = bytes.expect("the message can be encoded").len();
+    assert!(size < 16 << 10, "{size} bytes");
+}
