Pass changes on that come after one too large for a datagram

The first change that did not fit ended the message, so that one large value of somebody else kept all changes after it from the instances that are no readers until they had read the store. Such a change alone is now left out; the message still tells receivers to read the store. Revisions by key keep the order. large_change_does_not_hide_those_after_it failed before.

--- a/src/gossip/message.rs
+++ b/src/gossip/message.rs
@@ -309,11 +309,11 @@
         let mut bytes = 0;
         for kv in kvs {
             let size = CHANGE_OVERHEAD + kv.key.len() + kv.value.as_ref().map_or(0, Vec::len);
-            bytes += size;
-            if bytes > MAX_CHANGES_BYTES {
+            if bytes + size > MAX_CHANGES_BYTES {
                 changes.truncated = true;
-                break;
+                continue;
             }
+            bytes += size;
             changes.kvs.push(kv.clone());
         }
         changes
--- a/tests/decisions/odd_items.rs
+++ b/tests/decisions/odd_items.rs
@@ -174,3 +174,11 @@
     let size = bytes.expect("the message can be encoded").len();
     assert!(size < 16 << 10, "{size} bytes");
 }
+
+#[test]
+fn large_change_does_not_hide_those_after_it() {
+    let all = [change("servers/a", Some(60_000)), change("servers/b", Some(300))];
+    let changes = StoreChanges::of(all.iter());
+    assert!(changes.truncated, "the receiver has to read the large one");
+    assert_eq!(changes.kvs, all[1..]);
+}
