Receive datagrams of any size

The buffer for messages of peers had 16 KiB, and a longer datagram was cut off and dropped, as its signature did not match. A full digest has a row for each endpoint with work, for its speed and its statements, and for each data centre that was ever evacuated. From a few hundred endpoints on it is longer than that. Then no full digest arrived, and each instance took the others for silent: their work did not count, and they were no readers.

The buffer now holds the largest datagram. digest_of_a_large_fleet_is_read, with 1,500 rows, failed before.

--- a/src/gateway/inbox.rs
+++ b/src/gateway/inbox.rs
@@ -17,8 +17,9 @@
 use std::rc::Rc;
 use tokio::sync::Mutex;
 
-/// Size of the receive buffer for datagrams.
-const MAX_DATAGRAM_BYTES: usize = 16 << 10;
+/// Size of the receive buffer for datagrams, which is that of the largest one. A digest grows with
+/// the number of endpoints.
+const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 
 /// What is left to open and to start for messages of peers.
 struct Inbox<R> {
--- a/tests/gateway/odd_items.rs
+++ b/tests/gateway/odd_items.rs
@@ -1,7 +1,12 @@
 //! One odd name, key of the store or row of a message keeps nothing else from being served.
 
-use crate::common::{CONFIG, send_request, wait_for};
-use standin::platform::{Action, Endpoint, Gateway, Store};
+use crate::common::{CONFIG, send_request, start_platform, wait_for};
+use crate::odd_messages::Peer;
+use skylarkthread::gossip::{Digest, PeerMessage, Tag};
+use skylarkthread::id::EndpointId;
+use skylarkthread::pool::Evacuation;
+use skylarkthread::store::{Era, Position};
+use standin::platform::{Action, Endpoint, Gateway, Store, send};
 use std::path::Path;
 
 fn log_of(gateway: &Gateway) -> String {
@@ -28,3 +33,29 @@
     assert_eq!(tenant.as_deref(), Some("Acme/EU"));
     assert!(wait_for(5, || !store.keys("gateways/Front/").is_empty()), "not registered");
 }
+
+/// Returns a gateway that knows a peer, with its store and an endpoint.
+fn start_with_peer() -> (Endpoint, Store, Gateway, Peer) {
+    let e = Endpoint::start("i-1", Action::Respond(200, "fine".into()));
+    let (store, gateway) = start_platform(&[(&e, "plain")]);
+    let peer = Peer::register(&store, "g-odd-1");
+    let is_known = || log_of(&gateway).contains("kind=LinkUp subject=g-odd-1");
+    assert!(wait_for(5, is_known), "{}", log_of(&gateway));
+    (e, store, gateway, peer)
+}
+
+fn tag(id: &str) -> Tag {
+    Tag::of(&id.parse::<EndpointId>().expect("the id is valid"))
+}
+
+#[test]
+fn digest_of_a_large_fleet_is_read() {
+    let (_e, _store, gateway, peer) = start_with_peer();
+    let centre = "z-b".parse().expect("the name is valid");
+    let evacuation = Evacuation { centre, at: Position::new(Era(0), 1 << 40), active: true };
+    let rows = (0..1500).map(|n| (tag(&format!("i-{n}")), 1, 1 << 20, 1 << 20, 0)).collect();
+    let evacuations = vec![(&evacuation).into()];
+    peer.send(&gateway, PeerMessage::Digest(Digest { rows, evacuations, ..Digest::default() }));
+    let is_read = || log_of(&gateway).contains("kind=EvacuationBegun subject=z-b");
+    assert!(wait_for(5, is_read), "{}", log_of(&gateway));
+}
--- a/tests/gateway/odd_messages.rs
+++ b/tests/gateway/odd_messages.rs
@@ -17,14 +17,15 @@
 use std::time::Duration;
 
 /// Instance that is registered in the store, and signs what it sends.
-struct Peer {
+pub struct Peer {
     name: &'static str,
     socket: UdpSocket,
     keys: Keyring,
 }
 
 impl Peer {
-    fn register(store: &Store, name: &'static str) -> Peer {
+    /// Writes its registration into the store.
+    pub fn register(store: &Store, name: &'static str) -> Peer {
         let key = [7u8; 16];
         let socket = UdpSocket::bind("127.0.0.1:0").expect("cannot bind a socket");
         let address = socket.local_addr().expect("the socket is bound");
@@ -33,7 +34,8 @@
         Peer { name, socket, keys: Keyring::new(&[Arc::from(&key[..])]) }
     }
 
-    fn send(&self, gateway: &Gateway, body: PeerMessage) {
+    /// Sends a message to a gateway.
+    pub fn send(&self, gateway: &Gateway, body: PeerMessage) {
         let from = self.name.parse().expect("the name is valid");
         let at = Stamp { micros: u64::MAX, count: u32::MAX };
         let (incarnation, version) = (Incarnation(u64::MAX), IntentVersion(u64::MAX));
