Keep the revision of an item whose value cannot be read

An item that could not be read counted as of the revision of the whole response. A sound change of the same key that came after it in the same response then counted as older and was dropped, so that the entry of an endpoint stayed as it was listed before until its next change. The revision is now read apart from the other fields. item_that_cannot_be_read_does_not_count_as_newer_than_the_next_one failed before.

--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -75,10 +75,12 @@
     }
 }
 
-/// Key of an item of which nothing else can be read.
+/// Key of an item whose other fields cannot all be read.
 #[derive(Debug, Deserialize)]
-struct ItemKey {
+struct ItemKey<'a> {
     key: Box<str>,
+    #[serde(default, borrow)]
+    revision: Option<&'a RawValue>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -401,12 +403,14 @@
         Ok(item) => return Some(decode_item(item, room)),
         Err(e) => e,
     };
-    let Ok(ItemKey { key }) = serde_json::from_str(text) else {
+    let Ok(ItemKey { key, revision }) = serde_json::from_str(text) else {
         log::warn!("skipped an item of the store without a key: {e}");
         return None;
     };
     log::warn!("the item {:?} of the store cannot be read: {e}", shorten(&key));
-    Some(KeyValue { key, value: Some(Vec::new()), revision: at })
+    // With a later revision than its own, it would outlast the next change of the same response.
+    let revision = revision.and_then(|r| serde_json::from_str(r.get()).ok()).unwrap_or(at);
+    Some(KeyValue { key, value: Some(Vec::new()), revision })
 }
 
 fn decode_item(item: Item, room: &Cell<usize>) -> KeyValue {
--- a/tests/store_outcomes.rs
+++ b/tests/store_outcomes.rs
@@ -187,6 +187,16 @@
     }
 }
 
+#[actix_rt::test]
+async fn item_that_cannot_be_read_does_not_count_as_newer_than_the_next_one() {
+    let odd = r#"{"key":"servers/b","value":{},"revision":4}"#;
+    let body = format!(r#"{{"events":[{odd},{SOUND}],"truncated":false,"current_rev":9}}"#);
+    let store = KvClient::new(answer_once(200, body.leak()));
+    let watched = store.watch(&["servers/"], 2, Duration::ZERO).await;
+    let kvs = watched.expect("the events can be read").kvs;
+    assert_eq!(kvs.iter().map(|kv| kv.revision).collect::<Vec<_>>(), [4, 5]);
+}
+
 #[actix_rt::test]
 async fn large_value_of_a_key_other_than_the_configuration_is_not_kept() {
     let large = "e30x".repeat(20_000);
