Keep a peer whose registration cannot be read

A value of somebody else under the key of an instance removed that instance from the peers of all others, as if its key were gone. Its messages were dropped from then on: its work did not count, and its engines that leave were not heard of. It did not notice, since it only looked whether the key exists, and its lease was renewed.

What is known of a peer now stays while its key exists, as with the entries of endpoints, and the log names the registration. An instance whose own registration cannot be read writes it again under a new lease. registration_that_cannot_be_read_leaves_the_known_peer and own_registration_that_somebody_overwrites_is_written_again failed before.

--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -125,14 +125,25 @@
     let Ok(instance) = InstanceId::from_label(name) else {
         return log::warn!("ignored registration of {name:?}, not the name of an instance");
     };
-    if instance == gw.settings.borrow().instance {
-        if kv.value.is_none() {
+    let is_own = instance == gw.settings.borrow().instance;
+    let read = kv.value.as_deref().map(serde_json::from_slice::<Registration>).transpose();
+    let registration = match read {
+        Ok(registration) => registration,
+        Err(e) => {
+            log::warn!("the registration of {instance} cannot be read: {e}");
+            if is_own {
+                record_lost(gw);
+            }
+            // Its key exists, so a known peer stays.
+            return;
+        }
+    };
+    if is_own {
+        if registration.is_none() {
             record_lost(gw);
         }
         return;
     }
-    let registration =
-        kv.value.as_ref().and_then(|v| serde_json::from_slice::<Registration>(v).ok());
     match registration {
         Some(r) => {
             let peer = Peer::new(r.address, r.power, r.key);
--- a/tests/gateway/odd_items.rs
+++ b/tests/gateway/odd_items.rs
@@ -8,6 +8,7 @@
 use skylarkthread::store::{Era, Position};
 use standin::platform::{Action, Endpoint, Gateway, Store, send};
 use std::path::Path;
+use std::time::Duration;
 
 fn log_of(gateway: &Gateway) -> String {
     std::fs::read_to_string(gateway.settings_file.with_extension("log")).unwrap_or_default()
@@ -59,3 +60,33 @@
     let is_read = || log_of(&gateway).contains("kind=EvacuationBegun subject=z-b");
     assert!(wait_for(5, is_read), "{}", log_of(&gateway));
 }
+
+#[test]
+fn registration_that_cannot_be_read_leaves_the_known_peer() {
+    let (_e, store, gateway, peer) = start_with_peer();
+    store.set("gateways/g-odd-1", Some(b"{\"address\":7}"));
+    store.set("gateways/g-odd-2", Some(b"\xff"));
+    std::thread::sleep(Duration::from_secs(1));
+    peer.send(&gateway, PeerMessage::EngineLeaving(tag("i-1")));
+    let is_read = || log_of(&gateway).contains("from=peer peer=g-odd-1");
+    assert!(wait_for(5, is_read), "{}", log_of(&gateway));
+}
+
+#[test]
+fn own_registration_that_somebody_overwrites_is_written_again() {
+    let (_e, store, gateway, _peer) = start_with_peer();
+    let key = store.keys("gateways/").into_iter().find(|key| key != "gateways/g-odd-1");
+    let key = key.expect("the gateway is registered");
+    let read = || {
+        let target = key.replace('/', "%2F");
+        let request = format!("GET /kv-key?key={target} HTTP/1.1\r\nHost: store\r\n\r\n");
+        send(store.address, request.as_bytes()).reply().body
+    };
+    let registered = read();
+    // The lease of the registration is renewed every 5 s.
+    store.set(&key, Some(b"7"));
+    let value = |text: &str| Some(text.split_once("\"value\":\"")?.1.split('"').next()?.to_owned());
+    assert!(value(&registered).is_some(), "{registered}");
+    let is_back = || value(&read()) == value(&registered);
+    assert!(wait_for(3, is_back), "{} {}", read(), log_of(&gateway));
+}
