Show the events of an instance of a newer release

One event of a kind that this release does not know made the whole answer of an instance undecodable, so that during a rollout the timeline of a request lacked all events of the newer instances, without a word. Such events are now left out and counted in the log. event_of_an_unknown_kind_leaves_the_others failed before.

--- a/src/frame/mod.rs
+++ b/src/frame/mod.rs
@@ -17,8 +17,8 @@
 };
 use crate::store::{Era, Position};
 use hmac::{Hmac, Mac};
-use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
+use serde::de::{DeserializeOwned, IgnoredAny};
+use serde::{Deserialize, Deserializer, Serialize};
 use sha2::Sha256;
 use std::fmt;
 use std::sync::Arc;
@@ -468,8 +468,8 @@
     Intent(Box<IntentCopy>),
     /// Hashes of chunks that the receiver of a configuration still lacks.
     Lacking(Vec<Arc<str>>),
-    /// Selected events, oldest first.
-    Events(Vec<Event>),
+    /// Selected events, oldest first. Those of a kind that this release does not know are left out.
+    Events(#[serde(deserialize_with = "read_events")] Vec<Event>),
     /// Whether the generation was still queued and has been ended.
     Withdrawn(bool),
     /// The request was processed; it has no result.
@@ -478,5 +478,27 @@
     Unsupported,
 }
 
+/// An event of another release, which may have a kind that this one does not know.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum SentEvent {
+    Known(Event),
+    Unknown(IgnoredAny),
+}
+
+fn read_events<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Event>, D::Error> {
+    let sent: Vec<SentEvent> = Deserialize::deserialize(from)?;
+    let count = sent.len();
+    let known = sent.into_iter().filter_map(|event| match event {
+        SentEvent::Known(event) => Some(event),
+        SentEvent::Unknown(IgnoredAny) => None,
+    });
+    let known: Vec<Event> = known.collect();
+    if known.len() < count {
+        log::warn!("left out {} events of unknown kinds", count - known.len());
+    }
+    Ok(known)
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/frame/tests.rs
+++ b/src/frame/tests.rs
@@ -59,6 +59,45 @@
     );
 }
 
+#[test]
+fn event_of_an_unknown_kind_leaves_the_others() {
+    #[derive(Serialize)]
+    enum NewKind {
+        Foreseen,
+        Started,
+    }
+    #[derive(Serialize)]
+    struct NewEvent {
+        at: Stamp,
+        instance: InstanceId,
+        kind: NewKind,
+        subject: Arc<str>,
+        detail: Arc<str>,
+    }
+    #[derive(Serialize)]
+    enum NewReply {
+        Events(Vec<NewEvent>),
+    }
+    let keys = keyring(&["k"]);
+    let event = |kind| NewEvent {
+        at: Stamp::default(),
+        instance: "a".parse().unwrap(),
+        kind,
+        subject: "s".into(),
+        detail: "".into(),
+    };
+    let new = Envelope {
+        from: "a".parse().unwrap(),
+        incarnation: Incarnation(1),
+        at: Stamp::default(),
+        version: IntentVersion(3),
+        body: NewReply::Events(vec![event(NewKind::Foreseen), event(NewKind::Started)]),
+    };
+    let read = keys.decode::<Reply>(&keys.encode(&new)).unwrap();
+    let Reply::Events(events) = read.body else { panic!("{read:?}") };
+    assert_eq!(events.iter().map(|e| e.kind).collect::<Vec<_>>(), [crate::event::Kind::Started]);
+}
+
 proptest! {
     #[test]
     fn random_bytes_are_rejected(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
