Send a digest of many endpoints in several datagrams

Above about 970 it is longer than any datagram, and the socket refused it with a line at debug level. No instance got a full digest then, and each took the others for silent. The evacuations add a row for each key below op/evacuate/, also one of somebody else.

A digest is now sent in parts of up to 200 rows of each kind, and 50 with a name in it. Only the first part is full, so that a receiver needs no other rule: the rows of the others add to it, and a lost part is made up for by the next full digest. digest_of_thousands_of_endpoints_is_sent_in_datagrams needs the new function; it checks that the whole digest of 3,000 endpoints exceeds a datagram, and that no part does.

--- a/src/gateway/digests.rs
+++ b/src/gateway/digests.rs
@@ -47,7 +47,11 @@
             digest.statements = gw.pool.borrow_mut().take_statements(now, digest.full);
         }
         match digest {
-            Some(digest) => peers::send(&gw, &addresses, PeerMessage::Digest(digest)),
+            Some(digest) => {
+                for part in digest.into_parts() {
+                    peers::send(&gw, &addresses, PeerMessage::Digest(part));
+                }
+            }
             None => {
                 tokio::time::sleep(scheduler.min_interval(addresses.len())).await;
                 gw.work_changed.notify_one();
--- a/src/gossip/message.rs
+++ b/src/gossip/message.rs
@@ -17,6 +17,11 @@
 /// Encoded size of a change besides its key and value: names of fields, lengths and a revision.
 const CHANGE_OVERHEAD: usize = 24;
 
+/// Most rows of each kind in a part of a digest, which has to fit a datagram with all kinds.
+const MAX_ROWS: usize = 200;
+/// Most rows with a name in it, which has up to 200 bytes.
+const MAX_NAMED_ROWS: usize = 50;
+
 /// One row of a message: endpoint, then the fields of [`Work`] in their order.
 pub type Row = (Tag, u32, u32, u32, u32);
 
@@ -71,6 +76,51 @@
     pub statements: Vec<StatementRow>,
 }
 
+impl Digest {
+    /// Splits a digest into parts that fit a datagram each. Only the first one is full; the others add
+    /// to it.
+    pub fn into_parts(mut self) -> Vec<Digest> {
+        let mut parts = Vec::new();
+        while let Some(rest) = self.split_off() {
+            parts.push(std::mem::replace(&mut self, rest));
+        }
+        parts.push(self);
+        parts
+    }
+
+    /// Removes the rows that do not fit, and returns them; `None` if there are none.
+    fn split_off(&mut self) -> Option<Digest> {
+        let rest = Digest {
+            full: false,
+            rows: split_rows(&mut self.rows, MAX_ROWS),
+            store_down: self.store_down,
+            outage: self.outage,
+            revision: self.revision,
+            era: self.era,
+            token_times: split_rows(&mut self.token_times, MAX_ROWS),
+            pauses: split_rows(&mut self.pauses, MAX_ROWS),
+            outcomes: split_rows(&mut self.outcomes, MAX_ROWS),
+            evacuations: split_rows(&mut self.evacuations, MAX_NAMED_ROWS),
+            speeds: split_rows(&mut self.speeds, MAX_ROWS),
+            statements: split_rows(&mut self.statements, MAX_ROWS),
+        };
+        let count = [
+            rest.rows.len(),
+            rest.token_times.len(),
+            rest.pauses.len(),
+            rest.outcomes.len(),
+            rest.evacuations.len(),
+            rest.speeds.len(),
+            rest.statements.len(),
+        ];
+        count.iter().any(|n| *n > 0).then_some(rest)
+    }
+}
+
+fn split_rows<T>(rows: &mut Vec<T>, max: usize) -> Vec<T> {
+    rows.split_off(max.min(rows.len()))
+}
+
 /// What an endpoint has stated to one instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatementRow {
--- a/tests/decisions/odd_items.rs
+++ b/tests/decisions/odd_items.rs
@@ -2,13 +2,14 @@
 
 use actix_http::ServiceConfig;
 use rstest::rstest;
-use skylarkthread::gossip::{PeerMessage, StoreChanges};
+use skylarkthread::gossip::{Digest, PeerMessage, StatementRow, StoreChanges, Tag};
+use skylarkthread::id::DataCentre;
 use skylarkthread::platform::{
     GatewaySettings, Identity, Probe, fetch_report, parse_listing, parse_table, probe,
 };
-use skylarkthread::pool::Listing;
+use skylarkthread::pool::{Evacuation, Listing};
 use skylarkthread::route::{RouteKind, Table};
-use skylarkthread::store::KeyValue;
+use skylarkthread::store::{Era, KeyValue, Position};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
@@ -182,3 +183,54 @@
     assert!(changes.truncated, "the receiver has to read the large one");
     assert_eq!(changes.kvs, all[1..]);
 }
+
+#[test]
+fn digest_of_thousands_of_endpoints_is_sent_in_datagrams() {
+    const COUNT: u32 = 3000;
+    /// Largest payload of a datagram, less the rest of the message.
+    const MAX_BYTES: usize = 65_000;
+    let tags = || (0..COUNT).map(|n| Tag::of(&format!("i-{n}").parse().expect("the id is valid")));
+    let statement = |tag| StatementRow {
+        tag,
+        cold_ms: Some(u32::MAX),
+        gone_ms: Some(u32::MAX),
+        leaving: true,
+        incarnation: Some(u16::MAX),
+    };
+    let evacuation = |n| Evacuation {
+        centre: DataCentre::from_label(&format!("{n:0200}")).expect("the name is valid"),
+        at: Position::new(Era(u64::MAX), u64::MAX),
+        active: true,
+    };
+    let whole = Digest {
+        full: true,
+        rows: tags().map(|tag| (tag, u32::MAX, u32::MAX, u32::MAX, u32::MAX)).collect(),
+        token_times: tags().map(|tag| (tag, u32::MAX)).collect(),
+        pauses: tags().map(|tag| (tag, u32::MAX)).collect(),
+        outcomes: tags().map(|tag| (tag, u16::MAX, u16::MAX)).collect(),
+        evacuations: (0..COUNT).map(|n| (&evacuation(n)).into()).collect(),
+        speeds: tags().map(|tag| (tag, u16::MAX, 1, 1, u32::MAX, 1)).collect(),
+        statements: tags().map(statement).collect(),
+        ..Digest::default()
+    };
+    let parts = whole.clone().into_parts();
+    assert!(parts.iter().enumerate().all(|(ix, part)| part.full == (ix == 0)));
+    let size = |part: &Digest| {
+        let bytes = rmp_serde::to_vec_named(&PeerMessage::Digest(part.clone()));
+        bytes.expect("the message can be encoded").len()
+    };
+    assert!(size(&whole) > MAX_BYTES);
+    let largest = parts.iter().map(size).max();
+    assert!(largest.is_some_and(|n| n < MAX_BYTES), "{largest:?} bytes");
+    let mut joined = Digest { full: true, ..Digest::default() };
+    for part in parts {
+        joined.rows.extend(part.rows);
+        joined.token_times.extend(part.token_times);
+        joined.pauses.extend(part.pauses);
+        joined.outcomes.extend(part.outcomes);
+        joined.evacuations.extend(part.evacuations);
+        joined.speeds.extend(part.speeds);
+        joined.statements.extend(part.statements);
+    }
+    assert_eq!(joined, whole);
+}
