--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -5,7 +5,7 @@
 
 use super::fields::{self, Fields};
 use crate::h1::RequestLimits;
-use crate::id::Tokens;
+use crate::id::{ServiceName, Tokens, Workspace};
 use crate::limit::{Rate, Stated};
 use crate::route::{
     Engine, KeyOwner, Route, RouteKind, Service, Table, TableFault, TableVersion, Urgency,
@@ -30,13 +30,14 @@
 
 #[derive(Debug, Deserialize)]
 struct ConfigText<'a> {
-    version: Value,
+    #[serde(borrow)]
+    version: &'a RawValue,
     #[serde(default, borrow, deserialize_with = "read_null")]
     routes: Option<&'a RawValue>,
     #[serde(default, borrow, deserialize_with = "read_null")]
     services: Option<&'a RawValue>,
-    #[serde(default)]
-    limits: Option<Value>,
+    #[serde(default, borrow)]
+    limits: Option<&'a RawValue>,
     /// Workspaces; if the field is absent, no request needs an API key.
     #[serde(default, borrow, deserialize_with = "read_null")]
     tenants: Option<&'a RawValue>,
@@ -80,8 +81,8 @@
 /// Returns [`ConfigError`] if the text as a whole is not a configuration.
 pub fn parse_table(value: &[u8]) -> Result<Table, ConfigError> {
     let text: ConfigText<'_> = serde_json::from_slice(value).map_err(ConfigError::Syntax)?;
-    let version = fields::whole(&text.version);
-    let version = version.ok_or_else(|| ConfigError::Version(text.version.to_string().into()))?;
+    let version = fields::whole(&fields::read_parts(text.version));
+    let version = version.ok_or_else(|| ConfigError::Version(text.version.get().into()))?;
     let mut table = Table { version: TableVersion(version), ..Table::default() };
     let mut faults = Vec::new();
     let routes = fields::entries(text.routes, "routes", &mut faults);
@@ -94,13 +95,13 @@
     let services = fields::entries(text.services, "services", &mut faults);
     for (ix, s) in services.ok_or(ConfigError::List("services"))?.iter().enumerate() {
         let fields = &mut Fields::new(s, "services", &entry_name(s, ix), &mut faults);
-        if let Some(name) = fields.required("name", fields::parsed) {
+        if let Some(name) = fields.required("name", service_name) {
             table.services.insert(name, Rc::new(parse_service(fields)));
         }
     }
     add_tenants(&mut table, text.tenants, &mut faults);
-    if let Some(limits) = &text.limits {
-        table.limits = parse_limits(limits, &mut faults);
+    if let Some(limits) = text.limits {
+        table.limits = parse_limits(&fields::read_parts(limits), &mut faults);
     }
     table.faults = faults;
     Ok(table)
@@ -119,7 +120,9 @@
     };
     for (ix, t) in tenants.iter().enumerate() {
         let fields = &mut Fields::new(t, "tenants", &entry_name(t, ix), faults);
-        let Some(workspace) = fields.required("name", fields::parsed) else { continue };
+        let Some(workspace) = fields.required("name", fields::name(Workspace::from_label)) else {
+            continue;
+        };
         let urgency = fields.optional("priority", fields::whole).map(Urgency);
         let key_owner = Rc::new(KeyOwner { workspace, urgency });
         for key in fields.optional("api_keys", Value::as_array).into_iter().flatten() {
@@ -185,7 +188,7 @@
 fn parse_shares(r: &mut Fields<'_>) -> Vec<WeightedService> {
     let split = r.value("traffic_split");
     if split.is_none_or(|s| s.as_array().is_some_and(Vec::is_empty)) {
-        let service = r.optional("service", fields::parsed);
+        let service = r.optional("service", service_name);
         return service.map(|service| WeightedService { service, weight: 1 }).into_iter().collect();
     }
     let mut shares = Vec::new();
@@ -198,8 +201,12 @@
     shares
 }
 
+fn service_name(value: &Value) -> Option<ServiceName> {
+    fields::name(ServiceName::from_label)(value)
+}
+
 fn parse_share(share: &Value) -> Option<WeightedService> {
-    let service = fields::parsed(share.get("service")?)?;
+    let service = service_name(share.get("service")?)?;
     Some(WeightedService { service, weight: fields::whole(share.get("weight")?)? })
 }
 
--- a/src/platform/fields.rs
+++ b/src/platform/fields.rs
@@ -1,14 +1,42 @@
 //! Reads JSON objects of which single fields may be missing or of another type.
 
 use super::time;
+use crate::id::IdError;
 use crate::route::TableFault;
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use serde_json::{Map, Value};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Number up to which each whole one has a float of its own.
 const MAX_WHOLE_FLOAT: f64 = 9_007_199_254_740_992.0;
 
+/// Levels of lists and objects in an entry of which the parts that can be read are kept.
+const MAX_DEPTH: usize = 3;
+
+/// Reads a value. Parts of it that cannot be read, such as a number that no float holds, become empty
+/// objects, which no field of the platform is.
+pub fn read_parts(text: &RawValue) -> Value {
+    read_level(text.get(), MAX_DEPTH)
+}
+
+fn read_level(text: &str, depth: usize) -> Value {
+    match serde_json::from_str(text) {
+        Ok(value) => return value,
+        Err(_) if depth == 0 => return Value::Object(Map::new()),
+        Err(_) => {}
+    }
+    let depth = depth - 1;
+    if let Ok(list) = serde_json::from_str::<Vec<&RawValue>>(text) {
+        return list.into_iter().map(|part| read_level(part.get(), depth)).collect();
+    }
+    let object = serde_json::from_str::<BTreeMap<String, &RawValue>>(text).unwrap_or_default();
+    let fields = object.into_iter().map(|(name, part)| (name, read_level(part.get(), depth)));
+    Value::Object(fields.collect())
+}
+
 /// Reads the entries of a list; `None` if it is none. Entries that are no objects are faults.
 pub fn entries(
     list: Option<&RawValue>,
@@ -19,9 +47,9 @@
     let all: Vec<&RawValue> = serde_json::from_str(list.get()).ok()?;
     let mut read = Vec::new();
     for (ix, entry) in all.into_iter().enumerate() {
-        match serde_json::from_str(entry.get()) {
-            Ok(object) => read.push(object),
-            Err(_) => {
+        match read_parts(entry) {
+            Value::Object(object) if entry.get().starts_with('{') => read.push(object),
+            _ => {
                 faults.push(TableFault { place, entry: ix.to_string().into(), field: "" });
             }
         }
@@ -101,12 +129,26 @@
     number?.try_into().ok()
 }
 
+/// Reads a whole number, as [`whole`] does.
+pub fn read_whole<'de, D: Deserializer<'de>, N: TryFrom<u64>>(from: D) -> Result<N, D::Error> {
+    let number = whole(&Value::deserialize(from)?);
+    number.ok_or_else(|| D::Error::custom("no whole number of its range"))
+}
+
+/// Reads a whole number that may be null.
+pub fn read_optional_whole<'de, D: Deserializer<'de>, N: TryFrom<u64>>(
+    from: D,
+) -> Result<Option<N>, D::Error> {
+    let value: Option<Value> = Deserialize::deserialize(from)?;
+    value.map(read_whole).transpose().map_err(D::Error::custom)
+}
+
 /// Returns a number of milliseconds as a time.
 pub fn millis(value: &Value) -> Option<Duration> {
     value.as_f64().and_then(time::millis)
 }
 
-/// Returns a value that is read from text, such as a name.
-pub fn parsed<T: std::str::FromStr>(value: &Value) -> Option<T> {
-    value.as_str()?.parse().ok()
+/// Returns a name that the operators chose.
+pub fn name<T>(parse: impl Fn(&str) -> Result<T, IdError>) -> impl Fn(&Value) -> Option<T> {
+    move |value| parse(value.as_str()?).ok()
 }
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -15,7 +15,6 @@
 use futures_util::future::join_all;
 use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 use serde_json::value::RawValue;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -92,12 +91,12 @@
     }
 }
 
-/// Key of an item of which nothing else can be read.
+/// Key of an item whose other fields cannot all be read.
 #[derive(Debug, Deserialize)]
-struct ItemKey {
+struct ItemKey<'a> {
     key: Box<str>,
-    #[serde(default)]
-    revision: Option<Value>,
+    #[serde(default, borrow)]
+    revision: Option<&'a RawValue>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -467,7 +466,7 @@
     }
     skipped.add(format_args!("the item {:?} of the store cannot be read: {e}", shorten(&key)));
     // Without a revision, it is older than any change of the key.
-    let revision = revision.as_ref().and_then(Value::as_u64).unwrap_or_default();
+    let revision = revision.and_then(|r| serde_json::from_str(r.get()).ok()).unwrap_or_default();
     Some(KeyValue { key, value: Some(Vec::new()), revision })
 }
 
