Escape text from outside in lines of the log

Ids of requests and endpoints, keys of the store, handles of engines and names of operators went raw into lines of the form name=value. A key with a line feed wrote a second line that looked like an event of the process, a quote in an id left the rest of its line unreadable, and sequences of terminals reached those who read the log. A detail that was cut at 512 bytes could end inside a quoted value. The time line had the same faults.

The cause is that event::log and its callers wrote text as it was. Values are now written by escape::log_value: as they are, or quoted where they would not be read as one value. The output escapes control characters and separators in any line, those of warnings and libraries too, and a cut detail closes its quotes. Lines without such characters are as before; only the subject of 607, which was always quoted, is now like the others.

Problem details and panics were quoted before. Names of services, data centres and instances have a narrow set of characters.

--- a/src/cli/log_output.rs
+++ b/src/cli/log_output.rs
@@ -1,6 +1,7 @@
 //! Log of the processes that serve.
 
 use crate::clock;
+use crate::escape;
 use crate::id::InstanceId;
 use crate::logs::LogWriter;
 use std::fs::File;
@@ -37,13 +38,14 @@
     fn into_output(self) -> fern::Output {
         fern::Output::call(move |record| {
             let t = clock::wall();
+            let text = record.args().to_string();
             let line = format!(
                 "time={}.{:06} level={} instance={} {}\n",
                 t.as_secs(),
                 t.subsec_micros(),
                 record.level(),
                 self.instance.get().map_or("-", InstanceId::as_str),
-                record.args(),
+                escape::line(&text),
             );
             self.writer.push(clock::now(), line.as_bytes());
         })
--- a/src/cli/process.rs
+++ b/src/cli/process.rs
@@ -57,7 +57,7 @@
 
 /// Logs why a process ends.
 pub fn log_failure(reason: impl fmt::Display) {
-    event::log(Kind::Exiting, "process", &format!("why=\"{reason}\""));
+    event::log(Kind::Exiting, "process", &format!("why={:?}", reason.to_string()));
 }
 
 fn run_to_end<F, E>(serve: impl FnOnce(Metrics) -> F) -> Result<(), EndReason<E>>
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -1,6 +1,7 @@
 //! Operator API below `/admin/`: submit and show the intent, status, and timeline.
 
 use super::{Entry, links, sync};
+use crate::escape::log_value;
 use crate::event::{Event, Filter, Kind};
 use crate::frame::{Reply, Request};
 use crate::http::{self, Body, Incoming};
@@ -66,7 +67,7 @@
     let outcome = submit(&e.store, e.process.version(), &submission).await;
     let (status, body) = match &outcome {
         Submitted::Accepted(v) => {
-            e.process.event(Kind::Accepted, v, format_args!("who={}", submission.who));
+            e.process.event(Kind::Accepted, v, format_args!("who={}", log_value(&submission.who)));
             (200, json!({ "result": "accepted", "version": v.0 }))
         }
         Submitted::Conflict(head) => {
--- a/src/escape/mod.rs
+++ b/src/escape/mod.rs
@@ -1,6 +1,8 @@
 //! Text from outside, encoded for where it is written.
 
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
+use std::borrow::Cow;
+use std::fmt::{self, Display};
 
 /// Bytes that are encoded in a part of a request target: all but the unreserved ones of RFC 3986, and
 /// the slash, which has no other meaning in a query.
@@ -19,3 +21,47 @@
 pub fn query_value(text: &str) -> PercentEncode<'_> {
     utf8_percent_encode(text, QUERY)
 }
+
+/// A value in a line of the log.
+#[derive(Debug, Clone, Copy)]
+pub struct LogValue<'a>(&'a str);
+
+impl Display for LogValue<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let LogValue(text) = self;
+        let is_plain = |c: char| is_shown(c) && !c.is_whitespace() && !"\"=\\".contains(c);
+        match !text.is_empty() && text.chars().all(is_plain) {
+            true => f.write_str(text),
+            false => write!(f, "{text:?}"),
+        }
+    }
+}
+
+/// Returns a value as it is written in a line of the log: as it is, or in quotes if it would not be
+/// read as one value otherwise.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkthread::escape::log_value;
+///
+/// assert_eq!(log_value("10.0.0.1:80").to_string(), "10.0.0.1:80");
+/// assert_eq!(log_value("a b=\n").to_string(), r#""a b=\n""#);
+/// ```
+pub fn log_value(text: &str) -> LogValue<'_> {
+    LogValue(text)
+}
+
+/// Escapes the characters that would end a line or change how it is shown.
+pub fn line(text: &str) -> Cow<'_, str> {
+    if text.chars().all(is_shown) {
+        return Cow::Borrowed(text);
+    }
+    let escape = |c: char| if is_shown(c) { String::from(c) } else { c.escape_debug().collect() };
+    Cow::Owned(text.chars().map(escape).collect())
+}
+
+/// Returns whether a character is shown as itself.
+fn is_shown(c: char) -> bool {
+    c == ' ' || c.is_ascii_graphic() || c.escape_debug().len() == 1
+}
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -4,9 +4,11 @@
 
 pub use wave::{WaveEvent, WaveLog};
 
+use crate::escape;
 use crate::hlc::{Hlc, Stamp};
 use crate::id::InstanceId;
 use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
 use std::collections::VecDeque;
 use std::fmt;
 use std::sync::Arc;
@@ -22,6 +24,30 @@
     &text[..text.floor_char_boundary(MAX_TEXT_BYTES)]
 }
 
+/// Returns the start of the detail of an event. A quoted value that is cut off ends with its quote.
+fn shorten_detail(detail: &str) -> Cow<'_, str> {
+    let start = shorten(detail);
+    if start.len() == detail.len() {
+        return Cow::Borrowed(start);
+    }
+    let (mut is_quoted, mut escape) = (false, None);
+    for (ix, c) in start.char_indices() {
+        match escape {
+            Some(from) => {
+                // An escape is one character, or a number in braces.
+                let is_open = if ix == from + 1 { c == 'u' } else { c != '}' };
+                escape = escape.filter(|_| is_open);
+            }
+            None if c == '\\' && is_quoted => escape = Some(ix),
+            None => is_quoted ^= c == '"',
+        }
+    }
+    match is_quoted {
+        true => Cow::Owned(format!("{}\"", &start[..escape.unwrap_or(start.len())])),
+        false => Cow::Borrowed(start),
+    }
+}
+
 macro_rules! kinds {
     ($($(#[doc = $doc:literal])* $name:ident = $number:literal,)*) => {
         /// Kinds of events. A number is never reused for another meaning.
@@ -244,7 +270,8 @@
 impl fmt::Display for Event {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (kind, n) = (self.kind, self.kind.number());
-        write!(f, "{} {} {n} {kind:?} {} {}", self.at, self.instance, self.subject, self.detail)
+        let (subject, detail) = (escape::log_value(&self.subject), escape::line(&self.detail));
+        write!(f, "{} {} {n} {kind:?} {subject} {detail}", self.at, self.instance)
     }
 }
 
@@ -265,16 +292,16 @@
 
     /// Stamps, stores and logs an event, evicting the oldest one if the buffer is full.
     pub fn push(&mut self, wall: Duration, kind: Kind, subject: &str, detail: &str) {
-        let (subject, detail) = (shorten(subject), shorten(detail));
+        let (subject, detail) = (shorten(subject), shorten_detail(detail));
         let at = self.clock.tick(wall);
         let event = Event {
             at,
             instance: self.instance.clone(),
             kind,
             subject: Arc::from(subject),
-            detail: Arc::from(detail),
+            detail: Arc::from(&*detail),
         };
-        log(kind, subject, detail);
+        log(kind, subject, &detail);
         if self.events.len() == MAX_EVENTS {
             self.events.pop_front();
         }
@@ -292,6 +319,7 @@
 
 /// Logs an event without storing it, for a process that has no ring buffer yet.
 pub fn log(kind: Kind, subject: &str, detail: &str) {
+    let subject = escape::log_value(subject);
     log::info!("event={} kind={kind:?} subject={subject} {detail}", kind.number());
 }
 
--- a/src/event/wave.rs
+++ b/src/event/wave.rs
@@ -4,6 +4,7 @@
 //! of the logs grow with the square of the number of instances.
 
 use super::Kind;
+use crate::escape::log_value;
 use std::time::{Duration, Instant};
 
 /// Time over which changes of one kind are collected.
@@ -59,7 +60,7 @@
         if count == 1 {
             return WaveEvent { kind, subject, detail };
         }
-        let detail = format!("count={count} first={subject}").into();
+        let detail = format!("count={count} first={}", log_value(&subject)).into();
         WaveEvent { kind, subject: "several".into(), detail }
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -4,6 +4,7 @@
 use super::retries::{self, Permit};
 use super::{Gateway, examine, limits, outage};
 use crate::clock;
+use crate::escape::log_value;
 use crate::event::Kind;
 use crate::h1::{Broken, Outbound, SendError};
 use crate::id::EndpointId;
@@ -237,6 +238,7 @@
     let (queue, connect) = (ms(job.received, progress.sent), ms(progress.sent, progress.connected));
     let wait = ms(progress.connected, now);
     let lag = gw.lag.borrow().longest(now, job.received).as_millis();
+    let endpoint = log_value(endpoint.as_str());
     let detail = format!(
         "endpoint={endpoint} queue_ms={queue} connect_ms={connect} wait_ms={wait} unsent={} lag_ms={lag}",
         progress.unsent
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,6 +11,7 @@
 use crate::admit;
 use crate::backlog::{Flow, READ_BYTES};
 use crate::clock;
+use crate::escape::log_value;
 use crate::event::Kind;
 use crate::frame::Refusal;
 use crate::h1::{Broken, Framing, Inbound};
@@ -73,7 +74,7 @@
     metrics::histogram!("call_seconds").record(ms as f64 / 1e3);
     let status = response.info.status.as_u16();
     metrics::counter!("answers_total", "status" => status.to_string()).increment(1);
-    let (endpoint, framing) = (&response.endpoint, response.out.framing());
+    let (endpoint, framing) = (log_value(response.endpoint.as_str()), response.out.framing());
     let detail = format!("endpoint={endpoint} framing={framing} status={status} ms={ms}");
     gw.event(Kind::Answered, log_id(job.meta.id.as_ref()), detail);
 }
@@ -111,7 +112,8 @@
             },
             Ok(None) => break,
             Err(e) => {
-                let detail = format!("endpoint={} why=\"{e}\"", response.endpoint);
+                let endpoint = log_value(response.endpoint.as_str());
+                let detail = format!("endpoint={endpoint} why={:?}", e.to_string());
                 gw.event(Kind::Failed, log_id(job.meta.id.as_ref()), detail);
                 return Disposition::Abort;
             }
--- a/src/gateway/examine.rs
+++ b/src/gateway/examine.rs
@@ -4,6 +4,7 @@
 use super::quarantine::{self, MAX_LOGGED_PARTS};
 use super::{Gateway, suspects};
 use crate::clock;
+use crate::escape::log_value;
 use crate::event::Kind;
 use crate::h1::{Broken, SendError};
 use crate::id::{EndpointId, Fingerprint, Incarnation};
@@ -313,7 +314,8 @@
     let contents = gw.quarantine.borrow_mut().record_lost(clock::now(), id, &lost);
     for (content, standing) in contents {
         let kind = if standing == Standing::Refused { Kind::Convicted } else { Kind::Suspected };
-        gw.event(kind, content, format_args!("endpoint={} standing={standing:?}", host.id));
+        let endpoint = log_value(host.id.as_str());
+        gw.event(kind, content, format_args!("endpoint={endpoint} standing={standing:?}"));
     }
     quarantine::update(gw);
     suspects::send(gw, Scope::Changed);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -362,7 +362,7 @@
     }
     let known = id.parse().ok().and_then(|id| gw.pool.borrow().last_listing(&id));
     let detail = format!("revision={} kept={}", kv.revision, known.is_some());
-    gw.wave_event(Kind::ListingUnreadable, format_args!("{:?}", kv.key), detail);
+    gw.wave_event(Kind::ListingUnreadable, &kv.key, detail);
     known
 }
 
--- a/src/gateway/migrate.rs
+++ b/src/gateway/migrate.rs
@@ -7,6 +7,7 @@
 use super::transfer::{Answer, Grant, RunningGeneration, TransferClient};
 use super::{Gateway, WorkGuard};
 use crate::clock;
+use crate::escape::log_value;
 use crate::evacuate::{self, ShutdownNotice};
 use crate::event::Kind;
 use crate::platform::{self, CopyOutcome, Handoff};
@@ -91,7 +92,7 @@
             MoveOutcome::To(guard, handoff, _) => {
                 let pool = self.gw.pool.borrow();
                 let to = pool.endpoints.get(guard.key).map(|e| e.listing.address);
-                (Kind::MoveDone, format!("to={to:?} handle={}", handoff.handle))
+                (Kind::MoveDone, format!("to={to:?} handle={}", log_value(&handoff.handle)))
             }
             MoveOutcome::Ended => {
                 (Kind::MoveFailed, format!("why=\"ended\" over={}", generation.ended.get()))
--- a/src/gateway/refusals.rs
+++ b/src/gateway/refusals.rs
@@ -2,6 +2,7 @@
 
 use super::{Gateway, jitter, peers, suspects};
 use crate::clock;
+use crate::event::shorten;
 use crate::frame::{Gossip, PartsGossip, Suspect};
 use crate::id::{Fingerprint, IdError, PartId};
 use crate::quarantine::PartSet;
@@ -97,7 +98,8 @@
 pub fn apply_kv(gw: &Gateway, kv: &KeyValue) {
     let Some(name) = kv.key.strip_prefix(KEY_PREFIX) else { return };
     let Ok(refused) = name.parse::<Refused>() else {
-        return log::warn!("key {} of the store ignored: it names no part or content", kv.key);
+        let key = shorten(&kv.key);
+        return log::warn!("key {key:?} of the store ignored: it names no part or content");
     };
     let Some(value) = &kv.value else {
         gw.published.borrow_mut().remove(&refused);
@@ -112,7 +114,10 @@
                 Gossip { suspects: stored.contents, parts: stored.parts, ..Gossip::default() };
             suspects::merge(gw, &gossip);
         }
-        Err(e) => log::warn!("key {} of the store ignored, its value is not valid: {e}", kv.key),
+        Err(e) => {
+            let key = shorten(&kv.key);
+            log::warn!("key {key:?} of the store ignored, its value is not valid: {e}");
+        }
     }
 }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -11,6 +11,7 @@
 use super::{Gateway, examine, pauses, quarantine};
 use crate::backlog::Flow;
 use crate::clock;
+use crate::escape::log_value;
 use crate::event::Kind;
 use crate::h1::{Broken, Fault, Framing, Inbound};
 use crate::platform;
@@ -132,7 +133,8 @@
     let id = log_id(job.meta.id.as_ref());
     match read {
         Ok(body) => {
-            let detail = format!("endpoint={} status={}", response.endpoint, response.info.status);
+            let endpoint = log_value(response.endpoint.as_str());
+            let detail = format!("endpoint={endpoint} status={}", response.info.status);
             gw.event(Kind::Answered, id, detail);
             unread::respond(gw, conn, id, &response, body, close).await
         }
@@ -249,7 +251,7 @@
     /// log line.
     fn engine_detail(&self) -> String {
         let response = &self.segment.response;
-        let (endpoint, framing) = (&response.endpoint, response.out.framing());
+        let (endpoint, framing) = (log_value(response.endpoint.as_str()), response.out.framing());
         let (denials, passed) = (self.segment.denials, self.segment.passed);
         format!(
             "endpoint={endpoint} framing={framing}{} denials={denials} passed={passed}",
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -128,7 +128,7 @@
                 Err(e) => {
                     let step = self.failures.record(clock::now());
                     if step.is_reported {
-                        self.report(Kind::PortBusy, &format!(" why=\"{e}\""), record);
+                        self.report(Kind::PortBusy, &format!(" why={:?}", e.to_string()), record);
                     }
                     tokio::time::sleep(jitter(step.delay)).await;
                 }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -9,6 +9,7 @@
 mod contents;
 mod coordinators;
 mod drain;
+mod escape;
 mod evacuate;
 mod evacuation;
 mod events;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod odd_bytes;
 mod odd_config;
 mod odd_messages;
+mod outside_text;
 mod panics;
 mod polls;
 mod ports;
