Migrate no generation whose handle a header cannot carry

The handle of a copied generation is text of its engine. It went raw into `Kv-From` and into the path of the call that frees the copy. If a header could not carry it, the header was left out with a warning, and the request went to the other engine as a new one: the generation ran a second time. With a blank at its end the other engine read another handle. A handle with a `?` or `#` freed another copy, one with a space none, and the failure was logged at a level that is not written.

A response with such a handle is now malformed, so that the generation stays where it is, or is cut off if it has stopped for its last copy; the copy is freed. Any other handle works, also with blanks and other letters. In paths it is one encoded segment. A call whose target cannot be written is logged, and control_failures_total counts failed calls by reason.

--- a/src/escape/mod.rs
+++ b/src/escape/mod.rs
@@ -1,5 +1,6 @@
 //! Text from outside, encoded for where it is written.
 
+use actix_http::header::HeaderValue;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use std::borrow::Cow;
 use std::fmt::{self, Display};
@@ -9,6 +10,26 @@
 const QUERY: &AsciiSet =
     &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~').remove(b'/');
 
+/// Bytes that are encoded in a segment of a path: all that RFC 3986 does not allow there.
+const SEGMENT: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~')
+    .remove(b'!')
+    .remove(b'$')
+    .remove(b'&')
+    .remove(b'\'')
+    .remove(b'(')
+    .remove(b')')
+    .remove(b'*')
+    .remove(b'+')
+    .remove(b',')
+    .remove(b';')
+    .remove(b'=')
+    .remove(b':')
+    .remove(b'@');
+
 /// Encodes a value for the query of a request target.
 ///
 /// # Examples
@@ -22,6 +43,17 @@
     utf8_percent_encode(text, QUERY)
 }
 
+/// Encodes a value for a segment of the path of a request target.
+pub fn path_segment(text: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(text, SEGMENT)
+}
+
+/// Returns a text as the value of a header; `None` if its receiver would not read the same text.
+pub fn header_value(text: &str) -> Option<HeaderValue> {
+    let is_kept = !text.is_empty() && text.trim_matches([' ', '\t']) == text;
+    HeaderValue::from_bytes(text.as_bytes()).ok().filter(|_| is_kept)
+}
+
 /// A value in a line of the log.
 #[derive(Debug, Clone, Copy)]
 pub struct LogValue<'a>(&'a str);
--- a/src/gateway/examine.rs
+++ b/src/gateway/examine.rs
@@ -132,9 +132,9 @@
         CallError::Unreached(_) | CallError::Slow => Sight::Silent,
         CallError::Broken(broken) if broken.is_timeout() => Sight::Silent,
         CallError::Broken(Broken::Read(_) | Broken::Write(_) | Broken::Early) => Sight::Closed,
-        CallError::Broken(Broken::Malformed(_) | Broken::NoMemory) | CallError::Malformed => {
-            Sight::Unclear
-        }
+        CallError::Broken(Broken::Malformed(_) | Broken::NoMemory)
+        | CallError::Malformed
+        | CallError::Target => Sight::Unclear,
     }
 }
 
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -2,6 +2,8 @@
 
 use super::headers::{cold_time, endpoint_id, states_leaving};
 use super::time;
+use crate::escape;
+use crate::event::shorten;
 use crate::h1::{self, Broken, CallLimits, FetchError, SendError};
 use crate::id::{EndpointId, RequestId};
 use crate::net;
@@ -32,6 +34,8 @@
     Slow,
     /// The response has an unexpected status or body.
     Malformed,
+    /// The target of the call cannot be written.
+    Target,
 }
 
 impl fmt::Display for CallError {
@@ -41,6 +45,7 @@
             CallError::Broken(_) => f.write_str("broken"),
             CallError::Slow => f.write_str("slow"),
             CallError::Malformed => f.write_str("malformed"),
+            CallError::Target => f.write_str("invalid-target"),
         }
     }
 }
@@ -138,6 +143,12 @@
     born: Option<u64>,
 }
 
+/// Counts a failed call by its reason, and returns the error.
+fn count_failure(e: CallError) -> CallError {
+    metrics::counter!("control_failures_total", "why" => e.to_string()).increment(1);
+    e
+}
+
 async fn send_request(
     to: SocketAddr,
     config: &ServiceConfig,
@@ -147,13 +158,18 @@
     wait: Duration,
 ) -> Result<(ResponseHead, Bytes), CallError> {
     let content = (!body.is_empty()).then_some("application/json");
-    let head = h1::request_head(to, method, path, content).ok_or(CallError::Malformed)?;
+    let head = h1::request_head(to, method, path, content).ok_or_else(|| {
+        log::warn!("no call of the endpoint at {to}: {:?} is no target", shorten(path));
+        count_failure(CallError::Target)
+    })?;
     let limits = CallLimits { connect: CONNECT_TIMEOUT, wait, max_body: MAX_RESPONSE_BYTES };
     let called = timeout(wait, h1::fetch(to, &limits, config, head, body)).await;
-    called.unwrap_or(Err(FetchError::Slow)).map_err(|e| match e {
-        FetchError::Unsent(e) => CallError::Unreached(e),
-        FetchError::Broken(e) => CallError::Broken(e),
-        FetchError::Slow => CallError::Slow,
+    called.unwrap_or(Err(FetchError::Slow)).map_err(|e| {
+        count_failure(match e {
+            FetchError::Unsent(e) => CallError::Unreached(e),
+            FetchError::Broken(e) => CallError::Broken(e),
+            FetchError::Slow => CallError::Slow,
+        })
     })
 }
 
@@ -175,12 +191,22 @@
     let body = serde_json::to_vec(&request).map_err(|_| CallError::Malformed)?;
     let (head, body) =
         send_request(source, config, Method::POST, "/kv-move", body.into(), wait).await?;
-    let handoff = || parse_handoff(source, &body);
-    match head.status.as_u16() {
-        200 => handoff().map(CopyOutcome::Done).ok_or(CallError::Malformed),
+    let status = head.status.as_u16();
+    let handoff = parse_handoff(source, &body).filter(|_| matches!(status, 200 | 503));
+    if let Some(unusable) = handoff.as_ref().filter(|h| escape::header_value(&h.handle).is_none()) {
+        let handle = shorten(&unusable.handle);
+        log::warn!("engine {source} named memory by the handle {handle:?}, unfit for a header");
+        // The copy would take up memory until it expires.
+        if status == 200 && !handle.is_empty() {
+            free_copy(unusable, config, wait).await?;
+        }
+        return Err(count_failure(CallError::Malformed));
+    }
+    match status {
+        200 => handoff.map(CopyOutcome::Done).ok_or(CallError::Malformed),
         404 => Ok(CopyOutcome::Absent),
         409 => Ok(CopyOutcome::Busy),
-        503 => Ok(CopyOutcome::NoRoom(handoff())),
+        503 => Ok(CopyOutcome::NoRoom(handoff)),
         _ => Err(CallError::Malformed),
     }
 }
@@ -205,7 +231,7 @@
     config: &ServiceConfig,
     wait: Duration,
 ) -> Result<(), CallError> {
-    let path = format!("/kv-handle/{}", handoff.handle);
+    let path = format!("/kv-handle/{}", escape::path_segment(&handoff.handle));
     send_request(handoff.source, config, Method::DELETE, &path, Bytes::new(), wait).await.map(drop)
 }
 
--- a/standin/src/platform/endpoint.rs
+++ b/standin/src/platform/endpoint.rs
@@ -197,6 +197,8 @@
     copies: Mutex<Vec<MemoryCopy>>,
     /// Time that each copy takes, except a last one.
     copy_time: Mutex<Duration>,
+    /// Handle of the memory of all generations, instead of the names of their runs.
+    handle: Mutex<Option<String>>,
     /// Whether last copies find no memory at their target.
     refuses_last: AtomicBool,
     /// Whether the run of a last copy ends before it, as if it had ended or been lost.
@@ -385,6 +387,7 @@
             runs: Mutex::default(),
             copies: Mutex::default(),
             copy_time: Mutex::default(),
+            handle: Mutex::default(),
             refuses_last: AtomicBool::new(false),
             loses_last: AtomicBool::new(false),
             freed: Mutex::default(),
@@ -525,7 +528,12 @@
         self.state.loses_last.store(true, Ordering::SeqCst);
     }
 
-    /// Returns the handles of the copies that were freed.
+    /// Names the memory of generations by this handle.
+    pub fn set_handle(&self, handle: &str) {
+        *self.state.handle.lock().expect("no holder panics") = Some(handle.to_owned());
+    }
+
+    /// Returns the handles of the copies that were freed, as they stand in the paths.
     pub fn freed_copies(&self) -> Vec<String> {
         self.state.freed.lock().expect("no holder panics").clone()
     }
@@ -666,7 +674,8 @@
     }
     let copy = MemoryCopy { request: body.to_string(), started, ended: Instant::now() };
     state.copies.lock().ok()?.push(copy);
-    Some((200, format!(r#"{{"handle":"{}","created":1}}"#, run.tag)))
+    let handle = state.handle.lock().ok()?.clone().unwrap_or_else(|| run.tag.clone());
+    Some((200, serde_json::json!({ "handle": handle, "created": 1 }).to_string()))
 }
 
 fn respond(writer: &mut TcpStream, headers: &str, status: u16, body: &str) -> Option<()> {
--- a/tests/decisions/escape.rs
+++ b/tests/decisions/escape.rs
@@ -1,7 +1,7 @@
 //! Text from outside as it is written into lines and targets.
 
 use rstest::rstest;
-use skylarkthread::escape::{line, log_value};
+use skylarkthread::escape::{line, log_value, path_segment};
 use skylarkthread::event::{EventRing, Filter, Kind};
 use std::time::Duration;
 
@@ -34,6 +34,14 @@
     assert_eq!(line(text), written);
 }
 
+#[rstest]
+#[case("h-1.a_b~c:d@e=f+g", "h-1.a_b~c:d@e=f+g")]
+#[case("../x?y#z", "..%2Fx%3Fy%23z")]
+#[case("50%\r\nä", "50%25%0D%0A%C3%A4")]
+fn value_stays_within_its_segment_of_a_path(#[case] text: &str, #[case] written: &str) {
+    assert_eq!(path_segment(text).to_string(), written);
+}
+
 /// The quotes that begin in a detail also end in it, wherever it is cut.
 #[test]
 fn detail_that_is_cut_off_closes_its_quotes() {
--- a/tests/gateway/outside_text.rs
+++ b/tests/gateway/outside_text.rs
@@ -1,8 +1,12 @@
 //! Text that callers, engines, the operator and others choose, where it is written on.
 
-use crate::common::{send_request, start_platform, wait_for};
+use crate::common::{list_endpoint, send_request, start_long_stream, start_platform, wait_for};
 use rstest::rstest;
-use standin::platform::{Action, Endpoint, Gateway};
+use standin::platform::{Action, Endpoint, Gateway, StreamEnd};
+use std::time::Duration;
+
+/// Time between two events of an engine that leaves, in which its generations migrate.
+const INTERVAL: Duration = Duration::from_millis(1500);
 
 /// Reads the pairs of a line of the log; a value in quotes is read like one of JSON.
 fn read_pairs(line: &str) -> Vec<(String, String)> {
@@ -77,3 +81,67 @@
     assert_eq!(value(&log, "ListingUnreadable", "subject").as_deref(), Some(key));
     assert_eq!(value(&log, "Exiting", "subject"), None);
 }
+
+/// A generation whose engine leaves, and names its memory by a handle.
+struct Moved {
+    source: Endpoint,
+    target: Endpoint,
+    is_whole: bool,
+    log: String,
+}
+
+fn migrate(handle: &str, is_refused: bool) -> Moved {
+    const EVENTS: &[&str] = &["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
+    let source = Endpoint::start("i-1", Action::TextStream(EVENTS, INTERVAL));
+    source.set_handle(handle);
+    if is_refused {
+        source.refuse_last_copies();
+    }
+    let (store, gateway) = start_platform(&[(&source, "model")]);
+    let mut sent = start_long_stream(&gateway, "id-1");
+    assert!(wait_for(2, || source.run_count() == 1));
+    let rest = Action::EndingStream(StreamEnd::Chunked, 0, EVENTS[1]);
+    let target = Endpoint::start("i-2", rest);
+    list_endpoint(&store, &target, "model", "ready");
+    std::thread::sleep(Duration::from_millis(300));
+    list_endpoint(&store, &source, "model", "draining");
+    let reply = sent.reply();
+    let is_whole = reply.complete && reply.body == EVENTS.concat();
+    Moved { source, target, is_whole, log: log_with(&gateway, "subject=id-1 endpoint=") }
+}
+
+#[rstest]
+#[case::usual("h-1")]
+#[case::blank("h 1")]
+#[case::separators("a/b?c#d%2F")]
+#[case::pair("h=1 event=113 kind=\"Exiting\"")]
+#[case::other_letters("süd")]
+fn handle_that_a_header_can_carry_reaches_the_other_engine(#[case] handle: &str) {
+    let moved = migrate(handle, false);
+    assert!(moved.is_whole, "{}", moved.log);
+    let received = moved.target.received();
+    let expected = format!("{}/{handle}", moved.source.address);
+    assert_eq!(received[0].req.header("kv-from"), Some(&*expected));
+    assert_eq!(value(&moved.log, "MoveDone", "handle").as_deref(), Some(handle));
+}
+
+/// Without its header the generation would run a second time, from its start.
+#[rstest]
+#[case::new_line("h\r\nX-Other: 1")]
+#[case::control("h\u{1}")]
+#[case::blank_at_the_end("h ")]
+#[case::empty("")]
+fn generation_stays_where_it_is_if_no_header_can_carry_its_handle(#[case] handle: &str) {
+    let moved = migrate(handle, false);
+    assert_eq!((moved.is_whole, moved.target.run_count()), (true, 0), "{}", moved.log);
+    assert!(moved.log.contains("level=WARN") && moved.log.contains("handle"), "{}", moved.log);
+}
+
+#[rstest]
+#[case::usual("h-1", "h-1")]
+#[case::separators("../a?b#c", "..%2Fa%3Fb%23c")]
+#[case::blank("a b%", "a%20b%25")]
+fn copy_is_freed_by_its_own_handle(#[case] handle: &str, #[case] segment: &str) {
+    let moved = migrate(handle, true);
+    assert!(wait_for(2, || moved.source.freed_copies() == [segment]), "{}", moved.log);
+}
