Send no request that lacks a header of the instance

A value that a header cannot carry was logged and left out, and the request was sent without it: without X-Expect-Replica any endpoint runs it, without X-Tenant it belongs to nobody, without Kv-From a generation starts anew.

forward_head returns an error instead. The attempt counts as not delivered and is logged with the request, and a caller without another endpoint gets a refusal that is true. The head is built before a permit of a limited endpoint is taken.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -127,11 +127,12 @@
     /// Returns whether the error counts against the endpoint's health. A full endpoint is healthy.
     pub fn is_endpoint_failure(self) -> bool {
         use AttemptError::{
-            Evacuated, Full, Gone, Leaving, Limited, NoMemory, Overloaded, Paused, Quarantined,
-            Stopping,
+            Evacuated, Full, Gone, Head, Leaving, Limited, NoMemory, Overloaded, Paused,
+            Quarantined, Stopping,
         };
         let is_held = matches!(self, Leaving | Evacuated | Paused | Limited);
-        !is_held && !matches!(self, Full | Gone | NoMemory | Overloaded | Quarantined | Stopping)
+        let is_own = matches!(self, Head | NoMemory | Quarantined | Stopping);
+        !is_held && !is_own && !matches!(self, Full | Gone | Overloaded)
     }
 }
 
@@ -176,11 +177,14 @@
     key: PoolKey,
     params: &ForwardParams<'_>,
 ) -> Result<EndpointResponse, AttemptError> {
+    let head = job.forward_head(params).map_err(|e| {
+        log::warn!("request {:?} not sent: {e}", log_id(job.meta.id.as_ref()));
+        AttemptError::Head
+    })?;
     let address = match params.handoff {
         None => begin_sending(gw, key, Purpose::Request)?,
         Some(_) => wait_to_resume(gw, job, key).await?,
     };
-    let head = job.forward_head(params);
     let sent = clock::now();
     let body = job.body.clone();
     let opened =
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -10,7 +10,7 @@
 use crate::gossip::Work;
 use crate::h1::{Head, Inbound};
 use crate::id::{DataCentre, PartId, RequestId, ServiceName, Tokens};
-use crate::platform::{self, ForwardParams, RequestInfo};
+use crate::platform::{self, ForwardParams, HeaderFault, RequestInfo};
 use crate::pool::PoolKey;
 use crate::problem::{Problem, ProblemKind};
 use crate::prompts;
@@ -277,7 +277,11 @@
     }
 
     /// Builds the head of the request to an endpoint.
-    pub fn forward_head(&self, params: &ForwardParams<'_>) -> RequestHead {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HeaderFault`] if a header cannot carry its value.
+    pub fn forward_head(&self, params: &ForwardParams<'_>) -> Result<RequestHead, HeaderFault> {
         platform::forward_head(&self.req, params)
     }
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -3,6 +3,7 @@
 use super::engine::Handoff;
 use super::servers::parse_cold_time;
 use super::time;
+use crate::escape::header_value;
 use crate::event::shorten;
 use crate::h1::Head;
 use crate::id::{EndpointId, PartId, RequestId, Tokens};
@@ -226,13 +227,34 @@
     pub resumable: bool,
 }
 
-fn set(headers: &mut HeaderMap, name: &'static str, value: impl Display) {
-    match HeaderValue::from_str(&value.to_string()) {
-        Ok(value) => drop(headers.insert(HeaderName::from_static(name), value)),
-        Err(e) => log::warn!("header {name} not set, invalid value: {e}"),
+/// A value that a header cannot carry.
+#[derive(Debug, PartialEq)]
+pub struct HeaderFault {
+    name: &'static str,
+    value: Box<str>,
+}
+
+impl fmt::Display for HeaderFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "header {} cannot carry {:?}", self.name, shorten(&self.value))
     }
 }
 
+impl std::error::Error for HeaderFault {}
+
+fn set(
+    headers: &mut HeaderMap,
+    name: &'static str,
+    value: impl Display,
+) -> Result<(), HeaderFault> {
+    let value = value.to_string();
+    let Some(set) = header_value(&value) else {
+        return Err(HeaderFault { name, value: value.into() });
+    };
+    headers.insert(HeaderName::from_static(name), set);
+    Ok(())
+}
+
 /// Returns the names of headers that the `Connection` header declares as hop-by-hop.
 fn connection_headers<'h>(values: impl Iterator<Item = &'h [u8]>) -> Vec<Box<str>> {
     let values = values.filter_map(|v| std::str::from_utf8(v).ok());
@@ -241,7 +263,11 @@
 }
 
 /// Builds the head of a request to an endpoint from the caller's request.
-pub fn forward_head(req: &Head, to: &ForwardParams<'_>) -> RequestHead {
+///
+/// # Errors
+///
+/// Returns [`HeaderFault`] if a header would be missing: the endpoint would do something else then.
+pub fn forward_head(req: &Head, to: &ForwardParams<'_>) -> Result<RequestHead, HeaderFault> {
     let mut head = RequestHead::default();
     head.method = req.method().clone();
     head.uri = req.uri().clone();
@@ -261,18 +287,18 @@
         }
     }
     let h = &mut head.headers;
-    set(h, DEADLINE, to.time_left.as_millis());
-    set(h, EXPECT_ENDPOINT, to.endpoint);
+    set(h, DEADLINE, to.time_left.as_millis())?;
+    set(h, EXPECT_ENDPOINT, to.endpoint)?;
     if let Some(m) = to.key_owner {
-        set(h, WORKSPACE, &m.workspace);
+        set(h, WORKSPACE, &m.workspace)?;
     }
     if let Some(handoff) = to.handoff {
-        set(h, RESUME_FROM, handoff);
+        set(h, RESUME_FROM, handoff)?;
     }
     if let Some(last) = to.last_event {
-        set(h, LAST_EVENT, last);
+        set(h, LAST_EVENT, last)?;
     }
-    head
+    Ok(head)
 }
 
 /// Information from the head of a response.
@@ -415,8 +441,8 @@
         HeaderName::from_static("content-type"),
         HeaderValue::from_static("application/problem+json"),
     );
-    if let Some(id) = id {
-        set(h, REQUEST_ID, id);
+    if let Some(Err(e)) = id.map(|id| set(h, REQUEST_ID, id)) {
+        log::warn!("refusal without the id of its request: {e}");
     }
     if let Some(after) = retry {
         // Callers on this platform accept fractions of seconds in `Retry-After`.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -21,7 +21,7 @@
     probe,
 };
 pub use headers::{
-    ForwardParams, Question, RequestInfo, ResponseInfo, TokenCounts, asked_workspace,
+    ForwardParams, HeaderFault, Question, RequestInfo, ResponseInfo, TokenCounts, asked_workspace,
     explained_path, forward_head, host, parse_limit, parse_request, parse_response, refusal_head,
     response_head,
 };
