Serve tenants whatever the characters of their names

A tenant whose name had a capital letter, a blank or another letter than a to z was left out of the configuration, and its callers got 401 for keys that the configuration has. The platform does not restrict these names; they go to endpoints in X-Tenant, and a header can carry them.

The name in a question of `explain` is encoded, since a header of a request is read as ASCII.

The three cases capital, blank and other_letters of tenant_of_any_name_is_served_and_named failed before.

--- a/src/gateway/explain.rs
+++ b/src/gateway/explain.rs
@@ -38,7 +38,7 @@
     let mut meta = platform::parse_request(&req);
     if let Some(workspace) = platform::asked_workspace(&req) {
         let table = gw.table.borrow();
-        let key = table.as_ref().and_then(|t| t.key_of(workspace));
+        let key = table.as_ref().and_then(|t| t.key_of(&workspace));
         meta.key = Some(key.map(Box::from).ok_or_else(|| {
             let detail = format!("workspace {workspace} is unknown or has no API key");
             Problem::new(ProblemKind::Unauthorized, detail)
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -60,6 +60,19 @@
     }
 }
 
+/// Parses a text of 1 to [`MAX_LABEL_BYTES`] bytes that a header can carry: without control characters,
+/// and without a blank at its ends.
+fn parse_text(s: &str) -> Result<Arc<str>, IdError> {
+    if s.is_empty() || s.len() > MAX_LABEL_BYTES {
+        return Err(IdError::Length(s.len()));
+    }
+    let ends = s.chars().next().into_iter().chain(s.chars().next_back());
+    match s.chars().find(|c| c.is_control()).or(ends.into_iter().find(|c| c.is_whitespace())) {
+        Some(c) => Err(IdError::Character(c)),
+        None => Ok(Arc::from(s)),
+    }
+}
+
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident, $parse:ident) => {
         $(#[$doc])*
@@ -100,7 +113,7 @@
 }
 text_id! {
     /// Identifies a workspace, the unit of fair sharing and the scope of API and idempotency keys.
-    Workspace, parse_name
+    Workspace, parse_text
 }
 text_id! {
     /// Identifies a data centre.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -3,7 +3,7 @@
 use super::engine::Handoff;
 use super::servers::parse_cold_time;
 use super::time;
-use crate::escape::header_value;
+use crate::escape::{header_value, query_value};
 use crate::event::shorten;
 use crate::h1::Head;
 use crate::id::{EndpointId, PartId, RequestId, Tokens};
@@ -15,6 +15,8 @@
     AUTHORIZATION, CONNECTION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER,
 };
 use actix_http::{RequestHead, Response, ResponseHead, StatusCode};
+use percent_encoding::percent_decode_str;
+use std::borrow::Cow;
 use std::fmt::{self, Display};
 use std::rc::Rc;
 use std::str::FromStr;
@@ -163,7 +165,7 @@
     pub fn to_parts(&self) -> (String, Vec<(&'static str, String)>) {
         let mut headers = vec![("host", self.host.to_owned())];
         headers.extend(self.key.map(|key| ("authorization", format!("Bearer {key}"))));
-        headers.extend(self.workspace.map(|name| (ASKED_WORKSPACE, name.to_owned())));
+        headers.extend(self.workspace.map(|name| (ASKED_WORKSPACE, query_value(name).to_string())));
         headers.extend(self.prefix.map(|parts| (PROMPT_PARTS, parts.to_owned())));
         headers.extend(self.timeout.map(|t| (DEADLINE, t.as_millis().to_string())));
         if let Some(tokens) = self.tokens {
@@ -175,8 +177,8 @@
 }
 
 /// Returns the workspace that a question is about, if it names one.
-pub fn asked_workspace(req: &Head) -> Option<&str> {
-    req.find(ASKED_WORKSPACE)
+pub fn asked_workspace(req: &Head) -> Option<Cow<'_, str>> {
+    Some(percent_decode_str(req.find(ASKED_WORKSPACE)?).decode_utf8_lossy())
 }
 
 /// Extracts the information in the headers of a request. Invalid headers count as absent.
--- a/tests/gateway/outside_text.rs
+++ b/tests/gateway/outside_text.rs
@@ -1,8 +1,10 @@
 //! Text that callers, engines, the operator and others choose, where it is written on.
 
-use crate::common::{list_endpoint, send_request, start_long_stream, start_platform, wait_for};
+use crate::common::{
+    CONFIG, list_endpoint, send_request, start_gateway, start_long_stream, start_platform, wait_for,
+};
 use rstest::rstest;
-use standin::platform::{Action, Endpoint, Gateway, StreamEnd};
+use standin::platform::{Action, Endpoint, Gateway, Store, StreamEnd};
 use std::time::Duration;
 
 /// Time between two events of an engine that leaves, in which its generations migrate.
@@ -53,6 +55,15 @@
     Endpoint::start(id, Action::Respond(200, "fine".into()))
 }
 
+fn start_with(e: &Endpoint, config: &str) -> (Store, Gateway) {
+    let store = Store::start();
+    list_endpoint(&store, e, "plain", "ready");
+    store.set("op/config", Some(config.as_bytes()));
+    let gateway = start_gateway(&store);
+    assert!(wait_for(5, || gateway.readiness() == 200), "not ready within 5 s");
+    (store, gateway)
+}
+
 #[rstest]
 #[case::usual("id-1", "i-1")]
 #[case::quote("a\"b", "i\"1")]
@@ -145,3 +156,32 @@
     let moved = migrate(handle, true);
     assert!(wait_for(2, || moved.source.freed_copies() == [segment]), "{}", moved.log);
 }
+
+#[rstest]
+#[case::usual("huka270")]
+#[case::capital("Huka270")]
+#[case::blank("Süd & Co.")]
+#[case::other_letters("テナント")]
+fn tenant_of_any_name_is_served_and_named(#[case] name: &str) {
+    let e = plain_endpoint("i-1");
+    let (_store, gateway) = start_with(&e, &CONFIG.replace("acme", name));
+    assert_eq!(send_request(&gateway, "GET", "/safe/x", "id-1").status, 200);
+    assert_eq!(e.received()[0].req.header("x-tenant"), Some(name));
+    let asked = std::process::Command::new(env!("CARGO_BIN_EXE_skylarkthread"))
+        .args(["explain", "--instance", &gateway.ready.to_string(), "--host", "app.example"])
+        .args(["--path", "/safe/x", "--workspace", name])
+        .output()
+        .expect("the binary runs");
+    assert!(asked.status.success(), "{asked:?}");
+}
+
+#[rstest]
+#[case::new_line(r"a\r\nX-Other: 1")]
+#[case::blank_at_the_end("a ")]
+fn tenant_whose_name_no_header_can_carry_is_not_served_without_it(#[case] name: &str) {
+    let e = plain_endpoint("i-1");
+    let (_store, gateway) = start_with(&e, &CONFIG.replace("acme", name));
+    assert_eq!(send_request(&gateway, "GET", "/safe/x", "id-1").status, 401);
+    assert_eq!(e.received().len(), 0);
+    log_with(&gateway, "kind=TableFaulty");
+}
