Ask at health paths of any form

A health path that the operator wrote with a space or without a slash at its start was no target of a request, or one of another form: an endpoint whose connection broke was not asked who it is, nothing was logged, and its examination ended as unknown. A `#` cut the path off.

What a target cannot hold is now encoded, and a slash is put before the path; its query and encoded bytes stay. The paths of requests come from callers' own targets, and other control calls have fixed paths.

The three cases of health_path_of_any_form_is_asked failed before.

--- a/src/escape/mod.rs
+++ b/src/escape/mod.rs
@@ -1,7 +1,7 @@
 //! Text from outside, encoded for where it is written.
 
 use actix_http::header::HeaderValue;
-use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
+use percent_encoding::{AsciiSet, CONTROLS, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use std::borrow::Cow;
 use std::fmt::{self, Display};
 
@@ -30,6 +30,20 @@
     .remove(b':')
     .remove(b'@');
 
+/// Bytes that are encoded in a target whose parts are separated already.
+const TARGET: &AsciiSet = &CONTROLS
+    .add(b' ')
+    .add(b'"')
+    .add(b'#')
+    .add(b'<')
+    .add(b'>')
+    .add(b'\\')
+    .add(b'^')
+    .add(b'`')
+    .add(b'{')
+    .add(b'|')
+    .add(b'}');
+
 /// Encodes a value for the query of a request target.
 ///
 /// # Examples
@@ -48,6 +62,13 @@
     utf8_percent_encode(text, SEGMENT)
 }
 
+/// Returns a path that somebody wrote as the target of a request. It may have a query, and encoded
+/// bytes already.
+pub fn target(path: &str) -> String {
+    let slash = if path.starts_with('/') { "" } else { "/" };
+    format!("{slash}{}", utf8_percent_encode(path, TARGET))
+}
+
 /// Returns a text as the value of a header; `None` if its receiver would not read the same text.
 pub fn header_value(text: &str) -> Option<HeaderValue> {
     let is_kept = !text.is_empty() && text.trim_matches([' ', '\t']) == text;
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -10,6 +10,7 @@
 use actix_http::{Method, ResponseHead, ServiceConfig};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
 use std::fmt;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -247,11 +248,11 @@
     wait: Duration,
 ) -> Result<Identity, CallError> {
     let path = match probe {
-        Probe::Report => "/report",
-        Probe::Health(path) => path,
+        Probe::Report => Cow::Borrowed("/report"),
+        Probe::Health(path) => Cow::Owned(escape::target(path)),
         Probe::Connection => return watch_connection(to, wait).await,
     };
-    let (head, body) = send_request(to, config, Method::GET, path, Bytes::new(), wait).await?;
+    let (head, body) = send_request(to, config, Method::GET, &path, Bytes::new(), wait).await?;
     // Only a report has a body that says more, and only a success is a report.
     let is_report = matches!(probe, Probe::Report) && head.status.is_success();
     let start: StartBody = if is_report {
--- a/tests/decisions/escape.rs
+++ b/tests/decisions/escape.rs
@@ -1,7 +1,7 @@
 //! Text from outside as it is written into lines and targets.
 
 use rstest::rstest;
-use skylarkthread::escape::{line, log_value, path_segment};
+use skylarkthread::escape::{line, log_value, path_segment, target};
 use skylarkthread::event::{EventRing, Filter, Kind};
 use std::time::Duration;
 
@@ -42,6 +42,15 @@
     assert_eq!(path_segment(text).to_string(), written);
 }
 
+#[rstest]
+#[case("/healthz?full=1&of=%2Fa", "/healthz?full=1&of=%2Fa")]
+#[case("healthz", "/healthz")]
+#[case("/a b\"<ä>#c", "/a%20b%22%3C%C3%A4%3E%23c")]
+#[case("", "/")]
+fn path_that_somebody_wrote_is_a_target(#[case] text: &str, #[case] written: &str) {
+    assert_eq!(target(text), written);
+}
+
 /// The quotes that begin in a detail also end in it, wherever it is cut.
 #[test]
 fn detail_that_is_cut_off_closes_its_quotes() {
--- a/tests/gateway/outside_text.rs
+++ b/tests/gateway/outside_text.rs
@@ -1,10 +1,11 @@
 //! Text that callers, engines, the operator and others choose, where it is written on.
 
 use crate::common::{
-    CONFIG, list_endpoint, send_request, start_gateway, start_long_stream, start_platform, wait_for,
+    CONFIG, list_endpoint, request_bytes, send_request, start_gateway, start_long_stream,
+    start_platform, wait_for,
 };
 use rstest::rstest;
-use standin::platform::{Action, Endpoint, Gateway, Store, StreamEnd};
+use standin::platform::{Action, Endpoint, Gateway, Store, StreamEnd, send};
 use std::time::Duration;
 
 /// Time between two events of an engine that leaves, in which its generations migrate.
@@ -185,3 +186,15 @@
     assert_eq!(e.received().len(), 0);
     log_with(&gateway, "kind=TableFaulty");
 }
+
+#[rstest]
+#[case::blank("/health check", "/health%20check")]
+#[case::no_slash("health?full=1", "/health?full=1")]
+#[case::fragment("/a#b", "/a%23b")]
+fn health_path_of_any_form_is_asked(#[case] path: &str, #[case] target: &str) {
+    let e = Endpoint::start("i-1", Action::Reset);
+    let (_store, gateway) = start_with(&e, &CONFIG.replacen("/healthz", path, 1));
+    send(gateway.front, &request_bytes("POST", "/unsafe/x", "id-1", "", "b")).reply();
+    let is_asked = || e.received().iter().any(|r| r.req.target == target);
+    assert!(wait_for(3, is_asked), "not asked at {target}");
+}
