Encode the kind of events in the target of the timeline command

`--kind` went raw into the query: `702&subject=x` set another parameter, and a blank made a target that cannot be sent. That, and a key that a header cannot carry, was reported as "cannot connect to the entry".

The kind is encoded like the subject, by escape::query_value, and what cannot be sent is named. The other arguments in targets are numbers.

--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -2,11 +2,11 @@
 
 use super::args::{ShowArgs, StatusArgs, SubmitArgs, TimelineArgs};
 use super::{EXIT_FAILED, EXIT_REFUSED, EXIT_UNKNOWN, read_file};
+use crate::escape::query_value;
 use crate::h1::{self, CallLimits, FetchError};
 use actix_http::header::{AUTHORIZATION, HeaderValue};
 use actix_http::{Method, ServiceConfig};
 use bytes::Bytes;
-use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -25,6 +25,8 @@
 enum AskError {
     /// The key file cannot be read, which was reported already.
     Key(ExitCode),
+    /// The key or an argument cannot be sent.
+    Unsendable(&'static str),
     /// No connection was established, so nothing was sent.
     Unreached,
     /// The response is missing, incomplete or not JSON; the request may have been processed.
@@ -36,6 +38,10 @@
     fn report(self, lost_code: u8) -> ExitCode {
         match self {
             AskError::Key(code) => code,
+            AskError::Unsendable(what) => {
+                eprintln!("{what} cannot be sent; nothing was sent");
+                ExitCode::from(EXIT_FAILED)
+            }
             AskError::Unreached => {
                 eprintln!("cannot connect to the entry; nothing was sent");
                 ExitCode::from(EXIT_FAILED)
@@ -62,7 +68,8 @@
     let content = (method == Method::POST).then_some("text/plain; charset=utf-8");
     let auth = HeaderValue::from_str(&format!("Bearer {}", key.trim()));
     let head = h1::request_head(entry, method, &format!("/admin/{path}"), content);
-    let (mut head, auth) = head.zip(auth.ok()).ok_or(AskError::Unreached)?;
+    let mut head = head.ok_or(AskError::Unsendable("the request"))?;
+    let auth = auth.map_err(|_| AskError::Unsendable("the operator's key"))?;
     head.headers.insert(AUTHORIZATION, auth);
     actix_rt::System::new().block_on(async move {
         let fetched = h1::fetch(entry, &LIMITS, &ServiceConfig::default(), head, body).await;
@@ -180,10 +187,10 @@
 pub fn timeline(args: &TimelineArgs) -> ExitCode {
     let mut path = String::from("timeline?");
     if let Some(s) = &args.subject {
-        path += &format!("subject={}&", utf8_percent_encode(s, NON_ALPHANUMERIC));
+        path += &format!("subject={}&", query_value(s));
     }
     if let Some(k) = &args.kind {
-        path += &format!("kind={k}");
+        path += &format!("kind={}", query_value(k));
     }
     match request(args.entry.0, &args.key, &path, None) {
         Ok((200, v)) => {
