Check names that are decoded like those that are parsed

The types of names derived their decoding, which took any text. Names of instances and data centres in the platform's instance list could have line feeds, sequences of terminals or be empty, and went on into the log, the time line and the output of `status`.

Decoding now applies the rule of the type. The list leaves such an entry out with a warning, as other entries that cannot be read; no process of this system has such a name, as its settings would be refused. Names in frames of peers were checked where they came from.

The cases name, no_name and centre of odd_entry_of_the_instance_list_hides_no_other failed before.

--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -77,6 +77,7 @@
     ($(#[$doc:meta])* $name:ident, $parse:ident) => {
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(try_from = "Arc<str>")]
         pub struct $name(Arc<str>);
 
         impl $name {
@@ -92,6 +93,15 @@
             }
         }
 
+        impl TryFrom<Arc<str>> for $name {
+            type Error = IdError;
+
+            /// Checks an identifier of this kind that is decoded.
+            fn try_from(s: Arc<str>) -> Result<Self, IdError> {
+                $parse(&s).map($name)
+            }
+        }
+
         impl FromStr for $name {
             type Err = IdError;
 
