--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -4,6 +4,7 @@
 use super::retries::{self, Permit};
 use super::{Gateway, examine, limits, outage};
 use crate::clock;
+use crate::escape::log_value;
 use crate::event::Kind;
 use crate::h1::{Broken, Outbound, SendError};
 use crate::id::EndpointId;
@@ -126,11 +127,12 @@
     /// Returns whether the error counts against the endpoint's health. A full endpoint is healthy.
     pub fn is_endpoint_failure(self) -> bool {
         use AttemptError::{
-            Evacuated, Full, Gone, Leaving, Limited, NoMemory, Overloaded, Paused, Quarantined,
-            Stopping,
+            Evacuated, Full, Gone, Head, Leaving, Limited, NoMemory, Overloaded, Paused,
+            Quarantined, Stopping,
         };
         let is_held = matches!(self, Leaving | Evacuated | Paused | Limited);
-        !is_held && !matches!(self, Full | Gone | NoMemory | Overloaded | Quarantined | Stopping)
+        let is_own = matches!(self, Head | NoMemory | Quarantined | Stopping);
+        !is_held && !is_own && !matches!(self, Full | Gone | Overloaded)
     }
 }
 
@@ -175,11 +177,14 @@
     key: PoolKey,
     params: &ForwardParams<'_>,
 ) -> Result<EndpointResponse, AttemptError> {
+    let head = job.forward_head(params).map_err(|e| {
+        log::warn!("request {:?} not sent: {e}", log_id(job.meta.id.as_ref()));
+        AttemptError::Head
+    })?;
     let address = match params.handoff {
         None => begin_sending(gw, key, Purpose::Request)?,
         Some(_) => wait_to_resume(gw, job, key).await?,
     };
-    let head = job.forward_head(params);
     let sent = clock::now();
     let body = job.body.clone();
     let opened =
@@ -237,6 +242,7 @@
     let (queue, connect) = (ms(job.received, progress.sent), ms(progress.sent, progress.connected));
     let wait = ms(progress.connected, now);
     let lag = gw.lag.borrow().longest(now, job.received).as_millis();
+    let endpoint = log_value(endpoint.as_str());
     let detail = format!(
         "endpoint={endpoint} queue_ms={queue} connect_ms={connect} wait_ms={wait} unsent={} lag_ms={lag}",
         progress.unsent
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -60,10 +60,24 @@
     }
 }
 
+/// Parses a text of 1 to [`MAX_LABEL_BYTES`] bytes that a header can carry: without control characters,
+/// and without a blank at its ends.
+fn parse_text(s: &str) -> Result<Arc<str>, IdError> {
+    if s.is_empty() || s.len() > MAX_LABEL_BYTES {
+        return Err(IdError::Length(s.len()));
+    }
+    let ends = s.chars().next().into_iter().chain(s.chars().next_back());
+    match s.chars().find(|c| c.is_control()).or(ends.into_iter().find(|c| c.is_whitespace())) {
+        Some(c) => Err(IdError::Character(c)),
+        None => Ok(Arc::from(s)),
+    }
+}
+
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident, $parse:ident) => {
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(try_from = "Arc<str>")]
         pub struct $name(Arc<str>);
 
         impl $name {
@@ -88,6 +102,15 @@
             }
         }
 
+        impl TryFrom<Arc<str>> for $name {
+            type Error = IdError;
+
+            /// Checks an identifier of this kind that is decoded.
+            fn try_from(s: Arc<str>) -> Result<Self, IdError> {
+                $parse(&s).map($name)
+            }
+        }
+
         impl FromStr for $name {
             type Err = IdError;
 
@@ -109,7 +132,7 @@
 }
 text_id! {
     /// Identifies a workspace, the unit of fair sharing and the scope of API and idempotency keys.
-    Workspace, parse_name
+    Workspace, parse_text
 }
 text_id! {
     /// Identifies a data centre.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -26,6 +26,7 @@
 mod odd_config;
 mod odd_items;
 mod odd_messages;
+mod outside_text;
 mod panics;
 mod polls;
 mod ports;
