Log and count why an instance is not ready

The only line about the configuration is StoreLost, once per outage and only where a call fails; a store without a configuration, a configuration that is refused and a read that hangs left none, or one among others.

The maintenance, which no call of the store can hold up, now steps a watch of what stands between the instance and its readiness. The log has a NotReady event (116) half a second after the start, when the reason changes and every 5 s, and a Ready event (117) with the time that it took. The detail names the failed call of the last read, whether the store was ever read, the time since a read ended, the known peers and why a configuration is refused; texts from outside are quoted and cut short, with the reason before the target, as the limit of a detail cut it off behind a long target. unready_seconds_total counts the seconds by reason, the gauge ready is 0 or 1, and the 503 of GET /ready has the same text as its body. A time in which the process did not run is counted as stalled once it runs again.

The time that the settings took is counted, as settings.

--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -71,6 +71,10 @@
     Panicked = 114,
     /// The resident memory of a process is near the limit at which the platform kills it.
     MemoryHigh = 115,
+    /// A process is not ready, or still is not, for the reason in the detail.
+    NotReady = 116,
+    /// A process is ready.
+    Ready = 117,
     /// A request was admitted by an entry.
     Admitted = 200,
     /// A request was refused before it had any effect.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -69,16 +69,7 @@
                 tokio::time::sleep(jitter(connection.rereads.delay())).await;
             }
             Err(e) => {
-                if !connection.is_lost {
-                    connection.is_lost = true;
-                    gw.outages.borrow_mut().begin(clock::now());
-                    gw.work_changed.notify_one();
-                    let at = gw.store_position.borrow().get().unwrap_or_default();
-                    let failure = gw.store.last_failure();
-                    let detail =
-                        format!("why={e:?} revision={} era={} {failure}", at.revision, at.era);
-                    gw.event(Kind::StoreLost, "store", detail);
-                }
+                record_failure(&gw, &mut connection, e);
                 tokio::time::sleep(jitter(retry_interval(&gw))).await;
                 if gw.store_position.borrow().get().is_some() {
                     wait_for_poll(&gw).await;
@@ -88,6 +79,19 @@
     }
 }
 
+/// Records that the last call failed, and logs that the store is lost when that is new.
+fn record_failure(gw: &Gateway, connection: &mut Connection, e: StoreError) {
+    let (now, failure) = (clock::now(), gw.store.last_failure());
+    gw.readiness.fail_read(now, e, failure.clone());
+    if !std::mem::replace(&mut connection.is_lost, true) {
+        gw.outages.borrow_mut().begin(now);
+        gw.work_changed.notify_one();
+        let at = gw.store_position.borrow().get().unwrap_or_default();
+        let detail = format!("why={e:?} revision={} era={} {failure}", at.revision, at.era);
+        gw.event(Kind::StoreLost, "store", detail);
+    }
+}
+
 /// Returns the time to wait after a failed call.
 fn retry_interval(gw: &Gateway) -> Duration {
     if peers::is_reader(gw) || gw.store_position.borrow().get().is_none() {
@@ -198,6 +202,7 @@
         true => gw.store.list_within(&FOLLOWED_KEYS, FIRST_TIMEOUT).await?,
         false => gw.store.list(&FOLLOWED_KEYS).await?,
     };
+    gw.readiness.end_read(clock::now());
     log_store_back(gw, connection);
     if gw.store_position.borrow().get().is_some() {
         return Ok(());
@@ -253,9 +258,16 @@
         false => (SLOW_TIMEOUT, SLOW_INTERVAL),
     };
     let asked = clock::now();
-    let read = gw.store.list_within(&FOLLOWED_KEYS, wait).await;
-    if let Some(all) = read.ok().filter(|all| is_ahead(gw, all.at)) {
-        apply_all(gw, asked, &all, Source::Current);
+    match gw.store.list_within(&FOLLOWED_KEYS, wait).await {
+        Ok(all) => {
+            gw.readiness.end_read(clock::now());
+            if is_ahead(gw, all.at) {
+                apply_all(gw, asked, &all, Source::Current);
+            } else {
+                gw.readiness.record_outdated();
+            }
+        }
+        Err(e) => gw.readiness.fail_read(clock::now(), e, gw.store.last_failure()),
     }
     interval
 }
@@ -270,6 +282,7 @@
 
 /// Applies a read of all keys that was sent at `asked`.
 fn apply_all(gw: &Rc<Gateway>, asked: Instant, all: &StoreUpdate, source: Source) {
+    gw.readiness.record_absent();
     apply_config(gw, all);
     replace_listings(gw, all, source);
     evacuation::replace(gw, all, source);
@@ -291,6 +304,7 @@
 /// newest one was wrong then, in all responses for a while.
 fn drop_outdated(gw: &Gateway, at: Position) {
     log::debug!("dropped a response of the store at {at}: the store has come back from a copy");
+    gw.readiness.record_outdated();
     let mut position = gw.store_position.borrow_mut();
     if !position.is_refuted(clock::now(), at) {
         return;
@@ -312,11 +326,14 @@
 }
 
 fn apply_config(gw: &Gateway, update: &StoreUpdate) {
-    let mut configs = update.kvs.iter().rev().filter(|kv| &*kv.key == platform::CONFIG_KEY);
+    let configs = update.kvs.iter().rev().filter(|kv| &*kv.key == platform::CONFIG_KEY);
+    let mut values = configs.filter_map(|kv| kv.value.as_ref()).peekable();
+    let is_there = values.peek().is_some();
     // The store has a valid one; an empty value is one that could not be read.
-    let newest = configs.find_map(|kv| kv.value.as_ref().filter(|v| !v.is_empty()));
-    if let Some(value) = newest {
-        adopt_table(gw, value, "store");
+    match values.find(|value| !value.is_empty()) {
+        Some(value) => adopt_table(gw, value, "store"),
+        None if is_there => gw.readiness.record_refused("the value is empty or cannot be read"),
+        None => {}
     }
 }
 
@@ -325,7 +342,10 @@
 pub fn adopt_table(gw: &Gateway, text: &[u8], from: impl Display) {
     let table = match platform::parse_table(text) {
         Ok(table) => table,
-        Err(e) => return gw.event(Kind::TableRefused, "table", format_args!("from={from} {e}")),
+        Err(e) => {
+            gw.readiness.record_refused(&format!("from={from} {e}"));
+            return gw.event(Kind::TableRefused, "table", format_args!("from={from} {e}"));
+        }
     };
     if gw.table.borrow().as_ref().is_some_and(|known| known.version >= table.version) {
         return;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod pauses;
 mod peers;
 mod quarantine;
+mod readiness;
 mod refusals;
 mod reload;
 mod respond;
@@ -115,6 +116,8 @@
     backlog: RefCell<Backlog>,
     /// Notified when the backlog has decided anew on a response.
     unread: RefCell<SecondaryMap<HeldKey, Rc<Notify>>>,
+    /// What stands between this instance and its readiness.
+    readiness: readiness::ReadinessState,
     /// Whether connections of callers are accepted.
     callers_accepted: Rc<Cell<bool>>,
     /// Open connections from callers.
@@ -198,6 +201,7 @@
     port: Option<u16>,
     name_log: impl FnOnce(&InstanceId),
 ) -> Result<(), GatewayError> {
+    let begun = clock::now();
     crate::memory::map_buffers();
     let mut stop_signals = StopSignals::install().map_err(GatewayError::Signal)?;
     // A hang-up from here on makes the file be read again.
@@ -207,9 +211,10 @@
     let Some((settings, front)) = usable else { return Ok(()) };
     name_log(&settings.instance);
     let listeners = Listeners::open(&settings, front, port);
-    let gw = Rc::new(Gateway::new(&settings, metrics));
+    let gw = Rc::new(Gateway::new(&settings, metrics, begun));
     callers::step(&gw);
     gw.event(Kind::Started, &settings.instance, format_args!("data_centre={}", settings.centre));
+    readiness::step(&gw, clock::now());
     for opening in listeners.probes {
         serve::start_probes(&gw, opening);
     }
@@ -249,8 +254,9 @@
 }
 
 impl Gateway {
-    fn new(settings: &GatewaySettings, metrics: Metrics) -> Self {
+    fn new(settings: &GatewaySettings, metrics: Metrics, begun: Instant) -> Self {
         Gateway {
+            readiness: readiness::ReadinessState::new(begun, clock::now()),
             ring: RefCell::new(EventRing::new(settings.instance.clone())),
             waves: RefCell::default(),
             table: RefCell::new(None),
@@ -341,8 +347,7 @@
 
     /// Returns whether new connections should be sent to this instance.
     fn is_ready(&self) -> bool {
-        let is_serving = self.callers_accepted.get() && !self.stop.is_requested();
-        is_serving && self.table.borrow().is_some()
+        readiness::obstacle(self).is_none()
     }
 }
 
@@ -382,7 +387,8 @@
 type Step = fn(&Rc<Gateway>, Instant);
 
 /// Steps of the maintenance by name. A panic of one leaves the others as they are.
-const MAINTENANCE_STEPS: [(&str, Step); 9] = [
+const MAINTENANCE_STEPS: [(&str, Step); 10] = [
+    ("readiness", |gw, now| readiness::step(gw, now)),
     ("pool", step_pool),
     ("quarantine", |gw, _| quarantine::step(gw)),
     ("backlog", |gw, _| unread::step(gw)),
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -4,7 +4,7 @@
 use super::job::{self, Job};
 use super::listeners::BoundedOpening;
 use super::respond::{Disposition, disposition};
-use super::{Gateway, call, explain, keep, quarantine, stream};
+use super::{Gateway, call, explain, keep, quarantine, readiness, stream};
 use crate::callers::{Listener, Load, Part};
 use crate::clock;
 use crate::h1::{Head, Inbound, ReadError, RequestLimits};
@@ -15,7 +15,7 @@
 use crate::shutdown::Phase;
 use crate::startup;
 use crate::task;
-use actix_http::{Response, StatusCode};
+use actix_http::{Method, Response, StatusCode};
 use actix_rt::net::TcpStream;
 use bytes::Bytes;
 use std::rc::Rc;
@@ -271,13 +271,21 @@
     }
 }
 
+/// Returns the body for an instance that is not ready. The platform reads only the status.
+fn describe_readiness(gw: &Gateway, req: &Head) -> Bytes {
+    match *req.method() {
+        Method::HEAD => Bytes::new(),
+        _ => readiness::describe(gw, clock::now()).into(),
+    }
+}
+
 fn answer_probe(gw: &Gateway, req: Head) -> (Response<()>, Bytes) {
     if let Some(path) = platform::explained_path(&req) {
         return explain::answer(gw, req, &path);
     }
     let (status, body) = match req.path() {
         platform::READY_PATH if gw.is_ready() => (StatusCode::OK, Bytes::new()),
-        platform::READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        platform::READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, describe_readiness(gw, &req)),
         "/metrics" => (StatusCode::OK, gw.metrics.render().into()),
         _ => (StatusCode::NOT_FOUND, Bytes::new()),
     };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -80,6 +80,7 @@
 pub mod process;
 pub mod prompts;
 pub mod quarantine;
+pub mod readiness;
 pub mod reload;
 pub mod route;
 pub mod settings;
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -20,6 +20,7 @@
 use std::fmt::{self, Display};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Timeout of connecting to the store.
@@ -44,19 +45,28 @@
 /// Header of each response with the number of times that the store has come back from a copy.
 const ERA: &str = "store-era";
 
-/// Why the last failed call failed.
-#[derive(Debug)]
-struct CallFailure {
-    target: Box<str>,
-    why: String,
+/// Most bytes of the target, and of the reason, of a failed call in the log. Both may have text from
+/// outside, and an event has a limit for its whole detail.
+const MAX_FAILURE_BYTES: usize = 150;
+
+/// A call that failed.
+#[derive(Debug, Clone, Default)]
+pub struct CallFailure {
+    target: Arc<str>,
+    /// Reason; empty if no call has failed.
+    pub why: Arc<str>,
 }
 
 impl fmt::Display for CallFailure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "call={:?} failure={:?}", shorten(&self.target), self.why)
+        write!(f, "failure={:?} call={:?}", self.why, self.target)
     }
 }
 
+fn shorten_failure(text: &str) -> Arc<str> {
+    text[..text.floor_char_boundary(MAX_FAILURE_BYTES)].into()
+}
+
 /// Client of the platform's metadata store.
 #[derive(Clone)]
 pub struct KvClient {
@@ -66,7 +76,7 @@
     era: Rc<Cell<Era>>,
     /// Time for answers, by those so far that are not stale.
     patience: Rc<RefCell<Patience>>,
-    failure: Rc<RefCell<Option<CallFailure>>>,
+    failure: Rc<RefCell<CallFailure>>,
 }
 
 impl fmt::Debug for KvClient {
@@ -140,15 +150,15 @@
         KvClient { config, address, era, patience: Rc::default(), failure: Rc::default() }
     }
 
-    /// Returns the target and the reason of the last call that failed, for the log; empty if there is none.
-    pub fn last_failure(&self) -> String {
-        self.failure.borrow().as_ref().map(CallFailure::to_string).unwrap_or_default()
+    /// Returns the last call that failed.
+    pub fn last_failure(&self) -> CallFailure {
+        self.failure.borrow().clone()
     }
 
     /// Records why a call failed; returns `e`.
     fn fail(&self, target: &str, why: impl Display, e: StoreError) -> StoreError {
-        *self.failure.borrow_mut() =
-            Some(CallFailure { target: target.into(), why: why.to_string() });
+        let (target, why) = (shorten_failure(target), shorten_failure(&why.to_string()));
+        *self.failure.borrow_mut() = CallFailure { target, why };
         e
     }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -25,7 +25,7 @@
     explained_path, forward_head, host, parse_limit, parse_request, parse_response, refusal_head,
     response_head,
 };
-pub use kv::KvClient;
+pub use kv::{CallFailure, KvClient};
 pub use servers::parse_listing;
 pub use settings::{GatewaySettings, Reading, SettingsError, settings_path};
 
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -18,6 +18,7 @@
 pub use rereads::Rereads;
 
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::future::Future;
 use std::time::Duration;
 
@@ -48,6 +49,20 @@
     }
 }
 
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            StoreError::Unreached => "unreached",
+            StoreError::Lost => "lost",
+            StoreError::Malformed => "malformed",
+            StoreError::Compacted => "compacted",
+            StoreError::Refused => "refused",
+            StoreError::Behind => "behind",
+            StoreError::TooLarge => "too-large",
+        })
+    }
+}
+
 /// A value in the store.
 #[derive(Debug, Clone, PartialEq)]
 pub struct StoredValue {
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -35,6 +35,7 @@
 mod ports;
 mod prompts;
 mod quarantine;
+mod readiness;
 mod reload;
 mod retries;
 mod sidecar;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -28,6 +28,7 @@
 mod panics;
 mod polls;
 mod ports;
+mod readiness;
 mod requests;
 mod restarts;
 mod retries;
--- /dev/null
+++ b/tests/gateway/readiness.rs
@@ -0,0 +1,197 @@
+//! Tests that log and metrics name the reason of each second without readiness.
+
+use crate::common::{CONFIG, start_gateway_at, start_platform, wait_for};
+use rstest::rstest;
+use standin::host::Holder;
+use standin::platform::{Gateway, Listen, Store, StoreFault, StoreFront, send};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::thread::sleep;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Time in which the reason is in log and metrics.
+const FIRST_SECS: f64 = 1.0;
+/// Time in which it is there again.
+const AGAIN_SECS: f64 = 6.0;
+/// Time without readiness in each test.
+const FAULT_SECS: f64 = 7.0;
+/// Largest difference between the counted seconds and the time.
+const COUNT_SECS: f64 = 1.5;
+
+fn wall() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("the clock is set").as_secs_f64()
+}
+
+fn log(gateway: &Gateway) -> String {
+    std::fs::read_to_string(gateway.settings_file.with_extension("log")).unwrap_or_default()
+}
+
+/// Returns the times of the lines with all of these texts.
+fn times(log: &str, texts: &[&str]) -> Vec<f64> {
+    let lines = log.lines().filter(|line| texts.iter().all(|text| line.contains(text)));
+    let time = |line: &str| line.strip_prefix("time=")?.split(' ').next()?.parse().ok();
+    lines.filter_map(time).collect()
+}
+
+/// Returns the time at which the process had its settings, which is later than its spawn on a busy machine.
+fn start_time(gateway: &Gateway) -> f64 {
+    let started = || times(&log(gateway), &["kind=Started "]);
+    assert!(wait_for(5, || !started().is_empty()), "not started");
+    started()[0]
+}
+
+fn metrics(address: SocketAddr) -> String {
+    send(address, b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").reply().body
+}
+
+/// Returns the sum of a metric over its labels; `None` if it has no series.
+fn sum(metrics: &str, name: &str) -> Option<f64> {
+    let values = metrics.lines().filter_map(|line| line.strip_prefix(name)?.split(' ').next_back());
+    values.map(|v| v.parse::<f64>().expect("a number")).reduce(|a, b| a + b)
+}
+
+/// Checks that log and metrics name a reason within 1 s of `begun`, and the log again within 6 s.
+/// `texts` are in each of the lines.
+fn assert_named(gateway: &Gateway, probes: SocketAddr, begun: f64, why: &str, texts: &[&str]) {
+    let field = format!(" why={why} for_ms=");
+    let texts: Vec<&str> =
+        ["kind=NotReady subject=g-", &field].into_iter().chain(texts.iter().copied()).collect();
+    let is_logged = || !times(&log(gateway), &texts).is_empty();
+    assert!(wait_for(2, is_logged), "no line with {texts:?}: {}", log(gateway));
+    let series = format!("unready_seconds_total{{why=\"{why}\"}}");
+    assert!(metrics(probes).contains(&series), "no series {series}");
+    let first = times(&log(gateway), &texts)[0] - begun;
+    assert!(first < FIRST_SECS, "logged after {first:.2} s");
+    let is_repeated = || times(&log(gateway), &texts).len() > 1;
+    assert!(wait_for(7, is_repeated), "not logged again: {}", log(gateway));
+    let lines = times(&log(gateway), &texts);
+    assert!(lines[1] - lines[0] < AGAIN_SECS, "logged again after {:.2} s", lines[1] - lines[0]);
+}
+
+/// Checks that the seconds since `begun` are counted as such without readiness.
+fn assert_counted(probes: SocketAddr, begun: f64) {
+    sleep(Duration::from_secs_f64((begun + FAULT_SECS - wall()).max(0.0)));
+    let (before, text, after) = (wall() - begun, metrics(probes), wall() - begun);
+    assert_eq!(sum(&text, "ready "), Some(0.0));
+    let counted = sum(&text, "unready_seconds_total").expect("seconds are counted");
+    let range = before - COUNT_SECS..=after + COUNT_SECS;
+    assert!(range.contains(&counted), "{counted} of {before:.2} s are counted");
+}
+
+/// Checks what is logged and counted once the instance is ready.
+fn assert_ready(gateway: &Gateway, probes: SocketAddr) {
+    let is_ready = || sum(&metrics(probes), "ready ") == Some(1.0);
+    assert!(wait_for(7, is_ready), "not ready: {}", log(gateway));
+    assert!(wait_for(2, || !times(&log(gateway), &["kind=Ready subject=g-"]).is_empty()));
+    let counted = || sum(&metrics(probes), "unready_seconds_total");
+    let before = counted();
+    sleep(Duration::from_millis(1500));
+    assert_eq!(counted(), before, "seconds with readiness are counted");
+}
+
+#[rstest]
+#[case::absent(StoreFault::Absent, "store-unreached", r#" failure=""#, "unreached")]
+#[case::limiting(StoreFault::Status(429), "store-refused", r#" failure="status 429" call="#, "429")]
+#[case::refusing(StoreFault::Status(400), "store-refused", r#" failure="status 400" call="#, "400")]
+#[case::not_json(StoreFault::Body("<html>"), "store-malformed", "expected value", "malformed")]
+#[case::closing(StoreFault::Closing, "store-lost", "connection closed", "broken")]
+fn fault_of_the_store_is_named_while_an_instance_is_not_ready(
+    #[case] fault: StoreFault,
+    #[case] why: &str,
+    #[case] failure: &str,
+    #[case] label: &str,
+) {
+    let store = Store::start();
+    store.set("op/config", Some(CONFIG.as_bytes()));
+    let front = StoreFront::start(store.address, fault);
+    let gateway = start_gateway_at(front.address);
+    let begun = start_time(&gateway);
+    assert_named(&gateway, gateway.ready, begun, why, &["table=0 read=false", "peers=0", failure]);
+    let series = format!("store_failures_total{{why=\"{label}\"}}");
+    assert!(metrics(gateway.ready).contains(&series), "no series {series}");
+    let asked = b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let reply = send(gateway.ready, asked).reply();
+    assert!(reply.status == 503 && reply.body.contains(failure), "{}", reply.body);
+    assert_counted(gateway.ready, begun);
+    front.mend();
+    assert_ready(&gateway, gateway.ready);
+}
+
+#[test]
+fn silent_store_is_named_before_and_after_the_first_read_has_failed() {
+    let front = StoreFront::start(Store::start().address, StoreFault::Silent);
+    let gateway = start_gateway_at(front.address);
+    let begun = start_time(&gateway);
+    let unread = ["kind=NotReady", "why=store-unread", "read=false ended_ms="];
+    assert!(wait_for(2, || !times(&log(&gateway), &unread).is_empty()), "{}", log(&gateway));
+    let first = times(&log(&gateway), &unread)[0] - begun;
+    assert!(first < FIRST_SECS, "logged after {first:.2} s");
+    // The first answer is waited for at most 1 s.
+    assert_named(&gateway, gateway.ready, begun + 1.0, "store-lost", &["failure=", "call="]);
+    assert_counted(gateway.ready, begun);
+}
+
+#[rstest]
+#[case::absent(None, "configuration-absent", "read=true")]
+#[case::empty(Some(""), "configuration-refused", "refused=\"the value is empty")]
+#[case::cut_off(Some(&CONFIG[..40]), "configuration-refused", "refused=\"from=store EOF while")]
+#[case::two_lines(Some("{\"version\":\"a\nb"), "configuration-refused", "refused=\"from=store")]
+fn configuration_that_cannot_be_used_is_named_while_an_instance_is_not_ready(
+    #[case] text: Option<&str>,
+    #[case] why: &str,
+    #[case] detail: &str,
+) {
+    let store = Store::start();
+    store.set("op/config", text.map(str::as_bytes));
+    let gateway = start_gateway_at(store.address);
+    let begun = start_time(&gateway);
+    assert_named(&gateway, gateway.ready, begun, why, &["read=true", detail]);
+    assert_counted(gateway.ready, begun);
+    store.set("op/config", Some(CONFIG.as_bytes()));
+    assert_ready(&gateway, gateway.ready);
+}
+
+#[test]
+fn address_for_callers_that_is_in_use_is_named() {
+    let listen = Listen::with_metrics();
+    let probes = listen.metrics.expect("an address for metrics");
+    let holder = Holder::listener(listen.front);
+    let store = Store::start();
+    store.set("op/config", Some(CONFIG.as_bytes()));
+    let binary = Path::new(env!("CARGO_BIN_EXE_skylarkthread"));
+    let gateway = Gateway::start_on(binary, store.address, listen);
+    let begun = start_time(&gateway);
+    assert_named(&gateway, probes, begun, "not-listening", &[]);
+    assert_counted(probes, begun);
+    holder.release();
+    assert_ready(&gateway, probes);
+}
+
+#[test]
+fn stop_is_named_in_log_and_metrics() {
+    let (_store, gateway) = start_platform(&[]);
+    assert!(wait_for(2, || !times(&log(&gateway), &["kind=Ready subject=g-"]).is_empty()));
+    let begun = wall();
+    gateway.signal(libc::SIGTERM);
+    let stopping = ["kind=NotReady", "why=stopping for_ms=", "table=7"];
+    assert!(wait_for(2, || !times(&log(&gateway), &stopping).is_empty()), "{}", log(&gateway));
+    assert!(times(&log(&gateway), &stopping)[0] - begun < FIRST_SECS);
+    sleep(Duration::from_millis(1500));
+    let text = metrics(gateway.ready);
+    let counted = sum(&text, "unready_seconds_total{why=\"stopping\"}").expect("it is counted");
+    assert!((1.5 - COUNT_SECS..=wall() - begun + COUNT_SECS).contains(&counted) && counted > 0.0);
+}
+
+#[test]
+fn time_for_which_the_process_was_held_is_named_and_counted() {
+    let (_store, gateway) = start_platform(&[]);
+    assert!(wait_for(2, || !times(&log(&gateway), &["kind=Ready subject=g-"]).is_empty()));
+    gateway.signal(libc::SIGSTOP);
+    sleep(Duration::from_secs(3));
+    gateway.signal(libc::SIGCONT);
+    let held = ["kind=Ready", "why=stalled for_ms="];
+    assert!(wait_for(2, || !times(&log(&gateway), &held).is_empty()), "{}", log(&gateway));
+    let counted = sum(&metrics(gateway.ready), "unready_seconds_total{why=\"stalled\"}");
+    let counted = counted.expect("it is counted");
+    assert!((3.0 - COUNT_SECS..=3.0 + COUNT_SECS).contains(&counted), "{counted}");
+}
