Log the reason of a store outage again when it changes

StoreLost was logged for the first failed call of an outage only. A store that was absent and then refused each call, as after a restart, left "unreached" as the only reason in the log of an instance that has a configuration.

The event is now logged again when the error or its reason is another one, at most every 5 s; the target of the call is not compared, as any of four reads may fail first. outage_of_the_store_that_changes_its_reason_is_logged_again failed before (no line names status 400), and reasons_of_an_outage_are_logged_when_they_change_and_at_a_bounded_rate is new.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -6,6 +6,7 @@
 use crate::gossip::{StoreChanges, Succession};
 use crate::platform;
 use crate::pool::{Listing, Source};
+use crate::readiness::OutageReasons;
 use crate::store::{ChangeFeed, KeyValue, Position, Rereads, StoreError, StoreUpdate};
 use std::fmt::Display;
 use std::rc::Rc;
@@ -47,8 +48,8 @@
 /// State of the connection to the store.
 #[derive(Debug, Default)]
 struct Connection {
-    /// Whether the last call failed.
-    is_lost: bool,
+    /// What was logged of the present outage.
+    reasons: OutageReasons,
     /// Full reads since the last watch that was answered with changes, or with none.
     rereads: Rereads,
     /// When all keys are read once more after the store came back from a copy.
@@ -79,13 +80,16 @@
     }
 }
 
-/// Records that the last call failed, and logs that the store is lost when that is new.
+/// Records that the last call failed, and logs that the store is lost when that is new or has another
+/// reason.
 fn record_failure(gw: &Gateway, connection: &mut Connection, e: StoreError) {
     let (now, failure) = (clock::now(), gw.store.last_failure());
     gw.readiness.fail_read(now, e, failure.clone());
-    if !std::mem::replace(&mut connection.is_lost, true) {
+    if !connection.reasons.is_lost() {
         gw.outages.borrow_mut().begin(now);
         gw.work_changed.notify_one();
+    }
+    if connection.reasons.is_due(now, e, &failure.why) {
         let at = gw.store_position.borrow().get().unwrap_or_default();
         let detail = format!("why={e:?} revision={} era={} {failure}", at.revision, at.era);
         gw.event(Kind::StoreLost, "store", detail);
@@ -319,7 +323,7 @@
 }
 
 fn log_store_back(gw: &Gateway, connection: &mut Connection) {
-    if std::mem::take(&mut connection.is_lost) {
+    if connection.reasons.end() {
         gw.outages.borrow_mut().end(clock::now());
         gw.event(Kind::StoreBack, "store", "");
     }
--- a/src/readiness/mod.rs
+++ b/src/readiness/mod.rs
@@ -161,3 +161,34 @@
         }
     }
 }
+
+/// Limits how often the reason of an outage is logged.
+#[derive(Debug, Default)]
+pub struct OutageReasons {
+    last: Option<(StoreError, Arc<str>, Instant)>,
+}
+
+impl OutageReasons {
+    /// Returns whether to log that calls fail for this reason at `now`: where it is the first one or
+    /// another than the last, at intervals. Counts it as logged if so.
+    pub fn is_due(&mut self, now: Instant, e: StoreError, why: &str) -> bool {
+        let is_due = self.last.as_ref().is_none_or(|(last, text, at)| {
+            let has_changed = *last != e || **text != *why;
+            has_changed && now.saturating_duration_since(*at) >= REPORT_INTERVAL
+        });
+        if is_due {
+            self.last = Some((e, why.into(), now));
+        }
+        is_due
+    }
+
+    /// Returns whether there is an outage.
+    pub fn is_lost(&self) -> bool {
+        self.last.is_some()
+    }
+
+    /// Returns whether there was an outage, which has ended now.
+    pub fn end(&mut self) -> bool {
+        self.last.take().is_some()
+    }
+}
--- a/tests/decisions/readiness.rs
+++ b/tests/decisions/readiness.rs
@@ -1,7 +1,7 @@
 //! What is logged and counted while a process is not ready.
 
 use rstest::rstest;
-use skylarkthread::readiness::{Obstacle, Report, Watch};
+use skylarkthread::readiness::{Obstacle, OutageReasons, Report, Watch};
 use skylarkthread::store::StoreError;
 use std::time::{Duration, Instant};
 
@@ -110,3 +110,22 @@
     assert!((100..=120).contains(&reports.len()), "{} reports", reports.len());
     assert_eq!(counted.iter().map(|c| c.1).sum::<u64>(), 60);
 }
+
+#[test]
+fn reasons_of_an_outage_are_logged_when_they_change_and_at_a_bounded_rate() {
+    let (start, mut reasons) = (Instant::now(), OutageReasons::default());
+    let mut logged = Vec::new();
+    for tenth in 0..200 {
+        let why = if tenth < 70 { "status 429" } else { "status 400" };
+        if reasons.is_due(start + ms(100 * tenth), StoreError::Refused, why) {
+            logged.push((tenth, why));
+        }
+    }
+    assert_eq!(logged, [(0, "status 429"), (70, "status 400")]);
+    let is_due = |n: u64| {
+        let why = if n.is_multiple_of(2) { "status 429" } else { "status 400" };
+        reasons.is_due(start + ms(20_000 + 100 * n), StoreError::Refused, why)
+    };
+    assert!((0..200).map(is_due).filter(|due| *due).count() <= 5);
+    assert!(reasons.end() && !reasons.end());
+}
--- a/tests/gateway/readiness.rs
+++ b/tests/gateway/readiness.rs
@@ -4,8 +4,11 @@
 use rstest::rstest;
 use standin::host::Holder;
 use standin::platform::{Gateway, Listen, Store, StoreFault, StoreFront, send};
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -195,3 +198,30 @@
     let counted = counted.expect("it is counted");
     assert!((3.0 - COUNT_SECS..=3.0 + COUNT_SECS).contains(&counted), "{counted}");
 }
+
+/// Starts a store that answers each request with this status; returns its address.
+fn start_refusing(status: Arc<AtomicU16>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("cannot listen");
+    let address = listener.local_addr().expect("the listener has an address");
+    std::thread::spawn(move || {
+        for mut client in listener.incoming().flatten() {
+            // Requests are far smaller than this.
+            let _ = client.read(&mut [0; 4096]);
+            let status = status.load(Ordering::Relaxed);
+            let _ = write!(client, "HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    address
+}
+
+/// The log had one line for a whole outage.
+#[test]
+fn outage_of_the_store_that_changes_its_reason_is_logged_again() {
+    let status = Arc::new(AtomicU16::new(429));
+    let gateway = start_gateway_at(start_refusing(status.clone()));
+    let is_lost = |text| !times(&log(&gateway), &["kind=StoreLost", text]).is_empty();
+    assert!(wait_for(2, || is_lost("status 429")), "{}", log(&gateway));
+    status.store(400, Ordering::Relaxed);
+    assert!(wait_for(7, || is_lost("status 400")), "{}", log(&gateway));
+    assert_eq!(times(&log(&gateway), &["kind=StoreLost"]).len(), 2, "{}", log(&gateway));
+}
