Log and count why an entry is not ready

An entry without a configuration answered health checks with "not ready" and nothing else; its log had one StoreLost without a reason, and nothing where the store has no text, or one that a sidecar has a newer version of.

It now steps the same watch as a gateway ten times a second: NotReady and Ready events, unready_seconds_total and ready, and the reason in the body of /healthz. StoreLost names the error. A sidecar answers health checks from its start on and has nothing to name.

entry_without_a_configuration_tells_why is new; it was not run on the code before, which has neither the event nor the series that it looks for.

--- a/src/entry/background.rs
+++ b/src/entry/background.rs
@@ -2,7 +2,7 @@
 //!
 //! The elected leader also sends load and unload orders to the sidecars.
 
-use super::{Entry, history, jitter, links, quarantine, sync};
+use super::{Entry, history, jitter, links, quarantine, readiness, sync};
 use crate::clock;
 use crate::eject;
 use crate::event::Kind;
@@ -128,11 +128,12 @@
     Gossip { store: e.history.known(), ..quarantine }
 }
 
-/// Ejects failing endpoints, readmits them after their ejection period, and keeps the quarantine up
-/// to date.
+/// Ejects failing endpoints, readmits them after their ejection period, and keeps the quarantine and
+/// what is told of the readiness up to date.
 pub async fn run_ejection(e: Rc<Entry>) {
     loop {
         tokio::time::sleep(EJECTION_INTERVAL).await;
+        readiness::step(&e, clock::now());
         quarantine::step(&e);
         let changes = eject::step(clock::now(), &mut e.board.borrow_mut());
         for change in changes {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod links;
 mod peers;
 mod quarantine;
+mod readiness;
 mod relay;
 mod request;
 mod sync;
@@ -28,6 +29,7 @@
 use crate::problem::{Problem, ProblemKind};
 use crate::process::Process;
 use crate::quarantine::{Quarantine, Runs};
+use crate::readiness::{Obstacle, Watch};
 use crate::shutdown::{Drain, StopSignals, run_stop};
 use crate::store::{Etcd, InstanceList};
 use crate::task::{self, Unfinished};
@@ -68,6 +70,9 @@
     history: StoreView,
     peer_versions: RefCell<HashMap<InstanceId, IntentVersion>>,
     metrics: http::Metrics,
+    readiness: RefCell<Watch>,
+    /// Why there is no intent, as long as there is none.
+    missing: RefCell<Obstacle>,
 }
 
 /// Runs an entry until shutdown is requested and all open requests have finished.
@@ -100,6 +105,8 @@
         history: StoreView::default(),
         peer_versions: RefCell::new(HashMap::new()),
         metrics,
+        readiness: RefCell::new(Watch::new(clock::now(), clock::now())),
+        missing: RefCell::new(Obstacle::StoreUnread),
         started: clock::now(),
         process,
     });
@@ -172,9 +179,10 @@
 }
 
 fn health(e: &Entry) -> Response<Body> {
-    let is_ready = !e.board.borrow().draining && e.process.version().0 > 0;
-    let status = if is_ready { 200 } else { 503 };
-    http::full_response(status, "text/plain", if is_ready { "ok" } else { "not ready" })
+    match readiness::obstacle(e) {
+        None => http::full_response(200, "text/plain", "ok"),
+        Some(obstacle) => http::full_response(503, "text/plain", format!("not ready: {obstacle}")),
+    }
 }
 
 async fn route(e: &Rc<Entry>, req: Incoming) -> Result<Response<Body>, Problem> {
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -13,6 +13,7 @@
 use crate::intent::{AdoptError, HEAD_KEY, Head, read_newest, write_back};
 use crate::peer::Link;
 use crate::place;
+use crate::readiness::Obstacle;
 use crate::store::{Store, StoreError};
 use crate::task;
 use std::cell::Cell;
@@ -45,12 +46,15 @@
         let result = sync_once(&e, &mut revision).await;
         if result.is_ok() != is_up {
             is_up = result.is_ok();
-            let kind = if is_up { Kind::StoreBack } else { Kind::StoreLost };
-            e.process.event(kind, "store", "");
+            match &result {
+                Ok(()) => e.process.event(Kind::StoreBack, "store", ""),
+                Err(why) => e.process.event(Kind::StoreLost, "store", format_args!("why={why}")),
+            }
         }
         match result {
             Ok(()) => retry_delay = MIN_RETRY_DELAY,
-            Err(_) => {
+            Err(why) => {
+                *e.missing.borrow_mut() = Obstacle::StoreFailed(why, "".into());
                 tokio::time::sleep(jitter(retry_delay)).await;
                 retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
             }
@@ -80,11 +84,13 @@
 /// Returns the revision that was read, or `None` if the store holds no intent.
 async fn fetch_newer(e: &Rc<Entry>) -> Result<Option<u64>, StoreError> {
     let Some(stored) = e.store.get(HEAD_KEY).await? else {
+        *e.missing.borrow_mut() = Obstacle::ConfigurationAbsent;
         write_back_newer(e, IntentVersion(0)).await?;
         return Ok(None);
     };
     let head: Head = serde_json::from_slice(&stored.value).map_err(|_| StoreError::Malformed)?;
     while !may_adopt_stored(e, head.version) {
+        *e.missing.borrow_mut() = Obstacle::StoreOutdated;
         tokio::time::sleep(START_INTERVAL).await;
     }
     write_back_newer(e, head.version).await?;
@@ -94,6 +100,7 @@
             adopt(e, &copy, "store");
             return Ok(Some(revision));
         }
+        *e.missing.borrow_mut() = Obstacle::ConfigurationAbsent;
     }
     Ok(Some(stored.revision))
 }
@@ -160,6 +167,8 @@
             true
         }
         Err(AdoptError::Invalid) => {
+            let why = format!("from={from}");
+            *e.missing.borrow_mut() = Obstacle::ConfigurationRefused(why.into());
             e.process.event(Kind::Rejected, copy.version, "configuration text failed validation");
             false
         }
--- a/tests/deployment/start.rs
+++ b/tests/deployment/start.rs
@@ -2,8 +2,11 @@
 
 use crate::common::*;
 use rstest::rstest;
+use serde_json::Value;
 use standin::fleet::{Daemon, Fleet, Plan};
+use standin::host::free_address;
 use std::fs::File;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::process::Stdio;
 use std::time::Duration;
@@ -108,6 +111,40 @@
     assert_serves(&fleet).await;
 }
 
+/// Returns the reply of a daemon to a request for a path.
+fn get(daemon: &Daemon, path: &str) -> String {
+    let mut conn = TcpStream::connect(daemon.http).expect("the daemon listens");
+    let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    conn.write_all(request.as_bytes()).expect("the request is sent");
+    let mut reply = String::new();
+    conn.read_to_string(&mut reply).expect("the reply is text");
+    reply
+}
+
+#[actix_rt::test]
+async fn entry_without_a_configuration_tells_why() {
+    let mut fleet = start().await;
+    // Any of the others would pass its own on.
+    fleet.endpoints.iter_mut().for_each(|e| e.sidecar.kill());
+    fleet.entries.iter_mut().for_each(|e| e.daemon.kill());
+    let entry = daemon(&mut fleet, Role::Entry);
+    let text = std::fs::read_to_string(&entry.settings).expect("the file is there");
+    let mut settings: Value = serde_json::from_str(&text).expect("the settings are JSON");
+    settings["store"] = free_address().to_string().into();
+    std::fs::write(&entry.settings, settings.to_string()).expect("cannot write the settings file");
+    entry.restart(binary());
+    assert_runs(entry).await;
+    let line = "kind=NotReady subject=entry-0 why=store-unreached for_ms=";
+    let is_repeated = async || read_log(entry).matches(line).count() > 1;
+    assert!(wait_until(8, is_repeated).await, "{}", read_log(entry));
+    assert!(read_log(entry).contains("kind=StoreLost subject=store why=unreached"));
+    let health = get(entry, "/healthz");
+    assert!(health.contains(" 503 ") && health.ends_with("not ready: store-unreached"), "{health}");
+    let metrics = get(entry, "/metrics");
+    let is_counted = |l: &str| l.starts_with("unready_seconds_total{why=\"store-unreached\"} ");
+    assert!(metrics.lines().any(is_counted) && metrics.contains("\nready 0\n"), "{metrics}");
+}
+
 /// An output that takes nothing.
 #[derive(Debug, Clone, Copy)]
 enum Sink {
