Log from another thread that the one that serves is blocked

An instance has one thread, which also logs. Where it is blocked the kernel still accepts connections on all addresses, checks for readiness get no answer, and the log ends after the last Listening.

A thread of its own checks four times a second whether the maintenance has stepped, and logs NotReady with why=stalled after a second and every 5 s. Once the thread runs again, it logs Ready with the time, and counts it. Without memory for the thread, a warning says so and the instance serves without it.

thread_that_is_blocked_is_named_while_it_is holds the main thread of a running instance by ptrace; without the call that starts the thread it failed (no line). It needs a system that lets a process trace its child.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -215,6 +215,7 @@
     callers::step(&gw);
     gw.event(Kind::Started, &settings.instance, format_args!("data_centre={}", settings.centre));
     readiness::step(&gw, clock::now());
+    readiness::watch_stalls(&gw);
     for opening in listeners.probes {
         serve::start_probes(&gw, opening);
     }
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -1,15 +1,24 @@
 //! Tells in log, metrics and readiness checks what stands between this instance and its readiness.
 
 use super::Gateway;
-use crate::event::Kind;
+use crate::clock;
+use crate::event::{self, Kind};
+use crate::id::InstanceId;
 use crate::platform::CallFailure;
-use crate::readiness::{Obstacle, Report, Watch};
+use crate::readiness::{Obstacle, Report, StallWatch, Watch};
 use crate::store::StoreError;
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
+/// Interval at which another thread checks whether the thread that serves runs.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Size of the stack of that thread, which only formats a line.
+const STACK_BYTES: usize = 256 << 10;
+
 /// Most bytes that are kept of the reason for which a configuration is refused.
 const MAX_REASON_BYTES: usize = 200;
 
@@ -31,6 +40,8 @@
 #[derive(Debug)]
 pub struct ReadinessState {
     watch: RefCell<Watch>,
+    /// Number of steps, which another thread watches.
+    steps: Arc<AtomicU64>,
     /// When the last read of all keys ended; at first, the start of this instance.
     ended: Cell<Instant>,
     /// Whether a read of all keys has succeeded.
@@ -45,6 +56,7 @@
     pub fn new(begun: Instant, now: Instant) -> Self {
         ReadinessState {
             watch: RefCell::new(Watch::new(begun, now)),
+            steps: Arc::default(),
             ended: Cell::new(now),
             was_read: Cell::default(),
             failure: RefCell::default(),
@@ -108,8 +120,29 @@
     }
 }
 
+/// Starts a thread that logs while the thread that serves does not run, which cannot do so itself.
+pub fn watch_stalls(gw: &Gateway) {
+    let (steps, instance) = (gw.readiness.steps.clone(), gw.settings.borrow().instance.clone());
+    let builder = thread::Builder::new().name("watchdog".to_owned()).stack_size(STACK_BYTES);
+    if let Err(e) = builder.spawn(move || log_stalls(&steps, &instance)) {
+        log::warn!("no thread to watch the one that serves: {e}");
+    }
+}
+
+fn log_stalls(steps: &AtomicU64, instance: &InstanceId) {
+    let mut watch = StallWatch::new(clock::now());
+    loop {
+        thread::sleep(CHECK_INTERVAL);
+        if let Some(time) = watch.step(clock::now(), steps.load(Ordering::Relaxed)) {
+            let detail = format!("why={} for_ms={}", Obstacle::Stalled, time.as_millis());
+            event::log(Kind::NotReady, instance.as_str(), &detail);
+        }
+    }
+}
+
 /// Logs and counts the time without readiness.
 pub fn step(gw: &Gateway, now: Instant) {
+    gw.readiness.steps.fetch_add(1, Ordering::Relaxed);
     let found = obstacle(gw);
     metrics::gauge!("ready").set(if found.is_none() { 1.0 } else { 0.0 });
     // A series at 0 shows the reason before its first second is over.
--- a/src/readiness/mod.rs
+++ b/src/readiness/mod.rs
@@ -3,6 +3,10 @@
 //! A process that listens and gets no callers has to say why, again and again: whoever looks at its log
 //! may have only the last minute of it, or a selection of lines.
 
+mod stall;
+
+pub use stall::StallWatch;
+
 use crate::store::StoreError;
 use std::fmt;
 use std::sync::Arc;
--- a/tests/decisions/readiness.rs
+++ b/tests/decisions/readiness.rs
@@ -1,7 +1,7 @@
 //! What is logged and counted while a process is not ready.
 
 use rstest::rstest;
-use skylarkthread::readiness::{Obstacle, OutageReasons, Report, Watch};
+use skylarkthread::readiness::{Obstacle, OutageReasons, Report, StallWatch, Watch};
 use skylarkthread::store::StoreError;
 use std::time::{Duration, Instant};
 
@@ -129,3 +129,17 @@
     assert!((0..200).map(is_due).filter(|due| *due).count() <= 5);
     assert!(reasons.end() && !reasons.end());
 }
+
+#[test]
+fn thread_that_does_not_run_is_reported_after_a_second_and_at_intervals() {
+    let begun = Instant::now();
+    let mut watch = StallWatch::new(begun);
+    let mut reports = Vec::new();
+    for at in (0..20_000).step_by(250) {
+        // The thread runs until 4 s, and again from 17 s on.
+        let beats = if at < 17_000 { at.min(4_000) } else { at };
+        let step = watch.step(begun + ms(at), beats);
+        reports.extend(step.map(|time| (at, time.as_millis())));
+    }
+    assert_eq!(reports, [(5_000, 1_000), (10_000, 6_000), (15_000, 11_000)]);
+}
--- a/tests/gateway/readiness.rs
+++ b/tests/gateway/readiness.rs
@@ -199,6 +199,34 @@
     assert!((3.0 - COUNT_SECS..=3.0 + COUNT_SECS).contains(&counted), "{counted}");
 }
 
+/// Stops the main thread of a process, and no other, for a time.
+fn hold_main_thread(gateway: &Gateway, time: Duration) {
+    let (id, none) = (gateway.process_id() as libc::pid_t, std::ptr::null_mut::<libc::c_void>());
+    // SAFETY: none of the calls accesses memory of this process, and the child has not been waited for.
+    let request = |number| unsafe { libc::ptrace(number, id, none, none) };
+    assert_eq!(request(libc::PTRACE_SEIZE), 0, "{}", std::io::Error::last_os_error());
+    assert_eq!(request(libc::PTRACE_INTERRUPT), 0, "{}", std::io::Error::last_os_error());
+    sleep(time);
+    assert_eq!(request(libc::PTRACE_DETACH), 0, "{}", std::io::Error::last_os_error());
+}
+
+/// Nothing was logged while the thread that serves did not run.
+#[test]
+fn thread_that_is_blocked_is_named_while_it_is() {
+    let (_store, gateway) = start_platform(&[]);
+    assert!(wait_for(2, || !times(&log(&gateway), &["kind=Ready subject=g-"]).is_empty()));
+    let begun = wall();
+    hold_main_thread(&gateway, Duration::from_secs(8));
+    let end = wall();
+    let lines = times(&log(&gateway), &["kind=NotReady subject=g-", " why=stalled for_ms="]);
+    assert!(lines.len() >= 2 && lines.iter().all(|at| *at < end), "{}", log(&gateway));
+    // The time until the stall counts as one, and until it is checked.
+    assert!(lines[0] - begun < FIRST_SECS + 0.5, "logged after {:.2} s", lines[0] - begun);
+    assert!(lines[1] - lines[0] < AGAIN_SECS);
+    let is_over = || !times(&log(&gateway), &["kind=Ready", " why=stalled for_ms="]).is_empty();
+    assert!(wait_for(2, is_over), "{}", log(&gateway));
+}
+
 /// Starts a store that answers each request with this status; returns its address.
 fn start_refusing(status: Arc<AtomicU16>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("cannot listen");
