--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -21,6 +21,7 @@
 use std::fmt::{self, Display};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Timeout of connecting to the store.
@@ -50,16 +51,21 @@
 /// Header of each response with the number of times that the store has come back from a copy.
 const ERA: &str = "store-era";
 
-/// Why the last failed call failed.
-#[derive(Debug)]
-struct CallFailure {
-    target: Box<str>,
-    why: String,
+/// Most bytes of the target, and of the reason, of a failed call in the log. Both may have text from
+/// outside, and an event has a limit for its whole detail.
+const MAX_FAILURE_BYTES: usize = 150;
+
+/// A call that failed.
+#[derive(Debug, Clone, Default)]
+pub struct CallFailure {
+    target: Arc<str>,
+    /// Reason; empty if no call has failed.
+    pub why: Arc<str>,
 }
 
 impl fmt::Display for CallFailure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "failure={:?} call={:?}", shorten(&self.why), shorten(&self.target))
+        write!(f, "failure={:?} call={:?}", self.why, self.target)
     }
 }
 
@@ -71,6 +77,10 @@
     read_at: Instant,
 }
 
+fn shorten_failure(text: &str) -> Arc<str> {
+    text[..text.floor_char_boundary(MAX_FAILURE_BYTES)].into()
+}
+
 /// Client of the platform's metadata store.
 #[derive(Clone)]
 pub struct KvClient {
@@ -80,7 +90,7 @@
     era: Rc<Cell<Era>>,
     /// Time for answers, by those so far that are not stale.
     patience: Rc<RefCell<Patience>>,
-    failure: Rc<RefCell<Option<CallFailure>>>,
+    failure: Rc<RefCell<CallFailure>>,
     /// Lists that are done while others of the same read have failed.
     kept: Rc<RefCell<Vec<KeptList>>>,
 }
@@ -159,9 +169,9 @@
         KvClient { config, address, era, patience, failure, kept }
     }
 
-    /// Returns the target and the reason of the last call that failed, for the log; empty if there is none.
-    pub fn last_failure(&self) -> String {
-        self.failure.borrow().as_ref().map(CallFailure::to_string).unwrap_or_default()
+    /// Returns the last call that failed.
+    pub fn last_failure(&self) -> CallFailure {
+        self.failure.borrow().clone()
     }
 
     /// Records and counts that a call failed, with the label `why` in the metrics; returns `e`.
@@ -173,8 +183,8 @@
         e: StoreError,
     ) -> StoreError {
         metrics::counter!("store_failures_total", "why" => why.into()).increment(1);
-        let why = reason.to_string();
-        *self.failure.borrow_mut() = Some(CallFailure { target: target.into(), why });
+        let (target, why) = (shorten_failure(target), shorten_failure(&reason.to_string()));
+        *self.failure.borrow_mut() = CallFailure { target, why };
         e
     }
 
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -37,6 +37,7 @@
 mod ports;
 mod prompts;
 mod quarantine;
+mod readiness;
 mod reload;
 mod retries;
 mod sidecar;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -30,6 +30,7 @@
 mod panics;
 mod polls;
 mod ports;
+mod readiness;
 mod requests;
 mod restarts;
 mod retries;
