Make the stand-in store keep to the platform's rules

The store of the gateway tests was simpler than the platform's page: leases never ended, any key and value could be written, transactions had no comparisons, changes were kept for ever, and no call was refused for its rate. So no test saw a registration lapse, a killed instance vanish from the list of peers, a watch that is cut, or a write that is not allowed.

Leases now end their time to live after the last renewal, or with DELETE /kv-lease-end, and take their keys with them; an outage pauses them on request. Transactions compare revisions, have at most 32 entries, and are refused for keys of the operator and the endpoints, long keys, large values and leases that have ended. Items name their creation. Changes are kept for 20 s. Tests can limit the calls per second, answer stale reads and cut watches. Leases have numbers of their own instead of revisions, since a grant changes no key.

store_rules.rs checks these rules, and that instances are ready, registered and up to date under them.

--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -18,7 +18,7 @@
 pub use front::{StoreFault, StoreFront};
 pub use gateway::{Gateway, Limits, Listen, RetryTerms, wait_until};
 pub use proxy::{Proxy, ProxyMode};
-pub use store::{Outage, Store, StoreCopy};
+pub use store::{Outage, Rates, Store, StoreCopy};
 pub use stream::StreamEnd;
 
 use std::io::{BufRead, BufReader, Read};
--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -1,18 +1,20 @@
 //! In-memory metadata store of the platform, with outages that tests switch on.
 //!
-//! Queries are decoded as forms are, and lists come in pages. Transactions are applied without their comparisons, and leases end only when the store comes
-//! back from a copy.
+//! Queries are decoded as forms are, lists come in pages, and calls that the platform does not allow
+//! are refused. The operator and the endpoints write through [`Store::set`], which has no limits.
 
 use super::workers::{self, Server};
 use super::{Request, read_request};
 use crate::host::free_address;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use serde::Deserialize;
 use serde_json::{Value, json};
 use std::borrow::Cow;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::ops::RangeInclusive;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -22,6 +24,20 @@
 const PAGE_BYTES: usize = 1_000_000;
 /// Longest key.
 const MAX_KEY_BYTES: usize = 200;
+/// Largest value before its encoding.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+/// Most comparisons and writes of a transaction together.
+const MAX_TXN_ENTRIES: usize = 32;
+/// Prefixes of the keys that only the operator and the endpoints write.
+const THEIR_PREFIXES: [&str; 2] = ["op/", "servers/"];
+/// Longest wait of a watch in milliseconds.
+const MAX_WAIT_MS: u64 = 30_000;
+/// Times to live of a lease in milliseconds.
+const TTL_MS: RangeInclusive<u64> = 1000..=600_000;
+/// Time for which changes are kept for watches.
+const HISTORY_TIME: Duration = Duration::from_secs(20);
+/// Period in which the calls of [`Rates`] are counted.
+const RATE_WINDOW: Duration = Duration::from_secs(1);
 
 /// Failure of the store.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -32,6 +48,35 @@
     Silent,
 }
 
+/// Calls per second that are not refused with status 429.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Rates {
+    /// Lists, reads and watches; ten renewals of leases count as one.
+    pub reads: f64,
+    /// Transactions, and grants and ends of leases.
+    pub writes: f64,
+}
+
+/// Calls since the start of a window.
+#[derive(Debug)]
+struct Usage {
+    since: Instant,
+    used: Rates,
+}
+
+/// Lease, which ends unless it is renewed.
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    ttl_ms: u64,
+    end: Instant,
+}
+
+impl Lease {
+    fn new(ttl_ms: u64, now: Instant) -> Lease {
+        Lease { ttl_ms, end: now + Duration::from_millis(ttl_ms) }
+    }
+}
+
 /// Write to a key.
 #[derive(Debug, Clone, PartialEq)]
 struct Change {
@@ -39,14 +84,45 @@
     /// Value in base64, as on the wire; `None` for a removal.
     value: Option<String>,
     revision: u64,
+    /// Revision at which the key was created.
+    created: u64,
+    at: Instant,
     /// Lease under which the key was written; 0 without one.
     lease: u64,
 }
 
+/// Body of a transaction.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Transaction {
+    #[serde(default)]
+    expected_rev: Vec<Expectation>,
+    #[serde(default)]
+    set_keys: Vec<Assignment>,
+    #[serde(default)]
+    remove: Vec<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Expectation {
+    key: String,
+    /// Revision of the last change; 0 if the key does not exist.
+    revision: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Assignment {
+    key: String,
+    value: String,
+    #[serde(default)]
+    lease: u64,
+}
+
 /// Copy of the store's content at one moment.
 #[derive(Debug)]
 pub struct StoreCopy {
     revision: u64,
+    last_lease: u64,
     items: BTreeMap<String, Change>,
 }
 
@@ -56,11 +132,22 @@
     era: u64,
     revision: u64,
     items: BTreeMap<String, Change>,
-    history: Vec<Change>,
+    history: VecDeque<Change>,
     /// Revision from which the history is complete.
     oldest_revision: u64,
-    leases: HashMap<u64, Instant>,
+    leases: HashMap<u64, Lease>,
+    /// Last lease that was granted.
+    last_lease: u64,
     outage: Option<Outage>,
+    outage_since: Option<Instant>,
+    /// Whether the time of an outage does not count for leases.
+    pauses_leases: bool,
+    rates: Option<Rates>,
+    usage: Option<Usage>,
+    /// Content from which reads that may be stale are answered.
+    stale_items: Option<BTreeMap<String, Change>>,
+    /// Time after which the connection of a watch that still waits is closed.
+    watch_time: Option<Duration>,
     /// Whether leases end as soon as they are granted.
     ends_leases: bool,
     /// Whether each watch finds its history discarded.
@@ -154,7 +241,29 @@
 
     /// Begins or ends an outage.
     pub fn set_outage(&self, outage: Option<Outage>) {
-        lock(&self.shared).outage = outage;
+        lock(&self.shared).set_outage(outage);
+        self.shared.1.notify_all();
+    }
+
+    /// Leaves the time of outages out of account for leases from now on; otherwise they expire.
+    pub fn pause_leases(&self) {
+        lock(&self.shared).pauses_leases = true;
+    }
+
+    /// Limits the calls of each second from now on, or no longer.
+    pub fn set_rates(&self, rates: Option<Rates>) {
+        lock(&self.shared).rates = rates;
+    }
+
+    /// Answers reads that may be stale from the present content from now on.
+    pub fn freeze_stale_reads(&self) {
+        let mut state = lock(&self.shared);
+        state.stale_items = Some(state.items.clone());
+    }
+
+    /// Closes the connection of each watch that still waits after this time, or no longer.
+    pub fn cut_watches(&self, time: Option<Duration>) {
+        lock(&self.shared).watch_time = time;
         self.shared.1.notify_all();
     }
 
@@ -162,7 +271,7 @@
     pub fn outage_ender(&self) -> impl FnOnce() + Send + 'static {
         let shared = self.shared.clone();
         move || {
-            lock(&shared).outage = None;
+            lock(&shared).set_outage(None);
             shared.1.notify_all();
         }
     }
@@ -182,7 +291,7 @@
         let state = lock(&self.shared);
         let lasting = state.items.iter().filter(|(_, c)| c.lease == 0);
         let items = lasting.map(|(k, c)| (k.clone(), c.clone())).collect();
-        StoreCopy { revision: state.revision, items }
+        StoreCopy { revision: state.revision, last_lease: state.last_lease, items }
     }
 
     /// Comes back from a copy: what was written since is gone, leases too, and their revisions are
@@ -198,12 +307,11 @@
         let shared = self.shared.clone();
         move || {
             let mut state = lock(&shared);
-            let is_theirs = |k: &str| k.starts_with("op/") || k.starts_with("servers/");
             let mut lost: Vec<_> = state.items.values().cloned().collect();
             lost.retain(|c| is_theirs(&c.key) && copy.items.get(&c.key) != Some(c));
             state.restore(copy);
             lost.into_iter().for_each(|c| state.write(&c.key, c.value, 0));
-            state.outage = None;
+            state.set_outage(None);
             drop(state);
             shared.1.notify_all();
         }
@@ -244,12 +352,16 @@
     pub fn end_leases(&self) {
         let mut state = lock(&self.shared);
         state.ends_leases = true;
-        state.leases.clear();
+        let leases: Vec<u64> = state.leases.keys().copied().collect();
+        leases.into_iter().for_each(|lease| state.end_lease(lease));
+        drop(state);
+        self.shared.1.notify_all();
     }
 
     /// Returns the keys that begin with `prefix`.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
-        let state = lock(&self.shared);
+        let mut state = lock(&self.shared);
+        state.expire(Instant::now());
         state.items.keys().filter(|k| k.starts_with(prefix)).cloned().collect()
     }
 }
@@ -260,24 +372,80 @@
         self.revision = copy.revision;
         self.items = copy.items;
         self.leases.clear();
+        self.last_lease = copy.last_lease;
+        self.oldest_revision = self.oldest_revision.min(copy.revision + 1);
         self.history.retain(|c| c.revision <= copy.revision);
     }
 
+    fn set_outage(&mut self, outage: Option<Outage>) {
+        let now = Instant::now();
+        let since = self.outage_since.take().unwrap_or(now);
+        match outage {
+            Some(_) => {
+                // Leases that have ended by now are gone in either case.
+                self.expire(now);
+                self.outage_since = Some(since);
+            }
+            None if self.pauses_leases => {
+                self.leases.values_mut().for_each(|l| l.end += now.duration_since(since));
+            }
+            None => {}
+        }
+        self.outage = outage;
+    }
+
     fn write(&mut self, key: &str, value: Option<String>, lease: u64) {
         self.revision += 1;
-        let change = Change { key: key.to_owned(), value, revision: self.revision, lease };
+        let (revision, at) = (self.revision, Instant::now());
+        let created = self.items.get(key).map_or(revision, |known| known.created);
+        let change = Change { key: key.to_owned(), value, revision, created, at, lease };
         match change.value {
             Some(_) => drop(self.items.insert(key.to_owned(), change.clone())),
             None => drop(self.items.remove(key)),
         }
-        self.history.push(change);
+        self.history.push_back(change);
+    }
+
+    /// Discards the history that is too old, and ends leases unless the store is down.
+    fn expire(&mut self, now: Instant) {
+        while let Some(c) = self.history.pop_front_if(|c| now >= c.at + HISTORY_TIME) {
+            self.oldest_revision = self.oldest_revision.max(c.revision + 1);
+        }
+        if self.outage.is_some() {
+            return;
+        }
+        let ended = self.leases.iter().filter(|(_, l)| l.end <= now).map(|(lease, _)| *lease);
+        ended.collect::<Vec<_>>().into_iter().for_each(|lease| self.end_lease(lease));
+    }
+
+    /// Ends a lease, if there is one, and removes its keys.
+    fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let keys: Vec<String> =
+            self.items.values().filter(|c| c.lease == lease).map(|c| c.key.clone()).collect();
+        keys.iter().for_each(|key| self.write(key, None, 0));
+    }
+
+    /// Counts a call of this price; returns whether it is within the limits.
+    fn is_within_rates(&mut self, now: Instant, price: Rates) -> bool {
+        let Some(rates) = self.rates else { return true };
+        let usage = self.usage.take().filter(|u| now < u.since + RATE_WINDOW);
+        let mut usage =
+            usage.unwrap_or(Usage { since: now, used: Rates { reads: 0.0, writes: 0.0 } });
+        usage.used.reads += price.reads;
+        usage.used.writes += price.writes;
+        let is_within = usage.used.reads <= rates.reads && usage.used.writes <= rates.writes;
+        self.usage = Some(usage);
+        is_within
     }
 }
 
 /// Returns a change in the form of watches and ranges.
 fn to_json(c: &Change) -> Value {
     match &c.value {
-        Some(v) => json!({ "key": c.key, "value": v, "revision": c.revision, "lease": c.lease }),
+        Some(v) => json!({
+            "key": c.key, "value": v, "revision": c.revision, "created": c.created, "lease": c.lease
+        }),
         None => json!({ "key": c.key, "revision": c.revision, "tombstone": true }),
     }
 }
@@ -288,11 +456,12 @@
     while let Some(req) = read_request(&mut reader) {
         lock(shared).calls += 1;
         let outage = lock(shared).outage;
-        let (status, body) = match outage {
+        let answer = match outage {
             Some(Outage::Silent) => return std::thread::sleep(Duration::from_secs(20)),
-            Some(Outage::Busy) => (503, Value::Null),
+            Some(Outage::Busy) => Some((503, Value::Null)),
             None => handle_request(shared, &req),
         };
+        let Some((status, body)) = answer else { return };
         let body = body.to_string();
         let mut state = lock(shared);
         let odd = state.odd_call.take_if(|call| req.target.starts_with(*call));
@@ -326,36 +495,87 @@
     query.bytes().all(|b| b.is_ascii_graphic()) && query.split('%').skip(1).all(is_triplet)
 }
 
-fn handle_request(shared: &Shared, req: &Request) -> (u16, Value) {
+/// Returns the price of a call in reads and writes.
+fn price(req: &Request) -> Rates {
+    let is_stale = query_param(req, "allow_stale") == "1";
+    let (reads, writes) = match req.method.as_str() {
+        "GET" if is_stale => (0.0, 0.0),
+        "GET" => (1.0, 0.0),
+        _ if req.target.starts_with("/kv-keep/") => (0.1, 0.0),
+        _ => (0.0, 1.0),
+    };
+    Rates { reads, writes }
+}
+
+/// Returns the response to a call; `None` if the connection is closed without one.
+fn handle_request(shared: &Shared, req: &Request) -> Option<(u16, Value)> {
     let path = req.target.split('?').next().unwrap_or("");
     if !is_encoded(query(req)) {
-        return (400, Value::Null);
+        return Some((400, Value::Null));
     }
-    match (req.method.as_str(), path) {
-        ("GET", "/kv-key") => handle_key(&lock(shared), req),
-        ("GET", "/kv-range") => handle_range(&lock(shared), req),
-        ("GET", "/kv-watch") => handle_watch(shared, req),
-        ("POST", "/kv-lease") => {
-            let mut state = lock(shared);
-            state.revision += 1;
-            let lease = state.revision;
-            if !state.ends_leases {
-                state.leases.insert(lease, Instant::now());
-            }
-            (200, json!({ "lease": lease, "ttl_ms": 15_000 }))
+    let mut state = lock(shared);
+    let (now, before) = (Instant::now(), state.revision);
+    state.expire(now);
+    if !state.is_within_rates(now, price(req)) {
+        return Some((429, Value::Null));
+    }
+    let lease_of = |prefix: &str| path.strip_prefix(prefix)?.parse::<u64>().ok();
+    let answer = match (req.method.as_str(), path) {
+        ("GET", "/kv-key") => handle_key(&state, req),
+        ("GET", "/kv-range") => handle_range(&state, req),
+        ("GET", "/kv-watch") => {
+            drop(state);
+            return handle_watch(shared, req);
         }
-        ("POST", "/kv-txn") => handle_transaction(shared, req),
-        ("POST", p) if p.starts_with("/kv-keep/") => {
-            let lease = p.trim_start_matches("/kv-keep/").parse().unwrap_or(0);
-            let is_known = lock(shared).leases.contains_key(&lease);
-            if is_known { (200, json!({ "ttl_ms": 15_000 })) } else { (404, Value::Null) }
+        ("POST", "/kv-lease") => handle_grant(&mut state, now, req),
+        ("POST", "/kv-txn") => handle_transaction(&mut state, req),
+        ("POST", _) => match lease_of("/kv-keep/").and_then(|l| state.leases.get_mut(&l)) {
+            Some(lease) => {
+                *lease = Lease::new(lease.ttl_ms, now);
+                (200, json!({ "ttl_ms": lease.ttl_ms }))
+            }
+            None => (404, Value::Null),
+        },
+        ("DELETE", _) => {
+            match lease_of("/kv-lease-end/").filter(|l| state.leases.contains_key(l)) {
+                Some(lease) => {
+                    state.end_lease(lease);
+                    (200, json!({}))
+                }
+                None => (404, Value::Null),
+            }
         }
         _ => (400, Value::Null),
+    };
+    if state.revision != before {
+        shared.1.notify_all();
+    }
+    Some(answer)
+}
+
+fn handle_grant(state: &mut State, now: Instant, req: &Request) -> (u16, Value) {
+    let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
+    let Some(ttl_ms) = body["ttl_ms"].as_u64().filter(|ms| TTL_MS.contains(ms)) else {
+        return (400, Value::Null);
+    };
+    state.last_lease += 1;
+    let lease = state.last_lease;
+    if !state.ends_leases {
+        state.leases.insert(lease, Lease::new(ttl_ms, now));
     }
+    (200, json!({ "lease": lease, "ttl_ms": ttl_ms }))
+}
+
+/// Returns the content that a read sees.
+fn items<'s>(state: &'s State, req: &Request) -> &'s BTreeMap<String, Change> {
+    let stale = state.stale_items.as_ref().filter(|_| query_param(req, "allow_stale") == "1");
+    stale.unwrap_or(&state.items)
 }
 
 fn handle_key(state: &State, req: &Request) -> (u16, Value) {
-    let Some(found) = state.items.get(&*query_param(req, "key")) else { return (404, Value::Null) };
+    let Some(found) = items(state, req).get(&*query_param(req, "key")) else {
+        return (404, Value::Null);
+    };
     let mut item = to_json(found);
     item["current_rev"] = state.revision.into();
     (200, item)
@@ -366,7 +586,7 @@
     let (prefix, after) = (query_param(req, "prefix"), query_param(req, "after"));
     let max_items = state.page_items.unwrap_or(PAGE_ITEMS);
     let is_found = |c: &&Change| c.key.starts_with(&*prefix) && *c.key > *after;
-    let mut found = state.items.values().filter(is_found).peekable();
+    let mut found = items(state, req).values().filter(is_found).peekable();
     let (mut items, mut bytes) = (Vec::new(), 0);
     while items.len() < max_items && bytes < PAGE_BYTES {
         let Some(c) = found.next() else { break };
@@ -377,43 +597,75 @@
     (200, json!({ "items": items, "truncated": is_truncated, "current_rev": state.revision }))
 }
 
-fn handle_transaction(shared: &Shared, req: &Request) -> (u16, Value) {
-    let Ok(body) = serde_json::from_slice::<Value>(&req.body) else { return (400, Value::Null) };
-    let mut state = lock(shared);
-    let sets = || body["set_keys"].as_array().into_iter().flatten();
-    let lease_of = |set: &Value| set["lease"].as_u64().unwrap_or(0);
-    if sets().map(lease_of).any(|l| l != 0 && !state.leases.contains_key(&l)) {
+/// Applies a transaction as a whole, or nothing of it.
+fn handle_transaction(state: &mut State, req: &Request) -> (u16, Value) {
+    let Ok(txn) = serde_json::from_slice::<Transaction>(&req.body) else {
+        return (400, Value::Null);
+    };
+    let Transaction { expected_rev, set_keys, remove } = txn;
+    let written: Vec<&String> = set_keys.iter().map(|set| &set.key).chain(&remove).collect();
+    let is_key = |k: &String| (1..=MAX_KEY_BYTES).contains(&k.len());
+    let is_value = |v: &str| STANDARD.decode(v).is_ok_and(|v| v.len() <= MAX_VALUE_BYTES);
+    if expected_rev.len() + written.len() > MAX_TXN_ENTRIES
+        || !written.iter().all(|k| is_key(k))
+        || !set_keys.iter().all(|set| is_value(&set.value))
+    {
+        return (400, Value::Null);
+    }
+    if written.iter().any(|k| is_theirs(k)) {
+        return (403, Value::Null);
+    }
+    if set_keys.iter().any(|set| set.lease != 0 && !state.leases.contains_key(&set.lease)) {
         return (404, Value::Null);
     }
-    for set in sets() {
-        let key = set["key"].as_str().unwrap_or("").to_owned();
-        state.write(&key, set["value"].as_str().map(str::to_owned), lease_of(set));
+    let revision = |key: &str| state.items.get(key).map_or(0, |c| c.revision);
+    if expected_rev.iter().any(|row| row.revision != revision(&row.key)) {
+        let found = expected_rev.iter().filter_map(|row| state.items.get(&row.key));
+        return (412, json!({ "items": found.map(to_json).collect::<Vec<_>>() }));
     }
-    let revision = state.revision;
-    drop(state);
-    shared.1.notify_all();
-    (200, json!({ "revision": revision }))
+    set_keys.into_iter().for_each(|set| state.write(&set.key, Some(set.value), set.lease));
+    for key in remove {
+        if state.items.contains_key(&key) {
+            state.write(&key, None, 0);
+        }
+    }
+    (200, json!({ "revision": state.revision }))
+}
+
+fn is_theirs(key: &str) -> bool {
+    THEIR_PREFIXES.iter().any(|prefix| key.starts_with(prefix))
 }
 
-fn handle_watch(shared: &Shared, req: &Request) -> (u16, Value) {
-    let after: u64 = query_param(req, "after").parse().unwrap_or(0);
-    let timeout = Duration::from_millis(query_param(req, "wait_ms").parse().unwrap_or(0));
+fn handle_watch(shared: &Shared, req: &Request) -> Option<(u16, Value)> {
+    let number = |name| query_param(req, name).parse::<u64>().ok();
+    let wait_ms = number("wait_ms").filter(|ms| *ms <= MAX_WAIT_MS);
+    let (Some(after), Some(wait_ms)) = (number("after"), wait_ms) else {
+        return Some((400, Value::Null));
+    };
     let prefix = query_param(req, "prefix");
-    let end = Instant::now() + timeout;
+    let start = Instant::now();
+    let end = start + Duration::from_millis(wait_ms);
     let mut state = lock(shared);
     loop {
+        let now = Instant::now();
+        state.expire(now);
         if state.keeps_nothing || after + 1 < state.oldest_revision || after > state.revision {
-            return (410, Value::Null);
+            return Some((410, Value::Null));
         }
         if state.outage.is_some() {
-            return (503, Value::Null);
+            return Some((503, Value::Null));
         }
         let is_match = |c: &&Change| c.revision > after && c.key.starts_with(&*prefix);
         let events: Vec<Value> = state.history.iter().filter(is_match).map(to_json).collect();
-        let left = end.saturating_duration_since(Instant::now());
-        if !events.is_empty() || left.is_zero() {
-            return (200, json!({ "events": events, "current_rev": state.revision }));
+        if !events.is_empty() || now >= end {
+            return Some((200, json!({ "events": events, "current_rev": state.revision })));
+        }
+        let cut = state.watch_time.map(|time| start + time);
+        if cut.is_some_and(|cut| now >= cut) {
+            return None;
         }
+        let next = state.leases.values().map(|l| l.end).chain(cut).chain([end]).min();
+        let left = next.unwrap_or(end).saturating_duration_since(now);
         state = shared.1.wait_timeout(state, left).expect("no holder panics").0;
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -37,5 +37,6 @@
 mod start_store;
 mod store_keys;
 mod store_return;
+mod store_rules;
 mod streams;
 mod uploads;
