Write the registration again where another value has replaced it

An instance whose registration was overwritten, by somebody else or by a call of its killed predecessor that the store executed seconds late, kept renewing the lease that no longer held the key. Its peers verify messages with the key in the registration, so they took none of its messages, or dropped it from their list, for as long as the other value stayed: for ever if that has no lease.

Cause: an instance looked only for the removal of its registration. Ruled out: the renewal, which succeeds since the lease itself lives on, and the check after a full read, which looked only for the key.

Each read or change of the own key is now compared with what was written. If it differs, the registration is written under a new lease after a pause of about a second, so that two processes with one name replace each other's at that rate at most. Both cases of registration_that_somebody_replaces_is_written_again failed before; registration_that_is_replaced_again_and_again_is_written_with_a_pause holds the rate.

--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -11,7 +11,7 @@
 use crate::id::{InstanceId, MilliCores};
 use crate::store::{KeyValue, LeaseId, Leases, StoreError};
 use serde::{Deserialize, Serialize};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -44,8 +44,12 @@
 pub struct RegistrationState {
     /// When it was last written.
     written_at: Cell<Option<Instant>>,
+    /// What is written; empty before the first time.
+    value: RefCell<Rc<[u8]>>,
     /// Whether the store was found without it.
     is_lost: Cell<bool>,
+    /// Whether the store was found with another value.
+    is_replaced: Cell<bool>,
     /// Notified when the store may lack it, as after a return from a copy.
     pub due: Notify,
 }
@@ -55,9 +59,15 @@
     let instance = gw.settings.borrow().instance.clone();
     let key = format!("{KEY_PREFIX}{instance}");
     // Serializing an address and a byte array cannot fail.
-    let value = serde_json::to_vec(&*registration).unwrap_or_default();
+    let value: Rc<[u8]> = serde_json::to_vec(&*registration).unwrap_or_default().into();
+    *gw.registration.value.borrow_mut() = value.clone();
     let (mut lease, mut era) = (None, gw.store_position.borrow().era());
     loop {
+        if gw.registration.is_replaced.take() {
+            // Two processes with the same name would replace each other's without a pause.
+            tokio::time::sleep(jitter(RETRY_INTERVAL)).await;
+            gw.registration.is_lost.set(true);
+        }
         let sent = clock::now();
         let newest = gw.store_position.borrow().era();
         let is_copy = newest > std::mem::replace(&mut era, newest);
@@ -119,13 +129,25 @@
     gw.registration.due.notify_one();
 }
 
+/// Has the registration written again if the store has another value, written by a call of an earlier
+/// process that was executed late, or by somebody else. Its lease may be renewed all the same.
+fn check_value(gw: &Gateway, value: &[u8]) {
+    let state = &gw.registration;
+    if state.written_at.get().is_some() && **state.value.borrow() != *value {
+        log::warn!("the registration of this instance in the store was replaced");
+        state.is_replaced.set(true);
+        state.due.notify_one();
+    }
+}
+
 /// Adds, updates or removes a peer after a change of its registration.
 pub fn update_peer(gw: &Rc<Gateway>, kv: &KeyValue) {
     let Some(name) = kv.key.strip_prefix(KEY_PREFIX) else { return };
     let Ok(instance) = name.parse::<InstanceId>() else { return };
     if instance == gw.settings.borrow().instance {
-        if kv.value.is_none() {
-            record_lost(gw);
+        match &kv.value {
+            Some(value) => check_value(gw, value),
+            None => record_lost(gw),
         }
         return;
     }
--- a/tests/gateway/store_rules.rs
+++ b/tests/gateway/store_rules.rs
@@ -183,6 +183,43 @@
     assert_follows(&store, &gateways);
 }
 
+/// Another writer, or a late call of the process before, replaces the registration.
+#[rstest]
+#[case::other_key(
+    br#"{"address":"127.0.0.1:9","key":[1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16],"power":100}"#
+)]
+#[case::unreadable(b"\xff\x00")]
+fn registration_that_somebody_replaces_is_written_again(#[case] value: &[u8]) {
+    let (_e, store) = start_store();
+    let mut gateways: Vec<Gateway> = (0..2).map(|_| start_gateway(&store)).collect();
+    gateways.iter_mut().for_each(assert_serves);
+    assert_registered(&store, 2, CHANGE_SECS);
+    for key in store.keys("gateways/") {
+        let is_own = || {
+            let (_, item) = call(&store, "GET", &format!("/kv-key?key={key}"), "");
+            item["lease"] != 0
+        };
+        store.set(&key, Some(value));
+        assert!(wait_for(CHANGE_SECS, is_own), "{key} is not written again");
+    }
+}
+
+#[test]
+fn registration_that_is_replaced_again_and_again_is_written_with_a_pause() {
+    let (_e, store) = start_store();
+    let mut gateway = start_gateway(&store);
+    assert_serves(&mut gateway);
+    assert_registered(&store, 1, CHANGE_SECS);
+    let (key, before) = (store.keys("gateways/").remove(0), grant(&store, 1000));
+    for _ in 0..80 {
+        store.set(&key, Some(b"{}"));
+        sleep(Duration::from_millis(50));
+    }
+    let leases = grant(&store, 1000) - before - 1;
+    assert!((1..=6).contains(&leases), "{leases} leases in 4 s");
+    assert_serves(&mut gateway);
+}
+
 /// Behaviour of a store that is in service.
 #[derive(Debug, Clone, Copy)]
 enum Rule {
