Repeat the failed calls of a list that the store otherwise answers

An instance that reached a store which failed one call in five was not ready within 7 s of its start. A list makes four calls at the same time, more if it has more pages, and is made twice until the era is known; one failed call made all of them count for nothing. Since the four prefixes are listed apart, eight calls in a row had to succeed instead of two.

Ruled out: the timeouts, since the connections are closed at once, and the pages, since cases with pages of 500 items failed too.

A call that fails is now repeated up to three times, each after 50 ms, once the store has answered another call of the same list. A store that answers nothing gets no more calls than before.

--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -38,6 +38,11 @@
 /// Size of all values that one read keeps, in base64, other than a configuration.
 const MAX_VALUES_BYTES: usize = 16 << 20;
 
+/// Most repetitions of a failed call of a list of which the store has answered others.
+const MAX_REPEATS: usize = 3;
+/// Time from the failure of such a call to its repetition.
+const REPEAT_DELAY: Duration = Duration::from_millis(50);
+
 /// Path of the call that lists keys.
 const RANGE_PATH: &str = "kv-range";
 
@@ -116,6 +121,17 @@
     lease: u64,
 }
 
+/// State that the calls of a list share.
+#[derive(Debug)]
+struct List {
+    /// Time for each answer.
+    wait: Duration,
+    /// Size of the values that may still be kept.
+    room: Cell<usize>,
+    /// Whether the store has answered a call.
+    is_answered: Cell<bool>,
+}
+
 #[derive(Debug, Deserialize)]
 struct RangeResponse {
     items: Vec<Box<RawValue>>,
@@ -213,8 +229,8 @@
         prefixes: &[&str],
         wait: Duration,
     ) -> Result<StoreUpdate, StoreError> {
-        let room = Cell::new(MAX_VALUES_BYTES);
-        let lists = prefixes.iter().map(|prefix| self.list_prefix(prefix, wait, &room));
+        let list = List { wait, room: Cell::new(MAX_VALUES_BYTES), is_answered: Cell::new(false) };
+        let lists = prefixes.iter().map(|prefix| self.list_prefix(prefix, &list));
         let lists = try_join_all(lists).await?;
         // Neither pages nor lists are a snapshot. Continuing from the earliest position makes the next
         // watch return whatever changed while the others were read.
@@ -226,19 +242,14 @@
         Ok(StoreUpdate { kvs, at })
     }
 
-    async fn list_prefix(
-        &self,
-        prefix: &str,
-        wait: Duration,
-        room: &Cell<usize>,
-    ) -> Result<StoreUpdate, StoreError> {
+    async fn list_prefix(&self, prefix: &str, list: &List) -> Result<StoreUpdate, StoreError> {
         let mut path = range_path(prefix, None);
-        let (era, mut page): (Era, RangeResponse) = self.get_json(&path, wait).await?;
+        let (era, mut page) = self.get_page(&path, list).await?;
         let at = Position::new(era, page.current_rev);
         let (mut kvs, mut last) = (Vec::new(), None);
         for _ in 0..MAX_PAGES {
             let known = kvs.len();
-            kvs.extend(read_items(&page.items, page.current_rev, room));
+            kvs.extend(read_items(&page.items, page.current_rev, &list.room));
             if !page.truncated || page.items.is_empty() {
                 return Ok(StoreUpdate { kvs, at });
             }
@@ -250,7 +261,7 @@
             path = range_path(prefix, end.as_deref());
             last = end;
             let next;
-            (next, page) = self.get_json(&path, wait).await?;
+            (next, page) = self.get_page(&path, list).await?;
             if next != era {
                 return Err(self.fail(&path, "the era changed", StoreError::Compacted));
             }
@@ -258,6 +269,28 @@
         Err(self.fail(&path, "too many pages", StoreError::TooLarge))
     }
 
+    /// Reads a page. Where the store answers only some calls, a list whose calls all have to succeed at
+    /// once may never be complete, so that a failed one is repeated.
+    async fn get_page(&self, path: &str, list: &List) -> Result<(Era, RangeResponse), StoreError> {
+        let mut repeats = 0;
+        loop {
+            let read = self.get_json(path, list.wait).await;
+            if read.is_ok() {
+                list.is_answered.set(true);
+            }
+            let may_repeat =
+                matches!(read, Err(StoreError::Refused | StoreError::Lost | StoreError::Unreached));
+            if !may_repeat || repeats == MAX_REPEATS {
+                return read;
+            }
+            tokio::time::sleep(REPEAT_DELAY).await;
+            if !list.is_answered.get() {
+                return read;
+            }
+            repeats += 1;
+        }
+    }
+
     /// Reads a JSON document that the store has at once; returns it with the era in which it was read.
     async fn get_json<T: DeserializeOwned>(
         &self,
--- a/standin/src/platform/front.rs
+++ b/standin/src/platform/front.rs
@@ -35,6 +35,8 @@
     Lost,
     /// Requests reach the store after this time.
     Late(Duration),
+    /// The first of this many connections is closed when a request has come, and so on.
+    OneIn(usize),
 }
 
 /// Running front.
@@ -76,11 +78,12 @@
             workers::listen(self.address).expect("cannot listen on the free address");
         let (store, fault, is_faulty) = (self.store, self.fault, self.is_faulty.clone());
         std::thread::spawn(move || {
-            for client in listener.incoming().flatten() {
+            for (n, client) in listener.incoming().flatten().enumerate() {
                 let is_faulty = is_faulty.clone();
                 std::thread::spawn(move || {
                     let fault = is_faulty.load(Ordering::Relaxed).then_some(fault);
                     match fault {
+                        Some(StoreFault::OneIn(all)) if n % all != 0 => pass_on(client, store),
                         Some(StoreFault::Late(delay)) => {
                             std::thread::sleep(delay);
                             pass_on(client, store);
@@ -121,7 +124,7 @@
         }
         // The connection is closed by the other side.
         StoreFault::Lost => io.peek(&mut [0]).is_ok_and(|n| n > 0),
-        StoreFault::Closing | StoreFault::Late(_) => false,
+        StoreFault::Closing | StoreFault::Late(_) | StoreFault::OneIn(_) => false,
         StoreFault::Status(status) => respond(io, status, 4, "null"),
         StoreFault::Body(body) => respond(io, 200, body.len(), body),
         StoreFault::Cut => {
--- a/tests/gateway/store_rules.rs
+++ b/tests/gateway/store_rules.rs
@@ -127,13 +127,17 @@
     assert!(wait_for(secs, is_registered), "{:?} are registered", store.keys("gateways/"));
 }
 
-/// Checks that a change of the list of endpoints and one of the configuration apply.
+/// Checks that a change of the list of endpoints and one of the configuration apply in time.
 fn assert_follows(store: &Store, gateways: &[Gateway]) {
+    assert_follows_within(CHANGE_SECS, store, gateways);
+}
+
+fn assert_follows_within(secs: u64, store: &Store, gateways: &[Gateway]) {
     let f = Endpoint::start("i-2", Action::Respond(200, "second".into()));
     list_endpoint(store, &f, "plain", "ready");
     store.set("servers/i-1", None);
     let is_served = |g| send_request(g, "GET", "/safe/x", "id-2").body == "second";
-    assert!(wait_for(CHANGE_SECS, || gateways.iter().all(is_served)), "the endpoint is not used");
+    assert!(wait_for(secs, || gateways.iter().all(is_served)), "the endpoint is not used");
     let config = CONFIG.replace(r#""version":7"#, r#""version":8"#).replace("/safe/", "/new/");
     store.set("op/config", Some(config.as_bytes()));
     let is_applied = |g| send_request(g, "GET", "/new/x", "id-3").status == 200;
@@ -309,3 +313,18 @@
     sleep(Duration::from_secs(2));
     assert_follows(&store, &gateways);
 }
+
+#[rstest]
+fn instance_is_ready_and_follows_a_store_that_fails_some_calls(
+    #[values(2, 3, 5)] one_in: usize,
+    #[values(1, 500)] page_items: usize,
+) {
+    let (_e, store) = start_store();
+    store.set_page_items(page_items);
+    (0..4).for_each(|n| store.set(&format!("servers/other-{n}"), Some(b"{}")));
+    let front = StoreFront::start(store.address, StoreFault::OneIn(one_in));
+    let mut gateways = vec![start_gateway_at(front.address)];
+    gateways.iter_mut().for_each(assert_serves);
+    // A store that fails calls counts as away, so entries that are gone may only have lapsed.
+    assert_follows_within(APPLY_SECS, &store, &gateways);
+}
