Keep the lease of a registration whose write has failed

An instance that reached a store which failed every other call stayed unregistered for more than 15 s, so its peers took none of its messages. It took a new lease for each attempt and then wrote the registration under it: both calls had to succeed one after the other. A write without a response that the store executed late also left the registration under a lease that nobody renewed.

Ruled out: the end of the lease, which was renewed by nobody but lives for 15 s, and the reads, which had made the instance ready.

The lease is now kept until the registration is written under it, and only the write is repeated. If the lease has ended meanwhile, the store says so and a new one is taken.

--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -61,7 +61,7 @@
     // Serializing an address and a byte array cannot fail.
     let value: Rc<[u8]> = serde_json::to_vec(&*registration).unwrap_or_default().into();
     *gw.registration.value.borrow_mut() = value.clone();
-    let (mut lease, mut era) = (None, gw.store_position.borrow().era());
+    let (mut held, mut era) = (Held::default(), gw.store_position.borrow().era());
     loop {
         if gw.registration.is_replaced.take() {
             // Two processes with the same name would replace each other's without a pause.
@@ -74,15 +74,14 @@
         if gw.registration.is_lost.take() || is_copy {
             // The lease is gone or holds another key. After a return from a copy its number may have
             // been given to another instance.
-            lease = None;
+            held = Held::default();
         }
-        match renew_or_register(&gw, &key, &value, lease).await {
-            Ok(renewed) => {
-                lease = renewed;
-                if lease.is_some() {
+        match renew_or_register(&gw, &key, &value, &mut held).await {
+            Ok(is_registered) => {
+                if is_registered {
                     gw.retries.borrow_mut().record_registration(sent, LEASE_TTL);
                 }
-                let wait = if renewed.is_some() { RENEW_INTERVAL } else { RETRY_INTERVAL };
+                let wait = if is_registered { RENEW_INTERVAL } else { RETRY_INTERVAL };
                 let _ = tokio::time::timeout(jitter(wait), gw.registration.due.notified()).await;
             }
             Err(e) => {
@@ -93,23 +92,39 @@
     }
 }
 
-/// Renews the lease of the registration, or writes the registration under a new lease if it has
-/// expired. Returns `None` if the new lease has expired too.
+/// Lease for the registration.
+#[derive(Debug, Default)]
+struct Held {
+    lease: Option<LeaseId>,
+    /// Whether the registration was written under it.
+    is_written: bool,
+}
+
+/// Renews the lease of the registration, or writes the registration, under a new lease if there is none
+/// or it has expired. Returns `false` if the lease has expired before the write.
 async fn renew_or_register(
     gw: &Gateway,
     key: &str,
     value: &[u8],
-    lease: Option<LeaseId>,
-) -> Result<Option<LeaseId>, StoreError> {
-    if let Some(lease) = lease
-        && gw.store.renew(lease).await?
-    {
-        return Ok(Some(lease));
+    held: &mut Held,
+) -> Result<bool, StoreError> {
+    if let Some(lease) = held.lease.filter(|_| held.is_written) {
+        if gw.store.renew(lease).await? {
+            return Ok(true);
+        }
+        *held = Held::default();
     }
-    let lease = gw.store.grant(LEASE_TTL).await?;
-    let is_written = gw.store.put(key, value, lease).await?;
+    // A lease that is there is kept, so that a write that fails is repeated alone.
+    let lease = match held.lease {
+        Some(lease) => lease,
+        None => *held.lease.insert(gw.store.grant(LEASE_TTL).await?),
+    };
+    held.is_written = gw.store.put(key, value, lease).await?;
     gw.registration.written_at.set(Some(clock::now()));
-    Ok(is_written.then_some(lease))
+    if !held.is_written {
+        *held = Held::default();
+    }
+    Ok(held.is_written)
 }
 
 /// Checks that a full read of the store, begun at `asked`, has the registration of this instance if it
--- a/tests/gateway/store_rules.rs
+++ b/tests/gateway/store_rules.rs
@@ -325,6 +325,7 @@
     let front = StoreFront::start(store.address, StoreFault::OneIn(one_in));
     let mut gateways = vec![start_gateway_at(front.address)];
     gateways.iter_mut().for_each(assert_serves);
+    assert_registered(&store, 1, TTL_SECS);
     // A store that fails calls counts as away, so entries that are gone may only have lapsed.
     assert_follows_within(APPLY_SECS, &store, &gateways);
 }
