--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -11,7 +11,7 @@
 use crate::id::{InstanceId, MilliCores};
 use crate::store::{KeyValue, LeaseId, Leases, StoreError};
 use serde::{Deserialize, Serialize};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -44,8 +44,12 @@
 pub struct RegistrationState {
     /// When it was last written.
     written_at: Cell<Option<Instant>>,
+    /// What is written; empty before the first time.
+    value: RefCell<Rc<[u8]>>,
     /// Whether the store was found without it.
     is_lost: Cell<bool>,
+    /// Whether the store was found with another value.
+    is_replaced: Cell<bool>,
     /// Notified when the store may lack it, as after a return from a copy.
     pub due: Notify,
 }
@@ -55,24 +59,29 @@
     let instance = gw.settings.borrow().instance.clone();
     let key = format!("{KEY_PREFIX}{instance}");
     // Serializing an address and a byte array cannot fail.
-    let value = serde_json::to_vec(&*registration).unwrap_or_default();
-    let (mut lease, mut era) = (None, gw.store_position.borrow().era());
+    let value: Rc<[u8]> = serde_json::to_vec(&*registration).unwrap_or_default().into();
+    *gw.registration.value.borrow_mut() = value.clone();
+    let (mut held, mut era) = (Held::default(), gw.store_position.borrow().era());
     loop {
+        if gw.registration.is_replaced.take() {
+            // Two processes with the same name would replace each other's without a pause.
+            tokio::time::sleep(jitter(RETRY_INTERVAL)).await;
+            gw.registration.is_lost.set(true);
+        }
         let sent = clock::now();
         let newest = gw.store_position.borrow().era();
         let is_copy = newest > std::mem::replace(&mut era, newest);
         if gw.registration.is_lost.take() || is_copy {
             // The lease is gone or holds another key. After a return from a copy its number may have
             // been given to another instance.
-            lease = None;
+            held = Held::default();
         }
-        match renew_or_register(&gw, &key, &value, lease).await {
-            Ok(renewed) => {
-                lease = renewed;
-                if lease.is_some() {
+        match renew_or_register(&gw, &key, &value, &mut held).await {
+            Ok(is_registered) => {
+                if is_registered {
                     gw.retries.borrow_mut().record_registration(sent, LEASE_TTL);
                 }
-                let wait = if renewed.is_some() { RENEW_INTERVAL } else { RETRY_INTERVAL };
+                let wait = if is_registered { RENEW_INTERVAL } else { RETRY_INTERVAL };
                 let _ = tokio::time::timeout(jitter(wait), gw.registration.due.notified()).await;
             }
             Err(e) => {
@@ -83,23 +92,39 @@
     }
 }
 
-/// Renews the lease of the registration, or writes the registration under a new lease if it has
-/// expired. Returns `None` if the new lease has expired too.
+/// Lease for the registration.
+#[derive(Debug, Default)]
+struct Held {
+    lease: Option<LeaseId>,
+    /// Whether the registration was written under it.
+    is_written: bool,
+}
+
+/// Renews the lease of the registration, or writes the registration, under a new lease if there is none
+/// or it has expired. Returns `false` if the lease has expired before the write.
 async fn renew_or_register(
     gw: &Gateway,
     key: &str,
     value: &[u8],
-    lease: Option<LeaseId>,
-) -> Result<Option<LeaseId>, StoreError> {
-    if let Some(lease) = lease
-        && gw.store.renew(lease).await?
-    {
-        return Ok(Some(lease));
+    held: &mut Held,
+) -> Result<bool, StoreError> {
+    if let Some(lease) = held.lease.filter(|_| held.is_written) {
+        if gw.store.renew(lease).await? {
+            return Ok(true);
+        }
+        *held = Held::default();
     }
-    let lease = gw.store.grant(LEASE_TTL).await?;
-    let is_written = gw.store.put(key, value, lease).await?;
+    // A lease that is there is kept, so that a write that fails is repeated alone.
+    let lease = match held.lease {
+        Some(lease) => lease,
+        None => *held.lease.insert(gw.store.grant(LEASE_TTL).await?),
+    };
+    held.is_written = gw.store.put(key, value, lease).await?;
     gw.registration.written_at.set(Some(clock::now()));
-    Ok(is_written.then_some(lease))
+    if !held.is_written {
+        *held = Held::default();
+    }
+    Ok(held.is_written)
 }
 
 /// Checks that a full read of the store, begun at `asked`, has the registration of this instance if it
@@ -119,31 +144,36 @@
     gw.registration.due.notify_one();
 }
 
+/// Has the registration written again if the store has another value, written by a call of an earlier
+/// process that was executed late, or by somebody else. Its lease may be renewed all the same.
+fn check_value(gw: &Gateway, value: &[u8]) {
+    let state = &gw.registration;
+    if state.written_at.get().is_some() && **state.value.borrow() != *value {
+        log::warn!("the registration of this instance in the store was replaced");
+        state.is_replaced.set(true);
+        state.due.notify_one();
+    }
+}
+
 /// Adds, updates or removes a peer after a change of its registration.
 pub fn update_peer(gw: &Rc<Gateway>, kv: &KeyValue) {
     let Some(name) = kv.key.strip_prefix(KEY_PREFIX) else { return };
     let Ok(instance) = InstanceId::from_label(name) else {
         return log::warn!("ignored registration of {name:?}, not the name of an instance");
     };
-    let is_own = instance == gw.settings.borrow().instance;
+    if instance == gw.settings.borrow().instance {
+        match &kv.value {
+            Some(value) => check_value(gw, value),
+            None => record_lost(gw),
+        }
+        return;
+    }
     let read = kv.value.as_deref().map(serde_json::from_slice::<Registration>).transpose();
     let registration = match read {
         Ok(registration) => registration,
-        Err(e) => {
-            log::warn!("the registration of {instance} cannot be read: {e}");
-            if is_own {
-                record_lost(gw);
-            }
-            // Its key exists, so a known peer stays.
-            return;
-        }
+        // Its key exists, so a known peer stays.
+        Err(e) => return log::warn!("the registration of {instance} cannot be read: {e}"),
     };
-    if is_own {
-        if registration.is_none() {
-            record_lost(gw);
-        }
-        return;
-    }
     match registration {
         Some(r) => {
             let peer = Peer::new(r.address, r.power, r.key);
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -45,6 +45,13 @@
 /// Time for which a list is kept while others of the same read fail.
 const KEPT_TIME: Duration = Duration::from_secs(5);
 
+/// Most repetitions of a failed call of a list of which the store has answered others.
+const MAX_REPEATS: usize = 3;
+/// Time within which a call has to fail to be repeated.
+const PROMPT_TIME: Duration = Duration::from_millis(300);
+/// Time from the failure of such a call to its repetition.
+const REPEAT_DELAY: Duration = Duration::from_millis(50);
+
 /// Path of the call that lists keys.
 const RANGE_PATH: &str = "kv-range";
 
@@ -263,8 +270,9 @@
         lists.retain(|list| now < list.read_at + KEPT_TIME && prefixes.contains(&&*list.prefix));
         let is_due = |prefix: &&&str| lists.iter().all(|list| *list.prefix != ***prefix);
         let due: Vec<&str> = prefixes.iter().filter(is_due).copied().collect();
-        let mut failure = None;
-        for read in join_all(due.into_iter().map(|prefix| self.list_prefix(prefix, wait))).await {
+        let (is_answered, mut failure) = (Cell::new(false), None);
+        let due = due.into_iter().map(|prefix| self.list_prefix(prefix, wait, &is_answered));
+        for read in join_all(due).await {
             match read {
                 Ok(list) => lists.push(list),
                 Err(e) => failure = Some(e),
@@ -286,10 +294,16 @@
         Ok(StoreUpdate { kvs, at })
     }
 
-    async fn list_prefix(&self, prefix: &str, wait: Duration) -> Result<KeptList, StoreError> {
+    /// Lists the keys with a prefix. `is_answered` is set when the store has answered a call.
+    async fn list_prefix(
+        &self,
+        prefix: &str,
+        wait: Duration,
+        is_answered: &Cell<bool>,
+    ) -> Result<KeptList, StoreError> {
         let read_at = clock::now();
         let mut path = range_path(prefix, None);
-        let (era, mut page): (Era, RangeResponse) = self.get_json(&path, wait).await?;
+        let (era, mut page) = self.get_page(&path, wait, is_answered).await?;
         let at = Position::new(era, page.current_rev);
         let (mut kvs, mut last) = (Vec::new(), None);
         for _ in 0..MAX_PAGES {
@@ -308,7 +322,7 @@
             path = range_path(prefix, end.as_deref());
             last = end;
             let next;
-            (next, page) = self.get_json(&path, wait).await?;
+            (next, page) = self.get_page(&path, wait, is_answered).await?;
             if next != era {
                 return Err(self.fail(&path, "era", "the era changed", StoreError::Compacted));
             }
@@ -316,6 +330,35 @@
         Err(self.fail(&path, "pages", "too many pages", StoreError::TooLarge))
     }
 
+    /// Reads a page. Where the store answers only some calls, a list whose calls all have to succeed at
+    /// once may never be complete, so that one that fails promptly is repeated.
+    async fn get_page(
+        &self,
+        path: &str,
+        wait: Duration,
+        is_answered: &Cell<bool>,
+    ) -> Result<(Era, RangeResponse), StoreError> {
+        let mut repeats = 0;
+        loop {
+            let sent = clock::now();
+            let read = self.get_json(path, wait).await;
+            if read.is_ok() {
+                is_answered.set(true);
+            }
+            let is_transient =
+                matches!(read, Err(StoreError::Refused | StoreError::Lost | StoreError::Unreached));
+            let is_late = clock::now() >= sent + PROMPT_TIME;
+            if !is_transient || is_late || repeats == MAX_REPEATS {
+                return read;
+            }
+            tokio::time::sleep(REPEAT_DELAY).await;
+            if !is_answered.get() {
+                return read;
+            }
+            repeats += 1;
+        }
+    }
+
     /// Reads a JSON document that the store has at once; returns it with the era in which it was read.
     async fn get_json<T: DeserializeOwned>(
         &self,
