Test starts beside kills and any keys of others

The tests kill five instances together, one by one and as they start, beside the reported keys with values of 0 bytes to 1 MiB in pages of 1 and 500 items, with callers running; each is ready within 7 s and no request that was sent once runs twice. A seeded test draws keys and values of others before, between, behind and under the prefixes of the system. Others cover an address of the store that changes before the first configuration, peers whose copies fail and eras that alternate.

--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod early;
 mod endpoint;
+pub mod foreign;
 mod front;
 mod gateway;
 mod proxy;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -35,6 +35,7 @@
 mod slow_files;
 mod start;
 mod start_store;
+mod start_storm;
 mod store_keys;
 mod store_return;
 mod streams;
