Read each kind of keys apart while no read of all succeeds

Callers are not served by an instance that listens and is never ready. Since a full read is four calls, and one that fails spoils the others: an instance was not ready within 7 s while the store refused the keys of refusals or of instances, or did not answer for them, nor while it refused half of all calls (429) or three quarters (429, 503). A running instance whose watch was compacted did not apply a change either.

Ruled out: watches or writes that fail; those cases passed before.

While no full read succeeds, the four kinds of keys are now read and applied each for itself, those of endpoints first, since an instance with a configuration alone would be ready and refuse all requests. Full reads go on and take over once one succeeds, so that watches still begin at a position which covers all keys. A healthy store gets no further call.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -7,6 +7,7 @@
 use crate::platform;
 use crate::pool::{Listing, Source};
 use crate::store::{ChangeFeed, KeyValue, Position, Rereads, StoreError, StoreUpdate};
+use futures_util::future::join_all;
 use std::fmt::Display;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -34,6 +35,8 @@
 const BATCH_DELAY: Duration = Duration::from_millis(40);
 /// Interval at which an instance that is no reader checks whether its next poll is due.
 const POLL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between two reads of a part of the keys, while no read of all of them succeeds.
+const PART_INTERVAL: Duration = Duration::from_millis(300);
 /// Maximum number of keys whose revisions are remembered; all are forgotten when it is reached.
 const MAX_REVISIONS: usize = 4096;
 /// Prefixes of the keys that an instance follows. Others may keep any number of keys beside them.
@@ -43,6 +46,9 @@
     membership::KEY_PREFIX,
     refusals::KEY_PREFIX,
 ];
+/// The followed keys without those of endpoints.
+const OTHER_KEYS: [&str; 3] =
+    [platform::OPERATOR_PREFIX, membership::KEY_PREFIX, refusals::KEY_PREFIX];
 
 /// State of the connection to the store.
 #[derive(Debug, Default)]
@@ -260,6 +266,50 @@
     interval
 }
 
+/// Reads each kind of keys for itself while no read of all of them succeeds, as from a store that
+/// refuses some calls and answers others. Does not return.
+pub async fn read_parts(gw: Rc<Gateway>) {
+    let mut has_endpoints = false;
+    loop {
+        tokio::time::sleep(jitter(PART_INTERVAL)).await;
+        if gw.store_position.borrow().get().is_some() {
+            has_endpoints = false;
+            continue;
+        }
+        has_endpoints |= read_part(&gw, platform::SERVERS_PREFIX).await;
+        // With a configuration alone, the instance would be ready and refuse all requests.
+        if has_endpoints {
+            join_all(OTHER_KEYS.iter().map(|prefix| read_part(&gw, prefix))).await;
+        }
+    }
+}
+
+/// Reads and applies the keys with a prefix; returns whether there was an answer.
+async fn read_part(gw: &Rc<Gateway>, prefix: &str) -> bool {
+    let read = gw.store.list_within(&[prefix], FIRST_TIMEOUT).await;
+    let has_all = gw.store_position.borrow().get().is_some();
+    let part = read.as_ref().ok().filter(|part| !has_all && is_ahead(gw, part.at));
+    if let Some(part) = part {
+        apply_part(gw, prefix, part);
+    }
+    read.is_ok()
+}
+
+fn apply_part(gw: &Rc<Gateway>, prefix: &str, part: &StoreUpdate) {
+    match prefix {
+        platform::OPERATOR_PREFIX => {
+            apply_config(gw, part);
+            evacuation::replace(gw, part, Source::Current);
+        }
+        platform::SERVERS_PREFIX => replace_listings(gw, part, Source::Current),
+        _ => {}
+    }
+    for kv in &part.kvs {
+        membership::update_peer(gw, kv);
+        refusals::apply_kv(gw, kv);
+    }
+}
+
 /// Returns whether a read at `at` has all that is known, and may have a first configuration.
 fn is_ahead(gw: &Gateway, at: Position) -> bool {
     let position = gw.store_position.borrow();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -216,6 +216,7 @@
     serve::start_callers(&gw, listeners.callers);
     keep(&gw, "store", follow::follow_store);
     keep(&gw, "slow store", follow::read_slowly);
+    keep(&gw, "parts of the store", follow::read_parts);
     keep(&gw, "maintenance", run_maintenance);
     keep(&gw, "relief", callers::relieve);
     keep(&gw, "outages", outage::poll_engines);
--- a/standin/src/platform/front.rs
+++ b/standin/src/platform/front.rs
@@ -35,6 +35,31 @@
     Lost,
     /// Requests reach the store after this time.
     Late(Duration),
+    /// Requests whose target contains this text get this status.
+    Target(&'static str, u16),
+    /// Requests whose target contains this text get no answer.
+    SilentTarget(&'static str),
+    /// Of a hundred requests, about this number get this status.
+    Share(u32, u16),
+}
+
+impl StoreFault {
+    /// Returns whether the store answers a request itself, which begins with `head` and is the `n`th one.
+    fn spares(self, head: &[u8], n: u32) -> bool {
+        let contains = |text: &str| head.windows(text.len()).any(|w| w == text.as_bytes());
+        match self {
+            StoreFault::Target(text, _) | StoreFault::SilentTarget(text) => !contains(text),
+            // Spreads the failures without a pattern that calls in a fixed order could meet.
+            StoreFault::Share(share, _) => (n.wrapping_mul(0x9e37_79b9) >> 16) % 100 >= share,
+            _ => false,
+        }
+    }
+
+    /// Returns whether the fault depends on the request.
+    fn is_selective(self) -> bool {
+        use StoreFault::{Share, SilentTarget, Target};
+        matches!(self, Target(..) | SilentTarget(_) | Share(..))
+    }
 }
 
 /// Running front.
@@ -76,11 +101,14 @@
             workers::listen(self.address).expect("cannot listen on the free address");
         let (store, fault, is_faulty) = (self.store, self.fault, self.is_faulty.clone());
         std::thread::spawn(move || {
-            for client in listener.incoming().flatten() {
+            for (n, client) in (0..).zip(listener.incoming().flatten()) {
                 let is_faulty = is_faulty.clone();
                 std::thread::spawn(move || {
                     let fault = is_faulty.load(Ordering::Relaxed).then_some(fault);
                     match fault {
+                        Some(fault) if fault.is_selective() && fault.spares(&head(&client), n) => {
+                            pass_on(client, store);
+                        }
                         Some(StoreFault::Late(delay)) => {
                             std::thread::sleep(delay);
                             pass_on(client, store);
@@ -94,6 +122,19 @@
     }
 }
 
+/// Returns the head of the first request of a connection, which stays unread.
+fn head(client: &TcpStream) -> Vec<u8> {
+    let mut buf = vec![0; 16 << 10];
+    loop {
+        let n = client.peek(&mut buf).unwrap_or(0);
+        if n == 0 || buf[..n].windows(4).any(|w| w == b"\r\n\r\n") {
+            buf.truncate(n);
+            return buf;
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// Fails the requests of a connection until the fault ends or the connection does.
 fn fail(client: TcpStream, fault: StoreFault, is_faulty: &AtomicBool) {
     let Ok(mut writer) = client.try_clone() else { return };
@@ -113,7 +154,7 @@
         io.write_all((head + body).as_bytes()).is_ok()
     };
     match fault {
-        StoreFault::Absent | StoreFault::Silent => {
+        StoreFault::Absent | StoreFault::Silent | StoreFault::SilentTarget(_) => {
             while is_faulty.load(Ordering::Relaxed) {
                 std::thread::sleep(CHECK_INTERVAL);
             }
@@ -122,7 +163,9 @@
         // The connection is closed by the other side.
         StoreFault::Lost => io.peek(&mut [0]).is_ok_and(|n| n > 0),
         StoreFault::Closing | StoreFault::Late(_) => false,
-        StoreFault::Status(status) => respond(io, status, 4, "null"),
+        StoreFault::Status(status)
+        | StoreFault::Target(_, status)
+        | StoreFault::Share(_, status) => respond(io, status, 4, "null"),
         StoreFault::Body(body) => respond(io, 200, body.len(), body),
         StoreFault::Cut => {
             let _ = respond(io, 200, 1000, r#"{"items":[{"key":"op/config","#);
--- a/tests/gateway/start_storm.rs
+++ b/tests/gateway/start_storm.rs
@@ -146,6 +146,45 @@
     (parse(first)..parse(end)).for_each(check_seed);
 }
 
+#[rstest]
+#[case::no_refusals(StoreFault::Target("prefix=quarantine", 503))]
+#[case::no_instances(StoreFault::Target("prefix=gateways", 503))]
+#[case::no_watches(StoreFault::Target("kv-watch", 503))]
+#[case::no_writes(StoreFault::Target("POST", 429))]
+#[case::silent_refusals(StoreFault::SilentTarget("prefix=quarantine"))]
+#[case::silent_instances(StoreFault::SilentTarget("prefix=gateways"))]
+#[case::limited_by_half(StoreFault::Share(50, 429))]
+#[case::limited_mostly(StoreFault::Share(75, 429))]
+#[case::busy_mostly(StoreFault::Share(75, 503))]
+fn instance_is_ready_while_a_part_of_the_calls_fails(#[case] fault: StoreFault) {
+    let (_e, store) = start_store();
+    let front = StoreFront::start(store.address, fault);
+    let start = Instant::now();
+    let mut gateway = start_gateway_at(front.address);
+    assert_serves(&mut gateway, start, &format!("{fault:?}"));
+    println!("{fault:?}: serves after {:?}", start.elapsed());
+}
+
+#[rstest]
+#[case::no_refusals(StoreFault::Target("prefix=quarantine", 503))]
+#[case::silent_instances(StoreFault::SilentTarget("prefix=gateways"))]
+#[case::limited_by_half(StoreFault::Share(50, 429))]
+fn changes_apply_while_a_part_of_the_calls_fails(#[case] fault: StoreFault) {
+    let (_e, store) = start_store();
+    let front = StoreFront::start(store.address, fault);
+    front.mend();
+    let mut gateway = start_gateway_at(front.address);
+    assert_serves(&mut gateway, Instant::now(), "before the fault");
+    front.relapse();
+    // Watches do not show the change.
+    store.compact();
+    let config = CONFIG.replace(r#""version":7"#, r#""version":8"#).replace("/safe/", "/new/");
+    store.set("op/config", Some(config.as_bytes()));
+    store.compact();
+    let is_applied = || call(gateway.front, "GET", "/new/x", "id-2") == 200;
+    assert!(wait_for(APPLY_TIME.as_secs(), is_applied), "{fault:?}: the change does not apply");
+}
+
 #[test]
 fn instance_is_ready_while_the_era_of_the_store_alternates() {
     let (_e, store) = start_store();
