Let the soak write keys of others and check that gateways are ready

The soak wrote none, had only whole pages and did not check readiness, so it could not see the fault.

From seed 5000 on, others write keys and values before, between, behind and under the prefixes of the system, and pages have 1 to 500 items. After the last fault of any run, each gateway has to be ready within 7 s.

--- a/standin/src/soak/checker.rs
+++ b/standin/src/soak/checker.rs
@@ -159,7 +159,7 @@
 pub struct Violation {
     /// Name of the promise.
     pub promise: &'static str,
-    /// Id of the request, or `all`.
+    /// Id of the request, the gateway, or `all`.
     pub subject: String,
     /// Observation that contradicts the promise.
     pub observed: String,
--- a/standin/src/soak/cluster.rs
+++ b/standin/src/soak/cluster.rs
@@ -2,10 +2,11 @@
 
 use super::RunReport;
 use super::callers::{CRASH_PART, STREAM_EVENTS, Target, send_request};
-use super::checker::{self, Arrival, CallRecord, History, LimitPeriod};
+use super::checker::{self, Arrival, CallRecord, History, LimitPeriod, Violation};
 use super::faults::{self, Fault, Sizes};
 use crate::platform::{
-    Action, Connection, Endpoint, Gateway, Outage, Proxy, ProxyMode, Store, StreamEnd, wait_until,
+    Action, Connection, Endpoint, Gateway, Outage, Proxy, ProxyMode, Store, StreamEnd, foreign,
+    wait_until,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -21,6 +22,9 @@
 /// Time that a gateway has to become ready or to stop.
 const GATEWAY_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Time in which a configuration applies, with the platform's allowance for a gateway that starts.
+const READY_TIME: Duration = Duration::from_secs(7);
+
 /// One of so many requests of a caller has that part in its prompt, if it is for a generation.
 const CRASH_PART_INTERVAL: usize = 3;
 /// Interval of checks for endpoints that have restarted.
@@ -221,13 +225,15 @@
         std::thread::sleep((start + length).saturating_duration_since(Instant::now()));
         std::mem::take(&mut self.fault_threads).into_iter().for_each(|h| drop(h.join()));
         std::thread::sleep(Duration::from_millis(1500));
+        let unready = self.find_unready();
         stop.store(true, Ordering::SeqCst);
         let calls: Vec<CallRecord> =
             callers.into_iter().flat_map(|c| c.join().expect("a caller panicked")).collect();
         drop(listing.join());
         std::thread::sleep(Duration::from_millis(500));
         let arrivals = self.arrivals();
-        let violations = checker::check(&calls, &arrivals, &lock(&self.history));
+        let mut violations = checker::check(&calls, &arrivals, &lock(&self.history));
+        violations.extend(unready);
         let logs = lock(&self.gateways[0]).settings_file.parent().map(Path::to_owned);
         RunReport {
             seed: self.seed,
@@ -240,6 +246,22 @@
         }
     }
 
+    /// Returns a violation for each gateway that is not ready in time after the last fault.
+    fn find_unready(&self) -> Vec<Violation> {
+        let end = Instant::now() + READY_TIME;
+        let is_ready = |g: &Arc<Mutex<Gateway>>| {
+            let left = end.saturating_duration_since(Instant::now());
+            wait_until(left, || lock(g).probe() == 200)
+        };
+        let unready = self.gateways.iter().filter(|g| !is_ready(g));
+        let violation = |g: &Arc<Mutex<Gateway>>| Violation {
+            promise: "ready",
+            subject: format!("gateway {}", lock(g).ready),
+            observed: format!("not ready {READY_TIME:?} after the last fault"),
+        };
+        unready.map(violation).collect()
+    }
+
     /// Returns the requests that reached the endpoints, replaced ones included.
     fn arrivals(&self) -> Vec<Arrival> {
         let all = self.endpoints.iter().chain(&self.replaced);
@@ -338,6 +360,17 @@
             }
             Fault::Limit(e, limit, time) => self.state_limit(*e, *limit, *time),
             Fault::Evacuate(centre, time) => self.evacuate(centre, *time),
+            Fault::ForeignKeys(n, seed) => self.write_foreign_keys(*n, *seed),
+            Fault::PageItems(n) => self.store.set_page_items(*n),
+        }
+    }
+
+    /// Writes keys as others do, which concern no gateway. The promises hold as without them.
+    fn write_foreign_keys(&self, n: usize, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for _ in 0..n {
+            let key = foreign::draw_key(&mut rng);
+            self.store.set(&key, Some(&foreign::draw_value(&mut rng)));
         }
     }
 
--- a/standin/src/soak/faults.rs
+++ b/standin/src/soak/faults.rs
@@ -44,6 +44,13 @@
 /// First seed of a run with several data centres, of which some are evacuated.
 const FIRST_EVACUATION_SEED: u64 = 4000;
 
+/// The same for keys that others write to the store.
+const KEY_SEED: u64 = 0x6b65_7973;
+/// First seed of a run in which others write keys to the store.
+const FIRST_KEY_SEED: u64 = 5000;
+/// Approximate mean time between two such writes, in seconds.
+const MEAN_KEY_INTERVAL_SECONDS: f64 = 1.0;
+
 /// Returns the data centre of the endpoint with a number, in the run of a seed.
 pub fn centre(seed: u64, n: usize) -> &'static str {
     if seed < FIRST_EVACUATION_SEED { CENTRES[0] } else { CENTRES[n % CENTRES.len()] }
@@ -98,6 +105,10 @@
     Limit(usize, f64, Duration),
     /// The operator evacuates a data centre for this time.
     Evacuate(&'static str, Duration),
+    /// Others write a number of keys to the store, drawn from a seed.
+    ForeignKeys(usize, u64),
+    /// Pages of the store have at most this number of items from now on.
+    PageItems(usize),
 }
 
 /// Draws the faults of a run with their times since the start, in order of time.
@@ -113,7 +124,8 @@
         (at, Fault::CrashPart(Duration::from_millis(rng.random_range(200..1500))))
     });
     let limits = draw_limits(seed, length, sizes);
-    let drawn = faults.into_iter().chain(notices).chain(crash).chain(limits);
+    let keys = draw_foreign_keys(seed, length);
+    let drawn = faults.into_iter().chain(notices).chain(crash).chain(limits).chain(keys);
     let mut all: Vec<_> = drawn.chain(draw_evacuations(seed, length)).collect();
     all.sort_by_key(|(at, _)| *at);
     all
@@ -147,6 +159,19 @@
     CENTRES[1..].iter().map(|centre| draw(*centre)).collect()
 }
 
+/// Draws the keys that others write, and the pages in which the store lists them.
+fn draw_foreign_keys(seed: u64, length: Duration) -> Vec<(Duration, Fault)> {
+    if seed < FIRST_KEY_SEED {
+        return Vec::new();
+    }
+    draw_series(seed ^ KEY_SEED, length, MEAN_KEY_INTERVAL_SECONDS, |rng| {
+        match rng.random_range(0..3) {
+            0 => Fault::PageItems([1, 2, 20, 500][rng.random_range(0..4)]),
+            _ => Fault::ForeignKeys([1, 5, 30][rng.random_range(0..3)], rng.random()),
+        }
+    })
+}
+
 fn draw_series(
     seed: u64,
     length: Duration,
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -40,6 +40,11 @@
     check_run(4000, Duration::from_secs(20));
 }
 
+#[test]
+fn seeded_run_with_keys_of_others_breaks_no_promise() {
+    check_run(5000, Duration::from_secs(15));
+}
+
 fn check_run(seed: u64, length: Duration) {
     let binary = Path::new(env!("CARGO_BIN_EXE_skylarkthread"));
     let report = soak::run(binary, seed, length, soak::Sizes::default());
