--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -105,9 +105,9 @@
         impl TryFrom<Arc<str>> for $name {
             type Error = IdError;
 
-            /// Checks an identifier of this kind that is decoded.
+            /// Checks an identifier that is decoded; another process may have read it as a label.
             fn try_from(s: Arc<str>) -> Result<Self, IdError> {
-                $parse(&s).map($name)
+                $parse(&s).or_else(|_| parse_label(&s)).map($name)
             }
         }
 
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -120,7 +120,7 @@
     };
     for (ix, t) in tenants.iter().enumerate() {
         let fields = &mut Fields::new(t, "tenants", &entry_name(t, ix), faults);
-        let Some(workspace) = fields.required("name", fields::name(Workspace::from_label)) else {
+        let Some(workspace) = fields.required("name", fields::name(str::parse::<Workspace>)) else {
             continue;
         };
         let urgency = fields.optional("priority", fields::whole).map(Urgency);
--- a/src/store/list.rs
+++ b/src/store/list.rs
@@ -97,8 +97,12 @@
 pub fn parse_instances(body: &[u8]) -> Result<Vec<ListedInstance>, StoreError> {
     let entries: Vec<&RawValue> =
         serde_json::from_slice(body).map_err(|_| StoreError::Malformed)?;
-    let parse = |entry: &&RawValue| match serde_json::from_str(entry.get()) {
-        Ok(instance) => Some(instance),
+    let parse = |entry: &&RawValue| match serde_json::from_str::<ListedInstance>(entry.get()) {
+        Ok(i) if i.centre.as_str().parse::<DataCentre>().is_ok() => Some(i),
+        Ok(i) => {
+            log::warn!("{} in the instance list has an invalid data centre", i.instance);
+            None
+        }
         Err(e) => {
             log::warn!("an entry of the instance list cannot be read: {e}");
             None
