--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -90,7 +90,7 @@
 /// reason.
 fn record_failure(gw: &Gateway, connection: &mut Connection, e: StoreError) {
     let (now, failure) = (clock::now(), gw.store.last_failure());
-    gw.is_read_failing.set(gw.store_position.borrow().get().is_none());
+    gw.reads_fail.set(gw.store_position.borrow().get().is_none());
     gw.readiness.fail_read(now, e, failure.clone());
     if !connection.reasons.is_lost() {
         gw.outages.borrow_mut().begin(now);
@@ -219,7 +219,7 @@
         false => gw.store.list(&FOLLOWED_KEYS).await?,
     };
     gw.readiness.end_read(clock::now());
-    gw.is_read_failing.set(false);
+    gw.reads_fail.set(false);
     log_store_back(gw, connection);
     if gw.store_position.borrow().get().is_some() {
         return Ok(());
@@ -295,7 +295,7 @@
     let mut has_endpoints = false;
     loop {
         tokio::time::sleep(jitter(PART_INTERVAL)).await;
-        if !gw.is_read_failing.get() {
+        if !gw.reads_fail.get() {
             has_endpoints = false;
             continue;
         }
@@ -356,7 +356,7 @@
         refusals::apply_kv(gw, kv);
     }
     gw.store_position.borrow_mut().set(all.at);
-    gw.is_read_failing.set(false);
+    gw.reads_fail.set(false);
     if source == Source::Copy {
         gw.registration.due.notify_one();
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -179,7 +179,7 @@
     /// Outages of the store that this instance or another one has noticed.
     outages: RefCell<Outages>,
     /// Whether the last read of all followed keys failed.
-    is_read_failing: Cell<bool>,
+    reads_fail: Cell<bool>,
     /// Whether the last check found the store unreachable.
     store_lost: Cell<bool>,
     /// Notified when the store has changes that a reader did not include in its message.
@@ -304,7 +304,7 @@
             revisions: RefCell::new(HashMap::new()),
             store_position: RefCell::default(),
             outages: RefCell::default(),
-            is_read_failing: Cell::new(false),
+            reads_fail: Cell::new(false),
             store_lost: Cell::new(false),
             registration: membership::RegistrationState::default(),
             poll_hint: Notify::new(),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod fields;
 mod headers;
+mod items;
 mod kv;
 mod servers;
 mod settings;
