--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -43,6 +43,8 @@
 
 /// Path of the call that lists keys.
 const RANGE_PATH: &str = "kv-range";
+/// Path of the call that waits for changes.
+const WATCH_PATH: &str = "kv-watch";
 
 /// Header of each response with the number of times that the store has come back from a copy.
 const ERA: &str = "store-era";
@@ -144,12 +146,12 @@
         KvClient { config, address, era, patience, failure, kept }
     }
 
-    /// Returns the last call that failed.
+    /// Returns the last read that failed.
     pub fn last_failure(&self) -> CallFailure {
         self.failure.borrow().clone()
     }
 
-    /// Records and counts that a call failed, with the label `why` in the metrics; returns `e`.
+    /// Counts that a call failed, and records it if it is a read, with the label `why` in the metrics; returns `e`.
     fn fail(
         &self,
         target: &str,
@@ -158,8 +160,11 @@
         e: StoreError,
     ) -> StoreError {
         metrics::counter!("store_failures_total", "why" => why.into()).increment(1);
-        let (target, why) = (shorten_failure(target), shorten_failure(&reason.to_string()));
-        *self.failure.borrow_mut() = CallFailure { target, why };
+        // The failure of a write says nothing of why the keys cannot be read.
+        if target.starts_with(RANGE_PATH) || target.starts_with(WATCH_PATH) {
+            let (target, why) = (shorten_failure(target), shorten_failure(&reason.to_string()));
+            *self.failure.borrow_mut() = CallFailure { target, why };
+        }
         e
     }
 
@@ -465,7 +470,7 @@
     ) -> Result<StoreUpdate, StoreError> {
         let ms = wait.as_millis();
         // One call for all prefixes.
-        let path = format!("kv-watch?prefix=&after={after}&wait_ms={ms}");
+        let path = format!("{WATCH_PATH}?prefix=&after={after}&wait_ms={ms}");
         let (sent, limit) = (clock::now(), self.limit(wait + WATCH_MARGIN));
         let (era, changes): (Era, WatchResponse) = self.wait_for_json(&path, limit).await?;
         // After which part of the wait a change came is not known.
