--- a/src/entry/background.rs
+++ b/src/entry/background.rs
@@ -129,7 +129,7 @@
 }
 
 /// Ejects failing endpoints, readmits them after their ejection period, and keeps the quarantine and
-/// what is told of the readiness up to date.
+/// the report of the readiness up to date.
 pub async fn run_ejection(e: Rc<Entry>) {
     loop {
         tokio::time::sleep(EJECTION_INTERVAL).await;
--- a/src/escape/mod.rs
+++ b/src/escape/mod.rs
@@ -62,8 +62,7 @@
     utf8_percent_encode(text, SEGMENT)
 }
 
-/// Returns a path that somebody wrote as the target of a request. It may have a query, and encoded
-/// bytes already.
+/// Returns a configured path as the target of a request. It may have a query, and encoded bytes already.
 pub fn target(path: &str) -> String {
     let slash = if path.starts_with('/') { "" } else { "/" };
     format!("{slash}{}", utf8_percent_encode(path, TARGET))
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -151,7 +151,8 @@
         self.failure.borrow().clone()
     }
 
-    /// Counts that a call failed, and records it if it is a read, with the label `why` in the metrics; returns `e`.
+    /// Counts that a call failed, with the label `why` in the metrics, and records it if it is a read.
+    /// Returns `e`.
     fn fail(
         &self,
         target: &str,
@@ -168,7 +169,7 @@
         e
     }
 
-    /// Records that a call got this status; returns `e`.
+    /// Counts and records that a call got this status; returns `e`.
     fn fail_status(&self, target: &str, status: u16, e: StoreError) -> StoreError {
         self.fail(target, status.to_string(), format_args!("status {status}"), e)
     }
