Log what the sidecar said of a generation that is given up

The log had only "refused-expired" for the service: neither which generation it was, nor whether its sidecar had begun it or did not answer.

GivenUp (211) names the generation, the answer to its withdrawal (not-run, may-have-run, unanswered), whether its refusal had arrived and the wait for the answer. A sidecar logs Refused (201) with the reason for each generation that it ends without running.

--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -18,6 +18,7 @@
 use actix_http::{Method, Response};
 use futures_util::FutureExt;
 use std::cell::Cell;
+use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -323,12 +324,13 @@
             Ok(Some(batch)) => return check_first_batch(e, key, generation, batch, tokens),
             Ok(None) => return Err(Attempt::Lost),
             Err(_) if wait <= MOVE_CHECK_INTERVAL => {
-                return Err(give_up(e, &link, generation.nonce, &mut tokens).await);
+                return Err(give_up(e, &link, &generation, &mut tokens).await);
             }
             Err(_) => {
                 let outcome = reason_to_withdraw(e, request, key);
                 if let Some(outcome) = outcome
-                    && withdraw_queued(e, &link, generation.nonce).await
+                    && withdraw(e, &link, generation.nonce, CANCEL_TIMEOUT).await
+                        == Withdrawal::NotRun
                 {
                     e.process.event(Kind::Replaced, &generation, "withdrawn from queue");
                     return Err(outcome);
@@ -343,16 +345,20 @@
 async fn give_up(
     e: &Rc<Entry>,
     link: &Rc<LinkState>,
-    nonce: Nonce,
+    generation: &GenerationId,
     tokens: &mut TokenReceiver,
 ) -> Attempt {
-    let withdrawn = tokio::time::timeout(WITHDRAW_TIMEOUT, withdraw_queued(e, link, nonce)).await;
+    let asked = clock::now();
+    let withdrawn = withdraw(e, link, generation.nonce, WITHDRAW_TIMEOUT).await;
+    let waited = elapsed_since(asked).as_millis();
     let arrived = tokens.next().now_or_never().flatten();
     let is_refused = arrived.is_some_and(|b| matches!(b.finish, Some(Finish::NotRun(_))));
-    if is_refused || withdrawn == Ok(true) {
+    let detail = format_args!("withdrawal={withdrawn} refused={is_refused} waited_ms={waited}");
+    e.process.event(Kind::GivenUp, generation, detail);
+    if is_refused || withdrawn == Withdrawal::NotRun {
         return Attempt::TimedOut { may_have_run: false };
     }
-    cancel_in_background(e, link, nonce);
+    cancel_in_background(e, link, generation.nonce);
     Attempt::TimedOut { may_have_run: true }
 }
 
@@ -371,11 +377,34 @@
     latest.is_some_and(|l| l.report.waiting > 0) && place::can_start_now(&board, &request.need)
 }
 
-/// Withdraws a generation that has not started; returns `false` if it has started or the sidecar
-/// does not answer.
-async fn withdraw_queued(e: &Rc<Entry>, link: &Rc<LinkState>, nonce: Nonce) -> bool {
-    let reply = link.request(e, Request::Withdraw(nonce), CANCEL_TIMEOUT).await;
-    matches!(reply.map(|r| r.body), Ok(Reply::Withdrawn(true)))
+/// Answer to the withdrawal of a generation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Withdrawal {
+    /// The generation has not run and never will.
+    NotRun,
+    /// The sidecar does not know that it has not run.
+    MayHaveRun,
+    /// No answer arrived in time.
+    Unanswered,
+}
+
+impl fmt::Display for Withdrawal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Withdrawal::NotRun => "not-run",
+            Withdrawal::MayHaveRun => "may-have-run",
+            Withdrawal::Unanswered => "unanswered",
+        })
+    }
+}
+
+/// Withdraws a generation that has not started.
+async fn withdraw(e: &Rc<Entry>, link: &Rc<LinkState>, nonce: Nonce, wait: Duration) -> Withdrawal {
+    match link.request(e, Request::Withdraw(nonce), wait).await.map(|r| r.body) {
+        Ok(Reply::Withdrawn(true)) => Withdrawal::NotRun,
+        Ok(_) => Withdrawal::MayHaveRun,
+        Err(_) => Withdrawal::Unanswered,
+    }
 }
 
 fn check_first_batch(
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -123,6 +123,8 @@
     SlowReader = 209,
     /// Connections of callers that keep most were closed, as all together kept too much.
     Overfull = 210,
+    /// A generation was given up as its first token was late; the detail has its sidecar's answer.
+    GivenUp = 211,
     /// A sidecar queued a generation.
     Queued = 300,
     /// A sidecar started a generation on its engine.
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -276,6 +276,9 @@
     job.phase = Phase::Ended(end);
     job.last_active = clock::now();
     let (start, n) = (&job.start, Tokens(job.tokens.len() as u32));
+    if let Finish::NotRun(why) = end {
+        s.process.event(Kind::Refused, &start.generation, format_args!("why={why:?}"));
+    }
     let has_ended = matches!(end, Finish::Stop | Finish::Length);
     if has_ended || n.0 > 0 {
         board.lengths.record(&start.service, &start.workspace, n, has_ended);
