Do not begin a generation in the step that refuses it as expired

A caller whose generation's time ends while the engine has room is told "unknown" where "not-run" is due, and the engine works for nobody.

Cause: a step of the gate returned the refusals of expired generations together with what may begin next, and chose that on the board on which the refused ones were still queued. The sidecar carried out both, so a generation that had ended as "not run" was submitted after all. No reader was told so in between, since nothing else runs between the two.

Now a step that ends generations returns just that, and the next one decides on the board without them. The sidecar begins nothing that has ended, so the end "not run" stays true whatever the gate says.

--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -103,7 +103,8 @@
     /// Returns the generations to begin, hold, continue, refuse or end at `now`.
     pub fn step(&mut self, now: Instant, board: &mut SidecarBoard) -> Vec<Action> {
         let mut actions = expire(now, board);
-        if !board.engine.alive {
+        // The generations that these actions end are still on the board, and must not begin.
+        if !actions.is_empty() || !board.engine.alive {
             return actions;
         }
         if self.open {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -231,7 +231,9 @@
 /// Submits a generation to the engine, either for the first time or to continue it after a hold.
 fn begin(s: &Rc<Sidecar>, key: JobKey, kind: Kind) {
     let mut board = s.board.borrow_mut();
-    let Some(job) = board.jobs.get_mut(key) else { return };
+    let Some(job) = board.jobs.get_mut(key).filter(|j| !matches!(j.phase, Phase::Ended(_))) else {
+        return;
+    };
     job.phase = Phase::Running;
     job.prefilled = false;
     job.submissions += 1;
