Wait for the second configuration before a test asks with it

What was seen: answers::generation_that_may_have_run_..., case queued, failed in 1 of 24 runs (four at a time beside three busy loops, load 21 to 90): "the engine is not asked". The log has no Admitted (200) for the first request.

Cause, in the test: it takes the endpoint's return for a sign that the entry has adopted the second configuration. In that run the endpoint was back 11 ms before Adopted (500) of version 2. Under version 1 the service depends on one that is not deployed, so the request was refused at once, and the test drops that answer.

Now the test waits until the entry has adopted version 2 and the endpoint serves, which is all that it waited for and more; what it asserts is unchanged.

--- a/tests/deployment/answers.rs
+++ b/tests/deployment/answers.rs
@@ -11,6 +11,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// Heads and body of an answer, by the start of the request that it is sent for.
 type Answers = &'static [(&'static str, &'static str, &'static str)];
@@ -304,7 +305,7 @@
     let config = config.replace(",\n      \"depends_on\": [\"booking\"]", "");
     let (code, out) = fleet.submit(&config, 1);
     assert_eq!(code, 0, "{out}");
-    assert!(wait_until(10, async || serves(&fleet).await == Some(true)).await, "not serving");
+    assert!(fleet.wait_ready(0, 2, 1, Duration::from_secs(10)).await, "not serving");
     let caller = Caller::new("key-1");
     let entry = fleet.entry_address(0);
     let other = async {
