Confirm at a withdrawal that a generation which was refused meanwhile has not run

What callers saw: a 504 of kind "refused-expired" with the outcome "unknown" for a generation that had been queued all its time and is known not to have run. Known red as streams::overload_is_refused_before_first_token_with_retry_delay and answers::generation_that_may_have_run_..., case queued; one cause.

Cause: entry and sidecar count down the same time. At its end the sidecar refuses a queued generation by itself, within 3.2 ms of the deadline, and the entry withdraws it. If the withdrawal comes second, the sidecar answered "no, it was not queued", which the entry took for "it may have run"; the refusal itself was on its way in the reply to the poll, for which the entry looks just once.

Now the answer is whether the generation has not run and never will: it was queued and is ended by this, or had ended as not run. Ends are final, so the answer cannot become false; for a generation that was submitted, or that the sidecar does not know as after a restart, it stays "no". The message keeps its form; with a sidecar of an older release an entry says "unknown" as before.

--- a/src/board/sidecar.rs
+++ b/src/board/sidecar.rs
@@ -30,6 +30,13 @@
     Ended(Finish),
 }
 
+impl Phase {
+    /// Returns whether the generation has not run so far.
+    pub fn has_not_run(self) -> bool {
+        matches!(self, Phase::Queued | Phase::Ended(Finish::NotRun(_)))
+    }
+}
+
 /// A generation held by the sidecar.
 #[derive(Debug)]
 pub struct Job {
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -340,8 +340,9 @@
     }
 }
 
-/// Gives up a generation whose first token is late. It has not run if it was still queued, or if its
-/// sidecar has refused it meanwhile.
+/// Gives up a generation whose first token is late. It has not run if it was still queued or its
+/// sidecar had refused it, as the answer to the withdrawal or the end of the generation tells; the two
+/// may arrive in either order, and one of them may be missing.
 async fn give_up(
     e: &Rc<Entry>,
     link: &Rc<LinkState>,
--- a/src/frame/mod.rs
+++ b/src/frame/mod.rs
@@ -470,7 +470,7 @@
     Lacking(Vec<Arc<str>>),
     /// Selected events, oldest first. Those of a kind that this release does not know are left out.
     Events(#[serde(deserialize_with = "read_events")] Vec<Event>),
-    /// Whether the generation was still queued and has been ended.
+    /// Whether the generation has not run and never will; `false` if that is not known.
     Withdrawn(bool),
     /// The request was processed; it has no result.
     Ok,
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -128,15 +128,16 @@
     Reply::Accepted
 }
 
-/// Ends a generation that is still queued, so that it never runs; returns whether it was queued.
+/// Ends a generation that is still queued, so that it never runs. Returns whether it has not run: one
+/// that was refused meanwhile never will either.
 fn withdraw(s: &Rc<Sidecar>, nonce: Nonce) -> bool {
     let key = s.board.borrow().by_nonce.get(&nonce).copied();
     let Some(key) = key else { return false };
-    let is_queued = s.board.borrow().jobs[key].phase == Phase::Queued;
-    if is_queued {
+    let phase = s.board.borrow().jobs[key].phase;
+    if phase == Phase::Queued {
         finish(s, key, Finish::NotRun(Refusal::Busy));
     }
-    is_queued
+    phase.has_not_run()
 }
 
 /// Ends a generation; returns whether it had been submitted to the engine.
@@ -150,7 +151,7 @@
         Phase::Running | Phase::Held => cancel(s, key),
         Phase::Ended(_) => {}
     }
-    !matches!(phase, Phase::Queued | Phase::Ended(Finish::NotRun(_)))
+    !phase.has_not_run()
 }
 
 fn issue_ticket(s: &Sidecar, fence: Fence) -> Reply {
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -12,3 +12,4 @@
 mod shutdown;
 mod start;
 mod streams;
+mod withdrawals;
