Close the context of a link only while no thread of nng uses it

What was seen: one of 24 runs of the withdrawal tests was aborted: "panic: pthread_mutex_lock: Invalid argument" from nng, in req0_ctx_fini under nng_ctx_recv. The same can end an entry or a sidecar: an entry closes links after silence, after a gossip without an answer and after each fetch of a time line.

Cause: a request is sent on a context and received on it from the callback of the send, on a thread of nng. If the reply arrives at once and the link is dropped, that thread may still hold the last reference to the context, which it then removes from the socket's list, unlocks, and frees, taking the socket's lock for it. The list is empty by then, so the close of the socket goes on and frees that lock (nng 1.4, nni_ctx_rele and nni_sock_shutdown).

Now a context is closed under a lock which the callback holds while it starts to receive, so no thread of nng is in the context when it closes, and none enters it later, since nng refuses closed contexts. Callbacks that nng runs within the start of an operation take no lock: its protocols dispatch those, and run only callbacks of pipes at once. Listeners do the same.

Ruled out: waiting for the operation (nng_aio_wait); freeing an operation whose context closes was seen to block for ever (docs/design/links.md).

--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -51,11 +51,44 @@
     }
 }
 
+/// An nng context on which nng's threads start to receive.
+///
+/// The last thread that uses a closed context frees it, and accesses its socket for that; closing the
+/// socket does not wait for this. So the context is closed only while none of nng's threads uses it.
+#[derive(Debug, Clone)]
+struct SharedContext {
+    ctx: Context,
+    in_use: Arc<Mutex<()>>,
+}
+
+impl SharedContext {
+    fn new(socket: &Socket) -> Result<Self, PeerError> {
+        Ok(SharedContext { ctx: Context::new(socket)?, in_use: Arc::default() })
+    }
+
+    /// Starts to send, on a thread that keeps the socket open meanwhile.
+    fn send(&self, aio: &Aio, frame: &[u8]) -> nng::Result<()> {
+        self.ctx.send(aio, frame).map_err(|(_, e)| e)
+    }
+
+    /// Starts to receive, on one of nng's threads.
+    fn recv(&self, aio: &Aio) -> nng::Result<()> {
+        let _in_use = self.in_use.lock();
+        self.ctx.recv(aio)
+    }
+
+    /// Closes the context, after which no operation starts on it.
+    fn close(&self) {
+        let _in_use = self.in_use.lock();
+        self.ctx.close();
+    }
+}
+
 /// An nng context with its asynchronous operation. It is reused for one request after another and
 /// freed only with its socket, because freeing an operation in progress can block.
 #[derive(Debug)]
 struct Call {
-    ctx: Context,
+    ctx: SharedContext,
     aio: Aio,
     shared: Arc<CallState>,
 }
@@ -83,7 +116,7 @@
 
 impl Call {
     fn new(socket: &Socket) -> Result<Call, PeerError> {
-        let ctx = Context::new(socket)?;
+        let ctx = SharedContext::new(socket)?;
         let shared = Arc::new(CallState::default());
         let (inner, state) = (ctx.clone(), shared.clone());
         let aio = Aio::new(move |aio, result| match result {
@@ -186,7 +219,7 @@
         // nng also ends the operation after `wait` when this future has been dropped.
         call.aio.set_timeout(Some(wait))?;
         call.shared.busy.store(true, Ordering::Release);
-        if let Err((_, e)) = call.ctx.send(&call.aio, frame) {
+        if let Err(e) = call.ctx.send(&call.aio, frame) {
             call.shared.complete(Err(e));
         }
         match tokio::time::timeout(wait, rx).await {
@@ -200,7 +233,7 @@
 /// An nng context that receives one request at a time and sends its reply.
 #[derive(Debug)]
 struct Slot {
-    ctx: Context,
+    ctx: SharedContext,
     aio: Aio,
 }
 
@@ -247,7 +280,7 @@
     /// Opens further contexts, each of which receives a request.
     fn add_slots(&mut self) -> Result<(), PeerError> {
         for _ in 0..SLOT_BATCH {
-            let ctx = Context::new(&self.socket)?;
+            let ctx = SharedContext::new(&self.socket)?;
             let ix = self.slots.len();
             let tx = self.tx.clone();
             let inner = ctx.clone();
