--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -231,7 +231,9 @@
 /// Submits a generation to the engine, either for the first time or to continue it after a hold.
 fn begin(s: &Rc<Sidecar>, key: JobKey, kind: Kind) {
     let mut board = s.board.borrow_mut();
-    let Some(job) = board.jobs.get_mut(key) else { return };
+    let Some(job) = board.jobs.get_mut(key).filter(|j| !matches!(j.phase, Phase::Ended(_))) else {
+        return;
+    };
     job.phase = Phase::Running;
     job.prefilled = false;
     job.submissions += 1;
@@ -276,6 +278,9 @@
     job.phase = Phase::Ended(end);
     job.last_active = clock::now();
     let (start, n) = (&job.start, Tokens(job.tokens.len() as u32));
+    if let Finish::NotRun(why) = end {
+        s.process.event(Kind::Refused, &start.generation, format_args!("why={why:?}"));
+    }
     let has_ended = matches!(end, Finish::Stop | Finish::Length);
     if has_ended || n.0 > 0 {
         board.lengths.record(&start.service, &start.workspace, n, has_ended);
