Keep a peer that is cut off from the store while it is heard from

Callers saw: a gateway that was cut off from the store alone went on with what it knew for ever. It did not learn of the end of an evacuation, and its requests were refused or went elsewhere though the operators had taken the data centre back.

Cause: its registration ends 15 s after its last renewal. The others then dropped it as "no longer listed", so that readers passed it no changes and nobody verified its messages.

A peer is now kept until it is neither registered nor heard from for 15 s (`gossip::Presence`). What all instances have to agree on (readers, coordinators of admissions and copies, groups of notices, the parts in the retries of all) is still taken from the registered ones. Its claims of an outage do not count, as before, since it may repeat them for as long as it is cut off.

In the limits of endpoints it counts as an owner: it goes on to use its part or to ask for permits. Without it the others share out the whole limit and it uses its part besides; by reading, so did all of them for up to 2 s after an outage in which all registrations had ended, as each counted itself alone.

Not covered, as before: an instance that starts after the registration has ended does not know it; if all others have started since, nobody passes anything on to it. See docs/design/platform.md.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -35,7 +35,8 @@
     let own = gw.settings.borrow().instance.clone();
     let coordinator = {
         let peers = gw.peers.borrow();
-        let instances = peers.keys().chain(std::iter::once(&own));
+        let registered = peers::registered(&peers).map(|(instance, _)| instance);
+        let instances = registered.chain(std::iter::once(&own));
         gossip::coordinator(tag, instances).and_then(|i| peers.get(i)).map(|p| p.address)
     };
     let Some(coordinator) = coordinator else { return true };
--- a/src/gateway/digests.rs
+++ b/src/gateway/digests.rs
@@ -84,7 +84,8 @@
     let now = clock::now();
     let mut peer_loads = gw.peer_loads.borrow_mut();
     peer_loads.apply(now, from.clone(), &digest);
-    if digest.outage {
+    // One that is cut off alone may tell of a past outage for as long as it is.
+    if digest.outage && peers::is_registered(gw, &from) {
         gw.outages.borrow_mut().record_claim(now);
     }
     evacuation::merge(gw, digest.evacuations);
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -80,11 +80,15 @@
 /// Tells all other instances what this one knows of the limits of endpoints.
 fn publish(gw: &Gateway, tags: Vec<Tag>) {
     let peers = gw.peers.borrow();
-    let groups = gossip::notice_groups(peers.keys().collect());
+    let groups = gossip::notice_groups(peers::registered(&peers).map(|(i, _)| i).collect());
     let first = groups.iter().filter_map(|g| Some(peers.get(*g.first()?)?.address));
     let first: Vec<SocketAddr> = first.collect();
     let forward = groups.iter().any(|g| g.len() > 1);
     peers::send(gw, &first, PeerMessage::Limits(notice(gw, &tags, forward)));
+    // Those that are not registered are in no group, as not all know them.
+    let apart = peers.values().filter(|p| !p.is_registered()).map(|p| p.address);
+    let apart: Vec<SocketAddr> = apart.collect();
+    peers::send(gw, &apart, PeerMessage::Limits(notice(gw, &tags, false)));
 }
 
 /// Applies a notice of another instance. The coordinator of an endpoint passes changes on to all,
@@ -129,7 +133,8 @@
 fn forward(gw: &Gateway, from: &InstanceId, notice: &LimitNotice) {
     let own = gw.settings.borrow().instance.clone();
     let peers = gw.peers.borrow();
-    let receivers = peers.keys().filter(|i| *i != from).chain(std::iter::once(&own)).collect();
+    let others = peers::registered(&peers).map(|(i, _)| i).filter(|i| *i != from);
+    let receivers = others.chain(std::iter::once(&own)).collect();
     let groups = gossip::notice_groups(receivers);
     let group = groups.iter().find(|g| g.contains(&&own));
     let others = group.into_iter().flatten().filter_map(|i| peers.get(*i));
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -155,7 +155,8 @@
     }
 }
 
-/// Adds, updates or removes a peer after a change of its registration.
+/// Adds or updates a peer after a change of its registration. One whose registration has ended stays a
+/// peer as long as it is heard from.
 pub fn update_peer(gw: &Rc<Gateway>, kv: &KeyValue) {
     let Some(name) = kv.key.strip_prefix(KEY_PREFIX) else { return };
     let Ok(instance) = InstanceId::from_label(name) else {
@@ -175,21 +176,57 @@
         Err(e) => return log::warn!("the registration of {instance} cannot be read: {e}"),
     };
     match registration {
-        Some(r) => {
-            let peer = Peer::new(r.address, r.power, r.key);
-            let known = gw.peers.borrow_mut().insert(instance.clone(), peer);
-            if known.as_ref().is_none_or(|k| !k.has_key(&r.key)) {
-                suspects::inform_started(gw, r.address);
-                limits::inform_started(gw, r.address);
-            }
-            if known.is_none() {
-                gw.wave_event(Kind::LinkUp, instance, format_args!("address={}", r.address));
-            }
-        }
-        None => {
-            if gw.peers.borrow_mut().remove(&instance).is_some() {
-                gw.wave_event(Kind::LinkSilent, instance, "why=\"no longer listed\"");
-            }
-        }
+        Some(r) => add_peer(gw, instance, &r),
+        None => end_registration(gw, &instance),
+    }
+}
+
+fn add_peer(gw: &Rc<Gateway>, instance: InstanceId, r: &Registration) {
+    let known = gw.peers.borrow_mut().remove(&instance);
+    let was_registered = known.as_ref().is_some_and(Peer::is_registered);
+    // An instance that has started again has another key, and has not been heard from.
+    let known = known.filter(|k| k.has_key(&r.key));
+    let is_started = known.is_none();
+    let mut presence = known.map(|k| k.presence.get()).unwrap_or_default();
+    presence.register();
+    let peer = Peer::new(r.address, r.power, r.key, presence);
+    gw.peers.borrow_mut().insert(instance.clone(), peer);
+    if is_started {
+        suspects::inform_started(gw, r.address);
+        limits::inform_started(gw, r.address);
+    }
+    if !was_registered {
+        gw.wave_event(Kind::LinkUp, instance, format_args!("address={}", r.address));
     }
 }
+
+/// Records that the store has no registration of a peer any more.
+fn end_registration(gw: &Gateway, instance: &InstanceId) {
+    let is_gone = {
+        let peers = gw.peers.borrow();
+        let Some(peer) = peers.get(instance).filter(|p| p.is_registered()) else { return };
+        let mut presence = peer.presence.get();
+        presence.unregister();
+        peer.presence.set(presence);
+        presence.is_gone(clock::now())
+    };
+    if is_gone {
+        drop_peer(gw, instance);
+    } else {
+        gw.wave_event(Kind::LinkUnlisted, instance, "");
+    }
+}
+
+fn drop_peer(gw: &Gateway, instance: &InstanceId) {
+    if gw.peers.borrow_mut().remove(instance).is_some() {
+        gw.wave_event(Kind::LinkSilent, instance, "why=\"no longer listed\"");
+    }
+}
+
+/// Drops the peers that are neither registered nor heard from.
+pub fn step(gw: &Gateway, now: Instant) {
+    let is_gone = |(_, peer): &(&InstanceId, &Peer)| peer.presence.get().is_gone(now);
+    let gone: Vec<InstanceId> =
+        gw.peers.borrow().iter().filter(is_gone).map(|(instance, _)| instance.clone()).collect();
+    gone.iter().for_each(|instance| drop_peer(gw, instance));
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -166,7 +166,7 @@
     parts_changed: Notify,
     /// Refused parts and contents that the store holds.
     published: RefCell<HashSet<refusals::Refused>>,
-    /// Other instances registered in the store.
+    /// Other instances that are registered in the store, or were and are still heard from.
     peers: RefCell<HashMap<InstanceId, peers::Peer>>,
     /// Sends messages to peers and matches their replies with requests.
     messenger: peers::Messenger,
@@ -392,8 +392,9 @@
 type Step = fn(&Rc<Gateway>, Instant);
 
 /// Steps of the maintenance by name. A panic of one leaves the others as they are.
-const MAINTENANCE_STEPS: [(&str, Step); 10] = [
+const MAINTENANCE_STEPS: [(&str, Step); 11] = [
     ("readiness", |gw, now| readiness::step(gw, now)),
+    ("peers", |gw, now| membership::step(gw, now)),
     ("pool", step_pool),
     ("quarantine", |gw, _| quarantine::step(gw)),
     ("backlog", |gw, _| unread::step(gw)),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -6,7 +6,7 @@
 use crate::clock;
 use crate::evacuate::Verdict;
 use crate::frame::{Envelope, Gossip, Keyring};
-use crate::gossip::{self, PeerMessage, ReaderReport, StoreChanges, Tag};
+use crate::gossip::{self, PeerMessage, Presence, ReaderReport, StoreChanges, Tag};
 use crate::id::{Incarnation, InstanceId, IntentVersion, MilliCores};
 use crate::limit::{self, Fleet, Grant, Misses, Sign};
 use actix_rt::net::UdpSocket;
@@ -46,6 +46,8 @@
     pub address: SocketAddr,
     /// Processing power.
     pub power: MilliCores,
+    /// Whether it is registered, and when it was heard from.
+    pub presence: Cell<Presence>,
     /// Key that verifies its messages, new with each start.
     key: SigningKey,
     keys: Keyring,
@@ -53,14 +55,46 @@
 
 impl Peer {
     /// Creates a peer from what it has registered.
-    pub fn new(address: SocketAddr, power: MilliCores, key: SigningKey) -> Self {
-        Peer { address, power, key, keys: Keyring::new(&[Arc::from(&key[..])]) }
+    pub fn new(
+        address: SocketAddr,
+        power: MilliCores,
+        key: SigningKey,
+        presence: Presence,
+    ) -> Self {
+        let keys = Keyring::new(&[Arc::from(&key[..])]);
+        Peer { address, power, presence: Cell::new(presence), key, keys }
     }
 
     /// Returns whether it signs with this key. A restarted instance has another one.
     pub fn has_key(&self, key: &SigningKey) -> bool {
         self.key == *key
     }
+
+    /// Returns whether the store has its registration.
+    pub fn is_registered(&self) -> bool {
+        self.presence.get().is_registered()
+    }
+
+    /// Decodes a frame if it has signed it.
+    fn open(&self, now: Instant, frame: &[u8]) -> Option<Envelope<PeerMessage>> {
+        let envelope = self.keys.decode(frame).ok()?;
+        let mut presence = self.presence.get();
+        presence.record_message(now);
+        self.presence.set(presence);
+        Some(envelope)
+    }
+}
+
+/// Returns the instances that are registered, of which all that reach the store know the same.
+/// Instances that are cut off from it are peers too as long as they are heard from.
+pub fn registered(
+    peers: &HashMap<InstanceId, Peer>,
+) -> impl Iterator<Item = (&InstanceId, &Peer)> + Clone {
+    peers.iter().filter(|(_, peer)| peer.is_registered())
+}
+
+fn registered_ids(peers: &HashMap<InstanceId, Peer>) -> impl Iterator<Item = &InstanceId> {
+    registered(peers).map(|(instance, _)| instance)
 }
 
 /// Sends messages to peers and matches admission replies with requests.
@@ -175,13 +209,13 @@
 
 /// Returns whether this instance follows the store closely on behalf of others.
 pub fn is_reader(gw: &Gateway) -> bool {
-    gossip::is_reader(&gw.settings.borrow().instance, gw.peers.borrow().keys())
+    gossip::is_reader(&gw.settings.borrow().instance, registered_ids(&gw.peers.borrow()))
 }
 
 /// Returns what the readers' digests say about the store.
 pub fn reader_report(gw: &Gateway, now: Instant) -> ReaderReport {
     let peers = gw.peers.borrow();
-    gw.peer_loads.borrow().reader_report(now, &gossip::readers(peers.keys()))
+    gw.peer_loads.borrow().reader_report(now, &gossip::readers(registered_ids(&peers)))
 }
 
 /// Sends a request with a number and waits for the reply; `None` if it does not come within `wait`.
@@ -232,13 +266,24 @@
     Some(Sign { at, is_silent })
 }
 
-/// Returns how many instances are registered, and how many of them were heard from recently.
+/// Returns how many instances own a part of each limit, and how many of them were heard from recently.
+/// One that is cut off from the store goes on to use its part.
 pub fn fleet(gw: &Gateway) -> Fleet {
     let (peers, loads) = (gw.peers.borrow(), gw.peer_loads.borrow());
     let heard = peers.keys().filter(|i| loads.has_heard(i)).count();
     Fleet { registered: peers.len() + 1, heard: heard + 1 }
 }
 
+/// Returns how many instances are registered, this one included.
+pub fn registered_count(gw: &Gateway) -> usize {
+    registered(&gw.peers.borrow()).count() + 1
+}
+
+/// Returns whether the store has the registration of an instance.
+pub fn is_registered(gw: &Gateway, instance: &InstanceId) -> bool {
+    gw.peers.borrow().get(instance).is_some_and(Peer::is_registered)
+}
+
 /// Hands a reply to the request with this number.
 pub fn receive_reply(gw: &Gateway, number: u64, reply: Reply) {
     if let Some(pending) = gw.messenger.pending.borrow_mut().remove(&number) {
@@ -256,7 +301,7 @@
 ) -> Option<Envelope<PeerMessage>> {
     let peers = gw.peers.borrow();
     let mut senders = peers.values().filter(|p| is_sender(&p.address));
-    let envelope = senders.find_map(|p| p.keys.decode(frame).ok());
+    let envelope = senders.find_map(|p| p.open(clock::now(), frame));
     if envelope.is_none() {
         metrics::counter!("frames_dropped_total").increment(1);
     }
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -159,7 +159,7 @@
 
 /// Brings what is allowed and the number of instances up to date.
 pub fn step(gw: &Gateway, now: Instant) {
-    let registered = peers::fleet(gw).registered;
+    let registered = peers::registered_count(gw);
     let mut retries = gw.retries.borrow_mut();
     retries.set_terms(gw.settings.borrow().retry_terms);
     retries.record_fleet(now, registered);
--- a/src/gateway/transfer.rs
+++ b/src/gateway/transfer.rs
@@ -120,7 +120,8 @@
         let own = gw.settings.borrow().instance.clone();
         let peers = gw.peers.borrow();
         let power = gw.settings.borrow().power;
-        let instances = peers.iter().map(|(i, p)| (i, p.power)).chain([(&own, power)]);
+        let registered = peers::registered(&peers).map(|(i, p)| (i, p.power));
+        let instances = registered.chain([(&own, power)]);
         let [first, second] = gossip::transfer_coordinators(&generation.centre, instances);
         let coordinator = |i: &InstanceId| match peers.get(i) {
             Some(peer) => Coordinator::Peer(peer.address),
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -12,6 +12,7 @@
 
 mod message;
 mod outage;
+mod presence;
 mod pull;
 mod relay;
 
@@ -21,6 +22,7 @@
     encode_speed,
 };
 pub use outage::Outages;
+pub use presence::Presence;
 pub use pull::ConfigPull;
 pub use relay::{ReaderReport, StorePosition, Succession};
 
--- a/src/limit/allocator.rs
+++ b/src/limit/allocator.rs
@@ -49,7 +49,8 @@
 /// What a coordinator knows of the fleet, itself included.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Fleet {
-    /// Instances that are registered.
+    /// Instances that own a part of each limit: those that are registered, and those whose registration
+    /// has ended while they are still heard from.
     pub registered: usize,
     /// Those of which it has heard recently.
     pub heard: usize,
