End registrations that a full read of the store lacks

An instance whose registration ended while this one could not follow the store, so that the history which tells of it is gone, stayed a peer for good: a full read only added peers. It counted in the parts of limits and retries, and in the choice of readers: with as many of them gone as there are readers, no instance would follow the store closely. Instances with new names add up.

A full read now ends the registrations that it lacks.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -349,6 +349,9 @@
     evacuation::replace(gw, all, source);
     if source == Source::Copy {
         refusals::forget_published(gw);
+    } else {
+        // A copy lacks registrations that their owners write again.
+        membership::end_missing(gw, all);
     }
     membership::check_registered(gw, asked, &all.kvs);
     for kv in &all.kvs {
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -4,14 +4,15 @@
 //! verify its messages with that key, so that only processes with write access to the store are
 //! trusted.
 
-use super::peers::{Peer, SigningKey};
+use super::peers::{self, Peer, SigningKey};
 use super::{Gateway, jitter, limits, suspects};
 use crate::clock;
 use crate::event::Kind;
 use crate::id::{InstanceId, MilliCores};
-use crate::store::{KeyValue, LeaseId, Leases, StoreError};
+use crate::store::{KeyValue, LeaseId, Leases, StoreError, StoreUpdate};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -223,6 +224,23 @@
     }
 }
 
+/// Records that peers whose registration a full read of the store lacks are not registered any more: no
+/// change shows that if the history is gone.
+pub fn end_missing(gw: &Gateway, all: &StoreUpdate) {
+    let found: HashSet<&str> = all.kvs.iter().map(|kv| &*kv.key).collect();
+    let is_ended = |(instance, _): &(&InstanceId, &Peer)| {
+        let key = format!("{KEY_PREFIX}{instance}");
+        // A reader may have passed on one that was written after the read.
+        let is_newer = gw.revisions.borrow().get(&*key).is_some_and(|at| *at > all.at);
+        !found.contains(&*key) && !is_newer
+    };
+    let ended: Vec<InstanceId> = {
+        let peers = gw.peers.borrow();
+        peers::registered(&peers).filter(is_ended).map(|(instance, _)| instance.clone()).collect()
+    };
+    ended.iter().for_each(|instance| end_registration(gw, instance));
+}
+
 /// Drops the peers that are neither registered nor heard from.
 pub fn step(gw: &Gateway, now: Instant) {
     let is_gone = |(_, peer): &(&InstanceId, &Peer)| peer.presence.get().is_gone(now);
--- a/tests/gateway/store_keys.rs
+++ b/tests/gateway/store_keys.rs
@@ -3,8 +3,10 @@
 use crate::common::{
     CONFIG, list_endpoint, send_request, start_gateway, start_gateway_at, wait_for,
 };
+use crate::odd_messages::Peer;
 use rstest::rstest;
-use standin::platform::{Action, Endpoint, Gateway, Store};
+use skylarkthread::gossip::{Digest, PeerMessage};
+use standin::platform::{Action, Endpoint, Gateway, Outage, Store};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -13,6 +15,8 @@
 const APPLY_SECS: u64 = 7;
 /// Time in which a change of the list of endpoints applies.
 const CHANGE_SECS: u64 = 2;
+/// Time to live of a registration.
+const TTL_SECS: u64 = 15;
 /// Size of a value of which no two fit in a page of the store.
 const LARGE_VALUE: usize = 800_000;
 
@@ -155,6 +159,30 @@
     assert!(!wait_for(APPLY_SECS, is_removed), "a peer that is registered is removed");
 }
 
+/// The history that tells of the end of a registration is gone.
+#[rstest]
+#[case::silent(false)]
+#[case::heard_from(true)]
+fn peer_is_one_until_its_registration_and_its_messages_have_ended(#[case] is_heard: bool) {
+    let (_e, store) = start_store();
+    let gateway = start_gateway(&store);
+    let peer = Peer::register(&store, "g-peer");
+    let has_event = |kind| has_line(&gateway, &format!("kind={kind} subject=g-peer"));
+    assert!(wait_for(APPLY_SECS, || has_event("LinkUp")), "no peer");
+    if is_heard {
+        peer.send(&gateway, PeerMessage::Digest(Digest::default()));
+    }
+    store.set_outage(Some(Outage::Busy));
+    std::thread::sleep(Duration::from_millis(100));
+    store.set("gateways/g-peer", None);
+    store.compact();
+    store.set_outage(None);
+    let kept = || has_event("LinkUnlisted");
+    assert!(wait_for(APPLY_SECS, || kept() || has_event("LinkSilent")), "it stays registered");
+    assert_eq!((kept(), has_event("LinkSilent")), (is_heard, !is_heard));
+    assert!(wait_for(TTL_SECS, || has_event("LinkSilent")), "it stays a peer");
+}
+
 #[test]
 fn values_of_keys_that_are_not_followed_are_not_logged() {
     let (_e, store) = start_store();
