Give up a registration call from before the store's return

Callers saw: after a silent outage in which registrations ended, they were back up to 4 s after the store, where entries are expected within about two seconds. Peers drop messages and counts of an instance meanwhile.

Cause: a call that is sent in the outage gets no answer after it either, so it waits for its 2 s; the pause of up to 1.25 s that follows was not ended by anything. Other calls had found the store back long before.

When a ping, a report of the readers or a read finds the store back, a pause ends and a call from before it is given up after 0.3 s, in which a store that is only slow may still answer. The next call has its whole time, so a store that is lost and found again and again is still written to.

What a call that was given up does later: a renewal extends the lease that is kept; a grant leaves a lease that ends unused; a write names the lease that is kept for the next write, or one that has ended, and fails. A write under a lease that was dropped since ends with it, which record_lost makes up for, as after a call that timed out.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -386,6 +386,7 @@
 fn log_store_back(gw: &Gateway, connection: &mut Connection) {
     if connection.reasons.end() {
         gw.outages.borrow_mut().end(clock::now());
+        gw.registration.record_return();
         gw.event(Kind::StoreBack, "store", "");
     }
 }
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -26,6 +26,9 @@
 const RENEW_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval between two attempts while the store is unreachable.
 const RETRY_INTERVAL: Duration = Duration::from_millis(1000);
+/// Time from when the store is found to answer again until a call from before is given up. Its connection
+/// may be one that returns nothing, or the store may be slow.
+const RETURN_DELAY: Duration = Duration::from_millis(300);
 
 /// Registration of an instance in the store.
 #[derive(Debug, Serialize, Deserialize)]
@@ -53,6 +56,22 @@
     is_replaced: Cell<bool>,
     /// Notified when the store may lack it, as after a return from a copy.
     pub due: Notify,
+    /// Notified when the store is found to answer again.
+    returned: Notify,
+}
+
+impl RegistrationState {
+    /// Records that the store answers again: a registration that may have ended meanwhile is not to wait
+    /// for a call from before.
+    pub fn record_return(&self) {
+        self.returned.notify_waiters();
+    }
+
+    /// Waits until the store is found to answer again, and then for what may still be answered.
+    async fn returned(&self) {
+        self.returned.notified().await;
+        tokio::time::sleep(jitter(RETURN_DELAY)).await;
+    }
 }
 
 /// Keeps this instance registered in the store. Does not return.
@@ -63,6 +82,7 @@
     let value: Rc<[u8]> = serde_json::to_vec(&*registration).unwrap_or_default().into();
     *gw.registration.value.borrow_mut() = value.clone();
     let (mut held, mut era) = (Held::default(), gw.store_position.borrow().era());
+    let mut is_repeated = false;
     loop {
         if gw.registration.is_replaced.take() {
             // Two processes with the same name would replace each other's without a pause.
@@ -77,17 +97,27 @@
             // been given to another instance.
             held = Held::default();
         }
-        match renew_or_register(&gw, &key, &value, &mut held).await {
-            Ok(is_registered) => {
+        let calls = renew_or_register(&gw, &key, &value, &mut held);
+        let outcome = tokio::select! {
+            biased;
+            outcome = calls => Some(outcome),
+            // The next call has its whole time, as a slow store may be lost and found again and again.
+            () = gw.registration.returned(), if !is_repeated => None,
+        };
+        is_repeated = outcome.is_none();
+        match outcome {
+            None => log::debug!("a call from before the store's return is given up"),
+            Some(Ok(is_registered)) => {
                 if is_registered {
                     gw.retries.borrow_mut().record_registration(sent, LEASE_TTL);
                 }
                 let wait = if is_registered { RENEW_INTERVAL } else { RETRY_INTERVAL };
                 let _ = tokio::time::timeout(jitter(wait), gw.registration.due.notified()).await;
             }
-            Err(e) => {
+            Some(Err(e)) => {
                 log::debug!("registration of this instance in the store failed: {e:?}");
-                tokio::time::sleep(jitter(RETRY_INTERVAL)).await;
+                let returned = gw.registration.returned();
+                let _ = tokio::time::timeout(jitter(RETRY_INTERVAL), returned).await;
             }
         }
     }
@@ -103,6 +133,9 @@
 
 /// Renews the lease of the registration, or writes the registration, under a new lease if there is none
 /// or it has expired. Returns `false` if the lease has expired before the write.
+///
+/// May be given up at any time. A write that is executed late then names the lease that is kept for the
+/// next one, or one that has ended, and fails; for others see [`record_lost`].
 async fn renew_or_register(
     gw: &Gateway,
     key: &str,
--- a/src/gateway/outage.rs
+++ b/src/gateway/outage.rs
@@ -52,6 +52,9 @@
             }
         };
         gw.store_lost.set(!is_reachable);
+        if was_lost && is_reachable {
+            gw.registration.record_return();
+        }
         for (key, address) in due_polls(&gw, clock::now(), &mut schedule) {
             task::spawn("poll", poll_engine(gw.clone(), key, address));
         }
