--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -349,6 +349,9 @@
     evacuation::replace(gw, all, source);
     if source == Source::Copy {
         refusals::forget_published(gw);
+    } else {
+        // A copy lacks registrations that their owners write again.
+        membership::end_missing(gw, all);
     }
     membership::check_registered(gw, asked, &all.kvs);
     for kv in &all.kvs {
@@ -383,6 +386,7 @@
 fn log_store_back(gw: &Gateway, connection: &mut Connection) {
     if connection.reasons.end() {
         gw.outages.borrow_mut().end(clock::now());
+        gw.registration.record_return();
         gw.event(Kind::StoreBack, "store", "");
     }
 }
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -4,14 +4,15 @@
 //! verify its messages with that key, so that only processes with write access to the store are
 //! trusted.
 
-use super::peers::{Peer, SigningKey};
+use super::peers::{self, Peer, SigningKey};
 use super::{Gateway, jitter, limits, suspects};
 use crate::clock;
 use crate::event::Kind;
 use crate::id::{InstanceId, MilliCores};
-use crate::store::{KeyValue, LeaseId, Leases, StoreError};
+use crate::store::{KeyValue, LeaseId, Leases, StoreError, StoreUpdate};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -25,6 +26,9 @@
 const RENEW_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval between two attempts while the store is unreachable.
 const RETRY_INTERVAL: Duration = Duration::from_millis(1000);
+/// Time from when the store is found to answer again until a call from before is given up. Its connection
+/// may be one that returns nothing, or the store may be slow.
+const RETURN_DELAY: Duration = Duration::from_millis(300);
 
 /// Registration of an instance in the store.
 #[derive(Debug, Serialize, Deserialize)]
@@ -52,6 +56,22 @@
     is_replaced: Cell<bool>,
     /// Notified when the store may lack it, as after a return from a copy.
     pub due: Notify,
+    /// Notified when the store is found to answer again.
+    returned: Notify,
+}
+
+impl RegistrationState {
+    /// Records that the store answers again: a registration that may have ended meanwhile is not to wait
+    /// for a call from before.
+    pub fn record_return(&self) {
+        self.returned.notify_waiters();
+    }
+
+    /// Waits until the store is found to answer again, and then for what may still be answered.
+    async fn returned(&self) {
+        self.returned.notified().await;
+        tokio::time::sleep(jitter(RETURN_DELAY)).await;
+    }
 }
 
 /// Keeps this instance registered in the store. Does not return.
@@ -62,6 +82,7 @@
     let value: Rc<[u8]> = serde_json::to_vec(&*registration).unwrap_or_default().into();
     *gw.registration.value.borrow_mut() = value.clone();
     let (mut held, mut era) = (Held::default(), gw.store_position.borrow().era());
+    let mut is_repeated = false;
     loop {
         if gw.registration.is_replaced.take() {
             // Two processes with the same name would replace each other's without a pause.
@@ -76,17 +97,27 @@
             // been given to another instance.
             held = Held::default();
         }
-        match renew_or_register(&gw, &key, &value, &mut held).await {
-            Ok(is_registered) => {
+        let calls = renew_or_register(&gw, &key, &value, &mut held);
+        let outcome = tokio::select! {
+            biased;
+            outcome = calls => Some(outcome),
+            // The next call has its whole time, as a slow store may be lost and found again and again.
+            () = gw.registration.returned(), if !is_repeated => None,
+        };
+        is_repeated = outcome.is_none();
+        match outcome {
+            None => log::debug!("a call from before the store's return is given up"),
+            Some(Ok(is_registered)) => {
                 if is_registered {
                     gw.retries.borrow_mut().record_registration(sent, LEASE_TTL);
                 }
                 let wait = if is_registered { RENEW_INTERVAL } else { RETRY_INTERVAL };
                 let _ = tokio::time::timeout(jitter(wait), gw.registration.due.notified()).await;
             }
-            Err(e) => {
+            Some(Err(e)) => {
                 log::debug!("registration of this instance in the store failed: {e:?}");
-                tokio::time::sleep(jitter(RETRY_INTERVAL)).await;
+                let returned = gw.registration.returned();
+                let _ = tokio::time::timeout(jitter(RETRY_INTERVAL), returned).await;
             }
         }
     }
@@ -102,6 +133,9 @@
 
 /// Renews the lease of the registration, or writes the registration, under a new lease if there is none
 /// or it has expired. Returns `false` if the lease has expired before the write.
+///
+/// May be given up at any time. A write that is executed late then names the lease that is kept for the
+/// next one, or one that has ended, and fails; for others see [`record_lost`].
 async fn renew_or_register(
     gw: &Gateway,
     key: &str,
@@ -155,7 +189,8 @@
     }
 }
 
-/// Adds, updates or removes a peer after a change of its registration.
+/// Adds or updates a peer after a change of its registration. One whose registration has ended stays a
+/// peer as long as it is heard from.
 pub fn update_peer(gw: &Rc<Gateway>, kv: &KeyValue) {
     let Some(name) = kv.key.strip_prefix(KEY_PREFIX) else { return };
     let Ok(instance) = InstanceId::from_label(name) else {
@@ -175,21 +210,74 @@
         Err(e) => return log::warn!("the registration of {instance} cannot be read: {e}"),
     };
     match registration {
-        Some(r) => {
-            let peer = Peer::new(r.address, r.power, r.key);
-            let known = gw.peers.borrow_mut().insert(instance.clone(), peer);
-            if known.as_ref().is_none_or(|k| !k.has_key(&r.key)) {
-                suspects::inform_started(gw, r.address);
-                limits::inform_started(gw, r.address);
-            }
-            if known.is_none() {
-                gw.wave_event(Kind::LinkUp, instance, format_args!("address={}", r.address));
-            }
-        }
-        None => {
-            if gw.peers.borrow_mut().remove(&instance).is_some() {
-                gw.wave_event(Kind::LinkSilent, instance, "why=\"no longer listed\"");
-            }
-        }
+        Some(r) => add_peer(gw, instance, &r),
+        None => end_registration(gw, &instance),
+    }
+}
+
+fn add_peer(gw: &Rc<Gateway>, instance: InstanceId, r: &Registration) {
+    let known = gw.peers.borrow_mut().remove(&instance);
+    let was_registered = known.as_ref().is_some_and(Peer::is_registered);
+    // An instance that has started again has another key, and has not been heard from.
+    let known = known.filter(|k| k.has_key(&r.key));
+    let is_started = known.is_none();
+    let mut presence = known.map(|k| k.presence.get()).unwrap_or_default();
+    presence.register();
+    let peer = Peer::new(r.address, r.power, r.key, presence);
+    gw.peers.borrow_mut().insert(instance.clone(), peer);
+    if is_started {
+        suspects::inform_started(gw, r.address);
+        limits::inform_started(gw, r.address);
+    }
+    if !was_registered {
+        gw.wave_event(Kind::LinkUp, instance, format_args!("address={}", r.address));
     }
 }
+
+/// Records that the store has no registration of a peer any more.
+fn end_registration(gw: &Gateway, instance: &InstanceId) {
+    let is_gone = {
+        let peers = gw.peers.borrow();
+        let Some(peer) = peers.get(instance).filter(|p| p.is_registered()) else { return };
+        let mut presence = peer.presence.get();
+        presence.unregister();
+        peer.presence.set(presence);
+        presence.is_gone(clock::now())
+    };
+    if is_gone {
+        drop_peer(gw, instance);
+    } else {
+        gw.wave_event(Kind::LinkUnlisted, instance, "");
+    }
+}
+
+fn drop_peer(gw: &Gateway, instance: &InstanceId) {
+    if gw.peers.borrow_mut().remove(instance).is_some() {
+        gw.wave_event(Kind::LinkSilent, instance, "why=\"no longer listed\"");
+    }
+}
+
+/// Records that peers whose registration a full read of the store lacks are not registered any more: no
+/// change shows that if the history is gone.
+pub fn end_missing(gw: &Gateway, all: &StoreUpdate) {
+    let found: HashSet<&str> = all.kvs.iter().map(|kv| &*kv.key).collect();
+    let is_ended = |(instance, _): &(&InstanceId, &Peer)| {
+        let key = format!("{KEY_PREFIX}{instance}");
+        // A reader may have passed on one that was written after the read.
+        let is_newer = gw.revisions.borrow().get(&*key).is_some_and(|at| *at > all.at);
+        !found.contains(&*key) && !is_newer
+    };
+    let ended: Vec<InstanceId> = {
+        let peers = gw.peers.borrow();
+        peers::registered(&peers).filter(is_ended).map(|(instance, _)| instance.clone()).collect()
+    };
+    ended.iter().for_each(|instance| end_registration(gw, instance));
+}
+
+/// Drops the peers that are neither registered nor heard from.
+pub fn step(gw: &Gateway, now: Instant) {
+    let is_gone = |(_, peer): &(&InstanceId, &Peer)| peer.presence.get().is_gone(now);
+    let gone: Vec<InstanceId> =
+        gw.peers.borrow().iter().filter(is_gone).map(|(instance, _)| instance.clone()).collect();
+    gone.iter().for_each(|instance| drop_peer(gw, instance));
+}
