Do not charge callers for delays of the instance while a request arrives

Callers whose request arrived at full pace got 408 where the instance had not run for a time: it was stopped or paused, had no processor, or was busy with something long. The limit on the time that a head or a body may take (header_timeout_ms) counted such delays. It bounds how long the caller may take.

Cause: the timer of the whole part. When the thread runs again, what the kernel held is read (16 KiB), the rest cannot be there yet, and the timer is over.

Now the sum of the delays that the instance has measured of itself is taken out of the time. The sum is that of `lag_seconds`: what is late at a tick each 100 ms, so it counts too little where delays are short. The wait of a connection while the memory of all of them is exceeded counts as before.

Before: body_that_is_late_is_refused_unless_the_instance_was fails in the case with a stop of 1.5 s: 408.

--- a/src/clock/lag.rs
+++ b/src/clock/lag.rs
@@ -16,12 +16,14 @@
     due: Instant,
     /// When the thread ran late, and how late.
     delays: VecDeque<(Instant, Duration)>,
+    /// Sum of all delays, those included that are no longer remembered.
+    sum: Duration,
 }
 
 impl Lag {
     /// Starts with the time at which the thread is to run first.
     pub fn new(due: Instant) -> Self {
-        Lag { due, delays: VecDeque::new() }
+        Lag { due, delays: VecDeque::new(), sum: Duration::ZERO }
     }
 
     /// Records that the thread runs, and that it is to run again after `interval`. Returns how late
@@ -31,6 +33,7 @@
         self.due = now + interval;
         if delay >= MIN_DELAY {
             self.delays.push_back((now, delay));
+            self.sum += delay;
         }
         while self.delays.front().is_some_and(|(at, _)| now > *at + RETENTION) {
             self.delays.pop_front();
@@ -44,4 +47,9 @@
         let present = now.saturating_duration_since(self.due);
         ended.chain([present]).max().unwrap_or_default()
     }
+    /// Returns the sum of all delays since the start, with one that lasts.
+    pub fn total(&self, now: Instant) -> Duration {
+        let present = now.saturating_duration_since(self.due);
+        self.sum + if present >= MIN_DELAY { present } else { Duration::ZERO }
+    }
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -107,7 +107,8 @@
     caller: &CallerGuard,
 ) -> Disposition {
     let mut reserved = BodyReservation { gw, load: &caller.load, bytes: 0 };
-    let (req, body) = match conn.read_request(limits, |part, n| reserved.admit(part, n)).await {
+    let reserve = |part, n| reserved.admit(part, n);
+    let (req, body) = match conn.read_request(limits, || delays(gw), reserve).await {
         Ok(read) => read,
         Err(e) => return answer_read_error(gw, conn, &e).await,
     };
@@ -137,6 +138,11 @@
     }
 }
 
+/// Returns the sum of all delays of this instance so far.
+fn delays(gw: &Gateway) -> Duration {
+    gw.lag.borrow().total(clock::now())
+}
+
 /// Waits for the first configuration for as long as it is better for the caller than a refusal.
 /// Returns `false` if the caller has disconnected.
 async fn wait_for_table(
@@ -260,7 +266,9 @@
         if conn.wait_readable(limits.idle_timeout).await.is_err() {
             return;
         }
-        let Ok((req, _)) = conn.read_request(&limits, |_, _| true).await else { return };
+        let Ok((req, _)) = conn.read_request(&limits, || delays(gw), |_, _| true).await else {
+            return;
+        };
         caller.begin();
         let (head, body) = answer_probe(gw, req);
         let sent = conn.send_response(head, body, false).await;
--- a/src/h1/inbound.rs
+++ b/src/h1/inbound.rs
@@ -1,6 +1,6 @@
 //! Connections from callers.
 
-use super::request::{ReadError, RequestLimits};
+use super::request::{Allowance, ReadError, RequestLimits};
 use super::scan::{BodyLength, ChunkScanner, ChunkStep, ScannedRequest, scan_request};
 use super::{
     FULL_TIMEOUT, Head, SEND_BUFFER_BYTES, grow, read_available, set_socket_options, try_write,
@@ -10,6 +10,7 @@
 use crate::callers::{
     ENDPOINT_BUFFER_BYTES, Load, Part, RECEIVE_BUFFER_BYTES, RESPONSE_BUFFER_BYTES,
 };
+use crate::clock;
 use actix_http::body::BodySize;
 use actix_http::error::ParseError;
 use actix_http::h1::{Codec, Message};
@@ -18,6 +19,7 @@
 use actix_rt::net::TcpStream;
 use bytes::{Buf, Bytes, BytesMut};
 use socket2::SockRef;
+use std::pin::pin;
 use std::time::Duration;
 use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::tcp::ReadHalf;
@@ -106,8 +108,9 @@
         self.load.set(Part::Unsent, bytes);
     }
 
-    /// Reads a request with its complete body. `reserve` is called with the size of the head and of
-    /// each part of the body, and states whether there is memory for it.
+    /// Reads a request with its complete body. `delays` returns the sum of all delays of this process so
+    /// far. `reserve` is called with the size of the head and of each part of the body, and states whether
+    /// there is memory for it.
     ///
     /// # Errors
     ///
@@ -115,10 +118,11 @@
     pub async fn read_request(
         &mut self,
         limits: &RequestLimits,
+        delays: impl Fn() -> Duration,
         mut reserve: impl FnMut(Part, usize) -> bool,
     ) -> Result<(Head, Bytes), ReadError> {
-        let read = timeout(limits.arrival_timeout, self.read_head(limits.max_head)).await;
-        let (req, length) = read.unwrap_or(Err(ReadError::Slow))?;
+        let head = self.read_head(limits.max_head);
+        let (req, length) = arrive(limits.arrival_timeout, &delays, head).await?;
         self.record_received();
         self.version = req.version();
         let is_expecting = req.head().expect();
@@ -140,12 +144,9 @@
             self.flush().await.map_err(|_| ReadError::Closed)?;
         }
         let body = self.read_body(length, limits.max_body, reserve);
-        let read = timeout(limits.arrival_timeout, body).await;
+        let read = arrive(limits.arrival_timeout, &delays, body).await;
         self.record_received();
-        match read {
-            Ok(done) => Ok((head, done?)),
-            Err(_) => Err(ReadError::Slow),
-        }
+        Ok((head, read?))
     }
 
     /// Reads a head. Its body is read without the codec, which would pass over faults.
@@ -474,6 +475,25 @@
     Ok(codec)
 }
 
+/// Waits for a part of a request for as long as its caller may take.
+async fn arrive<T>(
+    limit: Duration,
+    delays: &impl Fn() -> Duration,
+    part: impl Future<Output = Result<T, ReadError>>,
+) -> Result<T, ReadError> {
+    let allowance = Allowance::new(limit, clock::now(), delays());
+    let (mut part, mut left) = (pin!(part), limit);
+    loop {
+        if let Ok(done) = timeout(left, part.as_mut()).await {
+            return done;
+        }
+        left = allowance.left(clock::now(), delays());
+        if left.is_zero() {
+            return Err(ReadError::Slow);
+        }
+    }
+}
+
 /// Waits until the sum over all connections keeps to its limit.
 async fn wait_for_room(load: &Load) {
     while load.is_sum_exceeded() {
--- a/src/h1/mod.rs
+++ b/src/h1/mod.rs
@@ -18,7 +18,7 @@
 pub use head::Head;
 pub use inbound::Inbound;
 pub use outbound::{Framing, Outbound, SendError, request_head};
-pub use request::{ReadError, RequestLimits};
+pub use request::{Allowance, ReadError, RequestLimits};
 pub use scan::{
     BodyLength, ChunkScanner, ChunkStep, Fault, ScannedHead, ScannedRequest, scan_head,
     scan_request,
--- a/src/h1/request.rs
+++ b/src/h1/request.rs
@@ -2,7 +2,7 @@
 
 use super::Fault;
 use actix_http::error::ParseError;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Limits on requests from callers.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -11,7 +11,7 @@
     pub max_head: usize,
     /// Largest request body in bytes.
     pub max_body: usize,
-    /// Time limit for the head to arrive, and again for the body.
+    /// Time that a caller may take for the head, and again for the body.
     pub arrival_timeout: Duration,
     /// Time that a connection may be idle between requests.
     pub idle_timeout: Duration,
@@ -28,6 +28,30 @@
     }
 }
 
+/// Time that a caller may take to send a part of a request. Time for which this process ran late is its own: it
+/// has not read meanwhile, and the kernel holds little for it.
+#[derive(Debug, Clone, Copy)]
+pub struct Allowance {
+    limit: Duration,
+    begun: Instant,
+    /// Sum of the delays of this process at the begin.
+    delays: Duration,
+}
+
+impl Allowance {
+    /// Begins with the first wait for the part; `delays` is the sum of all delays of this process so far.
+    pub fn new(limit: Duration, begun: Instant, delays: Duration) -> Self {
+        Allowance { limit, begun, delays }
+    }
+
+    /// Returns what is left of the time, zero once it is used up.
+    pub fn left(&self, now: Instant, delays: Duration) -> Duration {
+        let own = delays.saturating_sub(self.delays);
+        let elapsed = now.saturating_duration_since(self.begun);
+        self.limit.saturating_sub(elapsed.saturating_sub(own))
+    }
+}
+
 /// Reason why no request was read.
 #[derive(Debug)]
 pub enum ReadError {
--- a/tests/gateway/uploads.rs
+++ b/tests/gateway/uploads.rs
@@ -15,6 +15,8 @@
 const WHOLE: &str = "id: 1\ndata: whole\n\n";
 /// Body of each answer that is cut off, which ends with an event.
 const PART: &str = "id: 1\ndata: part\n\n";
+/// Time in which a body does not arrive, longer than its caller may take.
+const PAUSE: Duration = Duration::from_millis(1500);
 
 fn early(read: usize, headers: &str, body: &str, end: EarlyEnd) -> Action {
     let (start, headers) = ("HTTP/1.1 200 OK".into(), headers.into());
@@ -155,3 +157,33 @@
     let counted = page.lines().find_map(|l| l.strip_prefix("contents_identified_total "));
     assert_eq!(counted, Some("1"));
 }
+
+#[rstest]
+#[case::caller(false, 408)]
+#[case::instance(true, 200)]
+fn body_that_is_late_is_refused_unless_the_instance_was(
+    #[case] is_stopped: bool,
+    #[case] status: u16,
+) {
+    let store = Store::start();
+    let config = CONFIG.replace("\"timeout_ms\":800", "\"timeout_ms\":5000");
+    store.set("op/config", Some(config.as_bytes()));
+    let endpoint = Endpoint::start("i-1", Action::Respond(200, "ok".into()));
+    list_endpoint(&store, &endpoint, "plain", "ready");
+    let gateway = start_gateway(&store);
+    assert!(wait_for(5, || gateway.readiness() == 200), "gateway not ready within 5 s");
+    let request = request_bytes("POST", "/safe/x", "id-1", "", &"x".repeat(90_000));
+    let (first, rest) = request.split_at(request.len() / 2);
+    let mut caller = send(gateway.front, first);
+    std::thread::sleep(PAUSE / 10);
+    if is_stopped {
+        gateway.signal(libc::SIGSTOP);
+        caller.write(rest).expect("the kernel takes the rest");
+    }
+    std::thread::sleep(PAUSE);
+    if is_stopped {
+        gateway.signal(libc::SIGCONT);
+    }
+    let reply = caller.reply();
+    assert_eq!(reply.status, status, "{reply:?}");
+}
