Let a request wait for room shortly before it is refused

Traced: in each run of case_1 the requests that reached the endpoint and the 503 for lack of memory (bodies_refused_total) add up to 400; some 150 of the first 250 ms are taken, and the more connections are closed for their memory, the more follow (90, 121, 128, 166 and 175 closed: 167, 207, 211, 252 and 260 reached). A member that got 503 does not come back. Room is made by a task that runs after the requests that have arrived at once, and connections give their memory back when their own tasks run; those that arrived in between were refused.

Now such a request asks for room and waits for it, 100 ms at most; its buffer is in the sum meanwhile.

--- a/src/callers/mod.rs
+++ b/src/callers/mod.rs
@@ -156,6 +156,11 @@
         is_exceeded
     }
 
+    /// Asks for room: connections are closed if the sum is near its limit.
+    pub fn ask_for_room(&self) {
+        self.sum.exceeded.notify_one();
+    }
+
     /// Returns whether the connection is closed for the memory or the place that it takes, and what the
     /// kernel holds of its response is given up.
     pub fn is_revoked(&self) -> bool {
--- a/src/h1/inbound.rs
+++ b/src/h1/inbound.rs
@@ -37,6 +37,8 @@
 
 /// Interval at which a connection checks whether it may read again.
 const ROOM_INTERVAL: Duration = Duration::from_millis(10);
+/// Time that a request waits for room before it is refused.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Interval between checks of whether a caller with many pipelined bytes has disconnected.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -131,7 +133,8 @@
         // The rest of the buffer would keep the memory of the received head.
         self.buf = BytesMut::from(&self.buf[..]);
         self.record_received();
-        if !reserve(Part::Head, HEAD_COPIES * head.bytes() + ENDPOINT_BUFFER_BYTES) {
+        let bytes = HEAD_COPIES * head.bytes() + ENDPOINT_BUFFER_BYTES;
+        if !has_room_soon(&self.load, || reserve(Part::Head, bytes)).await {
             return Err(ReadError::NoMemory);
         }
         self.load.set(Part::Response, ENDPOINT_BUFFER_BYTES);
@@ -501,6 +504,17 @@
     }
 }
 
+/// Returns whether there is room for a request, once connections have been closed for it that keep much.
+async fn has_room_soon(load: &Load, mut has_room: impl FnMut() -> bool) -> bool {
+    let waited = async {
+        while !has_room() {
+            load.ask_for_room();
+            tokio::time::sleep(ROOM_INTERVAL).await;
+        }
+    };
+    timeout(ROOM_TIMEOUT, waited).await.is_ok()
+}
+
 /// Records the bytes in the buffer, and those that the kernel may hold once it is full.
 fn record_received(load: &Load, buf: &BytesMut) {
     let bytes = match buf.len() {
