Make pages of the stand-in store without a detour over JSON values

The stand-in copied each value into a JSON tree and wrote it out byte by byte: 16 ms for a page of 1 MB in a debug build, more than twice the 8 ms that the gateway took for it, and it searched each list from the first key of the store on. Pages are joined as text now, as base64 needs no escapes, and a list begins at its key. What it answers is the same.

--- a/standin/src/platform/store.rs
+++ b/standin/src/platform/store.rs
@@ -14,7 +14,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::ops::RangeInclusive;
+use std::ops::{Bound, RangeInclusive};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -440,13 +440,21 @@
     }
 }
 
-/// Returns a change in the form of watches and ranges.
-fn to_json(c: &Change) -> Value {
+/// Returns a list of changes in the form of watches and ranges.
+fn to_json<'c>(changes: impl IntoIterator<Item = &'c Change>) -> String {
+    let items: Vec<String> = changes.into_iter().map(item_to_json).collect();
+    format!("[{}]", items.join(","))
+}
+
+/// Returns a change in JSON. Its value may be large, and base64 needs no escapes.
+fn item_to_json(c: &Change) -> String {
+    let (key, revision) = (Value::from(&*c.key), c.revision);
     match &c.value {
-        Some(v) => json!({
-            "key": c.key, "value": v, "revision": c.revision, "created": c.created, "lease": c.lease
-        }),
-        None => json!({ "key": c.key, "revision": c.revision, "tombstone": true }),
+        Some(v) => format!(
+            r#"{{"key":{key},"value":"{v}","revision":{revision},"created":{},"lease":{}}}"#,
+            c.created, c.lease
+        ),
+        None => format!(r#"{{"key":{key},"revision":{revision},"tombstone":true}}"#),
     }
 }
 
@@ -458,11 +466,10 @@
         let outage = lock(shared).outage;
         let answer = match outage {
             Some(Outage::Silent) => return std::thread::sleep(Duration::from_secs(20)),
-            Some(Outage::Busy) => Some((503, Value::Null)),
+            Some(Outage::Busy) => Some(refuse(503)),
             None => handle_request(shared, &req),
         };
         let Some((status, body)) = answer else { return };
-        let body = body.to_string();
         let mut state = lock(shared);
         let odd = state.odd_call.take_if(|call| req.target.starts_with(*call));
         let is_odd = odd.is_some() || state.names_odd_era;
@@ -478,6 +485,13 @@
     }
 }
 
+/// Status and body of a response.
+type Answer = (u16, String);
+
+fn refuse(status: u16) -> Answer {
+    (status, Value::Null.to_string())
+}
+
 fn query(req: &Request) -> &str {
     req.target.split_once('?').map_or("", |(_, q)| q)
 }
@@ -508,16 +522,16 @@
 }
 
 /// Returns the response to a call; `None` if the connection is closed without one.
-fn handle_request(shared: &Shared, req: &Request) -> Option<(u16, Value)> {
+fn handle_request(shared: &Shared, req: &Request) -> Option<Answer> {
     let path = req.target.split('?').next().unwrap_or("");
     if !is_encoded(query(req)) {
-        return Some((400, Value::Null));
+        return Some(refuse(400));
     }
     let mut state = lock(shared);
     let (now, before) = (Instant::now(), state.revision);
     state.expire(now);
     if !state.is_within_rates(now, price(req)) {
-        return Some((429, Value::Null));
+        return Some(refuse(429));
     }
     let lease_of = |prefix: &str| path.strip_prefix(prefix)?.parse::<u64>().ok();
     let answer = match (req.method.as_str(), path) {
@@ -532,20 +546,20 @@
         ("POST", _) => match lease_of("/kv-keep/").and_then(|l| state.leases.get_mut(&l)) {
             Some(lease) => {
                 *lease = Lease::new(lease.ttl_ms, now);
-                (200, json!({ "ttl_ms": lease.ttl_ms }))
+                (200, json!({ "ttl_ms": lease.ttl_ms }).to_string())
             }
-            None => (404, Value::Null),
+            None => refuse(404),
         },
         ("DELETE", _) => {
             match lease_of("/kv-lease-end/").filter(|l| state.leases.contains_key(l)) {
                 Some(lease) => {
                     state.end_lease(lease);
-                    (200, json!({}))
+                    (200, json!({}).to_string())
                 }
-                None => (404, Value::Null),
+                None => refuse(404),
             }
         }
-        _ => (400, Value::Null),
+        _ => refuse(400),
     };
     if state.revision != before {
         shared.1.notify_all();
@@ -553,17 +567,17 @@
     Some(answer)
 }
 
-fn handle_grant(state: &mut State, now: Instant, req: &Request) -> (u16, Value) {
+fn handle_grant(state: &mut State, now: Instant, req: &Request) -> Answer {
     let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
     let Some(ttl_ms) = body["ttl_ms"].as_u64().filter(|ms| TTL_MS.contains(ms)) else {
-        return (400, Value::Null);
+        return refuse(400);
     };
     state.last_lease += 1;
     let lease = state.last_lease;
     if !state.ends_leases {
         state.leases.insert(lease, Lease::new(ttl_ms, now));
     }
-    (200, json!({ "lease": lease, "ttl_ms": ttl_ms }))
+    (200, json!({ "lease": lease, "ttl_ms": ttl_ms }).to_string())
 }
 
 /// Returns the content that a read sees.
@@ -572,35 +586,40 @@
     stale.unwrap_or(&state.items)
 }
 
-fn handle_key(state: &State, req: &Request) -> (u16, Value) {
+fn handle_key(state: &State, req: &Request) -> Answer {
     let Some(found) = items(state, req).get(&*query_param(req, "key")) else {
-        return (404, Value::Null);
+        return refuse(404);
     };
-    let mut item = to_json(found);
-    item["current_rev"] = state.revision.into();
-    (200, item)
+    let item = item_to_json(found);
+    let fields = item.trim_end_matches('}');
+    (200, format!(r#"{fields},"current_rev":{}}}"#, state.revision))
 }
 
 /// Answers with a page of the keys with the prefix, from the first one behind the key in `after`.
-fn handle_range(state: &State, req: &Request) -> (u16, Value) {
+fn handle_range(state: &State, req: &Request) -> Answer {
     let (prefix, after) = (query_param(req, "prefix"), query_param(req, "after"));
     let max_items = state.page_items.unwrap_or(PAGE_ITEMS);
-    let is_found = |c: &&Change| c.key.starts_with(&*prefix) && *c.key > *after;
-    let mut found = items(state, req).values().filter(is_found).peekable();
-    let (mut items, mut bytes) = (Vec::new(), 0);
-    while items.len() < max_items && bytes < PAGE_BYTES {
+    let start = match *after < *prefix {
+        true => Bound::Included(&*prefix),
+        false => Bound::Excluded(&*after),
+    };
+    let behind = items(state, req).range::<str, _>((start, Bound::Unbounded));
+    let mut found = behind.map(|(_, c)| c).take_while(|c| c.key.starts_with(&*prefix)).peekable();
+    let (mut page, mut bytes) = (Vec::new(), 0);
+    while page.len() < max_items && bytes < PAGE_BYTES {
         let Some(c) = found.next() else { break };
         bytes += c.value.as_ref().map_or(0, String::len);
-        items.push(to_json(c));
+        page.push(c);
     }
-    let is_truncated = found.peek().is_some();
-    (200, json!({ "items": items, "truncated": is_truncated, "current_rev": state.revision }))
+    let (is_truncated, revision) = (found.peek().is_some(), state.revision);
+    let items = to_json(page);
+    (200, format!(r#"{{"items":{items},"truncated":{is_truncated},"current_rev":{revision}}}"#))
 }
 
 /// Applies a transaction as a whole, or nothing of it.
-fn handle_transaction(state: &mut State, req: &Request) -> (u16, Value) {
+fn handle_transaction(state: &mut State, req: &Request) -> Answer {
     let Ok(txn) = serde_json::from_slice::<Transaction>(&req.body) else {
-        return (400, Value::Null);
+        return refuse(400);
     };
     let Transaction { expected_rev, set_keys, remove } = txn;
     let written: Vec<&String> = set_keys.iter().map(|set| &set.key).chain(&remove).collect();
@@ -610,18 +629,18 @@
         || !written.iter().all(|k| is_key(k))
         || !set_keys.iter().all(|set| is_value(&set.value))
     {
-        return (400, Value::Null);
+        return refuse(400);
     }
     if written.iter().any(|k| is_theirs(k)) {
-        return (403, Value::Null);
+        return refuse(403);
     }
     if set_keys.iter().any(|set| set.lease != 0 && !state.leases.contains_key(&set.lease)) {
-        return (404, Value::Null);
+        return refuse(404);
     }
     let revision = |key: &str| state.items.get(key).map_or(0, |c| c.revision);
     if expected_rev.iter().any(|row| row.revision != revision(&row.key)) {
         let found = expected_rev.iter().filter_map(|row| state.items.get(&row.key));
-        return (412, json!({ "items": found.map(to_json).collect::<Vec<_>>() }));
+        return (412, format!(r#"{{"items":{}}}"#, to_json(found)));
     }
     set_keys.into_iter().for_each(|set| state.write(&set.key, Some(set.value), set.lease));
     for key in remove {
@@ -629,18 +648,18 @@
             state.write(&key, None, 0);
         }
     }
-    (200, json!({ "revision": state.revision }))
+    (200, json!({ "revision": state.revision }).to_string())
 }
 
 fn is_theirs(key: &str) -> bool {
     THEIR_PREFIXES.iter().any(|prefix| key.starts_with(prefix))
 }
 
-fn handle_watch(shared: &Shared, req: &Request) -> Option<(u16, Value)> {
+fn handle_watch(shared: &Shared, req: &Request) -> Option<Answer> {
     let number = |name| query_param(req, name).parse::<u64>().ok();
     let wait_ms = number("wait_ms").filter(|ms| *ms <= MAX_WAIT_MS);
     let (Some(after), Some(wait_ms)) = (number("after"), wait_ms) else {
-        return Some((400, Value::Null));
+        return Some(refuse(400));
     };
     let prefix = query_param(req, "prefix");
     let start = Instant::now();
@@ -650,15 +669,16 @@
         let now = Instant::now();
         state.expire(now);
         if state.keeps_nothing || after + 1 < state.oldest_revision || after > state.revision {
-            return Some((410, Value::Null));
+            return Some(refuse(410));
         }
         if state.outage.is_some() {
-            return Some((503, Value::Null));
+            return Some(refuse(503));
         }
         let is_match = |c: &&Change| c.revision > after && c.key.starts_with(&*prefix);
-        let events: Vec<Value> = state.history.iter().filter(is_match).map(to_json).collect();
+        let events: Vec<&Change> = state.history.iter().filter(is_match).collect();
         if !events.is_empty() || now >= end {
-            return Some((200, json!({ "events": events, "current_rev": state.revision })));
+            let (events, revision) = (to_json(events), state.revision);
+            return Some((200, format!(r#"{{"events":{events},"current_rev":{revision}}}"#)));
         }
         let cut = state.watch_time.map(|time| start + time);
         if cut.is_some_and(|cut| now >= cut) {
