Read each page of a list once, whichever read has asked for it

Cause, traced in debug builds: from 0.5 s on a second read (read_slowly) read all pages again beside the first one, on the same thread, and after a failure a third one (read_parts); 19 pages were read up to 38 times. Each value was copied three times and decoded before it was left out for lack of room. A list of which one page failed began anew from the first one.

Reads now share a list: each asks for the next page that is missing, waits up to 0.5 s for the call of another read, and drops an answer that came second. A list goes on behind its pages for 5 s after the last one; what changed meanwhile is in the changes after its first page. Values are borrowed from the page, and one for which there is no room is not decoded. An answer 410 to a watch, and another address of the store, still begin lists anew, and a list is never joined from two addresses. The time of a read that decides on the own registration is now that of its first page.

Before: the new tests of lists that go on and of reads at the same time fail (4 calls instead of 3, 60 instead of 20).

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::event::Kind;
 use crate::gossip::{StoreChanges, Succession};
-use crate::platform;
+use crate::platform::{self, Listed};
 use crate::pool::{Listing, Source};
 use crate::readiness::OutageReasons;
 use crate::store::{ChangeFeed, KeyValue, Position, Rereads, StoreError, StoreUpdate};
@@ -212,11 +212,10 @@
 
 /// Reads all keys that are followed.
 async fn read_all(gw: &Rc<Gateway>, connection: &mut Connection) -> Result<(), StoreError> {
-    let asked = clock::now();
     let is_first = gw.table.borrow().is_none();
-    let all = match is_first {
+    let Listed { update: all, begun_at } = match is_first {
         true => gw.store.list_within(&FOLLOWED_KEYS, FIRST_TIMEOUT).await?,
-        false => gw.store.list(&FOLLOWED_KEYS).await?,
+        false => gw.store.list_all(&FOLLOWED_KEYS).await?,
     };
     gw.readiness.end_read(clock::now());
     gw.reads_fail.set(false);
@@ -241,7 +240,7 @@
         let detail = format!("era={} before={known} revision={}", all.at.era, all.at.revision);
         gw.event(Kind::StoreReturned, "store", detail);
     }
-    apply_all(gw, asked, &all, source);
+    apply_all(gw, begun_at, &all, source);
     Ok(())
 }
 
@@ -274,12 +273,11 @@
         true => (FIRST_TIMEOUT, REREAD_INTERVAL),
         false => (SLOW_TIMEOUT, SLOW_INTERVAL),
     };
-    let asked = clock::now();
     match gw.store.list_within(&FOLLOWED_KEYS, wait).await {
-        Ok(all) => {
+        Ok(Listed { update: all, begun_at }) => {
             gw.readiness.end_read(clock::now());
             if is_ahead(gw, all.at) {
-                apply_all(gw, asked, &all, Source::Current);
+                apply_all(gw, begun_at, &all, Source::Current);
             } else {
                 gw.readiness.record_outdated();
             }
@@ -311,7 +309,8 @@
 async fn read_part(gw: &Rc<Gateway>, prefix: &str) -> bool {
     let read = gw.store.list_within(&[prefix], FIRST_TIMEOUT).await;
     let has_all = gw.store_position.borrow().get().is_some();
-    let part = read.as_ref().ok().filter(|part| !has_all && is_ahead(gw, part.at));
+    let part = read.as_ref().ok().map(|listed| &listed.update);
+    let part = part.filter(|part| !has_all && is_ahead(gw, part.at));
     if let Some(part) = part {
         apply_part(gw, prefix, part);
     }
@@ -341,8 +340,8 @@
         && position.get().is_none_or(|known| is_missing && known <= at)
 }
 
-/// Applies a read of all keys that was sent at `asked`.
-fn apply_all(gw: &Rc<Gateway>, asked: Instant, all: &StoreUpdate, source: Source) {
+/// Applies a read of all keys that was begun at `begun_at`.
+fn apply_all(gw: &Rc<Gateway>, begun_at: Instant, all: &StoreUpdate, source: Source) {
     gw.readiness.record_absent();
     apply_config(gw, all);
     replace_listings(gw, all, source);
@@ -350,7 +349,7 @@
     if source == Source::Copy {
         refusals::forget_published(gw);
     }
-    membership::check_registered(gw, asked, &all.kvs);
+    membership::check_registered(gw, begun_at, &all.kvs);
     for kv in &all.kvs {
         membership::update_peer(gw, kv);
         refusals::apply_kv(gw, kv);
--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -7,7 +7,7 @@
 use base64::engine::general_purpose::STANDARD;
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 use std::fmt;
 
 /// Largest value that is kept, in base64, other than a configuration.
@@ -27,11 +27,11 @@
 }
 
 #[derive(Debug, Deserialize)]
-struct Item {
+struct Item<'a> {
     key: Box<str>,
-    /// Value in base64.
-    #[serde(default)]
-    value: Option<Box<str>>,
+    /// Value as it came: text in base64.
+    #[serde(default, borrow)]
+    value: Option<&'a RawValue>,
     /// Revision of the store at the last change of the key.
     revision: u64,
     /// Whether the key was deleted.
@@ -62,17 +62,123 @@
     }
 }
 
+/// Items of a list. The largest values, other than a configuration, are left out where they have no room
+/// together, and those that have none are not decoded.
+#[derive(Debug, Default)]
+pub struct ItemList {
+    kvs: Vec<KeyValue>,
+    /// Sizes of the values that are kept, with their places, the largest first.
+    sizes: BinaryHeap<(usize, usize)>,
+    /// Sum of the sizes.
+    bytes: usize,
+    skipped: SkipLog,
+}
+
+impl ItemList {
+    /// Adds the items of a page that begin with the prefix; returns how many these are.
+    pub fn add(&mut self, items: &[&RawValue], prefix: &str) -> usize {
+        let known = self.kvs.len();
+        for item in items {
+            let Some(item) = read_item(item.get(), &[prefix], &mut self.skipped) else { continue };
+            let value = match item.value {
+                Content::Deleted => None,
+                Content::Unreadable => Some(Vec::new()),
+                Content::Encoded(v) => Some(self.keep(&item.key, item.revision, v)),
+            };
+            self.kvs.push(KeyValue { key: item.key, value, revision: item.revision });
+        }
+        self.kvs.len() - known
+    }
+
+    /// Returns the items in their order.
+    pub fn items(&self) -> &[KeyValue] {
+        &self.kvs
+    }
+
+    /// Returns the items without a copy.
+    pub fn into_items(self) -> Vec<KeyValue> {
+        self.kvs
+    }
+
+    /// Decodes a value and makes room for it; without room, or if it cannot be read, it is empty.
+    fn keep(&mut self, key: &str, revision: u64, value: &RawValue) -> Vec<u8> {
+        let is_bounded = key != CONFIG_KEY;
+        if is_bounded && !self.has_room(encoded_len(value) / 4 * 3) {
+            skip_for_room(key, &mut self.skipped);
+            return Vec::new();
+        }
+        let decoded = decode_value(key, revision, value, &mut self.skipped).unwrap_or_default();
+        if is_bounded {
+            self.bytes += decoded.len();
+            self.sizes.push((decoded.len(), self.kvs.len()));
+            self.drop_largest();
+        }
+        decoded
+    }
+
+    /// Returns whether a value of this size fits, also in place of larger ones.
+    fn has_room(&self, size: usize) -> bool {
+        let is_larger = self.sizes.peek().is_some_and(|(largest, _)| *largest > size);
+        is_larger || self.bytes + size <= MAX_VALUES_BYTES
+    }
+
+    /// Empties the largest values until the others have room.
+    fn drop_largest(&mut self) {
+        while self.bytes > MAX_VALUES_BYTES {
+            let Some((size, place)) = self.sizes.pop() else { return };
+            self.bytes -= size;
+            if let Some(kv) = self.kvs.get_mut(place) {
+                skip_for_room(&kv.key, &mut self.skipped);
+                kv.value = Some(Vec::new());
+            }
+        }
+    }
+}
+
+fn skip_for_room(key: &str, skipped: &mut SkipLog) {
+    skipped.add(format_args!("skipped the value of {:?}: no room", shorten(key)));
+}
+
 /// Reads the items of a response with one of the prefixes; those without a key are left out.
-pub fn read_items(items: &[Box<RawValue>], prefixes: &[&str]) -> Vec<KeyValue> {
+pub fn read_items(items: &[&RawValue], prefixes: &[&str]) -> Vec<KeyValue> {
     let mut skipped = SkipLog::default();
-    items.iter().filter_map(|item| read_item(item.get(), prefixes, &mut skipped)).collect()
+    let read = |item: &&RawValue| {
+        let ReadItem { key, revision, value } = read_item(item.get(), prefixes, &mut skipped)?;
+        let value = match value {
+            Content::Deleted => None,
+            Content::Unreadable => Some(Vec::new()),
+            Content::Encoded(v) => {
+                Some(decode_value(&key, revision, v, &mut skipped).unwrap_or_default())
+            }
+        };
+        Some(KeyValue { key, value, revision })
+    };
+    items.iter().filter_map(read).collect()
+}
+
+/// Item whose value is not decoded yet.
+struct ReadItem<'a> {
+    key: Box<str>,
+    revision: u64,
+    value: Content<'a>,
+}
+
+enum Content<'a> {
+    /// The key was deleted, or has no value.
+    Deleted,
+    /// The item cannot be read, but its key exists.
+    Unreadable,
+    Encoded(&'a RawValue),
 }
 
-/// Reads an item. One without a value that can be read has an empty one: its key exists.
-fn read_item(text: &str, prefixes: &[&str], skipped: &mut SkipLog) -> Option<KeyValue> {
+/// Reads an item with one of the prefixes.
+fn read_item<'a>(text: &'a str, prefixes: &[&str], skipped: &mut SkipLog) -> Option<ReadItem<'a>> {
     let is_asked = |key: &str| prefixes.iter().any(|prefix| key.starts_with(prefix));
     let e = match serde_json::from_str::<Item>(text) {
-        Ok(item) => return is_asked(&item.key).then(|| decode_item(item, skipped)),
+        Ok(Item { key, value, revision, tombstone }) => {
+            let value = value.filter(|_| !tombstone).map_or(Content::Deleted, Content::Encoded);
+            return is_asked(&key).then_some(ReadItem { key, revision, value });
+        }
         Err(e) => e,
     };
     let Ok(ItemKey { key, revision }) = serde_json::from_str(text) else {
@@ -85,45 +191,37 @@
     skipped.add(format_args!("the item {:?} of the store cannot be read: {e}", shorten(&key)));
     // Without a revision, it is older than any change of the key.
     let revision = revision.and_then(|r| serde_json::from_str(r.get()).ok()).unwrap_or_default();
-    Some(KeyValue { key, value: Some(Vec::new()), revision })
+    Some(ReadItem { key, revision, value: Content::Unreadable })
 }
 
-fn decode_item(item: Item, skipped: &mut SkipLog) -> KeyValue {
-    let Item { key, value, revision, tombstone } = item;
-    let value = value.filter(|_| !tombstone);
-    let value = value.map(|v| decode_value(&key, revision, &v, skipped).unwrap_or_default());
-    KeyValue { key, value, revision }
+/// Returns the size of a value in base64, if it is text without escapes.
+fn encoded_len(value: &RawValue) -> usize {
+    value.get().len().saturating_sub(r#""""#.len())
 }
 
 /// Decodes a value; `None` if it is no base64 or larger than any that is read.
-fn decode_value(key: &str, revision: u64, value: &str, skipped: &mut SkipLog) -> Option<Vec<u8>> {
-    let key = shorten(key);
-    let what = format!("skipped the value of {key:?} at revision {revision}");
-    if key != CONFIG_KEY && value.len() > MAX_VALUE_BYTES {
-        skipped.add(format_args!("{what}: {} bytes", value.len()));
+fn decode_value(
+    key: &str,
+    revision: u64,
+    value: &RawValue,
+    skipped: &mut SkipLog,
+) -> Option<Vec<u8>> {
+    let (key, text) = (shorten(key), value.get());
+    let mut skip = |why: &dyn fmt::Display| {
+        skipped.add(format_args!("skipped the value of {key:?} at revision {revision}: {why}"));
+    };
+    let size = encoded_len(value);
+    if key != CONFIG_KEY && size > MAX_VALUE_BYTES {
+        skip(&format_args!("{size} bytes"));
         return None;
     }
-    let decoded = STANDARD.decode(value);
-    decoded.inspect_err(|e| skipped.add(format_args!("{what}, which is not base64: {e}"))).ok()
-}
-
-/// Empties the largest values of a list until the others fit into [`MAX_VALUES_BYTES`].
-pub fn drop_largest(kvs: &mut [KeyValue]) {
-    let size = |kv: &KeyValue| kv.value.as_ref().map_or(0, Vec::len);
-    let is_bounded = |kv: &&mut KeyValue| &*kv.key != CONFIG_KEY;
-    let mut sum: usize = kvs.iter().filter(|kv| &*kv.key != CONFIG_KEY).map(size).sum();
-    if sum <= MAX_VALUES_BYTES {
-        return;
-    }
-    let mut bounded: Vec<&mut KeyValue> = kvs.iter_mut().filter(is_bounded).collect();
-    bounded.sort_by_key(|kv| Reverse(size(kv)));
-    let mut skipped = SkipLog::default();
-    for kv in bounded {
-        if sum <= MAX_VALUES_BYTES {
-            break;
+    // Text without escapes is not copied.
+    let decoded = match serde_json::from_str::<&str>(text) {
+        Ok(plain) => STANDARD.decode(plain),
+        Err(_) => {
+            let text = serde_json::from_str::<String>(text);
+            STANDARD.decode(text.inspect_err(|e| skip(e)).ok()?)
         }
-        sum -= size(kv);
-        skipped.add(format_args!("skipped the value of {:?}: no room", shorten(&kv.key)));
-        kv.value = Some(Vec::new());
-    }
+    };
+    decoded.inspect_err(|e| skip(e)).ok()
 }
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -1,10 +1,13 @@
 //! Client of the platform's metadata store, a key-value store over HTTP.
 
-use super::items::{drop_largest, read_items};
+use super::items::read_items;
+use super::lists::{ListFault, OpenList, Page, Step};
 use crate::clock;
 use crate::escape::query_value;
 use crate::h1::{self, Broken, CallLimits, Fault, FetchError};
-use crate::store::{ChangeFeed, Era, LeaseId, Leases, Patience, Position, StoreError, StoreUpdate};
+use crate::store::{
+    ChangeFeed, Era, KeyValue, LeaseId, Leases, Patience, Position, StoreError, StoreUpdate,
+};
 use actix_http::{Method, ResponseHead, ServiceConfig};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -13,12 +16,15 @@
 use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
+use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::fmt::{self, Display};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
 /// Timeout of connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -29,11 +35,6 @@
 /// Maximum size of a response body: one page of items in its JSON and base64 encoding.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
-/// Most pages of the keys with one prefix, so that a list which never ends is given up.
-const MAX_PAGES: usize = 200;
-/// Time for which a list is kept while others of the same read fail.
-const KEPT_TIME: Duration = Duration::from_secs(5);
-
 /// Most repetitions of a failed call of a list of which the store has answered others.
 const MAX_REPEATS: usize = 3;
 /// Time within which a call has to fail to be repeated.
@@ -67,12 +68,30 @@
     }
 }
 
-/// List of the keys with a prefix.
+/// Keys of several prefixes.
 #[derive(Debug)]
-struct KeptList {
-    prefix: Box<str>,
-    update: StoreUpdate,
-    read_at: Instant,
+pub struct Listed {
+    /// The keys, with the position from which changes complete them.
+    pub update: StoreUpdate,
+    /// When the first of them was asked for.
+    pub begun_at: Instant,
+}
+
+/// List that several reads may read at the same time.
+#[derive(Debug)]
+struct SharedList {
+    list: RefCell<OpenList>,
+    /// Notified when a call for a page has ended.
+    changed: Notify,
+}
+
+/// Lists that are not used up yet.
+#[derive(Debug, Default)]
+struct Lists {
+    /// Lists that are not complete.
+    open: Vec<Rc<SharedList>>,
+    /// Complete lists of a full read of which others have failed.
+    kept: Vec<Rc<SharedList>>,
 }
 
 fn shorten_failure(text: &str) -> Arc<str> {
@@ -89,8 +108,7 @@
     /// Time for answers, by those so far that are not stale.
     patience: Rc<RefCell<Patience>>,
     failure: Rc<RefCell<CallFailure>>,
-    /// Lists that are done while others of the same read have failed.
-    kept: Rc<RefCell<Vec<KeptList>>>,
+    lists: Rc<RefCell<Lists>>,
 }
 
 impl fmt::Debug for KvClient {
@@ -122,17 +140,9 @@
 }
 
 #[derive(Debug, Deserialize)]
-struct RangeResponse {
-    items: Vec<Box<RawValue>>,
-    /// Whether more keys follow after the last item.
-    truncated: bool,
-    /// Revision of the whole store at the time of the response.
-    current_rev: u64,
-}
-
-#[derive(Debug, Deserialize)]
-struct WatchResponse {
-    events: Vec<Box<RawValue>>,
+struct WatchResponse<'a> {
+    #[serde(borrow)]
+    events: Vec<&'a RawValue>,
     /// Revision to continue the watch from.
     current_rev: u64,
 }
@@ -142,8 +152,8 @@
     pub fn new(address: SocketAddr) -> Self {
         let address = Rc::new(Cell::new(address));
         let (config, era) = (ServiceConfig::default(), Rc::default());
-        let (patience, failure, kept) = Default::default();
-        KvClient { config, address, era, patience, failure, kept }
+        let (patience, failure, lists) = Default::default();
+        KvClient { config, address, era, patience, failure, lists }
     }
 
     /// Returns the last read that failed.
@@ -177,7 +187,16 @@
     /// Sends all further calls to another address of the store.
     pub fn set_address(&self, address: SocketAddr) {
         self.address.set(address);
-        self.kept.borrow_mut().clear();
+        self.forget_lists();
+    }
+
+    /// Has all lists begun anew.
+    fn forget_lists(&self) {
+        let lists = self.lists.take();
+        for shared in lists.open {
+            shared.list.borrow_mut().give_up();
+            shared.changed.notify_waiters();
+        }
     }
 
     /// Takes an era for the newest one, after it was found that a newer one was wrong.
@@ -215,14 +234,14 @@
         &self,
         prefixes: &[&str],
         wait: Duration,
-    ) -> Result<StoreUpdate, StoreError> {
+    ) -> Result<Listed, StoreError> {
         let listed = self.list_once(prefixes, wait).await?;
-        if listed.at.era <= self.era.get() {
+        if listed.update.at.era <= self.era.get() {
             return Ok(listed);
         }
         // An era that is wrong in a single read would outdate all later ones.
         let again = self.list_once(prefixes, wait).await?;
-        let (named, era) = (listed.at.era, again.at.era);
+        let (named, era) = (listed.update.at.era, again.update.at.era);
         if era != named {
             let why = format!("the store named era {named} and then {era}");
             return Err(self.fail(RANGE_PATH, "era", why, StoreError::Malformed));
@@ -231,77 +250,130 @@
         Ok(again)
     }
 
+    /// Lists keys; each page has the usual time for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] if a call fails.
+    pub async fn list_all(&self, prefixes: &[&str]) -> Result<Listed, StoreError> {
+        self.list_within(prefixes, self.limit(CALL_TIMEOUT)).await
+    }
+
     /// Lists keys. If some of the lists fail, the others are kept for the next read: a store that admits
     /// few calls at a time would otherwise never be read.
-    async fn list_once(
-        &self,
-        prefixes: &[&str],
-        wait: Duration,
-    ) -> Result<StoreUpdate, StoreError> {
-        let now = clock::now();
+    async fn list_once(&self, prefixes: &[&str], wait: Duration) -> Result<Listed, StoreError> {
+        let (now, address) = (clock::now(), self.address.get());
+        let mut lists = Vec::new();
         // A read of one list leaves those that another read keeps.
-        let mut lists = if prefixes.len() > 1 { self.kept.take() } else { Vec::new() };
-        lists.retain(|list| now < list.read_at + KEPT_TIME && prefixes.contains(&&*list.prefix));
-        let is_due = |prefix: &&&str| lists.iter().all(|list| *list.prefix != ***prefix);
-        let due: Vec<&str> = prefixes.iter().filter(is_due).copied().collect();
+        if prefixes.len() > 1 {
+            lists = std::mem::take(&mut self.lists.borrow_mut().kept);
+        }
+        lists.retain(|shared| {
+            let list = shared.list.borrow();
+            list.is_recent(now) && prefixes.contains(&list.prefix())
+        });
+        let is_due = |prefix: &&str| lists.iter().all(|l| l.list.borrow().prefix() != *prefix);
+        let due: Vec<&str> = prefixes.iter().copied().filter(is_due).collect();
         let (is_answered, mut failure) = (Cell::new(false), None);
-        let due = due.into_iter().map(|prefix| self.list_prefix(prefix, wait, &is_answered));
+        let due = due.into_iter().map(|prefix| self.read_list(prefix, wait, &is_answered));
         for read in join_all(due).await {
             match read {
                 Ok(list) => lists.push(list),
                 Err(e) => failure = Some(e),
             }
         }
+        if self.address.get() != address {
+            let why = "the address of the store changed";
+            return Err(self.fail(RANGE_PATH, "address", why, StoreError::Lost));
+        }
         if let Some(e) = failure {
             if prefixes.len() > 1 {
-                *self.kept.borrow_mut() = lists;
+                self.lists.borrow_mut().kept = lists;
             }
             return Err(e);
         }
+        self.join_lists(lists, now)
+    }
+
+    /// Joins complete lists.
+    fn join_lists(&self, lists: Vec<Rc<SharedList>>, now: Instant) -> Result<Listed, StoreError> {
         // Neither pages nor lists are a snapshot. Continuing from the earliest position makes the next
         // watch return whatever changed while the others were read.
-        let at = lists.iter().map(|list| list.update.at).min().unwrap_or_default();
-        if lists.iter().any(|list| list.update.at.era != at.era) {
+        let at = lists.iter().map(|shared| shared.list.borrow().at()).min().unwrap_or_default();
+        if lists.iter().any(|shared| shared.list.borrow().at().era != at.era) {
             return Err(self.fail(RANGE_PATH, "era", "the era changed", StoreError::Compacted));
         }
-        let kvs = lists.into_iter().flat_map(|list| list.update.kvs).collect();
-        Ok(StoreUpdate { kvs, at })
+        let begun = lists.iter().map(|shared| shared.list.borrow().begun_at()).min();
+        let kvs = lists.into_iter().flat_map(SharedList::take_items).collect();
+        Ok(Listed { update: StoreUpdate { kvs, at }, begun_at: begun.unwrap_or(now) })
     }
 
-    /// Lists the keys with a prefix. `is_answered` is set when the store has answered a call.
-    async fn list_prefix(
+    /// Returns the list with a prefix that is being read, or begins one.
+    fn open_list(&self, prefix: &str) -> Rc<SharedList> {
+        let (now, open) = (clock::now(), &mut self.lists.borrow_mut().open);
+        open.retain(|shared| shared.list.borrow().is_recent(now));
+        if let Some(known) = open.iter().find(|shared| shared.list.borrow().prefix() == prefix) {
+            return known.clone();
+        }
+        let list = RefCell::new(OpenList::new(prefix, now));
+        let shared = Rc::new(SharedList { list, changed: Notify::new() });
+        open.push(shared.clone());
+        shared
+    }
+
+    /// Reads the list of the keys with a prefix, together with other reads. `is_answered` is set when the
+    /// store has answered a call.
+    async fn read_list(
         &self,
         prefix: &str,
         wait: Duration,
         is_answered: &Cell<bool>,
-    ) -> Result<KeptList, StoreError> {
-        let read_at = clock::now();
-        let mut path = range_path(prefix, None);
-        let (era, mut page) = self.get_page(&path, wait, is_answered).await?;
-        let at = Position::new(era, page.current_rev);
-        let (mut kvs, mut last) = (Vec::new(), None);
-        for _ in 0..MAX_PAGES {
-            let known = kvs.len();
-            kvs.extend(read_items(&page.items, &[prefix]));
-            drop_largest(&mut kvs);
-            if !page.truncated {
-                let update = StoreUpdate { kvs, at };
-                return Ok(KeptList { prefix: prefix.into(), update, read_at });
-            }
-            let end = kvs[known..].last().map(|kv| kv.key.clone());
-            if end.is_none() || end == last {
-                let why = "a page ends with no key, or where the one before it did";
-                return Err(self.fail(&path, "malformed", why, StoreError::Malformed));
-            }
-            path = range_path(prefix, end.as_deref());
-            last = end;
-            let next;
-            (next, page) = self.get_page(&path, wait, is_answered).await?;
-            if next != era {
-                return Err(self.fail(&path, "era", "the era changed", StoreError::Compacted));
+    ) -> Result<Rc<SharedList>, StoreError> {
+        let mut shared = self.open_list(prefix);
+        loop {
+            let now = clock::now();
+            let step = shared.list.borrow_mut().step(now);
+            match step {
+                Step::Done => return Ok(shared),
+                Step::Restart => shared = self.open_list(prefix),
+                Step::Call(page) => self.read_page(&shared, page, wait, is_answered).await?,
+                Step::Wait(end) => {
+                    // Whether the page is there or another call is due, shows in the next step.
+                    let _ = timeout(end - now, shared.changed.notified()).await;
+                }
             }
         }
-        Err(self.fail(&path, "pages", "too many pages", StoreError::TooLarge))
+    }
+
+    /// Reads the next page of a list, unless another read has it first.
+    async fn read_page(
+        &self,
+        shared: &Rc<SharedList>,
+        page: usize,
+        wait: Duration,
+        is_answered: &Cell<bool>,
+    ) -> Result<(), StoreError> {
+        let list = &shared.list;
+        let path = range_path(list.borrow().prefix(), list.borrow().end());
+        let read = self.get_page(&path, wait, is_answered).await;
+        if !list.borrow().lacks(page) {
+            return Ok(());
+        }
+        let added = read.and_then(|(era, body)| {
+            let text = decode_text(&body);
+            let page = self.parse::<Page>(&path, &text)?;
+            let added = list.borrow_mut().add(clock::now(), era, &page);
+            added.map_err(|fault| {
+                let (label, e) = classify_fault(fault);
+                self.fail(&path, label, fault, e)
+            })
+        });
+        list.borrow_mut().end_call();
+        if !list.borrow().is_open() {
+            self.lists.borrow_mut().open.retain(|open| !Rc::ptr_eq(open, shared));
+        }
+        shared.changed.notify_waiters();
+        added
     }
 
     /// Reads a page. Where the store answers only some calls, a list whose calls all have to succeed at
@@ -311,12 +383,13 @@
         path: &str,
         wait: Duration,
         is_answered: &Cell<bool>,
-    ) -> Result<(Era, RangeResponse), StoreError> {
+    ) -> Result<(Era, Bytes), StoreError> {
         let mut repeats = 0;
         loop {
             let sent = clock::now();
-            let read = self.get_json(path, wait).await;
+            let read = self.get(path, wait).await;
             if read.is_ok() {
+                self.record_answer(sent, Duration::ZERO);
                 is_answered.set(true);
             }
             let is_transient =
@@ -333,44 +406,28 @@
         }
     }
 
-    /// Reads a JSON document that the store has at once; returns it with the era in which it was read.
-    async fn get_json<T: DeserializeOwned>(
-        &self,
-        path: &str,
-        wait: Duration,
-    ) -> Result<(Era, T), StoreError> {
-        let sent = clock::now();
-        let read = self.wait_for_json(path, wait).await?;
-        self.record_answer(sent, Duration::ZERO);
-        Ok(read)
-    }
-
     /// Records an answer to a call sent at `sent`, with the time that the store was told to wait.
     fn record_answer(&self, sent: Instant, held: Duration) {
         let time = clock::now().saturating_duration_since(sent).saturating_sub(held);
         self.patience.borrow_mut().record_answer(time);
     }
 
-    /// Reads a JSON document; returns it with the era in which it was read.
-    async fn wait_for_json<T: DeserializeOwned>(
-        &self,
-        path: &str,
-        wait: Duration,
-    ) -> Result<(Era, T), StoreError> {
+    /// Reads a JSON document that is not parsed yet; returns it with the era in which it was read.
+    async fn get(&self, path: &str, wait: Duration) -> Result<(Era, Bytes), StoreError> {
         let (head, body) = self.call(Method::GET, path, Bytes::new(), wait).await?;
         match head.status.as_u16() {
-            200 => {
-                // A key of other bytes than UTF-8 is no reason to lose the others.
-                let body = String::from_utf8_lossy(&body);
-                let value = serde_json::from_str(&body)
-                    .map_err(|e| self.fail(path, "malformed", e, StoreError::Malformed))?;
-                Ok((self.read_era(&head), value))
-            }
+            200 => Ok((self.read_era(&head), body)),
             410 => Err(self.fail_status(path, 410, StoreError::Compacted)),
             status => Err(self.fail_status(path, status, StoreError::Refused)),
         }
     }
 
+    /// Parses the response to a read.
+    fn parse<'a, T: Deserialize<'a>>(&self, path: &str, text: &'a str) -> Result<T, StoreError> {
+        let parsed = serde_json::from_str(text);
+        parsed.map_err(|e| self.fail(path, "malformed", e, StoreError::Malformed))
+    }
+
     /// Posts a JSON body; `None` if the store answers that the key or lease does not exist.
     async fn post_json<B: Serialize, T: DeserializeOwned>(
         &self,
@@ -416,6 +473,29 @@
     }
 }
 
+impl SharedList {
+    /// Returns the items, copied if another read has use for them.
+    fn take_items(self: Rc<Self>) -> Vec<KeyValue> {
+        match Rc::try_unwrap(self) {
+            Ok(shared) => shared.list.into_inner().into_items(),
+            Err(shared) => shared.list.borrow().items().to_vec(),
+        }
+    }
+}
+
+/// Returns a body as text. A key of other bytes than UTF-8 is no reason to lose the others.
+fn decode_text(body: &[u8]) -> Cow<'_, str> {
+    String::from_utf8_lossy(body)
+}
+
+fn classify_fault(fault: ListFault) -> (&'static str, StoreError) {
+    match fault {
+        ListFault::Era => ("era", StoreError::Compacted),
+        ListFault::NoProgress => ("malformed", StoreError::Malformed),
+        ListFault::TooLong => ("pages", StoreError::TooLarge),
+    }
+}
+
 fn failure_label(e: &FetchError) -> &'static str {
     match e {
         FetchError::Unsent(_) => "unreached",
@@ -450,7 +530,7 @@
 
 impl ChangeFeed for KvClient {
     async fn list(&self, prefixes: &[&str]) -> Result<StoreUpdate, StoreError> {
-        self.list_within(prefixes, self.limit(CALL_TIMEOUT)).await
+        self.list_all(prefixes).await.map(|listed| listed.update)
     }
 
     async fn ping(&self, key: &str, wait: Duration) -> Result<(), StoreError> {
@@ -473,7 +553,14 @@
         // One call for all prefixes.
         let path = format!("{WATCH_PATH}?prefix=&after={after}&wait_ms={ms}");
         let (sent, limit) = (clock::now(), self.limit(wait + WATCH_MARGIN));
-        let (era, changes): (Era, WatchResponse) = self.wait_for_json(&path, limit).await?;
+        let read = self.get(&path, limit).await;
+        if matches!(read, Err(StoreError::Compacted)) {
+            // Lists from before may be too old to go on from, too.
+            self.forget_lists();
+        }
+        let (era, body) = read?;
+        let text = decode_text(&body);
+        let changes: WatchResponse = self.parse(&path, &text)?;
         // After which part of the wait a change came is not known.
         if changes.events.is_empty() {
             self.record_answer(sent, wait);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,6 +11,7 @@
 mod headers;
 mod items;
 mod kv;
+mod lists;
 mod servers;
 mod settings;
 mod time;
@@ -26,7 +27,7 @@
     explained_path, forward_head, host, parse_limit, parse_request, parse_response, refusal_head,
     response_head,
 };
-pub use kv::{CallFailure, KvClient};
+pub use kv::{CallFailure, KvClient, Listed};
 pub use servers::parse_listing;
 pub use settings::{GatewaySettings, Reading, SettingsError, settings_path};
 
--- a/tests/store_outcomes.rs
+++ b/tests/store_outcomes.rs
@@ -1,8 +1,10 @@
 //! What the clients of both stores report of a write, by the answer of the store.
 
+use futures_util::future::join3;
 use rstest::rstest;
 use skylarkthread::platform::KvClient;
 use skylarkthread::store::{ChangeFeed, Etcd, LeaseId, Leases, Op, Store, StoreError};
+use standin::platform::{self, StoreFault, StoreFront};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
@@ -269,3 +271,48 @@
     let read = store.list(&["servers/"]).await;
     assert!(read.is_err(), "{read:?}");
 }
+
+/// Starts a store with these keys of endpoints, one on each page.
+fn start_store(keys: usize, value: &[u8]) -> platform::Store {
+    let store = platform::Store::start();
+    store.set_page_items(1);
+    (0..keys).for_each(|n| store.set(&format!("servers/{n:03}"), Some(value)));
+    store
+}
+
+#[actix_rt::test]
+async fn list_goes_on_behind_the_pages_that_were_read_before_a_failure() {
+    let store = start_store(3, b"{}");
+    let front = StoreFront::start(store.address, StoreFault::Target("after=", 503));
+    let client = KvClient::new(front.address);
+    assert_eq!(client.list(&["servers/"]).await, Err(StoreError::Refused));
+    front.mend();
+    let listed = client.list(&["servers/"]).await.expect("the store answers");
+    assert_eq!((listed.kvs.len(), store.calls()), (3, 3));
+    // The next list is another one.
+    client.list(&["servers/"]).await.expect("the store answers");
+    assert_eq!(store.calls(), 6);
+}
+
+#[actix_rt::test]
+async fn reads_at_the_same_time_ask_for_each_page_once() {
+    let store = start_store(20, b"{}");
+    let client = KvClient::new(store.address);
+    let list = || client.list(&["servers/"]);
+    let (first, second, third) = join3(list(), list(), list()).await;
+    assert_eq!(first.as_ref().map(|listed| listed.kvs.len()), Ok(20));
+    assert_eq!((&first, &first), (&second, &third));
+    assert_eq!(store.calls(), 20);
+}
+
+#[actix_rt::test]
+async fn values_are_left_out_beyond_the_room_of_a_list_and_the_largest_first() {
+    const VALUE_BYTES: usize = 40 << 10;
+    let store = start_store(120, &[b'x'; VALUE_BYTES]);
+    store.set("servers/z", Some(b"{}"));
+    let listed = KvClient::new(store.address).list(&["servers/"]).await.expect("it answers");
+    let sizes = listed.kvs.iter().map(|kv| kv.value.as_ref().map_or(0, Vec::len));
+    let sum: usize = sizes.sum();
+    assert!((sum..sum + VALUE_BYTES).contains(&(4 << 20)), "{sum} bytes are kept");
+    assert_eq!(listed.kvs.last().and_then(|kv| kv.value.as_deref()), Some(&b"{}"[..]));
+}
