Give a list of the store up by its keys, not by its pages

An instance was never ready where somebody kept more than 200 values of 1 MiB under a followed prefix: each fills a page, and a list of more than 200 pages was given up.

The bound is for a list that never ends, and for memory, which the keys take: values beyond 4 MiB are not kept. So it counts keys, 100,000 as in 200 full pages, and a list goes on for as many pages as it takes. More than 100,000 keys under one prefix are still given up.

--- a/src/platform/lists.rs
+++ b/src/platform/lists.rs
@@ -17,8 +17,8 @@
 /// Time for which other reads wait for a page that one has asked for. A read with more time for an answer
 /// then asks for it too.
 const SHARE_TIME: Duration = Duration::from_millis(500);
-/// Most pages of a list, so that one which never ends is given up.
-const MAX_PAGES: usize = 200;
+/// Most keys of a list, so that one which never ends is given up before it takes all memory.
+const MAX_KEYS: usize = 100_000;
 
 /// Page of a list as the store sends it.
 #[derive(Debug, Deserialize)]
@@ -38,7 +38,7 @@
     Era,
     /// A page does not go on behind those before it.
     NoProgress,
-    /// There are too many pages.
+    /// There are too many keys.
     TooLong,
 }
 
@@ -47,7 +47,7 @@
         f.write_str(match self {
             ListFault::Era => "the era changed",
             ListFault::NoProgress => "a page ends with no key, or where one before it did",
-            ListFault::TooLong => "too many pages",
+            ListFault::TooLong => "too many keys",
         })
     }
 }
@@ -199,6 +199,6 @@
         if !end.is_some_and(|end| self.ends.insert(end)) {
             return Err(ListFault::NoProgress);
         }
-        if self.pages > MAX_PAGES { Err(ListFault::TooLong) } else { Ok(()) }
+        if self.items().len() > MAX_KEYS { Err(ListFault::TooLong) } else { Ok(()) }
     }
 }
--- a/tests/store_outcomes.rs
+++ b/tests/store_outcomes.rs
@@ -316,3 +316,10 @@
     assert!((sum..sum + VALUE_BYTES).contains(&(4 << 20)), "{sum} bytes are kept");
     assert_eq!(listed.kvs.last().and_then(|kv| kv.value.as_deref()), Some(&b"{}"[..]));
 }
+
+#[actix_rt::test]
+async fn list_of_any_number_of_pages_is_read() {
+    let store = start_store(250, b"{}");
+    let listed = KvClient::new(store.address).list(&["servers/"]).await;
+    assert_eq!(listed.map(|listed| listed.kvs.len()), Ok(250));
+}
