List the configuration and the evacuations, not all keys of the operator

A start waited for a list of all keys under op/, of which it uses one key and those under op/evacuate/.

Both are lists of their own now. A full read is five calls instead of four. Where no full read succeeds and kinds of keys are read apart, the configuration is read once endpoints and evacuations are known, so that an instance is not ready before it knows which data centres are evacuated.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -41,15 +41,15 @@
 /// Maximum number of keys whose revisions are remembered; all are forgotten when it is reached.
 const MAX_REVISIONS: usize = 4096;
 /// Prefixes of the keys that an instance follows. Others may keep any number of keys beside them.
-const FOLLOWED_KEYS: [&str; 4] = [
-    platform::OPERATOR_PREFIX,
+const FOLLOWED_KEYS: [&str; 5] = [
+    platform::CONFIG_KEY,
+    platform::EVACUATIONS_PREFIX,
     platform::SERVERS_PREFIX,
     membership::KEY_PREFIX,
     refusals::KEY_PREFIX,
 ];
-/// The followed keys without those of endpoints.
-const OTHER_KEYS: [&str; 3] =
-    [platform::OPERATOR_PREFIX, membership::KEY_PREFIX, refusals::KEY_PREFIX];
+/// The followed keys without those of endpoints and evacuations.
+const OTHER_KEYS: [&str; 3] = [platform::CONFIG_KEY, membership::KEY_PREFIX, refusals::KEY_PREFIX];
 
 /// State of the connection to the store.
 #[derive(Debug, Default)]
@@ -290,16 +290,18 @@
 /// Reads each kind of keys for itself while no read of all of them succeeds, as from a store that
 /// refuses some calls and answers others. Does not return.
 pub async fn read_parts(gw: Rc<Gateway>) {
-    let mut has_endpoints = false;
+    let (mut has_endpoints, mut has_evacuations) = (false, false);
     loop {
         tokio::time::sleep(jitter(PART_INTERVAL)).await;
         if !gw.reads_fail.get() {
-            has_endpoints = false;
+            (has_endpoints, has_evacuations) = (false, false);
             continue;
         }
         has_endpoints |= read_part(&gw, platform::SERVERS_PREFIX).await;
-        // With a configuration alone, the instance would be ready and refuse all requests.
-        if has_endpoints {
+        has_evacuations |= read_part(&gw, platform::EVACUATIONS_PREFIX).await;
+        // With a configuration alone, the instance would be ready, and refuse all requests or send them to
+        // a data centre that is evacuated.
+        if has_endpoints && has_evacuations {
             join_all(OTHER_KEYS.iter().map(|prefix| read_part(&gw, prefix))).await;
         }
     }
@@ -319,10 +321,8 @@
 
 fn apply_part(gw: &Rc<Gateway>, prefix: &str, part: &StoreUpdate) {
     match prefix {
-        platform::OPERATOR_PREFIX => {
-            apply_config(gw, part);
-            evacuation::replace(gw, part, Source::Current);
-        }
+        platform::CONFIG_KEY => apply_config(gw, part),
+        platform::EVACUATIONS_PREFIX => evacuation::replace(gw, part, Source::Current),
         platform::SERVERS_PREFIX => replace_listings(gw, part, Source::Current),
         _ => {}
     }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -31,8 +31,6 @@
 pub use servers::parse_listing;
 pub use settings::{GatewaySettings, Reading, SettingsError, settings_path};
 
-/// Prefix of the store keys that the operator writes.
-pub const OPERATOR_PREFIX: &str = "op/";
 /// Store key of the operators' configuration.
 pub const CONFIG_KEY: &str = "op/config";
 /// Prefix of the store keys under which endpoints are listed.
