--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -93,8 +93,6 @@
     LinkUp = 111,
     /// A peer did not answer over its link in time, or is no longer registered.
     LinkSilent = 112,
-    /// A peer is no longer registered, and stays one as long as it is heard from.
-    LinkUnlisted = 118,
     /// A task has panicked. A task that serves as long as the process runs starts again.
     Panicked = 114,
     /// The resident memory of a process is near the limit at which the platform kills it.
@@ -103,6 +101,8 @@
     NotReady = 116,
     /// A process is ready.
     Ready = 117,
+    /// A peer is no longer registered, and stays one as long as it is heard from.
+    LinkUnlisted = 118,
     /// A request was admitted by an entry.
     Admitted = 200,
     /// A request was refused before it had any effect.
