Leave room for events among the warnings of odd entries

What operators saw: no line that says why an instance is not ready, or that it is, beside a few hundred entries of others that cannot be read: one warning for each entry and read, and lines beyond 400 a second are dropped alike.

Cause: whoever writes the entries decides how many warnings there are. Now warnings have a part of the rate, 100 a second, and events the rest. What is dropped is counted and logged as before (104).

Before: the writer had one class of lines; with it, 1,000 warnings in a second used up the limit of lines_over_400_per_second. After: warnings_leave_room_for_events passes; the tests of the writer that were there pass with their lines as events.

--- a/src/cli/log_output.rs
+++ b/src/cli/log_output.rs
@@ -3,7 +3,7 @@
 use crate::clock;
 use crate::escape;
 use crate::id::InstanceId;
-use crate::logs::LogWriter;
+use crate::logs::{LineKind, LogWriter};
 use std::fs::File;
 use std::os::fd::{FromRawFd, RawFd};
 use std::sync::{Arc, OnceLock};
@@ -47,7 +47,9 @@
                 self.instance.get().map_or("-", InstanceId::as_str),
                 escape::line(&text),
             );
-            self.writer.push(clock::now(), line.as_bytes());
+            let is_warning = record.level() == log::Level::Warn;
+            let kind = if is_warning { LineKind::Warning } else { LineKind::Event };
+            self.writer.push(clock::now(), kind, line.as_bytes());
         })
     }
 
--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -15,6 +15,9 @@
 const MAX_QUEUED_LINES: usize = 1024;
 /// Rate limit. It exceeds the number of requests per second that a busy instance answers.
 const MAX_LINES_PER_SECOND: u32 = 400;
+/// Part of the rate that warnings may use. Whoever writes odd entries into the store decides how many
+/// there are, and events that say how this process is have to be among the lines.
+const MAX_WARNINGS_PER_SECOND: u32 = 100;
 /// Time after an error of the output until the next write.
 const ERROR_PAUSE: Duration = Duration::from_millis(100);
 /// Time after a failure to start the thread until the next attempt.
@@ -24,29 +27,43 @@
 /// Number of these checks from one attempt to start the thread to the next.
 const FLUSH_START_STEPS: u32 = 10;
 
+/// What a line is, for its part of the rate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LineKind {
+    /// An event of this process.
+    Event,
+    /// A warning in free text.
+    Warning,
+}
+
 /// Rate limiter that counts the lines of the current second and the dropped ones.
 #[derive(Debug)]
 pub struct LineRate {
     since: Instant,
     lines: u32,
+    /// How many of them are warnings.
+    warnings: u32,
     dropped: u64,
 }
 
 impl LineRate {
     /// Creates a limiter whose first second starts at `now`.
     pub fn new(now: Instant) -> Self {
-        LineRate { since: now, lines: 0, dropped: 0 }
+        LineRate { since: now, lines: 0, warnings: 0, dropped: 0 }
     }
 
     /// Returns whether another line is within the rate limit, and counts it as admitted or dropped.
-    pub fn admit(&mut self, now: Instant) -> bool {
+    pub fn admit(&mut self, now: Instant, kind: LineKind) -> bool {
         if now.saturating_duration_since(self.since) >= Duration::from_secs(1) {
             self.since = now;
-            self.lines = 0;
+            (self.lines, self.warnings) = (0, 0);
         }
-        let is_admitted = self.lines < MAX_LINES_PER_SECOND;
+        let is_warning = kind == LineKind::Warning;
+        let is_admitted = self.lines < MAX_LINES_PER_SECOND
+            && !(is_warning && self.warnings >= MAX_WARNINGS_PER_SECOND);
         if is_admitted {
             self.lines += 1;
+            self.warnings += u32::from(is_warning);
         } else {
             self.dropped += 1;
         }
@@ -176,13 +193,13 @@
     }
 
     /// Queues a line, preceded by the number of lines dropped before it, if any.
-    pub fn push(&self, now: Instant, line: &[u8]) {
+    pub fn push(&self, now: Instant, kind: LineKind, line: &[u8]) {
         // The panic of a line that is being queued is logged too.
         let Some(_pushing) = Pushing::enter() else { return };
         // A panic of another holder leaves nothing worse than a wrong count.
         let mut rate = self.rate.lock().unwrap_or_else(PoisonError::into_inner);
         rate.count_dropped(self.progress.failed.swap(0, Ordering::Relaxed));
-        if !rate.admit(now) {
+        if !rate.admit(now, kind) {
             return;
         }
         let dropped = rate.take_dropped();
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -1,6 +1,6 @@
 //! The log writer under load: limits the line rate and never blocks on its output.
 
-use skylarkthread::logs::LogWriter;
+use skylarkthread::logs::{LineKind, LogWriter};
 use std::io::{self, Write};
 use std::process::Command;
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -70,14 +70,24 @@
     let writer = LogWriter::start(start, output.clone());
     for n in 0..1000 {
         // The lines are spread over 0.9 s.
-        writer.push(start + Duration::from_micros(900 * n), b"line\n");
+        writer.push(start + Duration::from_micros(900 * n), LineKind::Event, b"line\n");
     }
     assert_eq!(output.wait_for_lines(400).len(), 400);
-    writer.push(start + Duration::from_secs(1), b"next\n");
+    writer.push(start + Duration::from_secs(1), LineKind::Event, b"next\n");
     let all = output.wait_for_lines(402);
     assert_eq!(all[400..], ["event=104 kind=LinesDropped count=600", "next"]);
 }
 
+#[test]
+fn warnings_leave_room_for_events() {
+    let (start, output) = (Instant::now(), SharedOutput::default());
+    let writer = LogWriter::start(start, output.clone());
+    (0..1000).for_each(|_| writer.push(start, LineKind::Warning, b"odd\n"));
+    writer.push(start, LineKind::Event, b"event\n");
+    let lines = output.wait_for_lines(102);
+    assert_eq!(lines[99..], ["odd", "event=104 kind=LinesDropped count=900", "event"]);
+}
+
 #[test]
 fn blocked_output_does_not_block_callers_and_dropped_lines_are_counted() {
     let start = Instant::now();
@@ -86,7 +96,7 @@
     let mut pushed = 0;
     for second in 0..10 {
         for _ in 0..300 {
-            writer.push(start + Duration::from_secs(second), b"line\n");
+            writer.push(start + Duration::from_secs(second), LineKind::Event, b"line\n");
             pushed += 1;
         }
     }
@@ -94,7 +104,7 @@
     drop(release);
     // The queue is drained first, so that it has room for the number of dropped lines.
     output.wait_for_lines(1024);
-    writer.push(start + Duration::from_secs(20), b"last\n");
+    writer.push(start + Duration::from_secs(20), LineKind::Event, b"last\n");
     output.wait_for_lines(1026);
     let all = output.lines();
     let dropped: u64 = all
@@ -134,7 +144,9 @@
     let full = FullOutput { failures: 3, output: output.clone() };
     let writer = LogWriter::start(start, full);
     let lines: Vec<_> = (0..5).map(|n| format!("line {n}")).collect();
-    lines.iter().for_each(|line| writer.push(start, format!("{line}\n").as_bytes()));
+    lines
+        .iter()
+        .for_each(|line| writer.push(start, LineKind::Event, format!("{line}\n").as_bytes()));
     assert_eq!(output.wait_for_lines(5), lines);
 }
 
@@ -170,10 +182,10 @@
     let failing = FailingOutput { failures: 2, is_partial: false, output: output.clone() };
     let writer = LogWriter::start(start, failing);
     for line in ["one\n", "two\n", "three\n"] {
-        writer.push(start, line.as_bytes());
+        writer.push(start, LineKind::Event, line.as_bytes());
     }
     assert_eq!(output.wait_for_lines(2), ["o", "three"]);
-    writer.push(start, b"four\n");
+    writer.push(start, LineKind::Event, b"four\n");
     let all = output.wait_for_lines(4);
     assert_eq!(all[2..], ["event=104 kind=LinesDropped count=2", "four"]);
 }
@@ -183,7 +195,7 @@
     let start = Instant::now();
     let (release, blocked, output) = BlockedOutput::new();
     let writer = LogWriter::start(start, blocked);
-    writer.push(start, b"last\n");
+    writer.push(start, LineKind::Event, b"last\n");
     writer.flush(Duration::from_millis(20));
     assert!(output.lines().is_empty());
     drop(release);
@@ -220,15 +232,15 @@
     let writer = LogWriter::start(start, output.clone());
     for n in 0..1100 {
         // The lines are spread over 4 s; the thread is tried again each second.
-        writer.push(start + Duration::from_micros(3600 * n), b"early\n");
+        writer.push(start + Duration::from_micros(3600 * n), LineKind::Event, b"early\n");
     }
     let early = output.lines();
     limit_memory(libc::RLIM_INFINITY);
     assert!(other && early.is_empty(), "there was memory for a thread");
     assert_eq!(writer.dropped(), 76);
-    writer.push(start + Duration::from_secs(6), b"late\n");
+    writer.push(start + Duration::from_secs(6), LineKind::Event, b"late\n");
     output.wait_for_lines(1024);
-    writer.push(start + Duration::from_secs(7), b"last\n");
+    writer.push(start + Duration::from_secs(7), LineKind::Event, b"last\n");
     let all = output.wait_for_lines(1026);
     assert!(all[..1024].iter().all(|line| line == "early"), "{:?}", all[1023]);
     assert_eq!(all[1024..], ["event=104 kind=LinesDropped count=77", "last"]);
@@ -239,7 +251,7 @@
     limit_memory(used_memory() + SPARE_BYTES);
     let other = std::thread::Builder::new().spawn(|| {}).is_err();
     let writer = LogWriter::start(start, output.clone());
-    writer.push(start, b"last\n");
+    writer.push(start, LineKind::Event, b"last\n");
     writer.flush(Duration::from_millis(20));
     let early = output.lines();
     limit_memory(libc::RLIM_INFINITY);
