Read each kind of keys for itself as soon as a read of all takes long

What callers saw: an instance that starts beside many keys of others under one prefix, with a store that takes its time for each page, is not ready within 7 s, though its configuration and all endpoints are on the first pages.

Cause: a read of all waits for the longest of its lists, and the kinds were read apart only once a read had failed. Now they are as long as no read of all has succeeded, each at its own pace, so that a long list of one kind holds up no other. Reads share their lists, so this asks for no page twice.

Before: list_of_another_kind_that_takes_long_does_not_delay_a_start, 200 keys of one a page at 100 ms an answer, fails for both prefixes (not ready in 7 s). After: both pass, in 0.8 s for the two.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -9,6 +9,8 @@
 use crate::readiness::OutageReasons;
 use crate::store::{ChangeFeed, KeyValue, Position, Rereads, StoreError, StoreUpdate};
 use futures_util::future::join_all;
+use std::cell::RefCell;
+use std::collections::HashSet;
 use std::fmt::Display;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -48,8 +50,9 @@
     membership::KEY_PREFIX,
     refusals::KEY_PREFIX,
 ];
-/// The followed keys without those of endpoints and evacuations.
-const OTHER_KEYS: [&str; 3] = [platform::CONFIG_KEY, membership::KEY_PREFIX, refusals::KEY_PREFIX];
+/// The followed keys without which an instance that has a configuration would be ready, and refuse all
+/// requests or send them to a data centre that is evacuated.
+const FIRST_KEYS: [&str; 2] = [platform::EVACUATIONS_PREFIX, platform::SERVERS_PREFIX];
 
 /// State of the connection to the store.
 #[derive(Debug, Default)]
@@ -90,7 +93,6 @@
 /// reason.
 fn record_failure(gw: &Gateway, connection: &mut Connection, e: StoreError) {
     let (now, failure) = (clock::now(), gw.store.last_failure());
-    gw.reads_fail.set(gw.store_position.borrow().get().is_none());
     gw.readiness.fail_read(now, e, failure.clone());
     if !connection.reasons.is_lost() {
         gw.outages.borrow_mut().begin(now);
@@ -218,7 +220,6 @@
         false => gw.store.list_all(&FOLLOWED_KEYS).await?,
     };
     gw.readiness.end_read(clock::now());
-    gw.reads_fail.set(false);
     log_store_back(gw, connection);
     if gw.store_position.borrow().get().is_some() {
         return Ok(());
@@ -288,21 +289,24 @@
 }
 
 /// Reads each kind of keys for itself while no read of all of them succeeds, as from a store that
-/// refuses some calls and answers others. Does not return.
+/// refuses some calls and answers others, or has a list that takes long. Does not return.
 pub async fn read_parts(gw: Rc<Gateway>) {
-    let (mut has_endpoints, mut has_evacuations) = (false, false);
+    let known = RefCell::default();
+    join_all(FOLLOWED_KEYS.iter().map(|prefix| follow_part(&gw, prefix, &known))).await;
+}
+
+async fn follow_part(gw: &Rc<Gateway>, prefix: &'static str, known: &RefCell<HashSet<&str>>) {
+    let is_first = FIRST_KEYS.contains(&prefix);
     loop {
         tokio::time::sleep(jitter(PART_INTERVAL)).await;
-        if !gw.reads_fail.get() {
-            (has_endpoints, has_evacuations) = (false, false);
-            continue;
+        let is_needed = gw.store_position.borrow().get().is_none();
+        if !is_needed {
+            known.borrow_mut().remove(prefix);
         }
-        has_endpoints |= read_part(&gw, platform::SERVERS_PREFIX).await;
-        has_evacuations |= read_part(&gw, platform::EVACUATIONS_PREFIX).await;
-        // With a configuration alone, the instance would be ready, and refuse all requests or send them to
-        // a data centre that is evacuated.
-        if has_endpoints && has_evacuations {
-            join_all(OTHER_KEYS.iter().map(|prefix| read_part(&gw, prefix))).await;
+        let is_due =
+            is_needed && (is_first || FIRST_KEYS.iter().all(|k| known.borrow().contains(k)));
+        if is_due && read_part(gw, prefix).await {
+            known.borrow_mut().insert(prefix);
         }
     }
 }
@@ -358,7 +362,6 @@
         refusals::apply_kv(gw, kv);
     }
     gw.store_position.borrow_mut().set(all.at);
-    gw.reads_fail.set(false);
     if source == Source::Copy {
         gw.registration.due.notify_one();
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -178,8 +178,6 @@
     registration: membership::RegistrationState,
     /// Outages of the store that this instance or another one has noticed.
     outages: RefCell<Outages>,
-    /// Whether the last read of all followed keys failed.
-    reads_fail: Cell<bool>,
     /// Whether the last check found the store unreachable.
     store_lost: Cell<bool>,
     /// Notified when the store has changes that a reader did not include in its message.
@@ -304,7 +302,6 @@
             revisions: RefCell::new(HashMap::new()),
             store_position: RefCell::default(),
             outages: RefCell::default(),
-            reads_fail: Cell::new(false),
             store_lost: Cell::new(false),
             registration: membership::RegistrationState::default(),
             poll_hint: Notify::new(),
--- a/tests/gateway/start_storm.rs
+++ b/tests/gateway/start_storm.rs
@@ -185,6 +185,19 @@
     assert!(wait_for(APPLY_TIME.as_secs(), is_applied), "{fault:?}: the change does not apply");
 }
 
+#[rstest]
+fn list_of_another_kind_that_takes_long_does_not_delay_a_start(
+    #[values("gateways/", "quarantine/")] prefix: &str,
+) {
+    let (_e, store) = start_store();
+    store.set_page_items(1);
+    (0..200).for_each(|n| store.set(&format!("{prefix}{n:03}"), Some(b"{}")));
+    let front = StoreFront::start(store.address, StoreFault::Late(Duration::from_millis(100)));
+    let start = Instant::now();
+    let mut gateway = start_gateway_at(front.address);
+    assert_serves(&mut gateway, start, prefix);
+}
+
 #[test]
 fn instance_is_ready_while_the_era_of_the_store_alternates() {
     let (_e, store) = start_store();
