Log why the registration of an instance fails

What operators saw: nothing; an instance whose name makes a key of more than 200 bytes, or whose writes are refused, is never a peer, and the failure was logged at debug level alone. Found by a review (a name of 195 bytes: seven calls with 400, no line).

Now a warning names the reason, once and when it changes.

Before: registration_that_the_store_refuses_is_named fails. After: it passes.

--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -9,6 +9,7 @@
 use crate::clock;
 use crate::event::Kind;
 use crate::id::{InstanceId, MilliCores};
+use crate::readiness::OutageReasons;
 use crate::store::{KeyValue, LeaseId, Leases, StoreError, StoreUpdate};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -82,7 +83,7 @@
     let value: Rc<[u8]> = serde_json::to_vec(&*registration).unwrap_or_default().into();
     *gw.registration.value.borrow_mut() = value.clone();
     let (mut held, mut era) = (Held::default(), gw.store_position.borrow().era());
-    let mut is_repeated = false;
+    let (mut is_repeated, mut reasons) = (false, OutageReasons::default());
     loop {
         if gw.registration.is_replaced.take() {
             // Two processes with the same name would replace each other's without a pause.
@@ -108,6 +109,7 @@
         match outcome {
             None => log::debug!("a call from before the store's return is given up"),
             Some(Ok(is_registered)) => {
+                reasons.end();
                 if is_registered {
                     gw.retries.borrow_mut().record_registration(sent, LEASE_TTL);
                 }
@@ -115,7 +117,9 @@
                 let _ = tokio::time::timeout(jitter(wait), gw.registration.due.notified()).await;
             }
             Some(Err(e)) => {
-                log::debug!("registration of this instance in the store failed: {e:?}");
+                if reasons.is_due(clock::now(), e, "") {
+                    log::warn!("registration of this instance in the store failed: {e:?}");
+                }
                 let returned = gw.registration.returned();
                 let _ = tokio::time::timeout(jitter(RETRY_INTERVAL), returned).await;
             }
--- a/tests/gateway/readiness.rs
+++ b/tests/gateway/readiness.rs
@@ -120,6 +120,16 @@
     assert_ready(&gateway, gateway.ready);
 }
 
+#[test]
+fn registration_that_the_store_refuses_is_named() {
+    let store = Store::start();
+    store.set("op/config", Some(CONFIG.as_bytes()));
+    let front = StoreFront::start(store.address, StoreFault::Target("POST", 400));
+    let gateway = start_gateway_at(front.address);
+    let text = ["registration of this instance in the store failed: Refused"];
+    assert!(wait_for(2, || !times(&log(&gateway), &text).is_empty()), "{}", log(&gateway));
+}
+
 #[test]
 fn silent_store_is_named_before_and_after_the_first_read_has_failed() {
     let front = StoreFront::start(Store::start().address, StoreFault::Silent);
