Read the fields of a load report apart from each other

One field of an engine's load report that is missing or of another type spoiled the whole report: a number written with a point, a null among the loaded models, no batch. The sidecar then never used the engine, or lost one that it used, with its generations, after five reports. No line and no metric said so; /healthz answered 200.

Each field is now read for itself. One that cannot be read stays as the same run of the engine reported it before; without that, the batch is 1, and only the capacity and the list of models are needed. A model without a name leaves the others. Each field is named once by the new event 307 (EngineUnreadable) and counted by engine_faults_total. A document that tells neither capacity nor models is no report, as before.

The decisions are tested in tests/decisions/sidecar.rs.

--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -141,6 +141,8 @@
     EngineLost = 305,
     /// An engine answers again.
     EngineBack = 306,
+    /// A document of an engine or a field of it cannot be read; logged once for each field.
+    EngineUnreadable = 307,
     /// An endpoint was ejected after repeated failures.
     Ejected = 310,
     /// An ejected endpoint is used again on trial.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -22,6 +22,7 @@
     CallError, CopyOutcome, Handoff, Identity, Probe, Report, copy_memory, fetch_report, free_copy,
     probe,
 };
+pub use fields::{read_parts, whole};
 pub use headers::{
     ForwardParams, HeaderFault, Question, RequestInfo, ResponseInfo, TokenCounts, asked_workspace,
     explained_path, forward_head, host, parse_limit, parse_request, parse_response, refusal_head,
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -276,15 +276,21 @@
     })
 }
 
-/// Reads a JSON document of the engine. Only a success has one; the body of an error may look like it.
-pub async fn read_json<T: DeserializeOwned>(
-    s: &Sidecar,
-    path: &str,
-) -> Result<(ResponseHead, T), CallError> {
+/// Fetches a document of the engine. Only a success has one; the body of an error may look like it.
+pub async fn read_document(s: &Sidecar, path: &str) -> Result<(ResponseHead, Bytes), CallError> {
     let (head, body) = call(s, Method::GET, path, Bytes::new()).await?;
     if !head.status.is_success() {
         return Err(CallError::Failed);
     }
+    Ok((head, body))
+}
+
+/// Reads a JSON document of the engine.
+pub async fn read_json<T: DeserializeOwned>(
+    s: &Sidecar,
+    path: &str,
+) -> Result<(ResponseHead, T), CallError> {
+    let (head, body) = read_document(s, path).await?;
     let document = serde_json::from_slice(&body).map_err(|_| CallError::Failed)?;
     Ok((head, document))
 }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -2,6 +2,7 @@
 //! through it.
 
 mod calls;
+pub mod documents;
 mod engine;
 mod limits;
 mod monitor;
--- a/src/sidecar/monitor.rs
+++ b/src/sidecar/monitor.rs
@@ -1,6 +1,7 @@
 //! Load reports and cache events of a model engine, and health checks of a plain service.
 
-use super::engine::{CallError, call, read_json};
+use super::documents::{self, Fault, FaultLog, LoadReport};
+use super::engine::{CallError, call, read_document, read_json};
 use super::{Sidecar, finish, limits};
 use crate::board::{Engine, Job, JobKey, Phase, SidecarBoard};
 use crate::clock;
@@ -30,23 +31,6 @@
 /// Maximum number of cached prefixes kept for reports.
 const MAX_PREFIXES: usize = 256;
 
-#[derive(Debug, Deserialize)]
-struct LoadReport {
-    boot: Arc<str>,
-    capacity: u32,
-    batch: u32,
-    #[serde(default = "default_block")]
-    block: u32,
-    #[serde(default)]
-    prefill_us: u64,
-    loaded: Vec<Arc<str>>,
-}
-
-/// Tokens per KV cache block if the engine does not report it.
-fn default_block() -> u32 {
-    16
-}
-
 #[derive(Debug, Deserialize)]
 struct CacheEvent {
     seq: u64,
@@ -79,14 +63,22 @@
     seq: u64,
     /// Cached prefixes, each with the sequence number of its event.
     prefixes: HashMap<u32, u64>,
+    /// What could not be read of the engine's documents.
+    faults: FaultLog,
 }
 
 impl Monitor {
     async fn check_engine(&mut self, s: &Rc<Sidecar>) {
         match read_load_report(s).await {
-            Ok(report) => {
+            Ok(body) => {
+                let mut faults = Vec::new();
+                let report = documents::read_load(&body, &mut faults);
+                let is_used = report.is_some_and(|report| self.apply_report(s, report));
+                self.record_faults(s, &faults, is_used);
+                if !is_used {
+                    return self.record_miss(s, false);
+                }
                 self.misses = 0;
-                self.apply_report(s, report);
                 self.reports += 1;
                 if self.reports.is_multiple_of(REPORTS_PER_CACHE_READ) {
                     self.read_cache(s).await;
@@ -118,9 +110,24 @@
         }
     }
 
-    fn apply_report(&mut self, s: &Rc<Sidecar>, report: LoadReport) {
-        let has_restarted = self.boot.as_ref().is_some_and(|b| *b != report.boot);
-        if has_restarted {
+    /// Records what could not be read of a document; `is_used` tells whether the rest is used.
+    fn record_faults(&mut self, s: &Sidecar, faults: &[Fault], is_used: bool) {
+        for fault in faults {
+            let (document, field) = (fault.document.name(), fault.field);
+            metrics::counter!("engine_faults_total", "document" => document, "field" => field)
+                .increment(fault.count);
+            if self.faults.record(fault, is_used) {
+                let detail = format_args!("used={is_used} {fault}");
+                s.process.event(Kind::EngineUnreadable, s.engine, detail);
+            }
+        }
+    }
+
+    /// Applies a load report; returns whether it says enough to use the engine.
+    fn apply_report(&mut self, s: &Rc<Sidecar>, report: LoadReport) -> bool {
+        let is_known = self.boot.is_some() && report.boot.is_some();
+        let is_same = is_known && self.boot == report.boot;
+        if is_known && !is_same {
             // A loss that the monitor has noticed is recorded already.
             let is_new = s.board.borrow().engine.alive;
             if is_new {
@@ -128,29 +135,25 @@
             }
             self.prefixes.clear();
             self.seq = 0;
+            self.faults = FaultLog::default();
         }
-        self.boot = Some(report.boot);
+        // Without an identifier, only a loss tells of a restart.
+        self.boot = report.boot.clone().or(self.boot.take());
         let mut board = s.board.borrow_mut();
         let is_back = !board.engine.alive;
+        let last = (is_same || !is_back).then_some(&board.engine);
+        let Some(engine) = report.into_engine(last) else { return false };
         if is_back {
             s.process.event(Kind::EngineBack, s.engine, "");
         }
-        let gap = board.engine.gap;
-        board.engine = Engine {
-            alive: true,
-            capacity: report.capacity,
-            batch: report.batch,
-            block: report.block.max(1),
-            gap,
-            prefill: Duration::from_micros(report.prefill_us),
-            loaded: report.loaded,
-            prefixes: self.prefixes.keys().copied().collect(),
-        };
+        let (gap, prefixes) = (board.engine.gap, self.prefixes.keys().copied().collect());
+        board.engine = Engine { gap, prefixes, ..engine };
         drop(board);
         s.wake.notify_one();
         if is_back {
             s.polls.flush_all();
         }
+        true
     }
 
     /// Applies new cache events of the engine. Events may be late or missing, so the prefixes are
@@ -175,12 +178,12 @@
     }
 }
 
-/// Reads a load report; the error is whether the connection could not be established.
-async fn read_load_report(s: &Sidecar) -> Result<LoadReport, bool> {
-    let read = read_json(s, "/v1/load").await;
-    let (head, report) = read.map_err(|e| e == CallError::Unreached)?;
+/// Fetches a load report; the error is whether the connection could not be established.
+async fn read_load_report(s: &Sidecar) -> Result<Bytes, bool> {
+    let read = read_document(s, "/v1/load").await;
+    let (head, body) = read.map_err(|e| e == CallError::Unreached)?;
     limits::record_check(s, platform::parse_limit(head.headers()));
-    Ok(report)
+    Ok(body)
 }
 
 /// Returns the shared parts of the running generations that may have crashed the engine: those
--- a/tests/decisions/sidecar.rs
+++ b/tests/decisions/sidecar.rs
@@ -1,6 +1,7 @@
-//! Statuses of an engine's response to a submission and to the resumption of a stream.
+//! What a sidecar makes of the responses of its engine.
 
 use rstest::rstest;
+use skylarkthread::sidecar::documents::{self, FaultLog};
 use skylarkthread::sidecar::status::{StreamStatus, classify};
 
 #[rstest]
@@ -25,3 +26,35 @@
     assert_eq!(classify(503, true), StreamStatus::MayRun);
     assert_eq!(classify(200, true), StreamStatus::Open);
 }
+
+#[rstest]
+#[case::capacity(r#"{"boot":"b","capacity":null,"batch":8,"loaded":["m"]}"#, &["capacity"])]
+#[case::models(r#"{"boot":"b","capacity":900,"batch":[8],"loaded":"m"}"#, &["loaded", "batch"])]
+#[case::range(r#"{"boot":7,"capacity":1e999,"batch":8,"loaded":["m"]}"#, &["capacity"])]
+fn field_of_a_report_that_cannot_be_read_stays_as_it_was(
+    #[case] report: &str,
+    #[case] fields: &[&str],
+) {
+    let whole = br#"{"boot":"b","capacity":900,"batch":8,"block":4,"loaded":["m"]}"#;
+    let read = |text: &[u8], faults: &mut Vec<_>| documents::read_load(text, faults);
+    let last = read(whole, &mut Vec::new()).and_then(|r| r.into_engine(None));
+    assert_eq!(last.as_ref().map(|e| (e.capacity, e.batch, e.block)), Some((900, 8, 4)));
+    let mut faults = Vec::new();
+    let report = read(report.as_bytes(), &mut faults).expect("a part can be read");
+    assert_eq!(faults.iter().map(|fault| fault.field).collect::<Vec<_>>(), fields);
+    assert_eq!(report.clone().into_engine(None), None);
+    assert_eq!(report.into_engine(last.as_ref()), last);
+    let mut log = FaultLog::default();
+    assert!(log.record(&faults[0], false) && !log.record(&faults[0], false));
+    assert!(log.record(&faults[0], true));
+}
+
+#[rstest]
+#[case::no_json("<html>")]
+#[case::no_object("7")]
+#[case::other_object(r#"{"boot":"b","status":"ok"}"#)]
+fn document_without_a_report_is_none(#[case] body: &str) {
+    let mut faults = Vec::new();
+    assert_eq!(documents::read_load(body.as_bytes(), &mut faults), None);
+    assert!(!faults.is_empty());
+}
--- a/tests/deployment/answers.rs
+++ b/tests/deployment/answers.rs
@@ -392,3 +392,23 @@
     assert_eq!((first.status, first.header("content-length")), (200, length), "{first:?}");
     assert_eq!((second.status, second.fault, second.complete), (200, None, true), "{second:?}");
 }
+
+#[rstest]
+#[case::number_with_a_point(
+    r#"{"boot":"b","capacity":9e4,"batch":8.0,"prefill_us":10.0,"loaded":["caption-large+memorial@v1"]}"#
+)]
+#[case::model_without_a_name(
+    r#"{"boot":"b","capacity":90000,"batch":8,"loaded":[null,{"a":1e999},"caption-large+memorial@v1"]}"#
+)]
+#[case::no_batch_or_boot(r#"{"boot":[],"capacity":90000,"loaded":["caption-large+memorial@v1"]}"#)]
+#[actix_rt::test]
+async fn field_of_a_load_report_that_cannot_be_read_leaves_the_others(
+    #[case] report: &'static str,
+) {
+    let stream = ("POST", OK, last_event!("\n\n"));
+    let answers = Box::leak(Box::new([("GET /v1/load", OK, report), stream]));
+    let (fleet, _requests) = start_with(engine_pool(1, loaded_params()), answers).await;
+    assert!(wait_until(10, async || serves(&fleet).await == Some(true)).await, "not serving");
+    let mut stream = open_stream(fleet.entry_address(0), 1, "a").await.expect("it is served");
+    assert_eq!(stream.finish().await, StreamEnd::Done("stop".into()));
+}
