Pass over cache events that cannot be read

One odd event of an engine's KV cache spoiled the whole list: a prefix that is no u32, or another type. The position stayed where it was, so the same list was read again for good, and no prefix of the engine was known from then on. No line and no metric said so.

Each event is now read for itself. Many faults of one kind in a list are one line and one entry in memory.

Ruled out: statuses and framing of the answer, whose cases of cache_events_are_taken_from_a_whole_success_alone passed before and after.

Both cases of cache_event_that_cannot_be_read_is_passed_over failed before (the position was never sent) and pass.

--- a/src/sidecar/documents.rs
+++ b/src/sidecar/documents.rs
@@ -6,6 +6,7 @@
 use crate::platform::{read_parts, whole};
 use serde::Deserialize;
 use serde_json::Value;
+use serde_json::value::RawValue;
 use std::collections::HashSet;
 use std::fmt;
 use std::sync::Arc;
@@ -21,6 +22,8 @@
 pub enum Document {
     /// Load report.
     Load,
+    /// List of cache events.
+    CacheEvents,
 }
 
 impl Document {
@@ -28,6 +31,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Document::Load => "load",
+            Document::CacheEvents => "cache-events",
         }
     }
 }
@@ -196,3 +200,31 @@
     };
     (report.capacity.is_some() || report.loaded.is_some()).then_some(report)
 }
+
+/// An event of the engine's KV cache.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CacheEvent {
+    /// Position of the event.
+    pub seq: u64,
+    /// Prefix, and whether it is stored from now on; `None` if these cannot be read.
+    pub change: Option<(u32, bool)>,
+}
+
+/// Reads the cache events whose position can be read.
+pub fn read_cache_events(body: &[u8], faults: &mut Vec<Fault>) -> Vec<CacheEvent> {
+    let mut reader = Reader { document: Document::CacheEvents, faults };
+    let text = String::from_utf8_lossy(body);
+    let list: Vec<&RawValue> = reader.parse(&text).unwrap_or_default();
+    let mut events = Vec::new();
+    for event in list.into_iter().map(read_parts) {
+        if !event.is_object() {
+            reader.fault("event", Some(&event));
+            continue;
+        }
+        let prefix = reader.required(&event, "prefix", whole);
+        let stored = reader.required(&event, "stored", Value::as_bool);
+        let seq = reader.required(&event, "seq", whole::<u64>);
+        events.extend(seq.map(|seq| CacheEvent { seq, change: prefix.zip(stored) }));
+    }
+    events
+}
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -14,7 +14,6 @@
 use eventsource_stream::{Event, Eventsource};
 use futures_util::StreamExt;
 use serde::Deserialize;
-use serde::de::DeserializeOwned;
 use serde_json::json;
 use std::pin::pin;
 use std::rc::Rc;
@@ -285,16 +284,6 @@
     Ok((head, body))
 }
 
-/// Reads a JSON document of the engine.
-pub async fn read_json<T: DeserializeOwned>(
-    s: &Sidecar,
-    path: &str,
-) -> Result<(ResponseHead, T), CallError> {
-    let (head, body) = read_document(s, path).await?;
-    let document = serde_json::from_slice(&body).map_err(|_| CallError::Failed)?;
-    Ok((head, document))
-}
-
 /// Sends an order to the engine and returns whether the engine accepted it.
 pub async fn order(s: &Sidecar, order: &Order) -> bool {
     let (action, spec) = match &order.action {
--- a/src/sidecar/monitor.rs
+++ b/src/sidecar/monitor.rs
@@ -1,7 +1,7 @@
 //! Load reports and cache events of a model engine, and health checks of a plain service.
 
-use super::documents::{self, Fault, FaultLog, LoadReport};
-use super::engine::{CallError, call, read_document, read_json};
+use super::documents::{self, CacheEvent, Fault, FaultLog, LoadReport};
+use super::engine::{CallError, call, read_document};
 use super::{Sidecar, finish, limits};
 use crate::board::{Engine, Job, JobKey, Phase, SidecarBoard};
 use crate::clock;
@@ -13,7 +13,6 @@
 use crate::settings::EndpointKind;
 use actix_http::Method;
 use bytes::Bytes;
-use serde::Deserialize;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -31,13 +30,6 @@
 /// Maximum number of cached prefixes kept for reports.
 const MAX_PREFIXES: usize = 256;
 
-#[derive(Debug, Deserialize)]
-struct CacheEvent {
-    seq: u64,
-    prefix: u32,
-    stored: bool,
-}
-
 /// Monitors the endpoint for as long as the process runs.
 pub async fn run(s: Rc<Sidecar>) {
     let mut monitor = Monitor::default();
@@ -160,15 +152,17 @@
     /// hints only.
     async fn read_cache(&mut self, s: &Sidecar) {
         let path = format!("/v1/cache_events?since={}", self.seq);
-        let Ok((_, events)) = read_json::<Vec<CacheEvent>>(s, &path).await else { return };
-        for e in events {
-            self.seq = self.seq.max(e.seq);
-            if e.stored {
-                self.prefixes.insert(e.prefix, e.seq);
-            } else {
-                self.prefixes.remove(&e.prefix);
+        let Ok((_, body)) = read_document(s, &path).await else { return };
+        let mut faults = Vec::new();
+        for CacheEvent { seq, change } in documents::read_cache_events(&body, &mut faults) {
+            self.seq = self.seq.max(seq);
+            match change {
+                Some((prefix, true)) => drop(self.prefixes.insert(prefix, seq)),
+                Some((prefix, false)) => drop(self.prefixes.remove(&prefix)),
+                None => {}
             }
         }
+        self.record_faults(s, &faults, true);
         while self.prefixes.len() > MAX_PREFIXES {
             let oldest = self.prefixes.iter().min_by_key(|(_, seq)| **seq).map(|(p, _)| *p);
             if let Some(p) = oldest {
--- a/tests/deployment/answers.rs
+++ b/tests/deployment/answers.rs
@@ -412,3 +412,30 @@
     let mut stream = open_stream(fleet.entry_address(0), 1, "a").await.expect("it is served");
     assert_eq!(stream.finish().await, StreamEnd::Done("stop".into()));
 }
+
+/// Returns the logs of the daemons.
+fn daemon_logs(fleet: &Fleet) -> String {
+    let files = std::fs::read_dir(fleet.log_dir()).expect("the directory exists");
+    let files = files.flatten().map(|file| file.path());
+    let logs = files.filter(|path| path.extension().is_some_and(|e| e == "log"));
+    logs.filter_map(|path| std::fs::read_to_string(path).ok()).collect()
+}
+
+#[rstest]
+#[case::prefix(
+    r#"[{"seq":6,"prefix":4294967296,"stored":true},{"seq":7,"prefix":1,"stored":true}]"#
+)]
+#[case::last(r#"[{"seq":6,"prefix":1,"stored":true},{"seq":7,"prefix":1,"stored":"yes"},7]"#)]
+#[actix_rt::test]
+async fn cache_event_that_cannot_be_read_is_passed_over(#[case] events: &'static str) {
+    let answers =
+        Box::leak(Box::new([("GET /v1/load", OK, REPORT), ("GET /v1/cache_events", OK, events)]));
+    let (fleet, requests) = start_with(engine_pool(1, loaded_params()), answers).await;
+    let has_moved = async || {
+        let all = requests.lock().expect("no holder panics");
+        all.iter().any(|target| target == "/v1/cache_events?since=7")
+    };
+    assert!(wait_until(10, has_moved).await, "{}", daemon_logs(&fleet));
+    let named = daemon_logs(&fleet).matches("kind=EngineUnreadable").count();
+    assert!((1..=2).contains(&named), "{}", daemon_logs(&fleet));
+}
