Name the stream event that cannot be read

An odd event of an engine's stream broke the stream, which was reopened from the same token every 100 ms; the 304 line had no reason. Events that carry no token broke it too: an empty list of choices, as engines send with the usage, or the event of an end whose text is null.

An event without a token is now passed over, and the fields of others are read for themselves. A text, index or end that cannot be read still breaks the stream, as a token or the end would be lost otherwise; the 304 line names the document, the field and what was found, and engine_faults_total counts it. For other breaks, the line says why too: no answer, a status, an early end, a late event or a gap.

The stream of a text that never can be read is still reopened until the engine forgets the generation or its readers leave.

--- a/src/sidecar/documents.rs
+++ b/src/sidecar/documents.rs
@@ -24,6 +24,8 @@
     Load,
     /// List of cache events.
     CacheEvents,
+    /// Event of the stream of a generation.
+    StreamEvent,
 }
 
 impl Document {
@@ -32,6 +34,7 @@
         match self {
             Document::Load => "load",
             Document::CacheEvents => "cache-events",
+            Document::StreamEvent => "stream-event",
         }
     }
 }
@@ -49,6 +52,15 @@
     pub count: u64,
 }
 
+impl Fault {
+    /// Adds the fault to its metric.
+    pub fn count(&self) {
+        let (document, field) = (self.document.name(), self.field);
+        metrics::counter!("engine_faults_total", "document" => document, "field" => field)
+            .increment(self.count);
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "document={} field={} count={}", self.document.name(), self.field, self.count)?;
@@ -228,3 +240,42 @@
     }
     events
 }
+
+/// An event of the stream of a generation.
+#[derive(Debug, Default, PartialEq)]
+pub struct StreamEvent {
+    /// Index and text of a token, if it has one.
+    pub token: Option<(u32, Arc<str>)>,
+    /// Why the generation ended, if it did.
+    pub finish: Option<Arc<str>>,
+}
+
+/// Reads an event of a stream. One with an empty list of choices has no token.
+///
+/// # Errors
+///
+/// Returns the first fault, due to which a token or the end would be lost.
+pub fn read_stream_event(id: &str, data: &str) -> Result<StreamEvent, Fault> {
+    let mut faults = Vec::new();
+    let mut reader = Reader { document: Document::StreamEvent, faults: &mut faults };
+    let text = |value: &Value| value.as_str().map(Arc::from);
+    let mut event = StreamEvent::default();
+    if let Some(object) = reader.parse(data).map(read_parts) {
+        let choices = reader.required(&object, "choices", Value::as_array);
+        if let Some(choice) = choices.and_then(|choices| choices.first()) {
+            event.finish = reader.optional(choice, "finish_reason", text);
+            // The event of an end may have no text.
+            let token: Option<Arc<str>> = match event.finish {
+                Some(_) => reader.optional(choice, "text", text),
+                None => reader.required(choice, "text", text),
+            };
+            if let Some(token) = token.filter(|token| !token.is_empty()) {
+                match id.parse() {
+                    Ok(ix) => event.token = Some((ix, token)),
+                    Err(_) => reader.fault("id", Some(&id)),
+                }
+            }
+        }
+    }
+    faults.into_iter().next().map_or(Ok(event), Err)
+}
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -1,6 +1,7 @@
 //! HTTP client of the endpoint: streams and orders of a model engine, and calls whose response is
 //! read whole.
 
+use super::documents::{self, Fault, StreamEvent};
 use super::status::{self, StreamStatus};
 use super::{CONNECT_TIMEOUT, Sidecar, Submission, finish, limits};
 use crate::clock;
@@ -13,8 +14,8 @@
 use bytes::Bytes;
 use eventsource_stream::{Event, Eventsource};
 use futures_util::StreamExt;
-use serde::Deserialize;
 use serde_json::json;
+use std::fmt;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -37,18 +38,6 @@
 /// Weight of a new gap between tokens in the moving average.
 const GAP_SMOOTHING: f64 = 0.05;
 
-#[derive(Debug, Deserialize)]
-struct Chunk {
-    choices: Vec<Choice>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Choice {
-    text: Arc<str>,
-    #[serde(default)]
-    finish_reason: Option<Arc<str>>,
-}
-
 /// Why a call has no whole response.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum CallError {
@@ -62,8 +51,8 @@
 enum StreamEnd {
     /// The engine ended or refused the generation.
     Done(Finish),
-    /// The connection failed, timed out or sent an invalid event.
-    Broken,
+    /// The stream has to be resumed.
+    Broken(Break),
     /// The connection could not be established.
     Unreachable,
     /// The engine does not know the generation.
@@ -72,6 +61,35 @@
     Superseded,
 }
 
+/// Why a stream has to be resumed.
+enum Break {
+    /// There was no response.
+    Unanswered,
+    /// The response does not tell whether the generation runs.
+    Status(u16),
+    /// The connection ended before the generation.
+    Ended,
+    /// No event came in time.
+    Late,
+    /// Tokens before the one that came are missing.
+    Gap,
+    /// An event cannot be read.
+    Unreadable(Fault),
+}
+
+impl fmt::Display for Break {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Break::Unanswered => f.write_str("why=unanswered"),
+            Break::Status(status) => write!(f, "why=status status={status}"),
+            Break::Ended => f.write_str("why=ended"),
+            Break::Late => f.write_str("why=late"),
+            Break::Gap => f.write_str("why=gap"),
+            Break::Unreadable(fault) => write!(f, "why=unreadable {fault}"),
+        }
+    }
+}
+
 /// Submits a generation to the engine and reads its stream, reopening it after failures, until it
 /// ends, is held or is cancelled.
 pub async fn run(s: Rc<Sidecar>, submission: Submission) {
@@ -86,7 +104,7 @@
         match end {
             StreamEnd::Done(finished) => return finish(&s, submission.key, finished),
             StreamEnd::Superseded => return,
-            StreamEnd::Broken => record_silence(&s, submission),
+            StreamEnd::Broken(why) => record_silence(&s, submission, &why),
             // Retries until the monitor finds the engine lost; that ends the generation.
             StreamEnd::Unreachable => {}
             StreamEnd::Unknown => return finish(&s, submission.key, Finish::Lost),
@@ -110,9 +128,9 @@
     cancel(s.clone(), nonce).await;
 }
 
-fn record_silence(s: &Sidecar, submission: Submission) {
+fn record_silence(s: &Sidecar, submission: Submission, why: &Break) {
     if let Some(job) = submission.job(&s.board.borrow()) {
-        s.process.event(Kind::EngineSilent, &job.start.generation, "");
+        s.process.event(Kind::EngineSilent, &job.start.generation, why);
     }
 }
 
@@ -127,10 +145,11 @@
     // Once a connection was made, the engine may have the generation even without a response.
     let Ok(Ok(head)) = tokio::time::timeout(CALL_TIMEOUT, out.read_head()).await else {
         *is_known = true;
-        return StreamEnd::Broken;
+        return StreamEnd::Broken(Break::Unanswered);
     };
     limits::record_response(s, sent_at, platform::parse_limit(head.headers()));
-    let mut status = status::classify(head.status.as_u16(), *is_known);
+    let code = head.status.as_u16();
+    let mut status = status::classify(code, *is_known);
     if matches!(status, StreamStatus::NotRun | StreamStatus::Forgotten) && !is_whole(&mut out).await
     {
         status = StreamStatus::MayRun;
@@ -142,13 +161,16 @@
     match status {
         StreamStatus::Open => {}
         StreamStatus::Forgotten => return StreamEnd::Unknown,
-        StreamStatus::NotRun | StreamStatus::MayRun => return StreamEnd::Broken,
+        StreamStatus::NotRun | StreamStatus::MayRun => {
+            return StreamEnd::Broken(Break::Status(code));
+        }
     }
     let mut events = pin!(out.into_chunks().eventsource());
     loop {
         let event = match tokio::time::timeout(stream_timeout(s), events.next()).await {
             Ok(Some(Ok(event))) => event,
-            Ok(_) | Err(_) => return StreamEnd::Broken,
+            Ok(_) => return StreamEnd::Broken(Break::Ended),
+            Err(_) => return StreamEnd::Broken(Break::Late),
         };
         if let Some(end) = handle_event(s, submission, &event) {
             return end;
@@ -168,17 +190,19 @@
     if event.data == "[DONE]" {
         return Some(StreamEnd::Done(Finish::Stop));
     }
-    let chunk = serde_json::from_str::<Chunk>(&event.data).ok();
-    let choice = chunk.and_then(|c| c.choices.into_iter().next());
-    let (Some(choice), Ok(ix)) = (choice, event.id.parse::<u32>()) else {
-        return Some(StreamEnd::Broken);
+    let StreamEvent { token, finish } = match documents::read_stream_event(&event.id, &event.data) {
+        Ok(event) => event,
+        Err(fault) => {
+            fault.count();
+            return Some(StreamEnd::Broken(Break::Unreadable(fault)));
+        }
     };
-    if !choice.text.is_empty()
-        && let Some(end) = push_token(s, submission, ix, choice.text)
+    if let Some((ix, text)) = token
+        && let Some(end) = push_token(s, submission, ix, text)
     {
         return Some(end);
     }
-    match choice.finish_reason.as_deref() {
+    match finish.as_deref() {
         Some("stop") => Some(StreamEnd::Done(Finish::Stop)),
         Some("length") => Some(StreamEnd::Done(Finish::Length)),
         _ => None,
@@ -232,7 +256,7 @@
     // A token that is held already is skipped. If tokens are missing, the stream is reopened from
     // the first of them.
     if ix != next {
-        return (ix > next).then_some(StreamEnd::Broken);
+        return (ix > next).then_some(StreamEnd::Broken(Break::Gap));
     }
     let now = clock::now();
     if job.prefilled {
--- a/src/sidecar/monitor.rs
+++ b/src/sidecar/monitor.rs
@@ -105,9 +105,7 @@
     /// Records what could not be read of a document; `is_used` tells whether the rest is used.
     fn record_faults(&mut self, s: &Sidecar, faults: &[Fault], is_used: bool) {
         for fault in faults {
-            let (document, field) = (fault.document.name(), fault.field);
-            metrics::counter!("engine_faults_total", "document" => document, "field" => field)
-                .increment(fault.count);
+            fault.count();
             if self.faults.record(fault, is_used) {
                 let detail = format_args!("used={is_used} {fault}");
                 s.process.event(Kind::EngineUnreadable, s.engine, detail);
--- a/tests/deployment/answers.rs
+++ b/tests/deployment/answers.rs
@@ -439,3 +439,32 @@
     let named = daemon_logs(&fleet).matches("kind=EngineUnreadable").count();
     assert!((1..=2).contains(&named), "{}", daemon_logs(&fleet));
 }
+
+#[rstest]
+#[case::no_choices(r#"{"choices":[],"usage":{"total":1}}"#, None)]
+#[case::end_without_a_text(r#"{"choices":[{"text":null,"finish_reason":"stop"}]}"#, None)]
+#[case::text(r#"{"choices":[{"text":7}]}"#, Some("field=text count=1 found=\"7\""))]
+#[case::end(r#"{"choices":[{"text":"","finish_reason":[]}]}"#, Some("field=finish_reason"))]
+#[actix_rt::test]
+async fn stream_event_without_a_token_is_passed_over_and_an_unreadable_one_is_named(
+    #[case] event: &str,
+    #[case] named: Option<&str>,
+) {
+    const TOKEN: &str = r#"{"choices":[{"text":" a.0"}]}"#;
+    let stream = format!("id: 0\ndata: {TOKEN}\n\ndata: {event}\n\ndata: [DONE]\n\n");
+    let forgotten = ("GET /v1/streams", "HTTP/1.1 404 X\r\n", "");
+    let answers = Box::leak(Box::new([
+        ("GET /v1/load", OK, REPORT),
+        forgotten,
+        ("POST", OK, &*stream.leak()),
+    ]));
+    let (fleet, _requests) = start_with(engine_pool(1, loaded_params()), answers).await;
+    assert!(wait_until(10, async || serves(&fleet).await == Some(true)).await, "not serving");
+    let mut stream = open_stream(fleet.entry_address(0), 1, "a").await.expect("a token came");
+    assert_eq!(stream.finish().await == StreamEnd::Done("stop".into()), named.is_none());
+    let log = daemon_logs(&fleet);
+    let line = log.lines().find(|line| line.contains("kind=EngineSilent"));
+    assert_eq!(line.is_some(), named.is_some(), "{log}");
+    let why = "why=unreadable document=stream-event";
+    assert!(line.is_none_or(|l| l.contains(why) && named.is_some_and(|n| l.contains(n))), "{log}");
+}
