Read replies with ends of an unknown kind

An end of a generation, or a reason of a refusal, of a newer release made the whole reply undecodable. For a poll, the tokens of all generations of the link and the endpoint's report were dropped, and the same cursors were asked again for good; a refusal was taken for no answer.

An unknown end now counts as the loss of the generation: nothing more of it comes, and whether it ran is not said. It is never taken for "not run". Only an end or reply that says itself that nothing ran, for a reason that is not known, is a refusal; its reason is then that the endpoint is down. Each is named by a log line. The same applies to the replies to calls.

end_of_an_unknown_kind_leaves_the_others failed before ("the reply is dropped") and passes.

--- a/src/frame/mod.rs
+++ b/src/frame/mod.rs
@@ -189,7 +189,7 @@
     /// The engine was lost, or no longer knows the generation; there will be no more tokens.
     Lost,
     /// The generation did not run and never will.
-    NotRun(Refusal),
+    NotRun(#[serde(deserialize_with = "read_refusal")] Refusal),
     /// The generation was cancelled, by an entry or for lack of readers.
     Cancelled,
     /// The sidecar does not know the generation, or not as many tokens of it.
@@ -233,7 +233,12 @@
     #[serde(rename = "t")]
     pub tokens: Vec<Arc<str>>,
     /// How the generation ended, if these are its last tokens.
-    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    #[serde(
+        rename = "f",
+        default,
+        deserialize_with = "read_finish",
+        skip_serializing_if = "Option::is_none"
+    )]
     pub finish: Option<Finish>,
 }
 
@@ -451,7 +456,7 @@
     Accepted,
     /// The generation was refused and will not run at this endpoint. The number is the
     /// suggested delay before a retry, in milliseconds.
-    Refused(Refusal, u64),
+    Refused(#[serde(deserialize_with = "read_refusal")] Refusal, u64),
     /// Tokens and the report on the endpoint.
     Batches(Vec<Batch>, Box<Report>),
     /// Whether the cancelled generation had been submitted to the engine.
@@ -478,20 +483,44 @@
     Unsupported,
 }
 
-/// An event of another release, which may have a kind that this one does not know.
+/// A value of another release, which may be a variant that this one does not know.
 #[derive(Debug, Deserialize)]
 #[serde(untagged)]
-enum SentEvent {
-    Known(Event),
+enum Sent<T> {
+    Known(T),
     Unknown(IgnoredAny),
 }
 
+/// Reads how a generation ended. An end that is not known may be one after it ran: only its output is
+/// lost for certain.
+fn read_finish<'de, D: Deserializer<'de>>(from: D) -> Result<Option<Finish>, D::Error> {
+    Ok(match Deserialize::deserialize(from)? {
+        Some(Sent::Known(finish)) => Some(finish),
+        Some(Sent::Unknown(IgnoredAny)) => {
+            log::warn!("the end of a generation is of an unknown kind and counts as a loss");
+            Some(Finish::Lost)
+        }
+        None => None,
+    })
+}
+
+/// Reads why something was refused. Whatever the reason, it has not run.
+fn read_refusal<'de, D: Deserializer<'de>>(from: D) -> Result<Refusal, D::Error> {
+    Ok(match Deserialize::deserialize(from)? {
+        Sent::Known(refusal) => refusal,
+        Sent::Unknown(IgnoredAny) => {
+            log::warn!("a refusal has an unknown reason");
+            Refusal::Down
+        }
+    })
+}
+
 fn read_events<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Event>, D::Error> {
-    let sent: Vec<SentEvent> = Deserialize::deserialize(from)?;
+    let sent: Vec<Sent<Event>> = Deserialize::deserialize(from)?;
     let count = sent.len();
     let known = sent.into_iter().filter_map(|event| match event {
-        SentEvent::Known(event) => Some(event),
-        SentEvent::Unknown(IgnoredAny) => None,
+        Sent::Known(event) => Some(event),
+        Sent::Unknown(IgnoredAny) => None,
     });
     let known: Vec<Event> = known.collect();
     if known.len() < count {
--- a/src/frame/tests.rs
+++ b/src/frame/tests.rs
@@ -98,6 +98,51 @@
     assert_eq!(events.iter().map(|e| e.kind).collect::<Vec<_>>(), [crate::event::Kind::Started]);
 }
 
+#[test]
+fn end_of_an_unknown_kind_leaves_the_others() {
+    #[derive(Serialize)]
+    enum NewRefusal {
+        Foreseen { after: u64 },
+    }
+    #[derive(Serialize)]
+    enum NewFinish {
+        Stop,
+        Foreseen(u32),
+        NotRun(NewRefusal),
+    }
+    #[derive(Serialize)]
+    struct NewBatch {
+        g: Nonce,
+        n: u32,
+        t: Vec<Arc<str>>,
+        f: Option<NewFinish>,
+    }
+    #[derive(Serialize)]
+    enum NewReply {
+        Batches(Vec<NewBatch>, Report),
+        Refused(NewRefusal, u64),
+    }
+    let keys = keyring(&["k"]);
+    let read = |body| {
+        let at = Stamp::default();
+        let from = "a".parse().unwrap();
+        let new =
+            Envelope { from, incarnation: Incarnation(1), at, version: IntentVersion(3), body };
+        keys.decode::<Reply>(&keys.encode(&new)).map(|e| e.body)
+    };
+    let batch = |f| NewBatch { g: Nonce(1), n: 0, t: vec!["t".into()], f };
+    let refusal = || NewRefusal::Foreseen { after: 1 };
+    let ends = [NewFinish::Foreseen(1), NewFinish::NotRun(refusal()), NewFinish::Stop].map(Some);
+    let batches = ends.into_iter().chain([None]).map(batch).collect();
+    let Ok(Reply::Batches(batches, _)) = read(NewReply::Batches(batches, Report::default())) else {
+        panic!("the reply is dropped")
+    };
+    let ends: Vec<_> = batches.iter().map(|b| b.finish).collect();
+    let not_run = Finish::NotRun(Refusal::Down);
+    assert_eq!(ends, [Some(Finish::Lost), Some(not_run), Some(Finish::Stop), None]);
+    assert_eq!(read(NewReply::Refused(refusal(), 7)), Ok(Reply::Refused(Refusal::Down, 7)));
+}
+
 proptest! {
     #[test]
     fn random_bytes_are_rejected(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
