Do not say that a held generation has not run because its second submission is refused

What callers could see: "not run" for a generation that may have run. A generation that is held before its first token and continued is submitted again; a 4xx or a 503 then ended it as not run, though the first submission may have been running on the engine until its cancel arrived. The end goes to the caller by the poll and by the withdrawal.

Cause: whether the engine may know a generation was taken from its tokens alone. Now a refusal of any but the first submission ends the generation as lost, as when an engine has forgotten it.

Before: for a held generation the classification of 503 was that of a first submission, NotRun. After: no status says not run for one that was held or is resumed (tests/decisions/sidecar.rs), and the statuses of first submissions are as they were.

--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -2,7 +2,7 @@
 //! read whole.
 
 use super::documents::{self, Fault, StreamEvent};
-use super::status::{self, StreamStatus};
+use super::status::{self, Standing, StreamStatus};
 use super::{CONNECT_TIMEOUT, Sidecar, Submission, finish, limits};
 use crate::clock;
 use crate::event::Kind;
@@ -93,11 +93,14 @@
 /// Submits a generation to the engine and reads its stream, reopening it after failures, until it
 /// ends, is held or is cancelled.
 pub async fn run(s: Rc<Sidecar>, submission: Submission) {
-    // Whether the engine may have the generation, whose stream is then resumed; otherwise the
-    // generation is submitted.
-    let mut is_known = submission.job(&s.board.borrow()).is_some_and(|j| !j.tokens.is_empty());
+    let has_tokens = submission.job(&s.board.borrow()).is_some_and(|j| !j.tokens.is_empty());
+    let mut standing = match submission.number {
+        _ if has_tokens => Standing::Known,
+        1 => Standing::New,
+        _ => Standing::Held,
+    };
     loop {
-        let end = read_stream(&s, submission, &mut is_known).await;
+        let end = read_stream(&s, submission, &mut standing).await;
         if submission.job(&s.board.borrow()).is_none() {
             return;
         }
@@ -134,8 +137,12 @@
     }
 }
 
-async fn read_stream(s: &Rc<Sidecar>, submission: Submission, is_known: &mut bool) -> StreamEnd {
-    let Some(request) = stream_request(s, submission, *is_known) else {
+async fn read_stream(
+    s: &Rc<Sidecar>,
+    submission: Submission,
+    standing: &mut Standing,
+) -> StreamEnd {
+    let Some(request) = stream_request(s, submission, *standing == Standing::Known) else {
         return StreamEnd::Superseded;
     };
     let address = s.engine;
@@ -144,12 +151,12 @@
     let Ok(mut out) = sent.await else { return StreamEnd::Unreachable };
     // Once a connection was made, the engine may have the generation even without a response.
     let Ok(Ok(head)) = tokio::time::timeout(CALL_TIMEOUT, out.read_head()).await else {
-        *is_known = true;
+        *standing = Standing::Known;
         return StreamEnd::Broken(Break::Unanswered);
     };
     limits::record_response(s, sent_at, platform::parse_limit(head.headers()));
     let code = head.status.as_u16();
-    let mut status = status::classify(code, *is_known);
+    let mut status = status::classify(code, *standing);
     if matches!(status, StreamStatus::NotRun | StreamStatus::Forgotten) && !is_whole(&mut out).await
     {
         status = StreamStatus::MayRun;
@@ -157,7 +164,7 @@
     if status == StreamStatus::NotRun {
         return StreamEnd::Done(Finish::NotRun(Refusal::Down));
     }
-    *is_known = true;
+    *standing = Standing::Known;
     match status {
         StreamStatus::Open => {}
         StreamStatus::Forgotten => return StreamEnd::Unknown,
--- a/src/sidecar/status.rs
+++ b/src/sidecar/status.rs
@@ -13,15 +13,26 @@
     MayRun,
 }
 
-/// Classifies a status. `is_known` tells whether the engine may have the generation already: it
-/// then resumes a stream, and no status says that the generation has not run.
-pub fn classify(status: u16, is_known: bool) -> StreamStatus {
-    match (status, is_known) {
+/// What the engine was sent of a generation before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing.
+    New,
+    /// A submission that was held before its first token. It may have run, and is cancelled.
+    Held,
+    /// A submission whose stream is resumed.
+    Known,
+}
+
+/// Classifies the status of a response. Only that of a first submission says that the generation has
+/// not run.
+pub fn classify(status: u16, standing: Standing) -> StreamStatus {
+    match (status, standing) {
         (200, _) => StreamStatus::Open,
-        (404, true) => StreamStatus::Forgotten,
-        (_, true) => StreamStatus::MayRun,
+        (404, Standing::Known) => StreamStatus::Forgotten,
         // Engines refuse a submission with 503 before they accept it.
-        (400..=499 | 503, false) => StreamStatus::NotRun,
-        (_, false) => StreamStatus::MayRun,
+        (400..=499 | 503, Standing::New) => StreamStatus::NotRun,
+        (400..=499 | 503, Standing::Held) => StreamStatus::Forgotten,
+        _ => StreamStatus::MayRun,
     }
 }
--- a/tests/decisions/sidecar.rs
+++ b/tests/decisions/sidecar.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 use skylarkthread::sidecar::documents::{self, FaultLog};
-use skylarkthread::sidecar::status::{StreamStatus, classify};
+use skylarkthread::sidecar::status::{Standing, StreamStatus, classify};
 
 #[rstest]
 #[case::accepted(200, StreamStatus::Open)]
@@ -14,17 +14,21 @@
 #[case::bad_gateway(502, StreamStatus::MayRun)]
 #[case::gateway_timeout(504, StreamStatus::MayRun)]
 fn only_a_refused_submission_has_not_run(#[case] status: u16, #[case] expected: StreamStatus) {
-    assert_eq!(classify(status, false), expected);
+    assert_eq!(classify(status, Standing::New), expected);
 }
 
 #[test]
 fn no_status_of_a_resumption_says_that_the_generation_has_not_run() {
     for status in 100..600 {
-        assert_ne!(classify(status, true), StreamStatus::NotRun, "{status}");
+        assert_ne!(classify(status, Standing::Known), StreamStatus::NotRun, "{status}");
+        assert_ne!(classify(status, Standing::Held), StreamStatus::NotRun, "{status}");
     }
-    assert_eq!(classify(404, true), StreamStatus::Forgotten);
-    assert_eq!(classify(503, true), StreamStatus::MayRun);
-    assert_eq!(classify(200, true), StreamStatus::Open);
+    assert_eq!(classify(404, Standing::Known), StreamStatus::Forgotten);
+    assert_eq!(classify(503, Standing::Known), StreamStatus::MayRun);
+    assert_eq!(classify(200, Standing::Known), StreamStatus::Open);
+    assert_eq!(classify(503, Standing::Held), StreamStatus::Forgotten);
+    assert_eq!(classify(500, Standing::Held), StreamStatus::MayRun);
+    assert_eq!(classify(200, Standing::Held), StreamStatus::Open);
 }
 
 #[rstest]
