Do not read kinds of keys apart in the pause between two full reads

What the store saw: 44 calls in 2 s from an instance whose watches it answers with 410, as it keeps no history; 20 are allowed by panics::store_without_history_is_not_read_without_a_pause.

Now they are read apart after a full read that failed, and while one takes longer than 0.3 s.

After: that test and list_of_another_kind_that_takes_long_does_not_delay_a_start pass.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -54,6 +54,18 @@
 /// requests or send them to a data centre that is evacuated.
 const FIRST_KEYS: [&str; 2] = [platform::EVACUATIONS_PREFIX, platform::SERVERS_PREFIX];
 
+/// State of the reads of all followed keys.
+#[derive(Debug, Clone, Copy, Default)]
+pub enum FullRead {
+    /// The last one has succeeded, and no other has begun.
+    #[default]
+    Done,
+    /// One is under way since this time.
+    Since(Instant),
+    /// The last one has failed.
+    Failed,
+}
+
 /// State of the connection to the store.
 #[derive(Debug, Default)]
 struct Connection {
@@ -93,6 +105,9 @@
 /// reason.
 fn record_failure(gw: &Gateway, connection: &mut Connection, e: StoreError) {
     let (now, failure) = (clock::now(), gw.store.last_failure());
+    if gw.store_position.borrow().get().is_none() {
+        gw.full_read.set(FullRead::Failed);
+    }
     gw.readiness.fail_read(now, e, failure.clone());
     if !connection.reasons.is_lost() {
         gw.outages.borrow_mut().begin(now);
@@ -215,11 +230,15 @@
 /// Reads all keys that are followed.
 async fn read_all(gw: &Rc<Gateway>, connection: &mut Connection) -> Result<(), StoreError> {
     let is_first = gw.table.borrow().is_none();
+    if let FullRead::Done = gw.full_read.get() {
+        gw.full_read.set(FullRead::Since(clock::now()));
+    }
     let Listed { update: all, begun_at } = match is_first {
         true => gw.store.list_within(&FOLLOWED_KEYS, FIRST_TIMEOUT).await?,
         false => gw.store.list_all(&FOLLOWED_KEYS).await?,
     };
     gw.readiness.end_read(clock::now());
+    gw.full_read.set(FullRead::Done);
     log_store_back(gw, connection);
     if gw.store_position.borrow().get().is_some() {
         return Ok(());
@@ -299,7 +318,7 @@
     let is_first = FIRST_KEYS.contains(&prefix);
     loop {
         tokio::time::sleep(jitter(PART_INTERVAL)).await;
-        let is_needed = gw.store_position.borrow().get().is_none();
+        let is_needed = needs_parts(gw, clock::now());
         if !is_needed {
             known.borrow_mut().remove(prefix);
         }
@@ -311,6 +330,18 @@
     }
 }
 
+/// Returns whether no read of all keys succeeds, or one takes long. In the pause between two reads, as of
+/// a store that keeps no history, what is known is recent.
+fn needs_parts(gw: &Gateway, now: Instant) -> bool {
+    let is_unread = gw.store_position.borrow().get().is_none();
+    is_unread
+        && match gw.full_read.get() {
+            FullRead::Done => false,
+            FullRead::Since(at) => now >= at + PART_INTERVAL,
+            FullRead::Failed => true,
+        }
+}
+
 /// Reads and applies the keys with a prefix; returns whether there was an answer.
 async fn read_part(gw: &Rc<Gateway>, prefix: &str) -> bool {
     let read = gw.store.list_within(&[prefix], FIRST_TIMEOUT).await;
@@ -362,6 +393,7 @@
         refusals::apply_kv(gw, kv);
     }
     gw.store_position.borrow_mut().set(all.at);
+    gw.full_read.set(FullRead::Done);
     if source == Source::Copy {
         gw.registration.due.notify_one();
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -178,6 +178,8 @@
     registration: membership::RegistrationState,
     /// Outages of the store that this instance or another one has noticed.
     outages: RefCell<Outages>,
+    /// How the last read of all followed keys ended.
+    full_read: Cell<follow::FullRead>,
     /// Whether the last check found the store unreachable.
     store_lost: Cell<bool>,
     /// Notified when the store has changes that a reader did not include in its message.
@@ -302,6 +304,7 @@
             revisions: RefCell::new(HashMap::new()),
             store_position: RefCell::default(),
             outages: RefCell::default(),
+            full_read: Cell::default(),
             store_lost: Cell::new(false),
             registration: membership::RegistrationState::default(),
             poll_hint: Notify::new(),
