Split and rename what stops a first reader

Before: an event of a refused configuration showed 'version "a b\" event=999 ...' as it came. After: quoted (version_that_is_none_is_quoted_in_its_error).

--- a/src/clock/lag.rs
+++ b/src/clock/lag.rs
@@ -47,6 +47,7 @@
         let present = now.saturating_duration_since(self.due);
         ended.chain([present]).max().unwrap_or_default()
     }
+
     /// Returns the sum of all delays since the start, with one that lasts.
     pub fn total(&self, now: Instant) -> Duration {
         let present = now.saturating_duration_since(self.due);
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -4,6 +4,7 @@
 
 use super::links::{self, LinkState, TokenReceiver};
 use super::request::{self, GenerationRequest};
+use super::withdraw::{CANCEL_TIMEOUT, Withdrawal, cancel_in_background, give_up, withdraw};
 use super::{Entry, OpenRequest, elapsed_since, quarantine, relay};
 use crate::board::EndpointKey;
 use crate::clock;
@@ -16,9 +17,7 @@
 use crate::problem::{Problem, ProblemKind};
 use crate::quarantine::{RunEnd, RunKey, Standing};
 use actix_http::{Method, Response};
-use futures_util::FutureExt;
 use std::cell::Cell;
-use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -30,10 +29,6 @@
 const MAX_REFUSALS: usize = 3;
 /// Maximum number of restarts of a generation that is lost before its first token.
 const MAX_RESTARTS: u32 = 3;
-/// Timeout of cancel and withdraw requests to a sidecar.
-const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Longest wait for the reply to the withdrawal of a generation whose time is over.
-const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(250);
 /// `Retry-After` while another request with the same quarantined content is running.
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -135,7 +130,7 @@
 }
 
 /// Outcome of one attempt to start a generation on an endpoint.
-enum Attempt {
+pub enum Attempt {
     /// The first token has arrived.
     Started(Box<StartedGeneration>),
     /// The sidecar refused the generation without running it; a retry makes sense after the delay.
@@ -340,29 +335,6 @@
     }
 }
 
-/// Gives up a generation whose first token is late. It has not run if it was still queued or its
-/// sidecar had refused it, as the answer to the withdrawal or the end of the generation tells; the two
-/// may arrive in either order, and one of them may be missing.
-async fn give_up(
-    e: &Rc<Entry>,
-    link: &Rc<LinkState>,
-    generation: &GenerationId,
-    tokens: &mut TokenReceiver,
-) -> Attempt {
-    let asked = clock::now();
-    let withdrawn = withdraw(e, link, generation.nonce, WITHDRAW_TIMEOUT).await;
-    let waited = elapsed_since(asked).as_millis();
-    let arrived = tokens.next().now_or_never().flatten();
-    let is_refused = arrived.is_some_and(|b| matches!(b.finish, Some(Finish::NotRun(_))));
-    let detail = format_args!("withdrawal={withdrawn} refused={is_refused} waited_ms={waited}");
-    e.process.event(Kind::GivenUp, generation, detail);
-    if is_refused || withdrawn == Withdrawal::NotRun {
-        return Attempt::TimedOut { may_have_run: false };
-    }
-    cancel_in_background(e, link, generation.nonce);
-    Attempt::TimedOut { may_have_run: true }
-}
-
 /// Returns the outcome for a generation that should not stay in the queue of its endpoint.
 fn reason_to_withdraw(e: &Entry, request: &GenerationRequest, key: EndpointKey) -> Option<Attempt> {
     match quarantine::check_parts(e, request) {
@@ -378,36 +350,6 @@
     latest.is_some_and(|l| l.report.waiting > 0) && place::can_start_now(&board, &request.need)
 }
 
-/// Answer to the withdrawal of a generation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Withdrawal {
-    /// The generation has not run and never will.
-    NotRun,
-    /// The sidecar does not know that it has not run.
-    MayHaveRun,
-    /// No answer arrived in time.
-    Unanswered,
-}
-
-impl fmt::Display for Withdrawal {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Withdrawal::NotRun => "not-run",
-            Withdrawal::MayHaveRun => "may-have-run",
-            Withdrawal::Unanswered => "unanswered",
-        })
-    }
-}
-
-/// Withdraws a generation that has not started.
-async fn withdraw(e: &Rc<Entry>, link: &Rc<LinkState>, nonce: Nonce, wait: Duration) -> Withdrawal {
-    match link.request(e, Request::Withdraw(nonce), wait).await.map(|r| r.body) {
-        Ok(Reply::Withdrawn(true)) => Withdrawal::NotRun,
-        Ok(_) => Withdrawal::MayHaveRun,
-        Err(_) => Withdrawal::Unanswered,
-    }
-}
-
 fn check_first_batch(
     e: &Entry,
     key: EndpointKey,
@@ -463,13 +405,6 @@
 }
 
 /// Cancels a generation without waiting for the reply.
-fn cancel_in_background(e: &Rc<Entry>, link: &Rc<LinkState>, nonce: Nonce) {
-    let (e, link) = (e.clone(), link.clone());
-    actix_rt::spawn(async move {
-        let _ = link.request(&e, Request::Cancel(nonce), CANCEL_TIMEOUT).await;
-    });
-}
-
 /// Resumes (`GET`) or cancels (`DELETE`) the generation with the identifier `id`.
 ///
 /// # Errors
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod relay;
 mod request;
 mod sync;
+mod withdraw;
 
 use crate::board::{EndpointKey, EntryBoard};
 use crate::budget::Budget;
--- a/src/frame/call.rs
+++ b/src/frame/call.rs
@@ -59,7 +59,7 @@
     /// The call is still running.
     Running,
     /// The call did not run and never will under this key.
-    NotRun(#[serde(deserialize_with = "super::read_refusal")] Refusal),
+    NotRun(#[serde(deserialize_with = "super::unknown::read_refusal")] Refusal),
     /// It is not known whether the call ran.
     Unknown,
     /// The key was used before for a call with another content.
--- a/src/frame/mod.rs
+++ b/src/frame/mod.rs
@@ -6,6 +6,7 @@
 //! [`Reply::Unsupported`]. One that the release does not know cannot be decoded and is dropped.
 
 mod call;
+mod unknown;
 
 pub use call::{Answer, Call, CallKey, CallReply, ClaimStamp, StatedLength};
 
@@ -17,8 +18,8 @@
 };
 use crate::store::{Era, Position};
 use hmac::{Hmac, Mac};
-use serde::de::{DeserializeOwned, IgnoredAny};
-use serde::{Deserialize, Deserializer, Serialize};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 use std::fmt;
 use std::sync::Arc;
@@ -189,7 +190,7 @@
     /// The engine was lost, or no longer knows the generation; there will be no more tokens.
     Lost,
     /// The generation did not run and never will.
-    NotRun(#[serde(deserialize_with = "read_refusal")] Refusal),
+    NotRun(#[serde(deserialize_with = "unknown::read_refusal")] Refusal),
     /// The generation was cancelled, by an entry or for lack of readers.
     Cancelled,
     /// The sidecar does not know the generation, or not as many tokens of it.
@@ -236,7 +237,7 @@
     #[serde(
         rename = "f",
         default,
-        deserialize_with = "read_finish",
+        deserialize_with = "unknown::read_finish",
         skip_serializing_if = "Option::is_none"
     )]
     pub finish: Option<Finish>,
@@ -456,7 +457,7 @@
     Accepted,
     /// The generation was refused and will not run at this endpoint. The number is the
     /// suggested delay before a retry, in milliseconds.
-    Refused(#[serde(deserialize_with = "read_refusal")] Refusal, u64),
+    Refused(#[serde(deserialize_with = "unknown::read_refusal")] Refusal, u64),
     /// Tokens and the report on the endpoint.
     Batches(Vec<Batch>, Box<Report>),
     /// Whether the cancelled generation had been submitted to the engine.
@@ -474,7 +475,7 @@
     /// Hashes of chunks that the receiver of a configuration still lacks.
     Lacking(Vec<Arc<str>>),
     /// Selected events, oldest first. Those of a kind that this release does not know are left out.
-    Events(#[serde(deserialize_with = "read_events")] Vec<Event>),
+    Events(#[serde(deserialize_with = "unknown::read_events")] Vec<Event>),
     /// Whether the generation has not run and never will; `false` if that is not known.
     Withdrawn(bool),
     /// The request was processed; it has no result.
@@ -483,51 +484,5 @@
     Unsupported,
 }
 
-/// A value of another release, which may be a variant that this one does not know.
-#[derive(Debug, Deserialize)]
-#[serde(untagged)]
-enum Sent<T> {
-    Known(T),
-    Unknown(IgnoredAny),
-}
-
-/// Reads how a generation ended. An end that is not known may be one after it ran: only its output is
-/// lost for certain.
-fn read_finish<'de, D: Deserializer<'de>>(from: D) -> Result<Option<Finish>, D::Error> {
-    Ok(match Deserialize::deserialize(from)? {
-        Some(Sent::Known(finish)) => Some(finish),
-        Some(Sent::Unknown(IgnoredAny)) => {
-            log::warn!("the end of a generation is of an unknown kind and counts as a loss");
-            Some(Finish::Lost)
-        }
-        None => None,
-    })
-}
-
-/// Reads why something was refused. Whatever the reason, it has not run.
-fn read_refusal<'de, D: Deserializer<'de>>(from: D) -> Result<Refusal, D::Error> {
-    Ok(match Deserialize::deserialize(from)? {
-        Sent::Known(refusal) => refusal,
-        Sent::Unknown(IgnoredAny) => {
-            log::warn!("a refusal has an unknown reason");
-            Refusal::Down
-        }
-    })
-}
-
-fn read_events<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Event>, D::Error> {
-    let sent: Vec<Sent<Event>> = Deserialize::deserialize(from)?;
-    let count = sent.len();
-    let known = sent.into_iter().filter_map(|event| match event {
-        Sent::Known(event) => Some(event),
-        Sent::Unknown(IgnoredAny) => None,
-    });
-    let known: Vec<Event> = known.collect();
-    if known.len() < count {
-        log::warn!("left out {} events of unknown kinds", count - known.len());
-    }
-    Ok(known)
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/gateway/evacuation.rs
+++ b/src/gateway/evacuation.rs
@@ -86,6 +86,7 @@
         metrics::gauge!("evacuation_open_requests", &labels).set(0.0);
     }
     if change.active && endpoints == 0 {
-        log::warn!("no endpoint is known in the evacuated data centre {}", change.centre);
+        let centre = change.centre.as_str();
+        log::warn!("no endpoint is known in the evacuated data centre {centre:?}");
     }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the store: the operators' configuration, the list of endpoints and the list of peers.
 
+use super::parts::FullRead;
 use super::{Gateway, evacuation, jitter, membership, peers, refusals};
 use crate::clock;
 use crate::event::Kind;
@@ -8,9 +9,6 @@
 use crate::pool::{Listing, Source};
 use crate::readiness::OutageReasons;
 use crate::store::{ChangeFeed, KeyValue, Position, Rereads, StoreError, StoreUpdate};
-use futures_util::future::join_all;
-use std::cell::RefCell;
-use std::collections::HashSet;
 use std::fmt::Display;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -22,7 +20,7 @@
 /// Interval between two calls of a reader while the store is unreachable.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 /// Time for each answer of a full read while there is no configuration.
-const FIRST_TIMEOUT: Duration = Duration::from_secs(1);
+pub const FIRST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for each answer of a read that is made beside those, from a store that is slow.
 const SLOW_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after the start until the slow read begins.
@@ -38,34 +36,16 @@
 const BATCH_DELAY: Duration = Duration::from_millis(40);
 /// Interval at which an instance that is no reader checks whether its next poll is due.
 const POLL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval between two reads of a part of the keys, while no read of all of them succeeds.
-const PART_INTERVAL: Duration = Duration::from_millis(300);
 /// Maximum number of keys whose revisions are remembered; all are forgotten when it is reached.
 const MAX_REVISIONS: usize = 4096;
 /// Prefixes of the keys that an instance follows. Others may keep any number of keys beside them.
-const FOLLOWED_KEYS: [&str; 5] = [
+pub const FOLLOWED_KEYS: [&str; 5] = [
     platform::CONFIG_KEY,
     platform::EVACUATIONS_PREFIX,
     platform::SERVERS_PREFIX,
     membership::KEY_PREFIX,
     refusals::KEY_PREFIX,
 ];
-/// The followed keys without which an instance that has a configuration would be ready, and refuse all
-/// requests or send them to a data centre that is evacuated.
-const FIRST_KEYS: [&str; 2] = [platform::EVACUATIONS_PREFIX, platform::SERVERS_PREFIX];
-
-/// State of the reads of all followed keys.
-#[derive(Debug, Clone, Copy, Default)]
-pub enum FullRead {
-    /// The last one has succeeded, and no other has begun.
-    #[default]
-    Done,
-    /// One is under way since this time.
-    Since(Instant),
-    /// The last one has failed.
-    Failed,
-}
-
 /// State of the connection to the store.
 #[derive(Debug, Default)]
 struct Connection {
@@ -307,68 +287,8 @@
     interval
 }
 
-/// Reads each kind of keys for itself while no read of all of them succeeds, as from a store that
-/// refuses some calls and answers others, or has a list that takes long. Does not return.
-pub async fn read_parts(gw: Rc<Gateway>) {
-    let known = RefCell::default();
-    join_all(FOLLOWED_KEYS.iter().map(|prefix| follow_part(&gw, prefix, &known))).await;
-}
-
-async fn follow_part(gw: &Rc<Gateway>, prefix: &'static str, known: &RefCell<HashSet<&str>>) {
-    let is_first = FIRST_KEYS.contains(&prefix);
-    loop {
-        tokio::time::sleep(jitter(PART_INTERVAL)).await;
-        let is_needed = needs_parts(gw, clock::now());
-        if !is_needed {
-            known.borrow_mut().remove(prefix);
-        }
-        let is_due =
-            is_needed && (is_first || FIRST_KEYS.iter().all(|k| known.borrow().contains(k)));
-        if is_due && read_part(gw, prefix).await {
-            known.borrow_mut().insert(prefix);
-        }
-    }
-}
-
-/// Returns whether no read of all keys succeeds, or one takes long. In the pause between two reads, as of
-/// a store that keeps no history, what is known is recent.
-fn needs_parts(gw: &Gateway, now: Instant) -> bool {
-    let is_unread = gw.store_position.borrow().get().is_none();
-    is_unread
-        && match gw.full_read.get() {
-            FullRead::Done => false,
-            FullRead::Since(at) => now >= at + PART_INTERVAL,
-            FullRead::Failed => true,
-        }
-}
-
-/// Reads and applies the keys with a prefix; returns whether there was an answer.
-async fn read_part(gw: &Rc<Gateway>, prefix: &str) -> bool {
-    let read = gw.store.list_within(&[prefix], FIRST_TIMEOUT).await;
-    let has_all = gw.store_position.borrow().get().is_some();
-    let part = read.as_ref().ok().map(|listed| &listed.update);
-    let part = part.filter(|part| !has_all && is_ahead(gw, part.at));
-    if let Some(part) = part {
-        apply_part(gw, prefix, part);
-    }
-    read.is_ok()
-}
-
-fn apply_part(gw: &Rc<Gateway>, prefix: &str, part: &StoreUpdate) {
-    match prefix {
-        platform::CONFIG_KEY => apply_config(gw, part),
-        platform::EVACUATIONS_PREFIX => evacuation::replace(gw, part, Source::Current),
-        platform::SERVERS_PREFIX => replace_listings(gw, part, Source::Current),
-        _ => {}
-    }
-    for kv in &part.kvs {
-        membership::update_peer(gw, kv);
-        refusals::apply_kv(gw, kv);
-    }
-}
-
 /// Returns whether a read at `at` has all that is known, and may have a first configuration.
-fn is_ahead(gw: &Gateway, at: Position) -> bool {
+pub fn is_ahead(gw: &Gateway, at: Position) -> bool {
     let position = gw.store_position.borrow();
     let is_missing = gw.table.borrow().is_none();
     position.compare(at) == Succession::Same
@@ -425,7 +345,7 @@
     }
 }
 
-fn apply_config(gw: &Gateway, update: &StoreUpdate) {
+pub fn apply_config(gw: &Gateway, update: &StoreUpdate) {
     let configs = update.kvs.iter().rev().filter(|kv| &*kv.key == platform::CONFIG_KEY);
     let mut values = configs.filter_map(|kv| kv.value.as_ref()).peekable();
     let is_there = values.peek().is_some();
@@ -465,7 +385,7 @@
     gw.table_known.notify_waiters();
 }
 
-fn replace_listings(gw: &Gateway, update: &StoreUpdate, source: Source) {
+pub fn replace_listings(gw: &Gateway, update: &StoreUpdate, source: Source) {
     let all = update.kvs.iter().filter_map(|kv| read_listing(gw, kv)).collect();
     let changes = gw.pool.borrow_mut().replace_listings(clock::now(), all, source);
     changes.into_iter().for_each(|c| gw.log_change(c));
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -4,6 +4,7 @@
 use super::peers::{self, Reply};
 use super::{Gateway, jitter};
 use crate::clock;
+use crate::escape::log_value;
 use crate::event::Kind;
 use crate::gossip::{self, LimitNotice, LimitRow, PeerMessage, Tag};
 use crate::id::{InstanceId, ServiceName};
@@ -103,7 +104,7 @@
         }
         let known = Known { limit: row.limit, at: time_of(now, row.age_ms) };
         let key = gw.pool.borrow().find_key_by_tag(row.tag);
-        let source = format_args!("from=peer peer={from}");
+        let source = format_args!("from=peer peer={}", log_value(from.as_str()));
         changed.extend(key.and_then(|key| record(gw, key, known, source)));
     }
     changed.retain(|tag| peers::coordinator(gw, *tag).is_none());
@@ -282,7 +283,9 @@
 ) {
     let at = time_of(clock::now(), request.age_ms);
     let known = Known { limit: Some(request.limit), at };
-    if let Some(tag) = record(gw, key, known, format_args!("from=peer peer={from}")) {
+    if let Some(tag) =
+        record(gw, key, known, format_args!("from=peer peer={}", log_value(from.as_str())))
+    {
         publish(gw, vec![tag]);
     }
     let stated: Option<Rate> =
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -82,7 +82,7 @@
     // Serializing an address and a byte array cannot fail.
     let value: Rc<[u8]> = serde_json::to_vec(&*registration).unwrap_or_default().into();
     *gw.registration.value.borrow_mut() = value.clone();
-    let (mut held, mut era) = (Held::default(), gw.store_position.borrow().era());
+    let (mut held, mut era) = (RegistrationLease::default(), gw.store_position.borrow().era());
     let (mut is_repeated, mut reasons) = (false, OutageReasons::default());
     loop {
         if gw.registration.is_replaced.take() {
@@ -96,7 +96,7 @@
         if gw.registration.is_lost.take() || is_copy {
             // The lease is gone or holds another key. After a return from a copy its number may have
             // been given to another instance.
-            held = Held::default();
+            held = RegistrationLease::default();
         }
         let calls = renew_or_register(&gw, &key, &value, &mut held);
         let outcome = tokio::select! {
@@ -129,7 +129,7 @@
 
 /// Lease for the registration.
 #[derive(Debug, Default)]
-struct Held {
+struct RegistrationLease {
     lease: Option<LeaseId>,
     /// Whether the registration was written under it.
     is_written: bool,
@@ -144,13 +144,13 @@
     gw: &Gateway,
     key: &str,
     value: &[u8],
-    held: &mut Held,
+    held: &mut RegistrationLease,
 ) -> Result<bool, StoreError> {
     if let Some(lease) = held.lease.filter(|_| held.is_written) {
         if gw.store.renew(lease).await? {
             return Ok(true);
         }
-        *held = Held::default();
+        *held = RegistrationLease::default();
     }
     // A lease that is there is kept, so that a write that fails is repeated alone.
     let lease = match held.lease {
@@ -160,7 +160,7 @@
     held.is_written = gw.store.put(key, value, lease).await?;
     gw.registration.written_at.set(Some(clock::now()));
     if !held.is_written {
-        *held = Held::default();
+        *held = RegistrationLease::default();
     }
     Ok(held.is_written)
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod memory;
 mod migrate;
 mod outage;
+mod parts;
 mod pauses;
 mod peers;
 mod quarantine;
@@ -45,6 +46,7 @@
 use crate::budget::SharedBudget;
 use crate::callers::{CallerKey, Callers};
 use crate::clock;
+use crate::escape::log_value;
 use crate::evacuate::LinkScheduler;
 use crate::event::{EventRing, Kind, WaveLog};
 use crate::gossip::{ConfigPull, Outages, PeerLoads, StorePosition, Work};
@@ -178,8 +180,8 @@
     registration: membership::RegistrationState,
     /// Outages of the store that this instance or another one has noticed.
     outages: RefCell<Outages>,
-    /// How the last read of all followed keys ended.
-    full_read: Cell<follow::FullRead>,
+    /// State of the reads of all followed keys.
+    full_read: Cell<parts::FullRead>,
     /// Whether the last check found the store unreachable.
     store_lost: Cell<bool>,
     /// Notified when the store has changes that a reader did not include in its message.
@@ -215,7 +217,8 @@
     let listeners = Listeners::open(&settings, front, port);
     let gw = Rc::new(Gateway::new(&settings, metrics, begun));
     callers::step(&gw);
-    gw.event(Kind::Started, &settings.instance, format_args!("data_centre={}", settings.centre));
+    let centre = log_value(settings.centre.as_str());
+    gw.event(Kind::Started, &settings.instance, format_args!("data_centre={centre}"));
     readiness::step(&gw, clock::now());
     readiness::watch_stalls(&gw);
     for opening in listeners.probes {
@@ -224,7 +227,7 @@
     serve::start_callers(&gw, listeners.callers);
     keep(&gw, "store", follow::follow_store);
     keep(&gw, "slow store", follow::read_slowly);
-    keep(&gw, "parts of the store", follow::read_parts);
+    keep(&gw, "parts of the store", parts::follow);
     keep(&gw, "maintenance", run_maintenance);
     keep(&gw, "relief", callers::relieve);
     keep(&gw, "outages", outage::poll_engines);
--- a/src/gateway/outage.rs
+++ b/src/gateway/outage.rs
@@ -4,6 +4,7 @@
 use super::{Gateway, membership, peers};
 use crate::balance;
 use crate::clock;
+use crate::escape::log_value;
 use crate::evacuate::{self, POLL_INTERVAL, PollSchedule};
 use crate::event::Kind;
 use crate::gossip::{StoreStatus, Tag};
@@ -161,7 +162,7 @@
 pub fn record_leaving(gw: &Gateway, tag: Tag, from: &InstanceId) {
     let key = gw.pool.borrow().find_key_by_tag(tag).filter(|k| is_notice_useful(gw, *k));
     if let Some(key) = key {
-        let detail = format_args!("from=peer peer={from}");
+        let detail = format_args!("from=peer peer={}", log_value(from.as_str()));
         mark_leaving(gw, key, detail);
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -271,7 +271,7 @@
 pub fn fleet(gw: &Gateway) -> Fleet {
     let (peers, loads) = (gw.peers.borrow(), gw.peer_loads.borrow());
     let heard = peers.keys().filter(|i| loads.has_heard(i)).count();
-    Fleet { registered: peers.len() + 1, heard: heard + 1 }
+    Fleet { owners: peers.len() + 1, heard: heard + 1 }
 }
 
 /// Returns how many instances are registered, this one included.
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -6,6 +6,7 @@
 use super::{Gateway, limits};
 use crate::budget::{Charge, Hundredths};
 use crate::clock;
+use crate::escape::log_value;
 use crate::event::Kind;
 use crate::gossip::{LoanRequest, PeerMessage};
 use crate::id::{RequestId, ServiceName};
@@ -111,6 +112,7 @@
         Some(true) => (Kind::Retried, " from=loan"),
         Some(false) => (Kind::Retried, " from=own"),
     };
+    let service = log_value(service.as_str());
     gw.event(kind, log_id(id), format_args!("service={service}{from} left={left:.2}"));
 }
 
--- a/src/h1/inbound.rs
+++ b/src/h1/inbound.rs
@@ -504,7 +504,8 @@
     }
 }
 
-/// Returns whether there is room for a request, once connections have been closed for it that keep much.
+/// Returns whether there is room for a request within [`ROOM_TIMEOUT`], in which connections that keep much
+/// are closed.
 async fn has_room_soon(load: &Load, mut has_room: impl FnMut() -> bool) -> bool {
     let waited = async {
         while !has_room() {
--- a/src/h1/request.rs
+++ b/src/h1/request.rs
@@ -28,8 +28,8 @@
     }
 }
 
-/// Time that a caller may take to send a part of a request. Time for which this process ran late is its own: it
-/// has not read meanwhile, and the kernel holds little for it.
+/// Time that a caller may take to send a part of a request. Delays of this process do not count: it has not
+/// read meanwhile, and the kernel holds little for it.
 #[derive(Debug, Clone, Copy)]
 pub struct Allowance {
     limit: Duration,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod http;
 pub mod id;
 pub mod intent;
+pub mod json;
 pub mod jsonc;
 pub mod lead;
 pub mod length;
--- a/src/limit/allocator.rs
+++ b/src/limit/allocator.rs
@@ -51,7 +51,7 @@
 pub struct Fleet {
     /// Instances that own a part of each limit: those that are registered, and those whose registration
     /// has ended while they are still heard from.
-    pub registered: usize,
+    pub owners: usize,
     /// Those of which it has heard recently.
     pub heard: usize,
 }
@@ -59,7 +59,7 @@
 impl Fleet {
     /// Returns the part of a rate that `n` instances own.
     fn part(self, rate: Rate, n: usize) -> Rate {
-        rate.times(n.min(self.registered) as f64 / self.registered.max(1) as f64)
+        rate.times(n.min(self.owners) as f64 / self.owners.max(1) as f64)
     }
 
     /// Returns the part of a rate that one instance owns.
@@ -69,12 +69,12 @@
 
     /// Returns the interval at which instances without a coordinator ask again.
     pub fn retry_interval(self) -> Duration {
-        interval(self.registered)
+        interval(self.owners)
     }
 
     /// Returns the time after which no instance has a lease of an earlier coordinator.
     fn handover_time(self) -> Duration {
-        lease_time(interval(self.registered))
+        lease_time(interval(self.owners))
     }
 }
 
--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -15,8 +15,8 @@
 const MAX_QUEUED_LINES: usize = 1024;
 /// Rate limit. It exceeds the number of requests per second that a busy instance answers.
 const MAX_LINES_PER_SECOND: u32 = 400;
-/// Part of the rate that warnings may use. Whoever writes odd entries into the store decides how many
-/// there are, and events that say how this process is have to be among the lines.
+/// Part of the rate that warnings may use. Their number depends on what others write into the store, and
+/// events of this process must not be dropped for them.
 const MAX_WARNINGS_PER_SECOND: u32 = 100;
 /// Time after an error of the output until the next write.
 const ERROR_PAUSE: Duration = Duration::from_millis(100);
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -63,7 +63,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ConfigError::Syntax(e) => write!(f, "{e}"),
-            ConfigError::Version(version) => write!(f, "version {version} is no whole number"),
+            ConfigError::Version(version) => write!(f, "version {version:?} is no whole number"),
             ConfigError::List(field) => write!(f, "{field} is no list"),
         }
     }
@@ -81,7 +81,7 @@
 /// Returns [`ConfigError`] if the text as a whole is not a configuration.
 pub fn parse_table(value: &[u8]) -> Result<Table, ConfigError> {
     let text: ConfigText<'_> = serde_json::from_slice(value).map_err(ConfigError::Syntax)?;
-    let version = fields::whole(&fields::read_parts(text.version));
+    let version = fields::whole(&fields::read_lenient(text.version));
     let version = version.ok_or_else(|| ConfigError::Version(text.version.get().into()))?;
     let mut table = Table { version: TableVersion(version), ..Table::default() };
     let mut faults = Vec::new();
@@ -101,7 +101,7 @@
     }
     add_tenants(&mut table, text.tenants, &mut faults);
     if let Some(limits) = text.limits {
-        table.limits = parse_limits(&fields::read_parts(limits), &mut faults);
+        table.limits = parse_limits(&fields::read_lenient(limits), &mut faults);
     }
     table.faults = faults;
     Ok(table)
--- a/src/platform/fields.rs
+++ b/src/platform/fields.rs
@@ -1,5 +1,7 @@
 //! Reads JSON objects of which single fields may be missing or of another type.
 
+pub use crate::json::{read_lenient, whole};
+
 use super::time;
 use crate::id::IdError;
 use crate::route::TableFault;
@@ -7,36 +9,8 @@
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use serde_json::{Map, Value};
-use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Number up to which each whole one has a float of its own.
-const MAX_WHOLE_FLOAT: f64 = 9_007_199_254_740_992.0;
-
-/// Levels of lists and objects in an entry of which the parts that can be read are kept.
-const MAX_DEPTH: usize = 3;
-
-/// Reads a value. Parts of it that cannot be read, such as a number that no float holds, become empty
-/// objects, which no field of the platform is.
-pub fn read_parts(text: &RawValue) -> Value {
-    read_level(text.get(), MAX_DEPTH)
-}
-
-fn read_level(text: &str, depth: usize) -> Value {
-    match serde_json::from_str(text) {
-        Ok(value) => return value,
-        Err(_) if depth == 0 => return Value::Object(Map::new()),
-        Err(_) => {}
-    }
-    let depth = depth - 1;
-    if let Ok(list) = serde_json::from_str::<Vec<&RawValue>>(text) {
-        return list.into_iter().map(|part| read_level(part.get(), depth)).collect();
-    }
-    let object = serde_json::from_str::<BTreeMap<String, &RawValue>>(text).unwrap_or_default();
-    let fields = object.into_iter().map(|(name, part)| (name, read_level(part.get(), depth)));
-    Value::Object(fields.collect())
-}
-
 /// Reads the entries of a list; `None` if it is none. Entries that are no objects are faults.
 pub fn entries(
     list: Option<&RawValue>,
@@ -47,7 +21,7 @@
     let all: Vec<&RawValue> = serde_json::from_str(list.get()).ok()?;
     let mut read = Vec::new();
     for (ix, entry) in all.into_iter().enumerate() {
-        match read_parts(entry) {
+        match read_lenient(entry) {
             Value::Object(object) if entry.get().starts_with('{') => read.push(object),
             _ => {
                 faults.push(TableFault { place, entry: ix.to_string().into(), field: "" });
@@ -122,13 +96,6 @@
     }
 }
 
-/// Returns a whole number, also one that is written with a point.
-pub fn whole<N: TryFrom<u64>>(value: &Value) -> Option<N> {
-    let is_whole = |n: &f64| n.fract() == 0.0 && (0.0..=MAX_WHOLE_FLOAT).contains(n);
-    let number = value.as_u64().or_else(|| value.as_f64().filter(is_whole).map(|n| n as u64));
-    number?.try_into().ok()
-}
-
 /// Reads a whole number, as [`whole`] does.
 pub fn read_whole<'de, D: Deserializer<'de>, N: TryFrom<u64>>(from: D) -> Result<N, D::Error> {
     let number = whole(&Value::deserialize(from)?);
--- a/src/platform/items.rs
+++ b/src/platform/items.rs
@@ -207,12 +207,12 @@
     skipped: &mut SkipLog,
 ) -> Option<Vec<u8>> {
     let (key, text) = (shorten(key), value.get());
-    let mut skip = |why: &dyn fmt::Display| {
+    let mut skip = |why: fmt::Arguments<'_>| {
         skipped.add(format_args!("skipped the value of {key:?} at revision {revision}: {why}"));
     };
     let size = encoded_len(value);
     if key != CONFIG_KEY && size > MAX_VALUE_BYTES {
-        skip(&format_args!("{size} bytes"));
+        skip(format_args!("{size} bytes"));
         return None;
     }
     // Text without escapes is not copied.
@@ -220,8 +220,8 @@
         Ok(plain) => STANDARD.decode(plain),
         Err(_) => {
             let text = serde_json::from_str::<String>(text);
-            STANDARD.decode(text.inspect_err(|e| skip(e)).ok()?)
+            STANDARD.decode(text.inspect_err(|e| skip(format_args!("{e}"))).ok()?)
         }
     };
-    decoded.inspect_err(|e| skip(e)).ok()
+    decoded.inspect_err(|e| skip(format_args!("{e}"))).ok()
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -12,6 +12,7 @@
 mod items;
 mod kv;
 mod lists;
+mod range;
 mod servers;
 mod settings;
 mod time;
@@ -22,13 +23,13 @@
     CallError, CopyOutcome, Handoff, Identity, Probe, Report, copy_memory, fetch_report, free_copy,
     probe,
 };
-pub use fields::{read_parts, whole};
 pub use headers::{
     ForwardParams, HeaderFault, Question, RequestInfo, ResponseInfo, TokenCounts, asked_workspace,
     explained_path, forward_head, host, parse_limit, parse_request, parse_response, refusal_head,
     response_head,
 };
-pub use kv::{CallFailure, KvClient, Listed};
+pub use kv::{CallFailure, KvClient};
+pub use range::Listed;
 pub use servers::parse_listing;
 pub use settings::{GatewaySettings, Reading, SettingsError, settings_path};
 
--- a/src/sidecar/documents.rs
+++ b/src/sidecar/documents.rs
@@ -3,7 +3,7 @@
 
 use crate::board::Engine;
 use crate::event::shorten;
-use crate::platform::{read_parts, whole};
+use crate::json::{read_lenient, whole};
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::value::RawValue;
@@ -92,19 +92,19 @@
 }
 
 impl Reader<'_> {
-    fn fault(&mut self, field: &'static str, found: Option<&dyn fmt::Display>) {
+    fn fault(&mut self, field: &'static str, found: Option<&str>) {
         if let Some(known) = self.faults.iter_mut().find(|f| f.field == field) {
             known.count += 1;
             return;
         }
-        let found = found.map(|text| shorten(&text.to_string()).into());
+        let found = found.map(|text| shorten(text).into());
         self.faults.push(Fault { document: self.document, field, found, count: 1 });
     }
 
     /// Reads the JSON text of a document as a value or as parts of it.
     fn parse<'t, T: Deserialize<'t>>(&mut self, text: &'t str) -> Option<T> {
         let read = serde_json::from_str(text);
-        read.inspect_err(|_| self.fault("document", Some(&text))).ok()
+        read.inspect_err(|_| self.fault("document", Some(text))).ok()
     }
 
     /// Reads a field that may be absent.
@@ -117,7 +117,7 @@
         let value = object.get(field).filter(|value| !value.is_null())?;
         let read = read(value);
         if read.is_none() {
-            self.fault(field, Some(value));
+            self.fault(field, Some(&value.to_string()));
         }
         read
     }
@@ -190,14 +190,14 @@
     let mut reader = Reader { document: Document::Load, faults };
     // Bytes that are no UTF-8 spoil only the name in which they are.
     let text = String::from_utf8_lossy(body);
-    let object = read_parts(reader.parse(&text)?);
+    let object = read_lenient(reader.parse(&text)?);
     let names = reader.required(&object, "loaded", Value::as_array);
     let loaded = names.map(|names| {
         let mut loaded = Vec::with_capacity(names.len());
         for name in names {
             match name.as_str() {
                 Some(name) => loaded.push(name.into()),
-                None => reader.fault("loaded.name", Some(name)),
+                None => reader.fault("loaded.name", Some(&name.to_string())),
             }
         }
         loaded
@@ -228,9 +228,9 @@
     let text = String::from_utf8_lossy(body);
     let list: Vec<&RawValue> = reader.parse(&text).unwrap_or_default();
     let mut events = Vec::new();
-    for event in list.into_iter().map(read_parts) {
+    for event in list.into_iter().map(read_lenient) {
         if !event.is_object() {
-            reader.fault("event", Some(&event));
+            reader.fault("event", Some(&event.to_string()));
             continue;
         }
         let prefix = reader.required(&event, "prefix", whole);
@@ -260,7 +260,7 @@
     let mut reader = Reader { document: Document::StreamEvent, faults: &mut faults };
     let text = |value: &Value| value.as_str().map(Arc::from);
     let mut event = StreamEvent::default();
-    if let Some(object) = reader.parse(data).map(read_parts) {
+    if let Some(object) = reader.parse(data).map(read_lenient) {
         let choices = reader.required(&object, "choices", Value::as_array);
         if let Some(choice) = choices.and_then(|choices| choices.first()) {
             event.finish = reader.optional(choice, "finish_reason", text);
@@ -272,7 +272,7 @@
             if let Some(token) = token.filter(|token| !token.is_empty()) {
                 match id.parse() {
                     Ok(ix) => event.token = Some((ix, token)),
-                    Err(_) => reader.fault("id", Some(&id)),
+                    Err(_) => reader.fault("id", Some(id)),
                 }
             }
         }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -35,6 +35,7 @@
 mod polls;
 mod pool;
 mod ports;
+mod presence;
 mod prompts;
 mod quarantine;
 mod readiness;
--- a/tests/decisions/odd_items.rs
+++ b/tests/decisions/odd_items.rs
@@ -234,3 +234,10 @@
     }
     assert_eq!(joined, whole);
 }
+
+#[test]
+fn version_that_is_none_is_quoted_in_its_error() {
+    let config = br#"{"version":"a b\" event=999","routes":[],"services":[]}"#;
+    let e = parse_table(config).map(drop).expect_err("the version is no number");
+    assert_eq!(e.to_string(), r#"version "\"a b\\\" event=999\"" is no whole number"#);
+}
