--- a/tests/gateway/common.rs
+++ b/tests/gateway/common.rs
@@ -1,6 +1,6 @@
 //! Shared setup of the gateway tests: gateways, a store and endpoints.
 
-use standin::platform::{Connection, Endpoint, Gateway, Reply, Store, send, wait_until};
+use standin::platform::{Action, Connection, Endpoint, Gateway, Reply, Store, send, wait_until};
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -18,6 +18,9 @@
 "limits":{"max_header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":1000,"idle_timeout_ms":3000},
 "tenants":[{"name":"acme","api_keys":["key-1"]},{"name":"other","api_keys":["key-2"]}]}"#;
 
+/// Time in which a configuration applies, with the platform's allowance for an instance that starts.
+pub const APPLY_SECS: u64 = 7;
+
 /// Polls until `is_true` returns true, for at most `secs` seconds; returns whether it did.
 pub fn wait_for(secs: u64, is_true: impl FnMut() -> bool) -> bool {
     wait_until(std::time::Duration::from_secs(secs), is_true)
@@ -48,6 +51,23 @@
     store.set(&format!("servers/{}", e.id), Some(e.listing(service, state).as_bytes()));
 }
 
+/// Starts a store with a configuration and an endpoint.
+pub fn start_store() -> (Endpoint, Store) {
+    let e = Endpoint::start("i-1", Action::Respond(200, "fine".into()));
+    let store = Store::start();
+    store.set("op/config", Some(CONFIG.as_bytes()));
+    list_endpoint(&store, &e, "plain", "ready");
+    (e, store)
+}
+
+/// Checks that an instance is ready in time, and serves.
+pub fn assert_serves(gateway: &mut Gateway) {
+    let is_ready = wait_for(APPLY_SECS, || gateway.probe() == 200);
+    assert!(!gateway.has_ended(), "the process has ended");
+    assert!(is_ready, "not ready within {APPLY_SECS} s");
+    assert_eq!(send_request(gateway, "GET", "/safe/x", "id-1").status, 200);
+}
+
 /// Builds a request as sent on the wire, with `extra` header lines.
 pub fn request_bytes(method: &str, path: &str, id: &str, extra: &str, body: &str) -> Vec<u8> {
     let length =
--- a/tests/gateway/start_store.rs
+++ b/tests/gateway/start_store.rs
@@ -1,14 +1,14 @@
 //! Tests that an instance starts, and then serves, whatever the store and its peers are like at first.
 
-use crate::common::{CONFIG, list_endpoint, send_request, start_gateway_at, wait_for};
+use crate::common::{
+    APPLY_SECS, CONFIG, assert_serves, list_endpoint, send_request, start_gateway_at, wait_for,
+};
 use rstest::rstest;
 use serde_json::json;
 use standin::platform::{Action, Endpoint, Gateway, Store, StoreFault, StoreFront, send};
 use std::net::UdpSocket;
 use std::time::{Duration, Instant};
 
-/// Time in which a configuration applies, with the platform's allowance for an instance that starts.
-const APPLY_SECS: u64 = 7;
 /// Time from the end of a fault in which an instance is ready.
 const READY_SECS: u64 = 2;
 /// Time in which a readiness check gets its answer.
@@ -26,13 +26,6 @@
     }
 }
 
-fn assert_serves(gateway: &mut Gateway) {
-    let is_ready = wait_for(APPLY_SECS, || gateway.probe() == 200);
-    assert!(!gateway.has_ended(), "the process has ended");
-    assert!(is_ready, "not ready within {APPLY_SECS} s");
-    assert_eq!(send_request(gateway, "GET", "/safe/x", "id-1").status, 200);
-}
-
 #[rstest]
 #[case::absent(StoreFault::Absent, 3)]
 #[case::absent_for_long(StoreFault::Absent, 20)]
--- a/tests/gateway/start_storm.rs
+++ b/tests/gateway/start_storm.rs
@@ -2,14 +2,12 @@
 //! whatever part of its calls fails.
 
 use crate::common::{
-    CONFIG, list_endpoint, request_bytes, start_gateway, start_gateway_at, wait_for,
+    CONFIG, request_bytes, start_gateway, start_gateway_at, start_store, wait_for,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
-use standin::platform::{
-    Action, Endpoint, Gateway, Store, StoreFault, StoreFront, foreign, try_send,
-};
+use standin::platform::{Gateway, StoreFault, StoreFront, foreign, try_send};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -22,14 +20,6 @@
 /// Keys of the report of inc10.
 const REPORTED_KEYS: [&str; 5] = ["a00%25", "a01%25", "a02&b=", "a03+", "a04%C3%A9"];
 
-fn start_store() -> (Endpoint, Store) {
-    let e = Endpoint::start("i-1", Action::Respond(200, "fine".into()));
-    let store = Store::start();
-    store.set("op/config", Some(CONFIG.as_bytes()));
-    list_endpoint(&store, &e, "plain", "ready");
-    (e, store)
-}
-
 /// Checks that an instance which was started at `start` is ready and serves in time.
 fn assert_serves(gateway: &mut Gateway, start: Instant, case: &str) {
     let is_served = |gateway: &Gateway| {
--- a/tests/gateway/store_keys.rs
+++ b/tests/gateway/store_keys.rs
@@ -1,18 +1,17 @@
 //! Tests that keys which others write to the store keep no instance from following it.
 
 use crate::common::{
-    CONFIG, list_endpoint, send_request, start_gateway, start_gateway_at, wait_for,
+    APPLY_SECS, CONFIG, assert_serves, send_request, start_gateway, start_gateway_at, start_store,
+    wait_for,
 };
 use crate::odd_messages::Peer;
 use rstest::rstest;
 use skylarkthread::gossip::{Digest, PeerMessage};
-use standin::platform::{Action, Endpoint, Gateway, Outage, Store};
+use standin::platform::{Gateway, Outage};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-/// Time in which a configuration applies, with the platform's allowance for an instance that starts.
-const APPLY_SECS: u64 = 7;
 /// Time in which a change of the list of endpoints applies.
 const CHANGE_SECS: u64 = 2;
 /// Time to live of a registration.
@@ -41,21 +40,6 @@
     "a11🔒\u{7f}\n",
 ];
 
-fn start_store() -> (Endpoint, Store) {
-    let e = Endpoint::start("i-1", Action::Respond(200, "fine".into()));
-    let store = Store::start();
-    store.set("op/config", Some(CONFIG.as_bytes()));
-    list_endpoint(&store, &e, "plain", "ready");
-    (e, store)
-}
-
-fn assert_serves(gateway: &mut Gateway) {
-    let is_ready = wait_for(APPLY_SECS, || gateway.probe() == 200);
-    assert!(!gateway.has_ended(), "the process has ended");
-    assert!(is_ready, "not ready within {APPLY_SECS} s");
-    assert_eq!(send_request(gateway, "GET", "/safe/x", "id-1").status, 200);
-}
-
 #[rstest]
 fn instance_is_ready_though_a_page_ends_at_any_key(
     #[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11)] key: usize,
--- a/tests/gateway/store_rules.rs
+++ b/tests/gateway/store_rules.rs
@@ -2,7 +2,8 @@
 //! does.
 
 use crate::common::{
-    CONFIG, list_endpoint, send_request, start_gateway, start_gateway_at, wait_for,
+    APPLY_SECS, CONFIG, assert_serves, list_endpoint, send_request, start_gateway,
+    start_gateway_at, start_store, wait_for,
 };
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -12,8 +13,6 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-/// Time in which a configuration applies, with the platform's allowance for an instance that starts.
-const APPLY_SECS: u64 = 7;
 /// Time in which a change of the list of endpoints applies.
 const CHANGE_SECS: u64 = 2;
 /// Time to live of a registration.
@@ -107,21 +106,6 @@
     assert_eq!(store.keys("t/"), [""; 0]);
 }
 
-fn start_store() -> (Endpoint, Store) {
-    let e = Endpoint::start("i-1", Action::Respond(200, "fine".into()));
-    let store = Store::start();
-    store.set("op/config", Some(CONFIG.as_bytes()));
-    list_endpoint(&store, &e, "plain", "ready");
-    (e, store)
-}
-
-fn assert_serves(gateway: &mut Gateway) {
-    let is_ready = wait_for(APPLY_SECS, || gateway.probe() == 200);
-    assert!(!gateway.has_ended(), "the process has ended");
-    assert!(is_ready, "not ready within {APPLY_SECS} s");
-    assert_eq!(send_request(gateway, "GET", "/safe/x", "id-1").status, 200);
-}
-
 fn assert_registered(store: &Store, n: usize, secs: u64) {
     let is_registered = || store.keys("gateways/").len() == n;
     assert!(wait_for(secs, is_registered), "{:?} are registered", store.keys("gateways/"));
