Do not call an instance ready while its probe port is held

Callers saw: machines that stay out of rotation. The platform asks at listen.ready and gets no answer there, while `ready` was 1 and the metrics port answered 200 to /ready; the log had only the 108 lines of the port.

Cause: readiness looked at the address for callers alone. The address for checks was opened like that for metrics, and nothing kept whether it is listened on.

Ruled out: a state in the settings. An instance whose settings name no listen.ready is as before: nobody asks it there, and the metrics port goes on to answer. Held ports for metrics and for other instances do not matter to readiness.

Before: on address_for_probes_that_is_in_use_is_named and address_for_probes_that_comes_with_a_reload_and_is_in_use_is_named fail, 1 of 1 run each: no 116 line names the port; the log of the second has 117 Ready and, after the reload, 108 PortBusy. After: both pass, and so do the other tests of readiness, of held ports and of a readiness address that comes late (38 in all, one run, load up to 29).

Why it works: the acceptor of this address shows whether it is open, as that for callers does, also when its socket breaks later. While it is not, there is an obstacle, `probes-not-listening`; log, `ready`, unready_seconds_total and the body of /ready follow from that.

--- a/src/gateway/listeners.rs
+++ b/src/gateway/listeners.rs
@@ -15,8 +15,10 @@
 pub struct Listeners {
     /// Serves callers.
     pub callers: BoundedOpening,
-    /// Serve readiness and metrics.
-    pub probes: Vec<BoundedOpening>,
+    /// Serves readiness checks, and metrics too; `None` where the settings name no address for them.
+    pub probes: Option<BoundedOpening>,
+    /// Serves metrics, and readiness checks too, if there is a port of its own for them.
+    pub metrics: Option<BoundedOpening>,
     /// Serve other instances; `None` where the settings name no address for them.
     pub peers: Option<PeerSockets>,
 }
@@ -38,15 +40,14 @@
     /// serves readiness and metrics too, unless the settings use it.
     pub fn open(settings: &GatewaySettings, front: SocketAddr, port: Option<u16>) -> Self {
         // Whoever can connect as a caller finds readiness served.
-        let mut all: Vec<_> =
-            settings.probe_address.into_iter().map(|a| probes(settings, a)).collect();
+        let probes = settings.probe_address.map(|a| probes(settings, a));
         let bounds = callers::bounds(Listener::Front, settings.memory_bytes());
         let callers = Opening::start_with(front, Purpose::Callers, bounds);
         let peers = settings.peer_address.map(PeerSockets::open);
         let metrics = port.map(|p| SocketAddr::new(front.ip(), p));
         let metrics = metrics.filter(|a| is_unused(settings, a));
-        all.extend(metrics.map(|a| bounded_probes(settings, a, Purpose::Metrics)));
-        Listeners { callers, probes: all, peers }
+        let metrics = metrics.map(|a| bounded_probes(settings, a, Purpose::Metrics));
+        Listeners { callers, probes, metrics, peers }
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -122,6 +122,8 @@
     readiness: readiness::ReadinessState,
     /// Whether connections of callers are accepted.
     callers_accepted: Rc<Cell<bool>>,
+    /// Whether connections of readiness checks are accepted on the address of the settings.
+    probes_accepted: Rc<Cell<bool>>,
     /// Open connections from callers.
     callers: RefCell<Callers>,
     /// Notified when a connection has to be closed.
@@ -221,9 +223,12 @@
     gw.event(Kind::Started, &settings.instance, format_args!("data_centre={centre}"));
     readiness::step(&gw, clock::now());
     readiness::watch_stalls(&gw);
-    for opening in listeners.probes {
+    if let Some(opening) = listeners.probes {
         serve::start_probes(&gw, opening);
     }
+    if let Some(opening) = listeners.metrics {
+        serve::start_metrics(&gw, opening);
+    }
     serve::start_callers(&gw, listeners.callers);
     keep(&gw, "store", follow::follow_store);
     keep(&gw, "slow store", follow::read_slowly);
@@ -279,6 +284,7 @@
             backlog: RefCell::new(Backlog::new(settings.memory_bytes())),
             unread: RefCell::default(),
             callers_accepted: Rc::default(),
+            probes_accepted: Rc::default(),
             callers: RefCell::default(),
             closing: RefCell::default(),
             memory: RefCell::default(),
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -113,6 +113,8 @@
         Some(Obstacle::Stopping)
     } else if !gw.callers_accepted.get() {
         Some(Obstacle::NotListening)
+    } else if are_probes_closed(gw) {
+        Some(Obstacle::ProbesNotListening)
     } else if gw.table.borrow().is_none() {
         Some(gw.readiness.missing_configuration())
     } else {
@@ -120,6 +122,11 @@
     }
 }
 
+/// Returns whether the settings name an address for readiness checks that is not listened on.
+fn are_probes_closed(gw: &Gateway) -> bool {
+    gw.settings.borrow().probe_address.is_some() && !gw.probes_accepted.get()
+}
+
 /// Starts a thread that logs while the thread that serves does not run, which cannot do so itself.
 pub fn watch_stalls(gw: &Gateway) {
     let (steps, instance) = (gw.readiness.steps.clone(), gw.settings.borrow().instance.clone());
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -229,9 +229,18 @@
     }
 }
 
-/// Accepts connections that ask for readiness or metrics.
+/// Accepts connections that ask for readiness, on the address of the settings.
 pub fn start_probes(gw: &Rc<Gateway>, opening: BoundedOpening) {
-    let acceptor = Acceptor::new(opening, gw.recorder());
+    let acceptor = Acceptor::new(opening, gw.recorder()).show_in(gw.probes_accepted.clone());
+    keep_probes(gw, acceptor);
+}
+
+/// Accepts connections that ask for metrics, on the port of the command line.
+pub fn start_metrics(gw: &Rc<Gateway>, opening: BoundedOpening) {
+    keep_probes(gw, Acceptor::new(opening, gw.recorder()));
+}
+
+fn keep_probes(gw: &Rc<Gateway>, acceptor: impl Accept + 'static) {
     let acceptor = Rc::new(Mutex::new(acceptor));
     keep(gw, "probes", move |gw| accept_probes(gw, acceptor.clone()));
 }
--- a/src/readiness/mod.rs
+++ b/src/readiness/mod.rs
@@ -31,6 +31,8 @@
     Stopping,
     /// The address for callers is not listened on.
     NotListening,
+    /// The address for readiness checks is not listened on.
+    ProbesNotListening,
     /// No read of the store has ended.
     StoreUnread,
     /// The last read of the store failed, for the reason in the text.
@@ -50,6 +52,7 @@
             Obstacle::Stalled => "stalled",
             Obstacle::Stopping => "stopping",
             Obstacle::NotListening => "not-listening",
+            Obstacle::ProbesNotListening => "probes-not-listening",
             Obstacle::StoreUnread => "store-unread",
             Obstacle::StoreFailed(e, _) => return write!(f, "store-{e}"),
             Obstacle::StoreOutdated => "store-outdated",
--- a/tests/gateway/readiness.rs
+++ b/tests/gateway/readiness.rs
@@ -180,6 +180,49 @@
     assert_ready(&gateway, probes);
 }
 
+/// Such an instance counted as ready, while the platform got no answer from it.
+#[test]
+fn address_for_probes_that_is_in_use_is_named() {
+    let listen = Listen::with_metrics();
+    let probes = listen.metrics.expect("an address for metrics");
+    let holder = Holder::listener(listen.ready);
+    let store = Store::start();
+    store.set("op/config", Some(CONFIG.as_bytes()));
+    let binary = Path::new(env!("CARGO_BIN_EXE_skylarkthread"));
+    let gateway = Gateway::start_on(binary, store.address, listen);
+    let begun = start_time(&gateway);
+    assert_named(&gateway, probes, begun, "probes-not-listening", &["table=7"]);
+    let asked = b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let reply = send(probes, asked).reply();
+    assert!(reply.status == 503 && reply.body.contains("probes-not-listening"), "{}", reply.body);
+    assert_counted(probes, begun);
+    holder.release();
+    assert_ready(&gateway, probes);
+    assert_eq!(gateway.probe(), 200);
+}
+
+#[test]
+fn address_for_probes_that_comes_with_a_reload_and_is_in_use_is_named() {
+    let store = Store::start();
+    store.set("op/config", Some(CONFIG.as_bytes()));
+    let mut whole = String::new();
+    let binary = Path::new(env!("CARGO_BIN_EXE_skylarkthread"));
+    let gateway = Gateway::start_prepared(binary, store.address, |_, file, text| {
+        let lines = text.lines().filter(|line| !line.starts_with("listen.ready="));
+        let part: String = lines.map(|line| format!("{line}\n")).collect();
+        std::fs::write(file, part).expect("cannot write the settings file");
+        text.clone_into(&mut whole);
+    });
+    assert!(wait_for(7, || !times(&log(&gateway), &["kind=Ready subject=g-"]).is_empty()));
+    let holder = Holder::listener(gateway.ready);
+    std::fs::write(&gateway.settings_file, whole).expect("cannot write the settings file");
+    let named = ["kind=NotReady subject=g-", " why=probes-not-listening for_ms="];
+    // The settings are read every 2 s.
+    assert!(wait_for(4, || !times(&log(&gateway), &named).is_empty()), "{}", log(&gateway));
+    holder.release();
+    assert!(wait_for(2, || gateway.probe() == 200), "not ready: {}", log(&gateway));
+}
+
 #[test]
 fn stop_is_named_in_log_and_metrics() {
     let (_store, gateway) = start_platform(&[]);
