--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -57,6 +57,7 @@
 use crate::pool::{Change, Pool, PoolKey};
 use crate::prompts::Pauses;
 use crate::quarantine::{Quarantine, Runs};
+use crate::readiness::{Obstacle, Watch};
 use crate::reload::SettingsFile;
 use crate::route::Table;
 use crate::shutdown::{StopSignals, run_stop};
@@ -122,6 +123,8 @@
     readiness: readiness::ReadinessState,
     /// Whether connections of callers are accepted.
     callers_accepted: Rc<Cell<bool>>,
+    /// Whether connections of readiness checks are accepted on the address of the settings.
+    probes_accepted: Rc<Cell<bool>>,
     /// Open connections from callers.
     callers: RefCell<Callers>,
     /// Notified when a connection has to be closed.
@@ -211,19 +214,27 @@
     // A hang-up from here on makes the file be read again.
     let hangups = Rc::new(Mutex::new(signal(SignalKind::hangup()).map_err(GatewayError::Signal)?));
     let mut file = SettingsFile::new(file);
-    let usable = file.wait_usable(&mut stop_signals, reload::parse_first).await;
+    let mut watch = Watch::new(begun, Obstacle::Settings);
+    let usable = tokio::select! {
+        biased;
+        usable = file.wait_usable(&mut stop_signals, reload::parse_first) => usable,
+        never = readiness::watch_settings(&mut watch) => match never {},
+    };
     let Some((settings, front)) = usable else { return Ok(()) };
     name_log(&settings.instance);
     let listeners = Listeners::open(&settings, front, port);
-    let gw = Rc::new(Gateway::new(&settings, metrics, begun));
+    let gw = Rc::new(Gateway::new(&settings, metrics, watch));
     callers::step(&gw);
     let centre = log_value(settings.centre.as_str());
     gw.event(Kind::Started, &settings.instance, format_args!("data_centre={centre}"));
     readiness::step(&gw, clock::now());
     readiness::watch_stalls(&gw);
-    for opening in listeners.probes {
+    if let Some(opening) = listeners.probes {
         serve::start_probes(&gw, opening);
     }
+    if let Some(opening) = listeners.metrics {
+        serve::start_metrics(&gw, opening);
+    }
     serve::start_callers(&gw, listeners.callers);
     keep(&gw, "store", follow::follow_store);
     keep(&gw, "slow store", follow::read_slowly);
@@ -261,9 +272,9 @@
 }
 
 impl Gateway {
-    fn new(settings: &GatewaySettings, metrics: Metrics, begun: Instant) -> Self {
+    fn new(settings: &GatewaySettings, metrics: Metrics, watch: Watch) -> Self {
         Gateway {
-            readiness: readiness::ReadinessState::new(begun, clock::now()),
+            readiness: readiness::ReadinessState::new(watch, clock::now()),
             ring: RefCell::new(EventRing::new(settings.instance.clone())),
             waves: RefCell::default(),
             table: RefCell::new(None),
@@ -279,6 +290,7 @@
             backlog: RefCell::new(Backlog::new(settings.memory_bytes())),
             unread: RefCell::default(),
             callers_accepted: Rc::default(),
+            probes_accepted: Rc::default(),
             callers: RefCell::default(),
             closing: RefCell::default(),
             memory: RefCell::default(),
