Name the failed calls of entries and sidecars to the store

An entry without a configuration logged "StoreLost why=lost" for a status of 400, 429 or 503, a closed connection and a store that does not answer alike, and once for a whole outage. Its 116 line said no more, and no metric counted failed calls. A sidecar that could not read the fence number logged nothing, and repeated a line without a reason two times a second while it could not write claims again.

The client of the store dropped the reason where it made an error of it.

The record of a failed call and the labels of failures move from the platform's client to src/store/failure.rs, and the client of etcd keeps one too: it names the call, the status with etcd's code, the error of the connection, or the value that cannot be read. The 510 line has it, as a gateway's does, again when the reason changes at most every 5 s, and the 116 line too; store_failures_total counts by reason. The lines of sidecars have the subjects fence and claims, and one 511 line ends them. A read that is answered with an error is now "refused", as it has had no effect; writes stay "lost". Events 510 and 511 are used for all of them, as an older process cannot read a time line with an event that it does not know.

The error of a call and its record belong together without a lock: nothing is awaited between the two.

Before: the 11 cases of the three new tests fail (no such line). After: they pass, as do start::, intent::, store_answers, store_outcomes and the tests of a gateway's 510 lines.

--- a/src/entry/history.rs
+++ b/src/entry/history.rs
@@ -94,7 +94,7 @@
     let sent = e.history.known();
     let outcome = e.store.txn(&[], &[Op::Get(MARKER_KEY.into())], &[]).await?;
     let stored = outcome.found.first().ok_or(StoreError::Malformed)?;
-    let marker = stored.as_ref().map(parse_marker).transpose()?;
+    let marker = stored.as_ref().map(|s| parse_marker(e, s)).transpose()?;
     let standing = e.history.history.borrow().check(sent, marker.as_ref(), &outcome);
     match (standing, marker) {
         (Standing::Current, Some(marker)) => adopt(e, marker, outcome.revision),
@@ -103,8 +103,9 @@
     Ok(())
 }
 
-fn parse_marker(stored: &StoredValue) -> Result<Marker, StoreError> {
-    serde_json::from_slice(&stored.value).map_err(|_| StoreError::Malformed)
+fn parse_marker(e: &Entry, stored: &StoredValue) -> Result<Marker, StoreError> {
+    serde_json::from_slice(&stored.value)
+        .map_err(|error| e.store.fail_value(MARKER_KEY, error, StoreError::Malformed))
 }
 
 /// Replaces the marker that was read, unless another entry has replaced it before.
@@ -113,7 +114,7 @@
     read: Option<&StoredValue>,
     origin: Origin,
 ) -> Result<(), StoreError> {
-    let found = read.map(parse_marker).transpose()?;
+    let found = read.map(|stored| parse_marker(e, stored)).transpose()?;
     let (nonce, since) = (Nonce::random(), sync::wall_seconds());
     let next = e.history.history.borrow().next_marker(found.as_ref(), origin, nonce, since);
     let unchanged = match read {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -32,7 +32,7 @@
 use crate::quarantine::{Quarantine, Runs};
 use crate::readiness::{Obstacle, Watch};
 use crate::shutdown::{Drain, StopSignals, run_stop};
-use crate::store::{Etcd, InstanceList};
+use crate::store::{CallFailure, Etcd, InstanceList};
 use crate::task::{self, Unfinished};
 use crate::text::Text;
 use actix_http::{Method, Request, Response};
@@ -74,6 +74,8 @@
     readiness: RefCell<Watch>,
     /// Why there is no intent, as long as there is none.
     missing: RefCell<Obstacle>,
+    /// The last read of the store that failed.
+    failure: RefCell<CallFailure>,
 }
 
 /// Runs an entry until shutdown is requested and all open requests have finished.
@@ -108,6 +110,7 @@
         metrics,
         readiness: RefCell::new(Watch::new(clock::now(), clock::now())),
         missing: RefCell::new(Obstacle::StoreUnread),
+        failure: RefCell::default(),
         started: clock::now(),
         process,
     });
--- a/src/entry/readiness.rs
+++ b/src/entry/readiness.rs
@@ -26,7 +26,10 @@
     match step.report {
         Some(Report::NotReady(why, time)) => {
             let (ms, links) = (time.as_millis(), e.links.borrow().len());
-            let detail = format_args!("why={why} for_ms={ms} links={links}");
+            let mut detail = format!("why={why} for_ms={ms} links={links}");
+            if let Obstacle::StoreFailed(..) = why {
+                detail += &format!(" {}", e.failure.borrow());
+            }
             e.process.event(Kind::NotReady, instance, detail);
         }
         Some(Report::Ready(last, time)) => {
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -13,6 +13,7 @@
 use crate::intent::{AdoptError, HEAD_KEY, Head, read_newest, write_back};
 use crate::peer::Link;
 use crate::place;
+use crate::process::OutageLog;
 use crate::readiness::Obstacle;
 use crate::store::{Store, StoreError};
 use crate::task;
@@ -41,20 +42,18 @@
 pub async fn watch_store(e: Rc<Entry>) {
     let mut retry_delay = MIN_RETRY_DELAY;
     let mut revision = 0;
-    let mut is_up = true;
+    let mut outage = OutageLog::new("store");
     loop {
-        let result = sync_once(&e, &mut revision).await;
-        if result.is_ok() != is_up {
-            is_up = result.is_ok();
-            match &result {
-                Ok(()) => e.process.event(Kind::StoreBack, "store", ""),
-                Err(why) => e.process.event(Kind::StoreLost, "store", format_args!("why={why}")),
+        match sync_once(&e, &mut revision).await {
+            Ok(()) => {
+                outage.end(&e.process);
+                retry_delay = MIN_RETRY_DELAY;
             }
-        }
-        match result {
-            Ok(()) => retry_delay = MIN_RETRY_DELAY,
             Err(why) => {
-                *e.missing.borrow_mut() = Obstacle::StoreFailed(why, "".into());
+                let failure = e.store.last_failure();
+                outage.fail(&e.process, clock::now(), why, &failure);
+                *e.missing.borrow_mut() = Obstacle::StoreFailed(why, failure.why.clone());
+                *e.failure.borrow_mut() = failure;
                 tokio::time::sleep(jitter(retry_delay)).await;
                 retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
             }
@@ -88,7 +87,8 @@
         write_back_newer(e, IntentVersion(0)).await?;
         return Ok(None);
     };
-    let head: Head = serde_json::from_slice(&stored.value).map_err(|_| StoreError::Malformed)?;
+    let head: Head = serde_json::from_slice(&stored.value)
+        .map_err(|error| e.store.fail_value(HEAD_KEY, error, StoreError::Malformed))?;
     while !may_adopt_stored(e, head.version) {
         *e.missing.borrow_mut() = Obstacle::StoreOutdated;
         tokio::time::sleep(START_INTERVAL).await;
@@ -96,7 +96,12 @@
     write_back_newer(e, head.version).await?;
     if head.version > e.process.version() {
         let hashes = e.process.intent.borrow().chunk_hashes();
-        if let Some((copy, revision)) = read_newest(&e.store, &hashes).await? {
+        let newest = read_newest(&e.store, &hashes).await.inspect_err(|error| {
+            if *error == StoreError::Malformed && e.store.last_failure().is_empty() {
+                e.store.fail_value(HEAD_KEY, "parts of the text are missing or invalid", *error);
+            }
+        });
+        if let Some((copy, revision)) = newest? {
             adopt(e, &copy, "store");
             return Ok(Some(revision));
         }
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -189,9 +189,9 @@
     Accepted = 501,
     /// A configuration was rejected: it conflicts with a newer one or is invalid.
     Rejected = 502,
-    /// The store has become unreachable.
+    /// The store, or what else the subject names, cannot be read, for the reason in the detail.
     StoreLost = 510,
-    /// The store is reachable again.
+    /// The store, or what else the subject names, can be read again.
     StoreBack = 511,
     /// The store has come back from an older copy of itself.
     StoreReturned = 512,
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -5,7 +5,10 @@
 use crate::clock;
 use crate::escape::query_value;
 use crate::h1::{self, Broken, CallLimits, Fault, FetchError};
-use crate::store::{ChangeFeed, Era, LeaseId, Leases, Patience, Position, StoreError, StoreUpdate};
+use crate::store::{
+    CallFailure, ChangeFeed, Era, LeaseId, Leases, Patience, Position, StoreError, StoreUpdate,
+    failure_label,
+};
 use actix_http::{Method, ResponseHead, ServiceConfig};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -18,7 +21,6 @@
 use std::fmt::{self, Display};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Timeout of connecting to the store.
@@ -36,28 +38,6 @@
 /// Header of each response with the number of times that the store has come back from a copy.
 const ERA: &str = "store-era";
 
-/// Most bytes of the target, and of the reason, of a failed call in the log. Both may have text from
-/// outside, and an event has a limit for its whole detail.
-const MAX_FAILURE_BYTES: usize = 150;
-
-/// A call that failed.
-#[derive(Debug, Clone, Default)]
-pub struct CallFailure {
-    target: Arc<str>,
-    /// Reason; empty if no call has failed.
-    pub why: Arc<str>,
-}
-
-impl fmt::Display for CallFailure {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "failure={:?} call={:?}", self.why, self.target)
-    }
-}
-
-fn shorten_failure(text: &str) -> Arc<str> {
-    text[..text.floor_char_boundary(MAX_FAILURE_BYTES)].into()
-}
-
 /// Client of the platform's metadata store.
 #[derive(Clone)]
 pub struct KvClient {
@@ -133,8 +113,7 @@
         metrics::counter!("store_failures_total", "why" => why.into()).increment(1);
         // The failure of a write says nothing of why the keys cannot be read.
         if target.starts_with(RANGE_PATH) || target.starts_with(WATCH_PATH) {
-            let (target, why) = (shorten_failure(target), shorten_failure(&reason.to_string()));
-            *self.failure.borrow_mut() = CallFailure { target, why };
+            *self.failure.borrow_mut() = CallFailure::new(target, reason);
         }
         e
     }
@@ -252,15 +231,6 @@
     String::from_utf8_lossy(body)
 }
 
-fn failure_label(e: &FetchError) -> &'static str {
-    match e {
-        FetchError::Unsent(_) => "unreached",
-        FetchError::Broken(Broken::Malformed(Fault::BodySize)) => "too-large",
-        FetchError::Broken(_) => "broken",
-        FetchError::Slow => "slow",
-    }
-}
-
 fn classify_error(e: &FetchError) -> StoreError {
     match e {
         FetchError::Unsent(_) => StoreError::Unreached,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -28,7 +28,7 @@
     explained_path, forward_head, host, parse_limit, parse_request, parse_response, refusal_head,
     response_head,
 };
-pub use kv::{CallFailure, KvClient};
+pub use kv::KvClient;
 pub use range::Listed;
 pub use servers::parse_listing;
 pub use settings::{GatewaySettings, Reading, SettingsError, settings_path};
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,6 +1,10 @@
 //! State that the entry and sidecar daemons have in common: settings, keys, events and the current
 //! configuration.
 
+mod outage;
+
+pub use outage::OutageLog;
+
 use crate::clock;
 use crate::event::{EventRing, Kind};
 use crate::frame::{Envelope, Keyring, Reply, Request};
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -23,7 +23,7 @@
 use crate::net::{Acceptor, Purpose};
 use crate::once::{Ledger, Limits};
 use crate::peer::Listener;
-use crate::process::Process;
+use crate::process::{OutageLog, Process};
 use crate::settings::{Admission, EndpointKind, EndpointSettings};
 use crate::shutdown::{Drain, StopSignals, run_stop};
 use crate::store::{Era, Etcd, MARKER_KEY, Op, Position, Store};
@@ -160,16 +160,19 @@
 /// guard refuses orders.
 async fn learn_fence(s: Rc<Sidecar>) {
     let store = Etcd::new(s.process.settings.store);
+    let mut outage = OutageLog::new("fence");
     loop {
         let reads = [Op::Get(MARKER_KEY.into()), Op::Get(FENCE_KEY.into())];
-        if let Ok(outcome) = store.txn(&[], &reads, &[]).await
-            && let [marker, fence] = &outcome.found[..]
-        {
-            let era = restore::parse_marker(marker.as_ref()).map_or(Era::default(), |m| m.era);
-            let revision = fence.as_ref().map_or(0, |f| f.revision);
-            let highest = fence_at(Position::new(era, revision));
-            s.guard.borrow_mut().learn_fence(highest);
-            return;
+        match store.txn(&[], &reads, &[]).await {
+            Ok(outcome) => {
+                let found = |ix| outcome.found.get(ix).and_then(Option::as_ref);
+                let era = restore::parse_marker(found(0)).map_or(Era::default(), |m| m.era);
+                let revision = found(1).map_or(0, |f| f.revision);
+                let highest = fence_at(Position::new(era, revision));
+                s.guard.borrow_mut().learn_fence(highest);
+                return outage.end(&s.process);
+            }
+            Err(e) => outage.fail(&s.process, clock::now(), e, &store.last_failure()),
         }
         tokio::time::sleep(FENCE_RETRY_DELAY.mul_f64(0.5 + rand::random::<f64>())).await;
     }
--- a/src/sidecar/restore.rs
+++ b/src/sidecar/restore.rs
@@ -1,10 +1,12 @@
 //! Writes the claims of the recorded calls again after the store has come back from an older copy.
 
 use super::Sidecar;
+use crate::clock;
 use crate::event::Kind;
 use crate::frame::{CallKey, ClaimStamp};
 use crate::id::{Epoch, Fingerprint, Nonce, ServiceName};
 use crate::once::{CLAIM_LIFETIME, Claim, claim_key};
+use crate::process::OutageLog;
 use crate::settings::EndpointKind;
 use crate::store::{
     Era, Etcd, Leases, MARKER_KEY, Marker, Op, Position, Store, StoreError, StoredValue,
@@ -76,13 +78,16 @@
 
 /// Writes claims until this succeeds or another era begins.
 async fn restore(s: Rc<Sidecar>, era: Era, records: Records) {
+    let store = Etcd::new(s.process.settings.store);
+    let mut outage = OutageLog::new("claims");
     while !records.keys.is_empty() && s.ledger.borrow().era() == era {
-        match complete_claims(&s, era, &records).await {
+        match complete_claims(&s, &store, era, &records).await {
             Ok(detail) => {
+                outage.end(&s.process);
                 s.process.event(Kind::ClaimsRestored, era, detail);
                 break;
             }
-            Err(e) => s.process.event(Kind::StoreLost, "claims", format_args!("{e:?}")),
+            Err(e) => outage.fail(&s.process, clock::now(), e, &store.last_failure()),
         }
         tokio::time::sleep(RETRY_DELAY.mul_f64(0.5 + rand::random::<f64>())).await;
     }
@@ -95,18 +100,20 @@
 /// Writes claims that the copy lacks; returns what was done.
 async fn complete_claims(
     s: &Sidecar,
+    store: &Etcd,
     era: Era,
     records: &Records,
 ) -> Result<&'static str, StoreError> {
     let Some(service) = service(s) else { return Ok("claims=none") };
-    let store = Etcd::new(s.process.settings.store);
     let latest = records.latest;
     let mut reads = vec![Op::Get(MARKER_KEY.into())];
     reads.extend(latest.map(|(_, hash)| Op::Get(claim_key(&service, hash))));
     let read = store.txn(&[], &reads, &[]).await?;
     let marker = read.found.first().and_then(|f| parse_marker(f.as_ref()));
     let is_current = |m: &Marker| m.era == era && m.origin == read.origin;
-    let marker = marker.filter(is_current).ok_or(StoreError::Behind)?;
+    let behind =
+        || store.fail_value(MARKER_KEY, "the marker is not that of the era", StoreError::Behind);
+    let marker = marker.filter(is_current).ok_or_else(behind)?;
     // A copy with the latest claim has all earlier ones.
     let found = read.found.get(1).and_then(|f| f.as_ref());
     if let Some(((claim, hash), found)) = latest.zip(found)
@@ -133,7 +140,7 @@
         let puts: Vec<Op> = batch.iter().map(put).collect();
         let outcome = store.txn(&[marker.in_force()], &puts, &[]).await?;
         if !outcome.succeeded || outcome.origin != marker.origin {
-            return Err(StoreError::Behind);
+            return Err(behind());
         }
         let claim = ClaimStamp { at: Position::new(era, outcome.revision), nonce };
         written = batch.last().map(|(hash, _)| (claim, *hash));
--- a/src/store/etcd.rs
+++ b/src/store/etcd.rs
@@ -1,12 +1,17 @@
 //! Client of etcd v3 through its JSON gateway over HTTP.
 
-use super::{Compare, LeaseId, Leases, Op, Origin, Store, StoreError, StoredValue, TxnOutcome};
-use crate::h1::{self, CallLimits, FetchError, Outbound};
+use super::failure::LastCall;
+use super::{
+    CallFailure, Compare, LeaseId, Leases, Op, Origin, Store, StoreError, StoredValue, TxnOutcome,
+    failure_label,
+};
+use crate::h1::{self, Broken, CallLimits, FetchError, Outbound};
 use actix_http::{Method, RequestHead, ServiceConfig, StatusCode};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use serde_json::{Value, json};
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -21,11 +26,18 @@
 /// Code of the error "not found", which etcd returns for an expired lease.
 const NOT_FOUND: u64 = 5;
 
+const RANGE_CALL: &str = "/v3/kv/range";
+const TXN_CALL: &str = "/v3/kv/txn";
+const GRANT_CALL: &str = "/v3/lease/grant";
+const RENEW_CALL: &str = "/v3/lease/keepalive";
+const WATCH_CALL: &str = "/v3/watch";
+
 /// Client of an etcd server.
 #[derive(Clone)]
 pub struct Etcd {
     config: ServiceConfig,
     address: SocketAddr,
+    last: LastCall,
 }
 
 impl std::fmt::Debug for Etcd {
@@ -37,31 +49,79 @@
 impl Etcd {
     /// Creates a client, which connects for each call.
     pub fn new(address: SocketAddr) -> Self {
-        Etcd { config: ServiceConfig::default(), address }
+        let last = LastCall::new("store_failures_total");
+        Etcd { config: ServiceConfig::default(), address, last }
+    }
+
+    /// Returns why the last call failed; empty if it did not.
+    ///
+    /// This is the call of an error if nothing was awaited since it was returned.
+    pub fn last_failure(&self) -> CallFailure {
+        self.last.failure()
+    }
+
+    /// Records that the value of a key cannot be used; returns `e`.
+    pub fn fail_value(&self, key: &str, reason: impl Display, e: StoreError) -> StoreError {
+        self.last.fail(key, e.to_string(), reason);
+        e
+    }
+
+    /// Records that a call has no whole response.
+    fn fail_call(&self, path: &str, e: &FetchError) -> StoreError {
+        self.last.fail(path, failure_label(e), e);
+        classify_error(e)
+    }
+
+    /// Records that the store answered a call with an error; returns `e`.
+    fn fail_status(&self, path: &str, error: &EtcdError, e: StoreError) -> StoreError {
+        self.last.fail(path, error.status.as_u16().to_string(), error);
+        e
+    }
+
+    /// Records that a response lacks something or has an unknown form, if it does.
+    fn check<T>(&self, path: &str, parsed: Result<T, StoreError>) -> Result<T, StoreError> {
+        if let Err(StoreError::Malformed) = parsed {
+            self.last.fail(path, "malformed", "the response has an unknown form");
+        }
+        parsed
     }
 
     /// Builds a request with a JSON body.
     fn request(&self, path: &str, body: &Value) -> Result<(RequestHead, Bytes), StoreError> {
         metrics::counter!("store_calls_total").increment(1);
-        let path = format!("/v3/{path}");
-        let head = h1::request_head(self.address, Method::POST, &path, Some("application/json"));
-        Ok((head.ok_or(StoreError::Unreached)?, body.to_string().into()))
+        let head = h1::request_head(self.address, Method::POST, path, Some("application/json"));
+        let head = head.ok_or_else(|| {
+            self.last.fail(path, "invalid-target", "invalid target");
+            StoreError::Unreached
+        })?;
+        Ok((head, body.to_string().into()))
     }
 
-    async fn call(&self, path: &str, body: &Value) -> Result<Value, StoreError> {
+    /// Makes a call; an answer with an error is returned as `refused`.
+    async fn call(
+        &self,
+        path: &str,
+        body: &Value,
+        refused: StoreError,
+    ) -> Result<Value, StoreError> {
         match self.send(path, body).await? {
             Reply::Done(v) => Ok(v),
-            Reply::Failed(_) => Err(StoreError::Lost),
+            Reply::Failed(error) => Err(self.fail_status(path, &error, refused)),
         }
     }
 
     /// Opens a watch, whose response has no end.
     async fn open_watch(&self, body: &Value) -> Result<Outbound, StoreError> {
-        let (head, body) = self.request("watch", body)?;
+        let (head, body) = self.request(WATCH_CALL, body)?;
         let sent = Outbound::connect(self.address, CONNECT_TIMEOUT, &self.config, head, body).await;
-        let mut out = sent.map_err(|_| StoreError::Unreached)?;
-        let head = out.read_head().await.map_err(|_| StoreError::Lost)?;
-        if head.status == StatusCode::OK { Ok(out) } else { Err(StoreError::Lost) }
+        let fail = |e| self.fail_call(WATCH_CALL, &e);
+        let mut out = sent.map_err(|e| fail(FetchError::Unsent(e)))?;
+        let head = out.read_head().await.map_err(|e| fail(FetchError::Broken(e)))?;
+        if head.status == StatusCode::OK {
+            return Ok(out);
+        }
+        let error = EtcdError { status: head.status, code: None };
+        Err(self.fail_status(WATCH_CALL, &error, StoreError::Refused))
     }
 
     async fn send(&self, path: &str, body: &Value) -> Result<Reply, StoreError> {
@@ -72,12 +132,18 @@
             max_body: MAX_RESPONSE_BYTES,
         };
         let called = h1::fetch(self.address, &limits, &self.config, head, body).await;
-        let (head, body) = called.map_err(|e| classify_error(&e))?;
+        let (head, body) = called.map_err(|e| self.fail_call(path, &e))?;
         let parsed = serde_json::from_slice::<Value>(&body);
-        if head.status.is_success() {
-            return parsed.map(Reply::Done).map_err(|_| StoreError::Malformed);
+        if !head.status.is_success() {
+            let code = parsed.ok().and_then(|v| v["code"].as_u64());
+            return Ok(Reply::Failed(EtcdError { status: head.status, code }));
         }
-        Ok(Reply::Failed(parsed.ok().and_then(|v| v["code"].as_u64())))
+        let parsed = parsed.map_err(|e| {
+            self.last.fail(path, "malformed", e);
+            StoreError::Malformed
+        })?;
+        self.last.succeed();
+        Ok(Reply::Done(parsed))
     }
 }
 
@@ -85,8 +151,23 @@
 #[derive(Debug)]
 enum Reply {
     Done(Value),
-    /// An error with its code, if it has one; the call may have taken effect.
-    Failed(Option<u64>),
+    /// The call may have taken effect.
+    Failed(EtcdError),
+}
+
+/// An answer that is an error.
+#[derive(Debug)]
+struct EtcdError {
+    status: StatusCode,
+    /// Code in the body, if there is one.
+    code: Option<u64>,
+}
+
+impl Display for EtcdError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "status {}", self.status.as_u16())?;
+        self.code.map_or(Ok(()), |code| write!(f, ", code {code}"))
+    }
 }
 
 fn classify_error(e: &FetchError) -> StoreError {
@@ -183,30 +264,37 @@
 
 impl Leases for Etcd {
     async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
-        let v = self.call("lease/grant", &json!({ "TTL": ttl.as_secs().to_string() })).await?;
-        parse_number(&v["ID"]).map(LeaseId).ok_or(StoreError::Malformed)
+        let body = json!({ "TTL": ttl.as_secs().to_string() });
+        let v = self.call(GRANT_CALL, &body, StoreError::Lost).await?;
+        let lease = parse_number(&v["ID"]).map(LeaseId).ok_or(StoreError::Malformed);
+        self.check(GRANT_CALL, lease)
     }
 
     async fn renew(&self, lease: LeaseId) -> Result<bool, StoreError> {
-        let v = self.call("lease/keepalive", &json!({ "ID": lease.0.to_string() })).await?;
+        let body = json!({ "ID": lease.0.to_string() });
+        let v = self.call(RENEW_CALL, &body, StoreError::Lost).await?;
         Ok(parse_number(&v["result"]["TTL"]).is_some_and(|ttl| ttl > 0))
     }
 
     async fn put(&self, key: &str, value: &[u8], lease: LeaseId) -> Result<bool, StoreError> {
         let op = Op::Put(key.to_owned(), value.to_vec(), Some(lease));
-        match self.send("kv/txn", &encode_txn(&[], &[op], &[])).await? {
-            Reply::Done(v) => parse_outcome(&v).map(|o| o.succeeded).map_err(|_| StoreError::Lost),
-            Reply::Failed(Some(NOT_FOUND)) => Ok(false),
-            Reply::Failed(_) => Err(StoreError::Lost),
+        match self.send(TXN_CALL, &encode_txn(&[], &[op], &[])).await? {
+            Reply::Done(v) => {
+                let outcome = self.check(TXN_CALL, parse_outcome(&v));
+                outcome.map(|o| o.succeeded).map_err(|_| StoreError::Lost)
+            }
+            Reply::Failed(EtcdError { code: Some(NOT_FOUND), .. }) => Ok(false),
+            Reply::Failed(error) => Err(self.fail_status(TXN_CALL, &error, StoreError::Lost)),
         }
     }
 }
 
 impl Store for Etcd {
     async fn get(&self, key: &str) -> Result<Option<StoredValue>, StoreError> {
-        let v = self.call("kv/range", &json!({ "key": encode_base64(key.as_bytes()) })).await?;
-        parse_number(&v["header"]["revision"]).ok_or(StoreError::Malformed)?;
-        parse_range(&v)
+        let body = json!({ "key": encode_base64(key.as_bytes()) });
+        let v = self.call(RANGE_CALL, &body, StoreError::Refused).await?;
+        let revision = parse_number(&v["header"]["revision"]).ok_or(StoreError::Malformed);
+        self.check(RANGE_CALL, revision.and_then(|_| parse_range(&v)))
     }
 
     async fn txn(
@@ -215,11 +303,15 @@
         then: &[Op],
         otherwise: &[Op],
     ) -> Result<TxnOutcome, StoreError> {
-        let v = self.call("kv/txn", &encode_txn(compares, then, otherwise)).await?;
-        let outcome = parse_outcome(&v)?;
+        // Without writes, a call that is answered with an error has had no effect.
+        let is_read = then.iter().chain(otherwise).all(|op| matches!(op, Op::Get(_)));
+        let refused = if is_read { StoreError::Refused } else { StoreError::Lost };
+        let v = self.call(TXN_CALL, &encode_txn(compares, then, otherwise), refused).await?;
+        let outcome = self.check(TXN_CALL, parse_outcome(&v))?;
         let run = if outcome.succeeded { then } else { otherwise };
         let reads = run.iter().filter(|op| !matches!(op, Op::Put(..))).count();
-        if outcome.found.len() == reads { Ok(outcome) } else { Err(StoreError::Malformed) }
+        let is_whole = outcome.found.len() == reads;
+        self.check(TXN_CALL, if is_whole { Ok(outcome) } else { Err(StoreError::Malformed) })
     }
 
     async fn wait_for_change(
@@ -232,7 +324,8 @@
             "key": encode_base64(key.as_bytes()), "start_revision": (revision + 1).to_string()
         } });
         let opened = timeout(CALL_TIMEOUT, self.open_watch(&body)).await;
-        let mut watch = opened.map_err(|_| StoreError::Lost)??;
+        let fail = |e| self.fail_call(WATCH_CALL, &e);
+        let mut watch = opened.map_err(|_| fail(FetchError::Slow))??;
         let mut line = Vec::new();
         let end = tokio::time::sleep(wait);
         tokio::pin!(end);
@@ -241,19 +334,19 @@
                 () = &mut end => return Ok(None),
                 chunk = watch.read_chunk() => chunk,
             };
-            let chunk = chunk.map_err(|_| StoreError::Lost)?.ok_or(StoreError::Lost)?;
-            for byte in chunk {
+            let chunk = chunk.and_then(|chunk| chunk.ok_or(Broken::Early));
+            for byte in chunk.map_err(|e| fail(FetchError::Broken(e)))? {
                 if byte != b'\n' {
                     line.push(byte);
                     continue;
                 }
-                if let Some(stored) = parse_watch_line(&line)? {
+                if let Some(stored) = self.check(WATCH_CALL, parse_watch_line(&line))? {
                     return Ok(Some(stored));
                 }
                 line.clear();
             }
             if line.len() > MAX_RESPONSE_BYTES {
-                return Err(StoreError::Malformed);
+                return self.check(WATCH_CALL, Err(StoreError::Malformed));
             }
         }
     }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -4,6 +4,7 @@
 //! in one call, leases, and watches from a given revision.
 
 mod etcd;
+mod failure;
 mod history;
 mod list;
 mod patience;
@@ -11,6 +12,7 @@
 mod rereads;
 
 pub use etcd::Etcd;
+pub use failure::{CallFailure, failure_label};
 pub use history::{History, MARKER_KEY, Marker, Standing};
 pub use list::{InstanceList, ListedInstance, ListedState, Role, parse_instances};
 pub use patience::Patience;
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -7,6 +7,7 @@
 mod hostile;
 mod intent;
 mod memory;
+mod outages;
 mod ports;
 mod schedule;
 mod shutdown;
--- /dev/null
+++ b/tests/deployment/outages.rs
@@ -0,0 +1,149 @@
+//! What an entry or a sidecar tells in log and metrics while the store or the instance list fails.
+
+use crate::common::*;
+use rstest::rstest;
+use serde_json::Value;
+use standin::fleet::{Daemon, Fleet, Plan};
+use standin::platform::{StoreFault, StoreFront};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
+
+/// Starts an entry without any peers.
+fn start_entry() -> Fleet {
+    Fleet::start(binary(), &Plan { entries: 1, ..Plan::default() })
+}
+
+/// Starts a daemon again with another address in a field of its settings.
+fn redirect(daemon: &mut Daemon, field: &str, address: SocketAddr) {
+    daemon.kill();
+    let text = std::fs::read_to_string(&daemon.settings).expect("the file is there");
+    let mut settings: Value = serde_json::from_str(&text).expect("the settings are JSON");
+    settings[field] = address.to_string().into();
+    std::fs::write(&daemon.settings, settings.to_string()).expect("cannot write the settings");
+    std::fs::write(log_file(daemon), "").expect("cannot empty the log");
+    daemon.restart(binary());
+}
+
+fn log_file(daemon: &Daemon) -> std::path::PathBuf {
+    daemon.settings.with_extension("log")
+}
+
+fn read_log(daemon: &Daemon) -> String {
+    std::fs::read_to_string(log_file(daemon)).expect("the log is written")
+}
+
+/// Returns the lines of the log that contain all of `parts`.
+fn lines(daemon: &Daemon, parts: &[&str]) -> Vec<String> {
+    let log = read_log(daemon);
+    let has_all = |line: &&str| parts.iter().all(|part| line.contains(part));
+    log.lines().filter(has_all).map(str::to_owned).collect()
+}
+
+async fn wait_for_line(secs: u64, daemon: &Daemon, parts: &[&str]) {
+    let has_line = async || !lines(daemon, parts).is_empty();
+    assert!(wait_until(secs, has_line).await, "no line with {parts:?}: {}", read_log(daemon));
+}
+
+/// Returns the metrics of a daemon; empty if it does not answer.
+fn metrics(daemon: &Daemon) -> String {
+    let mut text = String::new();
+    let read = TcpStream::connect(daemon.http).and_then(|mut io| {
+        io.set_read_timeout(Some(Duration::from_secs(2)))?;
+        io.write_all(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
+        io.read_to_string(&mut text)
+    });
+    read.map(|_| text).unwrap_or_default()
+}
+
+/// Returns the value of a series in the metrics of a daemon.
+fn value(metrics: &str, series: &str) -> Option<f64> {
+    metrics.lines().find_map(|line| line.strip_prefix(series)?.trim().parse().ok())
+}
+
+async fn wait_for_series(daemon: &Daemon, series: &str) {
+    let is_counted = async || value(&metrics(daemon), series).is_some_and(|n| n > 0.0);
+    assert!(wait_until(5, is_counted).await, "no series {series}: {}", metrics(daemon));
+}
+
+/// Starts a server that answers each request with this status; returns its address.
+fn start_refusing(status: Arc<AtomicU16>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("cannot listen");
+    let address = listener.local_addr().expect("the listener has an address");
+    std::thread::spawn(move || {
+        for mut client in listener.incoming().flatten() {
+            // Requests are far smaller than this.
+            let _ = client.read(&mut [0; 4096]);
+            let status = status.load(Ordering::Relaxed);
+            let _ = write!(client, "HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    address
+}
+
+/// The log had the same line for each reason, and the metrics had none.
+#[rstest]
+#[case::bad_request(StoreFault::Status(400), "refused", "status 400", "400")]
+#[case::too_many(StoreFault::Status(429), "refused", "status 429", "429")]
+#[case::unavailable(StoreFault::Status(503), "refused", "status 503", "503")]
+#[case::not_json(StoreFault::Body("<html>"), "malformed", "expected value", "malformed")]
+#[case::no_answer_of_a_store(StoreFault::Body("{}"), "malformed", "unknown form", "malformed")]
+#[case::closing(StoreFault::Closing, "lost", "connection closed", "broken")]
+#[case::silent(StoreFault::Silent, "lost", "no response in time", "slow")]
+#[case::absent(StoreFault::Absent, "unreached", "cannot connect", "unreached")]
+#[actix_rt::test]
+async fn failed_call_of_an_entry_to_the_store_is_named_in_log_and_metrics(
+    #[case] fault: StoreFault,
+    #[case] why: &str,
+    #[case] failure: &str,
+    #[case] label: &str,
+) {
+    let mut fleet = start_entry();
+    let front = StoreFront::start(fleet.store.address, fault);
+    let entry = &mut fleet.entries[0].daemon;
+    redirect(entry, "store", front.address);
+    let (lost, unready) = (format!("subject=store why={why} "), format!("why=store-{why} "));
+    let call = "call=\"/v3/kv/txn\"";
+    wait_for_line(5, entry, &["event=510 kind=StoreLost", &lost, failure, call]).await;
+    wait_for_line(5, entry, &["event=116 kind=NotReady", &unready, failure, call]).await;
+    wait_for_series(entry, &format!("store_failures_total{{why=\"{label}\"}}")).await;
+    wait_for_series(entry, &format!("unready_seconds_total{{why=\"store-{why}\"}}")).await;
+}
+
+/// The log had one line for a whole outage.
+#[actix_rt::test]
+async fn outage_of_the_store_that_changes_its_reason_is_logged_again_by_an_entry() {
+    let mut fleet = start_entry();
+    let status = Arc::new(AtomicU16::new(429));
+    let entry = &mut fleet.entries[0].daemon;
+    redirect(entry, "store", start_refusing(status.clone()));
+    wait_for_line(3, entry, &["kind=StoreLost", "status 429"]).await;
+    status.store(400, Ordering::Relaxed);
+    wait_for_line(15, entry, &["kind=StoreLost", "status 400"]).await;
+    assert_eq!(lines(entry, &["kind=StoreLost"]).len(), 2, "{}", read_log(entry));
+}
+
+/// Sidecars left no line at all.
+#[rstest]
+#[case::unavailable(StoreFault::Status(503), "why=refused failure=\"status 503\"", "503")]
+#[case::absent(StoreFault::Absent, "why=unreached failure=\"cannot connect", "unreached")]
+#[actix_rt::test]
+async fn store_that_fails_a_sidecar_is_named_once_and_its_return_too(
+    #[case] fault: StoreFault,
+    #[case] reason: &str,
+    #[case] label: &str,
+) {
+    let pools = vec![engine_pool(1, loaded_params())];
+    let mut fleet = Fleet::start(binary(), &Plan { entries: 1, pools, ..Plan::default() });
+    let front = StoreFront::start(fleet.store.address, fault);
+    let sidecar = &mut fleet.endpoints[0].sidecar;
+    redirect(sidecar, "store", front.address);
+    let lost = ["event=510 kind=StoreLost subject=fence", reason, "call=\"/v3/kv/txn\""];
+    wait_for_line(5, sidecar, &lost).await;
+    wait_for_series(sidecar, &format!("store_failures_total{{why=\"{label}\"}}")).await;
+    front.mend();
+    wait_for_line(5, sidecar, &["event=511 kind=StoreBack subject=fence"]).await;
+    assert_eq!(lines(sidecar, &["kind=StoreLost"]).len(), 1, "{}", read_log(sidecar));
+}
