Log an instance list that cannot be read

An entry whose instance list is absent, silent, refuses or answers no JSON logged nothing and counted nothing: it went on with the members that it knew, and one that had just started knew none. The loop dropped the error.

A 510 line with the subject instance-list now names the call and the reason, once and again when the reason changes at most every 5 s, and a 511 line ends it; list_failures_total counts by reason. The record and the limit of lines are those of the store.

Before: the 5 cases of instance_list_that_cannot_be_read_is_named_once_and_its_return_too fail (no 510 line); after: they pass.

--- a/src/entry/background.rs
+++ b/src/entry/background.rs
@@ -11,6 +11,7 @@
 use crate::lead::{Election, PlannedOrder, Planner, Term};
 use crate::member::{self, Change};
 use crate::peer::Link;
+use crate::process::OutageLog;
 use crate::store::StoreError;
 use rand::seq::IndexedRandom;
 use std::collections::HashMap;
@@ -35,8 +36,14 @@
 
 /// Applies the instance list to the board and opens a link to each listed endpoint.
 pub async fn follow_list(e: Rc<Entry>) {
+    let mut outage = OutageLog::new("instance-list");
     loop {
-        if let Ok(rows) = e.list.read().await {
+        let read = e.list.read().await;
+        match &read {
+            Ok(_) => outage.end(&e.process),
+            Err(why) => outage.fail(&e.process, clock::now(), *why, &e.list.last_failure()),
+        }
+        if let Ok(rows) = read {
             let own = &e.process.settings.instance;
             let changes = member::apply(&mut e.board.borrow_mut(), own, &rows);
             for change in changes {
--- a/src/store/list.rs
+++ b/src/store/list.rs
@@ -1,6 +1,7 @@
 //! Client of the platform's instance list over HTTP. The list lags behind the instances' state.
 
-use super::StoreError;
+use super::failure::LastCall;
+use super::{CallFailure, StoreError, failure_label};
 use crate::h1::{self, CallLimits, FetchError};
 use crate::id::{DataCentre, InstanceId};
 use actix_http::{Method, ServiceConfig, StatusCode};
@@ -10,6 +11,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+const LIST_CALL: &str = "/instances";
+
 /// Bounds of a request for the list.
 const LIMITS: CallLimits =
     CallLimits { connect: Duration::from_secs(2), wait: Duration::from_secs(2), max_body: 4 << 20 };
@@ -54,6 +57,7 @@
 pub struct InstanceList {
     config: ServiceConfig,
     address: SocketAddr,
+    last: LastCall,
 }
 
 impl std::fmt::Debug for InstanceList {
@@ -65,7 +69,13 @@
 impl InstanceList {
     /// Creates a client, which connects for each request.
     pub fn new(address: SocketAddr) -> Self {
-        InstanceList { config: ServiceConfig::default(), address }
+        let last = LastCall::new("list_failures_total");
+        InstanceList { config: ServiceConfig::default(), address, last }
+    }
+
+    /// Returns why the last request failed; empty if it did not.
+    pub fn last_failure(&self) -> CallFailure {
+        self.last.failure()
     }
 
     /// Fetches the current list.
@@ -75,17 +85,30 @@
     /// Returns [`StoreError`] if the request fails or the response is not a valid list.
     pub async fn read(&self) -> Result<Vec<ListedInstance>, StoreError> {
         metrics::counter!("list_calls_total").increment(1);
-        let head = h1::request_head(self.address, Method::GET, "/instances", None);
-        let head = head.ok_or(StoreError::Unreached)?;
+        let head = h1::request_head(self.address, Method::GET, LIST_CALL, None);
+        let head = head.ok_or_else(|| {
+            self.last.fail(LIST_CALL, "invalid-target", "invalid target");
+            StoreError::Unreached
+        })?;
         let fetched = h1::fetch(self.address, &LIMITS, &self.config, head, Bytes::new()).await;
-        let (head, body) = fetched.map_err(|e| match e {
-            FetchError::Unsent(_) => StoreError::Unreached,
-            FetchError::Broken(_) | FetchError::Slow => StoreError::Lost,
+        let (head, body) = fetched.map_err(|e| {
+            self.last.fail(LIST_CALL, failure_label(&e), &e);
+            match e {
+                FetchError::Unsent(_) => StoreError::Unreached,
+                FetchError::Broken(_) | FetchError::Slow => StoreError::Lost,
+            }
         })?;
         if head.status != StatusCode::OK {
+            let status = head.status.as_u16();
+            self.last.fail(LIST_CALL, status.to_string(), format_args!("status {status}"));
             return Err(StoreError::Refused);
         }
-        parse_instances(&body)
+        let listed = parse_instances(&body).map_err(|e| {
+            self.last.fail(LIST_CALL, "malformed", &e);
+            StoreError::Malformed
+        })?;
+        self.last.succeed();
+        Ok(listed)
     }
 }
 
@@ -93,10 +116,9 @@
 ///
 /// # Errors
 ///
-/// Returns [`StoreError::Malformed`] if the body is no list.
-pub fn parse_instances(body: &[u8]) -> Result<Vec<ListedInstance>, StoreError> {
-    let entries: Vec<&RawValue> =
-        serde_json::from_slice(body).map_err(|_| StoreError::Malformed)?;
+/// Returns the error of the parser if the body is no list.
+pub fn parse_instances(body: &[u8]) -> Result<Vec<ListedInstance>, serde_json::Error> {
+    let entries: Vec<&RawValue> = serde_json::from_slice(body)?;
     let parse = |entry: &&RawValue| match serde_json::from_str::<ListedInstance>(entry.get()) {
         Ok(i) if i.centre.as_str().parse::<DataCentre>().is_ok() => Some(i),
         Ok(i) => {
--- a/tests/deployment/outages.rs
+++ b/tests/deployment/outages.rs
@@ -147,3 +147,34 @@
     wait_for_line(5, sidecar, &["event=511 kind=StoreBack subject=fence"]).await;
     assert_eq!(lines(sidecar, &["kind=StoreLost"]).len(), 1, "{}", read_log(sidecar));
 }
+
+/// A list that could not be read left no line.
+#[rstest]
+#[case::unavailable(StoreFault::Status(503), "refused", "status 503", "503")]
+#[case::not_json(StoreFault::Body("<html>"), "malformed", "expected value", "malformed")]
+#[case::closing(StoreFault::Closing, "lost", "connection closed", "broken")]
+#[case::silent(StoreFault::Silent, "lost", "no response in time", "slow")]
+#[case::absent(StoreFault::Absent, "unreached", "cannot connect", "unreached")]
+#[actix_rt::test]
+async fn instance_list_that_cannot_be_read_is_named_once_and_its_return_too(
+    #[case] fault: StoreFault,
+    #[case] why: &str,
+    #[case] failure: &str,
+    #[case] label: &str,
+) {
+    let mut fleet = start_entry();
+    let front = StoreFront::start(fleet.list.address, fault);
+    let entry = &mut fleet.entries[0].daemon;
+    redirect(entry, "instance_list", front.address);
+    let subject = "subject=instance-list";
+    let reason = format!("why={why} ");
+    let lost = ["event=510 kind=StoreLost", subject, &reason, failure, "call=\"/instances\""];
+    wait_for_line(5, entry, &lost).await;
+    wait_for_series(entry, &format!("list_failures_total{{why=\"{label}\"}}")).await;
+    // A list that fails further leaves no other line.
+    sleep_ms(2_000).await;
+    assert_eq!(lines(entry, &["kind=StoreLost", subject]).len(), 1, "{}", read_log(entry));
+    front.mend();
+    wait_for_line(5, entry, &["event=511 kind=StoreBack", subject]).await;
+    assert_eq!(lines(entry, &["kind=StoreBack", subject]).len(), 1, "{}", read_log(entry));
+}
