Log the return of the store when an entry has read it

An entry that watches the store logged 511 (StoreBack) when the next watch ended, some 22 to 38 s after the store was back; one that polls, a minute after. Meanwhile the log said that the store was lost, while 116 lines already gave other reasons.

An entry that polls now logs it after the read, and one that watches after a first watch of about a second: the read alone does not show that watches succeed, so that a store that refuses them alone would be lost and back at each try.

Before: return_of_the_store_is_logged_by_an_entry_when_it_is_read fails (no 511 line within 5 s of the end of the fault); after: it passes, as does store_that_refuses_watches_alone_is_not_lost_and_back_at_each_try, which was not run on the code before.

--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -25,6 +25,8 @@
 const MAX_WATCHERS: usize = 2;
 /// Mean time after which a watch without a change is renewed.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
+/// Mean time of the first watch in an outage, which shows that watches succeed again.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(1);
 /// Mean poll interval of an entry that does not watch the store.
 const STORE_POLL_INTERVAL: Duration = Duration::from_secs(60);
 /// Initial retry delay after a store error; doubled with each further error.
@@ -44,10 +46,13 @@
     let mut revision = 0;
     let mut outage = OutageLog::new("store");
     loop {
-        match sync_once(&e, &mut revision).await {
-            Ok(()) => {
+        match sync_once(&e, &mut revision, outage.is_open()).await {
+            Ok(has_watched) => {
                 outage.end(&e.process);
                 retry_delay = MIN_RETRY_DELAY;
+                if !has_watched {
+                    tokio::time::sleep(jitter(STORE_POLL_INTERVAL)).await;
+                }
             }
             Err(why) => {
                 let failure = e.store.last_failure();
@@ -61,18 +66,19 @@
     }
 }
 
-/// Reads the store once, then waits for a change (watchers) or for the poll interval (others).
-async fn sync_once(e: &Rc<Entry>, revision: &mut u64) -> Result<(), StoreError> {
+/// Reads the store once. A watcher then waits for a change, for a short time if the store `was_lost`;
+/// returns whether it did.
+async fn sync_once(e: &Rc<Entry>, revision: &mut u64, was_lost: bool) -> Result<bool, StoreError> {
     history::refresh(e).await?;
     let found = fetch_newer(e).await?;
     *revision = found.unwrap_or(*revision);
     if !is_watcher(e) {
-        tokio::time::sleep(jitter(STORE_POLL_INTERVAL)).await;
-        return Ok(());
+        return Ok(false);
     }
+    let wait = if was_lost { CONFIRM_TIMEOUT } else { WATCH_TIMEOUT };
     // The watch starts at the revision that was read, so no change in between is missed.
-    match e.store.wait_for_change(HEAD_KEY, *revision, jitter(WATCH_TIMEOUT)).await {
-        Ok(_) | Err(StoreError::Compacted) => Ok(()),
+    match e.store.wait_for_change(HEAD_KEY, *revision, jitter(wait)).await {
+        Ok(_) | Err(StoreError::Compacted) => Ok(true),
         Err(other) => Err(other),
     }
 }
--- a/src/process/outage.rs
+++ b/src/process/outage.rs
@@ -27,6 +27,11 @@
         }
     }
 
+    /// Returns whether there is an outage.
+    pub fn is_open(&self) -> bool {
+        self.reasons.is_lost()
+    }
+
     /// Records that the calls succeed.
     pub fn end(&mut self, process: &Process) {
         if self.reasons.end() {
--- a/tests/deployment/outages.rs
+++ b/tests/deployment/outages.rs
@@ -178,3 +178,34 @@
     wait_for_line(5, entry, &["event=511 kind=StoreBack", subject]).await;
     assert_eq!(lines(entry, &["kind=StoreBack", subject]).len(), 1, "{}", read_log(entry));
 }
+
+/// The line came after the next wait for a change, of half a minute.
+#[actix_rt::test]
+async fn return_of_the_store_is_logged_by_an_entry_when_it_is_read() {
+    let mut fleet = start_entry();
+    let front = StoreFront::start(fleet.store.address, StoreFault::Status(503));
+    let entry = &mut fleet.entries[0].daemon;
+    redirect(entry, "store", front.address);
+    wait_for_line(3, entry, &["kind=StoreLost subject=store"]).await;
+    front.mend();
+    wait_for_line(5, entry, &["event=511 kind=StoreBack subject=store"]).await;
+    assert_eq!(lines(entry, &["kind=StoreLost"]).len(), 1, "{}", read_log(entry));
+    assert_eq!(lines(entry, &["kind=StoreBack"]).len(), 1, "{}", read_log(entry));
+}
+
+/// Reads between two watches that fail are no return of the store.
+#[actix_rt::test]
+async fn store_that_refuses_watches_alone_is_not_lost_and_back_at_each_try() {
+    let mut fleet = start_entry();
+    let fault = StoreFault::Target("/v3/watch", 503);
+    let front = StoreFront::start(fleet.store.address, fault);
+    let entry = &mut fleet.entries[0].daemon;
+    redirect(entry, "store", front.address);
+    let call = "failure=\"status 503\" call=\"/v3/watch\"";
+    wait_for_line(5, entry, &["kind=StoreLost subject=store why=refused", call]).await;
+    sleep_ms(4_000).await;
+    assert_eq!(lines(entry, &["kind=StoreBack"]), [""; 0], "{}", read_log(entry));
+    front.mend();
+    wait_for_line(15, entry, &["kind=StoreBack subject=store"]).await;
+    assert_eq!(lines(entry, &["kind=StoreLost"]).len(), 1, "{}", read_log(entry));
+}
