Count all seconds in which an entry is not ready

unready_seconds_total of an entry began with its settings, and counted for the store while its port for callers was held: the time without settings was in no reason, and with a configuration in force "ready" was 1 on an entry that no caller could reach.

An entry now counts from the start of its process, as a gateway does, and has the obstacle not-listening as long as its address for callers is not listened on. The 109 and 116 lines name both.

Before: each_second_without_readiness_of_an_entry_is_counted_for_its_reason finds 0 s counted for "settings" of 2 s, and in its later form no 116 line for the held port; after: it passes, as do start:: and ports::.

--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -4,6 +4,7 @@
 use super::log_output::ProcessLog;
 use super::process::{LOG_FLUSH_TIME, log_failure, run_logged};
 use super::to_strings;
+use crate::clock;
 use crate::http::Metrics;
 use crate::platform;
 use crate::process::Process;
@@ -61,6 +62,7 @@
     log: ProcessLog,
     metrics: Metrics,
 ) -> Result<(), std::io::Error> {
+    let begun = clock::now();
     let mut stop_signals = StopSignals::install()?;
     let mut file = SettingsFile::new(file);
     let usable = file.wait_usable(&mut stop_signals, |text| parse_daemon(text, role)).await;
@@ -68,7 +70,7 @@
     log.name(&settings.instance);
     let process = Process::new(settings);
     let stopped = match served {
-        Served::Entry => entry::run(process, metrics, stop_signals).await,
+        Served::Entry => entry::run(process, begun, metrics, stop_signals).await,
         Served::Sidecar(endpoint) => sidecar::run(process, endpoint, metrics, stop_signals).await,
     };
     if let Err(e) = &stopped {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -72,19 +72,23 @@
     peer_versions: RefCell<HashMap<InstanceId, IntentVersion>>,
     metrics: http::Metrics,
     readiness: RefCell<Watch>,
+    /// Whether the address for callers is listened on.
+    callers_accepted: Rc<Cell<bool>>,
     /// Why there is no intent, as long as there is none.
     missing: RefCell<Obstacle>,
     /// The last read of the store that failed.
     failure: RefCell<CallFailure>,
 }
 
-/// Runs an entry until shutdown is requested and all open requests have finished.
+/// Runs an entry, whose process started at `begun`, until shutdown is requested and all open requests
+/// have finished.
 ///
 /// # Errors
 ///
 /// Returns [`Unfinished`] if they have not finished in the time of the settings.
 pub async fn run(
     process: Process,
+    begun: Instant,
     metrics: http::Metrics,
     mut stop_signals: StopSignals,
 ) -> Result<(), Unfinished> {
@@ -108,7 +112,8 @@
         history: StoreView::default(),
         peer_versions: RefCell::new(HashMap::new()),
         metrics,
-        readiness: RefCell::new(Watch::new(clock::now(), clock::now())),
+        readiness: RefCell::new(Watch::new(begun, clock::now())),
+        callers_accepted: Rc::default(),
         missing: RefCell::new(Obstacle::StoreUnread),
         failure: RefCell::default(),
         started: clock::now(),
@@ -123,7 +128,8 @@
     keep(&entry, "store", sync::watch_store);
     keep(&entry, "claims", claims::flush);
     keep(&entry, "history", history::run);
-    let acceptor = Rc::new(Mutex::new(Acceptor::new(web, event::log)));
+    let acceptor = Acceptor::new(web, event::log).show_in(entry.callers_accepted.clone());
+    let acceptor = Rc::new(Mutex::new(acceptor));
     keep(&entry, "callers", move |e| {
         let acceptor = acceptor.clone();
         async move {
--- a/src/entry/readiness.rs
+++ b/src/entry/readiness.rs
@@ -10,6 +10,9 @@
     if e.board.borrow().draining {
         return Some(Obstacle::Stopping);
     }
+    if !e.callers_accepted.get() {
+        return Some(Obstacle::NotListening);
+    }
     (e.process.version().0 == 0).then(|| e.missing.borrow().clone())
 }
 
--- a/tests/deployment/outages.rs
+++ b/tests/deployment/outages.rs
@@ -4,12 +4,16 @@
 use rstest::rstest;
 use serde_json::Value;
 use standin::fleet::{Daemon, Fleet, Plan};
+use standin::host::Holder;
 use standin::platform::{StoreFault, StoreFront};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// Longest time that may be missing in the seconds of a metric: a step and a fraction.
+const COUNT_SECS: f64 = 1.5;
 
 /// Starts an entry without any peers.
 fn start_entry() -> Fleet {
@@ -209,3 +213,44 @@
     wait_for_line(15, entry, &["kind=StoreBack subject=store"]).await;
     assert_eq!(lines(entry, &["kind=StoreLost"]).len(), 1, "{}", read_log(entry));
 }
+
+/// Returns the seconds without readiness that a daemon has counted, for all reasons.
+fn unready_secs(metrics: &str) -> f64 {
+    let series = metrics.lines().filter_map(|l| l.strip_prefix("unready_seconds_total{"));
+    series.filter_map(|s| s.split_once("} ")?.1.parse::<f64>().ok()).sum()
+}
+
+/// Time without settings, and with the callers' port held, was not counted.
+#[actix_rt::test]
+async fn each_second_without_readiness_of_an_entry_is_counted_for_its_reason() {
+    let mut fleet = start_entry();
+    let front = StoreFront::start(fleet.store.address, StoreFault::Status(503));
+    let entry = &mut fleet.entries[0].daemon;
+    redirect(entry, "store", front.address);
+    entry.kill();
+    let settings = std::fs::read(&entry.settings).expect("the file is there");
+    std::fs::remove_file(&entry.settings).expect("the file is there");
+    std::fs::write(log_file(entry), "").expect("cannot empty the log");
+    let holder = Holder::listener(entry.http);
+    entry.restart(binary());
+    wait_for_line(10, entry, &["event=109 kind=SettingsUnusable"]).await;
+    let begun = Instant::now();
+    sleep_ms(2_000).await;
+    std::fs::write(&entry.settings, settings).expect("cannot write the settings");
+    wait_for_line(10, entry, &["event=100 kind=Started"]).await;
+    let started = Instant::now();
+    let reason = "why=not-listening ";
+    wait_for_line(10, entry, &["event=116 kind=NotReady subject=entry-0", reason]).await;
+    sleep_ms(2_000).await;
+    let held = started.elapsed();
+    holder.release();
+    wait_for_series(entry, "unready_seconds_total{why=\"store-refused\"}").await;
+    let (metrics, elapsed) = (metrics(entry), begun.elapsed());
+    let counted = |why| value(&metrics, &format!("unready_seconds_total{{why=\"{why}\"}}"));
+    for (why, time) in [("settings", started - begun), ("not-listening", held)] {
+        let counted = counted(why).unwrap_or_default();
+        assert!(counted >= time.as_secs_f64() - COUNT_SECS, "{why}: {counted} of {time:?}");
+    }
+    let (all, secs) = (unready_secs(&metrics), elapsed.as_secs_f64());
+    assert!((secs - COUNT_SECS..=secs + COUNT_SECS).contains(&all), "{all} of {secs}: {metrics}");
+}
