Test that an entry names the value of the store that it cannot read

A marker of the era, a head of the configuration or a part of it that somebody else wrote stops an entry as a failed call does. That its line names the key was not tested; the four cases pass on the code as it is.

--- a/tests/deployment/outages.rs
+++ b/tests/deployment/outages.rs
@@ -3,6 +3,8 @@
 use crate::common::*;
 use rstest::rstest;
 use serde_json::Value;
+use skylarkthread::intent::HEAD_KEY;
+use skylarkthread::store::{Etcd, MARKER_KEY, Op, Store};
 use standin::fleet::{Daemon, Fleet, Plan};
 use standin::host::Holder;
 use standin::platform::{StoreFault, StoreFront};
@@ -116,6 +118,37 @@
     wait_for_series(entry, &format!("unready_seconds_total{{why=\"store-{why}\"}}")).await;
 }
 
+/// Whoever wrote the value is to find it by the line.
+#[rstest]
+#[case::marker(MARKER_KEY, "<html>", "expected value")]
+#[case::head(HEAD_KEY, "<html>", "expected value")]
+#[case::head_without_fields(HEAD_KEY, "{}", "missing field")]
+#[case::parts_absent(
+    HEAD_KEY,
+    r#"{"version":1,"parts":["none"],"submission":"","who":"","when":0}"#,
+    "parts of the text are missing or invalid"
+)]
+#[actix_rt::test]
+async fn value_of_the_store_that_an_entry_cannot_read_is_named_by_its_key(
+    #[case] key: &str,
+    #[case] stored: &str,
+    #[case] failure: &str,
+) {
+    let mut fleet = start_entry();
+    let entry = &mut fleet.entries[0].daemon;
+    entry.kill();
+    let put = [Op::Put(key.into(), stored.into(), None)];
+    let written = Etcd::new(fleet.store.address).txn(&[], &put, &[]).await;
+    assert!(written.is_ok_and(|w| w.succeeded), "not written");
+    redirect(entry, "store", fleet.store.address);
+    let call = format!("call=\"{key}\"");
+    let lost = ["event=510 kind=StoreLost", "subject=store why=malformed ", failure, &call];
+    wait_for_line(5, entry, &lost).await;
+    let unready = ["event=116 kind=NotReady", "why=store-malformed ", failure, &call];
+    wait_for_line(5, entry, &unready).await;
+    wait_for_series(entry, "store_failures_total{why=\"malformed\"}").await;
+}
+
 /// The log had one line for a whole outage.
 #[actix_rt::test]
 async fn outage_of_the_store_that_changes_its_reason_is_logged_again_by_an_entry() {
