--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -4,9 +4,11 @@
 use super::log_output::ProcessLog;
 use super::process::{LOG_FLUSH_TIME, log_failure, run_logged};
 use super::to_strings;
+use crate::clock;
 use crate::http::Metrics;
 use crate::platform;
 use crate::process::Process;
+use crate::readiness::{Obstacle, Watch, wait_settings};
 use crate::reload::{Content, SettingsFile};
 use crate::settings::{EndpointSettings, Settings};
 use crate::shutdown::{EXIT_FAILED, StopSignals};
@@ -61,14 +63,16 @@
     log: ProcessLog,
     metrics: Metrics,
 ) -> Result<(), std::io::Error> {
+    let mut watch = Watch::new(clock::now(), Obstacle::Settings);
     let mut stop_signals = StopSignals::install()?;
     let mut file = SettingsFile::new(file);
-    let usable = file.wait_usable(&mut stop_signals, |text| parse_daemon(text, role)).await;
+    let usable = file.wait_usable(&mut stop_signals, |text| parse_daemon(text, role));
+    let usable = wait_settings(&mut watch, usable).await;
     let Some((settings, served)) = usable else { return Ok(()) };
     log.name(&settings.instance);
     let process = Process::new(settings);
     let stopped = match served {
-        Served::Entry => entry::run(process, metrics, stop_signals).await,
+        Served::Entry => entry::run(process, watch, metrics, stop_signals).await,
         Served::Sidecar(endpoint) => sidecar::run(process, endpoint, metrics, stop_signals).await,
     };
     if let Err(e) = &stopped {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -57,7 +57,7 @@
 use crate::pool::{Change, Pool, PoolKey};
 use crate::prompts::Pauses;
 use crate::quarantine::{Quarantine, Runs};
-use crate::readiness::{Obstacle, Watch};
+use crate::readiness::{Obstacle, Watch, wait_settings};
 use crate::reload::SettingsFile;
 use crate::route::Table;
 use crate::shutdown::{StopSignals, run_stop};
@@ -215,11 +215,8 @@
     let hangups = Rc::new(Mutex::new(signal(SignalKind::hangup()).map_err(GatewayError::Signal)?));
     let mut file = SettingsFile::new(file);
     let mut watch = Watch::new(begun, Obstacle::Settings);
-    let usable = tokio::select! {
-        biased;
-        usable = file.wait_usable(&mut stop_signals, reload::parse_first) => usable,
-        never = readiness::watch_settings(&mut watch) => match never {},
-    };
+    let usable = file.wait_usable(&mut stop_signals, reload::parse_first);
+    let usable = wait_settings(&mut watch, usable).await;
     let Some((settings, front)) = usable else { return Ok(()) };
     name_log(&settings.instance);
     let listeners = Listeners::open(&settings, front, port);
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -1,14 +1,12 @@
 //! Tells in log, metrics and readiness checks what stands between this instance and its readiness.
 
-use super::{Gateway, MAINTENANCE_INTERVAL};
+use super::Gateway;
 use crate::clock;
 use crate::event::{self, Kind};
 use crate::id::InstanceId;
-use crate::platform::CallFailure;
-use crate::readiness::{Obstacle, Report, Span, StallWatch, Watch};
-use crate::store::StoreError;
+use crate::readiness::{Obstacle, Report, Span, StallWatch, Watch, count_seconds};
+use crate::store::{CallFailure, StoreError};
 use std::cell::{Cell, RefCell};
-use std::convert::Infallible;
 use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -170,22 +168,6 @@
     }
 }
 
-/// Logs and counts the time without settings, for as long as it is polled. The name of the instance
-/// is not known meanwhile.
-pub async fn watch_settings(watch: &mut Watch) -> Infallible {
-    loop {
-        tokio::time::sleep(MAINTENANCE_INTERVAL).await;
-        let step = watch.step(clock::now(), Some(Obstacle::Settings));
-        step.counted.iter().for_each(|obstacle| count_seconds(obstacle, 1));
-        step.reports.iter().for_each(|report| event::log(report.kind(), "-", &report.to_string()));
-    }
-}
-
-fn count_seconds(obstacle: &Obstacle, seconds: u64) {
-    let why = obstacle.to_string();
-    metrics::counter!("unready_seconds_total", "why" => why).increment(seconds);
-}
-
 /// Returns one line on why this instance is not ready; empty if it is.
 pub fn describe(gw: &Gateway, now: Instant) -> String {
     let span = |obstacle| gw.readiness.watch.borrow().span(now, obstacle);
--- a/src/readiness/mod.rs
+++ b/src/readiness/mod.rs
@@ -3,9 +3,11 @@
 //! A process that listens and gets no callers has to say why, again and again: whoever looks at its log
 //! may have only the last minute of it, or a selection of lines.
 
+mod output;
 mod stall;
 mod tally;
 
+pub use output::{count_seconds, wait_settings};
 pub use stall::StallWatch;
 
 use crate::event::Kind;
