Free the operations of a link before their contexts

Any process that drops a link as a call over it times out may meet it.

Cause: nng's thread for timeouts takes the cancel function of an operation, releases its own lock, and calls the function, which uses the context and the lock of its socket (nng 1.4, nni_aio_expire_loop and req0_ctx_cancel_recv). Closing the context and the socket does not wait for that thread; only freeing the operation does (nni_aio_fini). The link closed its contexts first, then the socket, and freed the operations last.

Now a closing link keeps each context from starting operations, cancels the operation in progress, waits until its callback has returned, and frees the operation, the context and the socket in this order. The wait is needed because a callback that holds the last handle of its operation frees it itself, and then waits for itself for ever on one of nng's threads. The earlier lock around starting to receive remains, as part of the check. Listeners own their operations now and close in the same order; a responder that outlives its listener does nothing. If no thread can be started, the link is closed in the same order on the calling thread.

--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -9,9 +9,9 @@
 use std::cell::Cell;
 use std::fmt::{self, Display};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
@@ -51,45 +51,88 @@
     }
 }
 
-/// An nng context on which nng's threads start to receive.
-///
-/// The last thread that uses a closed context frees it, and accesses its socket for that; closing the
-/// socket does not wait for this. So the context is closed only while none of nng's threads uses it.
+/// An nng context that can be kept from starting operations.
 #[derive(Debug, Clone)]
 struct SharedContext {
     ctx: Context,
-    in_use: Arc<Mutex<()>>,
+    is_closing: Arc<Mutex<bool>>,
 }
 
 impl SharedContext {
     fn new(socket: &Socket) -> Result<Self, PeerError> {
-        Ok(SharedContext { ctx: Context::new(socket)?, in_use: Arc::default() })
+        Ok(SharedContext { ctx: Context::new(socket)?, is_closing: Arc::default() })
+    }
+
+    /// Runs `start` unless the context is closing; [`SharedContext::refuse`] waits until it has returned.
+    fn start(&self, start: impl FnOnce(&Context) -> nng::Result<()>) -> nng::Result<()> {
+        let is_closing = self.is_closing.lock().unwrap_or_else(PoisonError::into_inner);
+        if *is_closing { Err(nng::Error::Closed) } else { start(&self.ctx) }
     }
 
-    /// Starts to send, on a thread that keeps the socket open meanwhile.
     fn send(&self, aio: &Aio, frame: &[u8]) -> nng::Result<()> {
-        self.ctx.send(aio, frame).map_err(|(_, e)| e)
+        self.start(|ctx| ctx.send(aio, frame).map_err(|(_, e)| e))
     }
 
-    /// Starts to receive, on one of nng's threads.
     fn recv(&self, aio: &Aio) -> nng::Result<()> {
-        let _in_use = self.in_use.lock();
-        self.ctx.recv(aio)
+        self.start(|ctx| ctx.recv(aio))
     }
 
-    /// Closes the context, after which no operation starts on it.
-    fn close(&self) {
-        let _in_use = self.in_use.lock();
-        self.ctx.close();
+    /// Keeps further operations from starting.
+    fn refuse(&self) {
+        *self.is_closing.lock().unwrap_or_else(PoisonError::into_inner) = true;
     }
 }
 
-/// An nng context with its asynchronous operation. It is reused for one request after another and
-/// freed only with its socket, because freeing an operation in progress can block.
+/// An nng context with its asynchronous operation, which is reused for one request after another.
+///
+/// nng's threads use the context and its socket until they have ended the operation. Closing either
+/// does not wait for them, but freeing the operation does, so that comes first. A callback that freed
+/// its own operation would wait for itself, so callbacks have returned before.
 #[derive(Debug)]
-struct Call {
-    ctx: SharedContext,
+struct Operation {
+    // Freed before the context.
     aio: Aio,
+    ctx: SharedContext,
+}
+
+impl Operation {
+    /// Opens a context. nng's threads run `callback` at the end of each operation.
+    fn new<F>(socket: &Socket, callback: F) -> Result<Operation, PeerError>
+    where
+        F: Fn(&SharedContext, &Aio, AioResult) + Send + Sync + 'static,
+    {
+        let ctx = SharedContext::new(socket)?;
+        let inner = ctx.clone();
+        let aio = Aio::new(move |aio, result| callback(&inner, &aio, result))?;
+        Ok(Operation { aio, ctx })
+    }
+
+    fn send(&self, frame: &[u8]) -> nng::Result<()> {
+        self.ctx.send(&self.aio, frame)
+    }
+
+    fn recv(&self) -> nng::Result<()> {
+        self.ctx.recv(&self.aio)
+    }
+
+    /// Ends the operation in progress, whose callback may run later, and keeps others from starting.
+    fn cancel(&self) {
+        self.ctx.refuse();
+        self.aio.cancel();
+    }
+}
+
+impl Drop for Operation {
+    fn drop(&mut self) {
+        self.cancel();
+        self.aio.wait();
+    }
+}
+
+/// An operation that sends a request and receives its reply.
+#[derive(Debug)]
+struct Call {
+    operation: Operation,
     shared: Arc<CallState>,
 }
 
@@ -116,12 +159,11 @@
 
 impl Call {
     fn new(socket: &Socket) -> Result<Call, PeerError> {
-        let ctx = SharedContext::new(socket)?;
         let shared = Arc::new(CallState::default());
-        let (inner, state) = (ctx.clone(), shared.clone());
-        let aio = Aio::new(move |aio, result| match result {
+        let state = shared.clone();
+        let operation = Operation::new(socket, move |ctx, aio, result| match result {
             AioResult::Send(Ok(())) => {
-                if let Err(e) = inner.recv(&aio) {
+                if let Err(e) = ctx.recv(aio) {
                     state.complete(Err(e));
                 }
             }
@@ -129,7 +171,7 @@
             AioResult::Recv(Ok(m)) => state.complete(Ok(m)),
             AioResult::Sleep(_) => {}
         })?;
-        Ok(Call { ctx, aio, shared })
+        Ok(Call { operation, shared })
     }
 
     fn is_idle(&self) -> bool {
@@ -137,19 +179,32 @@
     }
 }
 
+/// A socket with its calls.
+#[derive(Debug)]
+struct OpenClient {
+    // Freed before the socket.
+    calls: Vec<Arc<Call>>,
+    socket: Socket,
+}
+
+impl Drop for OpenClient {
+    fn drop(&mut self) {
+        self.calls.iter().for_each(|c| c.operation.cancel());
+    }
+}
+
 /// A client socket with its calls. When dropped, it is closed on a separate thread, because closing
 /// blocks until nng's threads are done with it.
 #[derive(Debug)]
 struct ClientSocket {
-    socket: Option<Socket>,
-    calls: Mutex<Vec<Arc<Call>>>,
+    open: Mutex<Option<OpenClient>>,
 }
 
 impl ClientSocket {
     /// Returns an idle call, creating one if there is none.
     fn idle_call(&self) -> Result<Arc<Call>, PeerError> {
-        let socket = self.socket.as_ref().ok_or(PeerError::Silent)?;
-        let mut calls = self.calls.lock().map_err(|_| PeerError::Silent)?;
+        let mut open = self.open.lock().map_err(|_| PeerError::Silent)?;
+        let OpenClient { calls, socket } = open.as_mut().ok_or(PeerError::Silent)?;
         if let Some(call) = calls.iter().find(|c| Arc::strong_count(c) == 1 && c.is_idle()) {
             return Ok(call.clone());
         }
@@ -164,14 +219,8 @@
 
 impl Drop for ClientSocket {
     fn drop(&mut self) {
-        let socket = self.socket.take();
-        let calls = self.calls.lock().map(|mut c| std::mem::take(&mut *c)).unwrap_or_default();
-        let close = move || {
-            calls.iter().for_each(|c| c.ctx.close());
-            drop(socket);
-            drop(calls);
-        };
-        if let Err(e) = std::thread::Builder::new().spawn(close) {
+        let open = self.open.get_mut().unwrap_or_else(PoisonError::into_inner).take();
+        if let Err(e) = std::thread::Builder::new().spawn(move || drop(open)) {
             log::warn!("no thread to close a link to a peer, which was closed here: {e}");
         }
     }
@@ -200,8 +249,8 @@
             }
         })?;
         socket.dial_async(&format!("tcp://{address}"))?;
-        let client = ClientSocket { socket: Some(socket), calls: Mutex::new(Vec::new()) };
-        Ok(Link { client: Arc::new(client) })
+        let open = OpenClient { calls: Vec::new(), socket };
+        Ok(Link { client: Arc::new(ClientSocket { open: Mutex::new(Some(open)) }) })
     }
 
     /// Sends a request and waits for its reply.
@@ -217,9 +266,9 @@
             *slot = Some(tx);
         }
         // nng also ends the operation after `wait` when this future has been dropped.
-        call.aio.set_timeout(Some(wait))?;
+        call.operation.aio.set_timeout(Some(wait))?;
         call.shared.busy.store(true, Ordering::Release);
-        if let Err(e) = call.ctx.send(&call.aio, frame) {
+        if let Err(e) = call.operation.send(frame) {
             call.shared.complete(Err(e));
         }
         match tokio::time::timeout(wait, rx).await {
@@ -230,28 +279,21 @@
     }
 }
 
-/// An nng context that receives one request at a time and sends its reply.
-#[derive(Debug)]
-struct Slot {
-    ctx: SharedContext,
-    aio: Aio,
-}
-
 /// Receives requests from peers.
 #[derive(Debug)]
 pub struct Listener {
+    /// Operations that receive one request at a time and send its reply. Freed before the socket.
+    slots: Vec<Rc<Operation>>,
     socket: Socket,
     tx: mpsc::UnboundedSender<(usize, Message)>,
     rx: mpsc::UnboundedReceiver<(usize, Message)>,
-    slots: Vec<Arc<Slot>>,
     /// Number of requests that wait for their reply.
     busy: Rc<Cell<usize>>,
 }
 
 impl Drop for Listener {
     fn drop(&mut self) {
-        // Closing the socket blocks until its contexts are closed.
-        self.slots.iter().for_each(|s| s.ctx.close());
+        self.slots.iter().for_each(|s| s.cancel());
     }
 }
 
@@ -272,7 +314,7 @@
         socket.listen(&format!("tcp://{address}"))?;
         let (tx, rx) = mpsc::unbounded_channel();
         let busy = Rc::new(Cell::new(0));
-        let mut listener = Listener { socket, tx, rx, slots: Vec::new(), busy };
+        let mut listener = Listener { slots: Vec::new(), socket, tx, rx, busy };
         listener.add_slots()?;
         Ok(listener)
     }
@@ -280,21 +322,19 @@
     /// Opens further contexts, each of which receives a request.
     fn add_slots(&mut self) -> Result<(), PeerError> {
         for _ in 0..SLOT_BATCH {
-            let ctx = SharedContext::new(&self.socket)?;
             let ix = self.slots.len();
             let tx = self.tx.clone();
-            let inner = ctx.clone();
-            let aio = Aio::new(move |aio, result| match result {
+            let slot = Operation::new(&self.socket, move |ctx, aio, result| match result {
                 AioResult::Recv(Ok(m)) => {
                     let _ = tx.send((ix, m));
                 }
                 AioResult::Recv(Err(nng::Error::Closed)) => {}
                 _ => {
-                    let _ = inner.recv(&aio);
+                    let _ = ctx.recv(aio);
                 }
             })?;
-            ctx.recv(&aio)?;
-            self.slots.push(Arc::new(Slot { ctx, aio }));
+            slot.recv()?;
+            self.slots.push(Rc::new(slot));
         }
         Ok(())
     }
@@ -307,35 +347,40 @@
         if self.busy.get() + SLOT_BATCH / 2 > self.slots.len() && self.slots.len() < MAX_SLOTS {
             let _ = self.add_slots();
         }
-        let slot = self.slots.get(ix)?.clone();
-        Some((message, Responder { slot: Some(slot), busy: self.busy.clone() }))
+        let slot = Rc::downgrade(self.slots.get(ix)?);
+        Some((message, Responder { slot, busy: self.busy.clone() }))
     }
 }
 
 /// Sends the reply to one request. If it is dropped unused, the request gets no reply.
 #[derive(Debug)]
 pub struct Responder {
-    slot: Option<Arc<Slot>>,
+    /// Operation of the listener; none once it is used.
+    slot: Weak<Operation>,
     busy: Rc<Cell<usize>>,
 }
 
 impl Responder {
     /// Sends the reply, after which the context receives another request.
     pub fn reply(mut self, frame: &[u8]) {
-        if let Some(slot) = self.slot.take() {
-            self.busy.set(self.busy.get() - 1);
-            if slot.ctx.send(&slot.aio, frame).is_err() {
-                let _ = slot.ctx.recv(&slot.aio);
-            }
+        if let Some(slot) = self.take_slot()
+            && slot.send(frame).is_err()
+        {
+            let _ = slot.recv();
         }
     }
+
+    fn take_slot(&mut self) -> Option<Rc<Operation>> {
+        let slot = std::mem::take(&mut self.slot).upgrade()?;
+        self.busy.set(self.busy.get() - 1);
+        Some(slot)
+    }
 }
 
 impl Drop for Responder {
     fn drop(&mut self) {
-        if let Some(slot) = self.slot.take() {
-            self.busy.set(self.busy.get() - 1);
-            let _ = slot.ctx.recv(&slot.aio);
+        if let Some(slot) = self.take_slot() {
+            let _ = slot.recv();
         }
     }
 }
--- a/standin/src/host/mod.rs
+++ b/standin/src/host/mod.rs
@@ -1,8 +1,10 @@
 //! Runs each stand-in server on its own thread, so that stopping it closes its sockets at once.
 
+mod cores;
 mod holder;
 mod sockets;
 
+pub use cores::use_one_core;
 pub use holder::Holder;
 pub use sockets::{ListedSocket, connections_to, open_sockets, scan_socket, sockets, unshared};
 
