--- a/tests/dropped_links.rs
+++ b/tests/dropped_links.rs
@@ -30,6 +30,20 @@
     })
 }
 
+/// Starts a server that replies to each request after as many milliseconds as its last byte.
+fn spawn_holder(address: SocketAddr) -> ServerThread {
+    ServerThread::spawn(move || async move {
+        let mut listener = Listener::bind(address).expect("the address is free");
+        while let Some((message, responder)) = listener.next().await {
+            actix_rt::spawn(async move {
+                let held = message.last().copied().unwrap_or_default();
+                tokio::time::sleep(Duration::from_millis(u64::from(held))).await;
+                responder.reply(&message);
+            });
+        }
+    })
+}
+
 /// Starts calls over a new link and drops it with them after a time.
 async fn drop_link(address: SocketAddr, frame: &[u8], wait: Duration, until_drop: Duration) {
     let link = Link::dial(address).expect("a socket can be created");
@@ -77,3 +91,24 @@
     let link = Link::dial(address).expect("a socket can be created");
     assert_eq!(link.request(&[0], CLOSE_TIME).await.map(|m| m.len()), Ok(1));
 }
+
+/// Number of listeners that are dropped, each bound to the same address.
+const DROPPED_LISTENERS: usize = 200;
+
+/// A listener that is closed while nng's threads receive and reply must not wait for ever.
+#[actix_rt::test]
+async fn listener_that_is_dropped_during_requests_is_closed() {
+    use_one_core();
+    let address = free_address();
+    for round in 0..DROPPED_LISTENERS {
+        let link = Link::dial(address).expect("a socket can be created");
+        let server = spawn_holder(address);
+        assert_eq!(link.request(&[0], CLOSE_TIME).await.map(|m| m.len()), Ok(1));
+        let frames: Vec<_> = (0..CALLS).map(|n| [n as u8]).collect();
+        let calls = join_all(frames.iter().map(|f| link.request(f, CLOSE_TIME)));
+        let until_drop = Duration::from_millis(round as u64 % 4);
+        let _ = tokio::time::timeout(until_drop, calls).await;
+        drop(server);
+    }
+    assert_eq!(wait_for_close(address).await, 0, "links are still open");
+}
