Let a caller get the refusal of a malformed request it is still sending

A caller that goes on sending after a malformed head saw its connection reset in place of the 400: an entry closed the socket with bytes unread, on which the kernel resets the connection and drops the answer.

Cause: the server of actix-http drops the stream once it has written the refusal. Its own linger does not apply to malformed heads, only to bodies that a handler leaves unread, and is off here.

A connection that is dropped after malformed bytes now hands its stream to the task that served it. This closes the sending side, and discards what still comes until the caller closes, for at most 500 ms. The connection counts as open meanwhile.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -4,19 +4,23 @@
 use super::screen::Screen;
 use crate::event::{self, Kind};
 use actix_rt::net::TcpStream;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::sync::Notify;
 
 /// Time limit for a caller to send the body of a request.
 pub const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time after [`BODY_TIMEOUT`] for the caller to get the refusal before its connection is closed.
 const ANSWER_TIME: Duration = Duration::from_millis(500);
+/// Time to wait for the caller to close its side after a refusal.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Size of the buffer for bytes that are not used.
+const DISCARD_BYTES: usize = 8 << 10;
 
 /// Time limit of the body that a connection is sending.
 ///
@@ -65,8 +69,11 @@
 /// Connection of a caller.
 #[derive(Debug)]
 pub struct Connection {
-    stream: TcpStream,
+    /// `None` once the connection is dropped.
+    stream: Option<TcpStream>,
     screen: Screen,
+    /// Gets the stream of a connection that is dropped after malformed bytes.
+    pub refused: Rc<RefCell<Option<TcpStream>>>,
     /// Time limit of the present body.
     pub limit: Rc<BodyLimit>,
 }
@@ -74,11 +81,17 @@
 impl Connection {
     /// Creates a connection that expects no body yet.
     pub fn new(stream: TcpStream) -> Self {
-        Connection { stream, screen: Screen::default(), limit: Rc::default() }
+        Connection {
+            stream: Some(stream),
+            screen: Screen::default(),
+            refused: Rc::default(),
+            limit: Rc::default(),
+        }
     }
 
-    fn stream(self: Pin<&mut Self>) -> Pin<&mut TcpStream> {
-        Pin::new(&mut self.get_mut().stream)
+    fn stream(&mut self) -> io::Result<Pin<&mut TcpStream>> {
+        let stream = self.stream.as_mut().ok_or(io::ErrorKind::NotConnected)?;
+        Ok(Pin::new(stream))
     }
 }
 
@@ -89,7 +102,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        ready!(self.stream()?.poll_read(cx, buf))?;
         if buf.filled().is_empty() {
             self.screen.end();
         } else if let Err(e) = self.screen.receive(buf.filled()) {
@@ -122,14 +135,34 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.stream().poll_write(cx, buf)
+        self.get_mut().stream()?.poll_write(cx, buf)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream().poll_flush(cx)
+        self.get_mut().stream()?.poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream().poll_shutdown(cx)
+        self.get_mut().stream()?.poll_shutdown(cx)
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.screen.has_refused() {
+            *self.refused.borrow_mut() = self.stream.take();
+        }
+    }
+}
+
+/// Reads and discards what a caller sends until it has closed the connection. Closing the socket with
+/// unread bytes would reset the connection, and the caller could lose the response.
+pub async fn linger(mut stream: TcpStream) {
+    if let Err(e) = stream.shutdown().await {
+        log::debug!("shutting down a caller connection failed: {e}");
     }
+    let mut bytes = vec![0; DISCARD_BYTES];
+    let discard = async { while stream.read(&mut bytes).await.is_ok_and(|n| n > 0) {} };
+    // The caller has had its time.
+    let _ = tokio::time::timeout(LINGER_TIMEOUT, discard).await;
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -322,12 +322,15 @@
         actix_rt::spawn(async move {
             open.set(open.get() + 1);
             let io = Connection::new(stream);
-            let limit = io.limit.clone();
+            let (limit, refused) = (io.limit.clone(), io.refused.clone());
             let served = task::run("connection", service.call((io, Protocol::Http1, None)));
             tokio::select! {
                 _ = served => {}
                 () = limit.passed() => {}
             }
+            if let Some(stream) = refused.take() {
+                connection::linger(stream).await;
+            }
             open.set(open.get() - 1);
         });
     }
--- a/src/http/screen.rs
+++ b/src/http/screen.rs
@@ -19,6 +19,7 @@
     valid: usize,
     /// Whether no more bytes are received.
     is_ended: bool,
+    has_refused: bool,
 }
 
 impl Screen {
@@ -45,12 +46,18 @@
     /// it do so; a head has to be replaced.
     fn refuse(&mut self, fault: Fault) {
         self.end();
+        self.has_refused = true;
         if self.scanner.is_in_head() {
             self.held.extend_from_slice(refused_head(fault).as_bytes());
             self.valid = self.held.len();
         }
     }
 
+    /// Returns whether there were bytes that are not valid.
+    pub fn has_refused(&self) -> bool {
+        self.has_refused
+    }
+
     /// Ends the connection for the server.
     pub fn end(&mut self) {
         self.held.truncate(self.valid);
--- a/tests/deployment/requests.rs
+++ b/tests/deployment/requests.rs
@@ -135,6 +135,20 @@
     assert_eq!(ran, ["POST /bookings b", "POST /bookings delay=300;a"]);
 }
 
+#[rstest]
+#[case::head("X-A : 1\r\n", "")]
+#[case::chunks(CHUNKED, "3 \r\n")]
+#[actix_rt::test]
+async fn caller_that_sends_on_after_a_fault_gets_the_refusal(
+    #[case] fields: &str,
+    #[case] body: &str,
+) {
+    let fleet = start().await;
+    let bytes = [call("k-1", fields, body), vec![b'x'; 1 << 20]].concat();
+    let received = send_in_parts(fleet.entry_address(0), &bytes, 1 << 10);
+    assert_eq!(statuses(&received), ["400"], "{received:?}");
+}
+
 #[rstest]
 #[case::length("Content-Length: 6\r\n", "abcdef")]
 #[case::chunks(CHUNKED, "3\r\nabc\r\n3\r\ndef\r\n0\r\nX-A: 1\r\n\r\n")]
