Keep the framing of a call that offers a WebSocket

A caller that sent "Upgrade: websocket" to an entry, as some clients do with each request, got no answer: the test sees none within 5 s. The next request on the connection was not answered either.

Cause: the server of actix-http takes all bytes after such a head for the body, whatever length it states, and so waits for the end of the connection. Since the screen of the connection and a gateway take the stated length, two readers disagreed on where the request ends. Ruled out: a length in chunks, which the server keeps to, and "Connection: upgrade" alone.

A server may ignore an offer. The screen blanks the value of Upgrade in a head that the scan has found valid, and passes it on otherwise unchanged, so that the server reads an ordinary request.

--- a/src/http/screen.rs
+++ b/src/http/screen.rs
@@ -1,6 +1,7 @@
 //! Holds back the bytes of a connection until they are known to be valid.
 
 use crate::h1::{Fault, ReadError, RequestScanner};
+use actix_http::header::UPGRADE;
 use bytes::{Buf, BytesMut};
 use tokio::io::ReadBuf;
 
@@ -31,9 +32,16 @@
     pub fn receive(&mut self, bytes: &[u8]) -> Result<(), ReadError> {
         self.held.extend_from_slice(bytes);
         loop {
-            match self.scanner.scan(&self.held[self.valid..]) {
+            let is_head = self.scanner.is_in_head();
+            let rest = &mut self.held[self.valid..];
+            match self.scanner.scan(rest) {
                 Ok(0) => return Ok(()),
-                Ok(n) => self.valid += n,
+                Ok(n) => {
+                    if is_head {
+                        decline_upgrade(&mut rest[..n]);
+                    }
+                    self.valid += n;
+                }
                 Err(fault) => {
                     self.refuse(fault);
                     return Err(fault.into());
@@ -81,6 +89,20 @@
     }
 }
 
+/// Blanks the values of fields that offer another protocol: the server would take all bytes after this
+/// head for those of a WebSocket.
+fn decline_upgrade(head: &mut [u8]) {
+    for line in head.split_mut(|b| *b == b'\n') {
+        let Some(end) = line.iter().position(|b| *b == b':') else { continue };
+        let (name, rest) = line.split_at_mut(end);
+        if let [b':', value @ .., b'\r'] = rest
+            && name.eq_ignore_ascii_case(UPGRADE.as_str().as_bytes())
+        {
+            value.fill(b' ');
+        }
+    }
+}
+
 fn refused_head(fault: Fault) -> String {
     match fault {
         Fault::HeadSize => format!("GET / HTTP/1.1\r\n{}", "a:\r\n".repeat(TOO_MANY_FIELDS)),
--- a/tests/deployment/requests.rs
+++ b/tests/deployment/requests.rs
@@ -122,6 +122,30 @@
     }
 }
 
+#[rstest]
+#[case::length("Upgrade: websocket\r\nContent-Length: 3\r\n", "abc", "abc")]
+#[case::chunks(
+    "UPGRADE:websocket\r\nTransfer-Encoding: chunked\r\n",
+    "3\r\nabc\r\n0\r\n\r\n",
+    "abc"
+)]
+#[case::no_body("Upgrade: \twebsocket \r\n", "", "")]
+#[case::connection("Connection: keep-alive, upgrade\r\nUpgrade: websocket\r\n", "", "")]
+#[case::other("Connection: upgrade\r\nUpgrade: h2c\r\n", "", "")]
+#[actix_rt::test]
+async fn offer_of_another_protocol_does_not_change_the_framing_of_a_call(
+    #[case] fields: &str,
+    #[case] sent: &str,
+    #[case] body: &str,
+) {
+    let fleet = start().await;
+    let bytes = [call("k-1", fields, sent), last_call("k-2")].concat();
+    let received = send_in_parts(fleet.entry_address(0), &bytes, bytes.len());
+    assert_eq!(statuses(&received), ["200", "200"], "{received:?}");
+    let ran: Vec<String> = fleet.call_log.counts().into_keys().collect();
+    assert_eq!(ran, [format!("POST /bookings {body}"), "POST /bookings next".into()]);
+}
+
 #[actix_rt::test]
 async fn calls_before_a_malformed_one_are_answered_in_order() {
     let fleet = start().await;
