--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -9,6 +9,7 @@
 mod memory;
 mod outages;
 mod ports;
+mod requests;
 mod schedule;
 mod shutdown;
 mod start;
