Expect the quoted name of a data centre in its warning

The warning of an unknown data centre quotes its name since, so that a name cannot look like a field of the line. It now expects the quotes, which is the stricter form.

--- a/tests/gateway/evacuation.rs
+++ b/tests/gateway/evacuation.rs
@@ -172,6 +172,6 @@
     assert!((0..5).all(|_| send_request(&gateway, "GET", "/safe/x", "id-1").status == 200));
     let log = gateway.into_log();
     let has = |text: &str| log.lines().any(|l| l.contains("level=WARN") && l.contains(text));
-    assert!(has("no endpoint is known in the evacuated data centre no-such-place"), "{log}");
+    assert!(has(r#"no endpoint is known in the evacuated data centre "no-such-place""#), "{log}");
     assert!(has("ignored evacuation of"), "{log}");
 }
