Apply no list of the store over changes that are newer

Cause: a list, whether of all keys or of one kind, was applied whatever had been applied since it was begun. It added an endpoint again that another instance had reported as removed meanwhile, and let one lapse that had been added. The watch that follows the list then brought the same changes, which were passed over, since their revisions were known.

Now store::Applied decides, in pure code: it knows up to which position each kind of keys is complete, by a list, a watch or changes passed on, and the last change of each key beyond that, deletions included, until the position passes it. A list of a kind that is complete up to a later position is not applied; of another, the items are left out whose keys have changed since it was begun, and such keys do not count as missing from it. Answers of the store are linearizable, so a list shows all that was known when it was begun: only what became known later can outdate it. So a position that was wrong, of a wrong era or a wrong revision, outdates no list begun after it, and the correction of an era has nothing to forget any more. Changes are compared within one era; which era counts is decided as before. At 4,096 changes the older half is forgotten, and a list begun before they came is read again; before, all were forgotten.

With it: a list of one kind ends the registrations that it lacks, as a full read did, and refusals that a list lacks are written again. Both are needed since changes up to the position of a list now count as known.

Ruled out: to drop every list that is older than some change. Under steady changes, an instance whose link is slow would read none.

In pool.rs, six calls of replace_listings have the new argument; what they check is unchanged.

--- a/src/gateway/evacuation.rs
+++ b/src/gateway/evacuation.rs
@@ -6,7 +6,7 @@
 use crate::id::DataCentre;
 use crate::platform;
 use crate::pool::{Evacuation, Progress, Source};
-use crate::store::{Era, KeyValue, Position, StoreUpdate};
+use crate::store::{Era, KeyValue, Position};
 use std::fmt::Display;
 use std::time::Instant;
 
@@ -18,9 +18,9 @@
 }
 
 /// Applies a full read of the store.
-pub fn replace(gw: &Gateway, update: &StoreUpdate, source: Source) {
-    let all = update.kvs.iter().filter_map(|kv| parse(kv, update.at.era)).collect();
-    let changes = gw.pool.borrow_mut().replace_evacuations(update.at, all, source);
+pub fn replace(gw: &Gateway, at: Position, items: &[&KeyValue], source: Source) {
+    let all = items.iter().filter_map(|kv| parse(kv, at.era)).collect();
+    let changes = gw.pool.borrow_mut().replace_evacuations(at, all, source);
     changes.iter().for_each(|change| log_change(gw, change, "store"));
 }
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -5,10 +5,11 @@
 use crate::clock;
 use crate::event::Kind;
 use crate::gossip::{StoreChanges, Succession};
+use crate::id::EndpointId;
 use crate::platform::{self, Listed};
 use crate::pool::{Listing, Source};
 use crate::readiness::OutageReasons;
-use crate::store::{ChangeFeed, KeyValue, Position, Rereads, StoreError, StoreUpdate};
+use crate::store::{ChangeFeed, KeyValue, ListStart, Position, Rereads, StoreError, StoreUpdate};
 use std::fmt::Display;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -36,8 +37,6 @@
 const BATCH_DELAY: Duration = Duration::from_millis(40);
 /// Interval at which an instance that is no reader checks whether its next poll is due.
 const POLL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Maximum number of keys whose revisions are remembered; all are forgotten when it is reached.
-const MAX_REVISIONS: usize = 4096;
 /// Prefixes of the keys that an instance follows. Others may keep any number of keys beside them.
 pub const FOLLOWED_KEYS: [&str; 5] = [
     platform::CONFIG_KEY,
@@ -137,24 +136,25 @@
     let may_expire = changes.recovering || gw.outages.borrow().may_expire(clock::now());
     changes.kvs.iter().for_each(|kv| apply_kv(gw, kv, end, may_expire));
     gw.store_position.borrow_mut().extend(changes);
+    record_position(gw);
     if changes.truncated {
         gw.poll_hint.notify_one();
     }
 }
 
+/// Records that all changes up to the position of this instance are applied.
+fn record_position(gw: &Gateway) {
+    if let Some(at) = gw.store_position.borrow().get() {
+        gw.applied.borrow_mut().advance(clock::now(), at);
+    }
+}
+
 /// Applies a change that was read at `at` unless the same or a newer one of the key was applied
 /// before. `may_expire` is set if a key that is gone may have expired in an outage.
 fn apply_kv(gw: &Rc<Gateway>, kv: &KeyValue, at: Position, may_expire: bool) {
-    {
-        let changed = Position::new(at.era, kv.revision);
-        let mut revisions = gw.revisions.borrow_mut();
-        if revisions.get(&kv.key).is_some_and(|r| *r >= changed) {
-            return;
-        }
-        if revisions.len() >= MAX_REVISIONS {
-            revisions.clear();
-        }
-        revisions.insert(kv.key.clone(), changed);
+    let changed = Position::new(at.era, kv.revision);
+    if !gw.applied.borrow_mut().admit_change(clock::now(), &kv.key, changed) {
+        return;
     }
     evacuation::apply_kv(gw, kv, at.era);
     apply_listing(gw, kv, may_expire);
@@ -199,6 +199,7 @@
     }
     update.kvs.iter().for_each(|kv| apply_kv(gw, kv, update.at, may_expire));
     gw.store_position.borrow_mut().set(newest);
+    record_position(gw);
     let config = update.kvs.iter().rev().find(|kv| &*kv.key == platform::CONFIG_KEY);
     if config.is_some_and(|kv| kv.value.as_ref().is_some_and(Vec::is_empty)) {
         // It could not be read, and no later change would show it.
@@ -213,7 +214,7 @@
     if let FullRead::Done = gw.full_read.get() {
         gw.full_read.set(FullRead::Since(clock::now()));
     }
-    let Listed { update: all, begun_at } = match is_first {
+    let listed = match is_first {
         true => gw.store.list_within(&FOLLOWED_KEYS, FIRST_TIMEOUT).await?,
         false => gw.store.list_all(&FOLLOWED_KEYS).await?,
     };
@@ -224,12 +225,13 @@
         return Ok(());
     }
     let known = gw.store_position.borrow().era();
-    let succession = gw.store_position.borrow().compare(all.at);
+    let at = listed.update.at;
+    let succession = gw.store_position.borrow().compare(at);
     let source = match succession {
         Succession::Same => Source::Current,
         Succession::Returned => Source::Copy,
         Succession::Outdated => {
-            drop_outdated(gw, all.at);
+            drop_outdated(gw, at);
             return Ok(());
         }
     };
@@ -237,10 +239,10 @@
         let now = clock::now();
         gw.outages.borrow_mut().end(now);
         connection.settled_at = Some(now + SETTLE_TIME);
-        let detail = format!("era={} before={known} revision={}", all.at.era, all.at.revision);
+        let detail = format!("era={} before={known} revision={}", at.era, at.revision);
         gw.event(Kind::StoreReturned, "store", detail);
     }
-    apply_all(gw, begun_at, &all, source);
+    apply_all(gw, &listed, source);
     Ok(())
 }
 
@@ -274,10 +276,10 @@
         false => (SLOW_TIMEOUT, SLOW_INTERVAL),
     };
     match gw.store.list_within(&FOLLOWED_KEYS, wait).await {
-        Ok(Listed { update: all, begun_at }) => {
+        Ok(listed) => {
             gw.readiness.end_read(clock::now());
-            if is_ahead(gw, all.at) {
-                apply_all(gw, begun_at, &all, Source::Current);
+            if is_ahead(gw, listed.update.at) {
+                apply_all(gw, &listed, Source::Current);
             } else {
                 gw.readiness.record_outdated();
             }
@@ -295,23 +297,16 @@
         && position.get().is_none_or(|known| is_missing && known <= at)
 }
 
-/// Applies a read of all keys that was begun at `begun_at`.
-fn apply_all(gw: &Rc<Gateway>, begun_at: Instant, all: &StoreUpdate, source: Source) {
+/// Applies a read of all keys.
+fn apply_all(gw: &Rc<Gateway>, listed: &Listed, source: Source) {
+    let Listed { update: all, begun_at } = listed;
     gw.readiness.record_absent();
     apply_config(gw, all);
-    replace_listings(gw, all, source);
-    evacuation::replace(gw, all, source);
-    if source == Source::Copy {
-        refusals::forget_published(gw);
-    } else {
-        // A copy lacks registrations that their owners write again.
-        membership::end_missing(gw, all);
-    }
-    membership::check_registered(gw, begun_at, &all.kvs);
-    for kv in &all.kvs {
-        membership::update_peer(gw, kv);
-        refusals::apply_kv(gw, kv);
+    if !gw.applied.borrow().can_compare(*begun_at) {
+        return log::warn!("dropped a read of all keys: too many changed meanwhile");
     }
+    FOLLOWED_KEYS.iter().for_each(|prefix| apply_kind(gw, prefix, listed, source));
+    membership::check_registered(gw, *begun_at, &all.kvs);
     gw.store_position.borrow_mut().set(all.at);
     gw.full_read.set(FullRead::Done);
     if source == Source::Copy {
@@ -319,6 +314,24 @@
     }
 }
 
+/// Applies the keys of a read that have a prefix, without those that are known to have changed since.
+/// The configuration has a version of its own; see [`apply_config`].
+pub fn apply_kind(gw: &Rc<Gateway>, prefix: &str, listed: &Listed, source: Source) {
+    let Listed { update: StoreUpdate { kvs, at }, begun_at } = listed;
+    let list = ListStart { at: *at, begun_at: *begun_at };
+    let items = gw.applied.borrow_mut().admit_list(clock::now(), prefix, &list, kvs);
+    let Some(items) = items else {
+        return log::debug!("dropped a list of {prefix:?} at {at}: a later one was applied");
+    };
+    match prefix {
+        platform::EVACUATIONS_PREFIX => evacuation::replace(gw, *at, &items, source),
+        platform::SERVERS_PREFIX => replace_listings(gw, &list, &items, source),
+        membership::KEY_PREFIX => membership::apply_list(gw, &list, &items, source),
+        refusals::KEY_PREFIX => refusals::apply_list(gw, &items),
+        _ => {}
+    }
+}
+
 /// Drops a response of an era before the newest one, unless the store names its era steadily. The
 /// newest one was wrong then, in all responses for a while.
 fn drop_outdated(gw: &Gateway, at: Position) {
@@ -332,7 +345,6 @@
     position.forget_era();
     drop(position);
     gw.store.set_era(at.era);
-    gw.revisions.borrow_mut().clear();
     gw.pool.borrow_mut().forget_evacuation_positions();
     gw.event(Kind::EraCorrected, "store", detail);
 }
@@ -385,9 +397,13 @@
     gw.table_known.notify_waiters();
 }
 
-pub fn replace_listings(gw: &Gateway, update: &StoreUpdate, source: Source) {
-    let all = update.kvs.iter().filter_map(|kv| read_listing(gw, kv)).collect();
-    let changes = gw.pool.borrow_mut().replace_listings(clock::now(), all, source);
+fn replace_listings(gw: &Gateway, list: &ListStart, items: &[&KeyValue], source: Source) {
+    let all = items.iter().filter_map(|kv| read_listing(gw, kv)).collect();
+    let has_changed = |id: &EndpointId| {
+        let key = format!("{}{id}", platform::SERVERS_PREFIX);
+        gw.applied.borrow().has_changed(&key, list)
+    };
+    let changes = gw.pool.borrow_mut().replace_listings(clock::now(), all, source, has_changed);
     changes.into_iter().for_each(|c| gw.log_change(c));
 }
 
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -9,8 +9,9 @@
 use crate::clock;
 use crate::event::Kind;
 use crate::id::{InstanceId, MilliCores};
+use crate::pool::Source;
 use crate::readiness::OutageReasons;
-use crate::store::{KeyValue, LeaseId, Leases, StoreError, StoreUpdate};
+use crate::store::{KeyValue, LeaseId, Leases, ListStart, StoreError};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
@@ -261,15 +262,23 @@
     }
 }
 
-/// Records that peers whose registration a full read of the store lacks are not registered any more: no
+/// Applies the registrations that a list of the store has, without those that have changed since.
+pub fn apply_list(gw: &Rc<Gateway>, list: &ListStart, items: &[&KeyValue], source: Source) {
+    // A copy lacks registrations that their owners write again.
+    if source == Source::Current {
+        end_missing(gw, list, items);
+    }
+    items.iter().for_each(|kv| update_peer(gw, kv));
+}
+
+/// Records that peers whose registration a list of the store lacks are not registered any more: no
 /// change shows that if the history is gone.
-pub fn end_missing(gw: &Gateway, all: &StoreUpdate) {
-    let found: HashSet<&str> = all.kvs.iter().map(|kv| &*kv.key).collect();
+fn end_missing(gw: &Gateway, list: &ListStart, items: &[&KeyValue]) {
+    let found: HashSet<&str> = items.iter().map(|kv| &*kv.key).collect();
     let is_ended = |(instance, _): &(&InstanceId, &Peer)| {
         let key = format!("{KEY_PREFIX}{instance}");
         // A reader may have passed on one that was written after the read.
-        let is_newer = gw.revisions.borrow().get(&*key).is_some_and(|at| *at > all.at);
-        !found.contains(&*key) && !is_newer
+        !found.contains(&*key) && !gw.applied.borrow().has_changed(&key, list)
     };
     let ended: Vec<InstanceId> = {
         let peers = gw.peers.borrow();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -60,7 +60,7 @@
 use crate::reload::SettingsFile;
 use crate::route::Table;
 use crate::shutdown::{StopSignals, run_stop};
-use crate::store::Position;
+use crate::store::Applied;
 use crate::task::{self, Unfinished};
 use actix_http::{KeepAlive, ServiceConfig};
 use listeners::Listeners;
@@ -174,8 +174,8 @@
     messenger: peers::Messenger,
     /// Position in the store up to which this instance has all changes.
     store_position: RefCell<StorePosition>,
-    /// Latest applied change of each store key, to discard changes that arrive late.
-    revisions: RefCell<HashMap<Box<str>, Position>>,
+    /// What was applied of the store, to discard changes and lists that arrive late.
+    applied: RefCell<Applied>,
     /// Whether the store has the registration of this instance.
     registration: membership::RegistrationState,
     /// Outages of the store that this instance or another one has noticed.
@@ -304,7 +304,7 @@
             parts_changed: Notify::new(),
             published: RefCell::default(),
             messenger: peers::Messenger::default(),
-            revisions: RefCell::new(HashMap::new()),
+            applied: RefCell::new(Applied::new(&follow::FOLLOWED_KEYS)),
             store_position: RefCell::default(),
             outages: RefCell::default(),
             full_read: Cell::default(),
--- a/src/gateway/parts.rs
+++ b/src/gateway/parts.rs
@@ -1,11 +1,10 @@
 //! Reads the kinds of keys of the store apart while they are not read together.
 
 use super::follow::{self, FIRST_TIMEOUT, FOLLOWED_KEYS};
-use super::{Gateway, evacuation, jitter, membership, refusals};
+use super::{Gateway, jitter};
 use crate::clock;
-use crate::platform;
+use crate::platform::{self, Listed};
 use crate::pool::Source;
-use crate::store::StoreUpdate;
 use futures_util::future::join_all;
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -69,23 +68,20 @@
 async fn read_part(gw: &Rc<Gateway>, prefix: &str) -> bool {
     let read = gw.store.list_within(&[prefix], FIRST_TIMEOUT).await;
     let has_all = gw.store_position.borrow().get().is_some();
-    let part = read.as_ref().ok().map(|listed| &listed.update);
-    let part = part.filter(|part| !has_all && follow::is_ahead(gw, part.at));
+    let part = read.as_ref().ok();
+    let part = part.filter(|part| !has_all && follow::is_ahead(gw, part.update.at));
     if let Some(part) = part {
         apply_part(gw, prefix, part);
     }
     read.is_ok()
 }
 
-fn apply_part(gw: &Rc<Gateway>, prefix: &str, part: &StoreUpdate) {
-    match prefix {
-        platform::CONFIG_KEY => follow::apply_config(gw, part),
-        platform::EVACUATIONS_PREFIX => evacuation::replace(gw, part, Source::Current),
-        platform::SERVERS_PREFIX => follow::replace_listings(gw, part, Source::Current),
-        _ => {}
-    }
-    for kv in &part.kvs {
-        membership::update_peer(gw, kv);
-        refusals::apply_kv(gw, kv);
+fn apply_part(gw: &Rc<Gateway>, prefix: &str, part: &Listed) {
+    if prefix == platform::CONFIG_KEY {
+        follow::apply_config(gw, &part.update);
+    } else if gw.applied.borrow().can_compare(part.begun_at) {
+        follow::apply_kind(gw, prefix, part, Source::Current);
+    } else {
+        log::warn!("dropped a read of {prefix:?}: too many keys changed meanwhile");
     }
 }
--- a/src/gateway/refusals.rs
+++ b/src/gateway/refusals.rs
@@ -94,6 +94,14 @@
     }
 }
 
+/// Adopts what a list of the store has. Refusals that it lacks are written again: no change shows that
+/// they are gone if the history is, or the store has come back from a copy.
+pub fn apply_list(gw: &Gateway, items: &[&KeyValue]) {
+    gw.published.borrow_mut().clear();
+    items.iter().for_each(|kv| apply_kv(gw, kv));
+    wake_publisher(gw);
+}
+
 /// Adopts what an instance that refuses it wrote to the store.
 pub fn apply_kv(gw: &Gateway, kv: &KeyValue) {
     let Some(name) = kv.key.strip_prefix(KEY_PREFIX) else { return };
@@ -121,12 +129,6 @@
     }
 }
 
-/// Forgets which refusals the store holds, so that they are written again after its return from a copy.
-pub fn forget_published(gw: &Gateway) {
-    gw.published.borrow_mut().clear();
-    gw.refusal_added.notify_one();
-}
-
 /// Wakes the task that writes to the store if there is something to write.
 pub fn wake_publisher(gw: &Gateway) {
     if next_unpublished(gw).is_some() {
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -200,18 +200,20 @@
     }
 
     /// Applies the full set of listings after the store was unavailable. Listings from a copy bring
-    /// back no endpoint that was removed recently.
+    /// back no endpoint that was removed recently. An endpoint that the set lacks stays as it is if its
+    /// listing `has_changed` since the set was read.
     pub fn replace_listings(
         &mut self,
         now: Instant,
         mut all: Vec<Listing>,
         source: Source,
+        has_changed: impl Fn(&EndpointId) -> bool,
     ) -> Vec<Change> {
         if source == Source::Copy {
             all.retain(|l| !self.is_outdated(l));
         }
-        let missing: Vec<EndpointId> =
-            self.ids.keys().filter(|id| all.iter().all(|l| l.id != **id)).cloned().collect();
+        let is_missing = |id: &&EndpointId| all.iter().all(|l| l.id != **id) && !has_changed(id);
+        let missing: Vec<EndpointId> = self.ids.keys().filter(is_missing).cloned().collect();
         missing.iter().for_each(|id| self.mark_lapsed(now, id));
         all.into_iter().filter_map(|l| self.upsert(now, l)).collect()
     }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -3,6 +3,7 @@
 //! [`Etcd`] uses the JSON gateway of etcd v3, because etcd has compare-and-swap over several keys
 //! in one call, leases, and watches from a given revision.
 
+mod applied;
 mod etcd;
 mod history;
 mod list;
@@ -10,6 +11,7 @@
 mod position;
 mod rereads;
 
+pub use applied::{Applied, ListStart};
 pub use etcd::Etcd;
 pub use history::{History, MARKER_KEY, Marker, Standing};
 pub use list::{InstanceList, ListedInstance, ListedState, Role, parse_instances};
--- a/standin/src/platform/front.rs
+++ b/standin/src/platform/front.rs
@@ -35,6 +35,8 @@
     Lost,
     /// Requests reach the store after this time.
     Late(Duration),
+    /// Requests whose target contains this text reach the store at once, and are answered after this time.
+    LateAnswer(&'static str, Duration),
     /// The first of this many connections is closed when a request has come, and so on.
     OneIn(usize),
     /// Requests whose target contains this text get this status.
@@ -50,7 +52,9 @@
     fn spares(self, head: &[u8], n: u32) -> bool {
         let contains = |text: &str| head.windows(text.len()).any(|w| w == text.as_bytes());
         match self {
-            StoreFault::Target(text, _) | StoreFault::SilentTarget(text) => !contains(text),
+            StoreFault::Target(text, _)
+            | StoreFault::SilentTarget(text)
+            | StoreFault::LateAnswer(text, _) => !contains(text),
             // Spreads the failures without a pattern that calls in a fixed order could meet.
             StoreFault::Share(share, _) => (n.wrapping_mul(0x9e37_79b9) >> 16) % 100 >= share,
             _ => false,
@@ -59,8 +63,8 @@
 
     /// Returns whether the fault depends on the request.
     fn is_selective(self) -> bool {
-        use StoreFault::{Share, SilentTarget, Target};
-        matches!(self, Target(..) | SilentTarget(_) | Share(..))
+        use StoreFault::{LateAnswer, Share, SilentTarget, Target};
+        matches!(self, Target(..) | SilentTarget(_) | Share(..) | LateAnswer(..))
     }
 }
 
@@ -108,18 +112,21 @@
                 std::thread::spawn(move || {
                     let fault = is_faulty.load(Ordering::Relaxed).then_some(fault);
                     match fault {
-                        Some(StoreFault::OneIn(all)) if n % all != 0 => pass_on(client, store),
+                        Some(StoreFault::OneIn(all)) if n % all != 0 => {
+                            pass_on(client, store, Duration::ZERO);
+                        }
                         Some(fault)
                             if fault.is_selective() && fault.spares(&head(&client), n as u32) =>
                         {
-                            pass_on(client, store);
+                            pass_on(client, store, Duration::ZERO);
                         }
+                        Some(StoreFault::LateAnswer(_, delay)) => pass_on(client, store, delay),
                         Some(StoreFault::Late(delay)) => {
                             std::thread::sleep(delay);
-                            pass_on(client, store);
+                            pass_on(client, store, Duration::ZERO);
                         }
                         Some(fault) => fail(client, fault, &is_faulty),
-                        None => pass_on(client, store),
+                        None => pass_on(client, store, Duration::ZERO),
                     }
                 });
             }
@@ -167,7 +174,10 @@
         }
         // The connection is closed by the other side.
         StoreFault::Lost => io.peek(&mut [0]).is_ok_and(|n| n > 0),
-        StoreFault::Closing | StoreFault::Late(_) | StoreFault::OneIn(_) => false,
+        StoreFault::Closing
+        | StoreFault::Late(_)
+        | StoreFault::LateAnswer(..)
+        | StoreFault::OneIn(_) => false,
         StoreFault::Status(status)
         | StoreFault::Target(_, status)
         | StoreFault::Share(_, status) => respond(io, status, 4, "null"),
@@ -190,12 +200,16 @@
     }
 }
 
-fn pass_on(client: TcpStream, store: SocketAddr) {
+/// Passes a connection on to the store, whose answers begin after a delay.
+fn pass_on(client: TcpStream, store: SocketAddr, delay: Duration) {
     let Ok(upstream) = TcpStream::connect(store) else { return };
     let (Ok(client_copy), Ok(upstream_copy)) = (client.try_clone(), upstream.try_clone()) else {
         return;
     };
-    std::thread::spawn(move || copy(upstream_copy, client_copy));
+    std::thread::spawn(move || {
+        std::thread::sleep(delay);
+        copy(upstream_copy, client_copy);
+    });
     copy(client, upstream);
 }
 
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod answers;
+mod applied;
 mod backlog;
 mod balance;
 mod callers;
--- a/tests/decisions/pool.rs
+++ b/tests/decisions/pool.rs
@@ -34,7 +34,7 @@
 fn lapsed_endpoint_is_removed_within_two_seconds() {
     let now = Instant::now();
     let (mut pool, keys) = pool(now, 2);
-    let changes = pool.replace_listings(now, vec![listing(1, "a")], Source::Current);
+    let changes = pool.replace_listings(now, vec![listing(1, "a")], Source::Current, |_| false);
     assert_eq!(changes, []);
     assert!(matches!(pool.endpoints[keys[0]].standing, Standing::Lapsed(_)));
     pool.step(now + Duration::from_millis(1500));
@@ -53,7 +53,7 @@
     pool.mark_lapsed(now, &id(0));
     let last = pool.last_listing(&id(0)).expect("it is known");
     assert_eq!(last, Listing { warmup: None, ..listing(0, "a") });
-    assert_eq!(pool.replace_listings(now + secs(1), vec![last], Source::Copy), []);
+    assert_eq!(pool.replace_listings(now + secs(1), vec![last], Source::Copy, |_| false), []);
     let e = &pool.endpoints[keys[0]];
     assert_eq!((e.standing, e.warmup_end), (Standing::Serving, end));
 }
@@ -90,13 +90,13 @@
     let copy = || vec![listing(0, "a"), listing(1, "a")];
     let later = now + Duration::from_secs(30);
     pool.step(later);
-    assert_eq!(pool.replace_listings(later, copy(), Source::Copy), []);
+    assert_eq!(pool.replace_listings(later, copy(), Source::Copy, |_| false), []);
     assert_eq!(pool.find(&id(0)), None);
     // A write after the return brings it back, and so does a later read of all keys.
     let mut written = pool;
     assert_eq!(written.upsert(later, listing(0, "a")), Some(Change::Joined(id(0))));
     written.remove(later, &id(0));
-    let changes = written.replace_listings(later, copy(), Source::Current);
+    let changes = written.replace_listings(later, copy(), Source::Current, |_| false);
     assert_eq!(changes, [Change::Joined(id(0))]);
 }
 
@@ -107,12 +107,12 @@
     let restarted = Listing { started_ms: Some(2), ..listing(0, "a") };
     pool.upsert(now, restarted);
     let key = pool.find(&id(0));
-    assert_eq!(pool.replace_listings(now, vec![listing(0, "a")], Source::Copy), []);
+    assert_eq!(pool.replace_listings(now, vec![listing(0, "a")], Source::Copy, |_| false), []);
     assert_eq!(pool.find(&id(0)), key);
     // After a restart at the same id since the removal, the listing is of another endpoint.
     pool.remove(now, &id(0));
     let again = Listing { started_ms: Some(3), ..listing(0, "a") };
-    let changes = pool.replace_listings(now, vec![again], Source::Copy);
+    let changes = pool.replace_listings(now, vec![again], Source::Copy, |_| false);
     assert_eq!(changes, [Change::Joined(id(0))]);
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod faulty;
 mod head_requests;
 mod intent;
+mod late_lists;
 mod lifecycle;
 mod limits;
 mod listings;
