Name the fault of a configuration that an entry refuses

An entry that finds an invalid text in the store, as a newer release may have written it, logged "configuration text failed validation" (502) and why=configuration-refused (116) without the fault: Intent::adopt dropped the faults of the parser.

The first fault, with its line and column, is now in both lines, as a gateway's 116 line has it. The 502 line also tells where the text came from.

Before: configuration_that_an_entry_refuses_is_named_with_its_fault fails (the lines are there without the fault); after: it passes.

--- a/src/entry/readiness.rs
+++ b/src/entry/readiness.rs
@@ -30,8 +30,10 @@
         Some(Report::NotReady(why, time)) => {
             let (ms, links) = (time.as_millis(), e.links.borrow().len());
             let mut detail = format!("why={why} for_ms={ms} links={links}");
-            if let Obstacle::StoreFailed(..) = why {
-                detail += &format!(" {}", e.failure.borrow());
+            match why {
+                Obstacle::StoreFailed(..) => detail += &format!(" {}", e.failure.borrow()),
+                Obstacle::ConfigurationRefused(fault) => detail += &format!(" refused={fault:?}"),
+                _ => {}
             }
             e.process.event(Kind::NotReady, instance, detail);
         }
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -177,10 +177,10 @@
             e.links.borrow().values().for_each(|link| link.request_poll());
             true
         }
-        Err(AdoptError::Invalid) => {
-            let why = format!("from={from}");
-            *e.missing.borrow_mut() = Obstacle::ConfigurationRefused(why.into());
-            e.process.event(Kind::Rejected, copy.version, "configuration text failed validation");
+        Err(AdoptError::Invalid(fault)) => {
+            let detail = format_args!("from={from} refused={fault:?}");
+            e.process.event(Kind::Rejected, copy.version, detail);
+            *e.missing.borrow_mut() = Obstacle::ConfigurationRefused(fault);
             false
         }
         Err(AdoptError::Stale | AdoptError::MissingChunks(_)) => false,
--- a/src/intent/mod.rs
+++ b/src/intent/mod.rs
@@ -39,8 +39,8 @@
     Stale,
     /// Chunks with these hashes are missing.
     MissingChunks(Vec<Arc<str>>),
-    /// The text is not a valid configuration.
-    Invalid,
+    /// The text is not a valid configuration; this is its first fault.
+    Invalid(Arc<str>),
 }
 
 impl Intent {
@@ -111,7 +111,10 @@
             copy.parts.iter().map(|h| (h.clone(), available[h].clone())).collect();
         if !self.is_relay {
             let source: String = chunks.iter().map(|(_, c)| &**c).collect();
-            let text = Text::parse(&source).map_err(|_| AdoptError::Invalid)?;
+            let text = Text::parse(&source).map_err(|faults| {
+                let first = faults.first().map(ToString::to_string);
+                AdoptError::Invalid(first.unwrap_or_default().into())
+            })?;
             self.text = Rc::new(text);
         }
         self.version = copy.version;
--- a/src/sidecar/peers.rs
+++ b/src/sidecar/peers.rs
@@ -80,7 +80,7 @@
             match result {
                 Ok(()) => s.process.event(Kind::Adopted, copy.version, "from=peer"),
                 Err(AdoptError::MissingChunks(hashes)) => return Reply::Lacking(hashes),
-                Err(AdoptError::Stale | AdoptError::Invalid) => {}
+                Err(AdoptError::Stale | AdoptError::Invalid(_)) => {}
             }
             Reply::Ok
         }
--- a/tests/deployment/outages.rs
+++ b/tests/deployment/outages.rs
@@ -3,7 +3,8 @@
 use crate::common::*;
 use rstest::rstest;
 use serde_json::Value;
-use skylarkthread::intent::HEAD_KEY;
+use skylarkthread::id::IntentVersion;
+use skylarkthread::intent::{HEAD_KEY, write_back};
 use skylarkthread::store::{Etcd, MARKER_KEY, Op, Store};
 use standin::fleet::{Daemon, Fleet, Plan};
 use standin::host::Holder;
@@ -287,3 +288,26 @@
     let (all, secs) = (unready_secs(&metrics), elapsed.as_secs_f64());
     assert!((secs - COUNT_SECS..=secs + COUNT_SECS).contains(&all), "{all} of {secs}: {metrics}");
 }
+
+/// Starts the entry of a fleet again on a store that holds a configuration.
+async fn restart_with_stored(fleet: &mut Fleet, text: &str) {
+    let entry = &mut fleet.entries[0].daemon;
+    entry.kill();
+    let store = Etcd::new(fleet.store.address);
+    let is_written = write_back(&store, IntentVersion(1), text).await;
+    assert_eq!(is_written, Ok(true), "not written");
+    redirect(entry, "store", fleet.store.address);
+}
+
+/// The 502 line had no fault, and the 116 line no reason.
+#[actix_rt::test]
+async fn configuration_that_an_entry_refuses_is_named_with_its_fault() {
+    let mut fleet = start_entry();
+    let text = r#"{ "services": { "a": { "kind": "batch" } } }"#;
+    restart_with_stored(&mut fleet, text).await;
+    let entry = &fleet.entries[0].daemon;
+    let fault = "\"1:32: E008 expected one of";
+    wait_for_line(5, entry, &["event=502 kind=Rejected subject=1 ", "from=store", fault]).await;
+    wait_for_line(5, entry, &["event=116", "why=configuration-refused ", fault]).await;
+    wait_for_series(entry, "unready_seconds_total{why=\"configuration-refused\"}").await;
+}
