Name a stored part of the configuration that is not its hash's

An entry that read a head whose part somebody had overwritten passed the text over without a line, as if it were older than the one in force, and waited for the next change of the head. One without a configuration then told why=store-unread for good, though each read had ended.

Parts that were read and are not what the head names now fail the read: the 510 and 116 lines name the key of the part, store_failures_total counts it, and the entry reads again after its usual delays of up to about 10 s instead of at the next change. Parts that the entry had itself are left out of the check, since another text may have replaced them during the read.

Before: stored_part_of_a_configuration_that_was_overwritten_is_named fails (no 510 line, a 116 line with why=store-unread); after: it passes.

--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -10,7 +10,7 @@
 use crate::event::Kind;
 use crate::frame::{IntentCopy, Reply, Request};
 use crate::id::IntentVersion;
-use crate::intent::{AdoptError, HEAD_KEY, Head, read_newest, write_back};
+use crate::intent::{AdoptError, HEAD_KEY, Head, part_key, read_newest, write_back};
 use crate::peer::Link;
 use crate::place;
 use crate::process::OutageLog;
@@ -19,6 +19,7 @@
 use crate::task;
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Number of entries per data centre that watch the store; the others poll it.
@@ -108,6 +109,7 @@
             }
         });
         if let Some((copy, revision)) = newest? {
+            check_parts(e, &copy, &hashes)?;
             adopt(e, &copy, "store");
             return Ok(Some(revision));
         }
@@ -116,6 +118,14 @@
     Ok(Some(stored.revision))
 }
 
+/// Checks that the parts that were read are those that the head names; those in `had` were not read.
+fn check_parts(e: &Entry, copy: &IntentCopy, had: &[Arc<str>]) -> Result<(), StoreError> {
+    let missing = e.process.intent.borrow().missing_chunks(copy);
+    let Some(hash) = missing.iter().find(|h| !had.contains(h)) else { return Ok(()) };
+    let reason = "the content is not that of its hash";
+    Err(e.store.fail_value(&part_key(hash), reason, StoreError::Malformed))
+}
+
 /// Returns whether a stored version may be put in force. Where the store has come back, an entry
 /// that has none asks the sidecars first, which may have a newer one.
 fn may_adopt_stored(e: &Entry, stored: IntentVersion) -> bool {
--- a/src/intent/mod.rs
+++ b/src/intent/mod.rs
@@ -4,7 +4,7 @@
 mod submit;
 
 pub use submit::{
-    HEAD_KEY, Head, Submission, Submitted, read_newest, read_version, submit, write_back,
+    HEAD_KEY, Head, Submission, Submitted, part_key, read_newest, read_version, submit, write_back,
 };
 
 use crate::frame::IntentCopy;
--- a/tests/deployment/outages.rs
+++ b/tests/deployment/outages.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 use serde_json::Value;
 use skylarkthread::id::IntentVersion;
-use skylarkthread::intent::{HEAD_KEY, write_back};
+use skylarkthread::intent::{HEAD_KEY, chunk_hash, part_key, split_chunks, write_back};
 use skylarkthread::store::{Etcd, MARKER_KEY, Op, Store};
 use standin::fleet::{Daemon, Fleet, Plan};
 use standin::host::Holder;
@@ -289,13 +289,15 @@
     assert!((secs - COUNT_SECS..=secs + COUNT_SECS).contains(&all), "{all} of {secs}: {metrics}");
 }
 
-/// Starts the entry of a fleet again on a store that holds a configuration.
-async fn restart_with_stored(fleet: &mut Fleet, text: &str) {
+/// Starts the entry of a fleet again on a store that holds a configuration, changed by `ops`.
+async fn restart_with_stored(fleet: &mut Fleet, text: &str, ops: &[Op]) {
     let entry = &mut fleet.entries[0].daemon;
     entry.kill();
     let store = Etcd::new(fleet.store.address);
     let is_written = write_back(&store, IntentVersion(1), text).await;
     assert_eq!(is_written, Ok(true), "not written");
+    let changed = store.txn(&[], ops, &[]).await;
+    assert!(changed.is_ok_and(|o| o.succeeded), "not changed");
     redirect(entry, "store", fleet.store.address);
 }
 
@@ -304,10 +306,24 @@
 async fn configuration_that_an_entry_refuses_is_named_with_its_fault() {
     let mut fleet = start_entry();
     let text = r#"{ "services": { "a": { "kind": "batch" } } }"#;
-    restart_with_stored(&mut fleet, text).await;
+    restart_with_stored(&mut fleet, text, &[]).await;
     let entry = &fleet.entries[0].daemon;
     let fault = "\"1:32: E008 expected one of";
     wait_for_line(5, entry, &["event=502 kind=Rejected subject=1 ", "from=store", fault]).await;
     wait_for_line(5, entry, &["event=116", "why=configuration-refused ", fault]).await;
     wait_for_series(entry, "unready_seconds_total{why=\"configuration-refused\"}").await;
 }
+
+/// The entry told that no read of the store had ended.
+#[actix_rt::test]
+async fn stored_part_of_a_configuration_that_was_overwritten_is_named() {
+    let mut fleet = start_entry();
+    let part = chunk_hash(&split_chunks(CONFIG)[0]);
+    let overwrite = Op::Put(part_key(&part), b"other".to_vec(), None);
+    restart_with_stored(&mut fleet, CONFIG, &[overwrite]).await;
+    let (entry, call) = (&fleet.entries[0].daemon, format!("call={:?}", part_key(&part)));
+    let lost = ["event=510 kind=StoreLost", "subject=store why=malformed ", &call];
+    wait_for_line(5, entry, &lost).await;
+    wait_for_line(5, entry, &["event=116", "why=store-malformed ", &call]).await;
+    wait_for_series(entry, "unready_seconds_total{why=\"store-malformed\"}").await;
+}
