--- a/src/entry/readiness.rs
+++ b/src/entry/readiness.rs
@@ -30,8 +30,10 @@
     match report {
         Report::NotReady(span) => {
             let mut detail = format!("{span} links={}", e.links.borrow().len());
-            if let Obstacle::StoreFailed(..) = span.obstacle {
-                detail += &format!(" {}", e.failure.borrow());
+            match &span.obstacle {
+                Obstacle::StoreFailed(..) => detail += &format!(" {}", e.failure.borrow()),
+                Obstacle::ConfigurationRefused(fault) => detail += &format!(" refused={fault:?}"),
+                _ => {}
             }
             e.process.event(Kind::NotReady, instance, detail);
         }
