--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -32,7 +32,7 @@
 use crate::quarantine::{Quarantine, Runs};
 use crate::readiness::{Obstacle, Watch};
 use crate::shutdown::{Drain, StopSignals, run_stop};
-use crate::store::{Etcd, InstanceList};
+use crate::store::{CallFailure, Etcd, InstanceList};
 use crate::task::{self, Unfinished};
 use crate::text::Text;
 use actix_http::{Method, Request, Response};
@@ -72,17 +72,23 @@
     peer_versions: RefCell<HashMap<InstanceId, IntentVersion>>,
     metrics: http::Metrics,
     readiness: RefCell<Watch>,
+    /// Whether the address for callers is listened on.
+    callers_accepted: Rc<Cell<bool>>,
     /// Why there is no intent, as long as there is none.
     missing: RefCell<Obstacle>,
+    /// The last read of the store that failed.
+    failure: RefCell<CallFailure>,
 }
 
-/// Runs an entry until shutdown is requested and all open requests have finished.
+/// Runs an entry until shutdown is requested and all open requests have finished. `watch` knows the
+/// time before it had settings.
 ///
 /// # Errors
 ///
 /// Returns [`Unfinished`] if they have not finished in the time of the settings.
 pub async fn run(
     process: Process,
+    watch: Watch,
     metrics: http::Metrics,
     mut stop_signals: StopSignals,
 ) -> Result<(), Unfinished> {
@@ -106,8 +112,10 @@
         history: StoreView::default(),
         peer_versions: RefCell::new(HashMap::new()),
         metrics,
-        readiness: RefCell::new(Watch::new(clock::now(), clock::now())),
+        readiness: RefCell::new(watch),
+        callers_accepted: Rc::default(),
         missing: RefCell::new(Obstacle::StoreUnread),
+        failure: RefCell::default(),
         started: clock::now(),
         process,
     });
@@ -120,7 +128,8 @@
     keep(&entry, "store", sync::watch_store);
     keep(&entry, "claims", claims::flush);
     keep(&entry, "history", history::run);
-    let acceptor = Rc::new(Mutex::new(Acceptor::new(web, event::log)));
+    let acceptor = Acceptor::new(web, event::log).show_in(entry.callers_accepted.clone());
+    let acceptor = Rc::new(Mutex::new(acceptor));
     keep(&entry, "callers", move |e| {
         let acceptor = acceptor.clone();
         async move {
--- a/src/entry/readiness.rs
+++ b/src/entry/readiness.rs
@@ -2,7 +2,7 @@
 
 use super::Entry;
 use crate::event::Kind;
-use crate::readiness::{Obstacle, Report};
+use crate::readiness::{Obstacle, Report, count_seconds};
 use std::time::Instant;
 
 /// Returns what stands between an entry and its readiness; `None` if it is ready.
@@ -10,6 +10,9 @@
     if e.board.borrow().draining {
         return Some(Obstacle::Stopping);
     }
+    if !e.callers_accepted.get() {
+        return Some(Obstacle::NotListening);
+    }
     (e.process.version().0 == 0).then(|| e.missing.borrow().clone())
 }
 
@@ -18,21 +21,22 @@
     let found = obstacle(e);
     metrics::gauge!("ready").set(if found.is_none() { 1.0 } else { 0.0 });
     let step = e.readiness.borrow_mut().step(now, found);
-    if let Some((obstacle, seconds)) = step.counted {
-        let why = obstacle.to_string();
-        metrics::counter!("unready_seconds_total", "why" => why).increment(seconds);
-    }
+    step.counted.iter().for_each(|obstacle| count_seconds(obstacle, 1));
+    step.reports.iter().for_each(|report| log_report(e, report));
+}
+
+fn log_report(e: &Entry, report: &Report) {
     let instance = &e.process.settings.instance;
-    match step.report {
-        Some(Report::NotReady(why, time)) => {
-            let (ms, links) = (time.as_millis(), e.links.borrow().len());
-            let detail = format_args!("why={why} for_ms={ms} links={links}");
+    match report {
+        Report::NotReady(span) => {
+            let mut detail = format!("{span} links={}", e.links.borrow().len());
+            match &span.obstacle {
+                Obstacle::StoreFailed(..) => detail += &format!(" {}", e.failure.borrow()),
+                Obstacle::ConfigurationRefused(fault) => detail += &format!(" refused={fault:?}"),
+                _ => {}
+            }
             e.process.event(Kind::NotReady, instance, detail);
         }
-        Some(Report::Ready(last, time)) => {
-            let detail = format_args!("why={last} for_ms={}", time.as_millis());
-            e.process.event(Kind::Ready, instance, detail);
-        }
-        None => {}
+        _ => e.process.event(report.kind(), instance, report),
     }
 }
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -10,20 +10,24 @@
 use crate::event::Kind;
 use crate::frame::{IntentCopy, Reply, Request};
 use crate::id::IntentVersion;
-use crate::intent::{AdoptError, HEAD_KEY, Head, read_newest, write_back};
+use crate::intent::{AdoptError, HEAD_KEY, Head, part_key, read_newest, write_back};
 use crate::peer::Link;
 use crate::place;
+use crate::process::OutageLog;
 use crate::readiness::Obstacle;
 use crate::store::{Store, StoreError};
 use crate::task;
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Number of entries per data centre that watch the store; the others poll it.
 const MAX_WATCHERS: usize = 2;
 /// Mean time after which a watch without a change is renewed.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
+/// Mean time of the first watch in an outage, which shows that watches succeed again.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(1);
 /// Mean poll interval of an entry that does not watch the store.
 const STORE_POLL_INTERVAL: Duration = Duration::from_secs(60);
 /// Initial retry delay after a store error; doubled with each further error.
@@ -41,20 +45,21 @@
 pub async fn watch_store(e: Rc<Entry>) {
     let mut retry_delay = MIN_RETRY_DELAY;
     let mut revision = 0;
-    let mut is_up = true;
+    let mut outage = OutageLog::new("store");
     loop {
-        let result = sync_once(&e, &mut revision).await;
-        if result.is_ok() != is_up {
-            is_up = result.is_ok();
-            match &result {
-                Ok(()) => e.process.event(Kind::StoreBack, "store", ""),
-                Err(why) => e.process.event(Kind::StoreLost, "store", format_args!("why={why}")),
+        match sync_once(&e, &mut revision, outage.is_open()).await {
+            Ok(has_watched) => {
+                outage.end(&e.process);
+                retry_delay = MIN_RETRY_DELAY;
+                if !has_watched {
+                    tokio::time::sleep(jitter(STORE_POLL_INTERVAL)).await;
+                }
             }
-        }
-        match result {
-            Ok(()) => retry_delay = MIN_RETRY_DELAY,
             Err(why) => {
-                *e.missing.borrow_mut() = Obstacle::StoreFailed(why, "".into());
+                let failure = e.store.last_failure();
+                outage.fail(&e.process, clock::now(), why, &failure);
+                *e.missing.borrow_mut() = Obstacle::StoreFailed(why, failure.why.clone());
+                *e.failure.borrow_mut() = failure;
                 tokio::time::sleep(jitter(retry_delay)).await;
                 retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
             }
@@ -62,18 +67,19 @@
     }
 }
 
-/// Reads the store once, then waits for a change (watchers) or for the poll interval (others).
-async fn sync_once(e: &Rc<Entry>, revision: &mut u64) -> Result<(), StoreError> {
+/// Reads the store once. A watcher then waits for a change, for a short time if the store `was_lost`;
+/// returns whether it did.
+async fn sync_once(e: &Rc<Entry>, revision: &mut u64, was_lost: bool) -> Result<bool, StoreError> {
     history::refresh(e).await?;
     let found = fetch_newer(e).await?;
     *revision = found.unwrap_or(*revision);
     if !is_watcher(e) {
-        tokio::time::sleep(jitter(STORE_POLL_INTERVAL)).await;
-        return Ok(());
+        return Ok(false);
     }
+    let wait = if was_lost { CONFIRM_TIMEOUT } else { WATCH_TIMEOUT };
     // The watch starts at the revision that was read, so no change in between is missed.
-    match e.store.wait_for_change(HEAD_KEY, *revision, jitter(WATCH_TIMEOUT)).await {
-        Ok(_) | Err(StoreError::Compacted) => Ok(()),
+    match e.store.wait_for_change(HEAD_KEY, *revision, jitter(wait)).await {
+        Ok(_) | Err(StoreError::Compacted) => Ok(true),
         Err(other) => Err(other),
     }
 }
@@ -88,7 +94,8 @@
         write_back_newer(e, IntentVersion(0)).await?;
         return Ok(None);
     };
-    let head: Head = serde_json::from_slice(&stored.value).map_err(|_| StoreError::Malformed)?;
+    let head: Head = serde_json::from_slice(&stored.value)
+        .map_err(|error| e.store.fail_value(HEAD_KEY, error, StoreError::Malformed))?;
     while !may_adopt_stored(e, head.version) {
         *e.missing.borrow_mut() = Obstacle::StoreOutdated;
         tokio::time::sleep(START_INTERVAL).await;
@@ -96,7 +103,13 @@
     write_back_newer(e, head.version).await?;
     if head.version > e.process.version() {
         let hashes = e.process.intent.borrow().chunk_hashes();
-        if let Some((copy, revision)) = read_newest(&e.store, &hashes).await? {
+        let newest = read_newest(&e.store, &hashes).await.inspect_err(|error| {
+            if *error == StoreError::Malformed && e.store.last_failure().is_empty() {
+                e.store.fail_value(HEAD_KEY, "parts of the text are missing or invalid", *error);
+            }
+        });
+        if let Some((copy, revision)) = newest? {
+            check_parts(e, &copy, &hashes)?;
             adopt(e, &copy, "store");
             return Ok(Some(revision));
         }
@@ -105,6 +118,14 @@
     Ok(Some(stored.revision))
 }
 
+/// Checks that the parts that were read are those that the head names; those in `had` were not read.
+fn check_parts(e: &Entry, copy: &IntentCopy, had: &[Arc<str>]) -> Result<(), StoreError> {
+    let missing = e.process.intent.borrow().missing_chunks(copy);
+    let Some(hash) = missing.iter().find(|h| !had.contains(h)) else { return Ok(()) };
+    let reason = "the content is not that of its hash";
+    Err(e.store.fail_value(&part_key(hash), reason, StoreError::Malformed))
+}
+
 /// Returns whether a stored version may be put in force. Where the store has come back, an entry
 /// that has none asks the sidecars first, which may have a newer one.
 fn may_adopt_stored(e: &Entry, stored: IntentVersion) -> bool {
@@ -166,10 +187,10 @@
             e.links.borrow().values().for_each(|link| link.request_poll());
             true
         }
-        Err(AdoptError::Invalid) => {
-            let why = format!("from={from}");
-            *e.missing.borrow_mut() = Obstacle::ConfigurationRefused(why.into());
-            e.process.event(Kind::Rejected, copy.version, "configuration text failed validation");
+        Err(AdoptError::Invalid(fault)) => {
+            let detail = format_args!("from={from} refused={fault:?}");
+            e.process.event(Kind::Rejected, copy.version, detail);
+            *e.missing.borrow_mut() = Obstacle::ConfigurationRefused(fault);
             false
         }
         Err(AdoptError::Stale | AdoptError::MissingChunks(_)) => false,
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -4,9 +4,8 @@
 use crate::clock;
 use crate::event::{self, Kind};
 use crate::id::InstanceId;
-use crate::platform::CallFailure;
-use crate::readiness::{Obstacle, Report, StallWatch, Watch};
-use crate::store::StoreError;
+use crate::readiness::{Obstacle, Report, Span, StallWatch, Watch, count_seconds};
+use crate::store::{CallFailure, StoreError};
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::sync::Arc;
@@ -52,10 +51,10 @@
 }
 
 impl ReadinessState {
-    /// Starts with an instance that has its settings since `now`, and was started at `begun`.
-    pub fn new(begun: Instant, now: Instant) -> Self {
+    /// Starts with an instance that has its settings since `now`; `watch` knows the time before.
+    pub fn new(watch: Watch, now: Instant) -> Self {
         ReadinessState {
-            watch: RefCell::new(Watch::new(begun, now)),
+            watch: RefCell::new(watch),
             steps: Arc::default(),
             ended: Cell::new(now),
             was_read: Cell::default(),
@@ -113,6 +112,8 @@
         Some(Obstacle::Stopping)
     } else if !gw.callers_accepted.get() {
         Some(Obstacle::NotListening)
+    } else if are_probes_closed(gw) {
+        Some(Obstacle::ProbesNotListening)
     } else if gw.table.borrow().is_none() {
         Some(gw.readiness.missing_configuration())
     } else {
@@ -120,6 +121,11 @@
     }
 }
 
+/// Returns whether the settings name an address for readiness checks that is not listened on.
+fn are_probes_closed(gw: &Gateway) -> bool {
+    gw.settings.borrow().probe_address.is_some() && !gw.probes_accepted.get()
+}
+
 /// Starts a thread that logs while the thread that serves does not run, which cannot do so itself.
 pub fn watch_stalls(gw: &Gateway) {
     let (steps, instance) = (gw.readiness.steps.clone(), gw.settings.borrow().instance.clone());
@@ -150,31 +156,22 @@
         count_seconds(obstacle, 0);
     }
     let step = gw.readiness.watch.borrow_mut().step(now, found);
-    if let Some((obstacle, seconds)) = step.counted {
-        count_seconds(&obstacle, seconds);
-    }
-    let instance = &gw.settings.borrow().instance;
-    match step.report {
-        Some(Report::NotReady(obstacle, time)) => {
-            gw.event(Kind::NotReady, instance, Detail { gw, now, obstacle, time });
-        }
-        Some(Report::Ready(last, time)) => {
-            let ms = time.as_millis();
-            gw.event(Kind::Ready, instance, format_args!("why={last} for_ms={ms}"));
-        }
-        None => {}
-    }
+    step.counted.iter().for_each(|obstacle| count_seconds(obstacle, 1));
+    step.reports.into_iter().for_each(|report| log_report(gw, now, report));
 }
 
-fn count_seconds(obstacle: &Obstacle, seconds: u64) {
-    let why = obstacle.to_string();
-    metrics::counter!("unready_seconds_total", "why" => why).increment(seconds);
+fn log_report(gw: &Gateway, now: Instant, report: Report) {
+    let instance = &gw.settings.borrow().instance;
+    match report {
+        Report::NotReady(span) => gw.event(Kind::NotReady, instance, Detail { gw, now, span }),
+        _ => gw.event(report.kind(), instance, report),
+    }
 }
 
 /// Returns one line on why this instance is not ready; empty if it is.
 pub fn describe(gw: &Gateway, now: Instant) -> String {
-    let time = gw.readiness.watch.borrow().elapsed(now);
-    let line = |obstacle| format!("{}\n", Detail { gw, now, obstacle, time });
+    let span = |obstacle| gw.readiness.watch.borrow().span(now, obstacle);
+    let line = |obstacle| format!("{}\n", Detail { gw, now, span: span(obstacle) });
     obstacle(gw).map(line).unwrap_or_default()
 }
 
@@ -182,15 +179,14 @@
 struct Detail<'a> {
     gw: &'a Gateway,
     now: Instant,
-    obstacle: Obstacle,
-    time: Duration,
+    span: Span,
 }
 
 impl fmt::Display for Detail<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Detail { gw, now, obstacle, time } = self;
+        let Detail { gw, now, span } = self;
         let state = &gw.readiness;
-        write!(f, "why={obstacle} for_ms={} table={}", time.as_millis(), gw.table_version())?;
+        write!(f, "{span} table={}", gw.table_version())?;
         if gw.table.borrow().is_some() {
             return Ok(());
         }
