--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -67,7 +67,11 @@
     let mut stop_signals = StopSignals::install()?;
     let mut file = SettingsFile::new(file);
     let usable = file.wait_usable(&mut stop_signals, |text| parse_daemon(text, role));
-    let usable = wait_settings(&mut watch, usable).await;
+    let usable = match role {
+        Role::Entry => wait_settings(&mut watch, usable).await,
+        // Sidecars have no readiness.
+        Role::Sidecar => usable.await,
+    };
     let Some((settings, served)) = usable else { return Ok(()) };
     log.name(&settings.instance);
     let process = Process::new(settings);
