Apply listed endpoints before evacuations again

What operators saw: since an instance that starts, or reads all keys for the first time, during an evacuation logged "EvacuationBegun endpoints=0" and the warning that no endpoint is known in the evacuated data centre. Routing was right.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -37,11 +37,12 @@
 const BATCH_DELAY: Duration = Duration::from_millis(40);
 /// Interval at which an instance that is no reader checks whether its next poll is due.
 const POLL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Prefixes of the keys that an instance follows. Others may keep any number of keys beside them.
+/// Prefixes of the keys that an instance follows, in the order in which they are applied: an evacuation
+/// is logged with the number of its endpoints. Others may keep any number of keys beside them.
 pub const FOLLOWED_KEYS: [&str; 5] = [
     platform::CONFIG_KEY,
-    platform::EVACUATIONS_PREFIX,
     platform::SERVERS_PREFIX,
+    platform::EVACUATIONS_PREFIX,
     membership::KEY_PREFIX,
     refusals::KEY_PREFIX,
 ];
--- a/tests/gateway/evacuation.rs
+++ b/tests/gateway/evacuation.rs
@@ -175,3 +175,20 @@
     assert!(has(r#"no endpoint is known in the evacuated data centre "no-such-place""#), "{log}");
     assert!(has("ignored evacuation of"), "{log}");
 }
+
+/// The evacuation was applied before the endpoints were known.
+#[test]
+fn evacuation_that_an_instance_finds_at_its_start_is_logged_with_its_endpoints() {
+    let e = endpoint("i-1");
+    let store = Store::start();
+    store.set("op/config", Some(CONFIG.as_bytes()));
+    list_at(&store, &e, "plain", "z-b");
+    store.set("op/evacuate/z-b", Some(b"{}"));
+    let gateway = start_gateway(&store);
+    assert!(wait_for(5, || gateway.readiness() == 200), "gateway not ready within 5 s");
+    let log = gateway.into_log();
+    let begun = "kind=EvacuationBegun subject=z-b";
+    let line = log.lines().find(|l| l.contains(begun)).expect(&log);
+    assert!(line.contains(" endpoints=1 "), "{log}");
+    assert!(!log.contains("no endpoint is known"), "{log}");
+}
