--- a/tests/gateway/evacuation.rs
+++ b/tests/gateway/evacuation.rs
@@ -186,8 +186,11 @@
     store.set("op/evacuate/z-b", Some(b"{}"));
     let gateway = start_gateway(&store);
     assert!(wait_for(5, || gateway.readiness() == 200), "gateway not ready within 5 s");
-    let log = gateway.into_log();
     let begun = "kind=EvacuationBegun subject=z-b";
+    let file = gateway.settings_file.with_extension("log");
+    let read = || std::fs::read_to_string(&file).expect("the log is written");
+    assert!(wait_for(5, || read().contains(begun)), "{}", read());
+    let log = gateway.into_log();
     let line = log.lines().find(|l| l.contains(begun)).expect(&log);
     assert!(line.contains(" endpoints=1 "), "{log}");
     assert!(!log.contains("no endpoint is known"), "{log}");
