Join an implementation and correct comments

Read as by somebody who opens the repository for the first time: two implementations of Connection followed each other; CHANGE_INTERVAL was said to limit all reports, which it does not for those of obstacles that end; a comment was a figure of speech. No behaviour changes.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -46,6 +46,7 @@
     membership::KEY_PREFIX,
     refusals::KEY_PREFIX,
 ];
+
 /// State of the connection to the store.
 #[derive(Debug, Default)]
 struct Connection {
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -93,9 +93,7 @@
         let stream = self.stream.as_mut().ok_or(io::ErrorKind::NotConnected)?;
         Ok(Pin::new(stream))
     }
-}
 
-impl Connection {
     /// Receives bytes into the screen; `buf` is empty before and after.
     fn poll_receive(
         &mut self,
@@ -163,6 +161,6 @@
     }
     let mut bytes = vec![0; DISCARD_BYTES];
     let discard = async { while stream.read(&mut bytes).await.is_ok_and(|n| n > 0) {} };
-    // The caller has had its time.
+    // The connection is closed after the timeout as at its end.
     let _ = tokio::time::timeout(LINGER_TIMEOUT, discard).await;
 }
--- a/src/readiness/mod.rs
+++ b/src/readiness/mod.rs
@@ -20,7 +20,8 @@
 
 /// Time between two reports of the same obstacle.
 const REPORT_INTERVAL: Duration = Duration::from_secs(5);
-/// Shortest time between two reports.
+/// Shortest time between two reports of what stands in the way, and of an obstacle that is reported as
+/// it ends.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without a step after which the process was stalled, which steps ten times a second. Checks for
 /// readiness got no answer meanwhile.
